--- /dev/null
+++ b/src/wigeonford/bench/_caller.py
@@ -0,0 +1,197 @@
+"""Stand-in caller: looks up, presents a key and checks its answers."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+from dataclasses import dataclass, field
+import random
+import time
+from typing import Final
+
+from hdrh.histogram import HdrHistogram
+import msgspec
+
+from wigeonford.bench._books import expected_body, REQUEST_ID_HEADER
+from wigeonford.errors import RunState
+from wigeonford.http import (
+    CODE_HEADER,
+    ConnectFailed,
+    ExchangeFailed,
+    fetch,
+    Headers,
+    Response,
+    RUN_STATE_HEADER,
+)
+from wigeonford.settings import Address
+
+MAX_TRIES: Final = 40
+TIMEOUT_S: Final = 20.0
+_MAX_LATENCY_US: Final = 120_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """Describe one request that a caller has to get answered."""
+
+    request_id: str
+    kind: str
+    method: str
+    path: str
+    body: bytes = b""
+    answer_bytes: int = 1024
+    idempotency_key: str | None = None
+
+
+@dataclass(slots=True)
+class CallerBooks:
+    """Count what callers got, over all of them."""
+
+    requests: int = 0
+    answered: int = 0
+    wrong_answers: int = 0
+    refusals: collections.Counter[int] = field(
+        default_factory=collections.Counter
+    )
+    latency_us: dict[str, HdrHistogram] = field(default_factory=dict)
+
+    def record(self, kind: str, seconds: float) -> None:
+        """Record the latency of one answered request."""
+        histogram = self.latency_us.get(kind)
+        if histogram is None:
+            histogram = HdrHistogram(1, _MAX_LATENCY_US, 3)
+            self.latency_us[kind] = histogram
+        histogram.record_value(max(1, round(seconds * 1e6)))
+
+    def latency_ms(self) -> dict[str, dict[str, float]]:
+        """Return percentiles by class, in milliseconds."""
+        return {
+            kind: {
+                name: histogram.get_value_at_percentile(percent) / 1000
+                for name, percent in (
+                    ("p50", 50),
+                    ("p99", 99),
+                    ("p99.9", 99.9),
+                )
+            }
+            for kind, histogram in sorted(self.latency_us.items())
+        }
+
+
+class StandInCaller:
+    """Call from one address with one account's key."""
+
+    def __init__(
+        self,
+        local_host: str,
+        account: str,
+        key: str,
+        entries: tuple[Address, ...],
+        books: CallerBooks,
+        rng: random.Random,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._local_host = local_host
+        self._account = account
+        self._key = key
+        self._entries = entries
+        self._books = books
+        self._rng = rng
+        self._clock = clock
+        self._ranked: tuple[Address, ...] = ()
+        self._ranked_until_s = 0.0
+
+    async def perform(self, job: Job) -> bool:
+        """Get a job answered; tell whether it was."""
+        self._books.requests += 1
+        started_s = self._clock()
+        for attempt in range(MAX_TRIES):
+            try:
+                response = await self._send(job, attempt)
+            except (ConnectFailed, ExchangeFailed):
+                self._ranked_until_s = 0.0
+                await asyncio.sleep(0.05)
+                continue
+            if response.status == 200:
+                self._books.record(job.kind, self._clock() - started_s)
+                self._check(job, response)
+                return True
+            if not await self._wait(response):
+                return False
+        return False
+
+    def _check(self, job: Job, response: Response) -> None:
+        self._books.answered += 1
+        expected = expected_body(job.request_id, job.answer_bytes)
+        if response.body != expected:
+            self._books.wrong_answers += 1
+
+    async def _wait(self, response: Response) -> bool:
+        """Wait as a refusal asks; tell whether another try is allowed."""
+        number = int(response.header(CODE_HEADER) or 0)
+        self._books.refusals[number] += 1
+        retry_after = response.header(b"retry-after")
+        state = response.header(RUN_STATE_HEADER)
+        if retry_after is None and state != RunState.NOT_RUN.value:
+            return False
+        seconds = float(retry_after or 1)
+        await asyncio.sleep(seconds * self._rng.uniform(0.5, 1.0))
+        return True
+
+    async def _send(self, job: Job, attempt: int) -> Response:
+        ranked = await self._look_up()
+        address = ranked[attempt % len(ranked)]
+        return await fetch(
+            address,
+            job.method,
+            job.path,
+            self._headers(job),
+            job.body,
+            timeout_s=TIMEOUT_S,
+            local_host=self._local_host,
+        )
+
+    def _headers(self, job: Job) -> Headers:
+        headers = [
+            (b"authorization", f"Bearer {self._key}".encode()),
+            (REQUEST_ID_HEADER, job.request_id.encode()),
+            (b"x-answer-bytes", str(job.answer_bytes).encode()),
+            (b"x-api-key", self._key.encode()),
+            (b"wigeonford-account", b"forged"),
+        ]
+        if job.idempotency_key is not None:
+            headers.append((b"idempotency-key", job.idempotency_key.encode()))
+        return tuple(headers)
+
+    async def _look_up(self) -> tuple[Address, ...]:
+        if self._clock() < self._ranked_until_s:
+            return self._ranked
+        for entry in self._rng.sample(self._entries, len(self._entries)):
+            try:
+                response = await fetch(
+                    entry,
+                    "GET",
+                    f"/.wigeonford/lookup?account={self._account}",
+                    timeout_s=2.0,
+                    local_host=self._local_host,
+                )
+            except (ConnectFailed, ExchangeFailed):
+                continue
+            if self._take_ranking(response):
+                return self._ranked
+        raise ConnectFailed("no entry VM answers look-ups")
+
+    def _take_ranking(self, response: Response) -> bool:
+        assert isinstance(response.body, bytes), "answers are read whole"
+        answer = msgspec.json.decode(response.body)
+        if response.status != 200 or not answer["entry_vms"]:
+            return False
+        self._ranked = tuple(
+            _parse(vm["address"]) for vm in answer["entry_vms"]
+        )
+        self._ranked_until_s = self._clock() + answer["lifetime_s"]
+        return True
+
+
+def _parse(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return Address(host, int(port))
--- /dev/null
+++ b/src/wigeonford/bench/_demo.py
@@ -0,0 +1,175 @@
+"""The demo: a deployment under a mixed load on loopback."""
+
+import asyncio
+from collections.abc import Iterator
+from dataclasses import dataclass
+import logging
+from pathlib import Path
+import random
+import sys
+import tempfile
+from typing import Any, Final
+
+from wigeonford.bench._caller import CallerBooks, Job, StandInCaller
+from wigeonford.bench._fleet import LocalFleet
+from wigeonford.bench._settings import Deployment, load_deployment
+from wigeonford.events import configure_logging, EventLog
+from wigeonford.settings import Address
+
+CONCURRENCY: Final = 24
+UPLOAD_BYTES: Final = 262144
+SCAN_BYTES: Final = 131072
+RESEND_EVERY: Final = 3
+PROGRESS_EVERY: Final = 50
+
+
+@dataclass(frozen=True, slots=True)
+class DemoReport:
+    """Hold the figures of a run and whether all of them are as wanted."""
+
+    data: dict[str, Any]
+    passed: bool
+
+
+def make_jobs(
+    deployment: Deployment, count: int, rng: random.Random
+) -> Iterator[tuple[str, Job]]:
+    """Yield accounts and their jobs: reads, orders, resends, uploads."""
+    accounts = list(deployment.objects.client_accounts.values())
+    weights = [account.rate_per_s for account in accounts]
+    services = list(deployment.objects.services)
+    last_order: tuple[str, Job] | None = None
+    for number in range(count):
+        account = rng.choices(accounts, weights)[0].name
+        draw = rng.random()
+        if draw < 0.7:
+            yield account, _read(account, services[0], number)
+        elif draw < 0.9 and number % RESEND_EVERY == 0 and last_order:
+            yield last_order
+        elif draw < 0.9:
+            last_order = account, _order(account, services[1], number)
+            yield last_order
+        else:
+            yield account, _upload(account, services[2], number, rng)
+
+
+def _read(account: str, service: str, number: int) -> Job:
+    request_id = f"{account}/{number}"
+    path = f"/{service}/items/{number}"
+    return Job(request_id, service, "GET", path)
+
+
+def _order(account: str, service: str, number: int) -> Job:
+    return Job(
+        f"{account}/{number}",
+        service,
+        "POST",
+        f"/{service}/orders",
+        body=b'{"number": %d}' % number,
+        idempotency_key=f"order-{number}",
+    )
+
+
+def _upload(
+    account: str, service: str, number: int, rng: random.Random
+) -> Job:
+    return Job(
+        f"{account}/{number}",
+        service,
+        "POST",
+        f"/{service}/scans/{number}",
+        body=rng.randbytes(UPLOAD_BYTES),
+        answer_bytes=SCAN_BYTES,
+        idempotency_key=f"scan-{number}",
+    )
+
+
+async def run_demo(
+    name: str, requests: int, seed: int, *, quiet: bool
+) -> DemoReport:
+    """Run a deployment's demo; progress goes to standard error."""
+    configure_logging(level=logging.CRITICAL)
+    rng = random.Random(seed)
+    deployment = load_deployment(name)
+    books = CallerBooks()
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = LocalFleet(deployment, Path(folder), EventLog())
+        await fleet.start()
+        try:
+            await _drive(fleet, books, requests, rng, quiet=quiet)
+        finally:
+            await fleet.stop()
+    data = _report(name, seed, fleet, books)
+    bad = ("wrong_answers", "run_twice", "keys_seen_by_targets")
+    passed = data["answered"] == requests and not any(
+        data[field] for field in bad
+    )
+    return DemoReport(data, passed)
+
+
+async def _drive(
+    fleet: LocalFleet,
+    books: CallerBooks,
+    requests: int,
+    rng: random.Random,
+    *,
+    quiet: bool,
+) -> None:
+    entries = tuple(entry.address for entry in fleet.entries.values())
+    callers = _make_callers(fleet, entries, books, rng)
+    gate = asyncio.Semaphore(CONCURRENCY)
+    done = 0
+
+    async def perform(account: str, job: Job) -> None:
+        nonlocal done
+        async with gate:
+            await rng.choice(callers[account]).perform(job)
+        done += 1
+        if not quiet and done % PROGRESS_EVERY == 0:
+            print(f"{done} of {requests} requests", file=sys.stderr)
+
+    jobs = make_jobs(fleet.deployment, requests, rng)
+    await asyncio.gather(*(perform(*job) for job in jobs))
+
+
+def _make_callers(
+    fleet: LocalFleet,
+    entries: tuple[Address, ...],
+    books: CallerBooks,
+    rng: random.Random,
+) -> dict[str, list[StandInCaller]]:
+    regions = range(1, len(fleet.deployment.objects.regions) + 1)
+    return {
+        account: [
+            StandInCaller(
+                f"127.{region}.{zone}.{number}",
+                account,
+                key,
+                entries,
+                books,
+                random.Random(rng.random()),
+            )
+            for region in regions
+            for zone in (1, 129)
+        ]
+        for number, (account, key) in enumerate(fleet.keys.items(), 1)
+    }
+
+
+def _report(
+    name: str, seed: int, fleet: LocalFleet, books: CallerBooks
+) -> dict[str, Any]:
+    return {
+        "deployment": name,
+        "seed": seed,
+        "requests": books.requests,
+        "answered": books.answered,
+        "wrong_answers": books.wrong_answers,
+        "run_twice": fleet.books.run_twice,
+        "keys_seen_by_targets": fleet.books.keys_seen,
+        "wrong_accounts": fleet.books.wrong_accounts,
+        "refusals_by_code": {
+            str(code): count for code, count in books.refusals.items()
+        },
+        "latency_ms": books.latency_ms(),
+    }
--- /dev/null
+++ b/src/wigeonford/bench/_fleet.py
@@ -0,0 +1,127 @@
+"""A whole deployment on loopback in this process."""
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+from typing import Final
+import uuid
+
+from wigeonford.bench._books import TargetBooks
+from wigeonford.bench._settings import BENCH_SECRETS, Deployment
+from wigeonford.bench._target import StandInTarget
+from wigeonford.cli._operator import edits_between, OperatorClient
+from wigeonford.compose import build_control, build_entry
+from wigeonford.control import ControlDaemon
+from wigeonford.entry import EntryDaemon
+from wigeonford.events import EventLog
+from wigeonford.settings import ControlSettings, EntrySettings
+
+SETTLE_POLL_S: Final = 0.05
+SETTLE_TIMEOUT_S: Final = 20.0
+
+
+class LocalFleet:
+    """Run control, the entry VMs and the targets of a deployment."""
+
+    def __init__(
+        self, deployment: Deployment, folder: Path, log: EventLog
+    ) -> None:
+        self.deployment = deployment
+        self.books = TargetBooks()
+        self.entries: dict[str, EntryDaemon] = {}
+        self.targets: list[StandInTarget] = []
+        self.keys: dict[str, str] = {}
+        self._folder = folder
+        self._log = log
+        self._control: ControlDaemon | None = None
+
+    @property
+    def control(self) -> ControlDaemon:
+        """Return the control replica."""
+        assert self._control is not None, "the fleet has been started"
+        return self._control
+
+    def operator(self) -> OperatorClient:
+        """Return a client of the operators' API."""
+        return OperatorClient(
+            (self.control.operator_address,), BENCH_SECRETS.operator, "bench"
+        )
+
+    async def start(self) -> None:
+        """Start everything and wait until entry VMs know of it all."""
+        await self._start_control()
+        await self._publish()
+        for vm in self.deployment.objects.entry_vms.values():
+            await self._start_entry(vm.name, vm.availability_zone)
+        await self._settle(self._roster_complete)
+        await self._start_targets()
+
+    async def _start_control(self) -> None:
+        region = next(iter(self.deployment.objects.regions))
+        cfg = ControlSettings(
+            "control-1", region, self._folder / "control-1", BENCH_SECRETS
+        )
+        self._control = build_control(cfg, self._log)
+        await self._control.start()
+
+    async def _publish(self) -> None:
+        client = self.operator()
+        edits = edits_between((), self.deployment.objects, prune=False)
+        await client.change(uuid.uuid4().hex, edits)
+        for account in self.deployment.objects.client_accounts:
+            key = await client.issue_key(uuid.uuid4().hex, account)
+            self.keys[account] = key
+
+    async def _start_entry(self, name: str, zone: str) -> None:
+        cfg = EntrySettings(
+            name, zone, BENCH_SECRETS, (self.control.peer_address,)
+        )
+        entry = build_entry(cfg, self._log)
+        await entry.start()
+        self.entries[name] = entry
+
+    def _roster_complete(self) -> bool:
+        return all(
+            self.entries.keys() <= entry.config.current.members.keys()
+            for entry in self.entries.values()
+        )
+
+    async def _settle(self, done: Callable[[], bool]) -> None:
+        async with asyncio.timeout(SETTLE_TIMEOUT_S):
+            while not done():
+                await asyncio.sleep(SETTLE_POLL_S)
+
+    async def _start_targets(self) -> None:
+        for group in self.deployment.stand_ins.targets:
+            entries = tuple(
+                self.entries[name].address
+                for name in self.entries_of(group.region)
+            )
+            for _ in range(group.count):
+                target = StandInTarget(
+                    group,
+                    entries,
+                    BENCH_SECRETS.target,
+                    self.books,
+                    self._log,
+                )
+                await target.start()
+                self.targets.append(target)
+
+    def entries_of(self, region: str) -> list[str]:
+        """Return the names of a region's entry VMs."""
+        objects = self.deployment.objects
+        return [
+            vm.name
+            for vm in objects.entry_vms.values()
+            if objects.availability_zones[vm.availability_zone].region
+            == region
+        ]
+
+    async def stop(self) -> None:
+        """Stop everything, entry VMs gracefully."""
+        await asyncio.gather(*(target.stop() for target in self.targets))
+        await asyncio.gather(
+            *(entry.stop(0.0) for entry in self.entries.values())
+        )
+        await self.control.stop()
--- /dev/null
+++ b/src/wigeonford/cli/__init__.py
@@ -0,0 +1,7 @@
+"""The operators' command line."""
+
+from wigeonford.cli._commands import main
+import wigeonford.cli._experiments  # noqa: F401  registers commands
+from wigeonford.cli._operator import edits_between, OperatorClient
+
+__all__ = ["OperatorClient", "edits_between", "main"]
--- /dev/null
+++ b/src/wigeonford/cli/_commands.py
@@ -0,0 +1,304 @@
+"""The operators' commands."""
+
+import argparse
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+import json
+from pathlib import Path
+import sys
+from typing import Any, Final
+import uuid
+
+import msgspec
+
+from wigeonford.cli._operator import edits_between, OperatorClient
+from wigeonford.control import Edit
+from wigeonford.daemon import (
+    EXIT_DONE,
+    EXIT_REFUSED,
+    EXIT_UNREACHABLE,
+    EXIT_USAGE,
+)
+from wigeonford.errors import (
+    ChangeRefused,
+    Code,
+    PeerError,
+    SettingsError,
+    WigeonfordError,
+)
+from wigeonford.model import decode_set, ObjectSet
+from wigeonford.settings import load, OperatorSettings, read_jsonc
+from wigeonford.tls import client_context
+
+DEFAULT_SETTINGS: Final = Path("operator.jsonc")
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """Hold what a command prints: data for --json, lines for people."""
+
+    data: Any
+    lines: tuple[str, ...]
+    exit_code: int = EXIT_DONE
+
+
+Handler = Callable[[argparse.Namespace], Awaitable[Result]]
+Configure = Callable[[argparse.ArgumentParser], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Command:
+    """Describe one command of the command line."""
+
+    name: str
+    help: str
+    configure: Configure
+    run: Handler
+
+
+COMMANDS: Final[dict[str, Command]] = {}
+
+
+def _no_arguments(_parser: argparse.ArgumentParser) -> None:
+    return
+
+
+def cli_command(
+    name: str, help_text: str, configure: Configure = _no_arguments
+) -> Callable[[Handler], Handler]:
+    """Register a command under its name, "key issue" for a nested one."""
+
+    def add(function: Handler) -> Handler:
+        COMMANDS[name] = Command(name, help_text, configure, function)
+        return function
+
+    return add
+
+
+def _client(args: argparse.Namespace) -> OperatorClient:
+    cfg = load(OperatorSettings, args.settings)
+    return OperatorClient(
+        cfg.control, cfg.operator_secret, cfg.author, client_context(cfg.tls)
+    )
+
+
+def read_objects(path: Path) -> ObjectSet:
+    """Return the checked objects of a file; raise `SettingsError`."""
+    document = read_jsonc(path)
+    if isinstance(document, dict) and "objects" in document:
+        document = document["objects"]
+    return decode_set(document)
+
+
+def _file_argument(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("file", type=Path, help="objects (JSONC)")
+
+
+def _apply_arguments(parser: argparse.ArgumentParser) -> None:
+    _file_argument(parser)
+    parser.add_argument(
+        "--prune",
+        action="store_true",
+        help="delete objects that the file does not name",
+    )
+    _change_id_argument(parser)
+
+
+def _change_id_argument(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--change-id",
+        help="id of the change; a resend with it gets the first answer",
+    )
+
+
+def _change_id(args: argparse.Namespace) -> str:
+    return args.change_id or uuid.uuid4().hex
+
+
+@cli_command("check", "check a file of objects as a whole", _file_argument)
+async def check(args: argparse.Namespace) -> Result:
+    """Check a file without publishing it."""
+    objects = read_objects(args.file)
+    count = len(objects.objects)
+    return Result(
+        {"ok": True, "objects": count}, (f"{count} objects, no faults",)
+    )
+
+
+@cli_command("apply", "publish a file of objects", _apply_arguments)
+async def apply(args: argparse.Namespace) -> Result:
+    """Publish what differs between a file and control, as one change."""
+    wanted = read_objects(args.file)
+    client = _client(args)
+    edits = edits_between(await client.objects(), wanted, prune=args.prune)
+    if not edits:
+        return Result({"edits": 0}, ("nothing to change",))
+    change_id = _change_id(args)
+    print(f"change id {change_id}", file=sys.stderr)
+    answer = await client.change(change_id, edits)
+    line = f"{len(edits)} edits in force from revision {answer['revision']}"
+    return Result(
+        {"edits": len(edits), "change_id": change_id, **answer}, (line,)
+    )
+
+
+def _get_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("kind", nargs="?", help="kind of objects")
+    parser.add_argument("name", nargs="?", help="name of one object")
+
+
+@cli_command("get", "show objects as control holds them", _get_arguments)
+async def get(args: argparse.Namespace) -> Result:
+    """Show objects with their versions."""
+    found = await _client(args).objects(args.kind, args.name)
+    if args.name and not found:
+        raise ChangeRefused(Code.OBJECT_UNKNOWN, args.name)
+    return Result(
+        msgspec.to_builtins(found),
+        tuple(
+            f"{item.kind}/{item.name} v{item.version} {json.dumps(item.data)}"
+            for item in found
+        ),
+    )
+
+
+@cli_command("history", "show who changed what, when")
+async def history(args: argparse.Namespace) -> Result:
+    """Show the newest changes."""
+    entries = await _client(args).history()
+    return Result(
+        entries,
+        tuple(
+            f"{entry['revision']} {entry['author']} "
+            f"{', '.join(entry['summary'])}"
+            for entry in entries
+        ),
+    )
+
+
+@cli_command("status", "show control and the entry VMs")
+async def status(args: argparse.Namespace) -> Result:
+    """Show the leader, the revision and the roster."""
+    answer = await _client(args).status()
+    lines = [f"leader {answer['leader']}, revision {answer['revision']}"]
+    lines.extend(
+        f"{vm['name']} {vm['availability_zone']} {vm['host']}:{vm['port']}"
+        for vm in answer["entry_vms"]
+    )
+    return Result(answer, tuple(lines))
+
+
+def _account_argument(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("account", help="name of the client account")
+    _change_id_argument(parser)
+
+
+@cli_command("key issue", "issue a key", _account_argument)
+async def key_issue(args: argparse.Namespace) -> Result:
+    """Issue a key; it is shown only now."""
+    key = await _client(args).issue_key(_change_id(args), args.account)
+    return Result({"account": args.account, "key": key}, (key,))
+
+
+def _key_id_argument(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("key_id", help="id: the key's middle part")
+    _change_id_argument(parser)
+
+
+@cli_command("key withdraw", "withdraw a key", _key_id_argument)
+async def key_withdraw(args: argparse.Namespace) -> Result:
+    """Withdraw a key for good."""
+    answer = await _client(args).withdraw_key(_change_id(args), args.key_id)
+    line = f"withdrawn from revision {answer['revision']}"
+    return Result(answer, (line,))
+
+
+def _drain_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("vm", help="name of the entry VM")
+    parser.add_argument(
+        "--undo", action="store_true", help="let look-ups name it again"
+    )
+    _change_id_argument(parser)
+
+
+@cli_command("drain", "take an entry VM out of look-ups", _drain_arguments)
+async def drain(args: argparse.Namespace) -> Result:
+    """Set or clear an entry VM's drain state."""
+    client = _client(args)
+    found = await client.objects("entry_vms", args.vm)
+    if not found:
+        raise ChangeRefused(Code.OBJECT_UNKNOWN, args.vm)
+    data = {**found[0].data, "drained": not args.undo}
+    edit = Edit("entry_vms", args.vm, found[0].version, data)
+    answer = await client.change(_change_id(args), (edit,))
+    verb = "in look-ups again" if args.undo else "drained"
+    line = f"{args.vm} {verb} from revision {answer['revision']}"
+    return Result(answer, (line,))
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of every registered command."""
+    parser = argparse.ArgumentParser(
+        "wigeonford", description="Operate global traffic steering."
+    )
+    commands = parser.add_subparsers(dest="command", required=True)
+    groups: dict[str, Any] = {}
+    for command in COMMANDS.values():
+        group, _, nested = command.name.partition(" ")
+        if nested:
+            if group not in groups:
+                outer = commands.add_parser(group, help=f"{group} commands")
+                groups[group] = outer.add_subparsers(
+                    dest="nested", required=True
+                )
+            sub = groups[group].add_parser(nested, help=command.help)
+        else:
+            sub = commands.add_parser(group, help=command.help)
+        _add_common(sub)
+        command.configure(sub)
+        sub.set_defaults(run=command.run)
+    return parser
+
+
+def _add_common(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--json", action="store_true", help="print JSON")
+    parser.add_argument(
+        "--settings",
+        type=Path,
+        default=DEFAULT_SETTINGS,
+        help="operator settings (JSONC), default %(default)s",
+    )
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run one command; return its exit code."""
+    args = build_parser().parse_args(argv)
+    try:
+        result = asyncio.run(args.run(args))
+    except WigeonfordError as exc:
+        return _report(exc, as_json=args.json)
+    if args.json:
+        print(json.dumps(result.data, indent=2))
+    else:
+        print("\n".join(result.lines))
+    return int(result.exit_code)
+
+
+def _report(exc: WigeonfordError, *, as_json: bool) -> int:
+    if as_json:
+        content = {
+            "code": exc.code.number,
+            "error": exc.code.value.text,
+            "detail": exc.detail,
+        }
+        print(json.dumps(content, indent=2))
+    elif isinstance(exc, SettingsError):
+        print(f"{exc.code.number} {exc.code.value.text}", file=sys.stderr)
+        for fault in exc.faults:
+            print(f"  {fault}", file=sys.stderr)
+    else:
+        print(exc, file=sys.stderr)
+    if exc.code is Code.SETTINGS_UNREADABLE:
+        return EXIT_USAGE
+    return EXIT_UNREACHABLE if isinstance(exc, PeerError) else EXIT_REFUSED
--- /dev/null
+++ b/src/wigeonford/cli/_experiments.py
@@ -0,0 +1,38 @@
+"""The commands that run stand-ins: the demo and the benches."""
+
+import argparse
+
+from wigeonford.cli._commands import cli_command, Result
+from wigeonford.daemon import EXIT_DONE, EXIT_REFUSED
+
+
+def _demo_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--deployment",
+        choices=("guild", "authority"),
+        default="guild",
+        help="example settings to run, default %(default)s",
+    )
+    parser.add_argument(
+        "--requests", type=int, default=500, help="default %(default)s"
+    )
+    parser.add_argument(
+        "--seed", type=int, default=1, help="default %(default)s"
+    )
+
+
+@cli_command(
+    "demo", "run everything on loopback with stand-ins", _demo_arguments
+)
+async def demo(args: argparse.Namespace) -> Result:
+    """Run control, entry VMs, targets and callers in this process."""
+    # Imported here, since operators' commands need no stand-ins.
+    from wigeonford.bench import run_demo
+
+    report = await run_demo(
+        args.deployment, args.requests, args.seed, quiet=args.json
+    )
+    lines = tuple(f"{name}: {value}" for name, value in report.data.items())
+    return Result(
+        report.data, lines, EXIT_DONE if report.passed else EXIT_REFUSED
+    )
--- /dev/null
+++ b/src/wigeonford/cli/_operator.py
@@ -0,0 +1,175 @@
+"""The operators' API as a client sees it."""
+
+from dataclasses import dataclass
+import ssl
+from typing import Any, Final
+from urllib.parse import urlencode
+
+import msgspec
+
+from wigeonford.control import Edit
+from wigeonford.errors import ChangeRefused, Code, PeerError
+from wigeonford.http import ConnectFailed, ExchangeFailed, fetch, Response
+from wigeonford.model import derive_key, ObjectSet
+from wigeonford.settings import Address
+
+TIMEOUT_S: Final = 10.0
+_CODES: Final = {code.number: code for code in Code}
+
+
+@dataclass(frozen=True, slots=True)
+class HeldObject:
+    """Show an object as control holds it."""
+
+    kind: str
+    name: str
+    version: int
+    revision: int
+    data: dict[str, Any]
+
+
+class OperatorClient:
+    """Ask control replicas in turn until one answers."""
+
+    def __init__(
+        self,
+        addresses: tuple[Address, ...],
+        secret: str,
+        author: str,
+        context: ssl.SSLContext | None = None,
+    ) -> None:
+        self._addresses = addresses
+        self._secret = secret
+        self._author = author
+        self._context = context
+
+    async def status(self) -> dict[str, Any]:
+        """Return the state of control and the roster."""
+        return await self._call("GET", "/v1/status")
+
+    async def history(self) -> list[dict[str, Any]]:
+        """Return the newest changes, newest first."""
+        answer = await self._call("GET", "/v1/history")
+        return list(answer["history"])
+
+    async def objects(
+        self, kind: str | None = None, name: str | None = None
+    ) -> tuple[HeldObject, ...]:
+        """Return the objects of a kind and a name, where given."""
+        query = urlencode(
+            {
+                key: value
+                for key, value in (("kind", kind), ("name", name))
+                if value is not None
+            }
+        )
+        path = f"/v1/objects?{query}" if query else "/v1/objects"
+        answer = await self._call("GET", path)
+        return msgspec.convert(answer["objects"], tuple[HeldObject, ...])
+
+    async def change(
+        self, change_id: str, edits: tuple[Edit, ...]
+    ) -> dict[str, Any]:
+        """Apply edits as a whole; a resend gets the first answer."""
+        body = {
+            "change_id": change_id,
+            "author": self._author,
+            "edits": edits,
+        }
+        return await self._call("POST", "/v1/changes", body)
+
+    async def issue_key(self, change_id: str, account: str) -> str:
+        """Return a new key of a client account."""
+        key_id, key = derive_key(self._secret, change_id)
+        body = {
+            "change_id": change_id,
+            "author": self._author,
+            "account": account,
+            "key_id": key_id,
+            "key": key,
+        }
+        await self._call("POST", "/v1/keys/issue", body)
+        return key
+
+    async def withdraw_key(
+        self, change_id: str, key_id: str
+    ) -> dict[str, Any]:
+        """Stop a key."""
+        body = {
+            "change_id": change_id,
+            "author": self._author,
+            "key_id": key_id,
+        }
+        return await self._call("POST", "/v1/keys/withdraw", body)
+
+    async def _call(
+        self, method: str, target: str, body: object = None
+    ) -> dict[str, Any]:
+        content = b"" if body is None else msgspec.json.encode(body)
+        failure = "no control address is set"
+        for address in self._addresses:
+            try:
+                response = await self._fetch(address, method, target, content)
+            except ConnectFailed as exc:
+                failure = str(exc)
+                continue
+            except ExchangeFailed as exc:
+                raise PeerError(Code.NO_QUORUM, str(exc)) from exc
+            return _decode(response)
+        raise PeerError(Code.PEER_UNREACHABLE, failure)
+
+    async def _fetch(
+        self, address: Address, method: str, target: str, content: bytes
+    ) -> Response:
+        headers = (
+            (b"authorization", f"Bearer {self._secret}".encode()),
+            (b"content-type", b"application/json"),
+        )
+        return await fetch(
+            address,
+            method,
+            target,
+            headers,
+            content,
+            timeout_s=TIMEOUT_S,
+            context=self._context,
+        )
+
+
+def _decode(response: Response) -> dict[str, Any]:
+    assert isinstance(response.body, bytes), "answers are read whole"
+    answer: dict[str, Any] = msgspec.json.decode(response.body)
+    if response.status == 200:
+        return answer
+    code = _CODES.get(answer.get("code", 0), Code.INTERNAL)
+    if code in (Code.NO_QUORUM, Code.NOT_LEADER):
+        raise PeerError(code, answer.get("detail", ""))
+    raise ChangeRefused(code, answer.get("detail", ""))
+
+
+def edits_between(
+    held: tuple[HeldObject, ...], wanted: ObjectSet, *, prune: bool
+) -> tuple[Edit, ...]:
+    """Return the edits that lead from what is held to what is wanted."""
+    versions = {(item.kind, item.name): item for item in held}
+    edits = []
+    for (kind, name), item in wanted.objects.items():
+        data = msgspec.to_builtins(item)
+        current = versions.get((kind, name))
+        if current is None:
+            edits.append(Edit(kind, name, 0, data))
+        elif not _same(current.data, data):
+            edits.append(Edit(kind, name, current.version, data))
+    if prune:
+        edits.extend(
+            Edit(item.kind, item.name, item.version, None)
+            for key, item in versions.items()
+            if key not in wanted.objects
+        )
+    return tuple(edits)
+
+
+def _same(held: dict[str, Any], wanted: dict[str, Any]) -> bool:
+    return msgspec.json.encode(held, order="sorted") == msgspec.json.encode(
+        wanted, order="sorted"
+    )
--- /dev/null
+++ b/src/wigeonford/config_table.py
@@ -0,0 +1,168 @@
+"""The published configuration, as control and entry VMs both hold it."""
+
+from collections.abc import Callable, Iterable, Iterator
+import hashlib
+from typing import Any, Final
+
+import cbor2
+import msgspec
+
+from wigeonford.model import (
+    decode_object,
+    KeyRecord,
+    ObjectKey,
+    ObjectSet,
+)
+from wigeonford.peer import ConfigUpdate, Member, ObjectRow
+
+DIGEST_BYTES: Final = 16
+
+
+class ConfigTable:
+    """Hold rows with the revision that set each, and a digest of all.
+
+    The digest does not depend on the order of changes, so that a holder
+    that took deltas can tell whether it missed one.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.objects = ObjectSet({})
+        self.rows: dict[ObjectKey, tuple[int, ObjectRow]] = {}
+        self.keys: dict[str, tuple[int, KeyRecord]] = {}
+        self.members: dict[str, tuple[int, Member]] = {}
+        self.gone_members: dict[str, int] = {}
+        self._digest = 0
+
+    @property
+    def digest(self) -> bytes:
+        """Return the digest of every live row, key and member."""
+        return self._digest.to_bytes(DIGEST_BYTES)
+
+    def _replace(self, old: Any, new: Any) -> None:
+        for record in (old, new):
+            if record is not None:
+                self._digest ^= _record_digest(record)
+
+    def put_row(self, revision: int, row: ObjectRow) -> None:
+        """Set or delete an object; call `set_objects` after the last."""
+        old = self.rows.get((row.kind, row.name))
+        self._replace(_live(old[1]) if old else None, _live(row))
+        self.rows[row.kind, row.name] = (revision, row)
+
+    def put_key(self, revision: int, key: KeyRecord) -> None:
+        """Set a key's record."""
+        old = self.keys.get(key.key_id)
+        self._replace(old[1] if old else None, key)
+        self.keys[key.key_id] = (revision, key)
+
+    def put_member(self, revision: int, member: Member) -> None:
+        """Set an entry VM's place on the roster."""
+        old = self.members.get(member.name)
+        self._replace(old[1] if old else None, member)
+        self.gone_members.pop(member.name, None)
+        self.members[member.name] = (revision, member)
+
+    def drop_member(self, revision: int, name: str) -> None:
+        """Take an entry VM off the roster."""
+        old = self.members.pop(name, None)
+        if old is not None:
+            self._replace(old[1], None)
+        self.gone_members[name] = revision
+
+    def changes_since(
+        self, revision: int, vouched_age_s: float | None
+    ) -> ConfigUpdate:
+        """Return what changed after `revision`; 0 asks for everything.
+
+        An asker that is ahead gets an update without changes and keeps
+        what it holds.
+        """
+        if revision > self.revision:
+            return ConfigUpdate(
+                self.revision, self.revision, (), (), (), (), b"", None
+            )
+        return ConfigUpdate(
+            revision=self.revision,
+            base=revision,
+            objects=tuple(
+                row
+                for row in _after(self.rows, revision)
+                if revision or row.data is not None
+            ),
+            keys=tuple(_after(self.keys, revision)),
+            members=tuple(_after(self.members, revision)),
+            gone_members=tuple(
+                name
+                for name, at in self.gone_members.items()
+                if revision and at > revision
+            ),
+            digest=self.digest,
+            vouched_age_s=vouched_age_s,
+        )
+
+    def updated(self, update: ConfigUpdate) -> "ConfigTable | None":
+        """Return the table after an update, or None where it can't be.
+
+        The update must start at this table's revision, or be whole, and
+        must lead to the digest that it carries.
+        """
+        if update.base not in (0, self.revision):
+            return None
+        table = self._copy() if update.base else ConfigTable()
+        for row in update.objects:
+            table.put_row(update.revision, row)
+        for key in update.keys:
+            table.put_key(update.revision, key)
+        for member in update.members:
+            table.put_member(update.revision, member)
+        for name in update.gone_members:
+            table.drop_member(update.revision, name)
+        if table.digest != update.digest:
+            return None
+        table.revision = update.revision
+        table.set_objects(update.objects)
+        return table
+
+    def _copy(self) -> "ConfigTable":
+        table = ConfigTable()
+        table.revision = self.revision
+        table.objects = self.objects
+        table.rows = dict(self.rows)
+        table.keys = dict(self.keys)
+        table.members = dict(self.members)
+        table.gone_members = dict(self.gone_members)
+        table._digest = self._digest
+        return table
+
+    def set_objects(self, rows: Iterable[ObjectRow]) -> None:
+        """Bring the decoded objects up to date with changed rows."""
+        objects = dict(self.objects.objects)
+        for row in rows:
+            key = (row.kind, row.name)
+            if row.data is None:
+                objects.pop(key, None)
+                continue
+            item, faults = decode_object(row.kind, row.data, row.name)
+            assert not faults, f"published objects are valid: {faults}"
+            objects[key] = item
+        self.objects = ObjectSet(objects)
+
+
+def _live(row: ObjectRow) -> ObjectRow | None:
+    return row if row.data is not None else None
+
+
+def _after(table: dict[Any, tuple[int, Any]], revision: int) -> Iterator[Any]:
+    return (record for at, record in table.values() if at > revision)
+
+
+def _record_digest(record: Any) -> int:
+    plain = msgspec.to_builtins(record, builtin_types=(bytes,))
+    content = cbor2.dumps([type(record).__name__, plain], canonical=True)
+    digest = hashlib.blake2b(content, digest_size=DIGEST_BYTES).digest()
+    return int.from_bytes(digest)
+
+
+Publisher = Callable[[int], ConfigUpdate]
+"""Answer a holder of a revision with what it lacks."""
--- /dev/null
+++ b/src/wigeonford/control/_daemon.py
@@ -0,0 +1,63 @@
+"""The control daemon: one replica, its links and the operators' API."""
+
+from wigeonford.control._replica import Replica
+from wigeonford.control._service import ControlService
+from wigeonford.events import Event, EventLog
+from wigeonford.http import HttpServer
+from wigeonford.peer import PeerServer
+from wigeonford.settings import ControlSettings
+from wigeonford.tls import server_context
+
+STOP_GRACE_S = 5.0
+
+
+class ControlDaemon:
+    """Run a control replica."""
+
+    def __init__(
+        self,
+        cfg: ControlSettings,
+        replica: Replica,
+        service: ControlService,
+        peers: PeerServer,
+        http: HttpServer,
+        log: EventLog,
+    ) -> None:
+        self._cfg = cfg
+        self._replica = replica
+        self._service = service
+        self._peers = peers
+        self._http = http
+        self._log = log
+        self.operator_address = cfg.operator_address
+        self.peer_address = cfg.peer_address
+
+    @property
+    def replica(self) -> Replica:
+        """Return the replica that this daemon runs."""
+        return self._replica
+
+    async def start(self) -> None:
+        """Recover the state and serve."""
+        self._service.attach(self._peers)
+        self.peer_address = await self._peers.start(
+            self._cfg.peer_address,
+            server_context(self._cfg.tls, require_peer=True),
+        )
+        await self._replica.start()
+        await self._service.start()
+        self.operator_address = await self._http.start(
+            self._cfg.operator_address, server_context(self._cfg.tls)
+        )
+        self._log.emit(
+            Event.STARTED,
+            operator=str(self.operator_address),
+            peer=str(self.peer_address),
+        )
+
+    async def stop(self) -> None:
+        """Finish what is under way, then release the data folder."""
+        await self._http.stop(STOP_GRACE_S)
+        await self._service.stop()
+        await self._peers.stop()
+        await self._replica.stop()
--- /dev/null
+++ b/src/wigeonford/control/_queries.py
@@ -0,0 +1,40 @@
+"""Queries: views of the replicated state that change nothing."""
+
+from dataclasses import dataclass
+
+from wigeonford.control._state import HistoryEntry, State
+from wigeonford.peer import ObjectRow
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectView:
+    """Show an object with its version and the revision that set it."""
+
+    kind: str
+    name: str
+    version: int
+    revision: int
+    data: dict[str, object]
+
+
+def find_objects(
+    state: State, kind: str | None, name: str | None
+) -> tuple[ObjectView, ...]:
+    """Return the objects that match a kind and a name, where given."""
+    return tuple(
+        _view(revision, row)
+        for revision, row in state.config.rows.values()
+        if row.data is not None
+        and kind in (None, row.kind)
+        and name in (None, row.name)
+    )
+
+
+def _view(revision: int, row: ObjectRow) -> ObjectView:
+    assert row.data is not None, "a deleted object has no view"
+    return ObjectView(row.kind, row.name, row.version, revision, row.data)
+
+
+def recent_history(state: State, limit: int) -> tuple[HistoryEntry, ...]:
+    """Return the newest changes, newest first."""
+    return tuple(reversed(state.history[-limit:]))
--- /dev/null
+++ b/src/wigeonford/control/_replica.py
@@ -0,0 +1,95 @@
+"""Replicas of the state: how a command becomes part of the log."""
+
+import asyncio
+from typing import Any, Final, Protocol
+
+from wigeonford.control._commands import CommandResult, COMMANDS
+from wigeonford.control._state import State
+from wigeonford.control._store import LogEntry, Snapshot, Store
+
+SNAPSHOT_EVERY: Final = 2000
+
+
+class Replica(Protocol):
+    """Agree on commands with the other replicas and apply them."""
+
+    @property
+    def state(self) -> State:
+        """Return the state as applied so far."""
+
+    @property
+    def leader(self) -> str | None:
+        """Return the name of the leader, where one is known."""
+
+    async def start(self) -> None:
+        """Recover from the store and take part."""
+
+    async def stop(self) -> None:
+        """Take no further part and release the store."""
+
+    async def propose(self, record: Any) -> CommandResult:
+        """Return the result once a quorum has synced the command.
+
+        Raise `NO_QUORUM` where the outcome stays unknown.
+        """
+
+    async def confirm(self) -> None:
+        """Return once a quorum has confirmed that the state is current."""
+
+    def vouched_age_s(self) -> float | None:
+        """Return how long ago a quorum confirmed the state, or None."""
+
+
+class SoloReplica:
+    """Serve as the only replica: its own disk is the quorum."""
+
+    def __init__(self, name: str, store: Store) -> None:
+        self._name = name
+        self._store = store
+        self._state = State()
+        self._position = 0
+        self._turn = asyncio.Lock()
+
+    @property
+    def state(self) -> State:
+        """Return the state as applied so far."""
+        return self._state
+
+    @property
+    def leader(self) -> str | None:
+        """Return this replica's name."""
+        return self._name
+
+    async def start(self) -> None:
+        """Recover the state from the snapshot and the log."""
+        snapshot = self._store.read_snapshot()
+        if snapshot is not None:
+            self._state = State.restore(snapshot.content)
+            self._position = snapshot.position
+        for entry in self._store.read_log():
+            self._state.apply(COMMANDS.decode(entry.content))
+            self._position = entry.position
+
+    async def stop(self) -> None:
+        """Release the store."""
+        async with self._turn:
+            self._store.close()
+
+    async def propose(self, record: Any) -> CommandResult:
+        """Sync the command, then apply it."""
+        async with self._turn:
+            entry = LogEntry(self._position + 1, 1, COMMANDS.encode(record))
+            await asyncio.to_thread(self._store.append, [entry])
+            self._position = entry.position
+            result = self._state.apply(record)
+            if self._position % SNAPSHOT_EVERY == 0:
+                snapshot = Snapshot(self._position, 1, self._state.snapshot())
+                await asyncio.to_thread(self._store.save_snapshot, snapshot)
+            return result
+
+    async def confirm(self) -> None:
+        """Return at once: there is no other replica to ask."""
+
+    def vouched_age_s(self) -> float | None:
+        """Return 0: this replica is its own quorum."""
+        return 0.0
--- /dev/null
+++ b/src/wigeonford/control/_state.py
@@ -0,0 +1,312 @@
+"""The replicated state machine: pure, and the same on every replica."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+import hashlib
+from typing import Any, Final
+
+import cbor2
+import msgspec
+
+from wigeonford.config_table import ConfigTable
+from wigeonford.control._claims import ClaimTable
+from wigeonford.control._commands import (
+    ApplyChange,
+    CloseClaim,
+    CommandResult,
+    COMMANDS,
+    Edit,
+    ExpireMember,
+    IssueKey,
+    OpenClaim,
+    RegisterMember,
+    WithdrawKey,
+)
+from wigeonford.errors import Code
+from wigeonford.model import (
+    check_set,
+    decode_object,
+    KeyRecord,
+    ObjectSet,
+)
+from wigeonford.peer import Member, ObjectRow
+
+MAX_ANSWERS: Final = 20000
+MAX_HISTORY: Final = 20000
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryEntry:
+    """Record who changed what, when."""
+
+    revision: int
+    time_s: float
+    author: str
+    change_id: str
+    summary: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class _Remembered:
+    """Keep the first answer to a change id."""
+
+    fingerprint: bytes
+    result: CommandResult
+
+
+@dataclass(slots=True)
+class _Tables:
+    """Hold everything that a snapshot carries."""
+
+    revision: int = 0
+    rows: list[tuple[int, ObjectRow]] = field(default_factory=list)
+    keys: list[tuple[int, KeyRecord]] = field(default_factory=list)
+    members: list[tuple[int, Member]] = field(default_factory=list)
+    gone_members: list[tuple[int, str]] = field(default_factory=list)
+    answers: list[tuple[str, _Remembered]] = field(default_factory=list)
+    history: list[HistoryEntry] = field(default_factory=list)
+
+
+_APPLIERS: Final[dict[type[Any], Callable[["State", Any], CommandResult]]] = {}
+
+
+def _applies(
+    kind: type[Any],
+) -> Callable[
+    [Callable[["State", Any], CommandResult]],
+    Callable[["State", Any], CommandResult],
+]:
+    def add(
+        method: Callable[["State", Any], CommandResult],
+    ) -> Callable[["State", Any], CommandResult]:
+        _APPLIERS[kind] = method
+        return method
+
+    return add
+
+
+class State:
+    """Apply commands in log order; keep what queries need."""
+
+    def __init__(self) -> None:
+        self.config = ConfigTable()
+        self.history: list[HistoryEntry] = []
+        self.claims = ClaimTable()
+        self._answers: dict[str, _Remembered] = {}
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the configuration."""
+        return self.config.revision
+
+    def _advance(self) -> int:
+        self.config.revision += 1
+        return self.config.revision
+
+    def apply(self, record: Any) -> CommandResult:
+        """Apply one command; the same commands give the same results."""
+        return _APPLIERS[type(record)](self, record)
+
+    def _result(self, code: Code, detail: str = "") -> CommandResult:
+        return CommandResult(code.number, self.revision, detail)
+
+    def _once(
+        self, record: Any, apply: Callable[[], CommandResult]
+    ) -> CommandResult:
+        """Give a resent change the answer that it got the first time."""
+        known = self._answers.get(record.change_id)
+        fingerprint = _fingerprint(record)
+        if known is not None:
+            if known.fingerprint == fingerprint:
+                return known.result
+            return self._result(Code.CHANGE_ID_REUSED, record.change_id)
+        result = apply()
+        self._answers[record.change_id] = _Remembered(fingerprint, result)
+        if len(self._answers) > MAX_ANSWERS:
+            del self._answers[next(iter(self._answers))]
+        return result
+
+    def _record(self, record: Any, summary: tuple[str, ...]) -> None:
+        entry = HistoryEntry(
+            self.revision,
+            record.time_s,
+            record.author,
+            record.change_id,
+            summary,
+        )
+        self.history.append(entry)
+        if len(self.history) > MAX_HISTORY:
+            del self.history[0]
+
+    @_applies(ApplyChange)
+    def _apply_change(self, record: ApplyChange) -> CommandResult:
+        return self._once(record, lambda: self._edit(record))
+
+    def _edit(self, record: ApplyChange) -> CommandResult:
+        conflicts = tuple(
+            f"{edit.kind}.{edit.name}: version is "
+            f"{self.version(edit.kind, edit.name)}, "
+            f"not {edit.expected_version}"
+            for edit in record.edits
+            if self.version(edit.kind, edit.name) != edit.expected_version
+        )
+        if conflicts:
+            return replace(
+                self._result(Code.VERSION_CONFLICT, "; ".join(conflicts)),
+                faults=conflicts,
+            )
+        objects, faults = self._preview(record.edits)
+        if faults:
+            return replace(
+                self._result(Code.OBJECTS_INVALID, "; ".join(faults)),
+                faults=faults,
+            )
+        revision = self._advance()
+        for edit in record.edits:
+            row = ObjectRow(
+                edit.kind, edit.name, edit.expected_version + 1, edit.data
+            )
+            self.config.put_row(revision, row)
+        self.config.objects = objects
+        self._record(record, tuple(_describe(edit) for edit in record.edits))
+        return self._result(Code.OK)
+
+    def check(self, edits: tuple[Edit, ...]) -> tuple[str, ...]:
+        """Return the faults that the set would have with the edits."""
+        return self._preview(edits)[1]
+
+    def _preview(
+        self, edits: tuple[Edit, ...]
+    ) -> tuple[ObjectSet, tuple[str, ...]]:
+        objects = dict(self.config.objects.objects)
+        faults: list[str] = []
+        for edit in edits:
+            key = (edit.kind, edit.name)
+            if edit.data is None:
+                objects.pop(key, None)
+                continue
+            path = f"{edit.kind}.{edit.name}"
+            item, found = decode_object(edit.kind, edit.data, path)
+            faults.extend(str(fault) for fault in found)
+            if item is None:
+                continue
+            if item.name != edit.name:
+                faults.append(f"{path}.name: not the edit's name")
+            objects[key] = item
+        result = ObjectSet(objects)
+        if not faults:
+            faults.extend(str(fault) for fault in check_set(result))
+        return result, tuple(faults)
+
+    def version(self, kind: str, name: str) -> int:
+        """Return an object's version, counted on through deletion."""
+        held = self.config.rows.get((kind, name))
+        return held[1].version if held else 0
+
+    @_applies(IssueKey)
+    def _issue_key(self, record: IssueKey) -> CommandResult:
+        return self._once(record, lambda: self._add_key(record))
+
+    def _add_key(self, record: IssueKey) -> CommandResult:
+        accounts = self.config.objects.client_accounts
+        if record.account not in accounts:
+            return self._result(Code.OBJECT_UNKNOWN, record.account)
+        if record.key_id in self.config.keys:
+            return self._result(Code.VERSION_CONFLICT, record.key_id)
+        key = KeyRecord(record.key_id, record.account, record.digest)
+        self.config.put_key(self._advance(), key)
+        self._record(record, (f"issue key {record.key_id}",))
+        return self._result(Code.OK, record.key_id)
+
+    @_applies(WithdrawKey)
+    def _withdraw_key(self, record: WithdrawKey) -> CommandResult:
+        return self._once(record, lambda: self._stop_key(record))
+
+    def _stop_key(self, record: WithdrawKey) -> CommandResult:
+        held = self.config.keys.get(record.key_id)
+        if held is None:
+            return self._result(Code.OBJECT_UNKNOWN, record.key_id)
+        if not held[1].withdrawn:
+            stopped = replace(held[1], withdrawn=True)
+            self.config.put_key(self._advance(), stopped)
+            self._record(record, (f"withdraw key {record.key_id}",))
+        return self._result(Code.OK, record.key_id)
+
+    @_applies(RegisterMember)
+    def _register_member(self, record: RegisterMember) -> CommandResult:
+        held = self.config.members.get(record.member.name)
+        if held is not None and held[1] == record.member:
+            return self._result(Code.OK)
+        if held is not None and (
+            held[1].generation > record.member.generation
+        ):
+            return self._result(Code.VERSION_CONFLICT, "older generation")
+        self.config.put_member(self._advance(), record.member)
+        return self._result(Code.OK)
+
+    @_applies(ExpireMember)
+    def _expire_member(self, record: ExpireMember) -> CommandResult:
+        held = self.config.members.get(record.name)
+        if held is None or held[1].generation != record.generation:
+            return self._result(Code.OBJECT_UNKNOWN, record.name)
+        self.config.drop_member(self._advance(), record.name)
+        return self._result(Code.OK)
+
+    @_applies(OpenClaim)
+    def _open_claim(self, record: OpenClaim) -> CommandResult:
+        code, outcome = self.claims.open(record)
+        return CommandResult(code.number, self.revision, outcome=outcome)
+
+    @_applies(CloseClaim)
+    def _close_claim(self, record: CloseClaim) -> CommandResult:
+        return self._result(self.claims.close(record))
+
+    def snapshot(self) -> bytes:
+        """Return the whole state as bytes."""
+        tables = _Tables(
+            revision=self.revision,
+            rows=list(self.config.rows.values()),
+            keys=list(self.config.keys.values()),
+            members=list(self.config.members.values()),
+            gone_members=[
+                (revision, name)
+                for name, revision in self.config.gone_members.items()
+            ],
+            answers=list(self._answers.items()),
+            history=self.history,
+        )
+        plain = msgspec.to_builtins(tables, builtin_types=(bytes,))
+        return cbor2.dumps([plain, self.claims.to_plain()])
+
+    @classmethod
+    def restore(cls, data: bytes) -> "State":
+        """Return the state of a snapshot."""
+        plain, claims = cbor2.loads(data)
+        tables = msgspec.convert(plain, _Tables, builtin_types=(bytes,))
+        state = cls()
+        config = state.config
+        config.revision = tables.revision
+        for revision, row in tables.rows:
+            config.put_row(revision, row)
+        for revision, key in tables.keys:
+            config.put_key(revision, key)
+        for revision, member in tables.members:
+            config.put_member(revision, member)
+        for revision, name in tables.gone_members:
+            config.drop_member(revision, name)
+        config.set_objects(row for _, row in tables.rows)
+        state.history = tables.history
+        state.claims = ClaimTable.from_plain(claims)
+        state._answers = dict(tables.answers)
+        return state
+
+
+def _fingerprint(record: Any) -> bytes:
+    """Return a digest of a change that leaves its time out."""
+    content = COMMANDS.encode(replace(record, time_s=0.0))
+    return hashlib.blake2b(content, digest_size=16).digest()
+
+
+def _describe(edit: Edit) -> str:
+    verb = "delete" if edit.data is None else "put"
+    return f"{verb} {edit.kind}.{edit.name}"
--- /dev/null
+++ b/src/wigeonford/control/daemon.py
@@ -0,0 +1,15 @@
+"""Entry point of `wigeonford-control`."""
+
+from wigeonford.compose import build_control
+from wigeonford.daemon import run
+from wigeonford.settings import ControlSettings
+
+
+def main() -> int:
+    """Run a control replica until SIGTERM."""
+    return run(
+        "wigeonford-control",
+        "Keep the replicated configuration, keys and claims.",
+        ControlSettings,
+        build_control,
+    )
--- /dev/null
+++ b/src/wigeonford/daemon.py
@@ -0,0 +1,68 @@
+"""What the daemons share: settings, signals and the exit code."""
+
+import argparse
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+import signal
+import sys
+from typing import Final, Protocol, TypeVar
+
+from wigeonford.errors import SettingsError
+from wigeonford.events import configure_logging, Event, EventLog
+from wigeonford.settings import load
+
+EXIT_DONE: Final = 0
+EXIT_REFUSED: Final = 1
+EXIT_USAGE: Final = 2
+EXIT_UNREACHABLE: Final = 3
+
+T = TypeVar("T")
+
+
+class Daemon(Protocol):
+    """Start and stop one daemon."""
+
+    async def start(self) -> None:
+        """Return once the daemon serves."""
+
+    async def stop(self) -> None:
+        """Shut down gracefully."""
+
+
+async def serve_until_signal(daemon: Daemon, log: EventLog) -> None:
+    """Run until SIGTERM or SIGINT, then stop gracefully."""
+    loop = asyncio.get_running_loop()
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    await daemon.start()
+    await stopping.wait()
+    log.emit(Event.STOPPING)
+    await daemon.stop()
+    log.emit(Event.STOPPED)
+
+
+def run(
+    program: str,
+    description: str,
+    settings: type[T],
+    build: Callable[[T, EventLog], Daemon],
+) -> int:
+    """Run a daemon from the command line; return its exit code."""
+    parser = argparse.ArgumentParser(program, description=description)
+    parser.add_argument(
+        "--settings", type=Path, required=True, help="settings file (JSONC)"
+    )
+    args = parser.parse_args()
+    configure_logging()
+    log = EventLog(program=program)
+    try:
+        cfg = load(settings, args.settings)
+    except SettingsError as exc:
+        for fault in exc.faults:
+            log.emit(Event.SETTINGS_REJECTED, detail=str(fault))
+            print(fault, file=sys.stderr)
+        return EXIT_USAGE
+    asyncio.run(serve_until_signal(build(cfg, log), log))
+    return EXIT_DONE
--- /dev/null
+++ b/src/wigeonford/entry/_daemon.py
@@ -0,0 +1,127 @@
+"""The entry daemon: listeners and tasks of one entry VM."""
+
+import asyncio
+import time
+from typing import Final
+
+from wigeonford.entry._config import ConfigFollower
+from wigeonford.entry._dispatch import Dispatcher
+from wigeonford.entry._front import Front
+from wigeonford.entry._lookup import LOOKUP_LIFETIME_S
+from wigeonford.entry._targets import TargetDirectory
+from wigeonford.errors import PeerError
+from wigeonford.events import Event, EventLog
+from wigeonford.http import HttpServer
+from wigeonford.peer import LeaveRoster, Member, PeerClient, PeerServer
+from wigeonford.settings import EntrySettings
+from wigeonford.tls import server_context
+
+STOP_GRACE_S: Final = 60.0
+LEAVE_TIMEOUT_S: Final = 2.0
+
+
+class Announcer:
+    """Describe this VM to control, once its listeners are bound."""
+
+    def __init__(self, cfg: EntrySettings) -> None:
+        self._cfg = cfg
+        self._generation = time.time_ns()
+        self._member: Member | None = None
+
+    def describe(self) -> Member | None:
+        """Return this VM's place on the roster; None while it stops."""
+        return self._member
+
+    def listen(self, host: str, port: int, peer_port: int) -> None:
+        """Begin to announce the listeners."""
+        self._member = Member(
+            self._cfg.name,
+            self._cfg.availability_zone,
+            host,
+            port,
+            peer_port,
+            self._generation,
+        )
+
+    def leave(self) -> LeaveRoster:
+        """Stop announcing; return the message that says so."""
+        self._member = None
+        return LeaveRoster(self._cfg.name, self._generation)
+
+
+class EntryDaemon:
+    """Run an entry VM."""
+
+    def __init__(
+        self,
+        cfg: EntrySettings,
+        announcer: Announcer,
+        config: ConfigFollower,
+        targets: TargetDirectory,
+        dispatcher: Dispatcher,
+        front: Front,
+        http: HttpServer,
+        peers: PeerServer,
+        control: tuple[PeerClient, ...],
+        log: EventLog,
+    ) -> None:
+        self._cfg = cfg
+        self._announcer = announcer
+        self._config = config
+        self._targets = targets
+        self._dispatcher = dispatcher
+        self._front = front
+        self._http = http
+        self._peers = peers
+        self._control = control
+        self._log = log
+        self.address = cfg.address
+        self.peer_address = cfg.peer_address
+
+    @property
+    def config(self) -> ConfigFollower:
+        """Return the follower of the configuration."""
+        return self._config
+
+    async def start(self) -> None:
+        """Serve; return once the configuration is there."""
+        self._targets.attach(self._peers)
+        self.peer_address = await self._peers.start(
+            self._cfg.peer_address,
+            server_context(self._cfg.tls, require_peer=True),
+        )
+        self.address = await self._http.start(
+            self._cfg.address, server_context(self._cfg.tls)
+        )
+        self._announcer.listen(
+            self.address.host, self.address.port, self.peer_address.port
+        )
+        await self._config.start()
+        await self._targets.start()
+        self._log.emit(
+            Event.STARTED,
+            address=str(self.address),
+            peer=str(self.peer_address),
+        )
+
+    async def stop(self, lifetime_s: float = LOOKUP_LIFETIME_S) -> None:
+        """Leave the look-ups, serve out their lifetime, then stop."""
+        self._front.draining = True
+        await self._leave_roster()
+        await asyncio.sleep(lifetime_s)
+        await self._http.stop(STOP_GRACE_S)
+        await self._config.stop()
+        await self._targets.stop()
+        await self._peers.stop()
+        self._dispatcher.close()
+        for link in self._control:
+            await link.close()
+
+    async def _leave_roster(self) -> None:
+        message = self._announcer.leave()
+        for link in self._control:
+            try:
+                await link.request(message, LEAVE_TIMEOUT_S)
+                return
+            except PeerError as exc:
+                self._log.emit(Event.PEER_LOST, detail=exc.detail)
--- /dev/null
+++ b/src/wigeonford/entry/_front.py
@@ -0,0 +1,163 @@
+"""The front of an entry VM: its own endpoints, and callers' requests."""
+
+from collections.abc import Awaitable, Callable
+import dataclasses
+from dataclasses import dataclass
+import hmac
+import time
+from typing import Final
+from urllib.parse import parse_qs
+
+import msgspec
+
+from wigeonford.entry._config import ConfigFollower
+from wigeonford.entry._lookup import Lookup
+from wigeonford.entry._pipeline import Pipeline
+from wigeonford.entry._targets import TargetDirectory
+from wigeonford.errors import Code, RequestRefused
+from wigeonford.http import coded_headers, json_response, Request, Response
+from wigeonford.metrics import Metrics
+from wigeonford.model import Side
+from wigeonford.peer import TargetAnnounce
+from wigeonford.settings import Secrets
+
+SYSTEM_PREFIX: Final = "/.wigeonford/"
+MAX_LEASE_S: Final = 30.0
+MAX_ANNOUNCEMENT_BYTES: Final = 4096
+
+_Endpoint = Callable[["Front", Request], Awaitable[Response]]
+_ENDPOINTS: Final[dict[tuple[str, str], _Endpoint]] = {}
+
+
+def _endpoint(method: str, path: str) -> Callable[[_Endpoint], _Endpoint]:
+    def add(function: _Endpoint) -> _Endpoint:
+        _ENDPOINTS[method, path] = function
+        return function
+
+    return add
+
+
+@dataclass(frozen=True, slots=True)
+class Announcement:
+    """Hold what a target tells of itself; `load` is 0 when idle."""
+
+    service: str
+    host: str
+    port: int
+    slots: int
+    sequence: int
+    side: Side = Side.NEW
+    lease_s: float = 3.0
+    load: float = 0.0
+    leaving: bool = False
+
+
+class Front:
+    """Serve look-ups, announcements, health, metrics and requests."""
+
+    def __init__(
+        self,
+        config: ConfigFollower,
+        pipeline: Pipeline,
+        targets: TargetDirectory,
+        secrets: Secrets,
+        metrics: Metrics,
+    ) -> None:
+        self._config = config
+        self._pipeline = pipeline
+        self._targets = targets
+        self._secrets = secrets
+        self._metrics = metrics
+        self._lookup = Lookup(config.current)
+        self.draining = False
+        config.on_change(self._rebuild_lookup)
+
+    def _rebuild_lookup(self, _config: object) -> None:
+        self._lookup = Lookup(self._config.current)
+
+    async def handle(self, request: Request) -> Response:
+        """Serve one request."""
+        endpoint = _ENDPOINTS.get((request.method, request.path))
+        if endpoint is not None:
+            return await endpoint(self, request)
+        if request.path.startswith(SYSTEM_PREFIX):
+            raise RequestRefused(Code.NO_ROUTE, request.path)
+        return await self._pipeline.handle(request)
+
+    @_endpoint("GET", "/.wigeonford/lookup")
+    async def _answer_lookup(self, request: Request) -> Response:
+        query = parse_qs(request.query)
+        seed = query.get("account", [request.client])[0]
+        answer = self._lookup.answer(request.client, seed)
+        return _ok(dataclasses.asdict(answer))
+
+    @_endpoint("POST", "/.wigeonford/targets")
+    async def _announce(self, request: Request) -> Response:
+        self._authenticate_target(request)
+        message = _to_message(await _read_announcement(request))
+        if message.service not in self._config.current.objects.services:
+            raise RequestRefused(Code.OBJECT_UNKNOWN, message.service)
+        await self._targets.announce(message)
+        return _ok({"revision": self._config.current.revision})
+
+    @_endpoint("GET", "/health")
+    async def _health(self, _request: Request) -> Response:
+        fresh = self._config.is_fresh(time.monotonic())
+        content = {
+            "ok": fresh and not self.draining,
+            "fresh": fresh,
+            "draining": self.draining,
+            "revision": self._config.current.revision,
+        }
+        return _ok(content)
+
+    @_endpoint("GET", "/metrics")
+    async def _metrics_page(self, _request: Request) -> Response:
+        content, content_type = self._metrics.render()
+        headers = (
+            (b"content-type", content_type.encode()),
+            (b"content-length", str(len(content)).encode()),
+        )
+        return Response(200, headers, content)
+
+    def _authenticate_target(self, request: Request) -> None:
+        given = request.header(b"authorization")
+        if given is None:
+            raise RequestRefused(Code.CREDENTIAL_MISSING)
+        expected = f"Bearer {self._secrets.target}"
+        if not hmac.compare_digest(given.encode(), expected.encode()):
+            raise RequestRefused(Code.CREDENTIAL_WRONG)
+
+
+async def _read_announcement(request: Request) -> Announcement:
+    content = b""
+    async for chunk in request.body:
+        content += chunk
+        if len(content) > MAX_ANNOUNCEMENT_BYTES:
+            raise RequestRefused(Code.BODY_TOO_LARGE)
+    try:
+        found = msgspec.json.decode(content, type=Announcement)
+    except msgspec.DecodeError as exc:
+        raise RequestRefused(Code.BAD_ARGUMENT, str(exc)) from exc
+    if found.slots < 1 or not 0 < found.lease_s <= MAX_LEASE_S:
+        raise RequestRefused(Code.BAD_ARGUMENT, "slots or lease_s")
+    return found
+
+
+def _to_message(found: Announcement) -> TargetAnnounce:
+    return TargetAnnounce(
+        service=found.service,
+        host=found.host,
+        port=found.port,
+        side=found.side.value,
+        slots=found.slots,
+        sequence=found.sequence,
+        lease_s=found.lease_s,
+        load=found.load,
+        leaving=found.leaving,
+    )
+
+
+def _ok(content: object) -> Response:
+    headers = coded_headers(Code.OK, Code.OK.value.run_state)
+    return json_response(200, msgspec.json.encode(content), headers)
--- /dev/null
+++ b/src/wigeonford/events.py
@@ -0,0 +1,134 @@
+"""Numbered log events and the structured logger that writes them."""
+
+from collections.abc import Iterator, MutableMapping
+from dataclasses import dataclass
+from enum import Enum
+import logging
+import sys
+from typing import Any, Final, TextIO
+
+import structlog
+
+REDACTED: Final = "[redacted]"
+_SECRET_FIELDS: Final = frozenset(
+    {"key", "secret", "credential", "authorization", "cookie", "token"}
+)
+
+
+@dataclass(frozen=True, slots=True)
+class EventInfo:
+    """Describe one log event."""
+
+    number: int
+    level: int
+    text: str
+
+
+def _event(number: int, text: str, level: int = logging.INFO) -> EventInfo:
+    return EventInfo(number, level, text)
+
+
+class Event(Enum):
+    """List every log event; the number never changes its meaning."""
+
+    STARTED = _event(100, "the daemon is ready")
+    STOPPING = _event(101, "the daemon has begun its graceful shutdown")
+    STOPPED = _event(102, "the daemon has stopped")
+    SETTINGS_REJECTED = _event(103, "settings rejected", logging.ERROR)
+    TASK_FAILED = _event(104, "a task failed", logging.ERROR)
+    INVARIANT_BREACH = _event(
+        105, "an invariant does not hold", logging.CRITICAL
+    )
+
+    REQUEST_REFUSED = _event(200, "refused a request")
+    REQUEST_ABORTED = _event(
+        201, "closed the connection amid an answer", logging.WARNING
+    )
+    ATTEMPT_FAILED = _event(
+        202, "an attempt at a target failed", logging.WARNING
+    )
+    REQUEST_INTERNAL_ERROR = _event(
+        203, "a handler raised an unexpected error", logging.ERROR
+    )
+
+    TARGET_ANNOUNCED = _event(300, "a target announced itself")
+    TARGET_LEFT = _event(301, "a target is leaving")
+    TARGET_EXPIRED = _event(302, "a target's lease expired", logging.WARNING)
+    TARGET_REFUSED = _event(
+        303, "refused a target's announcement", logging.WARNING
+    )
+
+    CONFIG_APPLIED = _event(400, "a new revision is in force")
+    CONFIG_STALE = _event(
+        401, "the configuration lease expired", logging.WARNING
+    )
+    CONFIG_OLDER_IGNORED = _event(
+        402, "ignored a revision older than the one held", logging.WARNING
+    )
+
+    CHANGE_ACCEPTED = _event(500, "accepted a change")
+    CHANGE_REFUSED = _event(501, "refused a change")
+    LEADER_ELECTED = _event(502, "this replica leads")
+    LEADER_LOST = _event(503, "this replica no longer leads")
+    LOG_TAIL_DROPPED = _event(
+        504, "dropped a torn tail of the log", logging.WARNING
+    )
+
+    PEER_CONNECTED = _event(600, "connected to a peer")
+    PEER_LOST = _event(601, "lost a peer", logging.WARNING)
+    PEER_REFUSED = _event(602, "refused a peer", logging.WARNING)
+
+
+def _redact(
+    _logger: Any, _method: str, fields: MutableMapping[str, Any]
+) -> MutableMapping[str, Any]:
+    for name in fields.keys() & _SECRET_FIELDS:
+        fields[name] = REDACTED
+    return fields
+
+
+def configure_logging(
+    stream: TextIO | None = None, level: int = logging.INFO
+) -> None:
+    """Write one JSON object a line to `stream`, standard error if None."""
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            _redact,
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(level),
+        logger_factory=structlog.WriteLoggerFactory(stream or sys.stderr),
+        cache_logger_on_first_use=False,
+    )
+
+
+class EventLog:
+    """Log numbered events with fields bound to one component."""
+
+    def __init__(self, **bound: object) -> None:
+        self._logger = structlog.get_logger().bind(**bound)
+
+    def bind(self, **bound: object) -> "EventLog":
+        """Return a log that adds the given fields to each event."""
+        child = EventLog()
+        child._logger = self._logger.bind(**bound)
+        return child
+
+    def emit(self, event: Event, **fields: object) -> None:
+        """Write one event."""
+        info = event.value
+        self._logger.log(info.level, info.text, number=info.number, **fields)
+
+
+def event_rows() -> Iterator[str]:
+    """Yield the rows of docs/EVENTS.md."""
+    yield "| number | name | level | meaning |"
+    yield "| --- | --- | --- | --- |"
+    for event in Event:
+        info = event.value
+        level = logging.getLevelName(info.level).lower()
+        yield f"| {info.number} | {event.name} | {level} | {info.text} |"
--- /dev/null
+++ b/src/wigeonford/http/__init__.py
@@ -0,0 +1,47 @@
+"""HTTP/1.1 by h11 on both sides."""
+
+from wigeonford.http._client import (
+    ClientConnection,
+    ConnectFailed,
+    ExchangeFailed,
+    fetch,
+    read_body,
+)
+from wigeonford.http._server import AnswerBroken, Handler, HttpServer
+from wigeonford.http._types import (
+    ACCOUNT_HEADER,
+    CODE_HEADER,
+    coded_headers,
+    DEADLINE_HEADER,
+    error_response,
+    find_header,
+    Headers,
+    INTERNAL_PREFIX,
+    json_response,
+    Request,
+    Response,
+    RUN_STATE_HEADER,
+)
+
+__all__ = [
+    "ACCOUNT_HEADER",
+    "CODE_HEADER",
+    "DEADLINE_HEADER",
+    "INTERNAL_PREFIX",
+    "RUN_STATE_HEADER",
+    "AnswerBroken",
+    "ClientConnection",
+    "ConnectFailed",
+    "ExchangeFailed",
+    "Handler",
+    "Headers",
+    "HttpServer",
+    "Request",
+    "Response",
+    "coded_headers",
+    "error_response",
+    "fetch",
+    "find_header",
+    "json_response",
+    "read_body",
+]
--- /dev/null
+++ b/src/wigeonford/http/_types.py
@@ -0,0 +1,106 @@
+"""Requests and responses as both sides of HTTP/1.1 see them."""
+
+from collections.abc import AsyncIterator, Iterable
+from dataclasses import dataclass, field
+from typing import Final
+
+import msgspec
+
+from wigeonford.errors import Code, RunState, WigeonfordError
+
+Headers = tuple[tuple[bytes, bytes], ...]
+"""Header fields in order; the names are in lower case."""
+
+CODE_HEADER: Final = b"wigeonford-code"
+RUN_STATE_HEADER: Final = b"wigeonford-run-state"
+ACCOUNT_HEADER: Final = b"wigeonford-account"
+DEADLINE_HEADER: Final = b"wigeonford-deadline-ms"
+INTERNAL_PREFIX: Final = b"wigeonford-"
+
+
+def find_header(headers: Headers, name: bytes) -> str | None:
+    """Return the first value of a header, or None."""
+    for key, value in headers:
+        if key == name:
+            return value.decode("latin-1")
+    return None
+
+
+async def no_body() -> AsyncIterator[bytes]:
+    """Yield nothing."""
+    return
+    yield b""
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """Hold a request head and the stream of its body."""
+
+    method: str
+    path: str
+    query: str
+    headers: Headers
+    client: str
+    body: AsyncIterator[bytes] = field(default_factory=no_body)
+
+    def header(self, name: bytes) -> str | None:
+        """Return the first value of a header, or None."""
+        return find_header(self.headers, name)
+
+    @property
+    def has_body(self) -> bool:
+        """Tell whether the head announces a body."""
+        length = self.header(b"content-length")
+        chunked = self.header(b"transfer-encoding") is not None
+        return chunked or length not in (None, "0")
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """Hold an answer; a streamed body that raises breaks the answer."""
+
+    status: int
+    headers: Headers = ()
+    body: bytes | AsyncIterator[bytes] = b""
+
+    def header(self, name: bytes) -> str | None:
+        """Return the first value of a header, or None."""
+        return find_header(self.headers, name)
+
+
+def coded_headers(code: Code, run_state: RunState) -> Headers:
+    """Return the headers that every answer of the system carries."""
+    return (
+        (CODE_HEADER, str(code.number).encode()),
+        (RUN_STATE_HEADER, run_state.value.encode()),
+    )
+
+
+def json_response(
+    status: int, content: bytes, headers: Iterable[tuple[bytes, bytes]] = ()
+) -> Response:
+    """Return an answer with a JSON body."""
+    head = (
+        (b"content-type", b"application/json"),
+        (b"content-length", str(len(content)).encode()),
+        *headers,
+    )
+    return Response(status, head, content)
+
+
+def error_response(exc: WigeonfordError) -> Response:
+    """Return the answer that tells a caller about an error."""
+    info = exc.code.value
+    headers = list(coded_headers(exc.code, exc.run_state))
+    if exc.retry_after_s is not None:
+        seconds = str(max(1, round(exc.retry_after_s))).encode()
+        headers.append((b"retry-after", seconds))
+    content = msgspec.json.encode(
+        {
+            "code": info.number,
+            "error": info.text,
+            "detail": exc.detail,
+            "run_state": exc.run_state.value,
+        }
+    )
+    return json_response(info.http_status, content, headers)
--- /dev/null
+++ b/src/wigeonford/invariants.py
@@ -0,0 +1,68 @@
+"""Checks of the promises, asserted while the program runs."""
+
+from dataclasses import dataclass
+from enum import Enum, StrEnum
+
+from wigeonford.errors import Code, WigeonfordError
+from wigeonford.events import Event, EventLog
+from wigeonford.metrics import Metrics
+
+
+class Invariant(Enum):
+    """Number each promise that the program checks."""
+
+    SHIFT_UNDER_CAP = 1
+    REGION_NOT_OVERLOADED = 2
+    KEY_MATCHES_ACCOUNT = 3
+    NO_KEY_TO_TARGET = 4
+    WITHDRAWN_KEY_STOPS = 5
+    RATE_NOT_EXCEEDED = 6
+    WHOLE_ANSWER = 7
+    NOT_RUN_IS_TRUE = 8
+    AT_MOST_ONCE = 9
+    LEAVING_TARGET_UNUSED = 10
+    STOP_CUTS_NOTHING = 11
+    CONFIG_NEVER_REVERTS = 12
+
+
+class OnBreach(StrEnum):
+    """Say what a breach does besides being logged and counted."""
+
+    REFUSE = "refuse"
+    STOP = "stop"
+
+
+class InvariantBreach(WigeonfordError):
+    """Refuse the work in which a check failed."""
+
+    def __init__(self, invariant: Invariant, detail: str) -> None:
+        super().__init__(Code.INVARIANT_BREACH, detail)
+        self.invariant = invariant
+
+
+class BreachStop(BaseException):
+    """Stop the process under test; nothing may swallow it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Checks:
+    """Assert invariants, log and count their breaches."""
+
+    log: EventLog
+    metrics: Metrics
+    on_breach: OnBreach = OnBreach.REFUSE
+
+    def require(self, holds: bool, invariant: Invariant, detail: str) -> None:
+        """Raise `InvariantBreach` or `BreachStop` unless `holds`."""
+        if holds:
+            return
+        self.log.emit(
+            Event.INVARIANT_BREACH,
+            invariant=invariant.value,
+            name=invariant.name,
+            detail=detail,
+        )
+        self.metrics.breaches.inc({"invariant": str(invariant.value)})
+        if self.on_breach is OnBreach.STOP:
+            raise BreachStop(f"{invariant.name}: {detail}")
+        raise InvariantBreach(invariant, detail)
--- /dev/null
+++ b/src/wigeonford/metrics.py
@@ -0,0 +1,60 @@
+"""Metrics of a daemon, rendered for Prometheus."""
+
+from typing import Final
+
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+LATENCY_BUCKETS_S: Final = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05,
+    0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
+]  # fmt: skip
+
+
+class Metrics:
+    """Hold the metrics of one daemon in a registry of its own."""
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self.latency_s = Histogram(
+            "wigeonford_request_latency_seconds",
+            "Latency by client account and class",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+        self.results = Counter(
+            "wigeonford_results_total",
+            "Requests by result code and client account",
+            registry=self._registry,
+        )
+        self.breaches = Counter(
+            "wigeonford_invariant_breaches_total",
+            "Breaches by invariant number",
+            registry=self._registry,
+        )
+        self.attempts = Counter(
+            "wigeonford_attempts_total",
+            "Attempts at targets by service and outcome",
+            registry=self._registry,
+        )
+        self.revision = Gauge(
+            "wigeonford_config_revision",
+            "Revision of the configuration in force",
+            registry=self._registry,
+        )
+
+    def observe_request(
+        self, account: str, request_class: str, seconds: float
+    ) -> None:
+        """Record the latency of one request."""
+        labels = {"account": account, "class": request_class}
+        self.latency_s.observe(labels, seconds)
+
+    def count_result(self, account: str, code_number: int) -> None:
+        """Count one answer by its result code."""
+        self.results.inc({"account": account, "code": str(code_number)})
+
+    def render(self) -> tuple[bytes, str]:
+        """Return the exposition text and its content type."""
+        content, headers = render(self._registry, ["text/plain"])
+        return content, headers["Content-Type"]
--- /dev/null
+++ b/src/wigeonford/model/__init__.py
@@ -0,0 +1,61 @@
+"""Named objects, their references and the checks of a whole set."""
+
+from wigeonford.model._keys import (
+    derive_key,
+    hash_key,
+    KEY_PREFIX,
+    KEY_START,
+    KEY_START_BYTES,
+    KeyRecord,
+)
+from wigeonford.model._kinds import (
+    AvailabilityZone,
+    ClientAccount,
+    ClientBlock,
+    EntryVM,
+    KINDS,
+    Link,
+    Region,
+    RequestClass,
+    Route,
+    Service,
+    Share,
+    Side,
+)
+from wigeonford.model._objects import (
+    check_set,
+    decode_object,
+    decode_set,
+    EMPTY,
+    ObjectKey,
+    ObjectSet,
+    require_valid,
+)
+
+__all__ = [
+    "EMPTY",
+    "KEY_PREFIX",
+    "KEY_START",
+    "KEY_START_BYTES",
+    "KINDS",
+    "AvailabilityZone",
+    "ClientAccount",
+    "ClientBlock",
+    "EntryVM",
+    "KeyRecord",
+    "Link",
+    "ObjectKey",
+    "ObjectSet",
+    "Region",
+    "RequestClass",
+    "Route",
+    "Service",
+    "Share",
+    "Side",
+    "check_set",
+    "decode_object",
+    "decode_set",
+    "derive_key",
+    "hash_key",
+    "require_valid",
+]
--- /dev/null
+++ b/src/wigeonford/peer/__init__.py
@@ -0,0 +1,45 @@
+"""Typed messages between processes and the links that carry them."""
+
+from wigeonford.peer._link import (
+    failure_error,
+    LeaderElsewhere,
+    PeerClient,
+    PeerServer,
+)
+from wigeonford.peer._messages import (
+    ClaimAnswer,
+    ClaimClose,
+    ClaimOpen,
+    ConfigUpdate,
+    Done,
+    Failure,
+    LeaveRoster,
+    Member,
+    message,
+    MESSAGES,
+    ObjectRow,
+    Outcome,
+    PullConfig,
+    TargetAnnounce,
+)
+
+__all__ = [
+    "MESSAGES",
+    "ClaimAnswer",
+    "ClaimClose",
+    "ClaimOpen",
+    "ConfigUpdate",
+    "Done",
+    "Failure",
+    "LeaderElsewhere",
+    "LeaveRoster",
+    "Member",
+    "ObjectRow",
+    "Outcome",
+    "PeerClient",
+    "PeerServer",
+    "PullConfig",
+    "TargetAnnounce",
+    "failure_error",
+    "message",
+]
--- /dev/null
+++ b/src/wigeonford/peer/_link.py
@@ -0,0 +1,261 @@
+"""Links between processes: websockets that carry CBOR messages."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+import hashlib
+import hmac
+import itertools
+import ssl
+from typing import Any, Final
+
+import cbor2
+from websockets.asyncio.client import ClientConnection as WebSocketClient
+from websockets.asyncio.client import connect
+from websockets.asyncio.server import (
+    serve,
+    Server,
+    ServerConnection,
+)
+from websockets.exceptions import ConnectionClosed, InvalidHandshake
+from websockets.http11 import Request, Response
+
+from wigeonford.codec import CodecError, decode_cbor
+from wigeonford.errors import Code, PeerError, WigeonfordError
+from wigeonford.events import Event, EventLog
+from wigeonford.peer._messages import Failure, MESSAGES
+from wigeonford.settings import Address
+
+MAX_MESSAGE_BYTES: Final = 1 << 26
+OPEN_TIMEOUT_S: Final = 3.0
+PING_INTERVAL_S: Final = 5.0
+PING_TIMEOUT_S: Final = 5.0
+_PEER_HEADER: Final = "Wigeonford-Peer"
+_PROOF_HEADER: Final = "Wigeonford-Proof"
+_REFUSED_STATUS: Final = 403
+
+MessageHandler = Callable[[Any], Awaitable[Any]]
+
+
+def peer_proof(secret: str, name: str) -> str:
+    """Return the proof that a process holds the fleet's peer secret."""
+    return hmac.new(
+        secret.encode(), b"peer:" + name.encode(), hashlib.sha256
+    ).hexdigest()
+
+
+class PeerServer:
+    """Answer messages of peers through handlers by message type."""
+
+    def __init__(self, secret: str, log: EventLog) -> None:
+        self._secret = secret
+        self._log = log
+        self._handlers: dict[type[Any], MessageHandler] = {}
+        self._server: Server | None = None
+
+    def handle(self, kind: type[Any], handler: MessageHandler) -> None:
+        """Register the handler of one message type."""
+        assert kind not in self._handlers, f"{kind.__name__} handled twice"
+        self._handlers[kind] = handler
+
+    async def start(
+        self, address: Address, context: ssl.SSLContext | None = None
+    ) -> Address:
+        """Listen; return the address with the port that was bound."""
+        self._server = await serve(
+            self._serve,
+            address.host,
+            address.port,
+            ssl=context,
+            process_request=self._authenticate,
+            max_size=MAX_MESSAGE_BYTES,
+            compression=None,
+            ping_interval=PING_INTERVAL_S,
+            ping_timeout=PING_TIMEOUT_S,
+        )
+        port = next(iter(self._server.sockets)).getsockname()[1]
+        return Address(address.host, port)
+
+    async def stop(self) -> None:
+        """Close the listener and every link."""
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    def _authenticate(
+        self, conn: ServerConnection, request: Request
+    ) -> Response | None:
+        name = request.headers.get(_PEER_HEADER, "")
+        proof = request.headers.get(_PROOF_HEADER, "")
+        expected = peer_proof(self._secret, name)
+        if hmac.compare_digest(proof.encode(), expected.encode()):
+            return None
+        self._log.emit(Event.PEER_REFUSED, peer=name)
+        return conn.respond(_REFUSED_STATUS, Code.PEER_REFUSED.value.text)
+
+    async def _serve(self, conn: ServerConnection) -> None:
+        async with asyncio.TaskGroup() as group:
+            try:
+                async for data in conn:
+                    group.create_task(self._answer(conn, data))
+            except ConnectionClosed:
+                return
+
+    async def _answer(self, conn: ServerConnection, data: Any) -> None:
+        try:
+            frame = decode_cbor(data) if isinstance(data, bytes) else None
+            if not isinstance(frame, list) or len(frame) != 2:
+                raise CodecError("a frame holds an id and a message")
+            number, plain = frame
+            reply = await self._dispatch(plain)
+        except CodecError as exc:
+            self._log.emit(Event.PEER_REFUSED, detail=exc.detail)
+            await conn.close(1008, "invalid frame")
+            return
+        content = cbor2.dumps([number, MESSAGES.to_plain(reply)])
+        try:
+            await conn.send(content)
+        except ConnectionClosed:
+            return
+
+    async def _dispatch(self, plain: object) -> Any:
+        try:
+            record = MESSAGES.from_plain(plain)
+            handler = self._handlers.get(type(record))
+            if handler is None:
+                raise CodecError(f"{type(record).__name__} is not served")
+            return await handler(record)
+        except WigeonfordError as exc:
+            leader = getattr(exc, "leader", None)
+            return Failure(exc.code.number, exc.detail, leader)
+        except Exception as exc:
+            self._log.emit(Event.TASK_FAILED, exc_info=exc)
+            return Failure(Code.INTERNAL.number, type(exc).__name__)
+
+
+_CODES_BY_NUMBER: Final = {code.number: code for code in Code}
+
+
+class PeerClient:
+    """Send messages to one peer over a link that is opened on demand."""
+
+    def __init__(
+        self,
+        name: str,
+        address: Address,
+        secret: str,
+        log: EventLog,
+        context: ssl.SSLContext | None = None,
+    ) -> None:
+        self.address = address
+        self._name = name
+        self._secret = secret
+        self._log = log
+        self._context = context
+        self._conn: WebSocketClient | None = None
+        self._reader: asyncio.Task[None] | None = None
+        self._opening = asyncio.Lock()
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, asyncio.Future[Any]] = {}
+
+    async def request(self, record: Any, timeout_s: float) -> Any:
+        """Return the peer's reply; raise `PeerError`.
+
+        `PEER_UNREACHABLE` says that the message did not leave, and
+        `PEER_TIMEOUT` that it may have been carried out.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                conn = await self._connected()
+        except (OSError, TimeoutError, InvalidHandshake) as exc:
+            raise PeerError(
+                Code.PEER_UNREACHABLE, f"{self.address}: {exc!r}"
+            ) from exc
+        number = next(self._numbers)
+        fut: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self._waiting[number] = fut
+        frame = cbor2.dumps([number, MESSAGES.to_plain(record)])
+        try:
+            async with asyncio.timeout(timeout_s):
+                await conn.send(frame)
+                reply = await fut
+        except (ConnectionClosed, TimeoutError) as exc:
+            raise PeerError(
+                Code.PEER_TIMEOUT, f"{self.address}: {exc!r}"
+            ) from exc
+        finally:
+            self._waiting.pop(number, None)
+        if isinstance(reply, Failure):
+            raise failure_error(reply)
+        return reply
+
+    async def close(self) -> None:
+        """Close the link."""
+        if self._reader is not None:
+            self._reader.cancel()
+        if self._conn is not None:
+            await self._conn.close()
+            self._conn = None
+
+    async def _connected(self) -> WebSocketClient:
+        async with self._opening:
+            if self._conn is None:
+                scheme = "ws" if self._context is None else "wss"
+                self._conn = await connect(
+                    f"{scheme}://{self.address}/",
+                    ssl=self._context,
+                    additional_headers={
+                        _PEER_HEADER: self._name,
+                        _PROOF_HEADER: peer_proof(self._secret, self._name),
+                    },
+                    max_size=MAX_MESSAGE_BYTES,
+                    compression=None,
+                    proxy=None,
+                    open_timeout=OPEN_TIMEOUT_S,
+                    ping_interval=PING_INTERVAL_S,
+                    ping_timeout=PING_TIMEOUT_S,
+                )
+                self._reader = asyncio.create_task(self._read(self._conn))
+            return self._conn
+
+    async def _read(self, conn: WebSocketClient) -> None:
+        try:
+            async for data in conn:
+                self._resolve(data)
+        except (ConnectionClosed, CodecError):
+            pass
+        finally:
+            if self._conn is conn:
+                self._conn = None
+            self._fail_waiting()
+            await conn.close()
+
+    def _resolve(self, data: Any) -> None:
+        frame = decode_cbor(data) if isinstance(data, bytes) else None
+        if not isinstance(frame, list) or len(frame) != 2:
+            raise CodecError("a frame holds an id and a message")
+        reply = MESSAGES.from_plain(frame[1])
+        fut = self._waiting.get(frame[0])
+        if fut is not None and not fut.done():
+            fut.set_result(reply)
+
+    def _fail_waiting(self) -> None:
+        lost = ConnectionClosed(None, None)
+        for fut in self._waiting.values():
+            if not fut.done():
+                fut.set_exception(lost)
+
+
+class LeaderElsewhere(PeerError):
+    """Refuse a message that only the leader takes, naming the leader."""
+
+    def __init__(self, leader: str | None) -> None:
+        super().__init__(Code.NOT_LEADER, leader or "no leader is known")
+        self.leader = leader
+
+
+def failure_error(failure: Failure) -> PeerError:
+    """Return the error that a `Failure` stands for."""
+    code = _CODES_BY_NUMBER.get(failure.code, Code.INTERNAL)
+    if code is Code.NOT_LEADER:
+        return LeaderElsewhere(failure.leader)
+    return PeerError(code, failure.detail)
--- /dev/null
+++ b/src/wigeonford/settings/__init__.py
@@ -0,0 +1,31 @@
+"""Settings files: JSON with comments, checked as a whole."""
+
+from wigeonford.settings._daemons import (
+    Address,
+    CallerLimits,
+    ControlMember,
+    ControlSettings,
+    EntrySettings,
+    OperatorSettings,
+    Secrets,
+    Tls,
+)
+from wigeonford.settings._decode import bounded, decode, Decoder, matching
+from wigeonford.settings._files import load, read_jsonc
+
+__all__ = [
+    "Address",
+    "CallerLimits",
+    "ControlMember",
+    "ControlSettings",
+    "Decoder",
+    "EntrySettings",
+    "OperatorSettings",
+    "Secrets",
+    "Tls",
+    "bounded",
+    "decode",
+    "load",
+    "matching",
+    "read_jsonc",
+]
--- /dev/null
+++ b/src/wigeonford/settings/_daemons.py
@@ -0,0 +1,99 @@
+"""Settings of the two daemons."""
+
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from wigeonford.invariants import OnBreach
+from wigeonford.settings._decode import bounded
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """Name a TCP endpoint by IP number; port 0 asks for a free port."""
+
+    host: str = "127.0.0.1"
+    port: int = bounded(0, 65535, default=0)
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class Secrets:
+    """Hold the secrets that the fleet shares, each of 16 characters up."""
+
+    peer: str = bounded(16, 256)
+    key_hash: str = bounded(16, 256)
+    operator: str = bounded(16, 256)
+    target: str = bounded(16, 256)
+
+
+@dataclass(frozen=True, slots=True)
+class Tls:
+    """Name the files of one VM's certificate and of the fleet's root."""
+
+    certificate: Path
+    private_key: Path
+    root: Path
+
+
+@dataclass(frozen=True, slots=True)
+class ControlMember:
+    """Name one control replica and where its peers reach it."""
+
+    name: str
+    region: str
+    peer_address: Address
+
+
+@dataclass(frozen=True, slots=True)
+class ControlSettings:
+    """Settings of `wigeonford-control`."""
+
+    name: str
+    region: str
+    data_folder: Path
+    secrets: Secrets
+    members: tuple[ControlMember, ...] = ()
+    operator_address: Address = field(default_factory=Address)
+    peer_address: Address = field(default_factory=Address)
+    tls: Tls | None = None
+    on_breach: OnBreach = OnBreach.REFUSE
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Bound what one caller may hold or send; times in seconds."""
+
+    head_bytes: int = bounded(1024, 1 << 20, default=16384)
+    body_bytes: int = bounded(1024, 1 << 34, default=1 << 30)
+    head_timeout_s: float = bounded(0.1, 300, default=10.0)
+    body_idle_timeout_s: float = bounded(0.1, 300, default=15.0)
+    keep_alive_s: float = bounded(0.1, 3600, default=30.0)
+    connections: int = bounded(1, 100000, default=4096)
+    connections_per_address: int = bounded(1, 100000, default=512)
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Settings of `wigeonford-entry`."""
+
+    name: str
+    availability_zone: str
+    secrets: Secrets
+    control: tuple[Address, ...]
+    address: Address = field(default_factory=Address)
+    peer_address: Address = field(default_factory=Address)
+    limits: CallerLimits = field(default_factory=CallerLimits)
+    tls: Tls | None = None
+    on_breach: OnBreach = OnBreach.REFUSE
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorSettings:
+    """Settings of the operators' command line."""
+
+    author: str
+    operator_secret: str = bounded(16, 256)
+    control: tuple[Address, ...] = ()
+    tls: Tls | None = None
--- /dev/null
+++ b/src/wigeonford/settings/_decode.py
@@ -0,0 +1,211 @@
+"""Decode plain data into frozen data classes, collecting every fault."""
+
+from collections.abc import Mapping
+import dataclasses
+from dataclasses import dataclass
+from enum import Enum
+from pathlib import Path
+import types
+import typing
+from typing import Any, Final, TypeVar
+
+from wigeonford.errors import Code, Fault, SettingsError
+
+T = TypeVar("T")
+
+_MAX_VALUE_CHARS: Final = 60
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Bound a number, or the length of a string; both ends included."""
+
+    low: float
+    high: float
+
+    def __str__(self) -> str:
+        return f"{self.low:g} to {self.high:g}"
+
+
+@dataclass(frozen=True, slots=True)
+class Pattern:
+    """Name a string format and the test that a value must pass."""
+
+    name: str
+    accepts: typing.Callable[[str], bool]
+
+
+def bounded(low: float, high: float, **options: Any) -> Any:
+    """Declare a field whose value lies between `low` and `high`."""
+    return dataclasses.field(metadata={"bounds": Bounds(low, high)}, **options)
+
+
+def matching(
+    name: str, accepts: typing.Callable[[str], bool], **options: Any
+) -> Any:
+    """Declare a string field that passes `accepts`."""
+    return dataclasses.field(
+        metadata={"pattern": Pattern(name, accepts)}, **options
+    )
+
+
+def show(value: object) -> str:
+    """Return a short rendering of a bad value."""
+    text = repr(value)
+    if len(text) > _MAX_VALUE_CHARS:
+        return text[: _MAX_VALUE_CHARS - 3] + "..."
+    return text
+
+
+class Decoder:
+    """Decode one document; `faults` holds all that was wrong with it."""
+
+    def __init__(self) -> None:
+        self.faults: list[Fault] = []
+
+    def fault(self, path: str, value: object, expected: str) -> None:
+        """Record one fault."""
+        self.faults.append(Fault(path, show(value), expected))
+
+    def record(self, cls: type[T], data: object, path: str) -> T | None:
+        """Return an instance of `cls`, or None where a field is wrong."""
+        if not isinstance(data, Mapping):
+            self.fault(path, data, f"an object ({cls.__name__})")
+            return None
+        before = len(self.faults)
+        hints = _hints(cls)
+        fields = {
+            field.name: field
+            for field in dataclasses.fields(typing.cast(Any, cls))
+        }
+        for name in data.keys() - fields.keys():
+            known = ", ".join(sorted(fields))
+            self.fault(f"{path}.{name}", name, f"one of: {known}")
+        values = {}
+        for name, field in fields.items():
+            where = f"{path}.{name}"
+            if name in data:
+                values[name] = self._field(
+                    hints[name], field, data[name], where
+                )
+            elif _is_required(field):
+                self.fault(where, None, _describe(hints[name]))
+        if len(self.faults) > before:
+            return None
+        return cls(**values)
+
+    def _field(
+        self,
+        hint: Any,
+        field: "dataclasses.Field[Any]",
+        data: object,
+        path: str,
+    ) -> Any:
+        before = len(self.faults)
+        value = self.value(hint, data, path)
+        if len(self.faults) > before or value is None:
+            return value
+        bounds = field.metadata.get("bounds")
+        if bounds is not None:
+            size = len(value) if isinstance(value, str) else value
+            if not bounds.low <= size <= bounds.high:
+                self.fault(path, data, f"in the range {bounds}")
+        pattern = field.metadata.get("pattern")
+        if pattern is not None and not pattern.accepts(value):
+            self.fault(path, data, pattern.name)
+        return value
+
+    def value(self, hint: Any, data: object, path: str) -> Any:
+        """Return `data` as the type `hint`; record a fault if it isn't."""
+        origin = typing.get_origin(hint)
+        args = typing.get_args(hint)
+        if origin is types.UnionType or origin is typing.Union:
+            return self._optional(args, data, path)
+        if origin is tuple:
+            return self._sequence(args[0], data, path)
+        if origin in (dict, Mapping) or origin is _ABC_MAPPING:
+            return self._mapping(args[1], data, path)
+        if dataclasses.is_dataclass(hint):
+            return self.record(typing.cast("type[Any]", hint), data, path)
+        return self._scalar(hint, data, path)
+
+    def _optional(self, args: tuple[Any, ...], data: object, path: str) -> Any:
+        if data is None and type(None) in args:
+            return None
+        inner = next(arg for arg in args if arg is not type(None))
+        return self.value(inner, data, path)
+
+    def _sequence(self, hint: Any, data: object, path: str) -> Any:
+        if not isinstance(data, list | tuple):
+            self.fault(path, data, "a list")
+            return ()
+        return tuple(
+            self.value(hint, item, f"{path}[{index}]")
+            for index, item in enumerate(data)
+        )
+
+    def _mapping(self, hint: Any, data: object, path: str) -> Any:
+        if not isinstance(data, Mapping):
+            self.fault(path, data, "an object")
+            return {}
+        return {
+            str(name): self.value(hint, item, f"{path}.{name}")
+            for name, item in data.items()
+        }
+
+    def _scalar(self, hint: Any, data: object, path: str) -> Any:
+        if isinstance(hint, type) and issubclass(hint, Enum):
+            try:
+                return hint(data)
+            except ValueError:
+                self.fault(path, data, _describe(hint))
+                return None
+        if hint is Path and isinstance(data, str):
+            return Path(data)
+        if hint is float and type(data) is int:
+            return float(data)
+        if type(data) is not hint:
+            self.fault(path, data, _describe(hint))
+            return None
+        return data
+
+
+_ABC_MAPPING: Final = typing.get_origin(Mapping[str, int])
+_HINTS: Final[dict[type, dict[str, Any]]] = {}
+
+
+def _hints(cls: type) -> dict[str, Any]:
+    """Return the resolved annotations, which are slow to work out."""
+    if cls not in _HINTS:
+        _HINTS[cls] = typing.get_type_hints(cls)
+    return _HINTS[cls]
+
+
+def _is_required(field: "dataclasses.Field[Any]") -> bool:
+    return (
+        field.default is dataclasses.MISSING
+        and field.default_factory is dataclasses.MISSING
+    )
+
+
+def _describe(hint: Any) -> str:
+    if isinstance(hint, type) and issubclass(hint, Enum):
+        members = ", ".join(str(member.value) for member in hint)
+        return f"one of: {members}"
+    names = {
+        str: "a string",
+        int: "a whole number",
+        float: "a number",
+        bool: "true or false",
+        Path: "a path",
+    }
+    return names.get(hint, "set")
+
+
+def decode(cls: type[T], data: object, path: str, code: Code) -> T:
+    """Return `data` as `cls`; raise `SettingsError` with every fault."""
+    decoder = Decoder()
+    record = decoder.record(cls, data, path)
+    if record is None or decoder.faults:
+        raise SettingsError(code, tuple(decoder.faults))
+    return record
--- /dev/null
+++ b/src/wigeonford/settings/_files.py
@@ -0,0 +1,26 @@
+"""Read JSON with comments from files."""
+
+from pathlib import Path
+from typing import TypeVar
+
+import jsonc
+
+from wigeonford.errors import Code, Fault, SettingsError
+from wigeonford.settings._decode import decode
+
+T = TypeVar("T")
+
+
+def read_jsonc(path: Path) -> object:
+    """Return the document; raise `SettingsError` where it can't be read."""
+    try:
+        document: object = jsonc.loads(path.read_text(encoding="utf-8"))
+    except (OSError, ValueError) as exc:
+        fault = Fault(str(path), str(exc), "JSON with comments")
+        raise SettingsError(Code.SETTINGS_UNREADABLE, (fault,)) from exc
+    return document
+
+
+def load(cls: type[T], path: Path) -> T:
+    """Read daemon settings of the type `cls`."""
+    return decode(cls, read_jsonc(path), path.name, Code.SETTINGS_INVALID)
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,68 @@
+"""Bad input to the HTTP server gets a numbered error."""
+
+import asyncio
+import io
+import unittest
+
+from wigeonford.errors import Code
+from wigeonford.events import configure_logging, EventLog
+from wigeonford.http import HttpServer, Request, Response
+from wigeonford.settings import Address, CallerLimits
+
+LIMITS = CallerLimits(head_bytes=1024, body_bytes=4096, head_timeout_s=5.0)
+
+CASES = (
+    ("two lengths", b"content-length: 1\r\ncontent-length: 2\r\n\r\na", 1003),
+    (
+        "length beside coding",
+        b"content-length: 1\r\ntransfer-encoding: chunked\r\n\r\na",
+        1003,
+    ),
+    ("oversized head", b"x: " + b"a" * 2000 + b"\r\n\r\n", 1001),
+    ("oversized body", b"content-length: 5000\r\n\r\n", 1002),
+    ("truncated body", b"content-length: 9\r\n\r\nabc", 1004),
+    ("broken header", b"no colon\r\n\r\n", 1000),
+)
+
+
+async def _echo(request: Request) -> Response:
+    body = b"".join([chunk async for chunk in request.body])
+    length = (b"content-length", str(len(body)).encode())
+    return Response(200, (length,), body)
+
+
+async def _exchange(content: bytes) -> bytes:
+    server = HttpServer(_echo, LIMITS, EventLog())
+    address = await server.start(Address())
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(content)
+    writer.write_eof()
+    answer = await reader.read()
+    writer.close()
+    await server.stop(1.0)
+    return answer
+
+
+class HttpServerTest(unittest.TestCase):
+    """Send raw bytes to a server."""
+
+    def setUp(self) -> None:
+        self.logs = io.StringIO()
+        configure_logging(self.logs)
+
+    def test_bad_input_gets_its_number(self) -> None:
+        start = b"POST / HTTP/1.1\r\nhost: a\r\n"
+        for name, rest, number in CASES:
+            with self.subTest(name):
+                answer = asyncio.run(_exchange(start + rest))
+                self.assertIn(b"wigeonford-code: %d\r\n" % number, answer)
+                self.assertIn(b"wigeonford-run-state: not-run", answer)
+
+    def test_pipelined_requests_get_their_own_answers(self) -> None:
+        one = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\n"
+        answer = asyncio.run(_exchange(one + b"abc" + one + b"def"))
+        self.assertLess(answer.index(b"abc"), answer.index(b"def"))
+
+    def test_codes_of_the_cases_exist(self) -> None:
+        known = {code.number for code in Code}
+        self.assertLessEqual({number for _, _, number in CASES}, known)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the developers."""
--- /dev/null
+++ b/tools/pages.py
@@ -0,0 +1,123 @@
+"""Write the pages of docs/ that are made from the code."""
+
+from collections.abc import Iterator
+import dataclasses
+from pathlib import Path
+import typing
+from typing import Any, Final
+
+from wigeonford.errors import result_code_rows
+from wigeonford.events import event_rows
+from wigeonford.model import KINDS
+from wigeonford.settings import (
+    ControlSettings,
+    EntrySettings,
+    OperatorSettings,
+)
+
+DOCS: Final = Path(__file__).parent.parent / "docs"
+
+
+def _result_codes() -> Iterator[str]:
+    yield "# Result codes"
+    yield ""
+    yield "Each answer carries its number as `Wigeonford-Code` and what has"
+    yield "run as `Wigeonford-Run-State`. The run state shown is the usual"
+    yield "one; an answer can say another where more, or less, is known."
+    yield ""
+    yield from result_code_rows()
+
+
+def _events() -> Iterator[str]:
+    yield "# Log events"
+    yield ""
+    yield "Each log line is a JSON object whose `number` is one of these."
+    yield ""
+    yield from event_rows()
+
+
+def _settings() -> Iterator[str]:
+    yield "# Settings"
+    yield ""
+    yield "Files are JSON with comments. A file is checked as a whole; each"
+    yield "fault names its path, the bad value and what was expected."
+    roots = (ControlSettings, EntrySettings, OperatorSettings)
+    seen: list[type[Any]] = []
+    for root in roots:
+        yield from _record(root, seen)
+    yield ""
+    yield "# Objects"
+    for kind, cls in KINDS.items():
+        yield ""
+        yield f"List `{kind}`:"
+        yield from _record(cls, seen)
+
+
+def _record(cls: type[Any], seen: list[type[Any]]) -> Iterator[str]:
+    if cls in seen:
+        return
+    seen.append(cls)
+    yield ""
+    yield f"## {cls.__name__}"
+    yield ""
+    yield (cls.__doc__ or "").replace("\n    ", "\n")
+    yield ""
+    yield "| field | type | default | range |"
+    yield "| --- | --- | --- | --- |"
+    hints = typing.get_type_hints(cls)
+    nested: list[type[Any]] = []
+    for field in dataclasses.fields(cls):
+        hint = hints[field.name]
+        nested.extend(_nested(hint))
+        bounds = field.metadata.get("bounds", "")
+        yield (
+            f"| {field.name} | {_type_name(hint)} "
+            f"| {_default(field)} | {bounds} |"
+        )
+    for inner in nested:
+        yield from _record(inner, seen)
+
+
+def _nested(hint: Any) -> Iterator[type[Any]]:
+    for inner in (hint, *typing.get_args(hint)):
+        if isinstance(inner, type) and dataclasses.is_dataclass(inner):
+            yield inner
+
+
+def _type_name(hint: Any) -> str:
+    args = [arg for arg in typing.get_args(hint) if arg is not Ellipsis]
+    if typing.get_origin(hint) is tuple:
+        return f"list of {_type_name(args[0])}"
+    if args:
+        return " or ".join(_type_name(arg) for arg in args)
+    return "null" if hint is type(None) else str(hint.__name__)
+
+
+def _default(field: "dataclasses.Field[Any]") -> str:
+    if field.default is not dataclasses.MISSING:
+        return f"`{field.default!s}`"
+    if field.default_factory is not dataclasses.MISSING:
+        return "its own defaults"
+    return "required"
+
+
+PAGES: Final = {
+    "RESULT-CODES.md": _result_codes,
+    "EVENTS.md": _events,
+    "SETTINGS.md": _settings,
+}
+
+
+def render(name: str) -> str:
+    """Return the text of a page."""
+    return "\n".join(PAGES[name]()) + "\n"
+
+
+def main() -> None:
+    """Write every page."""
+    for name in PAGES:
+        (DOCS / name).write_text(render(name))
+
+
+if __name__ == "__main__":
+    main()
