--- a/src/wigeonford/bench/__init__.py
+++ b/src/wigeonford/bench/__init__.py
@@ -1,13 +1,17 @@
 """Stand-ins, load and experiments on loopback."""
 
-from wigeonford.bench._demo import DemoReport, run_demo
+from wigeonford.bench._demo import run_demo
 from wigeonford.bench._fleet import LocalFleet
+from wigeonford.bench._link import LinkState, StandInLink
+from wigeonford.bench._report import Report
 from wigeonford.bench._settings import Deployment, load_deployment
 
 __all__ = [
     "Deployment",
-    "DemoReport",
+    "LinkState",
     "LocalFleet",
+    "Report",
+    "StandInLink",
     "load_deployment",
     "run_demo",
 ]
--- a/src/wigeonford/bench/_demo.py
+++ b/src/wigeonford/bench/_demo.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Iterator
-from dataclasses import dataclass
 import logging
 from pathlib import Path
 import random
@@ -12,6 +11,7 @@
 
 from wigeonford.bench._caller import CallerBooks, Job, StandInCaller
 from wigeonford.bench._fleet import LocalFleet
+from wigeonford.bench._report import Report
 from wigeonford.bench._settings import Deployment, load_deployment
 from wigeonford.events import configure_logging, EventLog
 from wigeonford.settings import Address
@@ -23,14 +23,6 @@
 PROGRESS_EVERY: Final = 50
 
 
-@dataclass(frozen=True, slots=True)
-class DemoReport:
-    """Hold the figures of a run and whether all of them are as wanted."""
-
-    data: dict[str, Any]
-    passed: bool
-
-
 def make_jobs(
     deployment: Deployment, count: int, rng: random.Random
 ) -> Iterator[tuple[str, Job]]:
@@ -86,7 +78,7 @@
 
 async def run_demo(
     name: str, requests: int, seed: int, *, quiet: bool
-) -> DemoReport:
+) -> Report:
     """Run a deployment's demo; progress goes to standard error."""
     configure_logging(level=logging.CRITICAL)
     rng = random.Random(seed)
@@ -104,7 +96,7 @@
     passed = data["answered"] == requests and not any(
         data[field] for field in bad
     )
-    return DemoReport(data, passed)
+    return Report(data, passed)
 
 
 async def _drive(
--- a/src/wigeonford/bench/_fleet.py
+++ b/src/wigeonford/bench/_fleet.py
@@ -52,7 +52,7 @@
         await self._start_control()
         await self._publish()
         for vm in self.deployment.objects.entry_vms.values():
-            await self._start_entry(vm.name, vm.availability_zone)
+            await self.start_entry(vm.name)
         await self._settle(self._roster_complete)
         await self._start_targets()
 
@@ -72,7 +72,9 @@
             key = await client.issue_key(uuid.uuid4().hex, account)
             self.keys[account] = key
 
-    async def _start_entry(self, name: str, zone: str) -> None:
+    async def start_entry(self, name: str) -> None:
+        """Start an entry VM, or start it again on another port."""
+        zone = self.deployment.objects.entry_vms[name].availability_zone
         cfg = EntrySettings(
             name, zone, BENCH_SECRETS, (self.control.peer_address,)
         )
@@ -108,6 +110,14 @@
                 await target.start()
                 self.targets.append(target)
 
+    async def crash_entry(self, name: str) -> None:
+        """Kill an entry VM."""
+        await self.entries.pop(name).crash()
+
+    async def stop_entry(self, name: str, lifetime_s: float) -> None:
+        """Stop an entry VM gracefully."""
+        await self.entries.pop(name).stop(lifetime_s)
+
     def entries_of(self, region: str) -> list[str]:
         """Return the names of a region's entry VMs."""
         objects = self.deployment.objects
--- a/src/wigeonford/cli/_experiments.py
+++ b/src/wigeonford/cli/_experiments.py
@@ -1,6 +1,8 @@
 """The commands that run stand-ins: the demo and the benches."""
 
 import argparse
+from collections.abc import Callable
+import importlib
 
 from wigeonford.cli._commands import cli_command, Result
 from wigeonford.daemon import EXIT_DONE, EXIT_REFUSED
@@ -36,3 +38,29 @@
     return Result(
         report.data, lines, EXIT_DONE if report.passed else EXIT_REFUSED
     )
+
+
+def _scenario(
+    name: str,
+    help_text: str,
+    module: str,
+    configure: Callable[[argparse.ArgumentParser], None],
+) -> None:
+    """Register a bench; `module` has `async run(args) -> Report`."""
+
+    def arguments(parser: argparse.ArgumentParser) -> None:
+        parser.add_argument(
+            "--seed", type=int, default=1, help="default %(default)s"
+        )
+        configure(parser)
+
+    async def run(args: argparse.Namespace) -> Result:
+        # Imported here, since operators' commands need no stand-ins.
+        report = await importlib.import_module(module).run(args)
+        lines = tuple(
+            f"{name}: {value}" for name, value in report.data.items()
+        )
+        code = EXIT_DONE if report.passed else EXIT_REFUSED
+        return Result(report.data, lines, code)
+
+    cli_command(f"bench {name}", help_text, arguments)(run)
--- a/src/wigeonford/entry/_daemon.py
+++ b/src/wigeonford/entry/_daemon.py
@@ -110,6 +110,15 @@
         await self._leave_roster()
         await asyncio.sleep(lifetime_s)
         await self._http.stop(STOP_GRACE_S)
+        await self._close_links()
+
+    async def crash(self) -> None:
+        """Drop everything at once, as a process does that is killed."""
+        self._announcer.leave()
+        await self._http.stop(0.0)
+        await self._close_links()
+
+    async def _close_links(self) -> None:
         await self._config.stop()
         await self._targets.stop()
         await self._peers.stop()
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,101 @@
+"""Shares of a budget never add up to more than its capacity."""
+
+import unittest
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    invariant,
+    precondition,
+    rule,
+    RuleBasedStateMachine,
+)
+
+from wigeonford.policy import (
+    fair_part,
+    LeaseGrant,
+    LeaseGrantor,
+    LeaseHolder,
+    LeaseRequest,
+)
+
+CAPACITY = 12.0
+TERM_S = 3.0
+HOLDERS = ("a", "b", "c")
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Lose, delay and repeat messages; restart holders and grantor."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+        self.grantor = LeaseGrantor(CAPACITY, TERM_S, 0.0, takes_over=False)
+        self.holders = {name: LeaseHolder(name, TERM_S) for name in HOLDERS}
+        self.lost: list[LeaseHolder] = []
+        self.requests: list[tuple[LeaseHolder, LeaseRequest]] = []
+        self.grants: list[tuple[LeaseHolder, LeaseGrant]] = []
+        self.starts = 0
+
+    @rule(name=st.sampled_from(HOLDERS), wanted=st.floats(0, 20))
+    def ask(self, name: str, wanted: float) -> None:
+        holder = self.holders[name]
+        self.requests.append((holder, holder.ask(wanted, self.now_s)))
+
+    @precondition(lambda self: self.requests)
+    @rule(data=st.data())
+    def deliver_request(self, data: st.DataObject) -> None:
+        index = data.draw(st.integers(0, len(self.requests) - 1))
+        holder, request = self.requests.pop(index)
+        grant = self.grantor.request(request, self.now_s)
+        self.grants.append((holder, grant))
+
+    @precondition(lambda self: self.grants)
+    @rule(data=st.data())
+    def deliver_grant(self, data: st.DataObject) -> None:
+        index = data.draw(st.integers(0, len(self.grants) - 1))
+        holder, grant = self.grants.pop(index)
+        holder.accept(grant)
+
+    @rule(seconds=st.floats(0.01, 4.0))
+    def advance(self, seconds: float) -> None:
+        self.now_s += seconds
+
+    @rule(name=st.sampled_from(HOLDERS))
+    def restart_holder(self, name: str) -> None:
+        self.lost.append(self.holders[name])
+        self.starts += 1
+        self.holders[name] = LeaseHolder(f"{name}/{self.starts}", TERM_S)
+
+    @rule()
+    def replace_grantor(self) -> None:
+        self.requests.clear()
+        self.grantor = LeaseGrantor(CAPACITY, TERM_S, self.now_s)
+
+    @invariant()
+    def never_over_capacity(self) -> None:
+        holders = [*self.holders.values(), *self.lost]
+        used = sum(holder.amount(self.now_s) for holder in holders)
+        assert used <= CAPACITY + 1e-9, f"{used} units are held"
+
+
+LeaseTest = LeaseMachine.TestCase
+LeaseTest.settings = settings(
+    max_examples=150, stateful_step_count=60, derandomize=True, deadline=None
+)
+
+
+class FairPartTest(unittest.TestCase):
+    """Divide a capacity by max-min fairness."""
+
+    def test_cases(self) -> None:
+        cases: tuple[tuple[float, float, list[float], float], ...] = (
+            (12.0, 3.0, [2.0], 3.0),
+            (12.0, 10.0, [10.0, 10.0], 4.0),
+            (12.0, 10.0, [2.0, 3.0], 7.0),
+            (12.0, 2.0, [10.0, 10.0], 2.0),
+            (12.0, 0.0, [], 0.0),
+        )
+        for capacity, wanted, others, part in cases:
+            with self.subTest(wanted=wanted, others=others):
+                self.assertEqual(fair_part(capacity, wanted, others), part)
