Strengthen the stateful test of leased shares

Cause: five one-line faults in the grantor and the holder all passed, since random steps seldom finished an exchange. Change: rules that make a whole exchange, or one whose reply comes late. After: each of the faults tried is caught (no wait after a take-over, a void reply taken, a decrease not confirmed, a late request served, a lease used past its term).

--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -22,6 +22,7 @@
 CAPACITY = 12.0
 TERM_S = 3.0
 HOLDERS = ("a", "b", "c")
+WANTED = (0.0, 4.0, 12.0, 20.0)
 
 
 class LeaseMachine(RuleBasedStateMachine):
@@ -37,7 +38,20 @@
         self.grants: list[tuple[LeaseHolder, LeaseGrant]] = []
         self.starts = 0
 
-    @rule(name=st.sampled_from(HOLDERS), wanted=st.floats(0, 20))
+    @rule(name=st.sampled_from(HOLDERS), wanted=st.sampled_from(WANTED))
+    def exchange(self, name: str, wanted: float) -> None:
+        holder = self.holders[name]
+        request = holder.ask(wanted, self.now_s)
+        holder.accept(self.grantor.request(request, self.now_s))
+
+    @rule(name=st.sampled_from(HOLDERS), wanted=st.sampled_from(WANTED))
+    def exchange_with_late_reply(self, name: str, wanted: float) -> None:
+        holder = self.holders[name]
+        request = holder.ask(wanted, self.now_s)
+        grant = self.grantor.request(request, self.now_s)
+        self.grants.append((holder, grant))
+
+    @rule(name=st.sampled_from(HOLDERS), wanted=st.sampled_from(WANTED))
     def ask(self, name: str, wanted: float) -> None:
         holder = self.holders[name]
         self.requests.append((holder, holder.ask(wanted, self.now_s)))
@@ -57,7 +71,7 @@
         holder, grant = self.grants.pop(index)
         holder.accept(grant)
 
-    @rule(seconds=st.floats(0.01, 4.0))
+    @rule(seconds=st.sampled_from((0.1, 1.0, 2.9, 3.1)))
     def advance(self, seconds: float) -> None:
         self.now_s += seconds
 
@@ -81,7 +95,7 @@
 
 LeaseTest = LeaseMachine.TestCase
 LeaseTest.settings = settings(
-    max_examples=150, stateful_step_count=60, derandomize=True, deadline=None
+    max_examples=500, stateful_step_count=25, derandomize=True, deadline=None
 )
 
 
