Tell who leads and in which term

Callers that grant from memory need to know whether their replica leads and when leadership starts anew. The one replica always leads, in term 1.

--- a/src/wigeonford/control/_replica.py
+++ b/src/wigeonford/control/_replica.py
@@ -8,6 +8,7 @@
 from wigeonford.control._store import LogEntry, Snapshot, Store
 
 SNAPSHOT_EVERY: Final = 2000
+SOLO_TERM: Final = 1
 
 
 class Replica(Protocol):
@@ -21,6 +22,14 @@
     def leader(self) -> str | None:
         """Return the name of the leader, where one is known."""
 
+    @property
+    def is_leader(self) -> bool:
+        """Return whether this replica leads, as far as it knows."""
+
+    @property
+    def term(self) -> int:
+        """Return the latest term that this replica knows."""
+
     async def start(self) -> None:
         """Recover from the store and take part."""
 
@@ -60,6 +69,16 @@
         """Return this replica's name."""
         return self._name
 
+    @property
+    def is_leader(self) -> bool:
+        """Return True: no other replica could lead."""
+        return True
+
+    @property
+    def term(self) -> int:
+        """Return 1: there are no elections."""
+        return SOLO_TERM
+
     async def start(self) -> None:
         """Recover the state from the snapshot and the log."""
         snapshot = self._store.read_snapshot()
@@ -78,12 +97,16 @@
     async def propose(self, record: Any) -> CommandResult:
         """Sync the command, then apply it."""
         async with self._turn:
-            entry = LogEntry(self._position + 1, 1, COMMANDS.encode(record))
+            entry = LogEntry(
+                self._position + 1, SOLO_TERM, COMMANDS.encode(record)
+            )
             await asyncio.to_thread(self._store.append, [entry])
             self._position = entry.position
             result = self._state.apply(record)
             if self._position % SNAPSHOT_EVERY == 0:
-                snapshot = Snapshot(self._position, 1, self._state.snapshot())
+                snapshot = Snapshot(
+                    self._position, SOLO_TERM, self._state.snapshot()
+                )
                 await asyncio.to_thread(self._store.save_snapshot, snapshot)
             return result
 
