Agree on the log with three or five control replicas

One replica loses everything with its disk. The core takes messages, ticks and proposals and gives effects in order; the driver syncs before it sends. Votes and acknowledgements belong to an incarnation, so that a replica whose data folder was lost counts again only after the leader has replaced its entry and it has caught up as a learner.

The log file replaces SQLite.

--- a/src/wigeonford/bench/_fleet.py
+++ b/src/wigeonford/bench/_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from pathlib import Path
+import socket
 from typing import Final
 import uuid
 
@@ -14,7 +15,12 @@
 from wigeonford.control import ControlDaemon
 from wigeonford.entry import EntryDaemon
 from wigeonford.events import EventLog
-from wigeonford.settings import ControlSettings, EntrySettings
+from wigeonford.settings import (
+    Address,
+    ControlMember,
+    ControlSettings,
+    EntrySettings,
+)
 
 SETTLE_POLL_S: Final = 0.05
 SETTLE_TIMEOUT_S: Final = 20.0
@@ -24,7 +30,11 @@
     """Run control, the entry VMs and the targets of a deployment."""
 
     def __init__(
-        self, deployment: Deployment, folder: Path, log: EventLog
+        self,
+        deployment: Deployment,
+        folder: Path,
+        log: EventLog,
+        control_replicas: int = 1,
     ) -> None:
         self.deployment = deployment
         self.books = TargetBooks()
@@ -33,36 +43,55 @@
         self.keys: dict[str, str] = {}
         self._folder = folder
         self._log = log
-        self._control: ControlDaemon | None = None
+        self._members = _control_members(deployment, control_replicas)
+        self.controls: dict[str, ControlDaemon] = {}
 
     @property
     def control(self) -> ControlDaemon:
-        """Return the control replica."""
-        assert self._control is not None, "the fleet has been started"
-        return self._control
+        """Return the first control replica that runs."""
+        assert self.controls, "the fleet has been started"
+        return next(iter(self.controls.values()))
 
     def operator(self) -> OperatorClient:
         """Return a client of the operators' API."""
         return OperatorClient(
-            (self.control.operator_address,), BENCH_SECRETS.operator, "bench"
+            tuple(
+                daemon.operator_address for daemon in self.controls.values()
+            ),
+            BENCH_SECRETS.operator,
+            "bench",
         )
 
     async def start(self) -> None:
         """Start everything and wait until entry VMs know of it all."""
-        await self._start_control()
+        await asyncio.gather(
+            *(self.start_control(member.name) for member in self._members)
+        )
         await self._publish()
         for vm in self.deployment.objects.entry_vms.values():
             await self.start_entry(vm.name)
         await self._settle(self._roster_complete)
         await self._start_targets()
 
-    async def _start_control(self) -> None:
-        region = next(iter(self.deployment.objects.regions))
+    async def start_control(self, name: str) -> None:
+        """Start a control replica on its data folder."""
+        member = next(held for held in self._members if held.name == name)
+        several = len(self._members) > 1
         cfg = ControlSettings(
-            "control-1", region, self._folder / "control-1", BENCH_SECRETS
+            name,
+            member.region,
+            self._folder / name,
+            BENCH_SECRETS,
+            members=self._members if several else (),
+            peer_address=member.peer_address,
         )
-        self._control = build_control(cfg, self._log)
-        await self._control.start()
+        daemon = build_control(cfg, self._log)
+        await daemon.start()
+        self.controls[name] = daemon
+
+    async def crash_control(self, name: str) -> None:
+        """Kill a control replica."""
+        await self.controls.pop(name).crash()
 
     async def _publish(self) -> None:
         client = self.operator()
@@ -76,7 +105,10 @@
         """Start an entry VM, or start it again on another port."""
         zone = self.deployment.objects.entry_vms[name].availability_zone
         cfg = EntrySettings(
-            name, zone, BENCH_SECRETS, (self.control.peer_address,)
+            name,
+            zone,
+            BENCH_SECRETS,
+            tuple(member.peer_address for member in self._members),
         )
         entry = build_entry(cfg, self._log)
         await entry.start()
@@ -134,4 +166,28 @@
         await asyncio.gather(
             *(entry.stop(0.0) for entry in self.entries.values())
         )
-        await self.control.stop()
+        await asyncio.gather(
+            *(daemon.stop() for daemon in self.controls.values())
+        )
+
+
+def _control_members(
+    deployment: Deployment, count: int
+) -> tuple[ControlMember, ...]:
+    """Return control replicas spread over the regions."""
+    regions = list(deployment.objects.regions)
+    return tuple(
+        ControlMember(
+            f"control-{number}",
+            regions[(number - 1) % len(regions)],
+            free_address(f"127.9.0.{number}"),
+        )
+        for number in range(1, count + 1)
+    )
+
+
+def free_address(host: str) -> Address:
+    """Return a loopback address whose port is free at present."""
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return Address(host, probe.getsockname()[1])
--- a/src/wigeonford/compose.py
+++ b/src/wigeonford/compose.py
@@ -3,9 +3,11 @@
 from wigeonford.control import (
     ControlDaemon,
     ControlService,
+    LogFileStore,
     OperatorApi,
+    RaftReplica,
+    Replica,
     SoloReplica,
-    SqliteStore,
 )
 from wigeonford.entry import (
     Announcer,
@@ -19,19 +21,25 @@
     TargetDirectory,
     TargetRegistry,
 )
-from wigeonford.events import EventLog
+from wigeonford.events import Event, EventLog
 from wigeonford.http import HttpServer
 from wigeonford.invariants import Checks
 from wigeonford.metrics import Metrics
 from wigeonford.peer import PeerClient, PeerServer
-from wigeonford.settings import CallerLimits, ControlSettings, EntrySettings
+from wigeonford.settings import (
+    Address,
+    CallerLimits,
+    ControlSettings,
+    EntrySettings,
+)
 from wigeonford.tls import client_context
 
 
 def build_control(cfg: ControlSettings, log: EventLog) -> ControlDaemon:
     """Return a control replica that is ready to start."""
     log = log.bind(vm=cfg.name)
-    replica = SoloReplica(cfg.name, SqliteStore(cfg.data_folder))
+    peers = PeerServer(cfg.secrets.peer, log)
+    replica = _build_replica(cfg, peers, log)
     api = OperatorApi(
         replica, cfg.secrets.operator, cfg.secrets.key_hash, Metrics(), log
     )
@@ -39,12 +47,31 @@
         cfg,
         replica,
         ControlService(replica, log),
-        PeerServer(cfg.secrets.peer, log),
+        peers,
         HttpServer(api.handle, CallerLimits(), log),
         log,
     )
 
 
+def _build_replica(
+    cfg: ControlSettings, peers: PeerServer, log: EventLog
+) -> Replica:
+    store = LogFileStore(cfg.data_folder)
+    if store.dropped_bytes:
+        log.emit(Event.LOG_TAIL_DROPPED, bytes=store.dropped_bytes)
+    if not cfg.members:
+        return SoloReplica(cfg.name, store)
+
+    def connect(address: Address) -> PeerClient:
+        return PeerClient(
+            cfg.name, address, cfg.secrets.peer, log, client_context(cfg.tls)
+        )
+
+    replica = RaftReplica(cfg, store, connect, log)
+    replica.attach(peers)
+    return replica
+
+
 def build_entry(cfg: EntrySettings, log: EventLog) -> EntryDaemon:
     """Return an entry VM that is ready to start."""
     log = log.bind(vm=cfg.name)
--- a/src/wigeonford/control/__init__.py
+++ b/src/wigeonford/control/__init__.py
@@ -13,14 +13,15 @@
     WithdrawKey,
 )
 from wigeonford.control._daemon import ControlDaemon
+from wigeonford.control._log_file import LogFileStore
 from wigeonford.control._operator_api import OperatorApi
+from wigeonford.control._raft_replica import RaftReplica
 from wigeonford.control._replica import Replica, SoloReplica
 from wigeonford.control._service import ControlService
 from wigeonford.control._state import State
 from wigeonford.control._store import (
     LogEntry,
     Snapshot,
-    SqliteStore,
     StorageError,
     Store,
 )
@@ -36,13 +37,14 @@
     "ExpireMember",
     "IssueKey",
     "LogEntry",
+    "LogFileStore",
     "OpenClaim",
     "OperatorApi",
+    "RaftReplica",
     "RegisterMember",
     "Replica",
     "Snapshot",
     "SoloReplica",
-    "SqliteStore",
     "State",
     "StorageError",
     "Store",
--- a/src/wigeonford/control/_daemon.py
+++ b/src/wigeonford/control/_daemon.py
@@ -55,6 +55,13 @@
             peer=str(self.peer_address),
         )
 
+    async def crash(self) -> None:
+        """Drop everything at once, as a process does that is killed."""
+        await self._replica.stop()
+        await self._service.stop()
+        await self._http.stop(0.0)
+        await self._peers.stop()
+
     async def stop(self) -> None:
         """Finish what is under way, then release the data folder."""
         await self._http.stop(STOP_GRACE_S)
--- /dev/null
+++ b/src/wigeonford/control/_log_file.py
@@ -0,0 +1,236 @@
+"""Append-only storage of one replica: framed records, synced in order."""
+
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+import os
+from pathlib import Path
+import struct
+from typing import Final
+import zlib
+
+import cbor2
+
+from wigeonford.control._store import LogEntry, Snapshot, StorageError
+
+LOG_NAME: Final = "control.log"
+_NEW_NAME: Final = "control.log.new"
+_MAGIC: Final = b"wgf1"
+_HEADER: Final = struct.Struct(">4sII")
+
+
+@dataclass(slots=True)
+class _Content:
+    """Collect what the frames of a file add up to."""
+
+    snapshot: Snapshot | None = None
+    entries: list[LogEntry] = field(default_factory=list)
+    meta: dict[str, bytes] = field(default_factory=dict)
+    end: int = 0
+
+    def add(self, payload: bytes) -> None:
+        """Take in one frame."""
+        snapshot, meta, truncate_after, entries = cbor2.loads(payload)
+        if snapshot is not None:
+            self.snapshot = Snapshot(*snapshot)
+        self.meta.update(meta)
+        if truncate_after is not None:
+            self.truncate(truncate_after)
+        self.entries.extend(LogEntry(*entry) for entry in entries)
+
+    def truncate(self, after: int) -> None:
+        """Drop the entries after a position."""
+        while self.entries and self.entries[-1].position > after:
+            self.entries.pop()
+
+
+class LogFileStore:
+    """Keep everything in one file, one frame a sync.
+
+    A frame is written only once the one before it is synced, so that only
+    the last can be torn; a bad frame before a good one is corruption. After
+    a failed write or sync nothing is known of the file's end, so that the
+    store refuses everything until it is opened anew.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._failed: str | None = None
+        self.dropped_bytes = 0
+        try:
+            folder.mkdir(parents=True, exist_ok=True)
+            (folder / _NEW_NAME).unlink(missing_ok=True)
+            self._file = self._open()
+            self._drop_torn_tail()
+        except OSError as exc:
+            raise StorageError(f"{folder}: {exc}") from exc
+
+    def _open(self) -> int:
+        path = self._folder / LOG_NAME
+        file = os.open(path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
+        self._sync_folder()
+        return file
+
+    def _sync_folder(self) -> None:
+        folder = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+
+    def _drop_torn_tail(self) -> None:
+        data = self._path.read_bytes()
+        end = self._parse(data).end
+        if _holds_frame(data, end):
+            raise StorageError(f"{self._path}: damaged at byte {end}")
+        self.dropped_bytes = len(data) - end
+        if self.dropped_bytes:
+            os.ftruncate(self._file, end)
+            os.fsync(self._file)
+
+    @property
+    def _path(self) -> Path:
+        return self._folder / LOG_NAME
+
+    def _parse(self, data: bytes) -> _Content:
+        content = _Content()
+        for end, payload in _frames(data):
+            content.add(payload)
+            content.end = end
+        return content
+
+    def _read(self) -> _Content:
+        self._require_sound()
+        try:
+            return self._parse(self._path.read_bytes())
+        except OSError as exc:
+            raise self._fail(exc) from exc
+
+    def _require_sound(self) -> None:
+        if self._failed is not None:
+            raise StorageError(self._failed)
+
+    def _fail(self, exc: OSError) -> StorageError:
+        self._failed = f"{self._folder}: {exc}"
+        return StorageError(self._failed)
+
+    def append(
+        self,
+        entries: Iterable[LogEntry],
+        truncate_after: int | None = None,
+        meta: Mapping[str, bytes] | None = None,
+    ) -> None:
+        """Add entries and named values, first dropping later entries."""
+        self._require_sound()
+        frame = _frame(None, meta or {}, truncate_after, entries)
+        try:
+            _write_all(self._file, frame)
+            os.fdatasync(self._file)
+        except OSError as exc:
+            raise self._fail(exc) from exc
+
+    def read_log(self) -> list[LogEntry]:
+        """Return the log that follows the snapshot."""
+        return self._read().entries
+
+    def save_snapshot(
+        self, snapshot: Snapshot, truncate_after: int | None = None
+    ) -> None:
+        """Keep a snapshot and drop the log up to its position.
+
+        Entries after `truncate_after` are dropped as well.
+        """
+        content = self._read()
+        if truncate_after is not None:
+            content.truncate(truncate_after)
+        later = [e for e in content.entries if e.position > snapshot.position]
+        frame = _frame(snapshot, content.meta, None, later)
+        try:
+            self._replace(frame)
+        except OSError as exc:
+            raise self._fail(exc) from exc
+
+    def _replace(self, frame: bytes) -> None:
+        new = self._folder / _NEW_NAME
+        file = os.open(new, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
+        try:
+            _write_all(file, frame)
+            os.fsync(file)
+        finally:
+            os.close(file)
+        new.rename(self._path)
+        os.close(self._file)
+        self._file = self._open()
+
+    def read_snapshot(self) -> Snapshot | None:
+        """Return the snapshot, if any."""
+        return self._read().snapshot
+
+    def save_meta(self, name: str, content: bytes) -> None:
+        """Keep a named value."""
+        self.append((), None, {name: content})
+
+    def read_meta(self, name: str) -> bytes | None:
+        """Return a named value, or None."""
+        return self._read().meta.get(name)
+
+    def close(self) -> None:
+        """Release the data folder."""
+        self._failed = f"{self._folder}: closed"
+        os.close(self._file)
+
+
+def _frame(
+    snapshot: Snapshot | None,
+    meta: Mapping[str, bytes],
+    truncate_after: int | None,
+    entries: Iterable[LogEntry],
+) -> bytes:
+    plain = None
+    if snapshot is not None:
+        plain = (snapshot.position, snapshot.term, snapshot.content)
+    payload = cbor2.dumps(
+        [
+            plain,
+            dict(meta),
+            truncate_after,
+            [(e.position, e.term, e.content) for e in entries],
+        ]
+    )
+    header = _HEADER.pack(_MAGIC, len(payload), zlib.crc32(payload))
+    return header + payload
+
+
+def _frame_at(data: bytes, start: int) -> bytes | None:
+    """Return the payload of a whole frame at an offset, or None."""
+    if start + _HEADER.size > len(data):
+        return None
+    magic, size, checksum = _HEADER.unpack_from(data, start)
+    begin = start + _HEADER.size
+    payload = data[begin : begin + size]
+    if magic != _MAGIC or len(payload) != size:
+        return None
+    return payload if zlib.crc32(payload) == checksum else None
+
+
+def _frames(data: bytes) -> Iterator[tuple[int, bytes]]:
+    """Yield the end and the payload of each frame up to a bad one."""
+    start = 0
+    while (payload := _frame_at(data, start)) is not None:
+        start += _HEADER.size + len(payload)
+        yield start, payload
+
+
+def _holds_frame(data: bytes, start: int) -> bool:
+    """Tell whether a whole frame begins anywhere after an offset."""
+    at = data.find(_MAGIC, start + 1)
+    while at >= 0:
+        if _frame_at(data, at) is not None:
+            return True
+        at = data.find(_MAGIC, at + 1)
+    return False
+
+
+def _write_all(file: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        view = view[os.write(file, view) :]
--- a/src/wigeonford/control/_operator_api.py
+++ b/src/wigeonford/control/_operator_api.py
@@ -23,9 +23,11 @@
 from wigeonford.http import coded_headers, json_response, Request, Response
 from wigeonford.metrics import Metrics
 from wigeonford.model import hash_key, KEY_PREFIX
+from wigeonford.peer import ReplicaChange
 
 MAX_CHANGE_BYTES: Final = 1 << 26
 HISTORY_LIMIT: Final = 1000
+HEALTHY_AGE_S: Final = 4.0
 
 T = TypeVar("T")
 
@@ -108,7 +110,8 @@
     @_endpoint("GET", "/health")
     async def _health(self, _request: Request) -> Response:
         vouched = self._replica.vouched_age_s()
-        content = {"ok": vouched is not None, "leader": self._replica.leader}
+        current = vouched is not None and vouched < HEALTHY_AGE_S
+        content = {"ok": current, "leader": self._replica.leader}
         return json_response(200, msgspec.json.encode(content))
 
     @_endpoint("GET", "/metrics")
@@ -146,6 +149,7 @@
         return _answer(
             {
                 "leader": self._replica.leader,
+                "replica": self._replica.describe(),
                 "revision": state.revision,
                 "vouched_age_s": self._replica.vouched_age_s(),
                 "claims": len(state.claims),
@@ -190,6 +194,12 @@
         )
         return await self._propose(change, body.author)
 
+    @_endpoint("POST", "/v1/replicas")
+    async def _replicas(self, request: Request) -> Response:
+        change = await _read(request, ReplicaChange)
+        await self._replica.change_replicas(change)
+        return _answer({"name": change.name, "remove": change.remove})
+
     async def _propose(self, change: Any, author: str) -> Response:
         result = await self._replica.propose(change)
         event = (
--- /dev/null
+++ b/src/wigeonford/control/_raft_effects.py
@@ -0,0 +1,89 @@
+"""What the consensus core asks its driver to do, in this order."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+from wigeonford.control._raft_members import ReplicaTable
+from wigeonford.control._store import LogEntry
+
+
+class Role(StrEnum):
+    """Say what a replica does at present."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(frozen=True, slots=True)
+class HardState:
+    """Hold what must be durable before a message depends on it.
+
+    `founder` is the incarnation of the founder that was last answered
+    while the data folder was empty.
+    """
+
+    incarnation: str
+    term: int = 0
+    voted_for: str | None = None
+    founder: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Save:
+    """Make the hard state and the log's end durable, in one sync.
+
+    Entries after `truncate_after` are dropped first; None keeps them all.
+    """
+
+    hard: HardState | None
+    truncate_after: int | None
+    entries: tuple[LogEntry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SaveInstalled:
+    """Replace log and state by a snapshot, durably."""
+
+    position: int
+    term: int
+    table: ReplicaTable
+    content: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send a message to a replica; it may be lost."""
+
+    to: str
+    record: Any
+
+
+@dataclass(frozen=True, slots=True)
+class SendSnapshot:
+    """Send the stored snapshot to a replica; it may be lost."""
+
+    to: str
+    recipient: str
+    term: int
+    sent_at_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Apply:
+    """Apply committed entries to the state machine."""
+
+    entries: tuple[LogEntry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeRole:
+    """Tell that the role or the term has changed."""
+
+    role: Role
+    term: int
+
+
+Effect = Save | SaveInstalled | Send | SendSnapshot | Apply | ChangeRole
--- /dev/null
+++ b/src/wigeonford/control/_raft_leader.py
@@ -0,0 +1,267 @@
+"""Leading: replicate, commit, vouch, and keep the table of replicas."""
+
+from dataclasses import replace
+
+from wigeonford.control._commands import COMMANDS
+from wigeonford.control._raft_effects import Role
+from wigeonford.control._raft_members import (
+    as_learner,
+    ChangeReplicas,
+    find_entry,
+    quorum_value,
+    ReplicaTable,
+    START_TERM,
+    voters_changed,
+    with_entry,
+)
+from wigeonford.control._raft_node import (
+    ELECTION_MIN_S,
+    HEARTBEAT_S,
+    RaftNode,
+)
+from wigeonford.control._raft_progress import Progress, SNAPSHOT_TIMEOUT_S
+from wigeonford.control._store import LogEntry
+from wigeonford.peer import AppendEntries, AppendReply, EntryRecord
+
+MAX_BATCH_BYTES = 262144
+
+
+class Leading:
+    """Act as the leader; each term begins with `start`."""
+
+    def __init__(self, node: RaftNode) -> None:
+        self._node = node
+        self._progress: dict[str, Progress] = {}
+        self._found_incarnations: dict[str, str] = {}
+        self._heartbeat_at_s = 0.0
+        self._led_since_s = 0.0
+
+    def start(self, now_s: float, *, founded: bool = False) -> None:
+        """Take the lead in the present term."""
+        node = self._node
+        node.role = Role.LEADER
+        node.leader = node.name
+        self._progress = {}
+        self._found_incarnations = {}
+        self._led_since_s = now_s
+        if not founded:
+            self.append([START_TERM])
+        self._sync_progress()
+        self.heartbeat(now_s)
+        self._advance_commit()
+
+    def append(self, contents: list[bytes]) -> int:
+        """Add entries; return the position of the first."""
+        log = self._node.log
+        first = log.last_position + 1
+        log.append(
+            LogEntry(first + offset, self._node.term, content)
+            for offset, content in enumerate(contents)
+        )
+        return first
+
+    @property
+    def may_change_table(self) -> bool:
+        """Tell whether the last change and this term are committed."""
+        node = self._node
+        return self.is_current and (
+            node.log.table_position <= node.commit_position
+        )
+
+    @property
+    def is_current(self) -> bool:
+        """Tell whether an entry of this term is committed."""
+        node = self._node
+        return node.log.term_at(node.commit_position) == node.term
+
+    def change_table(self, table: ReplicaTable) -> int:
+        """Put a new table in the log; at most one voter may differ."""
+        assert self.may_change_table, "one change at a time"
+        changed = voters_changed(self._node.log.table, table)
+        assert changed <= 1, "one voter at a time"
+        position = self.append([COMMANDS.encode(ChangeReplicas(table))])
+        self._sync_progress()
+        self._advance_commit()
+        return position
+
+    def _sync_progress(self) -> None:
+        node = self._node
+        kept: dict[str, Progress] = {}
+        for entry in node.log.table:
+            if entry.name == node.name:
+                continue
+            held = self._progress.get(entry.name)
+            if held is None or held.incarnation != entry.incarnation:
+                held = Progress(entry.incarnation, node.log.last_position + 1)
+            kept[entry.name] = held
+        self._progress = kept
+
+    def quorum_sent_s(self, now_s: float) -> float:
+        """Return the latest time whose message a quorum acknowledged."""
+        sent = {
+            name: progress.acked_sent_s
+            for name, progress in self._progress.items()
+        }
+        sent[self._node.name] = now_s
+        return quorum_value(self._node.log.table, sent, float("-inf"))
+
+    def lost_quorum(self, now_s: float) -> bool:
+        """Tell whether no quorum has answered within a timeout."""
+        latest_s = max(self.quorum_sent_s(now_s), self._led_since_s)
+        return now_s - latest_s > ELECTION_MIN_S
+
+    def tick(self, now_s: float) -> None:
+        """Send heartbeats and keep the table."""
+        if now_s >= self._heartbeat_at_s:
+            for progress in self._progress.values():
+                progress.resend_lost(now_s)
+            self.heartbeat(now_s)
+        self._advance_commit()
+        self._keep_table(now_s)
+
+    def heartbeat(self, now_s: float) -> None:
+        """Send to every replica at once, entries or none."""
+        self._heartbeat_at_s = now_s + HEARTBEAT_S
+        for name, progress in self._progress.items():
+            self._send(name, progress, now_s)
+
+    def replicate(self, now_s: float) -> None:
+        """Send what followers do not have yet."""
+        last = self._node.log.last_position
+        for name, progress in self._progress.items():
+            while progress.next_position <= last and progress.may_send():
+                if not self._send(name, progress, now_s):
+                    break
+
+    def _send(self, name: str, progress: Progress, now_s: float) -> bool:
+        node = self._node
+        base = node.log.base_position
+        previous = progress.next_position - 1
+        if previous < base:
+            if now_s >= progress.snapshot_until_s:
+                progress.snapshot_until_s = now_s + SNAPSHOT_TIMEOUT_S
+                node.send_snapshot(name, progress.incarnation, now_s)
+            node.send(name, self._message(progress, base, (), now_s))
+            return False
+        entries: tuple[LogEntry, ...] = ()
+        if progress.may_send():
+            entries = node.log.between(
+                previous, node.log.last_position, MAX_BATCH_BYTES
+            )
+        if entries and progress.next_position == progress.match_position + 1:
+            progress.progressed_at_s = now_s
+        node.send(name, self._message(progress, previous, entries, now_s))
+        progress.next_position += len(entries)
+        return bool(entries)
+
+    def _message(
+        self,
+        progress: Progress,
+        previous: int,
+        entries: tuple[LogEntry, ...],
+        now_s: float,
+    ) -> AppendEntries:
+        node = self._node
+        previous_term = node.log.term_at(previous)
+        assert previous_term is not None, "the entry before is held"
+        vouched_at_s = self.vouched_at_s(now_s)
+        return AppendEntries(
+            node.name,
+            progress.incarnation,
+            node.term,
+            previous,
+            previous_term,
+            tuple(EntryRecord(e.term, e.content) for e in entries),
+            node.commit_position,
+            now_s,
+            progress.replied_at_s,
+            None if vouched_at_s is None else now_s - vouched_at_s,
+        )
+
+    def vouched_at_s(self, now_s: float) -> float | None:
+        """Return as of when a quorum confirmed the lead, or None."""
+        if not self.is_current:
+            return None
+        at_s = self.quorum_sent_s(now_s)
+        return at_s if at_s > float("-inf") else None
+
+    def on_reply(self, reply: AppendReply, now_s: float) -> None:
+        """Count what a follower has acknowledged."""
+        node = self._node
+        progress = self._progress.get(reply.sender)
+        if progress is None:
+            return
+        if reply.incarnation != progress.incarnation:
+            self._found_incarnations[reply.sender] = reply.incarnation
+            return
+        progress.acked_sent_s = max(progress.acked_sent_s, reply.sent_at_s)
+        if progress.replied_at_s is None:
+            progress.replied_at_s = reply.replied_at_s
+        # The newest reply wins: a restarted follower stamps anew.
+        if reply.sent_at_s >= progress.acked_sent_s:
+            progress.replied_at_s = reply.replied_at_s
+        if reply.accepted:
+            assert reply.position <= node.log.last_position, (
+                "followers match what was sent"
+            )
+            progress.accept(reply.position, now_s)
+        else:
+            progress.reject(reply.position)
+        self._advance_commit()
+
+    def _advance_commit(self) -> None:
+        node = self._node
+        matched = {
+            name: progress.match_position
+            for name, progress in self._progress.items()
+        }
+        matched[node.name] = node.log.last_position
+        position = quorum_value(node.log.table, matched, 0)
+        # Entries of earlier terms are committed by those after them only.
+        if (
+            position > node.commit_position
+            and node.log.term_at(position) == node.term
+        ):
+            node.commit(position)
+
+    def is_removed(self) -> bool:
+        """Tell whether a committed change took this replica out."""
+        node = self._node
+        return (
+            not node.is_voter
+            and node.log.table_position <= node.commit_position
+        )
+
+    def _keep_table(self, now_s: float) -> None:
+        if not self.may_change_table:
+            return
+        table = self._node.log.table
+        for name, incarnation in self._found_incarnations.items():
+            entry = find_entry(table, name)
+            if entry is not None and entry.incarnation != incarnation:
+                changed = with_entry(table, as_learner(entry, incarnation))
+                self.change_table(changed)
+                del self._found_incarnations[name]
+                return
+        promoted = self._caught_up_learner(now_s)
+        if promoted is not None:
+            self.change_table(promoted)
+
+    def _caught_up_learner(self, now_s: float) -> ReplicaTable | None:
+        node = self._node
+        for entry in node.log.table:
+            progress = self._progress.get(entry.name)
+            if entry.voter or progress is None:
+                continue
+            alive = now_s - progress.acked_sent_s < ELECTION_MIN_S
+            if alive and progress.match_position >= node.commit_position:
+                return with_entry(node.log.table, replace(entry, voter=True))
+        return None
+
+    def lag(self) -> dict[str, int]:
+        """Return how many entries each follower is behind."""
+        last = self._node.log.last_position
+        return {
+            name: last - progress.match_position
+            for name, progress in self._progress.items()
+        }
--- /dev/null
+++ b/src/wigeonford/control/_raft_log.py
@@ -0,0 +1,158 @@
+"""The log of one replica in memory, and what of it is not yet durable."""
+
+from collections.abc import Iterable
+
+from wigeonford.control._raft_members import decode_change, ReplicaTable
+from wigeonford.control._store import LogEntry
+
+
+class RaftLog:
+    """Hold the entries after a base position.
+
+    `table` is the newest table of replicas in the log, committed or not.
+    """
+
+    def __init__(
+        self,
+        position: int = 0,
+        term: int = 0,
+        table: ReplicaTable = (),
+        entries: Iterable[LogEntry] = (),
+    ) -> None:
+        self._base_position = position
+        self._base_term = term
+        self._entries: list[LogEntry] = []
+        self._tables: list[tuple[int, ReplicaTable]] = [(position, table)]
+        for entry in entries:
+            self._add(entry)
+        self._dirty_after: int | None = None
+
+    @property
+    def base_position(self) -> int:
+        """Return the position before the first entry held."""
+        return self._base_position
+
+    @property
+    def last_position(self) -> int:
+        """Return the position of the last entry."""
+        return self._base_position + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        if not self._entries:
+            return self._base_term
+        return self._entries[-1].term
+
+    @property
+    def table(self) -> ReplicaTable:
+        """Return the newest table of replicas."""
+        return self._tables[-1][1]
+
+    @property
+    def table_position(self) -> int:
+        """Return the position that set the newest table."""
+        return self._tables[-1][0]
+
+    def table_at(self, position: int) -> ReplicaTable:
+        """Return the table of replicas as of a position."""
+        return next(
+            table for at, table in reversed(self._tables) if at <= position
+        )
+
+    def term_at(self, position: int) -> int | None:
+        """Return the term at a position, or None where it isn't held."""
+        if position == self._base_position:
+            return self._base_term
+        if not self._base_position < position <= self.last_position:
+            return None
+        return self._entries[position - self._base_position - 1].term
+
+    def between(
+        self, after: int, upto: int, max_bytes: int | None = None
+    ) -> tuple[LogEntry, ...]:
+        """Return entries after one position up to another.
+
+        With `max_bytes`, return at least one and stop at that size.
+        """
+        assert after >= self._base_position, "entries are still held"
+        start = after - self._base_position
+        found = self._entries[start : upto - self._base_position]
+        if max_bytes is None:
+            return tuple(found)
+        size = 0
+        for count, entry in enumerate(found):
+            size += len(entry.content)
+            if count and size > max_bytes:
+                return tuple(found[:count])
+        return tuple(found)
+
+    def append(self, entries: Iterable[LogEntry]) -> None:
+        """Add entries at the end."""
+        for entry in entries:
+            self._mark_dirty(entry.position - 1)
+            self._add(entry)
+
+    def _add(self, entry: LogEntry) -> None:
+        assert entry.position == self.last_position + 1, "no gap in the log"
+        self._entries.append(entry)
+        table = decode_change(entry.content)
+        if table is not None:
+            self._tables.append((entry.position, table))
+
+    def truncate_after(self, position: int) -> None:
+        """Drop the entries after a position."""
+        self._mark_dirty(position)
+        del self._entries[position - self._base_position :]
+        while self._tables[-1][0] > position:
+            self._tables.pop()
+
+    def _mark_dirty(self, position: int) -> None:
+        if self._dirty_after is None or position < self._dirty_after:
+            self._dirty_after = position
+
+    def take_unsaved(self) -> tuple[int, tuple[LogEntry, ...]] | None:
+        """Return from where on the store is out of date, and the entries."""
+        after = self._dirty_after
+        self._dirty_after = None
+        if after is None:
+            return None
+        return after, self.between(after, self.last_position)
+
+    def first_of_term(self, position: int) -> int:
+        """Return the first position held of the term at a position."""
+        term = self.term_at(position)
+        while (
+            position > self._base_position
+            and self.term_at(position - 1) == term
+        ):
+            position -= 1
+        return position
+
+    def compact(self, position: int) -> None:
+        """Drop the entries up to a position."""
+        if position <= self._base_position:
+            return
+        table = self.table_at(position)
+        term = self.term_at(position)
+        assert term is not None, "compaction stays within the log"
+        del self._entries[: position - self._base_position]
+        later = [(at, held) for at, held in self._tables if at > position]
+        self._tables = [(position, table), *later]
+        self._base_position = position
+        self._base_term = term
+
+    def reset(self, position: int, term: int, table: ReplicaTable) -> None:
+        """Begin anew after a snapshot; nothing is unsaved."""
+        self._base_position = position
+        self._base_term = term
+        self._entries.clear()
+        self._tables = [(position, table)]
+        self._dirty_after = None
+
+    def is_covered_by(self, last_position: int, last_term: int) -> bool:
+        """Tell whether a log that ends so is at least as up to date."""
+        return (last_term, last_position) >= (
+            self.last_term,
+            self.last_position,
+        )
--- /dev/null
+++ b/src/wigeonford/control/_raft_node.py
@@ -0,0 +1,163 @@
+"""What one replica knows, and the transitions that its parts share."""
+
+from dataclasses import dataclass, replace
+import random
+from typing import Any, Final
+
+from wigeonford.control._raft_effects import (
+    Apply,
+    ChangeRole,
+    Effect,
+    HardState,
+    Role,
+    Save,
+    SaveInstalled,
+    Send,
+    SendSnapshot,
+)
+from wigeonford.control._raft_log import RaftLog
+from wigeonford.control._raft_members import find_entry
+
+HEARTBEAT_S: Final = 0.2
+ELECTION_MIN_S: Final = 1.0
+ELECTION_MAX_S: Final = 2.0
+_STAMP_RANGE_S: Final = 1e9
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Name a replica and the members that its settings list."""
+
+    name: str
+    configured: dict[str, tuple[str, int]]
+
+
+class RaftNode:
+    """Hold the state of a replica and collect its effects."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        hard: HardState,
+        log: RaftLog,
+        rng: random.Random,
+        now_s: float,
+    ) -> None:
+        self.identity = identity
+        self.hard = hard
+        self.log = log
+        self.rng = rng
+        self.role = Role.FOLLOWER
+        self.leader: str | None = None
+        self.commit_position = log.base_position
+        self.heard_leader_s = float("-inf")
+        self.vouched_at_s: float | None = None
+        self.started_at_s = now_s
+        # A random offset keeps stamps of an earlier run of this process
+        # from being taken for stamps of this one.
+        self.stamp_offset_s = rng.random() * _STAMP_RANGE_S
+        self.election_at_s = 0.0
+        self._hard_unsaved = False
+        self._installed: SaveInstalled | None = None
+        self._sends: list[Send | SendSnapshot] = []
+        self._applied_position = log.base_position
+        self._reported = (self.role, hard.term)
+        self.delay_election(now_s)
+
+    @property
+    def name(self) -> str:
+        """Return the replica's name."""
+        return self.identity.name
+
+    @property
+    def term(self) -> int:
+        """Return the latest term known."""
+        return self.hard.term
+
+    @property
+    def is_voter(self) -> bool:
+        """Tell whether this incarnation may ask for votes."""
+        entry = find_entry(self.log.table, self.name)
+        return (
+            entry is not None
+            and entry.voter
+            and entry.incarnation == self.hard.incarnation
+        )
+
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether the data folder has never held a log."""
+        return self.log.last_position == 0
+
+    def set_hard(self, **changes: Any) -> None:
+        """Change what must be durable before any later message leaves."""
+        self.hard = replace(self.hard, **changes)
+        self._hard_unsaved = True
+
+    def delay_election(self, now_s: float) -> None:
+        """Draw a new election timeout."""
+        self.election_at_s = now_s + self.rng.uniform(
+            ELECTION_MIN_S, ELECTION_MAX_S
+        )
+
+    def hears_leader(self, now_s: float) -> bool:
+        """Tell whether a leader was heard within the least timeout."""
+        return now_s - self.heard_leader_s < ELECTION_MIN_S
+
+    def become_follower(
+        self, term: int, leader: str | None, now_s: float
+    ) -> None:
+        """Follow in a term at least as new as the one known."""
+        assert term >= self.term, "terms never go back"
+        if term > self.term:
+            self.set_hard(term=term, voted_for=None)
+        if self.role is not Role.FOLLOWER:
+            self.role = Role.FOLLOWER
+            self.delay_election(now_s)
+        self.leader = leader
+
+    def commit(self, position: int) -> None:
+        """Advance the commit position."""
+        assert position >= self.commit_position, "commits never go back"
+        assert position <= self.log.last_position, "commits are held"
+        self.commit_position = position
+
+    def send(self, to: str, record: Any) -> None:
+        """Queue a message."""
+        self._sends.append(Send(to, record))
+
+    def send_snapshot(self, to: str, recipient: str, now_s: float) -> None:
+        """Queue the stored snapshot."""
+        self._sends.append(SendSnapshot(to, recipient, self.term, now_s))
+
+    def install(self, snapshot: SaveInstalled) -> None:
+        """Replace log and state by a snapshot."""
+        self.log.reset(snapshot.position, snapshot.term, snapshot.table)
+        self.commit_position = snapshot.position
+        self._applied_position = snapshot.position
+        self._installed = snapshot
+
+    def take_effects(self) -> list[Effect]:
+        """Return what is to be done, in order: save, send, apply."""
+        effects: list[Effect] = []
+        if self._installed is not None:
+            effects.append(self._installed)
+            self._installed = None
+        unsaved = self.log.take_unsaved()
+        if self._hard_unsaved or unsaved is not None:
+            after, entries = unsaved or (None, ())
+            hard = self.hard if self._hard_unsaved else None
+            effects.append(Save(hard, after, entries))
+            self._hard_unsaved = False
+        effects.extend(self._sends)
+        self._sends = []
+        if self.commit_position > self._applied_position:
+            entries = self.log.between(
+                self._applied_position, self.commit_position
+            )
+            effects.append(Apply(entries))
+            self._applied_position = self.commit_position
+        if self._reported != (self.role, self.term):
+            self._reported = (self.role, self.term)
+            effects.append(ChangeRole(self.role, self.term))
+        return effects
--- /dev/null
+++ b/src/wigeonford/control/_raft_replica.py
@@ -0,0 +1,270 @@
+"""One replica of several: the task that owns the consensus core."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+import random
+import time
+from typing import Any, Final, TypeVar
+
+import cbor2
+import msgspec
+
+from wigeonford.control._commands import CommandResult, COMMANDS
+from wigeonford.control._raft import RaftCore
+from wigeonford.control._raft_channel import Channels, Connect
+from wigeonford.control._raft_disk import load_hard, load_log
+from wigeonford.control._raft_driver import RaftDriver
+from wigeonford.control._raft_inbox import (
+    Proposal,
+    Read,
+    Received,
+    TableChange,
+)
+from wigeonford.control._raft_members import is_command
+from wigeonford.control._raft_node import Identity
+from wigeonford.control._replica import ReplicaStatus
+from wigeonford.control._state import State
+from wigeonford.control._store import Store
+from wigeonford.errors import Code, PeerError, RunState
+from wigeonford.events import EventLog
+from wigeonford.peer import (
+    AppendEntries,
+    AppendReply,
+    CommandOutcome,
+    ConfirmRead,
+    Done,
+    FoundingProbe,
+    FoundingReply,
+    InstallSnapshot,
+    LeaderElsewhere,
+    PeerServer,
+    ReadConfirmed,
+    ReplicaChange,
+    SubmitCommand,
+    VoteReply,
+    VoteRequest,
+)
+from wigeonford.settings import ControlSettings
+
+T = TypeVar("T")
+
+REQUEST_TIMEOUT_S: Final = 5.0
+RETRY_INTERVAL_S: Final = 0.05
+_CORE_MESSAGES: Final = (
+    AppendEntries,
+    AppendReply,
+    FoundingProbe,
+    FoundingReply,
+    InstallSnapshot,
+    VoteReply,
+    VoteRequest,
+)
+
+
+class RaftReplica:
+    """Agree with the other replicas by the consensus core."""
+
+    def __init__(
+        self,
+        cfg: ControlSettings,
+        store: Store,
+        connect: Connect,
+        log: EventLog,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._name = cfg.name
+        self._store = store
+        self._clock = clock
+        self._members = {
+            member.name: member.peer_address for member in cfg.members
+        }
+        self._rng = random.SystemRandom()
+        self._driver = RaftDriver(
+            cfg.name, self._members, store, Channels(connect), log, clock
+        )
+
+    @property
+    def state(self) -> State:
+        """Return the state as applied so far."""
+        return self._driver.state
+
+    @property
+    def leader(self) -> str | None:
+        """Return the name of the leader, where one is known."""
+        return self._driver.leader
+
+    @property
+    def is_leader(self) -> bool:
+        """Return whether this replica leads, as far as it knows."""
+        return self.leader == self._name
+
+    @property
+    def term(self) -> int:
+        """Return the latest term that this replica knows."""
+        return self._driver.term
+
+    def attach(self, server: PeerServer) -> None:
+        """Register the handlers of the other replicas' messages."""
+        for kind in _CORE_MESSAGES:
+            server.handle(kind, self._receive)
+        server.handle(SubmitCommand, self._submit)
+        server.handle(ConfirmRead, self._confirm_read)
+        server.handle(ReplicaChange, self._replica_change)
+
+    async def start(self) -> None:
+        """Recover from the store and take part."""
+        hard = load_hard(self._store, self._rng)
+        log, state = load_log(self._store)
+        configured = {
+            name: (address.host, address.port)
+            for name, address in self._members.items()
+        }
+        core = RaftCore(
+            Identity(self._name, configured),
+            hard,
+            log,
+            self._rng,
+            self._clock(),
+        )
+        self._driver.start(core, state)
+
+    async def stop(self) -> None:
+        """Take no further part and release the store."""
+        await self._driver.stop()
+
+    async def propose(self, record: Any) -> CommandResult:
+        """Return the result once a quorum has synced the command."""
+        content = COMMANDS.encode(record)
+
+        async def forward() -> CommandResult:
+            reply = await self.ask_leader(SubmitCommand(content))
+            assert isinstance(reply, CommandOutcome), "a command's reply"
+            return _decode_result(reply.content)
+
+        return await self._lead_or(lambda: self._propose(content), forward)
+
+    async def confirm(self) -> None:
+        """Return once a quorum has confirmed that the state is current."""
+
+        async def forward() -> int:
+            reply = await self.ask_leader(ConfirmRead())
+            assert isinstance(reply, ReadConfirmed), "a read's reply"
+            return reply.position
+
+        position = await self._lead_or(self._confirm, forward)
+        await self._within(self._driver.applied(position))
+
+    async def change_replicas(self, change: ReplicaChange) -> None:
+        """Add or remove a replica; return once a quorum has it."""
+
+        async def forward() -> CommandResult:
+            await self.ask_leader(change)
+            return CommandResult(Code.OK.number, self.state.revision)
+
+        await self._lead_or(lambda: self._change(change), forward)
+
+    def vouched_age_s(self) -> float | None:
+        """Return how long ago a quorum confirmed the state, or None."""
+        vouched_at_s = self._driver.vouched_at_s
+        return None if vouched_at_s is None else self._clock() - vouched_at_s
+
+    async def ask_leader(self, record: Any) -> Any:
+        """Return the leader's reply to a peer message."""
+        leader = self.leader
+        if leader is None or leader == self._name:
+            raise LeaderElsewhere(leader)
+        channel = self._driver.channel(leader)
+        return await channel.request(record, REQUEST_TIMEOUT_S)
+
+    def describe(self) -> ReplicaStatus:
+        """Return how the replica stands."""
+        return self._driver.describe()
+
+    async def _lead_or(
+        self,
+        lead: Callable[[], Awaitable[T]],
+        forward: Callable[[], Awaitable[T]],
+    ) -> T:
+        """Act as the leader or through it, waiting for one to be known.
+
+        Only what surely has not been taken is sent again.
+        """
+        until_s = self._clock() + REQUEST_TIMEOUT_S
+        while True:
+            self._driver.require_sound()
+            try:
+                if self.is_leader:
+                    return await lead()
+                return await forward()
+            except PeerError as exc:
+                if exc.code is Code.PEER_TIMEOUT:
+                    raise PeerError(Code.NO_QUORUM, exc.detail) from exc
+                if exc.code not in _NOT_TAKEN:
+                    raise
+                if self._clock() > until_s:
+                    raise PeerError(
+                        Code.NO_QUORUM,
+                        "no leader is known",
+                        run_state=RunState.NOT_RUN,
+                    ) from exc
+            await asyncio.sleep(RETRY_INTERVAL_S)
+
+    async def _propose(self, content: bytes) -> CommandResult:
+        fut: asyncio.Future[CommandResult] = _future()
+        self._driver.put(Proposal(content, fut))
+        return await self._within(fut)
+
+    async def _confirm(self) -> int:
+        fut: asyncio.Future[int] = _future()
+        self._driver.put(Read(self._clock(), fut))
+        return await self._within(fut)
+
+    async def _change(self, change: ReplicaChange) -> CommandResult:
+        fut: asyncio.Future[CommandResult] = _future()
+        self._driver.put(TableChange(change, fut))
+        return await self._within(fut)
+
+    async def _within(self, fut: asyncio.Future[T]) -> T:
+        self._driver.require_sound()
+        try:
+            async with asyncio.timeout(REQUEST_TIMEOUT_S):
+                return await fut
+        except TimeoutError as exc:
+            raise PeerError(Code.NO_QUORUM, "not confirmed") from exc
+
+    async def _receive(self, record: Any) -> Done:
+        self._driver.require_sound()
+        self._driver.put(Received(record))
+        return Done()
+
+    async def _submit(self, message: SubmitCommand) -> CommandOutcome:
+        COMMANDS.decode(message.content)
+        if not is_command(message.content):
+            raise PeerError(Code.MESSAGE_INVALID, "not a state command")
+        result = await self._propose(message.content)
+        return CommandOutcome(_encode_result(result))
+
+    async def _confirm_read(self, _message: ConfirmRead) -> ReadConfirmed:
+        return ReadConfirmed(await self._confirm())
+
+    async def _replica_change(self, message: ReplicaChange) -> Done:
+        await self._change(message)
+        return Done()
+
+
+_NOT_TAKEN: Final = frozenset(
+    {Code.NOT_LEADER, Code.PEER_UNREACHABLE, Code.STORAGE_FAILED}
+)
+
+
+def _future() -> asyncio.Future[Any]:
+    return asyncio.get_running_loop().create_future()
+
+
+def _encode_result(result: CommandResult) -> bytes:
+    return cbor2.dumps(msgspec.to_builtins(result, builtin_types=(bytes,)))
+
+
+def _decode_result(content: bytes) -> CommandResult:
+    plain = cbor2.loads(content)
+    return msgspec.convert(plain, CommandResult, builtin_types=(bytes,))
--- a/src/wigeonford/control/_replica.py
+++ b/src/wigeonford/control/_replica.py
@@ -1,16 +1,43 @@
 """Replicas of the state: how a command becomes part of the log."""
 
 import asyncio
+from dataclasses import dataclass
 from typing import Any, Final, Protocol
 
 from wigeonford.control._commands import CommandResult, COMMANDS
+from wigeonford.control._raft_members import is_command
+from wigeonford.control._raft_snapshot import pack_snapshot, unpack_snapshot
 from wigeonford.control._state import State
 from wigeonford.control._store import LogEntry, Snapshot, Store
+from wigeonford.peer import LeaderElsewhere, ReplicaChange
 
 SNAPSHOT_EVERY: Final = 2000
 SOLO_TERM: Final = 1
 
 
+@dataclass(frozen=True, slots=True)
+class ReplicaView:
+    """Show one control replica; `lag` in entries, None if not known."""
+
+    name: str
+    voter: bool
+    incarnation: str
+    lag: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaStatus:
+    """Show how a replica stands; positions are those of the log."""
+
+    name: str
+    role: str
+    term: int
+    commit_position: int
+    last_position: int
+    failure: str | None
+    replicas: tuple[ReplicaView, ...]
+
+
 class Replica(Protocol):
     """Agree on commands with the other replicas and apply them."""
 
@@ -48,6 +75,18 @@
     def vouched_age_s(self) -> float | None:
         """Return how long ago a quorum confirmed the state, or None."""
 
+    async def ask_leader(self, record: Any) -> Any:
+        """Return the leader's reply to a peer message.
+
+        Raise `PeerError`; `LeaderElsewhere` if this replica leads.
+        """
+
+    async def change_replicas(self, change: ReplicaChange) -> None:
+        """Add or remove a replica; return once a quorum has it."""
+
+    def describe(self) -> ReplicaStatus:
+        """Return how the replica stands."""
+
 
 class SoloReplica:
     """Serve as the only replica: its own disk is the quorum."""
@@ -83,10 +122,12 @@
         """Recover the state from the snapshot and the log."""
         snapshot = self._store.read_snapshot()
         if snapshot is not None:
-            self._state = State.restore(snapshot.content)
+            _, state = unpack_snapshot(snapshot.content)
+            self._state = State.restore(state)
             self._position = snapshot.position
         for entry in self._store.read_log():
-            self._state.apply(COMMANDS.decode(entry.content))
+            if is_command(entry.content):
+                self._state.apply(COMMANDS.decode(entry.content))
             self._position = entry.position
 
     async def stop(self) -> None:
@@ -105,7 +146,9 @@
             result = self._state.apply(record)
             if self._position % SNAPSHOT_EVERY == 0:
                 snapshot = Snapshot(
-                    self._position, SOLO_TERM, self._state.snapshot()
+                    self._position,
+                    SOLO_TERM,
+                    pack_snapshot((), self._state.snapshot()),
                 )
                 await asyncio.to_thread(self._store.save_snapshot, snapshot)
             return result
@@ -116,3 +159,23 @@
     def vouched_age_s(self) -> float | None:
         """Return 0: this replica is its own quorum."""
         return 0.0
+
+    async def ask_leader(self, record: Any) -> Any:
+        """Raise `LeaderElsewhere`: this replica leads."""
+        raise LeaderElsewhere(self._name)
+
+    async def change_replicas(self, change: ReplicaChange) -> None:
+        """Raise `LeaderElsewhere`: no leader takes in replicas."""
+        raise LeaderElsewhere(None)
+
+    def describe(self) -> ReplicaStatus:
+        """Return how the replica stands."""
+        return ReplicaStatus(
+            self._name,
+            "leader",
+            SOLO_TERM,
+            self._position,
+            self._position,
+            None,
+            (ReplicaView(self._name, True, "", 0),),
+        )
--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -74,6 +74,18 @@
         504, "dropped a torn tail of the log", logging.WARNING
     )
 
+    STORAGE_FAILED = _event(
+        510, "storage failed; the replica takes no part", logging.CRITICAL
+    )
+    REPLICA_STOPPED = _event(
+        511, "the replica stopped on an internal error", logging.CRITICAL
+    )
+    ROLE_CHANGED = _event(512, "the replica's role or term changed")
+    SNAPSHOT_INSTALLED = _event(513, "installed the leader's snapshot")
+    ROSTER_UPDATE_FAILED = _event(
+        514, "could not update the roster", logging.WARNING
+    )
+
     PEER_CONNECTED = _event(600, "connected to a peer")
     PEER_LOST = _event(601, "lost a peer", logging.WARNING)
     PEER_REFUSED = _event(602, "refused a peer", logging.WARNING)
--- /dev/null
+++ b/src/wigeonford/peer/_raft_messages.py
@@ -0,0 +1,165 @@
+"""Messages between control replicas."""
+
+from dataclasses import dataclass
+
+from wigeonford.peer._messages import message
+
+
+@dataclass(frozen=True, slots=True)
+class EntryRecord:
+    """Carry one log entry; its position follows from its place."""
+
+    term: int
+    content: bytes
+
+
+@message(20)
+@dataclass(frozen=True, slots=True)
+class VoteRequest:
+    """Ask one incarnation of a replica for its vote.
+
+    With `pre_vote` set, ask whether it would vote, which binds nobody.
+    """
+
+    sender: str
+    incarnation: str
+    recipient: str
+    term: int
+    pre_vote: bool
+    last_position: int
+    last_term: int
+
+
+@message(21)
+@dataclass(frozen=True, slots=True)
+class VoteReply:
+    """Answer `VoteRequest`; `term` is the request's where granted."""
+
+    sender: str
+    incarnation: str
+    term: int
+    pre_vote: bool
+    granted: bool
+
+
+@message(22)
+@dataclass(frozen=True, slots=True)
+class AppendEntries:
+    """Replicate entries that follow `previous_position`; also a heartbeat.
+
+    `sent_at_s` is the leader's clock, given back in the reply. `echo_s` is
+    the newest `replied_at_s` that the leader had from this follower, so
+    that the follower can bound how long the message was under way.
+    """
+
+    sender: str
+    recipient: str
+    term: int
+    previous_position: int
+    previous_term: int
+    entries: tuple[EntryRecord, ...]
+    commit_position: int
+    sent_at_s: float
+    echo_s: float | None
+    vouched_age_s: float | None
+
+
+@message(23)
+@dataclass(frozen=True, slots=True)
+class AppendReply:
+    """Answer `AppendEntries` and `InstallSnapshot`.
+
+    `position` is where the logs match if accepted; otherwise it is the
+    highest position from which the leader should try again.
+    """
+
+    sender: str
+    incarnation: str
+    term: int
+    accepted: bool
+    position: int
+    sent_at_s: float
+    replied_at_s: float
+
+
+@message(24)
+@dataclass(frozen=True, slots=True)
+class InstallSnapshot:
+    """Replace the state of a follower that is too far behind."""
+
+    sender: str
+    recipient: str
+    term: int
+    position: int
+    snapshot_term: int
+    content: bytes
+    sent_at_s: float
+
+
+@message(25)
+@dataclass(frozen=True, slots=True)
+class FoundingProbe:
+    """Ask whether a replica has an empty data folder."""
+
+    sender: str
+    incarnation: str
+
+
+@message(26)
+@dataclass(frozen=True, slots=True)
+class FoundingReply:
+    """Answer `FoundingProbe` to one incarnation of the founder."""
+
+    sender: str
+    incarnation: str
+    founder: str
+    empty: bool
+
+
+@message(27)
+@dataclass(frozen=True, slots=True)
+class SubmitCommand:
+    """Forward an encoded command to the leader."""
+
+    content: bytes
+
+
+@message(28)
+@dataclass(frozen=True, slots=True)
+class CommandOutcome:
+    """Answer `SubmitCommand` with the encoded result."""
+
+    content: bytes
+
+
+@message(29)
+@dataclass(frozen=True, slots=True)
+class ConfirmRead:
+    """Ask the leader for a position that is current by a quorum."""
+
+
+@message(30)
+@dataclass(frozen=True, slots=True)
+class ReadConfirmed:
+    """Answer `ConfirmRead`; reads are current from `position` on."""
+
+    position: int
+
+
+@message(31)
+@dataclass(frozen=True, slots=True)
+class HeardMembers:
+    """Tell the leader which entry VMs a follower has heard lately."""
+
+    names: tuple[str, ...]
+
+
+@message(32)
+@dataclass(frozen=True, slots=True)
+class ReplicaChange:
+    """Add a replica at an address, or remove it; the leader's to do."""
+
+    name: str
+    host: str
+    port: int
+    remove: bool
