--- a/src/wigeonford/cli/_experiments.py
+++ b/src/wigeonford/cli/_experiments.py
@@ -64,3 +64,17 @@
         return Result(report.data, lines, code)
 
     cli_command(f"bench {name}", help_text, arguments)(run)
+
+
+def _control_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--seconds", type=float, default=15.0, help="default %(default)s"
+    )
+
+
+_scenario(
+    "control",
+    "break five control replicas under changes and claims",
+    "wigeonford.bench._control_bench",
+    _control_arguments,
+)
--- a/src/wigeonford/compose.py
+++ b/src/wigeonford/compose.py
@@ -1,5 +1,8 @@
 """Composition root: wire the parts of each daemon."""
 
+from collections.abc import Callable
+from pathlib import Path
+
 from wigeonford.control import (
     ControlDaemon,
     ControlService,
@@ -35,11 +38,15 @@
 from wigeonford.tls import client_context
 
 
-def build_control(cfg: ControlSettings, log: EventLog) -> ControlDaemon:
+def build_control(
+    cfg: ControlSettings,
+    log: EventLog,
+    open_store: Callable[[Path], LogFileStore] = LogFileStore,
+) -> ControlDaemon:
     """Return a control replica that is ready to start."""
     log = log.bind(vm=cfg.name)
     peers = PeerServer(cfg.secrets.peer, log)
-    replica = _build_replica(cfg, peers, log)
+    replica = _build_replica(cfg, peers, open_store(cfg.data_folder), log)
     api = OperatorApi(
         replica, cfg.secrets.operator, cfg.secrets.key_hash, Metrics(), log
     )
@@ -54,9 +61,11 @@
 
 
 def _build_replica(
-    cfg: ControlSettings, peers: PeerServer, log: EventLog
+    cfg: ControlSettings,
+    peers: PeerServer,
+    store: LogFileStore,
+    log: EventLog,
 ) -> Replica:
-    store = LogFileStore(cfg.data_folder)
     if store.dropped_bytes:
         log.emit(Event.LOG_TAIL_DROPPED, bytes=store.dropped_bytes)
     if not cfg.members:
--- a/src/wigeonford/control/_log_file.py
+++ b/src/wigeonford/control/_log_file.py
@@ -123,11 +123,15 @@
         self._require_sound()
         frame = _frame(None, meta or {}, truncate_after, entries)
         try:
-            _write_all(self._file, frame)
-            os.fdatasync(self._file)
+            self.write_frame(self._file, frame)
         except OSError as exc:
             raise self._fail(exc) from exc
 
+    def write_frame(self, file: int, frame: bytes) -> None:
+        """Write and sync one frame; a stand-in may fail here."""
+        write_all(file, frame)
+        os.fdatasync(file)
+
     def read_log(self) -> list[LogEntry]:
         """Return the log that follows the snapshot."""
         return self._read().entries
@@ -153,8 +157,7 @@
         new = self._folder / _NEW_NAME
         file = os.open(new, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
         try:
-            _write_all(file, frame)
-            os.fsync(file)
+            self.write_frame(file, frame)
         finally:
             os.close(file)
         new.rename(self._path)
@@ -230,7 +233,8 @@
     return False
 
 
-def _write_all(file: int, data: bytes) -> None:
+def write_all(file: int, data: bytes) -> None:
+    """Write all of the data at the file's end."""
     view = memoryview(data)
     while view:
         view = view[os.write(file, view) :]
--- a/src/wigeonford/control/_raft_disk.py
+++ b/src/wigeonford/control/_raft_disk.py
@@ -1,8 +1,10 @@
 """Load and save the consensus core's durable state in a thread."""
 
 import asyncio
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 import random
-from typing import Final
+from typing import Any, Final
 
 import cbor2
 import msgspec
@@ -47,31 +49,37 @@
 
     def __init__(self, store: Store) -> None:
         self._store = store
+        # One thread keeps calls in order, also those of a cancelled task.
+        self._pool = ThreadPoolExecutor(1, "store")
+
+    async def _call(self, function: Callable[..., Any], *args: Any) -> Any:
+        loop = asyncio.get_running_loop()
+        return await loop.run_in_executor(self._pool, function, *args)
 
     async def save(self, effect: Save) -> None:
         """Sync hard state and entries, in one sync."""
         meta = None
         if effect.hard is not None:
             meta = {HARD_STATE_NAME: encode_hard(effect.hard)}
-        await asyncio.to_thread(
+        await self._call(
             self._store.append, effect.entries, effect.truncate_after, meta
         )
 
     async def save_installed(self, effect: SaveInstalled) -> None:
         """Replace log and snapshot."""
         snapshot = Snapshot(effect.position, effect.term, effect.content)
-        await asyncio.to_thread(
-            self._store.save_snapshot, snapshot, effect.position
-        )
+        await self._call(self._store.save_snapshot, snapshot, effect.position)
 
     async def save_snapshot(self, snapshot: Snapshot) -> None:
         """Keep a snapshot of committed state and the log after it."""
-        await asyncio.to_thread(self._store.save_snapshot, snapshot)
+        await self._call(self._store.save_snapshot, snapshot)
 
     async def read_snapshot(self) -> Snapshot | None:
         """Return the stored snapshot."""
-        return await asyncio.to_thread(self._store.read_snapshot)
+        held: Snapshot | None = await self._call(self._store.read_snapshot)
+        return held
 
-    def close(self) -> None:
-        """Release the data folder."""
-        self._store.close()
+    async def close(self) -> None:
+        """Release the data folder once all earlier calls have ended."""
+        await self._call(self._store.close)
+        self._pool.shutdown()
--- a/src/wigeonford/control/_raft_driver.py
+++ b/src/wigeonford/control/_raft_driver.py
@@ -128,7 +128,7 @@
             await asyncio.gather(self._task, return_exceptions=True)
         self._waiting.fail_all(Code.NO_QUORUM, "the replica stops")
         await self._channels.close()
-        self._disk.close()
+        await self._disk.close()
 
     def put(self, item: Input) -> None:
         """Hand over something to do."""
