Test consensus under faults and show replicas to operators

A virtual-time world checks election safety, log matching, leader completeness, state machine safety, that nothing leaves before it is synced, and that no replica vouches for an older state. Hypothesis found that a zero-filled header passed for an empty frame: the checksum now covers the size.

--- a/src/wigeonford/bench/__init__.py
+++ b/src/wigeonford/bench/__init__.py
@@ -1,7 +1,7 @@
 """Stand-ins, load and experiments on loopback."""
 
 from wigeonford.bench._demo import run_demo
-from wigeonford.bench._fleet import LocalFleet
+from wigeonford.bench._fleet import free_address, LocalFleet
 from wigeonford.bench._link import LinkState, StandInLink
 from wigeonford.bench._report import Report
 from wigeonford.bench._settings import Deployment, load_deployment
@@ -12,6 +12,7 @@
     "LocalFleet",
     "Report",
     "StandInLink",
+    "free_address",
     "load_deployment",
     "run_demo",
 ]
--- a/src/wigeonford/cli/__init__.py
+++ b/src/wigeonford/cli/__init__.py
@@ -1,6 +1,7 @@
 """The operators' command line."""
 
 from wigeonford.cli._commands import main
+import wigeonford.cli._control  # noqa: F401  registers commands
 import wigeonford.cli._experiments  # noqa: F401  registers commands
 from wigeonford.cli._operator import edits_between, OperatorClient
 
--- a/src/wigeonford/cli/_commands.py
+++ b/src/wigeonford/cli/_commands.py
@@ -2,7 +2,7 @@
 
 import argparse
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
 import json
 from pathlib import Path
@@ -76,7 +76,8 @@
     return add
 
 
-def _client(args: argparse.Namespace) -> OperatorClient:
+def operator_client(args: argparse.Namespace) -> OperatorClient:
+    """Return a client of the control replicas in the settings."""
     cfg = load(OperatorSettings, args.settings)
     return OperatorClient(
         cfg.control, cfg.operator_secret, cfg.author, client_context(cfg.tls)
@@ -130,7 +131,7 @@
 async def apply(args: argparse.Namespace) -> Result:
     """Publish what differs between a file and control, as one change."""
     wanted = read_objects(args.file)
-    client = _client(args)
+    client = operator_client(args)
     edits = edits_between(await client.objects(), wanted, prune=args.prune)
     if not edits:
         return Result({"edits": 0}, ("nothing to change",))
@@ -151,7 +152,7 @@
 @cli_command("get", "show objects as control holds them", _get_arguments)
 async def get(args: argparse.Namespace) -> Result:
     """Show objects with their versions."""
-    found = await _client(args).objects(args.kind, args.name)
+    found = await operator_client(args).objects(args.kind, args.name)
     if args.name and not found:
         raise ChangeRefused(Code.OBJECT_UNKNOWN, args.name)
     return Result(
@@ -166,7 +167,7 @@
 @cli_command("history", "show who changed what, when")
 async def history(args: argparse.Namespace) -> Result:
     """Show the newest changes."""
-    entries = await _client(args).history()
+    entries = await operator_client(args).history()
     return Result(
         entries,
         tuple(
@@ -179,9 +180,10 @@
 
 @cli_command("status", "show control and the entry VMs")
 async def status(args: argparse.Namespace) -> Result:
-    """Show the leader, the revision and the roster."""
-    answer = await _client(args).status()
+    """Show the leader, the replicas, the revision and the roster."""
+    answer = await operator_client(args).status()
     lines = [f"leader {answer['leader']}, revision {answer['revision']}"]
+    lines.extend(_replica_lines(answer["replica"]))
     lines.extend(
         f"{vm['name']} {vm['availability_zone']} {vm['host']}:{vm['port']}"
         for vm in answer["entry_vms"]
@@ -189,6 +191,19 @@
     return Result(answer, tuple(lines))
 
 
+def _replica_lines(own: dict[str, Any]) -> Iterator[str]:
+    yield (
+        f"{own['name']} {own['role']}, term {own['term']}, committed "
+        f"{own['commit_position']} of {own['last_position']}"
+    )
+    if own["failure"]:
+        yield f"{own['name']} failed: {own['failure']}"
+    for replica in own["replicas"]:
+        kind = "voter" if replica["voter"] else "learner"
+        lag = "" if replica["lag"] is None else f", lag {replica['lag']}"
+        yield f"{replica['name']} {kind}{lag}"
+
+
 def _account_argument(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("account", help="name of the client account")
     _change_id_argument(parser)
@@ -197,7 +212,7 @@
 @cli_command("key issue", "issue a key", _account_argument)
 async def key_issue(args: argparse.Namespace) -> Result:
     """Issue a key; it is shown only now."""
-    key = await _client(args).issue_key(_change_id(args), args.account)
+    key = await operator_client(args).issue_key(_change_id(args), args.account)
     return Result({"account": args.account, "key": key}, (key,))
 
 
@@ -209,7 +224,9 @@
 @cli_command("key withdraw", "withdraw a key", _key_id_argument)
 async def key_withdraw(args: argparse.Namespace) -> Result:
     """Withdraw a key for good."""
-    answer = await _client(args).withdraw_key(_change_id(args), args.key_id)
+    answer = await operator_client(args).withdraw_key(
+        _change_id(args), args.key_id
+    )
     line = f"withdrawn from revision {answer['revision']}"
     return Result(answer, (line,))
 
@@ -225,7 +242,7 @@
 @cli_command("drain", "take an entry VM out of look-ups", _drain_arguments)
 async def drain(args: argparse.Namespace) -> Result:
     """Set or clear an entry VM's drain state."""
-    client = _client(args)
+    client = operator_client(args)
     found = await client.objects("entry_vms", args.vm)
     if not found:
         raise ChangeRefused(Code.OBJECT_UNKNOWN, args.vm)
--- /dev/null
+++ b/src/wigeonford/cli/_control.py
@@ -0,0 +1,31 @@
+"""The commands that add and remove control replicas."""
+
+import argparse
+
+from wigeonford.cli._commands import cli_command, operator_client, Result
+from wigeonford.settings import Address
+
+
+def _name_argument(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("name", help="name of the control replica")
+
+
+def _add_arguments(parser: argparse.ArgumentParser) -> None:
+    _name_argument(parser)
+    parser.add_argument("host", help="IP number for its peers")
+    parser.add_argument("port", type=int, help="port for its peers")
+
+
+@cli_command("replica add", "take in a control replica", _add_arguments)
+async def replica_add(args: argparse.Namespace) -> Result:
+    """Add a learner, which votes once it has caught up."""
+    address = Address(args.host, args.port)
+    answer = await operator_client(args).change_replica(args.name, address)
+    return Result(answer, (f"{args.name} added as a learner",))
+
+
+@cli_command("replica remove", "remove a control replica", _name_argument)
+async def replica_remove(args: argparse.Namespace) -> Result:
+    """Remove a replica for good."""
+    answer = await operator_client(args).change_replica(args.name, None)
+    return Result(answer, (f"{args.name} removed",))
--- a/src/wigeonford/cli/_operator.py
+++ b/src/wigeonford/cli/_operator.py
@@ -11,6 +11,7 @@
 from wigeonford.errors import ChangeRefused, Code, PeerError
 from wigeonford.http import ConnectFailed, ExchangeFailed, fetch, Response
 from wigeonford.model import derive_key, ObjectSet
+from wigeonford.peer import ReplicaChange
 from wigeonford.settings import Address
 
 TIMEOUT_S: Final = 10.0
@@ -102,6 +103,16 @@
         }
         return await self._call("POST", "/v1/keys/withdraw", body)
 
+    async def change_replica(
+        self, name: str, address: Address | None
+    ) -> dict[str, Any]:
+        """Add a control replica at an address; None removes it."""
+        place = address or Address()
+        body = ReplicaChange(
+            name, place.host, place.port, remove=address is None
+        )
+        return await self._call("POST", "/v1/replicas", body)
+
     async def _call(
         self, method: str, target: str, body: object = None
     ) -> dict[str, Any]:
--- a/src/wigeonford/control/_log_file.py
+++ b/src/wigeonford/control/_log_file.py
@@ -199,8 +199,12 @@
             [(e.position, e.term, e.content) for e in entries],
         ]
     )
-    header = _HEADER.pack(_MAGIC, len(payload), zlib.crc32(payload))
-    return header + payload
+    return _HEADER.pack(_MAGIC, len(payload), _checksum(payload)) + payload
+
+
+def _checksum(payload: bytes) -> int:
+    """Return a checksum of size and content; no run of zeros passes."""
+    return zlib.crc32(payload, zlib.crc32(len(payload).to_bytes(4)))
 
 
 def _frame_at(data: bytes, start: int) -> bytes | None:
@@ -212,7 +216,7 @@
     payload = data[begin : begin + size]
     if magic != _MAGIC or len(payload) != size:
         return None
-    return payload if zlib.crc32(payload) == checksum else None
+    return payload if _checksum(payload) == checksum else None
 
 
 def _frames(data: bytes) -> Iterator[tuple[int, bytes]]:
--- a/src/wigeonford/control/_raft_leader.py
+++ b/src/wigeonford/control/_raft_leader.py
@@ -44,9 +44,9 @@
         self._progress = {}
         self._found_incarnations = {}
         self._led_since_s = now_s
+        self._sync_progress()
         if not founded:
             self.append([START_TERM])
-        self._sync_progress()
         self.heartbeat(now_s)
         self._advance_commit()
 
@@ -138,7 +138,9 @@
         base = node.log.base_position
         previous = progress.next_position - 1
         if previous < base:
-            if now_s >= progress.snapshot_until_s:
+            # A follower that is down would only get it lost.
+            alive = now_s - progress.acked_sent_s < ELECTION_MIN_S
+            if alive and now_s >= progress.snapshot_until_s:
                 progress.snapshot_until_s = now_s + SNAPSHOT_TIMEOUT_S
                 node.send_snapshot(name, progress.incarnation, now_s)
             node.send(name, self._message(progress, base, (), now_s))
--- a/tests/raft_world.py
+++ b/tests/raft_world.py
@@ -30,7 +30,13 @@
 from wigeonford.control._raft_node import Identity
 from wigeonford.control._raft_snapshot import pack_snapshot, unpack_snapshot
 from wigeonford.control._store import LogEntry, Snapshot
-from wigeonford.peer import InstallSnapshot
+from wigeonford.peer import (
+    AppendEntries,
+    AppendReply,
+    InstallSnapshot,
+    VoteReply,
+    VoteRequest,
+)
 
 STEP_S = 0.02
 
@@ -204,6 +210,7 @@
             self.change_role(name, effect)
 
     def send(self, sender: str, to: str, record: Any) -> None:
+        self.check_durable(self.nodes[sender].disk, record)
         for _ in range(2 if self.rng.random() < 0.05 else 1):
             if self.rng.random() < self.loss or to not in self.nodes:
                 continue
@@ -211,6 +218,24 @@
             at_s = self.now_s + self.rng.random() * self.delay_s + late
             self.wire.append((at_s, next(self.ids), sender, to, record))
 
+    def check_durable(self, disk: Disk, record: Any) -> None:
+        """Check that what a message depends on has been synced."""
+        last = disk.entries[-1].position if disk.entries else 0
+        if disk.snapshot is not None:
+            last = max(last, disk.snapshot.position)
+        if isinstance(record, VoteReply) and not record.pre_vote:
+            if record.granted:
+                assert disk.hard.term >= record.term, "term saved first"
+                assert disk.hard.voted_for is not None, "vote saved first"
+        elif isinstance(record, VoteRequest) and not record.pre_vote:
+            assert disk.hard.term >= record.term, "own vote saved first"
+        elif isinstance(record, AppendReply) and record.accepted:
+            assert disk.hard.term >= record.term, "term saved first"
+            assert last >= record.position, "entries saved first"
+        elif isinstance(record, AppendEntries):
+            end = record.previous_position + len(record.entries)
+            assert last >= end, "the leader's entries saved first"
+
     def send_snapshot(
         self, name: str, node: Node, effect: SendSnapshot
     ) -> None:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -5,9 +5,10 @@
 import shutil
 import tempfile
 import unittest
+from unittest import mock
 
 from wigeonford.bench import load_deployment, LocalFleet
-from wigeonford.control import Edit
+from wigeonford.control import _raft_driver, Edit
 from wigeonford.events import EventLog
 
 
@@ -65,6 +66,39 @@
                     return
                 await asyncio.sleep(0.1)
 
+    async def test_far_behind_catches_up_by_snapshot(self) -> None:
+        with (
+            mock.patch.object(_raft_driver, "SNAPSHOT_EVERY", 10),
+            mock.patch.object(_raft_driver, "KEPT_ENTRIES", 5),
+        ):
+            for daemon in self.fleet.controls.values():
+                daemon.replica._driver._plan_snapshot()  # type: ignore
+            await self.fleet.operator().change("first", region("first"))
+            await self.fleet.crash_control("control-3")
+            client = self.fleet.operator()
+            for number in range(60):
+                await client.change(f"s{number}", region(f"s{number}"))
+            await self.fleet.start_control("control-3")
+            replica = self.fleet.controls["control-3"].replica
+            await replica.confirm()
+        self.assertEqual(len(replica.state.config.rows), 61)
+        for name in self.names:
+            await self.fleet.crash_control(name)
+        await asyncio.gather(*map(self.fleet.start_control, self.names))
+        found = await self.fleet.operator().objects("regions")
+        self.assertEqual(len(found), 61)
+
+    async def test_removed_replica_and_status(self) -> None:
+        client = self.fleet.operator()
+        await client.change("a", region("a"))
+        await client.change_replica("control-3", None)
+        status = await client.status()
+        names = [r["name"] for r in status["replica"]["replicas"]]
+        self.assertEqual(names, ["control-1", "control-2"])
+        address = self.fleet.controls["control-3"].peer_address
+        await client.change_replica("control-3", address)
+        await self._until_voters(3)
+
     async def test_read_your_own_change_at_any_replica(self) -> None:
         for number in range(6):
             daemons = list(self.fleet.controls.values())
--- /dev/null
+++ b/tests/test_control_store.py
@@ -0,0 +1,167 @@
+"""The log file under torn tails, a full disk and failing syncs."""
+
+import asyncio
+import errno
+from pathlib import Path
+import tempfile
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wigeonford.bench import free_address
+from wigeonford.control import (
+    LogEntry,
+    LogFileStore,
+    RaftReplica,
+    Snapshot,
+    StorageError,
+)
+from wigeonford.control._commands import ExpireMember
+from wigeonford.errors import Code, WigeonfordError
+from wigeonford.events import EventLog
+from wigeonford.peer import PeerClient
+from wigeonford.settings import (
+    Address,
+    ControlMember,
+    ControlSettings,
+    Secrets,
+)
+
+SECRETS = Secrets("p" * 16, "k" * 16, "o" * 16, "t" * 16)
+
+
+def entry(position: int, term: int = 1) -> LogEntry:
+    return LogEntry(position, term, b"content-%d" % position)
+
+
+class FailingStore(LogFileStore):
+    """Fail writes on demand."""
+
+    failure: OSError | None = None
+
+    def write_frame(self, file: int, frame: bytes) -> None:
+        if self.failure is not None:
+            raise self.failure
+        super().write_frame(file, frame)
+
+
+class LogFileTest(unittest.TestCase):
+    """Damage a log file and open it again."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.path = self.folder / "control.log"
+
+    def open(self) -> FailingStore:
+        store = FailingStore(self.folder)
+        self.addCleanup(store.close)
+        return store
+
+    def test_keeps_entries_meta_and_snapshot(self) -> None:
+        store = self.open()
+        store.append([entry(1), entry(2), entry(3)], None, {"a": b"1"})
+        store.append([entry(3, 2), entry(4, 2)], 2)
+        store.save_snapshot(Snapshot(2, 1, b"state"))
+        store.append([entry(5, 2)], None, {"b": b"2"})
+        again = self.open()
+        self.assertEqual(
+            again.read_log(), [entry(3, 2), entry(4, 2), entry(5, 2)]
+        )
+        self.assertEqual(again.read_snapshot(), Snapshot(2, 1, b"state"))
+        self.assertEqual(again.read_meta("a"), b"1")
+        self.assertEqual(again.read_meta("b"), b"2")
+
+    def test_installed_snapshot_drops_the_conflicting_tail(self) -> None:
+        store = self.open()
+        store.append([entry(1), entry(2), entry(3)])
+        store.save_snapshot(Snapshot(2, 5, b"state"), 2)
+        self.assertEqual(self.open().read_log(), [])
+
+    @settings(max_examples=60, derandomize=True, deadline=None)
+    @given(st.data())
+    def test_torn_tail_is_dropped(self, data: st.DataObject) -> None:
+        self.path.unlink(missing_ok=True)
+        store = LogFileStore(self.folder)
+        store.append([entry(1)])
+        whole = self.path.stat().st_size
+        store.append([entry(2), entry(3)])
+        store.close()
+        content = bytearray(self.path.read_bytes())
+        kept = data.draw(st.integers(whole, len(content)))
+        if data.draw(st.booleans()):
+            del content[kept:]
+        else:
+            content[kept:] = bytes(len(content) - kept)
+        self.path.write_bytes(content)
+        again = LogFileStore(self.folder)
+        positions = [held.position for held in again.read_log()]
+        self.assertIn(positions, ([1], [1, 2, 3]))
+        again.append([entry(positions[-1] + 1)])
+        again.close()
+        last = LogFileStore(self.folder)
+        self.assertEqual(len(last.read_log()), len(positions) + 1)
+        last.close()
+
+    def test_damage_before_a_good_frame_is_refused(self) -> None:
+        store = self.open()
+        store.append([entry(1)])
+        middle = self.path.stat().st_size - 3
+        store.append([entry(2)])
+        content = bytearray(self.path.read_bytes())
+        content[middle] ^= 0xFF
+        self.path.write_bytes(content)
+        with self.assertRaises(StorageError):
+            LogFileStore(self.folder)
+
+    def test_after_a_failed_write_nothing_is_taken(self) -> None:
+        for number in (errno.ENOSPC, errno.EIO):
+            with self.subTest(errno=number):
+                store = self.open()
+                store.failure = OSError(number, "injected")
+                with self.assertRaises(StorageError):
+                    store.append([entry(1)])
+                store.failure = None
+                with self.assertRaises(StorageError):
+                    store.append([entry(1)])
+
+
+class FailedStorageTest(unittest.IsolatedAsyncioTestCase):
+    """Run a replica whose disk fills up."""
+
+    async def test_replica_takes_no_part_and_says_so(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        address = free_address("127.0.0.1")
+        cfg = ControlSettings(
+            "one",
+            "region",
+            Path(folder.name),
+            SECRETS,
+            members=(ControlMember("one", "region", address),),
+        )
+        store = FailingStore(cfg.data_folder)
+
+        def connect(address: Address) -> PeerClient:
+            return PeerClient("one", address, SECRETS.peer, EventLog())
+
+        replica = RaftReplica(cfg, store, connect, EventLog())
+        await replica.start()
+        self.addAsyncCleanup(replica.stop)
+        await replica.propose(ExpireMember("vm", 1))
+        store.failure = OSError(errno.ENOSPC, "no space")
+        with self.assertRaises(WigeonfordError) as caught:
+            await replica.propose(ExpireMember("vm", 2))
+        self.assertEqual(caught.exception.code, Code.NO_QUORUM)
+        store.failure = None
+        for request in (
+            replica.propose(ExpireMember("v", 1)),
+            replica.confirm(),
+        ):
+            with self.assertRaises(StorageError):
+                await asyncio.wait_for(request, 1)
+        self.assertFalse(replica.is_leader)
+        self.assertIsNone(replica.vouched_age_s())
+        self.assertEqual(replica.describe().role, "failed")
--- /dev/null
+++ b/tests/test_raft_cases.py
@@ -0,0 +1,163 @@
+"""Single cases of consensus, driven by hand in virtual time."""
+
+from collections.abc import Callable
+import unittest
+
+from tests.raft_world import World
+from wigeonford.control._commands import COMMANDS, ExpireMember
+from wigeonford.control._raft import RaftCore
+from wigeonford.control._raft_effects import HardState, Role
+from wigeonford.control._raft_members import (
+    changed_table,
+    ChangeReplicas,
+    find_entry,
+    ReplicaEntry,
+    without_entry,
+)
+from wigeonford.control._store import LogEntry
+from wigeonford.peer import AppendEntries, ReplicaChange
+
+
+def command(number: int, size: int = 0) -> bytes:
+    return COMMANDS.encode(ExpireMember("x" * size, number))
+
+
+class RaftCasesTest(unittest.TestCase):
+    """Bring about one hard case each."""
+
+    def led(self, count: int) -> tuple[World, str]:
+        world = World(count, 7)
+        world.advance(5.0)
+        leader = world.leader()
+        assert leader is not None, "a leader within seconds"
+        return world, leader
+
+    def core(self, world: World, name: str) -> RaftCore:
+        core = world.nodes[name].core
+        assert core is not None, "the replica runs"
+        return core
+
+    def elect(self, world: World, name: str, peers: set[str]) -> None:
+        """Make a replica lead with the votes of some."""
+        for _ in range(40):
+            world.now_s += 3.0
+            self.core(world, name).tick(world.now_s)
+            world.carry_out(name)
+            for _ in range(4):
+                self.deliver(world, lambda s, t: {s, t} <= peers | {name})
+            if self.core(world, name).role is Role.LEADER:
+                return
+        self.fail(f"{name} could not be elected")
+
+    def deliver(
+        self, world: World, passes: Callable[[str, str], bool]
+    ) -> None:
+        """Deliver what is on the wire; entries after the second are lost."""
+        wire, world.wire = world.wire, []
+        for _, _, sender, to, record in sorted(wire, key=lambda m: m[1]):
+            core = world.nodes[to].core
+            if core is None or not passes(sender, to):
+                continue
+            late = isinstance(record, AppendEntries) and (
+                record.entries
+                and record.previous_position == core.log.last_position > 1
+            )
+            if not late:
+                core.receive(record, world.now_s)
+                world.carry_out(to)
+
+    def test_entries_of_earlier_terms_are_not_counted(self) -> None:
+        """Replicate an old entry to a majority, then let it be replaced."""
+        world = World(5, 3)
+        table = tuple(
+            ReplicaEntry(n, world.nodes[n].disk.hard.incarnation, True, "", 0)
+            for n in world.names
+        )
+        first = LogEntry(1, 1, COMMANDS.encode(ChangeReplicas(table)))
+        for name in world.names:
+            disk = world.nodes[name].disk
+            old = LogEntry(2, 2, command(1, 300_000))
+            newer = LogEntry(2, 3, command(2))
+            disk.entries = [first]
+            disk.entries += {"c0": [old], "c4": [newer]}.get(name, [])
+            disk.hard = HardState(disk.hard.incarnation, 3)
+            world.start(name)
+        self.elect(world, "c0", {"c1", "c2"})
+        for _ in range(4):
+            self.deliver(world, lambda s, t: {s, t} <= {"c0", "c1", "c2"})
+            world.carry_out("c0")
+        held = self.core(world, "c2").log.term_at(2)
+        self.assertEqual(held, 2, "the old entry is on a majority")
+        leading = self.core(world, "c0")
+        self.assertIs(leading.role, Role.LEADER)
+        self.assertFalse(leading.may_change_table, "its term comes first")
+        world.crash("c0")
+        world.wire.clear()
+        self.elect(world, "c4", {"c1", "c2", "c3"})
+        world.settle()
+
+    def test_lost_folder_neither_acknowledges_nor_vouches(self) -> None:
+        world, leader = self.led(3)
+        one, other = (name for name in world.names if name != leader)
+        world.propose(leader, command(1))
+        world.advance(1.0)
+        committed = len(world.committed)
+        world.crash(one)
+        world.wipe(other)
+        world.start(other)
+        lost_at_s = world.now_s
+        world.propose(leader, command(2))
+        world.advance(6.0)
+        self.assertEqual(len(world.committed), committed)
+        for core in world.live().values():
+            vouched = core.vouched_at_s(world.now_s)
+            self.assertLessEqual(vouched or 0.0, lost_at_s)
+        world.settle()
+        world.advance(3.0)
+        self.assertTrue(world.whole())
+
+    def test_removed_leader_steps_down(self) -> None:
+        world, leader = self.led(5)
+        core = self.core(world, leader)
+        core.change_table(without_entry(core.log.table, leader))
+        world.carry_out(leader)
+        world.advance(6.0)
+        self.assertIsNot(core.role, Role.LEADER)
+        after = world.leader()
+        assert after is not None, "the others elect one"
+        self.assertNotEqual(after, leader)
+        table = self.core(world, after).log.table
+        self.assertIsNone(find_entry(table, leader))
+        world.nodes.pop(leader)
+        world.settle()
+
+    def test_added_replica_learns_then_votes(self) -> None:
+        world, leader = self.led(3)
+        core = self.core(world, leader)
+        for number in range(5):
+            world.propose(leader, command(number))
+        world.advance(0.5)
+        world.take_snapshot(leader)
+        removed = next(n for n in world.names if n != leader)
+        core.change_table(without_entry(core.log.table, removed))
+        world.carry_out(leader)
+        world.advance(1.0)
+        world.wipe(removed)
+        world.start(removed)
+        change = ReplicaChange(removed, "", 0, remove=False)
+        core.change_table(changed_table(core.log.table, change))
+        world.carry_out(leader)
+        world.advance(3.0)
+        self.assertTrue(world.whole())
+        world.settle()
+
+    def test_leader_without_quorum_steps_down(self) -> None:
+        world, leader = self.led(5)
+        world.cuts.update((name, leader) for name in world.names)
+        world.advance(1.5)
+        self.assertIsNot(self.core(world, leader).role, Role.LEADER)
+        world.advance(4.0)
+        self.assertNotEqual(world.leader(), leader)
+        terms = max(world.leaders)
+        world.advance(10.0)
+        self.assertEqual(max(world.leaders), terms, "no further elections")
