--- a/src/wigeonford/bench/_control_cluster.py
+++ b/src/wigeonford/bench/_control_cluster.py
@@ -21,6 +21,7 @@
 )
 
 CONTROL_NAMES: Final = tuple(f"control-{n}" for n in range(1, 6))
+START_POLL_S: Final = 0.02
 ENTRY_NAMES: Final = tuple(f"entry-{n}" for n in range(1, 4))
 
 
@@ -69,6 +70,8 @@
                 if source != target:
                     await self._start_link(source, target)
         await asyncio.gather(*map(self.start_control, CONTROL_NAMES))
+        while any(d.replica.leader is None for d in self.controls.values()):
+            await asyncio.sleep(START_POLL_S)
         await asyncio.gather(*map(self._start_entry, ENTRY_NAMES))
 
     async def _start_link(self, source: str, target: str) -> None:
--- a/src/wigeonford/cli/_control.py
+++ b/src/wigeonford/cli/_control.py
@@ -1,8 +1,10 @@
 """The commands that add and remove control replicas."""
 
 import argparse
+from pathlib import Path
 
 from wigeonford.cli._commands import cli_command, operator_client, Result
+from wigeonford.control import recover_alone
 from wigeonford.settings import Address
 
 
@@ -24,6 +26,23 @@
     return Result(answer, (f"{args.name} added as a learner",))
 
 
+def _recover_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("folder", type=Path, help="data folder")
+    _name_argument(parser)
+
+
+@cli_command(
+    "replica recover",
+    "make a stopped replica the only one, after a majority is lost",
+    _recover_arguments,
+)
+async def replica_recover(args: argparse.Namespace) -> Result:
+    """Rewrite the table of replicas in a data folder."""
+    position = recover_alone(args.folder, args.name)
+    line = f"{args.name} is the only replica from position {position}"
+    return Result({"name": args.name, "position": position}, (line,))
+
+
 @cli_command("replica remove", "remove a control replica", _name_argument)
 async def replica_remove(args: argparse.Namespace) -> Result:
     """Remove a replica for good."""
--- a/src/wigeonford/control/__init__.py
+++ b/src/wigeonford/control/__init__.py
@@ -16,6 +16,7 @@
 from wigeonford.control._log_file import LogFileStore
 from wigeonford.control._operator_api import OperatorApi
 from wigeonford.control._raft_replica import RaftReplica
+from wigeonford.control._recovery import recover_alone
 from wigeonford.control._replica import Replica, SoloReplica
 from wigeonford.control._service import ControlService
 from wigeonford.control._state import State
@@ -49,4 +50,5 @@
     "StorageError",
     "Store",
     "WithdrawKey",
+    "recover_alone",
 ]
--- a/src/wigeonford/control/_raft_disk.py
+++ b/src/wigeonford/control/_raft_disk.py
@@ -23,11 +23,16 @@
     return cbor2.dumps(msgspec.to_builtins(hard))
 
 
-def load_hard(store: Store, rng: random.Random) -> HardState:
-    """Return the hard state; an empty folder gets a new incarnation."""
+def load_hard(store: Store) -> HardState | None:
+    """Return the hard state, or None in an empty folder."""
     content = store.read_meta(HARD_STATE_NAME)
-    if content is not None:
-        return msgspec.convert(cbor2.loads(content), HardState)
+    if content is None:
+        return None
+    return msgspec.convert(cbor2.loads(content), HardState)
+
+
+def create_hard(store: Store, rng: random.Random) -> HardState:
+    """Give an empty folder a new incarnation."""
     hard = HardState(f"{rng.getrandbits(64):016x}")
     store.save_meta(HARD_STATE_NAME, encode_hard(hard))
     return hard
--- a/src/wigeonford/control/_raft_replica.py
+++ b/src/wigeonford/control/_raft_replica.py
@@ -12,7 +12,7 @@
 from wigeonford.control._commands import CommandResult, COMMANDS
 from wigeonford.control._raft import RaftCore
 from wigeonford.control._raft_channel import Channels, Connect
-from wigeonford.control._raft_disk import load_hard, load_log
+from wigeonford.control._raft_disk import create_hard, load_hard, load_log
 from wigeonford.control._raft_driver import RaftDriver
 from wigeonford.control._raft_inbox import (
     Proposal,
@@ -113,7 +113,9 @@
 
     async def start(self) -> None:
         """Recover from the store and take part."""
-        hard = load_hard(self._store, self._rng)
+        hard = load_hard(self._store)
+        if hard is None:
+            hard = create_hard(self._store, self._rng)
         log, state = load_log(self._store)
         configured = {
             name: (address.host, address.port)
--- /dev/null
+++ b/src/wigeonford/control/_recovery.py
@@ -0,0 +1,51 @@
+"""Recovery by hand after a majority of data folders is lost."""
+
+from dataclasses import replace
+from pathlib import Path
+
+from wigeonford.control._commands import COMMANDS
+from wigeonford.control._log_file import LogFileStore
+from wigeonford.control._raft_disk import (
+    encode_hard,
+    HARD_STATE_NAME,
+    load_hard,
+    load_log,
+)
+from wigeonford.control._raft_effects import HardState
+from wigeonford.control._raft_members import ChangeReplicas, find_entry
+from wigeonford.control._store import LogEntry
+from wigeonford.errors import ChangeRefused, Code
+
+
+def recover_alone(folder: Path, name: str) -> int:
+    """Make a stopped replica the only one; return its last position.
+
+    Changes that only the lost replicas had are gone. Raise `ChangeRefused`
+    where the folder is not that replica's, `StorageError` where it can't
+    be written.
+    """
+    if not (folder / "control.log").exists():
+        raise ChangeRefused(Code.OBJECT_UNKNOWN, f"{folder}: no log")
+    store = LogFileStore(folder)
+    try:
+        return _recover(store, name)
+    finally:
+        store.close()
+
+
+def _recover(store: LogFileStore, name: str) -> int:
+    hard = load_hard(store)
+    log, _ = load_log(store)
+    entry = find_entry(log.table, name)
+    if hard is None or entry is None or entry.incarnation != hard.incarnation:
+        raise ChangeRefused(Code.OBJECT_UNKNOWN, f"{name}: not this folder's")
+    only = replace(entry, voter=True)
+    alone = COMMANDS.encode(ChangeReplicas((only,)))
+    term = max(hard.term, log.last_term) + 1
+    position = log.last_position + 1
+    store.append(
+        [LogEntry(position, term, alone)],
+        None,
+        {HARD_STATE_NAME: encode_hard(HardState(hard.incarnation, term))},
+    )
+    return position
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -8,7 +8,9 @@
 from unittest import mock
 
 from wigeonford.bench import load_deployment, LocalFleet
-from wigeonford.control import _raft_driver, Edit
+from wigeonford.control import _raft_driver, Edit, recover_alone
+from wigeonford.control._replica import ReplicaStatus
+from wigeonford.errors import WigeonfordError
 from wigeonford.events import EventLog
 
 
@@ -45,26 +47,35 @@
         await self.fleet.operator().change("a", region("a"))
         await self.fleet.crash_control("control-2")
         shutil.rmtree(self.folder / "control-2")
+        lost = self.fleet.controls["control-1"].replica.describe()
         await self.fleet.start_control("control-2")
-        await self._until_voters(3)
+        await self._until_replaced("control-2", lost)
+        await self._until_voters(3, "control-2")
         await self.fleet.crash_control("control-1")
         await self.fleet.operator().change("b", region("b"))
         found = await self.fleet.operator().objects("regions")
         self.assertEqual({item.name for item in found}, {"a", "b"})
 
-    async def _until_voters(self, count: int) -> None:
+    async def _until_replaced(self, name: str, before: ReplicaStatus) -> None:
+        """Wait until a replica has another incarnation than before."""
+        old = {r.incarnation for r in before.replicas if r.name == name}
         async with asyncio.timeout(20):
             while True:
-                status = await self.fleet.operator().status()
-                replicas = status["replica"]["replicas"]
-                held = self.fleet.controls["control-2"].replica.describe()
-                if held.role != "follower" or not held.replicas:
-                    await asyncio.sleep(0.1)
-                    continue
-                own = held.replicas[1]
-                if sum(r["voter"] for r in replicas) == count and own.voter:
+                held = self.fleet.controls[name].replica.describe()
+                new = {r.incarnation for r in held.replicas if r.name == name}
+                if new and new != old:
                     return
-                await asyncio.sleep(0.1)
+                await asyncio.sleep(0.05)
+
+    async def _until_voters(self, count: int, name: str) -> None:
+        """Wait until a replica sees so many voters, itself among them."""
+        async with asyncio.timeout(20):
+            while True:
+                held = self.fleet.controls[name].replica.describe()
+                votes = {r.name for r in held.replicas if r.voter}
+                if len(votes) == count and name in votes:
+                    return
+                await asyncio.sleep(0.05)
 
     async def test_far_behind_catches_up_by_snapshot(self) -> None:
         with (
@@ -88,6 +99,24 @@
         found = await self.fleet.operator().objects("regions")
         self.assertEqual(len(found), 61)
 
+    async def test_recovers_after_a_majority_is_lost(self) -> None:
+        await self.fleet.operator().change("a", region("a"))
+        for name in self.names:
+            await self.fleet.crash_control(name)
+        for name in ("control-2", "control-3"):
+            shutil.rmtree(self.folder / name)
+        with self.assertRaises(WigeonfordError):
+            recover_alone(self.folder / "control-1", "control-2")
+        recover_alone(self.folder / "control-1", "control-1")
+        for name in self.names:
+            await self.fleet.start_control(name)
+        client = self.fleet.operator()
+        self.assertEqual(len(await client.objects("regions")), 1)
+        for name in ("control-2", "control-3"):
+            address = self.fleet.controls[name].peer_address
+            await client.change_replica(name, address)
+            await self._until_voters(int(name[-1]), name)
+
     async def test_removed_replica_and_status(self) -> None:
         client = self.fleet.operator()
         await client.change("a", region("a"))
@@ -97,7 +126,7 @@
         self.assertEqual(names, ["control-1", "control-2"])
         address = self.fleet.controls["control-3"].peer_address
         await client.change_replica("control-3", address)
-        await self._until_voters(3)
+        await self._until_voters(3, "control-3")
 
     async def test_read_your_own_change_at_any_replica(self) -> None:
         for number in range(6):
--- a/tests/test_raft_cases.py
+++ b/tests/test_raft_cases.py
@@ -151,6 +151,14 @@
         self.assertTrue(world.whole())
         world.settle()
 
+    def test_half_deaf_follower_disturbs_nobody(self) -> None:
+        world, leader = self.led(5)
+        deaf = next(name for name in world.names if name != leader)
+        world.cuts.add((leader, deaf))
+        world.advance(15.0)
+        self.assertEqual(set(world.leaders.values()), {leader})
+        self.assertEqual(self.core(world, leader).term, max(world.leaders))
+
     def test_leader_without_quorum_steps_down(self) -> None:
         world, leader = self.led(5)
         world.cuts.update((name, leader) for name in world.names)
