--- /dev/null
+++ b/src/wigeonford/control/_claim_service.py
@@ -0,0 +1,312 @@
+"""Serve claims: this replica's registers, and rounds among them all."""
+
+import asyncio
+from collections.abc import Coroutine
+import hashlib
+import random
+import time
+from typing import Any, Final
+
+from wigeonford.control._claim_rounds import (
+    close_round,
+    closing_row,
+    open_round,
+    Outgoing,
+    Round,
+    RoundRunner,
+)
+from wigeonford.control._proposer import (
+    Decision,
+    majority,
+    RowState,
+    UNAVAILABLE,
+)
+from wigeonford.control._register_store import RegisterStore
+from wigeonford.control._registers import RegisterRequest
+from wigeonford.errors import Code, PeerError, WigeonfordError
+from wigeonford.events import Event, EventLog
+from wigeonford.peer import (
+    ClaimAnswer,
+    ClaimClose,
+    ClaimOpen,
+    ClaimRow,
+    Done,
+    PeerClient,
+    PeerServer,
+    RegisterAbandon,
+    RegisterAccept,
+    RegisterPage,
+    RegisterPrepare,
+    RegisterReply,
+    RegisterScan,
+    RegisterVote,
+)
+
+PHASE_TIMEOUT_S: Final = 0.6
+ROUND_TIMEOUT_S: Final = 2.0
+REJOIN_WAIT_S: Final = 2.5
+REJOIN_RETRY_S: Final = 0.5
+BACK_OFF_S: Final = 0.05
+SCAN_PAGE: Final = 500
+EXPIRE_INTERVAL_S: Final = 60.0
+READY_FLAG: Final = "ready"
+_KEY_BYTES: Final = 16
+
+
+def register_key(account: str, idempotency_key: str) -> bytes:
+    """Return the key of the register of a client account's request."""
+    digest = hashlib.blake2b(digest_size=_KEY_BYTES)
+    for part in (account, idempotency_key):
+        content = part.encode()
+        digest.update(len(content).to_bytes(4))
+        digest.update(content)
+    return digest.digest()
+
+
+class ClaimService:
+    """Keep this replica's registers and run rounds for entry VMs.
+
+    A replica without its former registers copies those of a majority of
+    the others before it votes, and only after every round that may have
+    counted a vote of its former self has ended.
+    """
+
+    def __init__(
+        self,
+        store: RegisterStore,
+        peers: dict[str, PeerClient],
+        log: EventLog,
+        rng: random.Random,
+    ) -> None:
+        self._store = store
+        self._peers = peers
+        self._log = log
+        self._rng = rng
+        self._count = len(peers) + 1
+        self._queue: asyncio.Queue[
+            tuple[RegisterRequest, asyncio.Future[RegisterReply]]
+        ] = asyncio.Queue()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._ready = asyncio.Event()
+
+    def attach(self, server: PeerServer) -> None:
+        """Register the message handlers."""
+        server.handle(ClaimOpen, self.open)
+        server.handle(ClaimClose, self.close)
+        for kind in (
+            RegisterVote,
+            RegisterPrepare,
+            RegisterAccept,
+            RegisterAbandon,
+        ):
+            server.handle(kind, self._submit)
+        server.handle(RegisterScan, self._scan)
+
+    async def start(self) -> None:
+        """Begin to serve; a replica without registers first copies them."""
+        self._spawn(self._apply_batches())
+        self._spawn(self._expire())
+        if self._count == 1 or self._store.has_flag(READY_FLAG):
+            self._ready.set()
+        else:
+            self._spawn(self._rejoin())
+
+    async def stop(self) -> None:
+        """Stop serving and release the store."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for peer in self._peers.values():
+            await peer.close()
+        self._store.close()
+
+    def count(self) -> int:
+        """Return how many registers this replica holds."""
+        return self._store.count()
+
+    async def open(self, message: ClaimOpen) -> ClaimAnswer:
+        """Run the round that claims a request."""
+        key = register_key(message.account, message.idempotency_key)
+        row = ClaimRow(
+            message.fingerprint,
+            message.claimant,
+            time.time(),
+            RowState.OPEN.value,
+        )
+        runner = RoundRunner(open_round(key, row, self._count))
+        started_s = time.monotonic()
+        decision = await self._drive(runner, started_s + ROUND_TIMEOUT_S)
+        direct = runner.phase == 1
+        if decision.code is not Code.OK and not direct:
+            self._spawn(self._release(key, row))
+        return ClaimAnswer(
+            decision.code.number, decision.outcome, row.opened_at_s, direct
+        )
+
+    async def close(self, message: ClaimClose) -> Done:
+        """Run the round that ends a claim; raise without a quorum."""
+        key = register_key(message.account, message.idempotency_key)
+        row = ClaimRow(
+            message.fingerprint,
+            message.claimant,
+            message.opened_at_s,
+            RowState.OPEN.value,
+        )
+        ending = closing_row(row, ran=message.ran, outcome=message.outcome)
+        round_ = close_round(
+            key, ending, self._count, won_open_ballot=message.direct
+        )
+        decision = await self._end(round_)
+        if decision.code is not Code.OK:
+            raise PeerError(Code.CLAIM_UNAVAILABLE, "claim not closed")
+        return Done()
+
+    async def _release(self, key: bytes, row: ClaimRow) -> None:
+        """Free a key that a round which did not win may have written."""
+        ending = closing_row(row, ran=False, outcome=None)
+        await self._end(
+            close_round(key, ending, self._count, won_open_ballot=False)
+        )
+
+    async def _end(self, round_: Round) -> Decision:
+        deadline_s = time.monotonic() + ROUND_TIMEOUT_S
+        return await self._drive(RoundRunner(round_), deadline_s)
+
+    async def _drive(
+        self, runner: RoundRunner, deadline_s: float
+    ) -> Decision:
+        """Run a round; one that ends past its deadline decides nothing."""
+        replies: asyncio.Queue[tuple[int, RegisterReply]] = asyncio.Queue()
+        await self._broadcast(runner.start(), replies)
+        while runner.decision is None:
+            phase = runner.phase
+            timeout_s = min(PHASE_TIMEOUT_S, deadline_s - time.monotonic())
+            try:
+                async with asyncio.timeout(timeout_s):
+                    arrived, reply = await replies.get()
+                outgoing = runner.on_reply(arrived, reply)
+            except TimeoutError:
+                outgoing = runner.on_timeout(phase)
+            await self._broadcast(outgoing, replies)
+        if time.monotonic() > deadline_s:
+            return UNAVAILABLE
+        return runner.decision
+
+    async def _broadcast(
+        self,
+        outgoing: list[Outgoing],
+        replies: asyncio.Queue[tuple[int, RegisterReply]],
+    ) -> None:
+        for item in outgoing:
+            if item.backs_off:
+                await asyncio.sleep(self._rng.uniform(0, BACK_OFF_S))
+            self._spawn(self._ask_self(item, replies))
+            for peer in self._peers.values():
+                self._spawn(self._ask(peer, item, replies))
+
+    async def _ask_self(
+        self,
+        item: Outgoing,
+        replies: asyncio.Queue[tuple[int, RegisterReply]],
+    ) -> None:
+        try:
+            reply = await self._submit(item.request)
+        except WigeonfordError:
+            return
+        replies.put_nowait((item.phase, reply))
+
+    async def _ask(
+        self,
+        peer: PeerClient,
+        item: Outgoing,
+        replies: asyncio.Queue[tuple[int, RegisterReply]],
+    ) -> None:
+        try:
+            reply = await peer.request(item.request, ROUND_TIMEOUT_S)
+        except PeerError:
+            return
+        replies.put_nowait((item.phase, reply))
+
+    async def _submit(self, request: RegisterRequest) -> RegisterReply:
+        """Return this replica's reply once it is synced."""
+        if not self._ready.is_set():
+            raise PeerError(Code.CLAIM_UNAVAILABLE, "copying registers")
+        fut: asyncio.Future[RegisterReply] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._queue.put_nowait((request, fut))
+        return await fut
+
+    async def _apply_batches(self) -> None:
+        while True:
+            batch = [await self._queue.get()]
+            while not self._queue.empty():
+                batch.append(self._queue.get_nowait())
+            requests = [request for request, _ in batch]
+            try:
+                replies = await asyncio.to_thread(
+                    self._store.apply, requests, time.time()
+                )
+            except WigeonfordError as exc:
+                self._log.emit(Event.TASK_FAILED, detail=str(exc))
+                _fail(batch, exc)
+                continue
+            for (_, fut), reply in zip(batch, replies, strict=True):
+                if not fut.done():
+                    fut.set_result(reply)
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRE_INTERVAL_S)
+            try:
+                await asyncio.to_thread(self._store.expire, time.time())
+            except WigeonfordError as exc:
+                self._log.emit(Event.TASK_FAILED, detail=str(exc))
+
+    async def _scan(self, message: RegisterScan) -> RegisterPage:
+        limit = min(message.limit, SCAN_PAGE)
+        return await asyncio.to_thread(
+            self._store.page, message.after, limit
+        )
+
+    async def _rejoin(self) -> None:
+        await asyncio.sleep(REJOIN_WAIT_S)
+        copied: set[str] = set()
+        while len(copied) < min(majority(self._count), len(self._peers)):
+            for name in self._peers.keys() - copied:
+                if await self._copy_from(name):
+                    copied.add(name)
+            await asyncio.sleep(REJOIN_RETRY_S)
+        await asyncio.to_thread(self._store.set_flag, READY_FLAG)
+        self._ready.set()
+        self._log.emit(Event.CLAIMS_READY, copied=sorted(copied))
+
+    async def _copy_from(self, name: str) -> bool:
+        after = b""
+        while True:
+            scan = RegisterScan(after, SCAN_PAGE)
+            try:
+                page = await self._peers[name].request(scan, ROUND_TIMEOUT_S)
+            except PeerError:
+                return False
+            if not page.registers:
+                return True
+            await asyncio.to_thread(
+                self._store.merge, page.registers, time.time()
+            )
+            after = page.registers[-1].key
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _fail(
+    batch: list[tuple[RegisterRequest, asyncio.Future[RegisterReply]]],
+    exc: WigeonfordError,
+) -> None:
+    for _, fut in batch:
+        if not fut.done():
+            fut.set_exception(PeerError(exc.code, exc.detail))
--- a/src/wigeonford/control/_service.py
+++ b/src/wigeonford/control/_service.py
@@ -1,22 +1,17 @@
-"""Serve the entry VMs: configuration, roster and claims."""
+"""Serve the entry VMs: configuration and roster."""
 
 import asyncio
 import time
 from typing import Final
 
 from wigeonford.control._commands import (
-    CloseClaim,
     ExpireMember,
-    OpenClaim,
     RegisterMember,
 )
 from wigeonford.control._replica import Replica
 from wigeonford.errors import WigeonfordError
 from wigeonford.events import Event, EventLog
 from wigeonford.peer import (
-    ClaimAnswer,
-    ClaimClose,
-    ClaimOpen,
     ConfigUpdate,
     Done,
     LeaveRoster,
@@ -42,8 +37,6 @@
         """Register the message handlers."""
         server.handle(PullConfig, self._pull_config)
         server.handle(LeaveRoster, self._leave)
-        server.handle(ClaimOpen, self._open_claim)
-        server.handle(ClaimClose, self._close_claim)
 
     async def start(self) -> None:
         """Begin to expire silent members."""
@@ -93,28 +86,3 @@
                 await self._replica.propose(
                     ExpireMember(name, member.generation)
                 )
-
-    async def _open_claim(self, message: ClaimOpen) -> ClaimAnswer:
-        result = await self._replica.propose(
-            OpenClaim(
-                message.account,
-                message.idempotency_key,
-                message.fingerprint,
-                message.claimant,
-                time.time(),
-            )
-        )
-        return ClaimAnswer(result.code, result.outcome)
-
-    async def _close_claim(self, message: ClaimClose) -> Done:
-        await self._replica.propose(
-            CloseClaim(
-                message.account,
-                message.idempotency_key,
-                message.claimant,
-                message.ran,
-                message.outcome,
-                time.time(),
-            )
-        )
-        return Done()
--- a/src/wigeonford/entry/_pipeline.py
+++ b/src/wigeonford/entry/_pipeline.py
@@ -4,10 +4,14 @@
 from dataclasses import dataclass
 import time
 from typing import Final
-import uuid
 
 from wigeonford.entry._admission import admit, Admitted, recheck
-from wigeonford.entry._claims import Claims, fingerprint, run_claimed
+from wigeonford.entry._claims import (
+    ClaimRequest,
+    Claims,
+    fingerprint,
+    run_claimed,
+)
 from wigeonford.entry._config import ConfigFollower
 from wigeonford.entry._dispatch import Dispatcher, Outbound
 from wigeonford.entry._hygiene import (
@@ -29,7 +33,6 @@
 from wigeonford.invariants import Checks, Invariant
 from wigeonford.metrics import Metrics
 from wigeonford.model import KEY_START, KEY_START_BYTES
-from wigeonford.peer import ClaimOpen
 
 BUFFERED_BODY_BYTES: Final = 65536
 IDEMPOTENCY_HEADER: Final = b"idempotency-key"
@@ -118,16 +121,15 @@
         if not 0 < len(key) <= MAX_IDEMPOTENCY_KEY_CHARS:
             raise RequestRefused(Code.BAD_ARGUMENT, "idempotency-key")
         body = work.body if isinstance(work.body, bytes) else b""
-        message = ClaimOpen(
+        claim = ClaimRequest(
             account=account,
             idempotency_key=key,
             fingerprint=fingerprint(
                 work.request.method, _target(work.request), body
             ),
-            claimant=uuid.uuid4().hex,
         )
         return await run_claimed(
-            self._claims, message, lambda: self._dispatch(work)
+            self._claims, claim, lambda: self._dispatch(work)
         )
 
     async def _dispatch(self, work: Work) -> Response:
--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -74,6 +74,14 @@
         504, "dropped a torn tail of the log", logging.WARNING
     )
 
+    CLAIMS_READY = _event(
+        550, "this replica holds the claims of a majority and votes"
+    )
+    CLAIM_NOT_CLOSED = _event(
+        551, "a claim could not be closed; its outcome stays unknown",
+        logging.WARNING,
+    )
+
     PEER_CONNECTED = _event(600, "connected to a peer")
     PEER_LOST = _event(601, "lost a peer", logging.WARNING)
     PEER_REFUSED = _event(602, "refused a peer", logging.WARNING)
--- a/src/wigeonford/peer/__init__.py
+++ b/src/wigeonford/peer/__init__.py
@@ -1,5 +1,17 @@
 """Typed messages between processes and the links that carry them."""
 
+from wigeonford.peer._claim_messages import (
+    Ballot,
+    ClaimRow,
+    RegisterAbandon,
+    RegisterAccept,
+    RegisterCopy,
+    RegisterPage,
+    RegisterPrepare,
+    RegisterReply,
+    RegisterScan,
+    RegisterVote,
+)
 from wigeonford.peer._link import (
     failure_error,
     LeaderElsewhere,
@@ -25,9 +37,11 @@
 
 __all__ = [
     "MESSAGES",
+    "Ballot",
     "ClaimAnswer",
     "ClaimClose",
     "ClaimOpen",
+    "ClaimRow",
     "ConfigUpdate",
     "Done",
     "Failure",
@@ -39,6 +53,14 @@
     "PeerClient",
     "PeerServer",
     "PullConfig",
+    "RegisterAbandon",
+    "RegisterAccept",
+    "RegisterCopy",
+    "RegisterPage",
+    "RegisterPrepare",
+    "RegisterReply",
+    "RegisterScan",
+    "RegisterVote",
     "TargetAnnounce",
     "failure_error",
     "message",
--- a/src/wigeonford/peer/_messages.py
+++ b/src/wigeonford/peer/_messages.py
@@ -98,10 +98,16 @@
 @message(6)
 @dataclass(frozen=True, slots=True)
 class ClaimAnswer:
-    """Answer `ClaimOpen`: a result code number and a recorded outcome."""
+    """Answer `ClaimOpen`: a result code number and a recorded outcome.
+
+    `opened_at_s` and `direct` go back with `ClaimClose`; `direct` tells
+    that the claim was won without a recovery.
+    """
 
     code: int
     outcome: Outcome | None = None
+    opened_at_s: float = 0.0
+    direct: bool = False
 
 
 @message(7)
@@ -115,6 +121,9 @@
     account: str
     idempotency_key: str
     claimant: str
+    fingerprint: bytes
+    opened_at_s: float
+    direct: bool
     ran: bool
     outcome: Outcome | None
 
