--- a/src/wigeonford/control/_claim_service.py
+++ b/src/wigeonford/control/_claim_service.py
@@ -173,9 +173,7 @@
         deadline_s = time.monotonic() + ROUND_TIMEOUT_S
         return await self._drive(RoundRunner(round_), deadline_s)
 
-    async def _drive(
-        self, runner: RoundRunner, deadline_s: float
-    ) -> Decision:
+    async def _drive(self, runner: RoundRunner, deadline_s: float) -> Decision:
         """Run a round; one that ends past its deadline decides nothing."""
         replies: asyncio.Queue[tuple[int, RegisterReply]] = asyncio.Queue()
         await self._broadcast(runner.start(), replies)
@@ -266,9 +264,7 @@
 
     async def _scan(self, message: RegisterScan) -> RegisterPage:
         limit = min(message.limit, SCAN_PAGE)
-        return await asyncio.to_thread(
-            self._store.page, message.after, limit
-        )
+        return await asyncio.to_thread(self._store.page, message.after, limit)
 
     async def _rejoin(self) -> None:
         await asyncio.sleep(REJOIN_WAIT_S)
--- a/src/wigeonford/entry/_claims.py
+++ b/src/wigeonford/entry/_claims.py
@@ -6,7 +6,6 @@
 import hashlib
 import time
 from typing import Final, Protocol
-
 import uuid
 
 from wigeonford.errors import (
@@ -71,9 +70,7 @@
 class ControlClaims:
     """Hold claims at the control replicas, the nearest one first."""
 
-    def __init__(
-        self, sources: tuple[PeerClient, ...], log: EventLog
-    ) -> None:
+    def __init__(self, sources: tuple[PeerClient, ...], log: EventLog) -> None:
         self._sources = sources
         self._log = log
         self._closing: set[asyncio.Task[None]] = set()
