Close a won claim without proof that nobody else has won

Cause: with one replica lost and copied, and another one down, a winner could not record its outcome: the promises of the rest did not show that nobody else had won. Change: a winner needs no such proof; a claimant that did not win still does before it frees the key.

--- a/src/wigeonford/cli/_experiments.py
+++ b/src/wigeonford/cli/_experiments.py
@@ -64,3 +64,11 @@
         return Result(report.data, lines, code)
 
     cli_command(f"bench {name}", help_text, arguments)(run)
+
+
+_scenario(
+    "claims",
+    "compare ways to claim a non-idempotent request",
+    "wigeonford.bench._claims_bench",
+    lambda _parser: None,
+)
--- a/src/wigeonford/control/_claim_rounds.py
+++ b/src/wigeonford/control/_claim_rounds.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable, Collection, Generator
 from dataclasses import dataclass, replace
+from enum import StrEnum
 from typing import Final
 
 from wigeonford.control._proposer import (
@@ -13,12 +14,15 @@
     CLOSED,
     decide_votes,
     Decision,
+    is_majority,
     majority,
     resolve_close,
     resolve_open,
+    resolve_release,
     RowState,
     Step,
     UNAVAILABLE,
+    Write,
 )
 from wigeonford.control._registers import (
     OPEN_BALLOT,
@@ -48,6 +52,10 @@
     backs_off: bool = False
 
 
+_Predicate = Callable[[Collection[RegisterReply], int], bool]
+_Resolve = Callable[
+    [ClaimRow, Collection[RegisterReply], int], Decision | Write
+]
 Round = Generator[Broadcast, RegisterReply | None, Decision]
 
 
@@ -76,25 +84,36 @@
             break
         reply = yield Broadcast(None)
     if decision is Step.RECOVER:
-        decision = yield from _recover(key, row, count, replies, opens=True)
+        decision = yield from _recover(
+            key, row, count, replies, resolve_open, are_enough
+        )
     assert isinstance(decision, Decision), "a round ends with a decision"
     if decision.code is not Code.OK:
         yield Broadcast(RegisterAbandon(key, row.claimant))
     return decision
 
 
-def close_round(
-    key: bytes, row: ClaimRow, count: int, *, won_open_ballot: bool
-) -> Round:
+class Won(StrEnum):
+    """Say how a claimant that ends its claim had won it."""
+
+    OPEN_BALLOT = "open-ballot"
+    RECOVERY = "recovery"
+    NOT = "not"
+
+
+def close_round(key: bytes, row: ClaimRow, count: int, won: Won) -> Round:
     """Record the end of a claim; the open ballot's winner needs one trip."""
-    if won_open_ballot:
+    if won is Won.OPEN_BALLOT:
         ballot = Ballot(OWNER_NUMBER, row.claimant)
         accepted = yield from _collect(
             Broadcast(RegisterAccept(key, ballot, row)), count
         )
         if len(accepted.granted) >= majority(count):
             return CLOSED
-    return (yield from _recover(key, row, count, [], opens=False))
+    # A winner needs no proof that nobody else has won.
+    proof = are_enough if won is Won.NOT else is_majority
+    resolve = resolve_release if won is Won.NOT else resolve_close
+    return (yield from _recover(key, row, count, [], resolve, proof))
 
 
 def _recover(
@@ -102,18 +121,17 @@
     row: ClaimRow,
     count: int,
     seen: list[RegisterReply],
-    *,
-    opens: bool,
+    resolve: _Resolve,
+    is_enough: _Predicate,
 ) -> Round:
     highest = max((reply.promised for reply in seen), default=OPEN_BALLOT)
-    resolve = resolve_open if opens else resolve_close
     for _ in range(MAX_RECOVERIES):
         number = max(highest.number, OWNER_NUMBER) + 1
         ballot = Ballot(number, row.claimant)
         prepare = Broadcast(RegisterPrepare(key, ballot), backs_off=True)
-        promises = yield from _collect(prepare, count, are_enough)
+        promises = yield from _collect(prepare, count, is_enough)
         highest = max(ballot, promises.highest)
-        if not are_enough(promises.granted, count):
+        if not is_enough(promises.granted, count):
             continue
         found = resolve(row, promises.granted, count)
         if isinstance(found, Decision):
@@ -126,14 +144,10 @@
     return UNAVAILABLE
 
 
-def _is_majority(granted: Collection[RegisterReply], count: int) -> bool:
-    return len(granted) >= majority(count)
-
-
 def _collect(
     broadcast: Broadcast,
     count: int,
-    is_done: Callable[[Collection[RegisterReply], int], bool] = _is_majority,
+    is_done: _Predicate = is_majority,
 ) -> _Phase:
     """Return the replies to a request, once they decide its phase."""
     granted: list[RegisterReply] = []
--- a/src/wigeonford/control/_claim_service.py
+++ b/src/wigeonford/control/_claim_service.py
@@ -14,6 +14,7 @@
     Outgoing,
     Round,
     RoundRunner,
+    Won,
 )
 from wigeonford.control._proposer import (
     Decision,
@@ -121,6 +122,11 @@
             await peer.close()
         self._store.close()
 
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether this replica votes."""
+        return self._ready.is_set()
+
     def count(self) -> int:
         """Return how many registers this replica holds."""
         return self._store.count()
@@ -154,10 +160,10 @@
             RowState.OPEN.value,
         )
         ending = closing_row(row, ran=message.ran, outcome=message.outcome)
-        round_ = close_round(
-            key, ending, self._count, won_open_ballot=message.direct
-        )
-        decision = await self._end(round_)
+        won = Won.RECOVERY if message.won else Won.NOT
+        if message.won and message.direct:
+            won = Won.OPEN_BALLOT
+        decision = await self._end(close_round(key, ending, self._count, won))
         if decision.code is not Code.OK:
             raise PeerError(Code.CLAIM_UNAVAILABLE, "claim not closed")
         return Done()
@@ -165,9 +171,7 @@
     async def _release(self, key: bytes, row: ClaimRow) -> None:
         """Free a key that a round which did not win may have written."""
         ending = closing_row(row, ran=False, outcome=None)
-        await self._end(
-            close_round(key, ending, self._count, won_open_ballot=False)
-        )
+        await self._end(close_round(key, ending, self._count, Won.NOT))
 
     async def _end(self, round_: Round) -> Decision:
         deadline_s = time.monotonic() + ROUND_TIMEOUT_S
--- a/src/wigeonford/control/_proposer.py
+++ b/src/wigeonford/control/_proposer.py
@@ -105,6 +105,11 @@
     return now_s - row.opened_at_s <= CLAIM_TIMEOUT_S
 
 
+def is_majority(replies: Collection[RegisterReply], count: int) -> bool:
+    """Tell whether a majority of the replicas has replied."""
+    return len(replies) >= majority(count)
+
+
 def _unseen(promises: Collection[RegisterReply], count: int) -> int:
     """Return how many replicas may have given a vote not told of.
 
@@ -116,7 +121,7 @@
 
 def are_enough(promises: Collection[RegisterReply], count: int) -> bool:
     """Tell whether promises show who may have won the open ballot."""
-    if len(promises) < majority(count):
+    if not is_majority(promises, count):
         return False
     if _latest(promises) is not None:
         return True
@@ -191,19 +196,24 @@
 
 
 def resolve_close(
+    row: ClaimRow, promises: Collection[RegisterReply], _count: int
+) -> Decision | Write:
+    """Return what a claimant that has won may write at its end."""
+    latest = _latest(promises)
+    if latest is not None and latest.claimant != row.claimant:
+        return CLOSED
+    return Write(row, CLOSED)
+
+
+def resolve_release(
     row: ClaimRow, promises: Collection[RegisterReply], count: int
 ) -> Decision | Write:
-    """Return what a claimant may write to complete or release a claim.
+    """Return what a claimant that has not won may write to free a key.
 
     A release never hides another claimant that may have won.
     """
-    latest = _latest(promises)
-    if latest is not None:
-        if latest.claimant != row.claimant:
-            return CLOSED
-        return Write(row, CLOSED)
     winners = possible_winners(promises, count)
     winners.pop(row.claimant, None)
-    if winners and row.state == RowState.RELEASED:
+    if winners and _latest(promises) is None:
         return CLOSED
-    return Write(row, CLOSED)
+    return resolve_close(row, promises, count)
--- a/src/wigeonford/entry/_claims.py
+++ b/src/wigeonford/entry/_claims.py
@@ -115,6 +115,7 @@
             ticket.message.claimant,
             ticket.message.fingerprint,
             ticket.answer.opened_at_s,
+            ticket.answer.code == Code.OK.number,
             ticket.answer.direct,
             ran,
             outcome,
--- a/src/wigeonford/peer/_link.py
+++ b/src/wigeonford/peer/_link.py
@@ -172,6 +172,8 @@
             ) from exc
         number = next(self._numbers)
         fut: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        # A send that fails leaves the future's own failure unread.
+        fut.add_done_callback(_read_failure)
         self._waiting[number] = fut
         frame = cbor2.dumps([number, MESSAGES.to_plain(record)])
         try:
@@ -245,6 +247,11 @@
                 fut.set_exception(lost)
 
 
+def _read_failure(fut: asyncio.Future[Any]) -> None:
+    if not fut.cancelled():
+        fut.exception()
+
+
 class LeaderElsewhere(PeerError):
     """Refuse a message that only the leader takes, naming the leader."""
 
--- a/src/wigeonford/peer/_messages.py
+++ b/src/wigeonford/peer/_messages.py
@@ -115,7 +115,8 @@
 class ClaimClose:
     """Complete a claim with its outcome, or release it as not run.
 
-    With `ran` true and no outcome, what happened stays unknown.
+    With `ran` true and no outcome, what happened stays unknown. `won` is
+    false for a claim whose answer was lost: it is released, unrun.
     """
 
     account: str
@@ -123,6 +124,7 @@
     claimant: str
     fingerprint: bytes
     opened_at_s: float
+    won: bool
     direct: bool
     ran: bool
     outcome: Outcome | None
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,144 @@
+"""Claims over real links and disks, with replicas that stop."""
+
+import asyncio
+from pathlib import Path
+import random
+import shutil
+import tempfile
+import unittest
+
+from wigeonford.control import ClaimService, RegisterStore
+from wigeonford.errors import Code
+from wigeonford.events import EventLog
+from wigeonford.peer import (
+    ClaimAnswer,
+    ClaimClose,
+    ClaimOpen,
+    Outcome,
+    PeerClient,
+    PeerServer,
+)
+from wigeonford.settings import Address
+
+SECRET = "a-secret-of-the-peers"
+NAMES = ("one", "two", "three")
+OUTCOME = Outcome(200, (), b"recorded")
+
+
+class ClaimsTest(unittest.IsolatedAsyncioTestCase):
+    """Run three replicas on loopback."""
+
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.log = EventLog()
+        self.servers: dict[str, PeerServer] = {}
+        self.addresses: dict[str, Address] = {}
+        self.services: dict[str, ClaimService] = {}
+        for name in NAMES:
+            await self.listen(name, Address())
+        for name in NAMES:
+            await self.serve(name, new=True)
+        self.addAsyncCleanup(self.stop_all)
+
+    async def listen(self, name: str, address: Address) -> None:
+        self.servers[name] = PeerServer(SECRET, self.log)
+        self.addresses[name] = await self.servers[name].start(address)
+
+    async def serve(self, name: str, *, new: bool) -> None:
+        store = RegisterStore(self.folder / name)
+        if new:
+            store.set_flag("ready")
+        peers = {
+            other: PeerClient(name, self.addresses[other], SECRET, self.log)
+            for other in NAMES
+            if other != name
+        }
+        service = ClaimService(store, peers, self.log, random.Random(1))
+        service.attach(self.servers[name])
+        await service.start()
+        self.services[name] = service
+
+    async def stop(self, name: str) -> None:
+        await self.servers[name].stop()
+        await self.services.pop(name).stop()
+
+    async def stop_all(self) -> None:
+        for name in list(self.services):
+            await self.stop(name)
+
+    async def open(
+        self, at: str, claimant: str, body: bytes = b"order"
+    ) -> ClaimAnswer:
+        message = ClaimOpen("growers", "refund-1", body, claimant)
+        return await self.services[at].open(message)
+
+    async def close(
+        self, at: str, claimant: str, answer: ClaimAnswer, *, ran: bool
+    ) -> None:
+        message = ClaimClose(
+            "growers",
+            "refund-1",
+            claimant,
+            b"order",
+            answer.opened_at_s,
+            answer.code == Code.OK.number,
+            answer.direct,
+            ran,
+            OUTCOME if ran else None,
+        )
+        await self.services[at].close(message)
+
+    async def test_race_has_at_most_one_winner(self) -> None:
+        answers = await asyncio.gather(
+            *(self.open(name, name) for name in NAMES)
+        )
+        codes = [answer.code for answer in answers]
+        self.assertLessEqual(codes.count(Code.OK.number), 1)
+
+    async def test_resend_gets_the_recorded_outcome(self) -> None:
+        first = await self.open("one", "a")
+        await self.close("one", "a", first, ran=True)
+        again = await self.open("three", "b")
+        self.assertEqual(again.code, Code.REPLAYED.number)
+        self.assertEqual(again.outcome, OUTCOME)
+
+    async def test_other_body_is_refused(self) -> None:
+        await self.open("one", "a")
+        other = await self.open("two", "b", b"another order")
+        self.assertEqual(other.code, Code.CLAIM_MISMATCH.number)
+
+    async def test_released_claim_can_be_won_again(self) -> None:
+        first = await self.open("one", "a")
+        await self.close("one", "a", first, ran=False)
+        again = await self.open("two", "b")
+        self.assertEqual(again.code, Code.OK.number)
+
+    async def replace_disk(self, name: str) -> None:
+        address = self.addresses[name]
+        await self.stop(name)
+        shutil.rmtree(self.folder / name)
+        await self.listen(name, address)
+        await self.serve(name, new=False)
+
+    async def test_lost_disk_never_lets_a_claim_run_again(self) -> None:
+        first = await self.open("one", "a")
+        self.assertEqual(first.code, Code.OK.number)
+        await self.replace_disk("one")
+        early = await self.open("one", "b")
+        self.assertNotEqual(early.code, Code.OK.number)
+        while not self.services["one"].is_ready:
+            await asyncio.sleep(0.1)
+        await self.stop("two")
+        late = await self.open("one", "c")
+        self.assertNotEqual(late.code, Code.OK.number)
+        await self.close("three", "a", first, ran=True)
+        again = await self.open("one", "d")
+        self.assertEqual(again.code, Code.REPLAYED.number)
+
+    async def test_no_quorum_runs_nothing(self) -> None:
+        await self.stop("two")
+        await self.stop("three")
+        answer = await self.open("one", "a")
+        self.assertEqual(answer.code, Code.CLAIM_UNAVAILABLE.number)
