--- a/src/wigeonford/bench/_control_bench.py
+++ b/src/wigeonford/bench/_control_bench.py
@@ -18,7 +18,7 @@
 )
 from wigeonford.bench._control_cluster import ControlCluster
 from wigeonford.bench._control_faults import FaultDriver
-from wigeonford.bench._control_load import ControlLoad, OPERATORS
+from wigeonford.bench._control_load import CLAIM_RACES, ControlLoad, OPERATORS
 from wigeonford.bench._report import Report
 from wigeonford.events import configure_logging, EventLog
 
@@ -64,7 +64,7 @@
         asyncio.create_task(work)
         for work in (
             *(load.operate() for _ in range(OPERATORS)),
-            load.claim(),
+            *(load.claim() for _ in range(CLAIM_RACES)),
             load.withdraw(seconds / 2),
         )
     ]
--- a/src/wigeonford/bench/_control_faults.py
+++ b/src/wigeonford/bench/_control_faults.py
@@ -10,6 +10,7 @@
     ControlCluster,
     ENTRY_NAMES,
 )
+from wigeonford.control import ClaimService
 
 MAX_DOWN: Final = 2
 PAUSE_S: Final = (0.1, 0.6)
@@ -70,8 +71,15 @@
             for daemon in self._cluster.controls.values()
         ]
         tables = {view.replicas and _incarnations(view) for view in views}
+        claims_ready = all(
+            service.is_ready
+            for daemon in self._cluster.controls.values()
+            for service in daemon.services
+            if isinstance(service, ClaimService)
+        )
         return (
-            len(views) == len(CONTROL_NAMES)
+            claims_ready
+            and len(views) == len(CONTROL_NAMES)
             and len(tables) == 1
             and all(
                 replica.voter for view in views for replica in view.replicas
--- a/src/wigeonford/bench/_control_load.py
+++ b/src/wigeonford/bench/_control_load.py
@@ -19,6 +19,7 @@
 
 ACCOUNTS: Final = tuple(f"account-{n}" for n in range(8))
 OPERATORS: Final = 6
+CLAIM_RACES: Final = 4
 CLAIMANTS: Final = 3
 PAUSE_S: Final = 0.02
 CLAIM_PAUSE_S: Final = 0.1
--- a/src/wigeonford/cli/_experiments.py
+++ b/src/wigeonford/cli/_experiments.py
@@ -78,3 +78,9 @@
     "wigeonford.bench._control_bench",
     _control_arguments,
 )
+_scenario(
+    "claims",
+    "compare ways to claim a non-idempotent request",
+    "wigeonford.bench._claims_bench",
+    lambda _parser: None,
+)
--- a/src/wigeonford/compose.py
+++ b/src/wigeonford/compose.py
@@ -2,13 +2,16 @@
 
 from collections.abc import Callable
 from pathlib import Path
+import random
 
 from wigeonford.control import (
+    ClaimService,
     ControlDaemon,
     ControlService,
     LogFileStore,
     OperatorApi,
     RaftReplica,
+    RegisterStore,
     Replica,
     SoloReplica,
 )
@@ -53,13 +56,29 @@
     return ControlDaemon(
         cfg,
         replica,
-        ControlService(replica, log),
+        (ControlService(replica, log), _build_claims(cfg, log)),
         peers,
         HttpServer(api.handle, CallerLimits(), log),
         log,
     )
 
 
+def _build_claims(cfg: ControlSettings, log: EventLog) -> ClaimService:
+    others = {
+        member.name: PeerClient(
+            cfg.name,
+            member.peer_address,
+            cfg.secrets.peer,
+            log,
+            client_context(cfg.tls),
+        )
+        for member in cfg.members
+        if member.name != cfg.name
+    }
+    store = RegisterStore(cfg.data_folder)
+    return ClaimService(store, others, log, random.Random())
+
+
 def _build_replica(
     cfg: ControlSettings,
     peers: PeerServer,
@@ -106,10 +125,11 @@
         log,
     )
     dispatcher = Dispatcher(registry, metrics, log)
+    claims = ControlClaims(control, log)
     pipeline = Pipeline(
         config,
         limiter,
-        ControlClaims(control),
+        claims,
         dispatcher,
         checks,
         metrics,
@@ -126,5 +146,6 @@
         HttpServer(front.handle, cfg.limits, log),
         PeerServer(cfg.secrets.peer, log),
         control,
+        claims,
         log,
     )
--- a/src/wigeonford/control/__init__.py
+++ b/src/wigeonford/control/__init__.py
@@ -1,14 +1,13 @@
 """Replicated control state: log, state machine, commands and queries."""
 
+from wigeonford.control._claim_service import ClaimService
 from wigeonford.control._commands import (
     ApplyChange,
-    CloseClaim,
     CommandResult,
     COMMANDS,
     Edit,
     ExpireMember,
     IssueKey,
-    OpenClaim,
     RegisterMember,
     WithdrawKey,
 )
@@ -17,6 +16,7 @@
 from wigeonford.control._operator_api import OperatorApi
 from wigeonford.control._raft_replica import RaftReplica
 from wigeonford.control._recovery import recover_alone
+from wigeonford.control._register_store import RegisterStore
 from wigeonford.control._replica import Replica, SoloReplica
 from wigeonford.control._service import ControlService
 from wigeonford.control._state import State
@@ -28,9 +28,10 @@
 )
 
 __all__ = [
+    "ClaimService",
+    "RegisterStore",
     "COMMANDS",
     "ApplyChange",
-    "CloseClaim",
     "CommandResult",
     "ControlDaemon",
     "ControlService",
@@ -39,7 +40,6 @@
     "IssueKey",
     "LogEntry",
     "LogFileStore",
-    "OpenClaim",
     "OperatorApi",
     "RaftReplica",
     "RegisterMember",
--- a/src/wigeonford/control/_operator_api.py
+++ b/src/wigeonford/control/_operator_api.py
@@ -152,7 +152,6 @@
                 "replica": self._replica.describe(),
                 "revision": state.revision,
                 "vouched_age_s": self._replica.vouched_age_s(),
-                "claims": len(state.claims),
                 "entry_vms": members,
             }
         )
--- a/src/wigeonford/entry/_daemon.py
+++ b/src/wigeonford/entry/_daemon.py
@@ -4,6 +4,7 @@
 import time
 from typing import Final
 
+from wigeonford.entry._claims import ControlClaims
 from wigeonford.entry._config import ConfigFollower
 from wigeonford.entry._dispatch import Dispatcher
 from wigeonford.entry._front import Front
@@ -63,6 +64,7 @@
         http: HttpServer,
         peers: PeerServer,
         control: tuple[PeerClient, ...],
+        claims: ControlClaims,
         log: EventLog,
     ) -> None:
         self._cfg = cfg
@@ -74,6 +76,7 @@
         self._http = http
         self._peers = peers
         self._control = control
+        self._claims = claims
         self._log = log
         self.address = cfg.address
         self.peer_address = cfg.peer_address
@@ -110,6 +113,7 @@
         await self._leave_roster()
         await asyncio.sleep(lifetime_s)
         await self._http.stop(STOP_GRACE_S)
+        await self._claims.stop()
         await self._close_links()
 
     async def crash(self) -> None:
--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -74,6 +74,14 @@
         504, "dropped a torn tail of the log", logging.WARNING
     )
 
+    CLAIMS_READY = _event(
+        550, "this replica holds the claims of a majority and votes"
+    )
+    CLAIM_NOT_CLOSED = _event(
+        551,
+        "a claim could not be closed; its outcome stays unknown",
+        logging.WARNING,
+    )
     STORAGE_FAILED = _event(
         510, "storage failed; the replica takes no part", logging.CRITICAL
     )
