Look up callers in sorted arrays and rank entry VMs once

Cause: a look-up ranked every member again, and client blocks were one named object each, which does not fit 32 MB at 150,000 blocks. Change: pages of client blocks hold up to 256 prefixes in one object; the table flattens them into sorted arrays and takes unchanged pages over. Rankings are made once by zone and account bucket, cover two zones and two regions, heed a coarse load level and leave drained VMs out at once. Large changes of blocks are flattened in a thread.

--- a/src/wigeonford/entry/__init__.py
+++ b/src/wigeonford/entry/__init__.py
@@ -6,7 +6,9 @@
 from wigeonford.entry._dispatch import Dispatcher
 from wigeonford.entry._front import Announcement, Front
 from wigeonford.entry._limiter import EqualShareLimiter, Limiter
-from wigeonford.entry._lookup import BlockTable, Lookup, LookupAnswer
+from wigeonford.entry._lookup import Lookup, LookupAnswer, LookupBuilder
+from wigeonford.entry._lookup_ranking import RankedVM, Ranking
+from wigeonford.entry._lookup_table import BlockTable, RangeTable
 from wigeonford.entry._pipeline import Pipeline
 from wigeonford.entry._registry import TargetRegistry
 from wigeonford.entry._targets import TargetDirectory
@@ -26,6 +28,10 @@
     "Limiter",
     "Lookup",
     "LookupAnswer",
+    "LookupBuilder",
+    "RangeTable",
+    "RankedVM",
+    "Ranking",
     "Pipeline",
     "TargetDirectory",
     "TargetRegistry",
--- a/src/wigeonford/entry/_front.py
+++ b/src/wigeonford/entry/_front.py
@@ -1,7 +1,6 @@
 """The front of an entry VM: its own endpoints, and callers' requests."""
 
 from collections.abc import Awaitable, Callable
-import dataclasses
 from dataclasses import dataclass
 import hmac
 import time
@@ -11,7 +10,7 @@
 import msgspec
 
 from wigeonford.entry._config import ConfigFollower
-from wigeonford.entry._lookup import Lookup
+from wigeonford.entry._lookup import LookupBuilder
 from wigeonford.entry._pipeline import Pipeline
 from wigeonford.entry._targets import TargetDirectory
 from wigeonford.errors import Code, RequestRefused
@@ -68,12 +67,9 @@
         self._targets = targets
         self._secrets = secrets
         self._metrics = metrics
-        self._lookup = Lookup(config.current)
+        self._lookup = LookupBuilder(config.current)
         self.draining = False
-        config.on_change(self._rebuild_lookup)
-
-    def _rebuild_lookup(self, _config: object) -> None:
-        self._lookup = Lookup(self._config.current)
+        config.on_change(self._lookup.follow)
 
     async def handle(self, request: Request) -> Response:
         """Serve one request."""
@@ -88,8 +84,7 @@
     async def _answer_lookup(self, request: Request) -> Response:
         query = parse_qs(request.query)
         seed = query.get("account", [request.client])[0]
-        answer = self._lookup.answer(request.client, seed)
-        return _ok(dataclasses.asdict(answer))
+        return _ok(self._lookup.current.answer(request.client, seed))
 
     @_endpoint("POST", "/.wigeonford/targets")
     async def _announce(self, request: Request) -> Response:
--- a/src/wigeonford/entry/_lookup.py
+++ b/src/wigeonford/entry/_lookup.py
@@ -1,62 +1,17 @@
 """Look-ups: from a caller's address to ranked entry VMs."""
 
-import bisect
-from collections.abc import Iterable
+import asyncio
 from dataclasses import dataclass
-import ipaddress
 from typing import Final
-import zlib
 
 from wigeonford.entry._config import EntryConfig
-from wigeonford.model import ClientBlock
-from wigeonford.peer import Member
+from wigeonford.entry._lookup_ranking import RankedVM, Ranking
+from wigeonford.entry._lookup_table import BlockTable
+from wigeonford.model import ClientBlock, ClientBlockPage
 
 LOOKUP_LIFETIME_S: Final = 5.0
-MAX_ANSWERS: Final = 4
-
-_BITS: Final[dict[int, int]] = {4: 32, 6: 128}
-
-
-class BlockTable:
-    """Find the longest prefix that holds an address."""
-
-    def __init__(self, blocks: Iterable[ClientBlock]) -> None:
-        self._starts: dict[tuple[int, int], list[int]] = {}
-        self._zones: dict[tuple[int, int], list[str]] = {}
-        rows: dict[tuple[int, int], list[tuple[int, str]]] = {}
-        for block in blocks:
-            network = ipaddress.ip_network(block.prefix)
-            version: int = network.version
-            key = (version, network.prefixlen)
-            start = int(network.network_address)
-            rows.setdefault(key, []).append((start, block.availability_zone))
-        for key in sorted(rows, reverse=True):
-            ordered = sorted(rows[key])
-            self._starts[key] = [start for start, _ in ordered]
-            self._zones[key] = [zone for _, zone in ordered]
-
-    def find(self, address: str) -> str | None:
-        """Return the availability zone near an address, or None."""
-        parsed = ipaddress.ip_address(address)
-        value = int(parsed)
-        for (version, length), starts in self._starts.items():
-            if version != parsed.version:
-                continue
-            shift = _BITS[version] - length
-            start = value >> shift << shift
-            index = bisect.bisect_left(starts, start)
-            if index < len(starts) and starts[index] == start:
-                return self._zones[version, length][index]
-        return None
-
-
-@dataclass(frozen=True, slots=True)
-class RankedVM:
-    """Name an entry VM that a caller may use."""
-
-    name: str
-    availability_zone: str
-    address: str
+MAX_INLINE_PAGES: Final = 4
+MAX_INLINE_BLOCKS: Final = 256
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,50 +26,97 @@
 class Lookup:
     """Answer look-ups from one revision of the configuration."""
 
-    def __init__(self, config: EntryConfig) -> None:
-        self._config = config
-        self._blocks = BlockTable(config.objects.client_blocks.values())
+    def __init__(
+        self,
+        config: EntryConfig,
+        blocks: BlockTable,
+        previous: "Lookup | None" = None,
+    ) -> None:
+        self._revision = config.revision
+        self._blocks = blocks
+        ranking = previous._ranking if previous is not None else None
+        self._ranking: Ranking = Ranking(config, ranking)
 
     def answer(self, client: str, seed: str) -> LookupAnswer:
         """Return the entry VMs for a caller's address, nearest first."""
-        zone = self._blocks.find(client)
-        zones = self._config.objects.availability_zones
-        home = zones.get(zone) if zone is not None else None
-        region = home.region if home is not None else None
-
-        def rank(member: Member) -> tuple[bool, bool, int]:
-            near = zones[member.availability_zone]
-            return (
-                near.region != region,
-                near.name != zone,
-                _spread(seed, member.name),
-            )
-
-        ranked = sorted(self._usable(), key=rank)[:MAX_ANSWERS]
         return LookupAnswer(
-            tuple(
-                RankedVM(
-                    member.name,
-                    member.availability_zone,
-                    f"{member.host}:{member.port}",
-                )
-                for member in ranked
-            ),
+            self._ranking.find(self._blocks.find(client), seed),
             LOOKUP_LIFETIME_S,
-            self._config.revision,
+            self._revision,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class _BlockSource:
+    """Hold the objects that a block table is built from."""
+
+    blocks: dict[str, ClientBlock]
+    pages: dict[str, ClientBlockPage]
+
+    def build(self, previous: BlockTable) -> BlockTable:
+        return BlockTable(self.blocks.values(), self.pages.values(), previous)
+
+    def is_small_change(self, held: "_BlockSource") -> bool:
+        """Tell whether the step from `held` is cheap enough to wait for."""
+        before = set(held.pages.values())
+        changed = sum(page not in before for page in self.pages.values())
+        return (
+            changed <= MAX_INLINE_PAGES
+            and len(self.blocks) <= MAX_INLINE_BLOCKS
         )
 
-    def _usable(self) -> Iterable[Member]:
-        vms = self._config.objects.entry_vms
-        zones = self._config.objects.availability_zones
-        for member in self._config.members.values():
-            vm = vms.get(member.name)
-            if vm is not None and vm.drained:
-                continue
-            if member.availability_zone in zones:
-                yield member
 
+class LookupBuilder:
+    """Keep a `Lookup` of the newest revision and replace it as a whole.
+
+    Rankings follow each revision at once, so that a drained VM is left
+    out without delay. A large change of the blocks is built in a thread,
+    and the former table answers until it is there.
+    """
+
+    def __init__(self, config: EntryConfig) -> None:
+        self._config = config
+        self._source = _source(config)
+        self._built = self._source
+        self._table = BlockTable(
+            self._source.blocks.values(), self._source.pages.values()
+        )
+        self._task: asyncio.Task[None] | None = None
+        self.current = Lookup(config, self._table)
 
-def _spread(seed: str, name: str) -> int:
-    """Return a rank that differs by seed and is stable for each."""
-    return zlib.crc32(f"{seed}/{name}".encode())
+    def follow(self, config: EntryConfig) -> None:
+        """Take a new revision."""
+        self._config = config
+        self._source = _source(config)
+        if self._task is None and self._source != self._built:
+            if self._source.is_small_change(self._built):
+                self._table = self._source.build(self._table)
+                self._built = self._source
+            else:
+                self._task = asyncio.create_task(self._build())
+        self._replace()
+
+    async def settled(self) -> None:
+        """Return once the newest blocks are in use."""
+        while self._task is not None:
+            await asyncio.wait((self._task,))
+
+    def _replace(self) -> None:
+        self.current = Lookup(self._config, self._table, self.current)
+
+    async def _build(self) -> None:
+        try:
+            while self._built != self._source:
+                source = self._source
+                table = await asyncio.to_thread(source.build, self._table)
+                self._table = table
+                self._built = source
+                self._replace()
+        finally:
+            self._task = None
+
+
+def _source(config: EntryConfig) -> _BlockSource:
+    return _BlockSource(
+        config.objects.client_blocks, config.objects.client_block_pages
+    )
--- a/src/wigeonford/model/__init__.py
+++ b/src/wigeonford/model/__init__.py
@@ -1,5 +1,13 @@
 """Named objects, their references and the checks of a whole set."""
 
+from wigeonford.model._block_pages import (
+    ADDRESS_BITS,
+    decode_prefixes,
+    encode_prefixes,
+    MAX_PAGE_BLOCKS,
+    pack_blocks,
+    Prefix,
+)
 from wigeonford.model._keys import (
     derive_key,
     hash_key,
@@ -12,6 +20,7 @@
     AvailabilityZone,
     ClientAccount,
     ClientBlock,
+    ClientBlockPage,
     EntryVM,
     KINDS,
     Link,
@@ -33,6 +42,13 @@
 )
 
 __all__ = [
+    "ADDRESS_BITS",
+    "MAX_PAGE_BLOCKS",
+    "Prefix",
+    "decode_prefixes",
+    "encode_prefixes",
+    "pack_blocks",
+    "ClientBlockPage",
     "EMPTY",
     "KEY_PREFIX",
     "KEY_START",
--- a/src/wigeonford/model/_kinds.py
+++ b/src/wigeonford/model/_kinds.py
@@ -80,6 +80,21 @@
     availability_zone: str = reference("availability_zones")
 
 
+@kind("client_block_pages")
+@dataclass(frozen=True, slots=True)
+class ClientBlockPage:
+    """Hold many client blocks inside one cover, such as 10.0.0.0/8.
+
+    `packed` is base64 of rows of address, prefix length and the index of
+    a zone in `zones`, in order.
+    """
+
+    name: str = bounded(1, 64)
+    cover: str = bounded(1, 64)
+    zones: tuple[str, ...] = reference("availability_zones", default=())
+    packed: str = bounded(0, 1 << 20, default="")
+
+
 @kind("services")
 @dataclass(frozen=True, slots=True)
 class Service:
--- a/src/wigeonford/model/_objects.py
+++ b/src/wigeonford/model/_objects.py
@@ -7,10 +7,12 @@
 from typing import Any, cast, TypeVar
 
 from wigeonford.errors import Code, Fault, SettingsError
+from wigeonford.model._block_pages import check_pages
 from wigeonford.model._kinds import (
     AvailabilityZone,
     ClientAccount,
     ClientBlock,
+    ClientBlockPage,
     EntryVM,
     KINDS,
     Link,
@@ -64,6 +66,11 @@
         """Return the client blocks by name."""
         return self._typed("client_blocks", ClientBlock)
 
+    @property
+    def client_block_pages(self) -> dict[str, ClientBlockPage]:
+        """Return the pages of client blocks by name."""
+        return self._typed("client_block_pages", ClientBlockPage)
+
     @property
     def services(self) -> dict[str, Service]:
         """Return the services by name."""
@@ -147,6 +154,7 @@
     for (kind, name), item in objects.objects.items():
         yield from _check_references(objects, f"{kind}.{name}", item)
     yield from _check_blocks(objects.client_blocks.values())
+    yield from check_pages(objects.client_block_pages.values())
     yield from _check_routes(objects.routes.values())
     yield from _check_shares(objects.shares.values())
 
--- a/src/wigeonford/peer/_messages.py
+++ b/src/wigeonford/peer/_messages.py
@@ -13,7 +13,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """Describe a running entry VM; `generation` rises at each start."""
+    """Describe a running entry VM; `generation` rises at each start.
+
+    `load_level` is coarse and rarely changed, 0 for a VM with room.
+    """
 
     name: str
     availability_zone: str
@@ -21,6 +24,7 @@
     port: int
     peer_port: int
     generation: int
+    load_level: int = 0
 
 
 @dataclass(frozen=True, slots=True)
