Spread configuration and the roster through a tree

Cause: every entry VM pulled from control, which does not scale to 450, and a table that lost a delta could follow an older source. Change: above 16 members a relay a zone pulls from control, the others from a parent whose name sorts before theirs, so no loop can form. A pull is held until a newer vouch or revision is there. Silent parents are passed over. Heartbeats travel upward once each; descriptions only when new or asked for. Whole updates set a floor below which no delta is given. A vouch from ahead, a revived key and a step back are breaches. In a tree of seven a silent relay cost no VM its lease, and all VMs below a cut relay were no longer fresh within the 4 s lease (test bound 4.5 s).

--- /dev/null
+++ b/src/wigeonford/bench/_slopes_tree.py
@@ -0,0 +1,210 @@
+"""A tree of configuration followers on loopback, without their fronts."""
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+import time
+from typing import Any, Final
+import uuid
+
+from wigeonford.bench._link import LinkState, StandInLink
+from wigeonford.bench._settings import BENCH_SECRETS
+from wigeonford.compose import build_control
+from wigeonford.control import ControlDaemon
+from wigeonford.entry import ConfigFollower, Parents, SpreadShape
+from wigeonford.events import EventLog
+from wigeonford.invariants import Checks, OnBreach
+from wigeonford.metrics import Metrics
+from wigeonford.peer import LeaveRoster, Member, PeerClient, PeerServer
+from wigeonford.settings import Address, ControlSettings
+
+POLL_S: Final = 0.01
+SETTLE_TIMEOUT_S: Final = 20.0
+ZONE: Final = "zone-a"
+REGION: Final = "region-a"
+
+
+class CountingLink(PeerClient):
+    """Count the requests of a link by message type."""
+
+    def __init__(self, *args: Any, counts: dict[str, int]) -> None:
+        super().__init__(*args)
+        self._counts = counts
+
+    async def request(self, record: Any, timeout_s: float) -> Any:
+        """Send a message and count it."""
+        kind = type(record).__name__
+        self._counts[kind] = self._counts.get(kind, 0) + 1
+        return await super().request(record, timeout_s)
+
+
+class TreeNode:
+    """Follow the configuration as an entry VM does."""
+
+    def __init__(
+        self, name: str, control: Address, shape: SpreadShape, log: EventLog
+    ) -> None:
+        self.name = name
+        self.counts: dict[str, int] = {}
+        self.to_control = LinkState()
+        self.to_children = LinkState()
+        self.control_link = StandInLink(control, self.to_control)
+        self.children_link: StandInLink | None = None
+        self._shape = shape
+        self._log = log
+        self._member: Member | None = None
+        self._server = PeerServer(BENCH_SECRETS.peer, log)
+        self._control: PeerClient | None = None
+        self._follower: ConfigFollower | None = None
+
+    @property
+    def follower(self) -> ConfigFollower:
+        """Return the follower under test."""
+        assert self._follower is not None, "the node has been started"
+        return self._follower
+
+    def _make_follower(self, control: PeerClient) -> ConfigFollower:
+        metrics = Metrics()
+        return ConfigFollower(
+            (control,),
+            lambda: self._member,
+            Parents(self.name, ZONE, self._link_to, self._shape),
+            Checks(self._log, metrics, OnBreach.STOP),
+            metrics,
+            self._log,
+        )
+
+    def _link(self, address: Address) -> PeerClient:
+        return CountingLink(
+            self.name,
+            address,
+            BENCH_SECRETS.peer,
+            self._log,
+            counts=self.counts,
+        )
+
+    def _link_to(self, member: Member) -> PeerClient:
+        return self._link(Address(member.host, member.peer_port))
+
+    async def start(self) -> None:
+        """Listen and follow."""
+        self._control = self._link(await self.control_link.start())
+        self._follower = self._make_follower(self._control)
+        self._follower.attach(self._server)
+        bound = await self._server.start(Address())
+        self.children_link = StandInLink(bound, self.to_children)
+        address = await self.children_link.start()
+        self._member = Member(
+            self.name,
+            ZONE,
+            address.host,
+            address.port,
+            address.port,
+            time.time_ns(),
+        )
+        await self._follower.start()
+
+    def cut_off(self) -> None:
+        """Lose all that goes between this node and the others."""
+        for state in (self.to_control, self.to_children):
+            state.cut_forward = True
+            state.cut_backward = True
+
+    async def leave(self) -> None:
+        """Take this VM off the roster, as a planned stop does."""
+        assert self._member and self._control, "the node has been started"
+        message = LeaveRoster(self.name, self._member.generation)
+        self._member = None
+        await self._control.request(message, SETTLE_TIMEOUT_S)
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        # First, so that no closing handshake waits on a link that is cut.
+        await self.control_link.stop()
+        if self.children_link is not None:
+            await self.children_link.stop()
+        await self.follower.stop()
+        await self._server.stop()
+
+    @property
+    def bytes_carried(self) -> int:
+        """Return the bytes to and from control and the VMs below."""
+        below = self.children_link
+        return self.control_link.bytes_carried + (
+            below.bytes_carried if below is not None else 0
+        )
+
+
+class TreeFleet:
+    """Run one control replica and the nodes of one zone."""
+
+    def __init__(self, folder: Path, shape: SpreadShape) -> None:
+        self.nodes: dict[str, TreeNode] = {}
+        self._folder = folder
+        self._shape = shape
+        self._log = EventLog()
+        self._control: ControlDaemon | None = None
+
+    @property
+    def control(self) -> ControlDaemon:
+        """Return the control replica."""
+        assert self._control is not None, "the fleet has been started"
+        return self._control
+
+    async def start(self, count: int) -> None:
+        """Start control and nodes named node-00 and on."""
+        cfg = ControlSettings(
+            "control-1", REGION, self._folder / "control-1", BENCH_SECRETS
+        )
+        self._control = build_control(cfg, self._log)
+        await self._control.start()
+        for number in range(count):
+            await self.start_node(f"node-{number:02}")
+        await self.settle(self.roster_complete)
+
+    async def start_node(self, name: str) -> TreeNode:
+        """Start a node."""
+        node = TreeNode(
+            name, self.control.peer_address, self._shape, self._log
+        )
+        await node.start()
+        self.nodes[name] = node
+        return node
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        await asyncio.gather(*(node.stop() for node in self.nodes.values()))
+        await self.control.stop()
+
+    def roster_complete(self) -> bool:
+        """Tell whether every node knows of every node."""
+        return all(
+            node.follower.current.members.keys() == self.nodes.keys()
+            for node in self.nodes.values()
+        )
+
+    def in_force(self, revision: int) -> Callable[[], bool]:
+        """Return a test of whether a revision is in force everywhere."""
+        return lambda: all(
+            node.follower.current.revision >= revision
+            for node in self.nodes.values()
+        )
+
+    async def settle(self, done: Callable[[], bool]) -> float:
+        """Wait until `done`; return the seconds that it took."""
+        began_s = time.monotonic()
+        async with asyncio.timeout(SETTLE_TIMEOUT_S):
+            while not done():
+                await asyncio.sleep(POLL_S)
+        return time.monotonic() - began_s
+
+    async def propose(self, record: Any) -> int:
+        """Run a command on control; return the revision it led to."""
+        result = await self.control.replica.propose(record)
+        assert result.accepted, f"the command is valid: {result}"
+        return result.revision
+
+
+def new_id() -> str:
+    """Return a change id."""
+    return uuid.uuid4().hex
--- a/src/wigeonford/compose.py
+++ b/src/wigeonford/compose.py
@@ -15,7 +15,9 @@
     EntryDaemon,
     EqualShareLimiter,
     Front,
+    Parents,
     Pipeline,
+    SpreadShape,
     TargetDirectory,
     TargetRegistry,
 )
@@ -23,8 +25,13 @@
 from wigeonford.http import HttpServer
 from wigeonford.invariants import Checks
 from wigeonford.metrics import Metrics
-from wigeonford.peer import PeerClient, PeerServer
-from wigeonford.settings import CallerLimits, ControlSettings, EntrySettings
+from wigeonford.peer import Member, PeerClient, PeerServer
+from wigeonford.settings import (
+    Address,
+    CallerLimits,
+    ControlSettings,
+    EntrySettings,
+)
 from wigeonford.tls import client_context
 
 
@@ -57,7 +64,14 @@
         )
         for address in cfg.control
     )
-    config = ConfigFollower(control, announcer.describe, checks, metrics, log)
+    config = ConfigFollower(
+        control,
+        announcer.describe,
+        _build_parents(cfg, log),
+        checks,
+        metrics,
+        log,
+    )
     limiter = EqualShareLimiter()
     config.on_change(limiter.reconfigure)
     registry = TargetRegistry()
@@ -92,3 +106,16 @@
         control,
         log,
     )
+
+
+def _build_parents(cfg: EntrySettings, log: EventLog) -> Parents:
+    def connect(member: Member) -> PeerClient:
+        return PeerClient(
+            cfg.name,
+            Address(member.host, member.peer_port),
+            cfg.secrets.peer,
+            log,
+            client_context(cfg.tls),
+        )
+
+    return Parents(cfg.name, cfg.availability_zone, connect, SpreadShape())
--- a/src/wigeonford/config_table.py
+++ b/src/wigeonford/config_table.py
@@ -27,6 +27,7 @@
 
     def __init__(self) -> None:
         self.revision = 0
+        self.floor = 0
         self.objects = ObjectSet({})
         self.rows: dict[ObjectKey, tuple[int, ObjectRow]] = {}
         self.keys: dict[str, tuple[int, KeyRecord]] = {}
@@ -76,12 +77,27 @@
         """Return what changed after `revision`; 0 asks for everything.
 
         An asker that is ahead gets an update without changes and keeps
-        what it holds.
+        what it holds. One from before `floor`, the revision at which this
+        table was taken over whole, gets everything, since deletions from
+        before are not known here.
         """
         if revision > self.revision:
             return ConfigUpdate(
                 self.revision, self.revision, (), (), (), (), b"", None
             )
+        if revision < self.floor:
+            revision = 0
+        if revision == self.revision and revision:
+            return ConfigUpdate(
+                revision,
+                revision,
+                (),
+                (),
+                (),
+                (),
+                self.digest,
+                vouched_age_s,
+            )
         return ConfigUpdate(
             revision=self.revision,
             base=revision,
@@ -121,12 +137,15 @@
         if table.digest != update.digest:
             return None
         table.revision = update.revision
+        if not update.base:
+            table.floor = update.revision
         table.set_objects(update.objects)
         return table
 
     def _copy(self) -> "ConfigTable":
         table = ConfigTable()
         table.revision = self.revision
+        table.floor = self.floor
         table.objects = self.objects
         table.rows = dict(self.rows)
         table.keys = dict(self.keys)
--- a/src/wigeonford/control/_service.py
+++ b/src/wigeonford/control/_service.py
@@ -23,6 +23,8 @@
     Member,
     PeerServer,
     PullConfig,
+    RosterAnswer,
+    RosterReport,
 )
 
 MEMBER_LEASE_S: Final = 6.0
@@ -41,6 +43,7 @@
     def attach(self, server: PeerServer) -> None:
         """Register the message handlers."""
         server.handle(PullConfig, self._pull_config)
+        server.handle(RosterReport, self._roster_report)
         server.handle(LeaveRoster, self._leave)
         server.handle(ClaimOpen, self._open_claim)
         server.handle(ClaimClose, self._close_claim)
@@ -62,6 +65,17 @@
             message.revision, self._replica.vouched_age_s()
         )
 
+    async def _roster_report(self, message: RosterReport) -> RosterAnswer:
+        for member in message.joined:
+            await self._hear(member)
+        now_s = time.monotonic()
+        known = self._replica.state.config.members
+        for name in message.heard:
+            self._heard_at_s[name] = now_s
+        return RosterAnswer(
+            tuple(name for name in message.heard if name not in known)
+        )
+
     async def _leave(self, message: LeaveRoster) -> Done:
         await self._replica.propose(
             ExpireMember(message.name, message.generation)
--- a/src/wigeonford/entry/__init__.py
+++ b/src/wigeonford/entry/__init__.py
@@ -11,9 +11,19 @@
 from wigeonford.entry._lookup_table import BlockTable, RangeTable
 from wigeonford.entry._pipeline import Pipeline
 from wigeonford.entry._registry import TargetRegistry
+from wigeonford.entry._spread import (
+    HeardMembers,
+    Parents,
+    plan_parents,
+    SpreadShape,
+)
 from wigeonford.entry._targets import TargetDirectory
 
 __all__ = [
+    "HeardMembers",
+    "Parents",
+    "SpreadShape",
+    "plan_parents",
     "Announcement",
     "Announcer",
     "BlockTable",
--- a/src/wigeonford/entry/_config.py
+++ b/src/wigeonford/entry/_config.py
@@ -5,17 +5,33 @@
 from dataclasses import dataclass
 import time
 from typing import Final
+import zlib
 
 from wigeonford.config_table import ConfigTable
-from wigeonford.errors import PeerError
+from wigeonford.entry._spread import HeardBatch, HeardMembers, Parents
+from wigeonford.errors import PeerError, WigeonfordError
 from wigeonford.events import Event, EventLog
 from wigeonford.invariants import Checks, Invariant
 from wigeonford.metrics import Metrics
 from wigeonford.model import KeyRecord, ObjectSet
-from wigeonford.peer import ConfigUpdate, Member, PeerClient, PullConfig
+from wigeonford.peer import (
+    ConfigUpdate,
+    Member,
+    PeerClient,
+    PeerServer,
+    PullConfig,
+    RosterReport,
+    SpreadPull,
+    SpreadUpdate,
+)
 
 PULL_INTERVAL_S: Final = 0.5
+TREE_PULL_INTERVAL_S: Final = 1.0
+MIN_PULL_INTERVAL_S: Final = 0.05
 PULL_TIMEOUT_S: Final = 2.0
+HOLD_S: Final = 1.2
+PARENT_TIMEOUT_S: Final = 1.8
+STALE_VOUCH_S: Final = 2.0
 FRESH_LEASE_S: Final = 4.0
 
 
@@ -33,25 +49,36 @@
 
 
 class ConfigFollower:
-    """Pull changes from control; publish each revision atomically."""
+    """Pull changes from a parent or control; publish each revision.
+
+    A revision is published atomically and never an older one. The lease
+    counts from when the pull was sent, so that however long the answer
+    and the vouch in it travelled, it ends in time.
+    """
 
     def __init__(
         self,
         sources: tuple[PeerClient, ...],
         describe: Callable[[], Member | None],
+        parents: Parents,
         checks: Checks,
         metrics: Metrics,
         log: EventLog,
     ) -> None:
         self._sources = sources
         self._describe = describe
+        self._parents = parents
         self._checks = checks
         self._metrics = metrics
         self._log = log
+        self._heard = HeardMembers()
+        self._above: PeerClient | None = None
         self._table = ConfigTable()
-        self._fresh_until_s = 0.0
+        self._vouched_at_s: float | None = None
+        self._renewed = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
-        self._source = 0
+        # By name, so that relays divide themselves among the replicas.
+        self._source = zlib.crc32(parents.name.encode())
         self._listeners: list[Callable[[EntryConfig], None]] = []
         self.current = EMPTY_CONFIG
 
@@ -61,7 +88,13 @@
 
     def is_fresh(self, now_s: float) -> bool:
         """Tell whether a quorum has vouched for the revision lately."""
-        return now_s < self._fresh_until_s
+        if self._vouched_at_s is None:
+            return False
+        return now_s < self._vouched_at_s + FRESH_LEASE_S
+
+    def attach(self, server: PeerServer) -> None:
+        """Register the handler of the pulls of VMs below."""
+        server.handle(SpreadPull, self.answer_pull)
 
     async def start(self) -> None:
         """Begin to follow; return after the first pull that worked."""
@@ -74,15 +107,61 @@
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
-        for source in self._sources:
-            await source.close()
+        for link in (*self._sources, *self._parents.all_links()):
+            await link.close()
+
+    async def answer_pull(self, message: SpreadPull) -> SpreadUpdate:
+        """Answer a VM below once there is a change or a newer vouch."""
+        arrived_at_s = time.monotonic()
+        for member in message.joined:
+            self._heard.describe(member)
+        unknown = self._heard.hear(message.heard)
+        if message.revision >= self.current.revision and not unknown:
+            try:
+                async with asyncio.timeout(HOLD_S):
+                    await self._renewed.wait()
+            except TimeoutError:
+                pass
+        return self._spread_update(message.revision, arrived_at_s, unknown)
+
+    def _spread_update(
+        self, held: int, arrived_at_s: float, unknown: tuple[str, ...]
+    ) -> SpreadUpdate:
+        revision = self._table.revision
+        age_s = None
+        if self._vouched_at_s is not None:
+            age_s = arrived_at_s - self._vouched_at_s
+        update = None
+        if held < revision:
+            update = self._table.changes_since(held, None)
+        return SpreadUpdate(revision, age_s, update, unknown)
 
     async def _follow(self) -> None:
+        worked = True
         while True:
-            await asyncio.sleep(PULL_INTERVAL_S)
-            await self._pull()
+            await asyncio.sleep(self._interval_s(worked))
+            try:
+                worked = await self._pull()
+            except WigeonfordError as exc:
+                worked = False
+                self._log.emit(Event.TASK_FAILED, detail=str(exc))
+            for link in self._parents.unused():
+                await link.close()
+
+    def _interval_s(self, worked: bool) -> float:
+        if self._parents.is_flat:
+            return PULL_INTERVAL_S
+        if self._parents.choose(time.monotonic()) is not None or not worked:
+            return MIN_PULL_INTERVAL_S
+        return TREE_PULL_INTERVAL_S
 
     async def _pull(self) -> bool:
+        parent = self._parents.choose(time.monotonic())
+        if parent is None:
+            return await self._pull_control()
+        return await self._pull_parent(parent)
+
+    async def _pull_control(self) -> bool:
         source = self._sources[self._source % len(self._sources)]
         asked_at_s = time.monotonic()
         message = PullConfig(self._table.revision, self._describe())
@@ -92,35 +171,131 @@
             self._log.emit(Event.PEER_LOST, detail=exc.detail)
             self._source += 1
             return False
-        return self._accept(update, asked_at_s)
+        if not self._accept(update):
+            self._source += 1
+            return False
+        if update.vouched_age_s is not None:
+            self._renew(asked_at_s - update.vouched_age_s)
+        await self._report(source)
+        return True
+
+    async def _report(self, source: PeerClient) -> None:
+        """Tell control of the members that were heard below."""
+        batch = self._take_heard(source)
+        if not batch.names and not batch.joined:
+            return
+        message = RosterReport(tuple(sorted(batch.names)), batch.joined)
+        try:
+            answer = await source.request(message, PULL_TIMEOUT_S)
+        except PeerError as exc:
+            self._log.emit(Event.PEER_LOST, detail=exc.detail)
+            self._heard.put_back(batch)
+            self._source += 1
+            return
+        self._heard.wanted(answer.unknown)
+
+    def _take_heard(self, link: PeerClient) -> HeardBatch:
+        if link is not self._above:
+            self._above = link
+            self._heard.everything()
+        return self._heard.take()
+
+    async def _pull_parent(self, parent: Member) -> bool:
+        link = self._parents.link(parent)
+        self._describe_self()
+        batch = self._take_heard(link)
+        asked_at_s = time.monotonic()
+        message = SpreadPull(
+            self._table.revision, tuple(sorted(batch.names)), batch.joined
+        )
+        try:
+            answer = await link.request(message, PARENT_TIMEOUT_S)
+        except PeerError as exc:
+            self._log.emit(Event.PEER_LOST, detail=exc.detail)
+            self._heard.put_back(batch)
+            self._pass_over(parent)
+            return False
+        self._heard.wanted(answer.unknown)
+        if self._take_answer(answer, asked_at_s):
+            return True
+        # What starves this parent most likely starves those above it.
+        self._parents.suspect_all(time.monotonic())
+        self._pass_over(parent)
+        return False
+
+    def _describe_self(self) -> None:
+        own = self._describe()
+        if own is None:
+            self._heard.forget(self._parents.name)
+            return
+        self._heard.describe(own)
+
+    def _pass_over(self, parent: Member) -> None:
+        self._parents.suspect(parent, time.monotonic())
+        self._log.emit(Event.SPREAD_PARENT_PASSED_OVER, parent=parent.name)
+
+    def _take_answer(self, answer: SpreadUpdate, asked_at_s: float) -> bool:
+        if answer.vouched_age_s is None:
+            return False
+        vouched_at_s = asked_at_s - answer.vouched_age_s
+        oldest_s = time.monotonic() - STALE_VOUCH_S
+        if vouched_at_s < oldest_s:
+            return False
+        if answer.revision < self.current.revision:
+            # It may be about to catch up; this VM's own vouch sets how
+            # long there is to wait for that.
+            return (self._vouched_at_s or 0.0) >= oldest_s
+        if answer.update is not None and not self._accept(answer.update):
+            return False
+        if answer.revision != self._table.revision:
+            return False
+        self._renew(vouched_at_s)
+        return True
 
-    def _accept(self, update: ConfigUpdate, asked_at_s: float) -> bool:
-        if update.revision < self._table.revision:
+    def _accept(self, update: ConfigUpdate) -> bool:
+        if update.revision < self.current.revision:
             self._log.emit(
                 Event.CONFIG_OLDER_IGNORED,
-                held=self._table.revision,
+                held=self.current.revision,
                 offered=update.revision,
             )
-            self._source += 1
             return False
-        if update.revision > self._table.revision:
-            table = self._table.updated(update)
-            if table is None:
-                self._table = ConfigTable()
-                return False
-            self._publish(table)
-        if update.vouched_age_s is not None:
-            vouched_at_s = asked_at_s - update.vouched_age_s
-            until_s = vouched_at_s + FRESH_LEASE_S
-            self._fresh_until_s = max(self._fresh_until_s, until_s)
+        if update.base == update.revision == self._table.revision:
+            if update.digest == self._table.digest:
+                return True
+            return self._start_over()
+        table = self._table.updated(update)
+        if table is None:
+            return self._start_over()
+        self._publish(table)
         return True
 
-    def _publish(self, table: ConfigTable) -> None:
+    def _start_over(self) -> bool:
+        """Ask for everything next time; what is in force stays."""
+        self._log.emit(Event.SPREAD_GAP_FOUND, revision=self.current.revision)
+        self._table = ConfigTable()
+        return False
+
+    def _renew(self, vouched_at_s: float) -> None:
+        now_s = time.monotonic()
         self._checks.require(
-            table.revision >= self.current.revision,
-            Invariant.CONFIG_NEVER_REVERTS,
-            f"{self.current.revision} to {table.revision}",
+            vouched_at_s <= now_s,
+            Invariant.WITHDRAWN_KEY_STOPS,
+            f"a vouch from {vouched_at_s - now_s:.3f} s ahead",
         )
+        if self._vouched_at_s is None or vouched_at_s > self._vouched_at_s:
+            self._vouched_at_s = vouched_at_s
+        self._wake()
+
+    def _wake(self) -> None:
+        self._renewed.set()
+        self._renewed = asyncio.Event()
+
+    def _publish(self, table: ConfigTable) -> None:
+        self._check_step(table)
+        for name in self.current.members.keys() - table.members.keys():
+            # A live one is asked for its description again.
+            self._heard.forget(name)
         self._table = table
         self.current = EntryConfig(
             table.revision,
@@ -128,7 +303,31 @@
             {key.digest: key for _, key in table.keys.values()},
             {name: member for name, (_, member) in table.members.items()},
         )
+        self._parents.follow(self.current.members.values())
+        self._heard.keep(frozenset(self.current.members))
         self._metrics.revision.set({}, table.revision)
         self._log.emit(Event.CONFIG_APPLIED, revision=table.revision)
         for listener in self._listeners:
             listener(self.current)
+
+    def _check_step(self, table: ConfigTable) -> None:
+        self._checks.require(
+            table.revision >= self.current.revision,
+            Invariant.CONFIG_NEVER_REVERTS,
+            f"{self.current.revision} to {table.revision}",
+        )
+        revived = [
+            key.key_id
+            for key in self.current.keys_by_digest.values()
+            if key.withdrawn and not _is_withdrawn(table, key)
+        ]
+        self._checks.require(
+            not revived,
+            Invariant.WITHDRAWN_KEY_STOPS,
+            f"keys in use again: {revived[:3]}",
+        )
+
+
+def _is_withdrawn(table: ConfigTable, key: KeyRecord) -> bool:
+    held = table.keys.get(key.key_id)
+    return held is None or held[1].withdrawn
--- a/src/wigeonford/entry/_daemon.py
+++ b/src/wigeonford/entry/_daemon.py
@@ -86,6 +86,7 @@
     async def start(self) -> None:
         """Serve; return once the configuration is there."""
         self._targets.attach(self._peers)
+        self._config.attach(self._peers)
         self.peer_address = await self._peers.start(
             self._cfg.peer_address,
             server_context(self._cfg.tls, require_peer=True),
--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -65,6 +65,12 @@
     CONFIG_OLDER_IGNORED = _event(
         402, "ignored a revision older than the one held", logging.WARNING
     )
+    SPREAD_PARENT_PASSED_OVER = _event(
+        410, "passed over a parent that was silent or stale", logging.WARNING
+    )
+    SPREAD_GAP_FOUND = _event(
+        411, "a delta was missed; asking for everything", logging.WARNING
+    )
 
     CHANGE_ACCEPTED = _event(500, "accepted a change")
     CHANGE_REFUSED = _event(501, "refused a change")
--- a/src/wigeonford/peer/__init__.py
+++ b/src/wigeonford/peer/__init__.py
@@ -22,6 +22,12 @@
     PullConfig,
     TargetAnnounce,
 )
+from wigeonford.peer._spread_messages import (
+    RosterAnswer,
+    RosterReport,
+    SpreadPull,
+    SpreadUpdate,
+)
 
 __all__ = [
     "MESSAGES",
@@ -39,6 +45,10 @@
     "PeerClient",
     "PeerServer",
     "PullConfig",
+    "RosterAnswer",
+    "RosterReport",
+    "SpreadPull",
+    "SpreadUpdate",
     "TargetAnnounce",
     "failure_error",
     "message",
--- /dev/null
+++ b/src/wigeonford/peer/_spread_messages.py
@@ -0,0 +1,52 @@
+"""Messages of the tree that spreads configuration and the roster."""
+
+from dataclasses import dataclass
+
+from wigeonford.peer._messages import ConfigUpdate, Member, message
+
+
+@message(70)
+@dataclass(frozen=True, slots=True)
+class SpreadPull:
+    """Ask a parent for what changed and for a newer vouch.
+
+    `heard` names the members that were heard since the last pull, the
+    sender among them; `joined` describes those that the parent lacks.
+    """
+
+    revision: int
+    heard: tuple[str, ...]
+    joined: tuple[Member, ...]
+
+
+@message(71)
+@dataclass(frozen=True, slots=True)
+class SpreadUpdate:
+    """Answer `SpreadPull`; `update` is None where nothing changed.
+
+    `vouched_age_s` counts from the arrival of the pull and is negative
+    where a quorum vouched while the pull was held; None if it can't tell.
+    `unknown` names members whose description the parent lacks.
+    """
+
+    revision: int
+    vouched_age_s: float | None
+    update: ConfigUpdate | None
+    unknown: tuple[str, ...]
+
+
+@message(72)
+@dataclass(frozen=True, slots=True)
+class RosterReport:
+    """Tell control which members were heard below a relay."""
+
+    heard: tuple[str, ...]
+    joined: tuple[Member, ...]
+
+
+@message(73)
+@dataclass(frozen=True, slots=True)
+class RosterAnswer:
+    """Answer `RosterReport` with the members that need a description."""
+
+    unknown: tuple[str, ...]
--- /dev/null
+++ b/tests/test_spread.py
@@ -0,0 +1,224 @@
+"""The tree that spreads configuration, its failures and its bounds."""
+
+import asyncio
+import io
+import logging
+from pathlib import Path
+import tempfile
+import time
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wigeonford.bench._slopes_tree import new_id, TreeFleet
+from wigeonford.control import ApplyChange, Edit, IssueKey, WithdrawKey
+from wigeonford.entry import HeardMembers, plan_parents, SpreadShape
+from wigeonford.entry._config import FRESH_LEASE_S
+from wigeonford.events import configure_logging
+from wigeonford.peer import Member
+
+SHAPE = SpreadShape(flat_members=2, fan_out=2)
+NAMES = [f"vm-{number:02}" for number in range(20)]
+
+
+def member(name: str, zone: str = "a", generation: int = 1) -> Member:
+    return Member(name, zone, "127.0.0.1", 80, 81, generation)
+
+
+class PlanTest(unittest.TestCase):
+    """Plan parents from rosters."""
+
+    @settings(max_examples=200, derandomize=True, deadline=None)
+    @given(
+        rosters=st.lists(
+            st.sets(st.sampled_from(NAMES)), min_size=1, max_size=4
+        ),
+        fan_out=st.integers(1, 4),
+        name=st.sampled_from(NAMES),
+        data=st.data(),
+    )
+    def test_differing_rosters_never_loop(
+        self,
+        rosters: list[set[str]],
+        fan_out: int,
+        name: str,
+        data: st.DataObject,
+    ) -> None:
+        shape = SpreadShape(0, fan_out)
+        steps = 0
+        while True:
+            roster = data.draw(st.sampled_from(rosters))
+            line = plan_parents(map(member, roster), name, "a", shape)
+            if not line:
+                break
+            name = data.draw(st.sampled_from(line)).name
+            steps += 1
+            self.assertLess(steps, len(NAMES))
+
+    def test_fan_out_and_depth(self) -> None:
+        roster = [member(name) for name in NAMES]
+        shape = SpreadShape(0, 4)
+        lines = [plan_parents(roster, name, "a", shape) for name in NAMES]
+        self.assertEqual(max(map(len, lines)), 2)
+        parents = [line[0].name for line in lines if line]
+        self.assertEqual(len(parents), len(NAMES) - 1)
+        self.assertLessEqual(max(map(parents.count, NAMES)), 4)
+
+    def test_small_fleets_are_flat(self) -> None:
+        roster = [member(name) for name in NAMES[:16]]
+        for name in NAMES[:16]:
+            self.assertEqual(
+                plan_parents(roster, name, "a", SpreadShape()), ()
+            )
+
+    def test_each_zone_has_its_relay(self) -> None:
+        roster = [member(f"vm-{n}", "ab"[n % 2]) for n in range(8)]
+        self.assertEqual(plan_parents(roster, "vm-1", "b", SHAPE), ())
+        line = plan_parents(roster, "vm-3", "b", SHAPE)
+        self.assertEqual([m.name for m in line], ["vm-1"])
+
+
+class HeardTest(unittest.TestCase):
+    """Pass heartbeats and descriptions upward, each once."""
+
+    def setUp(self) -> None:
+        self.heard = HeardMembers()
+
+    def test_a_description_goes_up_once(self) -> None:
+        self.heard.describe(member("x"))
+        self.assertEqual(self.heard.take().joined, (member("x"),))
+        self.heard.describe(member("x"))
+        batch = self.heard.take()
+        self.assertEqual((batch.names, batch.joined), ({"x"}, ()))
+
+    def test_heartbeats_are_not_repeated(self) -> None:
+        self.heard.describe(member("x"))
+        self.heard.take()
+        self.assertEqual(self.heard.take().names, frozenset())
+
+    def test_what_was_lost_goes_up_again(self) -> None:
+        self.heard.describe(member("x"))
+        self.heard.put_back(self.heard.take())
+        batch = self.heard.take()
+        self.assertEqual((batch.names, batch.joined), ({"x"}, (member("x"),)))
+
+    def test_unknown_names_are_asked_for(self) -> None:
+        self.assertEqual(self.heard.hear(["x"]), ("x",))
+        self.assertEqual(self.heard.take().names, frozenset())
+
+    def test_an_older_start_is_ignored(self) -> None:
+        self.heard.describe(member("x", generation=2))
+        self.heard.describe(member("x", generation=1))
+        self.assertEqual(self.heard.take().joined[0].generation, 2)
+
+    def test_a_member_that_left_is_not_described_again(self) -> None:
+        self.heard.describe(member("x"))
+        batch = self.heard.take()
+        self.heard.forget("x")
+        self.heard.put_back(batch)
+        self.heard.wanted(["x"])
+        self.assertEqual(self.heard.take().joined, ())
+
+
+class TreeTest(unittest.IsolatedAsyncioTestCase):
+    """Run seven followers of one zone, two to a parent."""
+
+    async def asyncSetUp(self) -> None:
+        configure_logging(io.StringIO(), logging.INFO)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.fleet = TreeFleet(Path(folder.name), SHAPE)
+        await self.fleet.start(7)
+        self.addAsyncCleanup(self.fleet.stop)
+
+    async def change(self, name: str) -> int:
+        edit = Edit("regions", name, 0, {"name": name})
+        return await self.fleet.propose(
+            ApplyChange(new_id(), "operator", 1.0, (edit,))
+        )
+
+    def fresh(self) -> dict[str, bool]:
+        now_s = time.monotonic()
+        return {
+            name: node.follower.is_fresh(now_s)
+            for name, node in self.fleet.nodes.items()
+        }
+
+    async def test_only_the_relay_asks_control(self) -> None:
+        await self.fleet.settle(self.fleet.in_force(await self.change("a")))
+        for node in self.fleet.nodes.values():
+            node.counts.clear()
+        await self.fleet.settle(self.fleet.in_force(await self.change("b")))
+        await asyncio.sleep(1.5)
+        asking = {
+            name
+            for name, node in self.fleet.nodes.items()
+            if "PullConfig" in node.counts
+        }
+        self.assertEqual(asking, {"node-00"})
+        self.assertTrue(all(self.fresh().values()))
+        self.assertTrue(self.fleet.roster_complete())
+
+    async def test_a_lost_relay_is_passed_over(self) -> None:
+        await self.fleet.settle(self.fleet.in_force(await self.change("a")))
+        # Silent, so that nothing tells the VMs below.
+        lost = self.fleet.nodes.pop("node-00")
+        self.addAsyncCleanup(lost.stop)
+        lost.cut_off()
+        until_s = time.monotonic() + FRESH_LEASE_S + 0.5
+        while time.monotonic() < until_s:
+            self.assertTrue(all(self.fresh().values()), self.fresh())
+            await asyncio.sleep(0.1)
+        await self.fleet.settle(self.fleet.in_force(await self.change("b")))
+        await self.fleet.settle(self.fleet.roster_complete)
+
+    async def test_a_withdrawn_key_stops_below_a_cut_off_relay(self) -> None:
+        await self.fleet.propose(
+            ApplyChange(
+                new_id(),
+                "operator",
+                1.0,
+                (
+                    Edit(
+                        "client_accounts",
+                        "c",
+                        0,
+                        {"name": "c", "rate_per_s": 1.0, "burst": 1.0},
+                    ),
+                ),
+            )
+        )
+        issued = await self.fleet.propose(
+            IssueKey(new_id(), "operator", 1.0, "k", "c", b"digest")
+        )
+        await self.fleet.settle(self.fleet.in_force(issued))
+        for node in self.fleet.nodes.values():
+            node.to_control.cut_backward = True
+        cut_at_s = time.monotonic()
+        await self.fleet.propose(WithdrawKey(new_id(), "operator", 1.0, "k"))
+        await self.fleet.settle(lambda: not any(self.fresh().values()))
+        self.assertLessEqual(time.monotonic() - cut_at_s, FRESH_LEASE_S + 0.5)
+
+    async def test_a_stale_restart_never_reverts(self) -> None:
+        first = await self.change("a")
+        await self.fleet.settle(self.fleet.in_force(first))
+        node = self.fleet.nodes["node-06"]
+        await node.stop()
+        for number in range(500):
+            last = await self.change(f"r{number}")
+        again = await self.fleet.start_node("node-06")
+        self.assertGreaterEqual(again.follower.current.revision, last)
+        self.assertTrue(again.follower.is_fresh(time.monotonic()))
+        self.assertEqual(again.counts["PullConfig"], 1)
+
+    async def test_one_that_stops_stays_off_the_roster(self) -> None:
+        await self.fleet.settle(self.fleet.roster_complete)
+        node = self.fleet.nodes.pop("node-05")
+        await node.leave()
+        await self.fleet.settle(self.fleet.roster_complete)
+        until_s = time.monotonic() + 2.5
+        while time.monotonic() < until_s:
+            self.assertTrue(self.fleet.roster_complete())
+            await asyncio.sleep(0.05)
+        await node.stop()
