Measure what a node spends against nodes, blocks and the rest

Cause: docs/CAPACITY.md needs slopes that were measured. Change: wigeonford bench slopes fits a line through four sizes of each series, on real messages, updates and tables, a live tree and the look-up endpoint. Rankings stop at the first tiers that fill an answer.

--- /dev/null
+++ b/src/wigeonford/bench/_slopes_objects.py
@@ -0,0 +1,102 @@
+"""Drawn objects of any number, for the slopes."""
+
+from collections.abc import Iterator
+import ipaddress
+import random
+from typing import Any, Final
+
+import msgspec
+
+from wigeonford.config_table import ConfigTable
+from wigeonford.model import ClientBlockPage, KeyRecord, pack_blocks
+from wigeonford.peer import Member, ObjectRow
+
+ZONES: Final = tuple(f"region-{n % 6}-zone-{n // 6}" for n in range(14))
+IPV6_PART: Final = 0.3
+_V4_LENGTHS: Final = (12, 16, 18, 20, 22, 24, 24, 24)
+_V6_LENGTHS: Final = (32, 40, 44, 48, 48, 48, 56, 64)
+
+Network = ipaddress.IPv4Network | ipaddress.IPv6Network
+
+
+def draw_blocks(count: int, rng: random.Random) -> dict[Network, str]:
+    """Return prefixes that nest as they fall, with their zones."""
+    blocks: dict[Network, str] = {}
+    while len(blocks) < count:
+        blocks[_draw_network(rng)] = rng.choice(ZONES)
+    return blocks
+
+
+def _draw_network(rng: random.Random) -> Network:
+    if rng.random() < IPV6_PART:
+        length = rng.choice(_V6_LENGTHS)
+        start = (2 << 124) | rng.getrandbits(length - 4) << (128 - length)
+        return ipaddress.IPv6Network((start, length))
+    length = rng.choice(_V4_LENGTHS)
+    start = rng.getrandbits(length) << (32 - length)
+    return ipaddress.IPv4Network((start, length))
+
+
+def draw_pages(count: int, rng: random.Random) -> tuple[ClientBlockPage, ...]:
+    """Return pages that hold `count` drawn blocks."""
+    return tuple(pack_blocks(draw_blocks(count, rng).items()))
+
+
+def draw_members(count: int) -> Iterator[Member]:
+    """Yield members over all zones."""
+    for number in range(count):
+        zone = ZONES[number % len(ZONES)]
+        name = f"entry-{number:04}"
+        yield Member(name, zone, "10.1.2.3", 8080, 8081, number + 1)
+
+
+def make_row(kind: str, item: Any) -> ObjectRow:
+    """Return an object as a row of the table."""
+    return ObjectRow(kind, item.name, 1, msgspec.to_builtins(item))
+
+
+def place_rows() -> Iterator[ObjectRow]:
+    """Yield the rows of the regions and the zones."""
+    for number in range(6):
+        name = f"region-{number}"
+        yield ObjectRow("regions", name, 1, {"name": name})
+    for zone in ZONES:
+        region = zone.rpartition("-zone-")[0]
+        data: dict[str, object] = {"name": zone, "region": region}
+        yield ObjectRow("availability_zones", zone, 1, data)
+
+
+def account_rows(count: int) -> Iterator[ObjectRow]:
+    """Yield the rows of client accounts."""
+    for number in range(count):
+        name = f"account-{number:05}"
+        data: dict[str, object] = {
+            "name": name,
+            "rate_per_s": 10.0,
+            "burst": 20.0,
+        }
+        yield ObjectRow("client_accounts", name, 1, data)
+
+
+def draw_keys(count: int, rng: random.Random) -> Iterator[KeyRecord]:
+    """Yield key records of one account."""
+    for number in range(count):
+        yield KeyRecord(f"{number:012x}", "account-00000", rng.randbytes(32))
+
+
+def make_table(
+    rows: tuple[ObjectRow, ...] = (),
+    keys: tuple[KeyRecord, ...] = (),
+    members: tuple[Member, ...] = (),
+) -> ConfigTable:
+    """Return a table that holds records at revision 1."""
+    table = ConfigTable()
+    for row in rows:
+        table.put_row(1, row)
+    for key in keys:
+        table.put_key(1, key)
+    for member in members:
+        table.put_member(1, member)
+    table.set_objects(rows)
+    table.revision = 1
+    return table
--- a/src/wigeonford/cli/_experiments.py
+++ b/src/wigeonford/cli/_experiments.py
@@ -64,3 +64,15 @@
         return Result(report.data, lines, code)
 
     cli_command(f"bench {name}", help_text, arguments)(run)
+
+
+def _no_arguments(_parser: argparse.ArgumentParser) -> None:
+    """Add nothing to the arguments of every bench."""
+
+
+_scenario(
+    "slopes",
+    "measure what each role spends against nodes, blocks and the rest",
+    "wigeonford.bench._slopes_bench",
+    _no_arguments,
+)
--- a/src/wigeonford/entry/_lookup_ranking.py
+++ b/src/wigeonford/entry/_lookup_ranking.py
@@ -60,7 +60,7 @@
         return ranked
 
     def _rank(self, zone: str | None, bucket: int) -> Iterator[RankedVM]:
-        tiers = list(self._tiers(zone, bucket))
+        tiers = list(_enough(self._tiers(zone, bucket)))
         taken: set[str] = set()
         for tier, upto in zip(
             tiers, (MAX_OWN_ZONE, MAX_OWN_REGION, MAX_ANSWERS), strict=False
@@ -103,6 +103,18 @@
             yield from self._topology.members.get(zone, ())
 
 
+def _enough(
+    tiers: Iterable[tuple[Member, ...]],
+) -> Iterator[tuple[Member, ...]]:
+    """Yield tiers until they fill an answer beyond the home region."""
+    found = 0
+    for number, tier in enumerate(tiers):
+        yield tier
+        found += len(tier)
+        if number > 1 and tier and found >= MAX_ANSWERS:
+            return
+
+
 def _best(members: Iterable[Member], bucket: int) -> tuple[Member, ...]:
     """Return the least loaded, in an order that the bucket decides."""
 
