Measure a relay against its zone and its children

Change: the fan-out is 4; the bench measures whole rounds after the tree has settled, and the age of the oldest vouch.

--- a/src/wigeonford/bench/_slopes_bench.py
+++ b/src/wigeonford/bench/_slopes_bench.py
@@ -7,10 +7,14 @@
 
 from wigeonford.bench._report import Report
 from wigeonford.bench._slopes_fit import fit_line, Series
-from wigeonford.bench._slopes_live import measure_endpoint, measure_tree
+from wigeonford.bench._slopes_live import (
+    measure_children,
+    measure_endpoint,
+    measure_zone,
+)
 from wigeonford.bench._slopes_measures import MEASURES
 
-LIVE: Final = (measure_tree, measure_endpoint)
+LIVE: Final = (measure_children, measure_zone, measure_endpoint)
 
 
 async def run(args: argparse.Namespace) -> Report:
--- a/src/wigeonford/entry/_config.py
+++ b/src/wigeonford/entry/_config.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+import math
 import time
 from typing import Final
 import zlib
@@ -88,9 +89,17 @@
 
     def is_fresh(self, now_s: float) -> bool:
         """Tell whether a quorum has vouched for the revision lately."""
+        return self.vouch_age_s(now_s) < FRESH_LEASE_S
+
+    def vouch_age_s(self, now_s: float) -> float:
+        """Return how long ago a quorum vouched at the latest."""
         if self._vouched_at_s is None:
-            return False
-        return now_s < self._vouched_at_s + FRESH_LEASE_S
+            return math.inf
+        return now_s - self._vouched_at_s
+
+    async def renewed(self) -> None:
+        """Return at the next vouch."""
+        await self._renewed.wait()
 
     def attach(self, server: PeerServer) -> None:
         """Register the handler of the pulls of VMs below."""
@@ -119,7 +128,7 @@
         if message.revision >= self.current.revision and not unknown:
             try:
                 async with asyncio.timeout(HOLD_S):
-                    await self._renewed.wait()
+                    await self.renewed()
             except TimeoutError:
                 pass
         return self._spread_update(message.revision, arrived_at_s, unknown)
--- a/src/wigeonford/entry/_spread.py
+++ b/src/wigeonford/entry/_spread.py
@@ -7,7 +7,7 @@
 from wigeonford.peer import Member, PeerClient
 
 FLAT_MEMBERS: Final = 16
-FAN_OUT: Final = 8
+FAN_OUT: Final = 4
 SUSPECT_S: Final = 10.0
 
 
