--- a/src/wigeonford/cli/_experiments.py
+++ b/src/wigeonford/cli/_experiments.py
@@ -66,13 +66,16 @@
     cli_command(f"bench {name}", help_text, arguments)(run)
 
 
-def _no_arguments(_parser: argparse.ArgumentParser) -> None:
-    """Add nothing to the arguments of every bench."""
-
-
 _scenario(
     "slopes",
     "measure what each role spends against nodes, blocks and the rest",
     "wigeonford.bench._slopes_bench",
-    _no_arguments,
+    lambda _parser: None,
+)
+
+_scenario(
+    "claims",
+    "compare ways to claim a non-idempotent request",
+    "wigeonford.bench._claims_bench",
+    lambda _parser: None,
 )
--- a/src/wigeonford/control/__init__.py
+++ b/src/wigeonford/control/__init__.py
@@ -1,34 +1,36 @@
 """Replicated control state: log, state machine, commands and queries."""
 
+from wigeonford.control._claim_service import ClaimService
 from wigeonford.control._commands import (
     ApplyChange,
-    CloseClaim,
     CommandResult,
     COMMANDS,
     Edit,
     ExpireMember,
     IssueKey,
-    OpenClaim,
     RegisterMember,
     WithdrawKey,
 )
 from wigeonford.control._daemon import ControlDaemon
+from wigeonford.control._log_file import LogFileStore
 from wigeonford.control._operator_api import OperatorApi
+from wigeonford.control._raft_replica import RaftReplica
+from wigeonford.control._register_store import RegisterStore
 from wigeonford.control._replica import Replica, SoloReplica
 from wigeonford.control._service import ControlService
 from wigeonford.control._state import State
 from wigeonford.control._store import (
     LogEntry,
     Snapshot,
-    SqliteStore,
     StorageError,
     Store,
 )
 
 __all__ = [
+    "ClaimService",
+    "RegisterStore",
     "COMMANDS",
     "ApplyChange",
-    "CloseClaim",
     "CommandResult",
     "ControlDaemon",
     "ControlService",
@@ -36,13 +38,13 @@
     "ExpireMember",
     "IssueKey",
     "LogEntry",
-    "OpenClaim",
+    "LogFileStore",
     "OperatorApi",
+    "RaftReplica",
     "RegisterMember",
     "Replica",
     "Snapshot",
     "SoloReplica",
-    "SqliteStore",
     "State",
     "StorageError",
     "Store",
--- a/src/wigeonford/entry/__init__.py
+++ b/src/wigeonford/entry/__init__.py
@@ -12,7 +12,7 @@
 from wigeonford.entry._pipeline import Pipeline
 from wigeonford.entry._registry import TargetRegistry
 from wigeonford.entry._spread import (
-    HeardMembers,
+    MembersBelow,
     Parents,
     plan_parents,
     SpreadShape,
@@ -20,7 +20,7 @@
 from wigeonford.entry._targets import TargetDirectory
 
 __all__ = [
-    "HeardMembers",
+    "MembersBelow",
     "Parents",
     "SpreadShape",
     "plan_parents",
--- a/src/wigeonford/entry/_config.py
+++ b/src/wigeonford/entry/_config.py
@@ -9,7 +9,7 @@
 import zlib
 
 from wigeonford.config_table import ConfigTable
-from wigeonford.entry._spread import HeardBatch, HeardMembers, Parents
+from wigeonford.entry._spread import HeardBatch, MembersBelow, Parents
 from wigeonford.errors import PeerError, WigeonfordError
 from wigeonford.events import Event, EventLog
 from wigeonford.invariants import Checks, Invariant
@@ -34,6 +34,7 @@
 PARENT_TIMEOUT_S: Final = 1.8
 STALE_VOUCH_S: Final = 2.0
 FRESH_LEASE_S: Final = 4.0
+HEARTBEAT_INTERVAL_S: Final = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,8 +73,9 @@
         self._checks = checks
         self._metrics = metrics
         self._log = log
-        self._heard = HeardMembers()
+        self._heard = MembersBelow()
         self._above: PeerClient | None = None
+        self._heartbeat_at_s = 0.0
         self._table = ConfigTable()
         self._vouched_at_s: float | None = None
         self._renewed = asyncio.Event()
@@ -198,7 +200,7 @@
             answer = await source.request(message, PULL_TIMEOUT_S)
         except PeerError as exc:
             self._log.emit(Event.PEER_LOST, detail=exc.detail)
-            self._heard.put_back(batch)
+            self._put_back(batch)
             self._source += 1
             return
         self._heard.wanted(answer.unknown)
@@ -207,8 +209,17 @@
         if link is not self._above:
             self._above = link
             self._heard.everything()
+        # With slack, so that every second round has heartbeats.
+        due_s = self._heartbeat_at_s + HEARTBEAT_INTERVAL_S * 0.9
+        if time.monotonic() < due_s and not self._heard.must_describe:
+            return HeardBatch(frozenset(), ())
+        self._heartbeat_at_s = time.monotonic()
         return self._heard.take()
 
+    def _put_back(self, batch: HeardBatch) -> None:
+        self._heard.put_back(batch)
+        self._heartbeat_at_s = 0.0
+
     async def _pull_parent(self, parent: Member) -> bool:
         link = self._parents.link(parent)
         self._describe_self()
@@ -221,7 +232,7 @@
             answer = await link.request(message, PARENT_TIMEOUT_S)
         except PeerError as exc:
             self._log.emit(Event.PEER_LOST, detail=exc.detail)
-            self._heard.put_back(batch)
+            self._put_back(batch)
             self._pass_over(parent)
             return False
         self._heard.wanted(answer.unknown)
--- a/src/wigeonford/entry/_spread.py
+++ b/src/wigeonford/entry/_spread.py
@@ -119,7 +119,7 @@
     joined: tuple[Member, ...]
 
 
-class HeardMembers:
+class MembersBelow:
     """Pass heartbeats of the members below upward, each once.
 
     A description goes up only when it is new, changed or asked for.
@@ -130,6 +130,11 @@
         self._names: set[str] = set()
         self._joined: set[str] = set()
 
+    @property
+    def must_describe(self) -> bool:
+        """Tell whether a description waits to go upward."""
+        return bool(self._joined)
+
     def describe(self, member: Member) -> None:
         """Take a description; one of an older start is ignored."""
         held = self._known.get(member.name)
