Report heartbeats every round and allow for clock drift

Cause: heartbeats forwarded every 2 s at each hop could add up past the 6 s lease of a member, and a fast parent's clock could date a vouch ahead. Change: heartbeats go up every round, to control every 2 s; the age of a vouch counts 1 % more than stated.

--- a/src/wigeonford/entry/_config.py
+++ b/src/wigeonford/entry/_config.py
@@ -34,7 +34,8 @@
 PARENT_TIMEOUT_S: Final = 1.8
 STALE_VOUCH_S: Final = 2.0
 FRESH_LEASE_S: Final = 4.0
-HEARTBEAT_INTERVAL_S: Final = 2.0
+REPORT_INTERVAL_S: Final = 2.0
+DRIFT_MARGIN: Final = 0.01
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +76,7 @@
         self._log = log
         self._heard = MembersBelow()
         self._above: PeerClient | None = None
-        self._heartbeat_at_s = 0.0
+        self._report_due_s = 0.0
         self._table = ConfigTable()
         self._vouched_at_s: float | None = None
         self._renewed = asyncio.Event()
@@ -192,6 +193,12 @@
 
     async def _report(self, source: PeerClient) -> None:
         """Tell control of the members that were heard below."""
+        now_s = time.monotonic()
+        is_due = now_s >= self._report_due_s or self._heard.must_describe
+        if source is self._above and not is_due:
+            return
+        # With slack, so that every second round reports.
+        self._report_due_s = now_s + REPORT_INTERVAL_S * 0.9
         batch = self._take_heard(source)
         if not batch.names and not batch.joined:
             return
@@ -200,7 +207,8 @@
             answer = await source.request(message, PULL_TIMEOUT_S)
         except PeerError as exc:
             self._log.emit(Event.PEER_LOST, detail=exc.detail)
-            self._put_back(batch)
+            self._heard.put_back(batch)
+            self._report_due_s = now_s
             self._source += 1
             return
         self._heard.wanted(answer.unknown)
@@ -209,17 +217,8 @@
         if link is not self._above:
             self._above = link
             self._heard.everything()
-        # With slack, so that every second round has heartbeats.
-        due_s = self._heartbeat_at_s + HEARTBEAT_INTERVAL_S * 0.9
-        if time.monotonic() < due_s and not self._heard.must_describe:
-            return HeardBatch(frozenset(), ())
-        self._heartbeat_at_s = time.monotonic()
         return self._heard.take()
 
-    def _put_back(self, batch: HeardBatch) -> None:
-        self._heard.put_back(batch)
-        self._heartbeat_at_s = 0.0
-
     async def _pull_parent(self, parent: Member) -> bool:
         link = self._parents.link(parent)
         self._describe_self()
@@ -232,7 +231,7 @@
             answer = await link.request(message, PARENT_TIMEOUT_S)
         except PeerError as exc:
             self._log.emit(Event.PEER_LOST, detail=exc.detail)
-            self._put_back(batch)
+            self._heard.put_back(batch)
             self._pass_over(parent)
             return False
         self._heard.wanted(answer.unknown)
@@ -257,7 +256,9 @@
     def _take_answer(self, answer: SpreadUpdate, asked_at_s: float) -> bool:
         if answer.vouched_age_s is None:
             return False
-        vouched_at_s = asked_at_s - answer.vouched_age_s
+        # As if the parent's clock ran as much off as the margin allows.
+        drift_s = abs(answer.vouched_age_s) * DRIFT_MARGIN
+        vouched_at_s = asked_at_s - answer.vouched_age_s - drift_s
         oldest_s = time.monotonic() - STALE_VOUCH_S
         if vouched_at_s < oldest_s:
             return False
