Stay with a parent while control elects, leave a cut-off replica

Cause: children took a parent with an old vouch for cut off; during an election every vouch is old, so all VMs would have asked control at once. A relay also stayed with a replica that answered but could not vouch. Change: answers tell when control was last reached, apart from the vouch; a VM leaves its parent only when that is older than 2 s, and leaves a replica whose vouch is.

--- a/src/wigeonford/bench/_slopes_measures.py
+++ b/src/wigeonford/bench/_slopes_measures.py
@@ -203,7 +203,7 @@
             report_bytes=len(MESSAGES.encode(RosterReport(names, ()))),
             description_bytes=len(MESSAGES.encode(RosterReport((), joined))),
             unchanged_bytes=len(
-                MESSAGES.encode(SpreadUpdate(12345, 0.123, None, ()))
+                MESSAGES.encode(SpreadUpdate(12345, -0.123, -0.123, None, ()))
             ),
         )
     yield from found.series("heard_member")
--- a/src/wigeonford/entry/_config.py
+++ b/src/wigeonford/entry/_config.py
@@ -32,7 +32,7 @@
 PULL_TIMEOUT_S: Final = 2.0
 HOLD_S: Final = 1.2
 PARENT_TIMEOUT_S: Final = 1.8
-STALE_VOUCH_S: Final = 2.0
+STALE_S: Final = 2.0
 FRESH_LEASE_S: Final = 4.0
 REPORT_INTERVAL_S: Final = 2.0
 DRIFT_MARGIN: Final = 0.01
@@ -79,6 +79,7 @@
         self._report_due_s = 0.0
         self._table = ConfigTable()
         self._vouched_at_s: float | None = None
+        self._reached_at_s: float | None = None
         self._renewed = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         # By name, so that relays divide themselves among the replicas.
@@ -101,7 +102,7 @@
         return now_s - self._vouched_at_s
 
     async def renewed(self) -> None:
-        """Return at the next vouch."""
+        """Return at the next word from above."""
         await self._renewed.wait()
 
     def attach(self, server: PeerServer) -> None:
@@ -123,7 +124,7 @@
             await link.close()
 
     async def answer_pull(self, message: SpreadPull) -> SpreadUpdate:
-        """Answer a VM below once there is a change or a newer vouch."""
+        """Answer a VM below once there is word from above."""
         arrived_at_s = time.monotonic()
         for member in message.joined:
             self._heard.describe(member)
@@ -140,13 +141,16 @@
         self, held: int, arrived_at_s: float, unknown: tuple[str, ...]
     ) -> SpreadUpdate:
         revision = self._table.revision
-        age_s = None
-        if self._vouched_at_s is not None:
-            age_s = arrived_at_s - self._vouched_at_s
         update = None
         if held < revision:
             update = self._table.changes_since(held, None)
-        return SpreadUpdate(revision, age_s, update, unknown)
+        return SpreadUpdate(
+            revision,
+            _age_s(self._vouched_at_s, arrived_at_s),
+            _age_s(self._reached_at_s, arrived_at_s),
+            update,
+            unknown,
+        )
 
     async def _follow(self) -> None:
         worked = True
@@ -186,8 +190,13 @@
         if not self._accept(update):
             self._source += 1
             return False
+        self._reached_at_s = asked_at_s
         if update.vouched_age_s is not None:
             self._renew(asked_at_s - update.vouched_age_s)
+        if self.vouch_age_s(time.monotonic()) > STALE_S:
+            # This replica may be cut off from the others.
+            self._source += 1
+        self._wake()
         await self._report(source)
         return True
 
@@ -254,23 +263,23 @@
         self._log.emit(Event.SPREAD_PARENT_PASSED_OVER, parent=parent.name)
 
     def _take_answer(self, answer: SpreadUpdate, asked_at_s: float) -> bool:
-        if answer.vouched_age_s is None:
-            return False
-        # As if the parent's clock ran as much off as the margin allows.
-        drift_s = abs(answer.vouched_age_s) * DRIFT_MARGIN
-        vouched_at_s = asked_at_s - answer.vouched_age_s - drift_s
-        oldest_s = time.monotonic() - STALE_VOUCH_S
-        if vouched_at_s < oldest_s:
+        reached_at_s = _instant_s(answer.reached_age_s, asked_at_s)
+        oldest_s = time.monotonic() - STALE_S
+        if reached_at_s is None or reached_at_s < oldest_s:
             return False
         if answer.revision < self.current.revision:
-            # It may be about to catch up; this VM's own vouch sets how
-            # long there is to wait for that.
-            return (self._vouched_at_s or 0.0) >= oldest_s
+            # It may be about to catch up; when this VM itself last had
+            # word of control sets how long there is to wait for that.
+            return (self._reached_at_s or 0.0) >= oldest_s
         if answer.update is not None and not self._accept(answer.update):
             return False
         if answer.revision != self._table.revision:
             return False
-        self._renew(vouched_at_s)
+        self._reached_at_s = reached_at_s
+        vouched_at_s = _instant_s(answer.vouched_age_s, asked_at_s)
+        if vouched_at_s is not None:
+            self._renew(vouched_at_s)
+        self._wake()
         return True
 
     def _accept(self, update: ConfigUpdate) -> bool:
@@ -306,7 +315,6 @@
         )
         if self._vouched_at_s is None or vouched_at_s > self._vouched_at_s:
             self._vouched_at_s = vouched_at_s
-        self._wake()
 
     def _wake(self) -> None:
         self._renewed.set()
@@ -349,6 +357,18 @@
         )
 
 
+def _age_s(instant_s: float | None, now_s: float) -> float | None:
+    return None if instant_s is None else now_s - instant_s
+
+
+def _instant_s(age_s: float | None, asked_at_s: float) -> float | None:
+    """Return when a parent's age began, at the earliest."""
+    if age_s is None:
+        return None
+    # As if the parent's clock ran as much off as the margin allows.
+    return asked_at_s - age_s - abs(age_s) * DRIFT_MARGIN
+
+
 def _is_withdrawn(table: ConfigTable, key: KeyRecord) -> bool:
     held = table.keys.get(key.key_id)
     return held is None or held[1].withdrawn
--- a/src/wigeonford/peer/_spread_messages.py
+++ b/src/wigeonford/peer/_spread_messages.py
@@ -26,11 +26,14 @@
 
     `vouched_age_s` counts from the arrival of the pull and is negative
     where a quorum vouched while the pull was held; None if it can't tell.
+    `reached_age_s` tells likewise when control answered this line of
+    parents, whether or not it could vouch.
     `unknown` names members whose description the parent lacks.
     """
 
     revision: int
     vouched_age_s: float | None
+    reached_age_s: float | None
     update: ConfigUpdate | None
     unknown: tuple[str, ...]
 
--- a/tests/test_config_follower.py
+++ b/tests/test_config_follower.py
@@ -19,6 +19,7 @@
     PeerClient,
     PullConfig,
     SpreadPull,
+    SpreadUpdate,
 )
 
 
@@ -165,6 +166,36 @@
         self.assertEqual(answer.update.base, 0)
         self.assertEqual(answer.unknown, ("x",))
 
+    async def test_a_source_that_cannot_vouch_is_left(self) -> None:
+        other = StandInSource()
+        self.follower._sources = tuple(
+            cast(PeerClient, source) for source in (self.source, other)
+        )
+        self.follower._source = 0
+        self.source.vouched_age_s = FRESH_LEASE_S
+        await self.follower._pull()
+        self.assertFalse(self.is_fresh())
+        await self.follower._pull()
+        self.assertTrue(self.is_fresh())
+        await self.follower._pull()
+        self.assertEqual(len(other.asked), 2)
+
+    async def test_children_stay_while_control_elects(self) -> None:
+        await self.follower._pull()
+        vouched = self.follower.vouch_age_s(0.0)
+        now_s = time.monotonic()
+        self.assertTrue(
+            self.follower._take_answer(
+                SpreadUpdate(3, 2.5, 0.5, None, ()), now_s
+            )
+        )
+        self.assertEqual(self.follower.vouch_age_s(0.0), vouched)
+        self.assertFalse(
+            self.follower._take_answer(
+                SpreadUpdate(3, 2.5, 2.5, None, ()), now_s
+            )
+        )
+
     async def test_a_parent_without_a_vouch_says_so(self) -> None:
         self.source.vouched_age_s = None
         await self.follower._pull()
