--- a/src/wigeonford/cli/_experiments.py
+++ b/src/wigeonford/cli/_experiments.py
@@ -78,6 +78,13 @@
     "wigeonford.bench._control_bench",
     _control_arguments,
 )
+_scenario(
+    "slopes",
+    "measure what each role spends against nodes, blocks and the rest",
+    "wigeonford.bench._slopes_bench",
+    lambda _parser: None,
+)
+
 _scenario(
     "claims",
     "compare ways to claim a non-idempotent request",
