Name each try at a claim a claimant of its own

Its load sent a second ClaimOpen in the name of a claimant that had already won; the second round timed out, gave its claimant's votes back, and with them the votes that had won. Entry VMs name each try anew, so the load broke the protocol's contract, which was written nowhere. Change: the contract stands on the message, a replica refuses a name that it has seen, and the load names each try, counting each OK on its own, which is stricter than before.

--- a/src/wigeonford/bench/_control_load.py
+++ b/src/wigeonford/bench/_control_load.py
@@ -118,13 +118,14 @@
             BENCH_SECRETS.peer,
             EventLog(),
         )
-        message = ClaimOpen("account", key, b"same", claimant)
         try:
-            for _ in range(self._rng.randint(1, 2)):
+            for attempt in range(self._rng.randint(1, 2)):
+                one = f"{claimant}/{attempt}"
+                message = ClaimOpen("account", key, b"same", one)
                 answer = await client.request(message, REQUEST_TIMEOUT_S)
                 assert isinstance(answer, ClaimAnswer), "a claim's answer"
                 if answer.code == Code.OK.number:
-                    self._books.claimants[key].add(claimant)
+                    self._books.claimants[key].add(one)
         except PeerError as exc:
             self._books.refused[exc.code.name] += 1
         finally:
--- a/src/wigeonford/control/_claim_service.py
+++ b/src/wigeonford/control/_claim_service.py
@@ -49,6 +49,7 @@
 REJOIN_RETRY_S: Final = 0.5
 BACK_OFF_S: Final = 0.05
 SCAN_PAGE: Final = 500
+MAX_CLAIMANTS: Final = 10_000
 EXPIRE_INTERVAL_S: Final = 60.0
 READY_FLAG: Final = "ready"
 _KEY_BYTES: Final = 16
@@ -90,6 +91,7 @@
         ] = asyncio.Queue()
         self._tasks: set[asyncio.Task[None]] = set()
         self._ready = asyncio.Event()
+        self._claimants: dict[str, None] = {}
 
     def attach(self, server: PeerServer) -> None:
         """Register the message handlers."""
@@ -138,6 +140,8 @@
 
     async def open(self, message: ClaimOpen) -> ClaimAnswer:
         """Run the round that claims a request."""
+        if not self._is_new(message.claimant):
+            raise PeerError(Code.BAD_ARGUMENT, "a claimant claims once")
         key = register_key(message.account, message.idempotency_key)
         row = ClaimRow(
             message.fingerprint,
@@ -155,6 +159,19 @@
             decision.code.number, decision.outcome, row.opened_at_s, direct
         )
 
+    def _is_new(self, claimant: str) -> bool:
+        """Tell whether a claimant has not been seen lately.
+
+        A round that does not win gives its claimant's votes back, so that
+        a second one in the same name could give back votes that have won.
+        """
+        if claimant in self._claimants:
+            return False
+        self._claimants[claimant] = None
+        if len(self._claimants) > MAX_CLAIMANTS:
+            del self._claimants[next(iter(self._claimants))]
+        return True
+
     async def close(self, message: ClaimClose) -> Done:
         """Run the round that ends a claim; raise without a quorum."""
         key = register_key(message.account, message.idempotency_key)
--- a/src/wigeonford/peer/_messages.py
+++ b/src/wigeonford/peer/_messages.py
@@ -78,7 +78,10 @@
 @message(4)
 @dataclass(frozen=True, slots=True)
 class ClaimOpen:
-    """Ask to be the only one to run a non-idempotent request."""
+    """Ask to be the only one to run a non-idempotent request.
+
+    `claimant` names this one try: another try is another claimant.
+    """
 
     account: str
     idempotency_key: str
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -8,7 +8,7 @@
 import unittest
 
 from wigeonford.control import ClaimService, RegisterStore
-from wigeonford.errors import Code
+from wigeonford.errors import Code, PeerError
 from wigeonford.events import EventLog
 from wigeonford.peer import (
     ClaimAnswer,
@@ -137,6 +137,11 @@
         again = await self.open("one", "d")
         self.assertEqual(again.code, Code.REPLAYED.number)
 
+    async def test_claimant_claims_once(self) -> None:
+        await self.open("one", "a")
+        with self.assertRaises(PeerError):
+            await self.open("one", "a")
+
     async def test_no_quorum_runs_nothing(self) -> None:
         await self.stop("two")
         await self.stop("three")
