Lease clients' rate and burst by demand, with loans and fair turns

Cause: each entry VM had a fixed part of every account's budget, so callers that met one VM were refused while others had tokens to spare.

Change: the control leader leases fractions of a budget by demand and keeps the rest as a reserve that lends tokens; VMs lend to one another by idempotent transfers. A request that finds no token waits up to 0.8 s. Dispatch slots are given by start-time fair queueing over accounts.

--- a/src/wigeonford/cli/_experiments.py
+++ b/src/wigeonford/cli/_experiments.py
@@ -64,3 +64,23 @@
         return Result(report.data, lines, code)
 
     cli_command(f"bench {name}", help_text, arguments)(run)
+
+
+def _limits_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--requests", type=int, default=200_000, help="default %(default)s"
+    )
+    parser.add_argument(
+        "--faults",
+        action=argparse.BooleanOptionalAction,
+        default=True,
+        help="kill, restart and cut off entry VMs, default %(default)s",
+    )
+
+
+_scenario(
+    "limits",
+    "compare ways of limiting client accounts in virtual time",
+    "wigeonford.bench._limits_bench",
+    _limits_arguments,
+)
--- a/src/wigeonford/control/__init__.py
+++ b/src/wigeonford/control/__init__.py
@@ -1,5 +1,6 @@
 """Replicated control state: log, state machine, commands and queries."""
 
+from wigeonford.control._budgets import BudgetService, Leadership
 from wigeonford.control._commands import (
     ApplyChange,
     CloseClaim,
@@ -28,6 +29,7 @@
 __all__ = [
     "COMMANDS",
     "ApplyChange",
+    "BudgetService",
     "CloseClaim",
     "CommandResult",
     "ControlDaemon",
@@ -35,6 +37,7 @@
     "Edit",
     "ExpireMember",
     "IssueKey",
+    "Leadership",
     "LogEntry",
     "OpenClaim",
     "OperatorApi",
--- a/src/wigeonford/control/_service.py
+++ b/src/wigeonford/control/_service.py
@@ -4,6 +4,7 @@
 import time
 from typing import Final
 
+from wigeonford.control._budgets import BudgetService
 from wigeonford.control._commands import (
     CloseClaim,
     ExpireMember,
@@ -32,14 +33,18 @@
 class ControlService:
     """Answer the entry VMs' messages and keep the roster true."""
 
-    def __init__(self, replica: Replica, log: EventLog) -> None:
+    def __init__(
+        self, replica: Replica, budgets: BudgetService, log: EventLog
+    ) -> None:
         self._replica = replica
+        self._budgets = budgets
         self._log = log
         self._heard_at_s: dict[str, float] = {}
         self._sweeper: asyncio.Task[None] | None = None
 
     def attach(self, server: PeerServer) -> None:
         """Register the message handlers."""
+        self._budgets.attach(server)
         server.handle(PullConfig, self._pull_config)
         server.handle(LeaveRoster, self._leave)
         server.handle(ClaimOpen, self._open_claim)
@@ -47,6 +52,7 @@
 
     async def start(self) -> None:
         """Begin to expire silent members."""
+        self._budgets.observe(time.monotonic())
         self._sweeper = asyncio.create_task(self._sweep())
 
     async def stop(self) -> None:
@@ -79,6 +85,7 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             now_s = time.monotonic()
+            self._budgets.observe(now_s)
             try:
                 await self._expire_silent(now_s, started_at_s)
             except WigeonfordError as exc:
--- a/src/wigeonford/entry/__init__.py
+++ b/src/wigeonford/entry/__init__.py
@@ -1,11 +1,13 @@
 """Entry VMs: look-ups, admission, dispatch and the target registry."""
 
+from wigeonford.entry._budget_links import BudgetLinks
 from wigeonford.entry._claims import Claims, ControlClaims
 from wigeonford.entry._config import ConfigFollower, EntryConfig
 from wigeonford.entry._daemon import Announcer, EntryDaemon
 from wigeonford.entry._dispatch import Dispatcher
+from wigeonford.entry._fair_queue import DispatchGate
 from wigeonford.entry._front import Announcement, Front
-from wigeonford.entry._limiter import EqualShareLimiter, Limiter
+from wigeonford.entry._limiter import LeasedShareLimiter, Limiter
 from wigeonford.entry._lookup import BlockTable, Lookup, LookupAnswer
 from wigeonford.entry._pipeline import Pipeline
 from wigeonford.entry._registry import TargetRegistry
@@ -15,14 +17,16 @@
     "Announcement",
     "Announcer",
     "BlockTable",
+    "BudgetLinks",
     "Claims",
     "ConfigFollower",
     "ControlClaims",
+    "DispatchGate",
     "Dispatcher",
     "EntryConfig",
     "EntryDaemon",
-    "EqualShareLimiter",
     "Front",
+    "LeasedShareLimiter",
     "Limiter",
     "Lookup",
     "LookupAnswer",
--- a/src/wigeonford/entry/_daemon.py
+++ b/src/wigeonford/entry/_daemon.py
@@ -7,6 +7,7 @@
 from wigeonford.entry._config import ConfigFollower
 from wigeonford.entry._dispatch import Dispatcher
 from wigeonford.entry._front import Front
+from wigeonford.entry._limiter import LeasedShareLimiter
 from wigeonford.entry._lookup import LOOKUP_LIFETIME_S
 from wigeonford.entry._targets import TargetDirectory
 from wigeonford.errors import PeerError
@@ -58,6 +59,7 @@
         announcer: Announcer,
         config: ConfigFollower,
         targets: TargetDirectory,
+        limiter: LeasedShareLimiter,
         dispatcher: Dispatcher,
         front: Front,
         http: HttpServer,
@@ -69,6 +71,7 @@
         self._announcer = announcer
         self._config = config
         self._targets = targets
+        self._limiter = limiter
         self._dispatcher = dispatcher
         self._front = front
         self._http = http
@@ -86,6 +89,7 @@
     async def start(self) -> None:
         """Serve; return once the configuration is there."""
         self._targets.attach(self._peers)
+        self._limiter.attach(self._peers)
         self.peer_address = await self._peers.start(
             self._cfg.peer_address,
             server_context(self._cfg.tls, require_peer=True),
@@ -98,6 +102,7 @@
         )
         await self._config.start()
         await self._targets.start()
+        await self._limiter.start()
         self._log.emit(
             Event.STARTED,
             address=str(self.address),
@@ -121,6 +126,7 @@
     async def _close_links(self) -> None:
         await self._config.stop()
         await self._targets.stop()
+        await self._limiter.stop()
         await self._peers.stop()
         self._dispatcher.close()
         for link in self._control:
--- a/src/wigeonford/entry/_pipeline.py
+++ b/src/wigeonford/entry/_pipeline.py
@@ -1,7 +1,7 @@
 """The way of a caller's request: admission, limits, claim, dispatch."""
 
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 import time
 from typing import Final
 import uuid
@@ -10,12 +10,13 @@
 from wigeonford.entry._claims import Claims, fingerprint, run_claimed
 from wigeonford.entry._config import ConfigFollower
 from wigeonford.entry._dispatch import Dispatcher, Outbound
+from wigeonford.entry._fair_queue import DispatchGate, Slot
 from wigeonford.entry._hygiene import (
     clean_headers,
     clean_query,
     holds_key,
 )
-from wigeonford.entry._limiter import Limiter
+from wigeonford.entry._limiter import Limiter, SpentToken
 from wigeonford.errors import Code, RequestRefused
 from wigeonford.http import (
     CODE_HEADER,
@@ -45,6 +46,7 @@
     admitted: Admitted
     body: bytes | AsyncIterator[bytes]
     deadline_s: float
+    token: SpentToken | None
 
 
 class Pipeline:
@@ -55,6 +57,7 @@
         config: ConfigFollower,
         limiter: Limiter,
         claims: Claims,
+        gate: DispatchGate,
         dispatcher: Dispatcher,
         checks: Checks,
         metrics: Metrics,
@@ -63,6 +66,7 @@
         self._config = config
         self._limiter = limiter
         self._claims = claims
+        self._gate = gate
         self._dispatcher = dispatcher
         self._checks = checks
         self._metrics = metrics
@@ -97,14 +101,12 @@
     async def _run(
         self, request: Request, admitted: Admitted, started_s: float
     ) -> Response:
-        work = Work(
-            request,
-            admitted,
-            await _read_body(request),
-            started_s + _deadline_s(request, admitted),
-        )
+        deadline_s = started_s + _deadline_s(request, admitted)
+        body = await _read_body(request)
+        token = None
         if admitted.account is not None:
-            await self._limiter.spend(admitted.account)
+            token = await self._limiter.spend(admitted.account, deadline_s)
+        work = Work(request, admitted, body, deadline_s, token)
         if admitted.route.idempotent:
             return await self._dispatch(work)
         return await self._run_once(work)
@@ -131,6 +133,34 @@
         )
 
     async def _dispatch(self, work: Work) -> Response:
+        """Forward in this request's turn; hold its slot to the end."""
+        slot = await self._acquire_slot(work)
+        try:
+            response = await self._forward(work)
+        except BaseException:
+            slot.release()
+            raise
+        if isinstance(response.body, bytes):
+            slot.release()
+            return response
+        return replace(response, body=_holding(response.body, slot))
+
+    async def _acquire_slot(self, work: Work) -> Slot:
+        service = work.admitted.service
+        account = work.admitted.account or _OPEN_ACCOUNT
+        accounts = self._config.current.objects.client_accounts
+        weight = accounts[account].weight if account in accounts else 1.0
+        return await self._gate.acquire(
+            service.name,
+            account,
+            service.request_class,
+            weight,
+            work.deadline_s,
+        )
+
+    async def _forward(self, work: Work) -> Response:
+        if work.token is not None:
+            await self._limiter.renew(work.token, work.deadline_s)
         recheck(
             self._config.current,
             work.admitted,
@@ -174,6 +204,17 @@
         )
 
 
+async def _holding(
+    body: AsyncIterator[bytes], slot: Slot
+) -> AsyncIterator[bytes]:
+    """Yield a body and release the slot when it ends."""
+    try:
+        async for chunk in body:
+            yield chunk
+    finally:
+        slot.release()
+
+
 def _target(request: Request) -> str:
     query = clean_query(request.query)
     return f"{request.path}?{query}" if query else request.path
--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -51,6 +51,10 @@
         203, "a handler raised an unexpected error", logging.ERROR
     )
 
+    BUDGET_REPORT_FAILED = _event(
+        250, "no leader answered a report of demand", logging.WARNING
+    )
+
     TARGET_ANNOUNCED = _event(300, "a target announced itself")
     TARGET_LEFT = _event(301, "a target is leaving")
     TARGET_EXPIRED = _event(302, "a target's lease expired", logging.WARNING)
--- a/src/wigeonford/metrics.py
+++ b/src/wigeonford/metrics.py
@@ -43,6 +43,23 @@
             registry=self._registry,
         )
 
+        self.share = Gauge(
+            "wigeonford_share_fraction",
+            "Part of a client account's budget that this VM holds",
+            registry=self._registry,
+        )
+        self.loans = Counter(
+            "wigeonford_loans_total",
+            "Loans of tokens that peers answered, by client account",
+            registry=self._registry,
+        )
+        self.token_wait_s = Histogram(
+            "wigeonford_token_wait_seconds",
+            "Wait for a token or its refusal, by client account",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+
     def observe_request(
         self, account: str, request_class: str, seconds: float
     ) -> None:
--- a/src/wigeonford/peer/__init__.py
+++ b/src/wigeonford/peer/__init__.py
@@ -1,5 +1,13 @@
 """Typed messages between processes and the links that carry them."""
 
+from wigeonford.peer._budget_messages import (
+    GrantRow,
+    LoanReply,
+    LoanRequest,
+    ShareReply,
+    ShareReport,
+    ShareRow,
+)
 from wigeonford.peer._link import (
     failure_error,
     LeaderElsewhere,
@@ -31,14 +39,20 @@
     "ConfigUpdate",
     "Done",
     "Failure",
+    "GrantRow",
     "LeaderElsewhere",
     "LeaveRoster",
+    "LoanReply",
+    "LoanRequest",
     "Member",
     "ObjectRow",
     "Outcome",
     "PeerClient",
     "PeerServer",
     "PullConfig",
+    "ShareReply",
+    "ShareReport",
+    "ShareRow",
     "TargetAnnounce",
     "failure_error",
     "message",
--- a/src/wigeonford/policy/_leases.py
+++ b/src/wigeonford/policy/_leases.py
@@ -37,7 +37,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Record:
+class LeaseRecord:
     """Hold the most that a holder may have, and what it last wanted."""
 
     amount: float
@@ -65,7 +65,7 @@
         self.capacity = capacity
         self._term_s = term_s
         self._whole = whole
-        self._records: dict[str, _Record] = {}
+        self._records: dict[str, LeaseRecord] = {}
         wait_s = term_s * (1 + DRIFT_MARGIN) if takes_over else 0.0
         self._waits_until_s = now_s + wait_s
 
@@ -73,8 +73,28 @@
         """Return the most that all holders together may have."""
         return sum(record.amount for record in self._live(now_s).values())
 
-    def request(self, request: LeaseRequest, now_s: float) -> LeaseGrant:
-        """Return what the holder may have from now on."""
+    def record_of(self, holder: str, now_s: float) -> LeaseRecord | None:
+        """Return what a holder may have, unless its lease has run out."""
+        record = self._records.get(holder)
+        if record is None or record.expires_at_s <= now_s:
+            return None
+        return record
+
+    def knows_all(self, now_s: float) -> bool:
+        """Tell whether no grant of a predecessor can be in force."""
+        return now_s >= self._waits_until_s
+
+    def wanted(self, now_s: float) -> float:
+        """Return what all holders together have asked for."""
+        return sum(record.wanted for record in self._live(now_s).values())
+
+    def request(
+        self, request: LeaseRequest, now_s: float, *, reserved: float = 0.0
+    ) -> LeaseGrant:
+        """Return what the holder may have from now on.
+
+        Of the free units, `reserved` ones are not granted to anybody.
+        """
         live = self._live(now_s)
         known = live.get(request.holder)
         if known is not None and request.number < known.number:
@@ -85,9 +105,9 @@
             for holder, record in live.items()
             if holder != request.holder
         }
-        amount = self._amount(request.wanted, held, others, now_s)
+        amount = self._amount(request.wanted, held, others, now_s, reserved)
         self._records = others
-        self._records[request.holder] = _Record(
+        self._records[request.holder] = LeaseRecord(
             max(held, amount),
             request.wanted,
             now_s + self._term_s,
@@ -101,7 +121,7 @@
         if known is not None and number >= known.number:
             del self._records[holder]
 
-    def _live(self, now_s: float) -> dict[str, _Record]:
+    def _live(self, now_s: float) -> dict[str, LeaseRecord]:
         return {
             holder: record
             for holder, record in self._records.items()
@@ -109,7 +129,7 @@
         }
 
     def _confirmed(
-        self, request: LeaseRequest, known: _Record | None, now_s: float
+        self, request: LeaseRequest, known: LeaseRecord | None, now_s: float
     ) -> float:
         """Return what a holder has; a claim to more than granted is cut."""
         if known is not None:
@@ -122,11 +142,12 @@
         self,
         wanted: float,
         held: float,
-        others: Mapping[str, _Record],
+        others: Mapping[str, LeaseRecord],
         now_s: float,
+        reserved: float,
     ) -> float:
         used = sum(record.amount for record in others.values())
-        free = max(0.0, self.capacity - used)
+        free = max(0.0, self.capacity - used - reserved)
         if now_s < self._waits_until_s:
             return min(held, wanted, free)
         wants = [record.wanted for record in others.values()]
@@ -158,15 +179,22 @@
         self._amount = 0.0
         self._expires_at_s = float("-inf")
         self._number = 0
+        self._answered = True
         self._sent_at_s = float("-inf")
 
     def amount(self, now_s: float) -> float:
         """Return what may be used now; 0 once the lease has run out."""
         return self._amount if now_s < self._expires_at_s else 0.0
 
+    @property
+    def expires_at_s(self) -> float:
+        """Return when the lease runs out, by this holder's clock."""
+        return self._expires_at_s
+
     def ask(self, wanted: float, now_s: float) -> LeaseRequest:
         """Return the next request; replies to earlier ones are void."""
         self._number += 1
+        self._answered = False
         self._sent_at_s = now_s
         return LeaseRequest(
             self._name, self._number, self.amount(now_s), wanted
@@ -174,8 +202,9 @@
 
     def accept(self, grant: LeaseGrant) -> bool:
         """Take the reply to the latest request; tell whether it was."""
-        if grant.number != self._number:
+        if grant.number != self._number or self._answered:
             return False
+        self._answered = True
         self._amount = grant.amount
         usable_s = self._term_s * (1 - DRIFT_MARGIN)
         self._expires_at_s = self._sent_at_s + usable_s
--- a/src/wigeonford/policy/_limits.py
+++ b/src/wigeonford/policy/_limits.py
@@ -46,3 +46,8 @@
             return False
         self._tokens -= 1.0
         return True
+
+    def debit(self, tokens: float, now_s: float) -> None:
+        """Take tokens that another has spent, down to any debt."""
+        self._refill(now_s)
+        self._tokens -= tokens
--- /dev/null
+++ b/src/wigeonford/policy/_share_bucket.py
@@ -0,0 +1,143 @@
+"""Tokens of one leased part of a budget, with loans to and from peers.
+
+The tokens in a bucket never pass its capacity: the leased part of the burst
+less what is lent. A loan takes tokens and capacity from the lender until it
+has expired at the borrower, so all buckets together never hold more than the
+burst and never gain more than the rate.
+"""
+
+import collections
+from dataclasses import dataclass
+
+from wigeonford.policy._limits import BucketShare
+
+_EPSILON = 1e-9
+
+
+@dataclass(slots=True)
+class _Loan:
+    """Hold whole tokens that count until a time."""
+
+    tokens: float
+    expires_at_s: float
+
+
+class ShareBucket:
+    """Spend, lend and borrow tokens of a fraction of a budget."""
+
+    def __init__(self, budget: BucketShare, now_s: float) -> None:
+        self._budget = budget
+        self._fraction = 0.0
+        self._tokens = 0.0
+        self._at_s = now_s
+        self._lent: list[_Loan] = []
+        self._borrowed: collections.deque[_Loan] = collections.deque()
+
+    @property
+    def fraction(self) -> float:
+        """Return the part of the budget that this bucket may use."""
+        return self._fraction
+
+    def capacity(self) -> float:
+        """Return the most tokens of its own that the bucket may hold."""
+        lent = sum(loan.tokens for loan in self._lent)
+        return max(0.0, self._fraction * self._budget.burst - lent)
+
+    def level(self, now_s: float) -> float:
+        """Return the tokens of its own, without borrowed ones."""
+        self._advance(now_s)
+        return self._tokens
+
+    def spendable(self, now_s: float) -> float:
+        """Return all tokens that can be spent now."""
+        self._advance(now_s)
+        return self._tokens + sum(loan.tokens for loan in self._borrowed)
+
+    def lent_fraction(self, now_s: float) -> float:
+        """Return the part of the budget that loans keep occupied."""
+        self._advance(now_s)
+        lent = sum(loan.tokens for loan in self._lent)
+        return min(self._fraction, lent / self._budget.burst)
+
+    def resize(
+        self, budget: BucketShare, fraction: float, now_s: float
+    ) -> float:
+        """Change the part; return the tokens that no longer fit."""
+        self._advance(now_s)
+        self._budget = budget
+        self._fraction = fraction
+        kept = min(self._tokens, self.capacity())
+        overflow = self._tokens - kept
+        self._tokens = kept
+        return overflow
+
+    def put(self, tokens: float, now_s: float) -> None:
+        """Add tokens as far as they fit; the rest is lost."""
+        self._advance(now_s)
+        self._tokens = min(self._tokens + tokens, self.capacity())
+
+    def take(self, tokens: float, now_s: float) -> float:
+        """Remove up to `tokens` of its own; return how many."""
+        taken = min(tokens, self.level(now_s))
+        self._tokens -= taken
+        return taken
+
+    def lend(self, tokens: int, lifetime_s: float, now_s: float) -> int:
+        """Remove whole tokens and their capacity for a while."""
+        lent = int(min(tokens, self.level(now_s) + _EPSILON))
+        if lent <= 0:
+            return 0
+        self._tokens = max(0.0, self._tokens - lent)
+        self._lent.append(_Loan(lent, now_s + lifetime_s))
+        self._lent.sort(key=lambda loan: loan.expires_at_s)
+        return lent
+
+    def borrow(self, tokens: int, expires_at_s: float) -> None:
+        """Add tokens that a lender has removed until `expires_at_s`."""
+        if tokens > 0:
+            self._borrowed.append(_Loan(tokens, expires_at_s))
+
+    def spend(self, now_s: float) -> bool:
+        """Take one token, a borrowed one first, if there is one."""
+        self._advance(now_s)
+        if self._borrowed:
+            self._borrowed[0].tokens -= 1
+            self._drop_borrowed(now_s)
+            return True
+        if self._tokens < 1.0 - _EPSILON:
+            return False
+        self._tokens = max(0.0, self._tokens - 1.0)
+        return True
+
+    def wait_s(self, now_s: float, tokens: float = 1.0) -> float:
+        """Return how long until `tokens` are there; 0 when they are."""
+        missing = tokens - self.spendable(now_s)
+        if missing <= _EPSILON:
+            return 0.0
+        rate_per_s = self._fraction * self._budget.rate_per_s
+        if rate_per_s <= 0 or self.capacity() < 1.0:
+            return float("inf")
+        return missing / rate_per_s
+
+    def _advance(self, now_s: float) -> None:
+        # Each loan ends at its own time: the bucket must not fill the lent
+        # capacity any sooner.
+        while self._lent and self._lent[0].expires_at_s <= now_s:
+            self._refill(self._lent[0].expires_at_s)
+            self._lent.pop(0)
+        self._refill(now_s)
+        self._drop_borrowed(now_s)
+
+    def _refill(self, now_s: float) -> None:
+        elapsed_s = max(0.0, now_s - self._at_s)
+        self._at_s = max(self._at_s, now_s)
+        rate_per_s = self._fraction * self._budget.rate_per_s
+        grown = self._tokens + elapsed_s * rate_per_s
+        self._tokens = min(grown, self.capacity())
+
+    def _drop_borrowed(self, now_s: float) -> None:
+        self._borrowed = collections.deque(
+            loan
+            for loan in self._borrowed
+            if loan.tokens >= 1 and loan.expires_at_s > now_s
+        )
--- /dev/null
+++ b/src/wigeonford/policy/_token_queue.py
@@ -0,0 +1,107 @@
+"""Requests of one client account that wait for a token at one VM."""
+
+import collections
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final, Generic, TypeVar
+
+from wigeonford.policy._budgets import AccountShare
+
+WAIT_S: Final = 0.8
+ASK_GAP_S: Final = 0.1
+SCARCE_ASK_GAP_S: Final = 1.0
+
+T = TypeVar("T")
+
+
+class Verdict(Enum):
+    """Say what becomes of a request that needs a token."""
+
+    SPENT = "spent"
+    WAITING = "waiting"
+    REFUSED = "refused"
+
+
+@dataclass(frozen=True, slots=True)
+class _Waiter(Generic[T]):
+    item: T
+    gives_up_at_s: float
+
+
+class TokenQueue(Generic[T]):
+    """Serve requests in order of arrival while a share has tokens."""
+
+    def __init__(self, share: AccountShare) -> None:
+        self.share: Final = share
+        self._waiters: collections.deque[_Waiter[T]] = collections.deque()
+        self._asks_at_s = float("-inf")
+        self._first_gives_up_at_s = float("inf")
+
+    def __len__(self) -> int:
+        return len(self._waiters)
+
+    def arrive(self, item: T, now_s: float, deadline_s: float) -> Verdict:
+        """Spend a token for `item`, let it wait, or refuse it."""
+        self.share.arrive(now_s)
+        if not self._waiters and self.share.spend(now_s):
+            return Verdict.SPENT
+        if not self._may_wait(now_s):
+            return Verdict.REFUSED
+        gives_up_at_s = min(now_s + WAIT_S, deadline_s)
+        self._append(_Waiter(item, gives_up_at_s))
+        return Verdict.WAITING
+
+    def serve(self, now_s: float) -> Iterator[tuple[T, bool]]:
+        """Yield waiters that wait no more, and those that got a token."""
+        if self._first_gives_up_at_s <= now_s:
+            yield from self._give_up(now_s)
+        while self._waiters and self.share.spend(now_s):
+            yield self._waiters.popleft().item, True
+
+    def _give_up(self, now_s: float) -> Iterator[tuple[T, bool]]:
+        waiters, self._waiters = self._waiters, collections.deque()
+        self._first_gives_up_at_s = float("inf")
+        for waiter in waiters:
+            if waiter.gives_up_at_s <= now_s:
+                yield waiter.item, False
+            else:
+                self._append(waiter)
+
+    def _append(self, waiter: _Waiter[T]) -> None:
+        self._waiters.append(waiter)
+        self._first_gives_up_at_s = min(
+            self._first_gives_up_at_s, waiter.gives_up_at_s
+        )
+
+    def wakes_at_s(self, now_s: float) -> float:
+        """Return when `serve` or `needs` may next have a result."""
+        if not self._waiters:
+            return float("inf")
+        return min(
+            self._first_gives_up_at_s,
+            now_s + self.share.wait_s(now_s),
+            max(now_s, self._asks_at_s),
+        )
+
+    def needs(self, now_s: float) -> int:
+        """Return the loan to ask for now; 0 while asking is too early."""
+        if now_s < self._asks_at_s or not self.share.may_ask(now_s):
+            return 0
+        need = self.share.need(now_s, len(self._waiters))
+        if need == 0 or not (self._waiters or self.share.is_low(now_s)):
+            return 0
+        gap_s = SCARCE_ASK_GAP_S if self.share.scarce else ASK_GAP_S
+        self._asks_at_s = now_s + gap_s
+        return need
+
+    def retry_after_s(self, now_s: float) -> float:
+        """Return how long until a request would find a token."""
+        return self.share.wait_s(now_s, len(self._waiters) + 1)
+
+    def _may_wait(self, now_s: float) -> bool:
+        if self.retry_after_s(now_s) <= WAIT_S:
+            return True
+        if self.share.scarce:
+            return False
+        return len(self._waiters) < self.share.max_waiting
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,271 @@
+"""All VMs together never spend more than an account's rate and burst."""
+
+import unittest
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    invariant,
+    precondition,
+    rule,
+    RuleBasedStateMachine,
+)
+
+from wigeonford.policy import (
+    AccountShare,
+    BucketShare,
+    BudgetGrantor,
+    DISPATCH_JITTER_S,
+    leased_budget,
+    ShareBucket,
+    ShareGrant,
+    ShareRequest,
+    TERM_S,
+    TokenQueue,
+    Verdict,
+)
+
+BUDGET = BucketShare(8.0, 12.0)
+NAMES = st.sampled_from(("a", "b", "c"))
+_EPSILON = 1e-6
+
+
+class ExactBucket:
+    """Hold the one bucket that all VMs together have to respect."""
+
+    def __init__(self, budget: BucketShare) -> None:
+        self.budget = budget
+        self.tokens = budget.burst
+        self.at_s = 0.0
+
+    def level(self, now_s: float) -> float:
+        """Return the tokens that are there."""
+        grown = (now_s - self.at_s) * self.budget.rate_per_s
+        self.tokens = min(self.budget.burst, self.tokens + grown)
+        self.at_s = now_s
+        return self.tokens
+
+    def spend(self, now_s: float) -> None:
+        """Take a token, which has to be there."""
+        self.tokens = self.level(now_s) - 1
+        assert self.tokens >= -_EPSILON, f"overspent by {-self.tokens}"
+
+
+class BudgetMachine(RuleBasedStateMachine):
+    """Lose, delay and repeat messages; restart VMs, replace the grantor."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+        self.exact = ExactBucket(BUDGET)
+        # The reserve has filled, so no lost token hides one too many.
+        self.grantor = BudgetGrantor(BUDGET, -BUDGET.burst)
+        self.shares: dict[str, AccountShare] = {}
+        self.runs = 0
+        self.requests: list[tuple[str, str, ShareRequest]] = []
+        self.grants: list[tuple[str, ShareGrant]] = []
+        for name in ("a", "b", "c"):
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        self.runs += 1
+        run = f"{name}/{self.runs}"
+        self.shares[name] = AccountShare(run, BUDGET, self.now_s)
+
+    def ask(self, name: str, need: int) -> tuple[str, str, ShareRequest]:
+        runs = self.shares[name]
+        request = runs.ask(self.now_s, need)
+        return name, runs.name, request
+
+    def exchange(self, name: str, need: int) -> None:
+        _, run, request = self.ask(name, need)
+        grant = self.grantor.request(run, request, self.now_s)
+        self.shares[name].accept(grant, self.now_s)
+
+    @rule(name=NAMES, count=st.integers(1, 12))
+    def arrive(self, name: str, count: int) -> None:
+        for _ in range(count):
+            self.shares[name].arrive(self.now_s)
+
+    def richest(self) -> str:
+        """Return the VM whose moves are the likeliest to matter."""
+        return max(
+            self.shares, key=lambda name: self.shares[name].tokens(self.now_s)
+        )
+
+    @rule(count=st.sampled_from((1, 5, 14)))
+    def spend(self, count: int) -> None:
+        name = self.richest()
+        for _ in range(count):
+            if self.shares[name].spend(self.now_s):
+                self.exact.spend(self.now_s)
+
+    @rule(seconds=st.sampled_from((0.1, 0.45, 0.65, 2.5, 3.2)))
+    def advance(self, seconds: float) -> None:
+        self.now_s += seconds
+
+    @rule(name=NAMES, need=st.sampled_from((0, 1, 6)))
+    def renew(self, name: str, need: int) -> None:
+        self.exchange(name, need)
+
+    @rule(seconds=st.integers(1, 4), busy=NAMES)
+    def run_undisturbed(self, seconds: int, busy: str) -> None:
+        for _ in range(seconds):
+            self.now_s += 1.0
+            for _ in range(16):
+                self.shares[busy].arrive(self.now_s)
+            for name in self.shares:
+                self.exchange(name, 0)
+
+    @rule(name=NAMES, need=st.sampled_from((0, 1, 6)))
+    def send_request(self, name: str, need: int) -> None:
+        self.requests.append(self.ask(name, need))
+
+    @precondition(lambda self: self.requests)
+    @rule(data=st.data(), again=st.booleans())
+    def deliver_request(self, data: st.DataObject, again: bool) -> None:
+        index = data.draw(st.integers(0, len(self.requests) - 1))
+        name, run, request = self.requests[index]
+        if not again:
+            del self.requests[index]
+        grant = self.grantor.request(run, request, self.now_s)
+        self.grants.append((name, grant))
+
+    @precondition(lambda self: self.grants)
+    @rule(data=st.data(), again=st.booleans())
+    def deliver_grant(self, data: st.DataObject, again: bool) -> None:
+        index = data.draw(st.integers(0, len(self.grants) - 1))
+        name, grant = self.grants[index]
+        if not again:
+            del self.grants[index]
+        self.shares[name].accept(grant, self.now_s)
+
+    @rule(
+        borrower=NAMES,
+        tokens=st.sampled_from((1, 6, 12)),
+        resent=st.booleans(),
+    )
+    def ask_peer(self, borrower: str, tokens: int, resent: bool) -> None:
+        lender = self.richest()
+        if borrower == lender:
+            return
+        share = self.shares[borrower]
+        loan_id = share.open_loan(self.now_s)
+        grant = self.shares[lender].lend(loan_id, tokens, self.now_s)
+        if resent:
+            again = self.shares[lender].lend(loan_id, tokens, self.now_s)
+            assert again.tokens == grant.tokens, "a loan is made once"
+        share.borrow(loan_id, grant, self.now_s)
+        share.borrow(loan_id, grant, self.now_s)
+
+    @rule(name=NAMES)
+    def restart(self, name: str) -> None:
+        self.grants = [item for item in self.grants if item[0] != name]
+        self.start(name)
+
+    @invariant()
+    def never_overspent(self) -> None:
+        """Whatever could be spent at once must be in the exact bucket."""
+        held = sum(share.tokens(self.now_s) for share in self.shares.values())
+        held += self.grantor.reserve_tokens(self.now_s)
+        level = self.exact.level(self.now_s)
+        assert held <= level + _EPSILON, f"{held} tokens, {level} allowed"
+
+    @invariant()
+    def never_over_leased(self) -> None:
+        """Shares that are held and the reserve are parts of one budget."""
+        parts = [share.fraction(self.now_s) for share in self.shares.values()]
+        parts.append(self.grantor.reserved())
+        assert sum(parts) <= 1 + _EPSILON, f"{parts} are held"
+
+    @rule()
+    def replace_grantor(self) -> None:
+        self.requests.clear()
+        self.grantor = BudgetGrantor(
+            BUDGET, self.now_s, takes_over_at_s=self.now_s
+        )
+
+
+BudgetTest = BudgetMachine.TestCase
+BudgetTest.settings = settings(
+    max_examples=400, stateful_step_count=30, derandomize=True, deadline=None
+)
+
+
+class LeasedBudgetTest(unittest.TestCase):
+    """Leave room for the way from the token to the target."""
+
+    def test_late_dispatch_stays_within_the_budget(self) -> None:
+        for rate_per_s, burst in ((20.0, 40.0), (20.0, 1.0), (50.0, 8.0)):
+            with self.subTest(rate_per_s=rate_per_s, burst=burst):
+                exact = ExactBucket(BucketShare(rate_per_s, burst))
+                seen = self.seen_at(leased_budget(rate_per_s, burst))
+                for at_s in seen:
+                    exact.spend(at_s)
+                self.assertGreater(len(seen), 100)
+
+    def seen_at(self, leased: BucketShare) -> list[float]:
+        """Spend all there is; the first half arrives late, then at once."""
+        bucket = ShareBucket(leased, 0.0)
+        bucket.resize(leased, 1.0, 0.0)
+        seen: list[float] = []
+        for step in range(10_000, 50_000):
+            now_s = step / 1000
+            late_s = DISPATCH_JITTER_S if now_s < 30 else 0.0
+            while bucket.spend(now_s):
+                seen.append(now_s + late_s)
+        return sorted(seen)
+
+
+class ShareTest(unittest.TestCase):
+    """Follow demand and tell waiting requests when to give up."""
+
+    def setUp(self) -> None:
+        self.grantor = BudgetGrantor(BUDGET, 0.0)
+        self.share = AccountShare("a/1", BUDGET, 0.0)
+        self.queue: TokenQueue[str] = TokenQueue(self.share)
+
+    def test_first_request_is_served_by_a_loan(self) -> None:
+        verdict = self.queue.arrive("x", 3.0, 9.0)
+        self.assertIs(verdict, Verdict.WAITING)
+        need = self.queue.needs(3.0)
+        self.assertGreaterEqual(need, 1)
+        request = self.share.ask(3.0, need)
+        self.assertFalse(self.share.may_ask(3.1))
+        grant = self.grantor.request("a/1", request, 3.1)
+        self.assertTrue(self.share.accept(grant, 3.2))
+        self.assertEqual(list(self.queue.serve(3.2)), [("x", True)])
+
+    def test_waiter_gives_up_at_the_bound_or_its_deadline(self) -> None:
+        self.queue.arrive("x", 0.0, 9.0)
+        self.queue.arrive("y", 0.0, 0.2)
+        self.assertEqual(list(self.queue.serve(0.3)), [("y", False)])
+        self.assertEqual(list(self.queue.serve(0.9)), [("x", False)])
+
+    def test_over_demand_divides_by_max_min_fairness(self) -> None:
+        demands = {"a": 1, "b": 30, "c": 30}
+        shares = {name: AccountShare(name, BUDGET, 0.0) for name in demands}
+        for step in range(1, 100):
+            now_s = step / 10
+            for name, count in demands.items():
+                for _ in range(count if step % 10 else 10 * count):
+                    shares[name].arrive(now_s)
+                request = shares[name].ask(now_s)
+                grant = self.grantor.request(name, request, now_s)
+                shares[name].accept(grant, now_s)
+        parts = {name: share.fraction(10.0) for name, share in shares.items()}
+        self.assertAlmostEqual(parts["b"], parts["c"], places=2)
+        self.assertAlmostEqual(sum(parts.values()), 1.0, places=2)
+
+    def test_idle_share_sends_nothing_after_its_release(self) -> None:
+        for _ in range(20):
+            self.share.arrive(1.0)
+        grant = self.grantor.request("a/1", self.share.ask(1.0), 1.0)
+        self.share.accept(grant, 1.0)
+        self.assertTrue(self.share.is_active(2.0))
+        for now_s in (2.0, 12.0, 13.0, 14.0):
+            request = self.share.ask(now_s)
+            grant = self.grantor.request("a/1", request, now_s)
+            self.share.accept(grant, now_s)
+        self.assertFalse(self.share.is_active(15.0))
+        self.assertEqual(self.grantor.granted(13.0 + TERM_S), 0.0)
--- /dev/null
+++ b/tests/test_limits_path.py
@@ -0,0 +1,216 @@
+"""The leader's service and an entry VM's limiter, with stand-in links."""
+
+import asyncio
+import dataclasses
+import io
+import logging
+import time
+from typing import Any
+import unittest
+
+from wigeonford.bench import load_deployment
+from wigeonford.control import BudgetService
+from wigeonford.entry import EntryConfig, LeasedShareLimiter
+from wigeonford.errors import Code, PeerError, RequestRefused
+from wigeonford.events import configure_logging, EventLog
+from wigeonford.invariants import Checks, InvariantBreach, OnBreach
+from wigeonford.metrics import Metrics
+from wigeonford.model import ObjectSet
+from wigeonford.peer import (
+    LeaderElsewhere,
+    LoanRequest,
+    ShareReply,
+    ShareReport,
+    ShareRow,
+)
+from wigeonford.policy import LoanGrant, ShareGrant, ShareRequest
+
+OBJECTS = load_deployment("guild").objects
+ACCOUNT = "guild-office"
+EMPTY = ObjectSet({})
+
+
+@dataclasses.dataclass
+class StandInConfig:
+    """Hold objects at a revision."""
+
+    revision: int
+    objects: ObjectSet
+
+
+class StandInLeadership:
+    """Lead or not, as a test sets it."""
+
+    def __init__(self, objects: ObjectSet) -> None:
+        self.is_leader = True
+        self.term = 1
+        self.leader: str | None = "other"
+        self.age_s: float | None = 0.0
+        self.config = StandInConfig(1, objects)
+
+    @property
+    def state(self) -> Any:
+        return self
+
+    def vouched_age_s(self) -> float | None:
+        return self.age_s
+
+
+def _checks() -> Checks:
+    return Checks(EventLog(), Metrics(), OnBreach.REFUSE)
+
+
+class BudgetServiceTest(unittest.IsolatedAsyncioTestCase):
+    """Grant only in office, and wait out what another has granted."""
+
+    def setUp(self) -> None:
+        configure_logging(io.StringIO(), logging.CRITICAL)
+        self.now_s = 1000.0
+        self.leadership = StandInLeadership(EMPTY)
+        self.service = BudgetService(
+            self.leadership, _checks(), lambda: self.now_s
+        )
+        self.numbers = iter(range(1, 100))
+
+    async def units(self, holder: str = "a/1") -> int:
+        row = ShareRow(ACCOUNT, next(self.numbers), 0, 500_000, 0, 0, 0)
+        reply = await self.service._answer(ShareReport(holder, (row,)))
+        assert isinstance(reply, ShareReply), "reports get replies"
+        return reply.rows[0].units
+
+    async def test_unknown_account_gets_nothing(self) -> None:
+        self.assertEqual(await self.units(), 0)
+
+    async def test_account_that_appears_in_office_need_not_wait(self) -> None:
+        self.service.observe(self.now_s)
+        self.leadership.config = StandInConfig(2, OBJECTS)
+        self.assertEqual(await self.units(), 500_000)
+
+    async def test_new_leader_waits_out_its_predecessor(self) -> None:
+        self.leadership.config = StandInConfig(2, OBJECTS)
+        self.assertEqual(await self.units(), 0)
+        self.now_s += 4.6
+        self.assertEqual(await self.units(), 0)
+        self.now_s += 0.1
+        self.assertEqual(await self.units(), 500_000)
+        self.leadership.term = 2
+        self.assertEqual(await self.units("b/1"), 0)
+
+    async def test_only_a_confirmed_leader_grants(self) -> None:
+        for is_leader, age_s in ((False, 0.0), (True, None), (True, 1.6)):
+            with self.subTest(is_leader=is_leader, age_s=age_s):
+                self.leadership.is_leader = is_leader
+                self.leadership.age_s = age_s
+                with self.assertRaises(LeaderElsewhere):
+                    await self.units()
+
+
+class StandInLinks:
+    """Answer reports and loans as a test sets it."""
+
+    holder = "a/1"
+
+    def __init__(self) -> None:
+        self.loan: int | None = 0
+        self.lenders: tuple[str, ...] = ()
+        self.lent: dict[str, int] = {}
+        self.reports = 0
+
+    def follow_roster(self, members: object) -> None:
+        return
+
+    async def close(self) -> None:
+        return
+
+    async def report(
+        self, requests: dict[str, ShareRequest]
+    ) -> dict[str, ShareGrant]:
+        self.reports += 1
+        await asyncio.sleep(0.01)
+        if self.loan is None:
+            raise PeerError(Code.NOT_LEADER)
+        return {
+            name: ShareGrant(
+                request.number,
+                0,
+                loan=min(request.need, self.loan),
+                lenders=self.lenders,
+            )
+            for name, request in requests.items()
+        }
+
+    async def borrow(
+        self, lender: str, message: LoanRequest
+    ) -> LoanGrant | None:
+        tokens = self.lent.get(lender)
+        return None if tokens is None else LoanGrant(tokens, 0.5)
+
+
+class LimiterTest(unittest.IsolatedAsyncioTestCase):
+    """Wait for a loan, refuse in time, and lose no token to the absent."""
+
+    async def asyncSetUp(self) -> None:
+        configure_logging(io.StringIO(), logging.CRITICAL)
+        self.links = StandInLinks()
+        links: Any = self.links
+        self.limiter = LeasedShareLimiter(
+            links, _checks(), Metrics(), EventLog()
+        )
+        self.configure(OBJECTS)
+        self.addAsyncCleanup(self.limiter.stop)
+
+    def configure(self, objects: ObjectSet) -> None:
+        self.limiter.reconfigure(EntryConfig(1, objects, {}, {}))
+
+    async def refusal(self, wait_s: float = 60.0) -> RequestRefused:
+        with self.assertRaises(RequestRefused) as caught:
+            await self.limiter.spend(ACCOUNT, time.monotonic() + wait_s)
+        return caught.exception
+
+    async def test_request_waits_for_a_loan_of_the_reserve(self) -> None:
+        self.links.loan = 1
+        token = await self.limiter.spend(ACCOUNT, time.monotonic() + 60)
+        await self.limiter.renew(token, time.monotonic() + 60)
+        self.assertEqual(self.links.reports, 1)
+
+    async def test_peer_lends_what_the_reserve_has_not(self) -> None:
+        self.links.lenders = ("b/1", "c/1")
+        self.links.lent = {"c/1": 1}
+        await self.limiter.spend(ACCOUNT, time.monotonic() + 60)
+
+    async def test_last_known_lender_helps_while_nobody_leads(self) -> None:
+        self.links.lenders = ("b/1",)
+        await self.refusal(0.1)
+        self.links.loan = None
+        self.links.lent = {"b/1": 2}
+        await self.limiter.spend(ACCOUNT, time.monotonic() + 60)
+
+    async def test_refusal_is_final_and_says_when_to_come_back(self) -> None:
+        for wait_s in (60.0, 0.05):
+            refused = await self.refusal(wait_s)
+            self.assertIs(refused.code, Code.SHARE_UNAVAILABLE)
+            self.assertEqual(refused.retry_after_s, 1.0)
+
+    async def test_old_token_is_replaced_before_dispatch(self) -> None:
+        self.links.loan = 1
+        token = await self.limiter.spend(ACCOUNT, time.monotonic() + 60)
+        token.spent_at_s -= 1.0
+        self.links.loan = 0
+        with self.assertRaises(RequestRefused):
+            await self.limiter.renew(token, time.monotonic() + 0.1)
+
+    async def test_removed_account_is_refused_at_once(self) -> None:
+        waiting = asyncio.create_task(self.refusal())
+        await asyncio.sleep(0)
+        self.configure(EMPTY)
+        await waiting
+        self.assertIs((await self.refusal()).code, Code.KEY_UNKNOWN)
+
+    async def test_dispatch_beyond_the_whole_budget_is_a_breach(self) -> None:
+        self.links.loan = 1
+        token = await self.limiter.spend(ACCOUNT, time.monotonic() + 60)
+        burst = OBJECTS.client_accounts[ACCOUNT].burst
+        with self.assertRaises(InvariantBreach):
+            for _ in range(2 * int(burst)):
+                token.spent_at_s = time.monotonic()
+                await self.limiter.renew(token, time.monotonic() + 60)
