--- a/src/wigeonford/cli/_experiments.py
+++ b/src/wigeonford/cli/_experiments.py
@@ -84,3 +84,10 @@
     "wigeonford.bench._limits_bench",
     _limits_arguments,
 )
+
+_scenario(
+    "claims",
+    "compare ways to claim a non-idempotent request",
+    "wigeonford.bench._claims_bench",
+    lambda _parser: None,
+)
--- a/src/wigeonford/compose.py
+++ b/src/wigeonford/compose.py
@@ -1,16 +1,19 @@
 """Composition root: wire the parts of each daemon."""
 
+import random
 import time
 
 from wigeonford.control import (
     BudgetService,
+    ClaimService,
     ControlDaemon,
     ControlService,
+    LogFileStore,
     OperatorApi,
+    RaftReplica,
+    RegisterStore,
     Replica,
     SoloReplica,
-    SqliteStore,
-    State,
 )
 from wigeonford.entry import (
     Announcer,
@@ -26,7 +29,7 @@
     TargetDirectory,
     TargetRegistry,
 )
-from wigeonford.events import EventLog
+from wigeonford.events import Event, EventLog
 from wigeonford.http import HttpServer
 from wigeonford.invariants import Checks
 from wigeonford.metrics import Metrics
@@ -40,51 +43,65 @@
 from wigeonford.tls import client_context
 
 
-class SoloLeadership:
-    """Lead always, as the only replica does, in one term of office."""
-
-    is_leader = True
-    term = 1
-
-    def __init__(self, replica: Replica) -> None:
-        self._replica = replica
-
-    @property
-    def state(self) -> State:
-        """Return the state as applied so far."""
-        return self._replica.state
-
-    @property
-    def leader(self) -> str | None:
-        """Return this replica's name."""
-        return self._replica.leader
-
-    def vouched_age_s(self) -> float | None:
-        """Return how long ago a quorum confirmed the state."""
-        return self._replica.vouched_age_s()
-
-
 def build_control(cfg: ControlSettings, log: EventLog) -> ControlDaemon:
     """Return a control replica that is ready to start."""
     log = log.bind(vm=cfg.name)
-    replica = SoloReplica(cfg.name, SqliteStore(cfg.data_folder))
+    peers = PeerServer(cfg.secrets.peer, log)
+    replica = _build_replica(cfg, peers, log)
     metrics = Metrics()
     api = OperatorApi(
         replica, cfg.secrets.operator, cfg.secrets.key_hash, metrics, log
     )
-    budgets = BudgetService(
-        SoloLeadership(replica), Checks(log, metrics, cfg.on_breach)
-    )
+    budgets = BudgetService(replica, Checks(log, metrics, cfg.on_breach), log)
     return ControlDaemon(
         cfg,
         replica,
-        ControlService(replica, budgets, log),
-        PeerServer(cfg.secrets.peer, log),
+        (
+            ControlService(replica, log),
+            _build_claims(cfg, log),
+            budgets,
+        ),
+        peers,
         HttpServer(api.handle, CallerLimits(), log),
         log,
     )
 
 
+def _build_claims(cfg: ControlSettings, log: EventLog) -> ClaimService:
+    others = {
+        member.name: PeerClient(
+            cfg.name,
+            member.peer_address,
+            cfg.secrets.peer,
+            log,
+            client_context(cfg.tls),
+        )
+        for member in cfg.members
+        if member.name != cfg.name
+    }
+    store = RegisterStore(cfg.data_folder)
+    return ClaimService(store, others, log, random.Random())
+
+
+def _build_replica(
+    cfg: ControlSettings, peers: PeerServer, log: EventLog
+) -> Replica:
+    store = LogFileStore(cfg.data_folder)
+    if store.dropped_bytes:
+        log.emit(Event.LOG_TAIL_DROPPED, bytes=store.dropped_bytes)
+    if not cfg.members:
+        return SoloReplica(cfg.name, store)
+
+    def connect(address: Address) -> PeerClient:
+        return PeerClient(
+            cfg.name, address, cfg.secrets.peer, log, client_context(cfg.tls)
+        )
+
+    replica = RaftReplica(cfg, store, connect, log)
+    replica.attach(peers)
+    return replica
+
+
 def build_entry(cfg: EntrySettings, log: EventLog) -> EntryDaemon:
     """Return an entry VM that is ready to start."""
     log = log.bind(vm=cfg.name)
@@ -117,10 +134,11 @@
         return sum(c.slots for c in registry.candidates(service, now_s))
 
     dispatcher = Dispatcher(registry, metrics, log)
+    claims = ControlClaims(control, log)
     pipeline = Pipeline(
         config,
         limiter,
-        ControlClaims(control),
+        claims,
         DispatchGate(slots_of),
         dispatcher,
         checks,
@@ -139,5 +157,6 @@
         HttpServer(front.handle, cfg.limits, log),
         PeerServer(cfg.secrets.peer, log),
         control,
+        claims,
         log,
     )
--- a/src/wigeonford/control/_budgets.py
+++ b/src/wigeonford/control/_budgets.py
@@ -5,11 +5,14 @@
 late grants nothing, since another may lead by now.
 """
 
+import asyncio
 from collections.abc import Callable, Mapping
 import time
-from typing import Final, Protocol
+from typing import Final
 
-from wigeonford.control._state import State
+from wigeonford.control._replica import Replica
+from wigeonford.errors import WigeonfordError
+from wigeonford.events import Event, EventLog
 from wigeonford.invariants import Checks, Invariant
 from wigeonford.peer import (
     GrantRow,
@@ -26,45 +29,26 @@
     ShareRequest,
 )
 
+WATCH_INTERVAL_S: Final = 0.2
 VOUCHED_WITHIN_S: Final = 1.5
 _EPSILON: Final = 1e-6
 
 
-class Leadership(Protocol):
-    """Tell whether this replica leads, and in which term."""
-
-    @property
-    def state(self) -> State:
-        """Return the state as applied so far."""
-
-    @property
-    def leader(self) -> str | None:
-        """Return the name of the leader, where one is known."""
-
-    @property
-    def is_leader(self) -> bool:
-        """Tell whether this replica leads, as far as it knows."""
-
-    @property
-    def term(self) -> int:
-        """Return the term, which rises with each change of leader."""
-
-    def vouched_age_s(self) -> float | None:
-        """Return how long ago a quorum confirmed the state, or None."""
-
-
 class BudgetService:
     """Answer share reports; its state lives for one term of office."""
 
     def __init__(
         self,
-        leadership: Leadership,
+        replica: Replica,
         checks: Checks,
+        log: EventLog,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        self._leadership = leadership
+        self._replica = replica
         self._checks = checks
+        self._log = log
         self._clock = clock
+        self._task: asyncio.Task[None] | None = None
         self._term = -1
         self._since_s = 0.0
         self._inherited: frozenset[str] = frozenset()
@@ -76,27 +60,55 @@
         """Register the message handler."""
         server.handle(ShareReport, self._answer)
 
-    def observe(self, now_s: float) -> bool:
-        """Note a change of office; tell whether grants may be made.
-
-        Accounts that appear later were granted by nobody before, so the
-        sooner a new leader observes, the fewer accounts have to wait.
+    async def start(self) -> None:
+        """Begin to watch for a change of office."""
+        self._task = asyncio.create_task(self._watch())
+
+    async def stop(self) -> None:
+        """Stop watching."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _watch(self) -> None:
+        while True:
+            try:
+                await self.take_office()
+            except WigeonfordError as exc:
+                self._log.emit(Event.BUDGET_OFFICE_DELAYED, detail=exc.detail)
+            await asyncio.sleep(WATCH_INTERVAL_S)
+
+    async def take_office(self) -> None:
+        """Begin to grant where this replica has come to lead.
+
+        Accounts that appear later were granted by nobody before, so they
+        need not wait; the state has to be current to tell them apart.
         """
-        age_s = self._leadership.vouched_age_s()
-        if not self._leadership.is_leader or age_s is None:
-            return False
-        if age_s > VOUCHED_WITHIN_S:
-            return False
+        term = self._replica.term
+        if not self._replica.is_leader or term == self._term:
+            return
+        await self._replica.confirm()
+        if not self._replica.is_leader or term != self._replica.term:
+            return
+        now_s = self._clock()
+        self._grantors.clear()
         self._follow_config(now_s)
-        if self._leadership.term != self._term:
-            self._term = self._leadership.term
-            self._since_s = now_s + VOUCHED_WITHIN_S
-            self._inherited = frozenset(self._budgets)
-            self._grantors.clear()
-        return True
+        self._since_s = now_s + VOUCHED_WITHIN_S
+        self._inherited = frozenset(self._budgets)
+        self._term = term
+
+    def _may_grant(self) -> bool:
+        """Tell whether no other replica can lead at this moment."""
+        age_s = self._replica.vouched_age_s()
+        return (
+            self._replica.is_leader
+            and self._replica.term == self._term
+            and age_s is not None
+            and age_s <= VOUCHED_WITHIN_S
+        )
 
     def _follow_config(self, now_s: float) -> None:
-        config = self._leadership.state.config
+        config = self._replica.state.config
         if config.revision == self._revision:
             return
         self._revision = config.revision
@@ -110,8 +122,9 @@
 
     async def _answer(self, message: ShareReport) -> ShareReply:
         now_s = self._clock()
-        if not self.observe(now_s):
-            raise LeaderElsewhere(self._leadership.leader)
+        if not self._may_grant():
+            raise LeaderElsewhere(self._replica.leader)
+        self._follow_config(now_s)
         return ShareReply(
             tuple(
                 self._grant(message.holder, row, now_s) for row in message.rows
--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -56,6 +56,9 @@
     BUDGET_REPORT_FAILED = _event(
         250, "no leader answered a report of demand", logging.WARNING
     )
+    BUDGET_OFFICE_DELAYED = _event(
+        251, "this replica leads but cannot grant yet", logging.WARNING
+    )
 
     TARGET_ANNOUNCED = _event(300, "a target announced itself")
     TARGET_LEFT = _event(301, "a target is leaving")
@@ -80,6 +83,26 @@
         504, "dropped a torn tail of the log", logging.WARNING
     )
 
+    CLAIMS_READY = _event(
+        550, "this replica holds the claims of a majority and votes"
+    )
+    CLAIM_NOT_CLOSED = _event(
+        551,
+        "a claim could not be closed; its outcome stays unknown",
+        logging.WARNING,
+    )
+    STORAGE_FAILED = _event(
+        510, "storage failed; the replica takes no part", logging.CRITICAL
+    )
+    REPLICA_STOPPED = _event(
+        511, "the replica stopped on an internal error", logging.CRITICAL
+    )
+    ROLE_CHANGED = _event(512, "the replica's role or term changed")
+    SNAPSHOT_INSTALLED = _event(513, "installed the leader's snapshot")
+    ROSTER_UPDATE_FAILED = _event(
+        514, "could not update the roster", logging.WARNING
+    )
+
     PEER_CONNECTED = _event(600, "connected to a peer")
     PEER_LOST = _event(601, "lost a peer", logging.WARNING)
     PEER_REFUSED = _event(602, "refused a peer", logging.WARNING)
--- a/src/wigeonford/peer/_messages.py
+++ b/src/wigeonford/peer/_messages.py
@@ -98,10 +98,16 @@
 @message(6)
 @dataclass(frozen=True, slots=True)
 class ClaimAnswer:
-    """Answer `ClaimOpen`: a result code number and a recorded outcome."""
+    """Answer `ClaimOpen`: a result code number and a recorded outcome.
+
+    `opened_at_s` and `direct` go back with `ClaimClose`; `direct` tells
+    that the claim was won without a recovery.
+    """
 
     code: int
     outcome: Outcome | None = None
+    opened_at_s: float = 0.0
+    direct: bool = False
 
 
 @message(7)
@@ -109,12 +115,17 @@
 class ClaimClose:
     """Complete a claim with its outcome, or release it as not run.
 
-    With `ran` true and no outcome, what happened stays unknown.
+    With `ran` true and no outcome, what happened stays unknown. `won` is
+    false for a claim whose answer was lost: it is released, unrun.
     """
 
     account: str
     idempotency_key: str
     claimant: str
+    fingerprint: bytes
+    opened_at_s: float
+    won: bool
+    direct: bool
     ran: bool
     outcome: Outcome | None
 
