--- a/src/wigeonford/policy/_budgets.py
+++ b/src/wigeonford/policy/_budgets.py
@@ -32,7 +32,6 @@
 FLOOR_TOKENS: Final = 3.0
 LOAN_DEMAND_S: Final = 0.3
 ASK_TIMEOUT_S: Final = 0.4
-LOW_DEMAND_S: Final = 0.1
 
 
 def leased_budget(rate_per_s: float, burst: float) -> BucketShare:
@@ -263,10 +262,9 @@
         self._sync(now_s)
         return self._bucket.wait_s(now_s, tokens)
 
-    def is_low(self, now_s: float) -> bool:
-        """Tell whether the tokens will not last until a reply is here."""
-        soon = self._demand.rate_per_s(now_s) * LOW_DEMAND_S
-        return self.tokens(now_s) < 1.0 + soon
+    def is_empty(self, now_s: float) -> bool:
+        """Tell whether the next request will find no token."""
+        return self.tokens(now_s) < 1.0
 
     @property
     def max_waiting(self) -> int:
--- a/src/wigeonford/policy/_token_queue.py
+++ b/src/wigeonford/policy/_token_queue.py
@@ -89,7 +89,7 @@
         if now_s < self._asks_at_s or not self.share.may_ask(now_s):
             return 0
         need = self.share.need(now_s, len(self._waiters))
-        if need == 0 or not (self._waiters or self.share.is_low(now_s)):
+        if need == 0 or not (self._waiters or self.share.is_empty(now_s)):
             return 0
         gap_s = SCARCE_ASK_GAP_S if self.share.scarce else ASK_GAP_S
         self._asks_at_s = now_s + gap_s
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -1,6 +1,7 @@
 """Fair queueing by account: one that floods costs the others nothing."""
 
 import asyncio
+import random
 import time
 import unittest
 
@@ -81,6 +82,31 @@
         self.assertEqual(self.pop(3), "aa-")
 
 
+class FloodTest(unittest.TestCase):
+    """Serve one slot in virtual time beside an account that floods it."""
+
+    def test_each_account_fares_as_with_a_slower_slot_of_its_own(self) -> None:
+        rng = random.Random(5)
+        queue: FairQueue[tuple[str, int]] = FairQueue(1000)
+        expected = dict.fromkeys("abcf", 0)
+        served_by: dict[str, int] = dict.fromkeys("abcf", 0)
+        for turn in range(20_000):
+            arrivals = [name for name in "abc" if rng.random() < 0.22]
+            for account in [*arrivals, "f", "f"]:
+                # When a slot of a quarter of the speed would begin with it.
+                begins = max(turn, expected[account])
+                expected[account] = begins + len(expected)
+                item = account, begins
+                queue.push(item, account, INTERACTIVE, 1.0, FAR_S)
+            served = queue.pop()
+            assert served is not None, "the flood never ends"
+            account, begins = served
+            served_by[account] += 1
+            self.assertLessEqual(turn + 1, begins + len(expected))
+        for account in "abc":
+            self.assertAlmostEqual(served_by[account], 4400, delta=150)
+
+
 class DispatchGateTest(unittest.IsolatedAsyncioTestCase):
     """Hand out slots and take them back, whatever becomes of callers."""
 
--- a/tests/test_limits_path.py
+++ b/tests/test_limits_path.py
@@ -4,21 +4,27 @@
 import dataclasses
 import io
 import logging
+from pathlib import Path
+import tempfile
 import time
 from typing import Any
 import unittest
 
-from wigeonford.bench import load_deployment
+from wigeonford.bench import load_deployment, LocalFleet
+from wigeonford.bench._settings import BENCH_SECRETS
 from wigeonford.control import BudgetService
 from wigeonford.entry import EntryConfig, LeasedShareLimiter
 from wigeonford.errors import Code, PeerError, RequestRefused
 from wigeonford.events import configure_logging, EventLog
+from wigeonford.http import fetch
 from wigeonford.invariants import Checks, InvariantBreach, OnBreach
 from wigeonford.metrics import Metrics
 from wigeonford.model import ObjectSet
 from wigeonford.peer import (
     LeaderElsewhere,
+    LoanReply,
     LoanRequest,
+    PeerClient,
     ShareReply,
     ShareReport,
     ShareRow,
@@ -224,3 +230,52 @@
             for _ in range(2 * int(burst)):
                 token.spent_at_s = time.monotonic()
                 await self.limiter.renew(token, time.monotonic() + 60)
+
+
+class FleetTest(unittest.IsolatedAsyncioTestCase):
+    """Lease and lend over the links of a whole deployment."""
+
+    async def asyncSetUp(self) -> None:
+        configure_logging(io.StringIO(), logging.CRITICAL)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.fleet = LocalFleet(
+            load_deployment("guild"), Path(folder.name), EventLog()
+        )
+        await self.fleet.start()
+        self.addAsyncCleanup(self.fleet.stop)
+
+    async def lend(self, tokens: int) -> LoanReply:
+        entry = self.fleet.entries["amman-a-1"]
+        link = PeerClient(
+            "a-test", entry.peer_address, BENCH_SECRETS.peer, EventLog()
+        )
+        try:
+            message = LoanRequest(f"a-test/{tokens}", ACCOUNT, tokens)
+            reply: LoanReply = await link.request(message, 5.0)
+            return reply
+        finally:
+            await link.close()
+
+    async def test_busy_vm_holds_a_share_and_lends_from_it(self) -> None:
+        entry = self.fleet.entries["amman-a-1"]
+        bearer = f"Bearer {self.fleet.keys[ACCOUNT]}".encode()
+        headers = ((b"authorization", bearer),)
+        page = b""
+        for _ in range(60):
+            await fetch(entry.address, "GET", "/catalogue/1", headers)
+            response = await fetch(entry.address, "GET", "/metrics")
+            assert isinstance(response.body, bytes), "pages are read whole"
+            page = response.body
+            if b"wigeonford_share_fraction{" in page:
+                break
+            await asyncio.sleep(0.1)
+        self.assertIn(b"wigeonford_share_fraction{", page)
+        lent = 0
+        for tokens in range(1, 60):
+            lent = (await self.lend(tokens)).tokens
+            if lent:
+                break
+            await fetch(entry.address, "GET", "/catalogue/1", headers)
+            await asyncio.sleep(0.1)
+        self.assertGreater(lent, 0)
