--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,5 +1,6 @@
 """All VMs together never spend more than an account's rate and burst."""
 
+import dataclasses
 import unittest
 
 from hypothesis import settings
@@ -354,3 +355,16 @@
         asks = ShareRequest(1, 0, SHARE_UNITS, 0, 0, 0)
         grant = grantor.request("a/1", asks, 0.0)
         self.assertLessEqual(grant.units, SHARE_UNITS // 2)
+
+    def test_smaller_part_is_free_once_it_is_confirmed(self) -> None:
+        whole, half = SHARE_UNITS, SHARE_UNITS // 2
+        asks = ShareRequest(1, 0, whole, 0, 0, 0)
+        self.assertEqual(self.grantor.request("b/1", asks, 0.1).units, 0)
+        cut = ShareRequest(8, whole, whole, 0, 0, 0)
+        self.assertEqual(self.grantor.request("a/1", cut, 0.2).units, half)
+        asks = dataclasses.replace(asks, number=2)
+        self.assertEqual(self.grantor.request("b/1", asks, 0.3).units, 0)
+        confirms = ShareRequest(9, half, whole, 0, 0, 0)
+        self.grantor.request("a/1", confirms, 0.4)
+        asks = dataclasses.replace(asks, number=3)
+        self.assertEqual(self.grantor.request("b/1", asks, 0.5).units, half)
