--- a/src/wigeonford/entry/_pipeline.py
+++ b/src/wigeonford/entry/_pipeline.py
@@ -1,7 +1,7 @@
 """The way of a caller's request: admission, limits, claim, dispatch."""
 
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 import time
 from typing import Final
 
@@ -14,12 +14,15 @@
 )
 from wigeonford.entry._config import ConfigFollower
 from wigeonford.entry._dispatch import Dispatcher, Outbound
+from wigeonford.entry._fair_queue import DispatchGate, Slot
 from wigeonford.entry._hygiene import (
+    BodyScan,
     clean_headers,
     clean_query,
     holds_key,
+    refuse_unstrippable_key,
 )
-from wigeonford.entry._limiter import Limiter
+from wigeonford.entry._limiter import Limiter, SpentToken
 from wigeonford.errors import Code, RequestRefused
 from wigeonford.http import (
     CODE_HEADER,
@@ -32,7 +35,6 @@
 )
 from wigeonford.invariants import Checks, Invariant
 from wigeonford.metrics import Metrics
-from wigeonford.model import KEY_START, KEY_START_BYTES
 
 BUFFERED_BODY_BYTES: Final = 65536
 IDEMPOTENCY_HEADER: Final = b"idempotency-key"
@@ -48,6 +50,7 @@
     admitted: Admitted
     body: bytes | AsyncIterator[bytes]
     deadline_s: float
+    token: SpentToken | None
 
 
 class Pipeline:
@@ -58,6 +61,7 @@
         config: ConfigFollower,
         limiter: Limiter,
         claims: Claims,
+        gate: DispatchGate,
         dispatcher: Dispatcher,
         checks: Checks,
         metrics: Metrics,
@@ -66,6 +70,7 @@
         self._config = config
         self._limiter = limiter
         self._claims = claims
+        self._gate = gate
         self._dispatcher = dispatcher
         self._checks = checks
         self._metrics = metrics
@@ -100,14 +105,13 @@
     async def _run(
         self, request: Request, admitted: Admitted, started_s: float
     ) -> Response:
-        work = Work(
-            request,
-            admitted,
-            await _read_body(request),
-            started_s + _deadline_s(request, admitted),
-        )
+        refuse_unstrippable_key(request)
+        deadline_s = started_s + _deadline_s(request, admitted)
+        body = await _read_body(request)
+        token = None
         if admitted.account is not None:
-            await self._limiter.spend(admitted.account)
+            token = await self._limiter.spend(admitted.account, deadline_s)
+        work = Work(request, admitted, body, deadline_s, token)
         if admitted.route.idempotent:
             return await self._dispatch(work)
         return await self._run_once(work)
@@ -133,6 +137,34 @@
         )
 
     async def _dispatch(self, work: Work) -> Response:
+        """Forward in this request's turn; hold its slot to the end."""
+        slot = await self._acquire_slot(work)
+        try:
+            response = await self._forward(work)
+        except BaseException:
+            slot.release()
+            raise
+        if isinstance(response.body, bytes):
+            slot.release()
+            return response
+        return replace(response, body=_HoldingBody(response.body, slot))
+
+    async def _acquire_slot(self, work: Work) -> Slot:
+        service = work.admitted.service
+        account = work.admitted.account or _OPEN_ACCOUNT
+        accounts = self._config.current.objects.client_accounts
+        weight = accounts[account].weight if account in accounts else 1.0
+        return await self._gate.acquire(
+            service.name,
+            account,
+            service.request_class,
+            weight,
+            work.deadline_s,
+        )
+
+    async def _forward(self, work: Work) -> Response:
+        if work.token is not None:
+            await self._limiter.renew(work.token, work.deadline_s)
         recheck(
             self._config.current,
             work.admitted,
@@ -168,7 +200,11 @@
 
     def _check_no_key(self, outbound: Outbound) -> None:
         texts = [outbound.target]
-        texts.extend(value.decode("latin-1") for _, value in outbound.headers)
+        texts.extend(
+            text.decode("latin-1")
+            for header in outbound.headers
+            for text in header
+        )
         self._checks.require(
             not any(holds_key(text) for text in texts),
             Invariant.NO_KEY_TO_TARGET,
@@ -176,6 +212,30 @@
         )
 
 
+class _HoldingBody:
+    """Yield a body; release its slot at the end, or unread with it.
+
+    A generator would not do: one that is never started runs no `finally`.
+    """
+
+    def __init__(self, body: AsyncIterator[bytes], slot: Slot) -> None:
+        self._body = body
+        self._slot = slot
+
+    def __aiter__(self) -> "_HoldingBody":
+        return self
+
+    async def __anext__(self) -> bytes:
+        try:
+            return await anext(self._body)
+        except BaseException:
+            self._slot.release()
+            raise
+
+    def __del__(self) -> None:
+        self._slot.release()
+
+
 def _target(request: Request) -> str:
     query = clean_query(request.query)
     return f"{request.path}?{query}" if query else request.path
@@ -212,34 +272,23 @@
     """Return a small body whole, or a stream that begins with its start."""
     if not request.has_body:
         return b""
+    scan = BodyScan(request.header(b"content-type"))
     parts: list[bytes] = []
     size = 0
     async for chunk in request.body:
+        scan.feed(chunk)
         parts.append(chunk)
         size += len(chunk)
         if size > BUFFERED_BODY_BYTES:
-            return _stream(parts, request.body)
-    body = b"".join(parts)
-    if KEY_START.search(body):
-        raise RequestRefused(Code.BAD_ARGUMENT, "the body holds a key")
-    return body
+            return _stream(parts, request.body, scan)
+    return b"".join(parts)
 
 
 async def _stream(
-    parts: list[bytes], rest: AsyncIterator[bytes]
+    parts: list[bytes], rest: AsyncIterator[bytes], scan: BodyScan
 ) -> AsyncIterator[bytes]:
-    tail = b""
     for part in parts:
-        tail = _refuse_key(tail, part)
         yield part
     async for chunk in rest:
-        tail = _refuse_key(tail, chunk)
+        scan.feed(chunk)
         yield chunk
-
-
-def _refuse_key(tail: bytes, chunk: bytes) -> bytes:
-    """Refuse a chunk that completes a key; return the end to keep."""
-    joined = tail + chunk
-    if KEY_START.search(joined):
-        raise RequestRefused(Code.BAD_ARGUMENT, "the body holds a key")
-    return joined[1 - KEY_START_BYTES :]
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,370 @@
+"""All VMs together never spend more than an account's rate and burst."""
+
+import dataclasses
+import unittest
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    RuleBasedStateMachine,
+)
+
+from wigeonford.policy import (
+    AccountShare,
+    BucketShare,
+    BudgetGrantor,
+    DISPATCH_JITTER_S,
+    leased_budget,
+    LoanGrant,
+    SHARE_UNITS,
+    ShareBucket,
+    ShareGrant,
+    ShareRequest,
+    TERM_S,
+    TokenQueue,
+    Verdict,
+)
+from wigeonford.policy._demand import Demand
+from wigeonford.policy._leases import DRIFT_MARGIN
+
+BUDGET = BucketShare(8.0, 12.0)
+NAMES = st.sampled_from(("a", "b", "c"))
+ARRIVALS = st.sampled_from((0, 5, 30))
+NEEDS = st.sampled_from((0, 6))
+_EPSILON = 1e-6
+
+
+class ExactBucket:
+    """Hold the one bucket that all VMs together have to respect."""
+
+    def __init__(self, budget: BucketShare) -> None:
+        self.budget = budget
+        self.tokens = budget.burst
+        self.at_s = 0.0
+
+    def level(self, now_s: float) -> float:
+        """Return the tokens that are there."""
+        grown = (now_s - self.at_s) * self.budget.rate_per_s
+        self.tokens = min(self.budget.burst, self.tokens + grown)
+        self.at_s = now_s
+        return self.tokens
+
+    def spend(self, now_s: float) -> None:
+        """Take a token, which has to be there."""
+        self.tokens = self.level(now_s) - 1
+        assert self.tokens >= -_EPSILON, f"overspent by {-self.tokens}"
+
+
+class BudgetMachine(RuleBasedStateMachine):
+    """Lose, delay and repeat messages; restart VMs, replace the grantor."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+        self.exact = ExactBucket(BUDGET)
+        self.grantor = BudgetGrantor(BUDGET, 0.0)
+        self.shares: dict[str, AccountShare] = {}
+        self.runs = 0
+        self.requests: list[tuple[str, str, ShareRequest]] = []
+        self.grants: list[tuple[str, ShareGrant]] = []
+        for name in ("a", "b", "c"):
+            self.start(name)
+
+    @initialize(full=st.booleans())
+    def fill(self, full: bool) -> None:
+        """Begin with a reserve that holds what the exact bucket holds.
+
+        With no token lost so far, none hides one too many.
+        """
+        self.exact.tokens = BUDGET.burst if full else 0.0
+        since_s = -BUDGET.burst if full else 0.0
+        self.grantor = BudgetGrantor(BUDGET, since_s)
+
+    def start(self, name: str) -> None:
+        self.runs += 1
+        run = f"{name}/{self.runs}"
+        self.shares[name] = AccountShare(run, BUDGET, self.now_s)
+
+    def ask(self, name: str, arrivals: int, need: int) -> ShareRequest:
+        share = self.shares[name]
+        for _ in range(arrivals):
+            share.arrive(self.now_s)
+        return share.ask(self.now_s, need)
+
+    @rule(name=NAMES, arrivals=ARRIVALS, need=NEEDS)
+    def exchange(self, name: str, arrivals: int, need: int) -> None:
+        share = self.shares[name]
+        request = self.ask(name, arrivals, need)
+        grant = self.grantor.request(share.name, request, self.now_s)
+        share.accept(grant, self.now_s)
+
+    def richest(self) -> str:
+        """Return the VM whose moves are the likeliest to matter."""
+        return max(
+            self.shares, key=lambda name: self.shares[name].tokens(self.now_s)
+        )
+
+    @rule(count=st.sampled_from((1, 5, 14)))
+    def spend(self, count: int) -> None:
+        name = self.richest()
+        for _ in range(count):
+            if self.shares[name].spend(self.now_s):
+                self.exact.spend(self.now_s)
+
+    @rule(seconds=st.sampled_from((0.1, 0.45, 0.65, 5.5, 6.2)))
+    def advance(self, seconds: float) -> None:
+        self.now_s += seconds
+
+    @rule(busy=NAMES)
+    def run_undisturbed(self, busy: str) -> None:
+        for _ in range(4):
+            self.now_s += 1.0
+            for name in self.shares:
+                self.exchange(name, 16 if name == busy else 0, 0)
+
+    @rule(name=NAMES, arrivals=ARRIVALS, need=NEEDS)
+    def send_request(self, name: str, arrivals: int, need: int) -> None:
+        request = self.ask(name, arrivals, need)
+        self.requests.append((name, self.shares[name].name, request))
+
+    @precondition(lambda self: self.requests)
+    @rule(data=st.data(), again=st.booleans())
+    def deliver_request(self, data: st.DataObject, again: bool) -> None:
+        index = data.draw(st.integers(0, len(self.requests) - 1))
+        name, run, request = self.requests[index]
+        if not again:
+            del self.requests[index]
+        grant = self.grantor.request(run, request, self.now_s)
+        self.grants.append((name, grant))
+
+    @precondition(lambda self: self.grants)
+    @rule(data=st.data(), again=st.booleans())
+    def deliver_grant(self, data: st.DataObject, again: bool) -> None:
+        index = data.draw(st.integers(0, len(self.grants) - 1))
+        name, grant = self.grants[index]
+        if not again:
+            del self.grants[index]
+        self.shares[name].accept(grant, self.now_s)
+
+    @rule(
+        borrower=NAMES,
+        tokens=st.sampled_from((1, 6, 12)),
+        resent=st.booleans(),
+    )
+    def ask_peer(self, borrower: str, tokens: int, resent: bool) -> None:
+        lender = self.richest()
+        if borrower == lender:
+            return
+        share = self.shares[borrower]
+        loan_id = share.open_loan(self.now_s)
+        grant = self.shares[lender].lend(loan_id, tokens, self.now_s)
+        if resent:
+            again = self.shares[lender].lend(loan_id, tokens, self.now_s)
+            assert again.tokens == grant.tokens, "a loan is made once"
+        share.borrow(loan_id, grant, self.now_s)
+        share.borrow(loan_id, grant, self.now_s)
+
+    @rule(name=NAMES)
+    def restart(self, name: str) -> None:
+        self.grants = [item for item in self.grants if item[0] != name]
+        self.start(name)
+
+    @invariant()
+    def never_overspent(self) -> None:
+        """Whatever could be spent at once must be in the exact bucket."""
+        held = sum(share.tokens(self.now_s) for share in self.shares.values())
+        held += self.grantor.reserve_tokens(self.now_s)
+        level = self.exact.level(self.now_s)
+        assert held <= level + _EPSILON, f"{held} tokens, {level} allowed"
+
+    @invariant()
+    def never_over_leased(self) -> None:
+        """Shares that are held and the reserve are parts of one budget."""
+        parts = [share.fraction(self.now_s) for share in self.shares.values()]
+        parts.append(self.grantor.reserved())
+        assert sum(parts) <= 1 + _EPSILON, f"{parts} are held"
+
+    @rule()
+    def replace_grantor(self) -> None:
+        self.requests.clear()
+        self.grantor = BudgetGrantor(
+            BUDGET, self.now_s, takes_over_at_s=self.now_s
+        )
+
+
+BudgetTest = BudgetMachine.TestCase
+BudgetTest.settings = settings(
+    max_examples=800, stateful_step_count=12, derandomize=True, deadline=None
+)
+
+
+class LeasedBudgetTest(unittest.TestCase):
+    """Leave room for the way from the token to the target."""
+
+    def test_late_dispatch_stays_within_the_budget(self) -> None:
+        for rate_per_s, burst in ((20.0, 40.0), (20.0, 1.0), (50.0, 8.0)):
+            with self.subTest(rate_per_s=rate_per_s, burst=burst):
+                exact = ExactBucket(BucketShare(rate_per_s, burst))
+                seen = self.seen_at(leased_budget(rate_per_s, burst))
+                for at_s in seen:
+                    exact.spend(at_s)
+                self.assertGreater(len(seen), 100)
+
+    def seen_at(self, leased: BucketShare) -> list[float]:
+        """Spend all there is; the first half arrives late, then at once."""
+        bucket = ShareBucket(leased, 0.0)
+        bucket.resize(leased, 1.0, 0.0)
+        seen: list[float] = []
+        for step in range(10_000, 50_000):
+            now_s = step / 1000
+            late_s = DISPATCH_JITTER_S if now_s < 30 else 0.0
+            while bucket.spend(now_s):
+                seen.append(now_s + late_s)
+        return sorted(seen)
+
+
+class ShareTest(unittest.TestCase):
+    """Follow demand and tell waiting requests when to give up."""
+
+    def setUp(self) -> None:
+        self.grantor = BudgetGrantor(BUDGET, 0.0)
+        self.share = AccountShare("a/1", BUDGET, 0.0)
+        self.queue: TokenQueue[str] = TokenQueue(self.share)
+
+    def test_first_request_is_served_by_a_loan(self) -> None:
+        verdict = self.queue.arrive("x", 3.0, 9.0)
+        self.assertIs(verdict, Verdict.WAITING)
+        need = self.queue.needs(3.0)
+        self.assertGreaterEqual(need, 1)
+        request = self.share.ask(3.0, need)
+        self.assertFalse(self.share.may_ask(3.1))
+        grant = self.grantor.request("a/1", request, 3.1)
+        self.assertTrue(self.share.accept(grant, 3.2))
+        self.assertEqual(list(self.queue.serve(3.2)), [("x", True)])
+
+    def test_waiter_gives_up_at_the_bound_or_its_deadline(self) -> None:
+        self.queue.arrive("x", 0.0, 9.0)
+        self.queue.arrive("y", 0.0, 0.2)
+        self.assertEqual(list(self.queue.serve(0.3)), [("y", False)])
+        self.assertEqual(list(self.queue.serve(0.9)), [("x", False)])
+
+    def test_over_demand_divides_by_max_min_fairness(self) -> None:
+        demands = {"a": 1, "b": 30, "c": 30}
+        shares = {name: AccountShare(name, BUDGET, 0.0) for name in demands}
+        for step in range(1, 100):
+            now_s = step / 10
+            for name, count in demands.items():
+                for _ in range(count if step % 10 else 10 * count):
+                    shares[name].arrive(now_s)
+                request = shares[name].ask(now_s)
+                grant = self.grantor.request(name, request, now_s)
+                shares[name].accept(grant, now_s)
+        parts = {name: share.fraction(10.0) for name, share in shares.items()}
+        self.assertAlmostEqual(parts["b"], parts["c"], places=2)
+        self.assertAlmostEqual(sum(parts.values()), 1.0, places=2)
+
+    def test_idle_share_sends_nothing_after_its_release(self) -> None:
+        for _ in range(20):
+            self.share.arrive(1.0)
+        grant = self.grantor.request("a/1", self.share.ask(1.0), 1.0)
+        self.share.accept(grant, 1.0)
+        self.assertTrue(self.share.is_active(2.0))
+        for now_s in (2.0, 12.0, 13.0, 14.0):
+            request = self.share.ask(now_s)
+            grant = self.grantor.request("a/1", request, now_s)
+            self.share.accept(grant, now_s)
+        self.assertFalse(self.share.is_active(15.0))
+        self.assertEqual(self.grantor.granted(13.0 + TERM_S), 0.0)
+
+
+class LoanTest(unittest.TestCase):
+    """Keep what is lent out of the hands of everybody else."""
+
+    def setUp(self) -> None:
+        self.grantor = BudgetGrantor(BUDGET, -BUDGET.burst)
+        self.lender = AccountShare("a/1", BUDGET, 0.0)
+        self.exchange(0.0, arrivals=60)
+        self.assertEqual(self.lender.tokens(0.0), BUDGET.burst)
+
+    def exchange(self, now_s: float, arrivals: int = 0) -> ShareRequest:
+        for _ in range(arrivals):
+            self.lender.arrive(now_s)
+        request = self.lender.ask(now_s)
+        grant = self.grantor.request("a/1", request, now_s)
+        self.lender.accept(grant, now_s)
+        return request
+
+    def lend(self, now_s: float) -> LoanGrant:
+        return self.lender.lend("loan", 12, now_s)
+
+    def test_lent_part_is_kept_when_demand_is_gone(self) -> None:
+        self.exchange(2.7)
+        lent = self.lend(2.7).tokens
+        self.assertGreater(lent, 0)
+        # The lease lives on, and the demand falls to nearly nothing.
+        self.lender._demand = Demand(2.7)
+        request = self.exchange(2.8)
+        self.assertGreaterEqual(request.held / SHARE_UNITS, lent / 12.0)
+        self.assertGreaterEqual(self.lender.fraction(2.8), lent / 12.0)
+        self.exchange(3.4)
+        self.exchange(3.5)
+        self.assertEqual(self.lender.fraction(3.5), 0.0)
+
+    def test_lent_part_is_kept_when_the_grant_is_smaller(self) -> None:
+        request = self.lender.ask(0.1)
+        self.lender._demand = Demand(0.1)
+        lent = self.lend(0.1).tokens
+        self.assertGreater(lent, 0)
+        self.lender.accept(ShareGrant(request.number, 0), 0.2)
+        self.assertGreaterEqual(self.lender.fraction(0.2), lent / 12.0)
+
+    def test_loan_ends_before_the_lender_s_lease(self) -> None:
+        ends_at_s = TERM_S * (1 - DRIFT_MARGIN)
+        self.lender._demand = Demand(0.0)
+        now_s = ends_at_s - 0.4
+        self.assertLessEqual(now_s + self.lend(now_s).lifetime_s, ends_at_s)
+        self.assertEqual(
+            self.lender.lend("late", 1, ends_at_s - 0.1).tokens, 0
+        )
+
+    def test_tokens_are_sent_back_once(self) -> None:
+        self.exchange(2.5)
+        self.lender._demand = Demand(2.5)
+        self.assertEqual(self.lender.ask(2.6).returned, BUDGET.burst)
+        self.assertEqual(self.lender.ask(2.6).returned, 0.0)
+
+    def test_repeated_return_counts_once(self) -> None:
+        whole, part = SHARE_UNITS, SHARE_UNITS // 4
+        self.grantor.request("a/1", ShareRequest(8, whole, whole, 0, 0, 0), 0)
+        returns = ShareRequest(9, part, 2 * part, 0, 3.0, 0)
+        grant = self.grantor.request("a/1", returns, 0.0)
+        handed_on = grant.tokens
+        for _ in range(3):
+            handed_on += self.grantor.request("a/1", returns, 0.0).tokens
+        total = handed_on + self.grantor.reserve_tokens(0.0)
+        self.assertLessEqual(total, 3.0)
+
+    def test_reserve_grants_no_part_that_it_has_lent(self) -> None:
+        grantor = BudgetGrantor(BUDGET, -BUDGET.burst)
+        loan = grantor.request("b/1", ShareRequest(1, 0, 0, 0, 0, 6), 0.0)
+        self.assertEqual(loan.loan, 6)
+        asks = ShareRequest(1, 0, SHARE_UNITS, 0, 0, 0)
+        grant = grantor.request("a/1", asks, 0.0)
+        self.assertLessEqual(grant.units, SHARE_UNITS // 2)
+
+    def test_smaller_part_is_free_once_it_is_confirmed(self) -> None:
+        whole, half = SHARE_UNITS, SHARE_UNITS // 2
+        asks = ShareRequest(1, 0, whole, 0, 0, 0)
+        self.assertEqual(self.grantor.request("b/1", asks, 0.1).units, 0)
+        cut = ShareRequest(8, whole, whole, 0, 0, 0)
+        self.assertEqual(self.grantor.request("a/1", cut, 0.2).units, half)
+        asks = dataclasses.replace(asks, number=2)
+        self.assertEqual(self.grantor.request("b/1", asks, 0.3).units, 0)
+        confirms = ShareRequest(9, half, whole, 0, 0, 0)
+        self.grantor.request("a/1", confirms, 0.4)
+        asks = dataclasses.replace(asks, number=3)
+        self.assertEqual(self.grantor.request("b/1", asks, 0.5).units, half)
