Measure routing under faults beside a baseline

Cause: nothing showed how the whole keeps its promises under faults, nor how its latency compares with a plain dispatcher's. Change: `wigeonford bench routing` runs a deployment on loopback under open-loop load and one of eleven faults, counts breaches of the twelve promises by the books of callers and targets, and runs a round-robin reference dispatcher under the same load. Stand-in targets note each run, may crash on a poisonous request and may stand behind links whose open connections go silent.

--- a/src/wigeonford/bench/_caller.py
+++ b/src/wigeonford/bench/_caller.py
@@ -9,9 +9,9 @@
 from typing import Final
 
 from hdrh.histogram import HdrHistogram
-import msgspec
 
 from wigeonford.bench._books import expected_body, REQUEST_ID_HEADER
+from wigeonford.bench._ranking import Ranking
 from wigeonford.errors import RunState
 from wigeonford.http import (
     CODE_HEADER,
@@ -91,14 +91,11 @@
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._local_host = local_host
-        self._account = account
         self._key = key
-        self._entries = entries
         self._books = books
         self._rng = rng
         self._clock = clock
-        self._ranked: tuple[Address, ...] = ()
-        self._ranked_until_s = 0.0
+        self._ranking = Ranking(local_host, account, entries, rng, clock)
 
     async def perform(self, job: Job) -> bool:
         """Get a job answered; tell whether it was."""
@@ -108,7 +105,7 @@
             try:
                 response = await self._send(job, attempt)
             except (ConnectFailed, ExchangeFailed):
-                self._ranked_until_s = 0.0
+                self._ranking.forget()
                 await asyncio.sleep(0.05)
                 continue
             if response.status == 200:
@@ -138,7 +135,7 @@
         return True
 
     async def _send(self, job: Job, attempt: int) -> Response:
-        ranked = await self._look_up()
+        ranked = await self._ranking.get()
         address = ranked[attempt % len(ranked)]
         return await fetch(
             address,
@@ -161,37 +158,3 @@
         if job.idempotency_key is not None:
             headers.append((b"idempotency-key", job.idempotency_key.encode()))
         return tuple(headers)
-
-    async def _look_up(self) -> tuple[Address, ...]:
-        if self._clock() < self._ranked_until_s:
-            return self._ranked
-        for entry in self._rng.sample(self._entries, len(self._entries)):
-            try:
-                response = await fetch(
-                    entry,
-                    "GET",
-                    f"/.wigeonford/lookup?account={self._account}",
-                    timeout_s=2.0,
-                    local_host=self._local_host,
-                )
-            except (ConnectFailed, ExchangeFailed):
-                continue
-            if self._take_ranking(response):
-                return self._ranked
-        raise ConnectFailed("no entry VM answers look-ups")
-
-    def _take_ranking(self, response: Response) -> bool:
-        assert isinstance(response.body, bytes), "answers are read whole"
-        answer = msgspec.json.decode(response.body)
-        if response.status != 200 or not answer["entry_vms"]:
-            return False
-        self._ranked = tuple(
-            _parse(vm["address"]) for vm in answer["entry_vms"]
-        )
-        self._ranked_until_s = self._clock() + answer["lifetime_s"]
-        return True
-
-
-def _parse(text: str) -> Address:
-    host, _, port = text.rpartition(":")
-    return Address(host, int(port))
--- a/src/wigeonford/bench/_fleet.py
+++ b/src/wigeonford/bench/_fleet.py
@@ -1,6 +1,7 @@
 """A whole deployment on loopback in this process."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 from pathlib import Path
 from typing import Final
@@ -14,7 +15,8 @@
 from wigeonford.control import ControlDaemon
 from wigeonford.entry import EntryDaemon
 from wigeonford.events import EventLog
-from wigeonford.settings import ControlSettings, EntrySettings
+from wigeonford.invariants import Invariant, InvariantBreach
+from wigeonford.settings import Address, ControlSettings, EntrySettings
 
 SETTLE_POLL_S: Final = 0.05
 SETTLE_TIMEOUT_S: Final = 20.0
@@ -24,13 +26,20 @@
     """Run control, the entry VMs and the targets of a deployment."""
 
     def __init__(
-        self, deployment: Deployment, folder: Path, log: EventLog
+        self,
+        deployment: Deployment,
+        folder: Path,
+        log: EventLog,
+        *,
+        behind_links: bool = False,
     ) -> None:
         self.deployment = deployment
         self.books = TargetBooks()
         self.entries: dict[str, EntryDaemon] = {}
         self.targets: list[StandInTarget] = []
         self.keys: dict[str, str] = {}
+        self.breaches: collections.Counter[Invariant] = collections.Counter()
+        self._behind_links = behind_links
         self._folder = folder
         self._log = log
         self._control: ControlDaemon | None = None
@@ -107,7 +116,7 @@
                     self.books,
                     self._log,
                 )
-                await target.start()
+                await target.start(behind_link=self._behind_links)
                 self.targets.append(target)
 
     async def crash_entry(self, name: str) -> None:
@@ -116,7 +125,14 @@
 
     async def stop_entry(self, name: str, lifetime_s: float) -> None:
         """Stop an entry VM gracefully."""
-        await self.entries.pop(name).stop(lifetime_s)
+        try:
+            await self.entries.pop(name).stop(lifetime_s)
+        except InvariantBreach as exc:
+            self.breaches[exc.invariant] += 1
+
+    def entry_addresses(self) -> dict[str, Address]:
+        """Return the entry VMs that run."""
+        return {name: entry.address for name, entry in self.entries.items()}
 
     def entries_of(self, region: str) -> list[str]:
         """Return the names of a region's entry VMs."""
--- a/src/wigeonford/bench/_link.py
+++ b/src/wigeonford/bench/_link.py
@@ -27,6 +27,7 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silent: set[asyncio.StreamWriter] = set()
         self.bytes_carried = 0
 
     async def start(self) -> Address:
@@ -44,6 +45,10 @@
         self.reset()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def silence(self) -> None:
+        """Lose all that open connections carry from now on, for good."""
+        self._silent |= self._writers
+
     def reset(self) -> None:
         """Break every open connection."""
         for task in list(self._tasks):
@@ -51,6 +56,7 @@
         for writer in list(self._writers):
             writer.close()
         self._writers.clear()
+        self._silent.clear()
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -86,11 +92,11 @@
         loop = asyncio.get_running_loop()
         try:
             while data := await reader.read(CHUNK_BYTES):
-                if self._is_cut(forward):
+                if self._is_cut(forward) or writer in self._silent:
                     continue
                 self.bytes_carried += len(data)
                 loop.call_later(self._state.delay_s, _write, writer, data)
-            if not self._is_cut(forward):
+            if not self._is_cut(forward) and writer not in self._silent:
                 loop.call_later(self._state.delay_s, writer.close)
         except OSError:
             writer.close()
--- /dev/null
+++ b/src/wigeonford/bench/_routing_bench.py
@@ -0,0 +1,356 @@
+"""The routing bench: a deployment under load and one fault."""
+
+import argparse
+import asyncio
+import dataclasses
+from dataclasses import dataclass
+import itertools
+import logging
+from pathlib import Path
+import random
+import statistics
+import tempfile
+import time
+from typing import Any, Final
+import uuid
+
+from wigeonford.bench._books import REQUEST_ID_HEADER
+from wigeonford.bench._fleet import LocalFleet
+from wigeonford.bench._report import Report
+from wigeonford.bench._routing_baseline import BaselineFleet
+from wigeonford.bench._routing_books import CallLedger
+from wigeonford.bench._routing_faults import Fault, FAULTS, Fleet, Stage
+from wigeonford.bench._routing_load import Arrival, OpenLoop, schedule
+from wigeonford.bench._routing_promises import count_breaches, Evidence
+from wigeonford.bench._settings import (
+    Deployment,
+    load_deployment,
+    StandIns,
+)
+from wigeonford.cli._operator import OperatorClient
+from wigeonford.events import configure_logging, EventLog
+from wigeonford.http import fetch, Headers
+from wigeonford.model import ObjectSet
+from wigeonford.settings import Address
+
+ALL: Final = "all"
+RATE_PER_S: Final = 40.0
+WARM_UP_S: Final = 2.0
+DIRECT_CALLS: Final = 40
+WATCH_S: Final = 0.05
+LAG_INTERVAL_S: Final = 0.01
+DOOMED_INTERVAL_S: Final = 0.25
+DOOMED_NUMBER: Final = 1_000_000
+READ_PART: Final = 0.7
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingPlan:
+    """Say what to run."""
+
+    deployment: str
+    fault: str
+    seed: int
+    seconds: float
+    rate_per_s: float = RATE_PER_S
+    baseline: bool = True
+
+
+async def run(args: argparse.Namespace) -> Report:
+    """Run one fault, or each in turn; a breach fails the run."""
+    names = list(FAULTS) if args.fault == ALL else [args.fault]
+    reports = {
+        name: await run_fault(
+            RoutingPlan(
+                args.deployment, name, args.seed, args.seconds, args.rate
+            )
+        )
+        for name in names
+    }
+    if args.fault != ALL:
+        return reports[args.fault]
+    return Report(
+        {name: report.data for name, report in reports.items()},
+        all(report.passed for report in reports.values()),
+    )
+
+
+async def run_fault(plan: RoutingPlan) -> Report:
+    """Run the system, then the baseline, under the same load and fault."""
+    configure_logging(level=logging.CRITICAL)
+    fault = FAULTS[plan.fault]
+    deployment, stretch = stretched(plan, fault)
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = LocalFleet(
+            deployment,
+            Path(folder),
+            EventLog(),
+            behind_links=fault.behind_links,
+        )
+        await fleet.start()
+        try:
+            data = await _run_system(plan, fault, fleet)
+        finally:
+            await fleet.stop()
+    data = {
+        "deployment": plan.deployment,
+        "fault": plan.fault,
+        "seed": plan.seed,
+        "seconds": plan.seconds,
+        "requests_per_s": plan.rate_per_s,
+        "service_time_factor": round(stretch, 2),
+        **data,
+    }
+    if plan.baseline:
+        data |= await _run_baseline(plan, fault, deployment, data)
+    passed = not any(data["promises"].values()) and not data["not_sent"]
+    return Report(data, passed)
+
+
+def stretched(plan: RoutingPlan, fault: Fault) -> tuple[Deployment, float]:
+    """Return the deployment with its targets slowed to fit the load.
+
+    One process can't offer what the targets of today carry, so where the
+    load is to be a part of their capacity they take longer.
+    """
+    deployment = load_deployment(plan.deployment)
+    if fault.part is None:
+        return deployment, 1.0
+    service = next(iter(deployment.objects.services))
+    capacity_per_s = sum(
+        group.count * group.slots / group.latency_s
+        for group in deployment.stand_ins.targets
+        if group.service == service
+    )
+    excess = list(deployment.objects.client_accounts.values())[-1].rate_per_s
+    extra_per_s = excess * fault.shape.excess_factor
+    offered_per_s = READ_PART * (plan.rate_per_s + extra_per_s)
+    factor = capacity_per_s * fault.part / offered_per_s
+    groups = tuple(
+        dataclasses.replace(group, latency_s=group.latency_s * factor)
+        for group in deployment.stand_ins.targets
+    )
+    return dataclasses.replace(deployment, stand_ins=StandIns(groups)), factor
+
+
+async def _run_system(
+    plan: RoutingPlan, fault: Fault, fleet: LocalFleet
+) -> dict[str, Any]:
+    added_ms = await _added_latency_ms(fleet)
+    operator = fleet.operator()
+    account = next(iter(fleet.keys))
+    doomed = await operator.issue_key(uuid.uuid4().hex, account)
+    watch = _RevisionWatch(fleet)
+    watching = asyncio.create_task(watch.run())
+    ledger, stage, not_sent = await _drive(
+        plan, fault, fleet, fleet.keys, operator, (account, doomed)
+    )
+    watching.cancel()
+    await asyncio.gather(watching, return_exceptions=True)
+    evidence = Evidence(
+        fleet.deployment.objects,
+        ledger,
+        fleet.books,
+        frozenset(stage.stopped),
+        watch.reverted,
+        fleet.breaches,
+    )
+    return {
+        "promises": count_breaches(evidence),
+        **_figures(ledger, fleet, stage),
+        "not_sent": not_sent,
+        "added_latency_ms_p50": added_ms,
+    }
+
+
+def _figures(ledger: CallLedger, fleet: Fleet, stage: Stage) -> dict[str, Any]:
+    codes: dict[str, int] = {}
+    for call in ledger.calls:
+        codes[str(call.code)] = codes.get(str(call.code), 0) + 1
+    return {
+        "latency_ms": ledger.latency_ms(),
+        "calls_by_code": dict(sorted(codes.items())),
+        "refused_within_rate": ledger.refused_within_rate(),
+        "worst_account_served_ratio": round(ledger.worst_served_ratio(), 4),
+        "drain_s": round(stage.drain_s, 3),
+        "headroom_min": round(fleet.books.headroom_min, 3),
+        "target_over_slots": fleet.books.over_slots,
+        "loop_lag_ms_p99": stage.loop_lag_ms_p99,
+        "targets_killed": fleet.books.deaths,
+    }
+
+
+async def _run_baseline(
+    plan: RoutingPlan,
+    fault: Fault,
+    deployment: Deployment,
+    data: dict[str, Any],
+) -> dict[str, Any]:
+    fleet = BaselineFleet(
+        deployment, behind_links=fault.behind_links, log=EventLog()
+    )
+    await fleet.start()
+    try:
+        keys = dict.fromkeys(deployment.objects.client_accounts, "none")
+        ledger, stage, _ = await _drive(plan, fault, fleet, keys, None, None)
+    finally:
+        await fleet.stop()
+    figures = _figures(ledger, fleet, stage)
+    ratios = {
+        kind: {
+            name: round(found[name] / figures["latency_ms"][kind][name], 3)
+            for name in ("p50", "p99", "p99.9")
+        }
+        for kind, found in data["latency_ms"].items()
+        if kind in figures["latency_ms"]
+    }
+    return {"baseline": figures, "latency_ratio": ratios}
+
+
+async def _drive(
+    plan: RoutingPlan,
+    fault: Fault,
+    fleet: Fleet,
+    keys: dict[str, str],
+    operator: OperatorClient | None,
+    doomed: tuple[str, str] | None,
+) -> tuple[CallLedger, Stage, int]:
+    """Warm up, then run the schedule beside the fault."""
+    objects = fleet.deployment.objects
+    rng = random.Random(plan.seed)
+    entries = tuple(fleet.entry_addresses().values())
+    warm = OpenLoop(entries, keys, CallLedger(), random.Random(plan.seed))
+    warm_rng = random.Random(plan.seed + 1)
+    none = FAULTS["none"].shape
+    await warm.run(
+        dataclasses.replace(arrival, number=-arrival.number)
+        for arrival in schedule(
+            objects, none, plan.rate_per_s, WARM_UP_S, warm_rng
+        )
+    )
+    ledger = CallLedger()
+    load = OpenLoop(entries, keys, ledger, random.Random(plan.seed))
+    stage = Stage(fleet, operator, plan.seconds, random.Random(plan.seed))
+    arrivals = schedule(
+        objects, fault.shape, plan.rate_per_s, plan.seconds, rng
+    )
+    work = [load.run(arrivals), fault.act(stage)]
+    if operator is not None and doomed is not None:
+        work.append(_withdraw(plan, objects, load, ledger, operator, doomed))
+    lag = _LoopWatch()
+    watching = asyncio.create_task(lag.run())
+    await asyncio.gather(*work)
+    await load.finish()
+    watching.cancel()
+    stage.loop_lag_ms_p99 = lag.p99_ms()
+    return ledger, stage, load.not_sent
+
+
+async def _withdraw(
+    plan: RoutingPlan,
+    objects: ObjectSet,
+    load: OpenLoop,
+    ledger: CallLedger,
+    operator: OperatorClient,
+    doomed: tuple[str, str],
+) -> None:
+    """Withdraw a key early on, and present it until the run ends."""
+    account, key = doomed
+    service = next(iter(objects.services))
+    started_s = time.monotonic()
+    number = DOOMED_NUMBER
+    while (elapsed_s := time.monotonic() - started_s) < plan.seconds:
+        if elapsed_s > 1.0 and ledger.withdrawn_at_s == float("inf"):
+            await operator.withdraw_key(uuid.uuid4().hex, key.split("_")[1])
+            ledger.withdrawn_at_s = time.monotonic()
+        load.send(
+            _doomed_read(service, account, key, number), time.monotonic()
+        )
+        number += 1
+        await asyncio.sleep(DOOMED_INTERVAL_S)
+
+
+def _doomed_read(service: str, account: str, key: str, number: int) -> Arrival:
+    return Arrival(
+        at_s=0.0,
+        number=number,
+        account=account,
+        region=1,
+        zone=1,
+        service=service,
+        method="GET",
+        path=f"/{service}/items/{number}",
+        measured=False,
+        key=key,
+    )
+
+
+class _RevisionWatch:
+    """Look for an entry VM whose revision goes back."""
+
+    def __init__(self, fleet: LocalFleet) -> None:
+        self._fleet = fleet
+        self._seen: dict[str, int] = {}
+        self.reverted = 0
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            for name, entry in self._fleet.entries.items():
+                revision = entry.config.current.revision
+                self.reverted += revision < self._seen.get(name, 0)
+                self._seen[name] = revision
+            await asyncio.sleep(WATCH_S)
+
+
+async def _added_latency_ms(fleet: LocalFleet) -> float:
+    """Return the median that an entry VM adds to a call at rest."""
+    target = fleet.targets[0]
+    addresses = fleet.entry_addresses()
+    entries = [
+        addresses[name] for name in fleet.entries_of(target.group.region)
+    ]
+    callers = list(itertools.product(entries, list(fleet.keys.items())[:3]))
+    path = f"/{target.group.service}/items/0"
+    added: list[float] = []
+    direct: set[str] = set()
+    for number in range(DIRECT_CALLS):
+        entry, (account, key) = callers[number % len(callers)]
+        direct.add(f"{account}/direct-{number}/0")
+        named = (REQUEST_ID_HEADER, f"{account}/direct-{number}/0".encode())
+        direct_s, _ = await _timed(target.address, path, (named,))
+        named = (REQUEST_ID_HEADER, f"{account}/entry-{number}/0".encode())
+        bearer = (b"authorization", f"Bearer {key}".encode())
+        system_s, status = await _timed(entry, path, (named, bearer))
+        if status == 200:
+            added.append(system_s - direct_s)
+    fleet.books.forget(direct)
+    return round(statistics.median(added) * 1000, 3)
+
+
+async def _timed(
+    address: Address, path: str, headers: Headers
+) -> tuple[float, int]:
+    started_s = time.perf_counter()
+    response = await fetch(address, "GET", path, headers)
+    return time.perf_counter() - started_s, response.status
+
+
+class _LoopWatch:
+    """Measure how late the event loop of this process runs its timers."""
+
+    def __init__(self) -> None:
+        self._late_s: list[float] = []
+
+    async def run(self) -> None:
+        """Measure until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due_s = loop.time() + LAG_INTERVAL_S
+            await asyncio.sleep(LAG_INTERVAL_S)
+            self._late_s.append(loop.time() - due_s)
+
+    def p99_ms(self) -> float:
+        """Return the 99th percentile in milliseconds."""
+        ordered = sorted(self._late_s)
+        return round(ordered[len(ordered) * 99 // 100] * 1000, 2)
--- a/src/wigeonford/bench/_target.py
+++ b/src/wigeonford/bench/_target.py
@@ -2,7 +2,9 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from dataclasses import dataclass
 import itertools
+import time
 from typing import Final
 
 import msgspec
@@ -10,14 +12,17 @@
 from wigeonford.bench._books import (
     expected_body,
     REQUEST_ID_HEADER,
+    RunRecord,
     TargetBooks,
 )
+from wigeonford.bench._link import LinkState, StandInLink
 from wigeonford.bench._settings import TargetGroup
 from wigeonford.entry import Announcement
 from wigeonford.events import EventLog
 from wigeonford.http import (
     ACCOUNT_HEADER,
     ConnectFailed,
+    DEADLINE_HEADER,
     ExchangeFailed,
     fetch,
     HttpServer,
@@ -32,7 +37,17 @@
 LEASE_S: Final = 3.0
 CHUNK_BYTES: Final = 65536
 DEFAULT_SIZE: Final = 1024
-_ACCOUNT_PARAMETER: Final = "account="
+LATE_S: Final = 0.3
+POISON_HEADER: Final = b"x-poison"
+LATE_HEADER: Final = b"x-late"
+
+
+@dataclass(slots=True)
+class TargetConduct:
+    """Set how a stand-in target departs from a healthy one."""
+
+    extra_s: float = 0.0
+    reports_idle: bool = False
 
 
 class StandInTarget:
@@ -47,35 +62,66 @@
         log: EventLog,
     ) -> None:
         self.group = group
+        self.conduct = TargetConduct()
+        self.link: StandInLink | None = None
+        self.alive = False
+        self._place = (group.region, group.service)
         self._entries = entries
         self._secret = secret
         self._books = books
+        self._log = log
         self._http = HttpServer(self._handle, CallerLimits(), log)
         self._running = 0
+        self._dying: asyncio.Task[None] | None = None
         self._sequence = itertools.count(1)
         self._task: asyncio.Task[None] | None = None
         self.address = Address()
 
-    async def start(self) -> None:
-        """Serve and announce."""
+    @property
+    def target_id(self) -> str:
+        """Return the address under which entry VMs know this target."""
+        return str(self.address)
+
+    async def start(self, *, behind_link: bool = False) -> None:
+        """Serve and announce, if asked for from behind a link."""
+        self._http = HttpServer(self._handle, CallerLimits(), self._log)
         self.address = await self._http.start(Address())
+        if behind_link:
+            self.link = StandInLink(self.address, LinkState())
+            self.address = await self.link.start()
+        self.alive = True
+        self._books.slots[self._place] += self.group.slots
         await self.announce()
         self._task = asyncio.create_task(self._keep_announcing())
 
     async def stop(self) -> None:
         """Leave, finish what runs, then close."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        if not self.alive:
+            return
+        await self._stop_announcing()
+        self._books.left_at_s.setdefault(self.target_id, time.monotonic())
         await self.announce(leaving=True)
         await self._http.stop(5.0)
+        await self._close()
 
     async def crash(self) -> None:
         """Close at once, amid whatever runs."""
+        if not self.alive:
+            return
+        await self._close()
+        await self._stop_announcing()
+        await self._http.stop(0.0)
+
+    async def _close(self) -> None:
+        self.alive = False
+        self._books.slots[self._place] -= self.group.slots
+        if self.link is not None:
+            await self.link.stop()
+
+    async def _stop_announcing(self) -> None:
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
-        await self._http.stop(0.0)
 
     async def announce(self, *, leaving: bool = False) -> None:
         """Tell the first entry VM that answers."""
@@ -87,7 +133,7 @@
             sequence=next(self._sequence),
             side=self.group.side,
             lease_s=LEASE_S,
-            load=self._running / self.group.slots,
+            load=self._load(),
             leaving=leaving,
         )
         headers = ((b"authorization", f"Bearer {self._secret}".encode()),)
@@ -105,6 +151,11 @@
             except (ConnectFailed, ExchangeFailed):
                 continue
 
+    def _load(self) -> float:
+        if self.conduct.reports_idle:
+            return 0.0
+        return self._running / self.group.slots
+
     async def _keep_announcing(self) -> None:
         while True:
             await asyncio.sleep(ANNOUNCE_INTERVAL_S)
@@ -112,15 +163,31 @@
 
     async def _handle(self, request: Request) -> Response:
         self._check_keys(request)
+        self._books.arrive(*self._place)
         if self._running >= self.group.slots:
             self._books.over_slots += 1
             shed = ((RUN_STATE_HEADER, b"not-run"), (b"content-length", b"0"))
             return Response(503, shed)
+        request_id = request.header(REQUEST_ID_HEADER) or ""
         self._running += 1
+        self._books.begin(self._record(request, request_id))
         try:
-            return await self._run(request)
+            return await self._run(request, request_id)
         finally:
             self._running -= 1
+            self._books.end(*self._place)
+
+    def _record(self, request: Request, request_id: str) -> RunRecord:
+        return RunRecord(
+            request_id=request_id,
+            operation=_operation(request),
+            account=request.header(ACCOUNT_HEADER),
+            service=self.group.service,
+            region=self.group.region,
+            side=self.group.side.value,
+            target=self.target_id,
+            started_s=time.monotonic(),
+        )
 
     def _check_keys(self, request: Request) -> None:
         texts = [request.query.encode(), request.path.encode()]
@@ -128,20 +195,31 @@
         if any(KEY_START.search(text) for text in texts):
             self._books.keys_seen += 1
 
-    async def _run(self, request: Request) -> Response:
-        request_id = request.header(REQUEST_ID_HEADER) or ""
+    async def _run(self, request: Request, request_id: str) -> Response:
         self._check_account(request, request_id)
         async for chunk in request.body:
             if KEY_START.search(chunk):
                 self._books.keys_seen += 1
-        operation = request.header(b"idempotency-key")
-        if request.method == "POST" and operation is not None:
+        operation = _operation(request)
+        if operation is not None:
             self._books.runs[operation] += 1
-        side = (self.group.service, self.group.side.value)
-        self._books.by_side[side] += 1
-        await asyncio.sleep(self.group.latency_s)
+        await asyncio.sleep(self._service_s(request))
+        if request.header(POISON_HEADER) is not None:
+            await self._die()
         return self._answer(request, request_id)
 
+    def _service_s(self, request: Request) -> float:
+        if request.header(LATE_HEADER) is not None:
+            deadline_ms = int(request.header(DEADLINE_HEADER) or 0)
+            return deadline_ms / 1000 + LATE_S
+        return self.group.latency_s + self.conduct.extra_s
+
+    async def _die(self) -> None:
+        """Crash as a process does; the request never gets its answer."""
+        self._books.deaths += 1
+        self._dying = asyncio.create_task(self.crash())
+        await asyncio.sleep(60.0)
+
     def _check_account(self, request: Request, request_id: str) -> None:
         """Callers put their account first in the request id."""
         expected = request_id.split("/")[0]
@@ -161,6 +239,12 @@
         return Response(200, headers, _chunks(body))
 
 
+def _operation(request: Request) -> str | None:
+    if request.method != "POST":
+        return None
+    return request.header(b"idempotency-key")
+
+
 async def _chunks(body: bytes) -> AsyncIterator[bytes]:
     for start in range(0, len(body), CHUNK_BYTES):
         yield body[start : start + CHUNK_BYTES]
--- a/src/wigeonford/cli/_experiments.py
+++ b/src/wigeonford/cli/_experiments.py
@@ -64,3 +64,29 @@
         return Result(report.data, lines, code)
 
     cli_command(f"bench {name}", help_text, arguments)(run)
+
+
+def _routing_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--deployment", choices=("guild", "authority"), default="guild"
+    )
+    parser.add_argument(
+        "--fault", default="none", help="a fault's name or all"
+    )
+    parser.add_argument(
+        "--seconds", type=float, default=10.0, help="default %(default)s"
+    )
+    parser.add_argument(
+        "--rate",
+        type=float,
+        default=40.0,
+        help="requests a second, default %(default)s",
+    )
+
+
+_scenario(
+    "routing",
+    "run a deployment under load and a fault beside a baseline",
+    "wigeonford.bench._routing_bench",
+    _routing_arguments,
+)
--- a/src/wigeonford/entry/__init__.py
+++ b/src/wigeonford/entry/__init__.py
@@ -6,12 +6,18 @@
 from wigeonford.entry._dispatch import Dispatcher
 from wigeonford.entry._front import Announcement, Front
 from wigeonford.entry._limiter import EqualShareLimiter, Limiter
-from wigeonford.entry._lookup import BlockTable, Lookup, LookupAnswer
+from wigeonford.entry._lookup import (
+    BlockTable,
+    Lookup,
+    LOOKUP_LIFETIME_S,
+    LookupAnswer,
+)
 from wigeonford.entry._pipeline import Pipeline
 from wigeonford.entry._registry import TargetRegistry
 from wigeonford.entry._targets import TargetDirectory
 
 __all__ = [
+    "LOOKUP_LIFETIME_S",
     "Announcement",
     "Announcer",
     "BlockTable",
--- /dev/null
+++ b/tests/test_bench_routing.py
@@ -0,0 +1,131 @@
+"""The routing bench: its books, its load and a short run."""
+
+import asyncio
+from collections import Counter
+import dataclasses
+import random
+import unittest
+
+from wigeonford.bench import load_deployment
+from wigeonford.bench._books import RunRecord, TargetBooks
+from wigeonford.bench._routing_bench import RoutingPlan, run_fault
+from wigeonford.bench._routing_books import CallLedger, CallRecord
+from wigeonford.bench._routing_faults import FAULTS
+from wigeonford.bench._routing_load import LoadShape, schedule
+from wigeonford.bench._routing_promises import count_breaches, Evidence
+from wigeonford.settings import Address
+
+ENTRY = Address("127.0.0.1", 1)
+RUN = RunRecord(
+    "teaching-rooms/1/0",
+    None,
+    "teaching-rooms",
+    "catalogue",
+    "amman",
+    "old",
+    "t",
+    1.0,
+)
+CALL = CallRecord("teaching-rooms/1/0", ENTRY, 1.0, 2.0)
+
+
+def _evidence(
+    runs: list[RunRecord], calls: list[CallRecord], **fields: object
+) -> Evidence:
+    books = TargetBooks(records=runs, left_at_s={"gone": 1.0})
+    for run in runs:
+        if run.operation is not None:
+            books.runs[run.operation] += 1
+    evidence = Evidence(
+        load_deployment("guild").objects,
+        CallLedger(calls=calls, doomed={"doomed/1/0"}, withdrawn_at_s=0.0),
+        books,
+        frozenset({ENTRY}),
+        0,
+        Counter(),
+    )
+    return dataclasses.replace(evidence, **fields)  # type: ignore[arg-type]
+
+
+class PromisesTest(unittest.TestCase):
+    """Show each kind of breach to the books."""
+
+    def breaches(
+        self,
+        runs: list[RunRecord],
+        calls: list[CallRecord],
+        **fields: object,
+    ) -> dict[str, int]:
+        found = count_breaches(_evidence(runs, calls, **fields))
+        return {name: count for name, count in found.items() if count}
+
+    def test_each_breach_is_counted(self) -> None:
+        new = dataclasses.replace(RUN, side="new")
+        once = dataclasses.replace(RUN, operation="op")
+        late = dataclasses.replace(RUN, target="gone", started_s=4.1)
+        key = dataclasses.replace(
+            RUN, request_id="teaching-rooms/2/0", started_s=6.1
+        )
+        calls = [dataclasses.replace(CALL, status=503, run_state="not-run")]
+        wrong = [dataclasses.replace(CALL, status=200, wrong=True)]
+        burst = [
+            dataclasses.replace(RUN, request_id=f"teaching-rooms/{n}/0")
+            for n in range(41)
+        ]
+        cases: tuple[tuple[str, list[RunRecord], list[CallRecord]], ...] = (
+            ("SHIFT_UNDER_CAP", [RUN, new], []),
+            ("AT_MOST_ONCE", [once, once], []),
+            ("LEAVING_TARGET_UNUSED", [late], []),
+            ("NOT_RUN_IS_TRUE", [RUN], calls),
+            ("WHOLE_ANSWER", [], wrong),
+            ("STOP_CUTS_NOTHING", [], [CALL]),
+            ("RATE_NOT_EXCEEDED", burst, []),
+        )
+        for name, runs, noted in cases:
+            with self.subTest(name):
+                self.assertEqual(self.breaches(runs, noted), {name: 1})
+        doomed = CallLedger(doomed={key.request_id}, withdrawn_at_s=0.0)
+        self.assertEqual(
+            self.breaches([key], [], ledger=doomed),
+            {"WITHDRAWN_KEY_STOPS": 1},
+        )
+
+    def test_a_run_within_its_bounds_is_no_breach(self) -> None:
+        olds = [
+            dataclasses.replace(
+                RUN, request_id=f"teaching-rooms/{n}/0", started_s=0.5
+            )
+            for n in range(9)
+        ]
+        new = dataclasses.replace(RUN, side="new")
+        self.assertEqual(self.breaches([*olds, new], []), {})
+
+
+class ScheduleTest(unittest.TestCase):
+    """Draw the load."""
+
+    def test_a_seed_gives_one_schedule_at_its_rate(self) -> None:
+        objects = load_deployment("authority").objects
+
+        def draw() -> list[object]:
+            rng = random.Random(3)
+            return list(schedule(objects, LoadShape(5.0), 40.0, 10.0, rng))
+
+        self.assertEqual(draw(), draw())
+        self.assertAlmostEqual(len(draw()), 1400, delta=150)
+
+
+class RoutingBenchTest(unittest.TestCase):
+    """Run the bench for a moment."""
+
+    def test_a_run_without_a_fault_keeps_every_promise(self) -> None:
+        plan = RoutingPlan("guild", "none", 5, 1.5, 10.0, baseline=False)
+        report = asyncio.run(run_fault(plan))
+        self.assertTrue(report.passed, report.data)
+
+    def test_every_named_fault_is_registered(self) -> None:
+        names = (
+            "none target-crash poison silent region-loss drain "
+            "rolling-restart lagging-health shift late-answers overload"
+        )
+        self.assertEqual(set(FAULTS), set(names.split()))
