Cut nothing at a planned stop

Cause: a stop cancelled connections whose request had begun to arrive, closed idle ones at once, listed the stopping VM in its own look-ups, gave uploads 60 s where a service may take 120 s, and cut requests went unnoticed. A caller that stopped reading kept its connection and its target's slot, one that sent a byte now and then kept them for good, and an early refusal could be lost to a reset. Change: answers of a draining VM carry Connection: close, idle connections are kept and get a last moment at the end, the grace follows the longest service, control is told until it confirms, and the count of cut requests must be 0. A VM serves on for the look-up lifetime and the lease during which others may still list it. Stalled callers (1240) and slow bodies (1241) are refused; a connection is read out before it closes.

--- a/src/wigeonford/bench/_fleet.py
+++ b/src/wigeonford/bench/_fleet.py
@@ -123,10 +123,10 @@
         """Kill an entry VM."""
         await self.entries.pop(name).crash()
 
-    async def stop_entry(self, name: str, lifetime_s: float) -> None:
+    async def stop_entry(self, name: str, linger_s: float) -> None:
         """Stop an entry VM gracefully."""
         try:
-            await self.entries.pop(name).stop(lifetime_s)
+            await self.entries.pop(name).stop(linger_s)
         except InvariantBreach as exc:
             self.breaches[exc.invariant] += 1
 
--- a/src/wigeonford/bench/_routing_baseline.py
+++ b/src/wigeonford/bench/_routing_baseline.py
@@ -227,10 +227,10 @@
         await entry.http.stop(0.0)
         entry.close()
 
-    async def stop_entry(self, name: str, lifetime_s: float) -> None:
+    async def stop_entry(self, name: str, linger_s: float) -> None:
         """Stop an entry VM gracefully."""
         entry = self._entries.pop(name)
-        await asyncio.sleep(lifetime_s)
+        await asyncio.sleep(linger_s)
         await entry.http.stop(GRACE_S)
         entry.close()
 
--- a/src/wigeonford/bench/_routing_bench.py
+++ b/src/wigeonford/bench/_routing_bench.py
@@ -79,6 +79,8 @@
     """Run the system, then the baseline, under the same load and fault."""
     configure_logging(level=logging.CRITICAL)
     fault = FAULTS[plan.fault]
+    longest_s = max(plan.seconds, fault.least_s)
+    plan = dataclasses.replace(plan, seconds=longest_s)
     deployment, stretch = stretched(plan, fault)
     with tempfile.TemporaryDirectory() as folder:
         fleet = LocalFleet(
--- a/src/wigeonford/bench/_routing_faults.py
+++ b/src/wigeonford/bench/_routing_faults.py
@@ -15,7 +15,7 @@
 from wigeonford.bench._target import StandInTarget
 from wigeonford.cli._operator import OperatorClient
 from wigeonford.control import Edit
-from wigeonford.entry import LOOKUP_LIFETIME_S
+from wigeonford.entry import LINGER_S
 from wigeonford.model import Side
 from wigeonford.settings import Address
 
@@ -45,7 +45,7 @@
     async def crash_entry(self, name: str) -> None:
         """Kill an entry VM."""
 
-    async def stop_entry(self, name: str, lifetime_s: float) -> None:
+    async def stop_entry(self, name: str, linger_s: float) -> None:
         """Stop an entry VM gracefully."""
 
 
@@ -72,7 +72,7 @@
         addresses = self.fleet.entry_addresses()
         self.stopped |= {addresses[name] for name in names}
         await asyncio.gather(
-            *(self.fleet.stop_entry(name, LOOKUP_LIFETIME_S) for name in names)
+            *(self.fleet.stop_entry(name, LINGER_S) for name in names)
         )
         self.drain_s = max(self.drain_s, loop.time() - started_s)
 
@@ -84,7 +84,8 @@
 class Fault:
     """Describe a fault; `part` is the load's part of read capacity.
 
-    Without a part targets take the time that the example states.
+    Without a part targets take the time that the example states. A run
+    lasts `least_s` seconds at the least.
     """
 
     name: str
@@ -92,6 +93,7 @@
     part: float | None
     shape: LoadShape
     behind_links: bool
+    least_s: float
 
 
 FAULTS: Final[dict[str, Fault]] = {}
@@ -103,12 +105,13 @@
     part: float | None = None,
     shape: LoadShape | None = None,
     behind_links: bool = False,
+    least_s: float = 0.0,
 ) -> Callable[[Act], Act]:
     """Register a fault under its name."""
 
     def add(act: Act) -> Act:
         FAULTS[name] = Fault(
-            name, act, part, shape or LoadShape(), behind_links
+            name, act, part, shape or LoadShape(), behind_links, least_s
         )
         return act
 
@@ -170,7 +173,7 @@
     )
 
 
-@fault("drain", part=0.4)
+@fault("drain", part=0.4, least_s=2 * LINGER_S)
 async def _drain(stage: Stage) -> None:
     """Stop one entry VM in each region at once; a target leaves."""
     await stage.reach(0.1)
@@ -181,7 +184,7 @@
     )
 
 
-@fault("rolling-restart")
+@fault("rolling-restart", least_s=3 * LINGER_S)
 async def _rolling_restart(stage: Stage) -> None:
     """Restart two entry VMs, one after the other."""
     region = next(iter(stage.fleet.deployment.objects.regions))
--- a/src/wigeonford/compose.py
+++ b/src/wigeonford/compose.py
@@ -90,5 +90,6 @@
         HttpServer(front.handle, cfg.limits, log),
         PeerServer(cfg.secrets.peer, log),
         control,
+        checks,
         log,
     )
--- a/src/wigeonford/entry/__init__.py
+++ b/src/wigeonford/entry/__init__.py
@@ -2,7 +2,7 @@
 
 from wigeonford.entry._claims import Claims, ControlClaims
 from wigeonford.entry._config import ConfigFollower, EntryConfig
-from wigeonford.entry._daemon import Announcer, EntryDaemon
+from wigeonford.entry._daemon import Announcer, EntryDaemon, LINGER_S
 from wigeonford.entry._dispatch import Dispatcher
 from wigeonford.entry._front import Announcement, Front
 from wigeonford.entry._limiter import EqualShareLimiter, Limiter
@@ -17,6 +17,7 @@
 from wigeonford.entry._targets import TargetDirectory
 
 __all__ = [
+    "LINGER_S",
     "LOOKUP_LIFETIME_S",
     "Announcement",
     "Announcer",
--- a/src/wigeonford/entry/_daemon.py
+++ b/src/wigeonford/entry/_daemon.py
@@ -4,7 +4,7 @@
 import time
 from typing import Final
 
-from wigeonford.entry._config import ConfigFollower
+from wigeonford.entry._config import ConfigFollower, FRESH_LEASE_S
 from wigeonford.entry._dispatch import Dispatcher
 from wigeonford.entry._front import Front
 from wigeonford.entry._lookup import LOOKUP_LIFETIME_S
@@ -12,12 +12,17 @@
 from wigeonford.errors import PeerError
 from wigeonford.events import Event, EventLog
 from wigeonford.http import HttpServer
+from wigeonford.invariants import Checks, Invariant
 from wigeonford.peer import LeaveRoster, Member, PeerClient, PeerServer
 from wigeonford.settings import EntrySettings
 from wigeonford.tls import server_context
 
-STOP_GRACE_S: Final = 60.0
+LINGER_S: Final = LOOKUP_LIFETIME_S + FRESH_LEASE_S
+"""How long a VM serves on; others may list it until their lease ends."""
+
+STOP_GRACE_MARGIN_S: Final = 10.0
 LEAVE_TIMEOUT_S: Final = 2.0
+LEAVE_RETRY_S: Final = 0.5
 
 
 class Announcer:
@@ -63,9 +68,11 @@
         http: HttpServer,
         peers: PeerServer,
         control: tuple[PeerClient, ...],
+        checks: Checks,
         log: EventLog,
     ) -> None:
         self._cfg = cfg
+        self._checks = checks
         self._announcer = announcer
         self._config = config
         self._targets = targets
@@ -104,13 +111,27 @@
             peer=str(self.peer_address),
         )
 
-    async def stop(self, lifetime_s: float = LOOKUP_LIFETIME_S) -> None:
-        """Leave the look-ups, serve out their lifetime, then stop."""
-        self._front.draining = True
-        await self._leave_roster()
-        await asyncio.sleep(lifetime_s)
-        await self._http.stop(STOP_GRACE_S)
+    async def stop(self, linger_s: float = LINGER_S) -> None:
+        """Leave the look-ups, serve on for a while, finish, then stop."""
+        self._front.drain(self._cfg.name)
+        self._http.drain()
+        leaving = asyncio.create_task(self._leave_roster())
+        await asyncio.sleep(linger_s)
+        cut = await self._http.stop(self._grace_s())
+        if not leaving.done():
+            await asyncio.wait([leaving], timeout=LEAVE_TIMEOUT_S)
+        leaving.cancel()
+        await asyncio.gather(leaving, return_exceptions=True)
         await self._close_links()
+        self._checks.require(
+            cut == 0, Invariant.STOP_CUTS_NOTHING, f"{cut} requests"
+        )
+
+    def _grace_s(self) -> float:
+        """Return how long the longest request may still take."""
+        services = self._config.current.objects.services.values()
+        longest_s = max((s.timeout_s for s in services), default=0.0)
+        return longest_s + STOP_GRACE_MARGIN_S
 
     async def crash(self) -> None:
         """Drop everything at once, as a process does that is killed."""
@@ -127,10 +148,17 @@
             await link.close()
 
     async def _leave_roster(self) -> None:
+        """Tell control until it has confirmed."""
         message = self._announcer.leave()
+        while not await self._tell_control(message):
+            self._log.emit(Event.LEAVE_UNCONFIRMED)
+            await asyncio.sleep(LEAVE_RETRY_S)
+
+    async def _tell_control(self, message: LeaveRoster) -> bool:
         for link in self._control:
             try:
                 await link.request(message, LEAVE_TIMEOUT_S)
-                return
+                return True
             except PeerError as exc:
                 self._log.emit(Event.PEER_LOST, detail=exc.detail)
+        return False
--- a/src/wigeonford/entry/_front.py
+++ b/src/wigeonford/entry/_front.py
@@ -69,9 +69,18 @@
         self._secrets = secrets
         self._metrics = metrics
         self._lookup = Lookup(config.current)
-        self.draining = False
+        self._leaving: str | None = None
         config.on_change(self._rebuild_lookup)
 
+    @property
+    def draining(self) -> bool:
+        """Tell whether this VM is about to stop."""
+        return self._leaving is not None
+
+    def drain(self, name: str) -> None:
+        """Leave this VM out of the look-ups that it answers."""
+        self._leaving = name
+
     def _rebuild_lookup(self, _config: object) -> None:
         self._lookup = Lookup(self._config.current)
 
@@ -88,7 +97,9 @@
     async def _answer_lookup(self, request: Request) -> Response:
         query = parse_qs(request.query)
         seed = query.get("account", [request.client])[0]
-        answer = self._lookup.answer(request.client, seed)
+        answer = self._lookup.answer(
+            request.client, seed, without=self._leaving
+        )
         return _ok(dataclasses.asdict(answer))
 
     @_endpoint("POST", "/.wigeonford/targets")
--- a/src/wigeonford/entry/_lookup.py
+++ b/src/wigeonford/entry/_lookup.py
@@ -75,7 +75,9 @@
         self._config = config
         self._blocks = BlockTable(config.objects.client_blocks.values())
 
-    def answer(self, client: str, seed: str) -> LookupAnswer:
+    def answer(
+        self, client: str, seed: str, without: str | None = None
+    ) -> LookupAnswer:
         """Return the entry VMs for a caller's address, nearest first."""
         zone = self._blocks.find(client)
         zones = self._config.objects.availability_zones
@@ -90,7 +92,8 @@
                 _spread(seed, member.name),
             )
 
-        ranked = sorted(self._usable(), key=rank)[:MAX_ANSWERS]
+        usable = (vm for vm in self._usable() if vm.name != without)
+        ranked = sorted(usable, key=rank)[:MAX_ANSWERS]
         return LookupAnswer(
             tuple(
                 RankedVM(
--- a/src/wigeonford/errors.py
+++ b/src/wigeonford/errors.py
@@ -88,6 +88,26 @@
         1208, 503, "the request was in flight when two targets failed"
     )
     RETRY_BUDGET = _info(1209, 503, "the retry budget is spent")
+    CALLER_STALLED = _info(
+        1240, 0, "the caller stopped reading its answer", RunState.UNKNOWN
+    )
+    BODY_TOO_SLOW = _info(1241, 408, "the request body arrives too slowly")
+    HOP_REFUSED = _info(1242, 403, "the request did not come from a peer")
+    HOP_NO_CAPACITY = _info(
+        1243, 503, "no region has free capacity for the request"
+    )
+    HOP_TIMEOUT = _info(
+        1244,
+        504,
+        "the peer in the other region did not answer in time",
+        RunState.UNKNOWN,
+    )
+    HOP_BROKEN = _info(
+        1245,
+        502,
+        "the answer from the other region broke off",
+        RunState.UNKNOWN,
+    )
 
     TARGET_SHED = _info(1300, 503, "the target refused the request unrun")
     CONNECT_FAILED = _info(1301, 502, "no connection to a target")
--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -51,6 +51,24 @@
         203, "a handler raised an unexpected error", logging.ERROR
     )
 
+    CALLER_STALLED = _event(
+        270, "closed the connection of a caller that stopped reading"
+    )
+    LEAVE_UNCONFIRMED = _event(
+        271,
+        "control has not confirmed that this VM left the look-ups",
+        logging.WARNING,
+    )
+    SPILLED = _event(272, "forwarded a request to another region")
+    SPILL_REFUSED = _event(
+        273, "another region refused a request", logging.WARNING
+    )
+    HOP_REFUSED = _event(
+        274,
+        "refused a request that claims to come from a peer",
+        logging.WARNING,
+    )
+
     TARGET_ANNOUNCED = _event(300, "a target announced itself")
     TARGET_LEFT = _event(301, "a target is leaving")
     TARGET_EXPIRED = _event(302, "a target's lease expired", logging.WARNING)
--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -2,7 +2,12 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import (
+    AsyncGenerator,
+    AsyncIterator,
+    Awaitable,
+    Callable,
+)
 import ssl
 from typing import Final
 
@@ -20,8 +25,12 @@
 from wigeonford.settings import Address, CallerLimits
 
 READ_BYTES: Final = 65536
-WRITE_TIMEOUT_S: Final = 30.0
 WRITE_BUFFER_BYTES: Final = 262144
+LAST_BYTE_WAIT_S: Final = 0.25
+"""How long an idle connection may still bring a request at a stop."""
+
+DISCARD_S: Final = 3.0
+DISCARD_REFUSED_S: Final = 0.5
 
 Handler = Callable[[Request], Awaitable[Response]]
 
@@ -30,6 +39,10 @@
     """Tell that an answer can't be finished, so the connection closes."""
 
 
+class CallerStalled(Exception):
+    """Tell that a caller has stopped reading its answer."""
+
+
 class _Connection:
     """Serve the requests of one caller's connection in turn."""
 
@@ -46,6 +59,7 @@
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.limits.head_bytes
         )
+        self._idle: asyncio.Timeout | None = None
         self.busy = False
 
     async def serve(self) -> None:
@@ -54,11 +68,36 @@
             request = await self._read_request()
             if request is None:
                 return
-            self.busy = True
             await self._answer(request)
-            self.busy = False
-            if self._server.closing or not await self._next_cycle():
+            if not self._next_cycle():
                 return
+            self.busy = False
+
+    def hurry(self) -> None:
+        """Close soon, unless a request is on its way."""
+        if self._idle is not None:
+            now_s = asyncio.get_running_loop().time()
+            self._idle.reschedule(now_s + LAST_BYTE_WAIT_S)
+
+    async def discard(self, timeout_s: float) -> None:
+        """Read what the caller still sends, so that it gets its answer.
+
+        Closing with bytes unread would reset the connection, and the
+        answer could be lost with it.
+        """
+        if self._writer.can_write_eof():
+            self._writer.write_eof()
+        try:
+            async with asyncio.timeout(timeout_s):
+                while await self._reader.read(READ_BYTES):
+                    continue
+        except (TimeoutError, ConnectionError):
+            return
+
+    @property
+    def unread(self) -> bool:
+        """Tell whether the caller may still be sending a request."""
+        return self._http.their_state in (h11.SEND_BODY, h11.ERROR)
 
     async def refuse(self, exc: WigeonfordError) -> None:
         """Send an error and let the connection be closed."""
@@ -68,9 +107,7 @@
         await self._write(self._http.send(h11.Data(response.body)))
         await self._write(self._http.send(h11.EndOfMessage()))
 
-    async def _next_cycle(self) -> bool:
-        if self._http.their_state is h11.SEND_BODY:
-            return False
+    def _next_cycle(self) -> bool:
         if self._http.our_state is not h11.DONE:
             return False
         if self._http.their_state is not h11.DONE:
@@ -92,6 +129,7 @@
         first = not self._http.trailing_data[0]
         if first and not await self._wait_for_first_byte():
             return None
+        self.busy = True
         try:
             event = await self._event(self._limits.head_timeout_s)
         except TimeoutError:
@@ -106,11 +144,16 @@
         return self._to_request(event)
 
     async def _wait_for_first_byte(self) -> bool:
+        wait_s = self._limits.keep_alive_s
+        if self._server.closing:
+            wait_s = LAST_BYTE_WAIT_S
         try:
-            async with asyncio.timeout(self._limits.keep_alive_s):
+            async with asyncio.timeout(wait_s) as self._idle:
                 data = await self._reader.read(READ_BYTES)
         except TimeoutError:
             return False
+        finally:
+            self._idle = None
         self._http.receive_data(data)
         return bool(data)
 
@@ -155,8 +198,11 @@
         if self._http.they_are_waiting_for_100_continue:
             going_on = h11.InformationalResponse(status_code=100, headers=[])
             await self._write(self._http.send(going_on))
+        loop = asyncio.get_running_loop()
         size = 0
+        waited_s = 0.0
         while True:
+            began_s = loop.time()
             try:
                 event = await self._event(self._limits.body_idle_timeout_s)
             except TimeoutError:
@@ -172,28 +218,42 @@
                         Code.BODY_TOO_LARGE,
                         f"over {self._limits.body_bytes} bytes",
                     )
+                waited_s += loop.time() - began_s
+                self._check_pace(size, waited_s)
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 return
             else:
                 raise RequestRefused(Code.REQUEST_TRUNCATED, "closed")
 
+    def _check_pace(self, size: int, waited_s: float) -> None:
+        """Refuse a body that trickles in, by the time spent waiting."""
+        least = waited_s * self._limits.body_bytes_per_s
+        if waited_s > self._limits.body_idle_timeout_s and size < least:
+            raise RequestRefused(Code.BODY_TOO_SLOW, f"{size} bytes")
+
     async def _answer(self, request: Request) -> None:
         response = await self._handle(request)
         body = response.body
         if isinstance(body, bytes):
             await self._drain_request(request)
-        close = self._server.closing or (
-            self._http.their_state is not h11.DONE and isinstance(body, bytes)
-        )
+        close = self._server.draining or self._http.their_state is not h11.DONE
         await self._send_head(response, close=close)
         if isinstance(body, bytes):
             if body:
                 await self._write(self._http.send(h11.Data(body)))
         else:
+            await self._send_stream(body)
+        await self._write(self._http.send(h11.EndOfMessage()))
+
+    async def _send_stream(self, body: AsyncIterator[bytes]) -> None:
+        """Send chunks; end the stream at once where the caller stalls."""
+        try:
             async for chunk in body:
                 await self._write(self._http.send(h11.Data(chunk)))
-        await self._write(self._http.send(h11.EndOfMessage()))
+        finally:
+            if isinstance(body, AsyncGenerator):
+                await body.aclose()
 
     async def _handle(self, request: Request) -> Response:
         try:
@@ -233,8 +293,12 @@
         if not data:
             return
         self._writer.write(data)
-        async with asyncio.timeout(WRITE_TIMEOUT_S):
-            await self._writer.drain()
+        try:
+            async with asyncio.timeout(self._limits.write_timeout_s):
+                await self._writer.drain()
+        except TimeoutError:
+            self._writer.transport.abort()
+            raise CallerStalled from None
 
 
 def _refusal(exc: h11.RemoteProtocolError) -> RequestRefused:
@@ -257,6 +321,7 @@
         self.handler = handler
         self.limits = limits
         self.log = log
+        self.draining = False
         self.closing = False
         self._server: asyncio.Server | None = None
         self._tasks: dict[asyncio.Task[None], _Connection] = {}
@@ -277,21 +342,28 @@
         port = self._server.sockets[0].getsockname()[1]
         return Address(address.host, port)
 
+    def drain(self) -> None:
+        """Go on serving, but ask callers to close with each answer."""
+        self.draining = True
+
     async def stop(self, grace_s: float) -> int:
-        """Stop listening, let requests finish; return how many were cut."""
-        self.closing = True
+        """Stop listening, let requests finish; return how many were cut.
+
+        An idle connection gets a last moment to bring a request.
+        """
+        self.draining = self.closing = True
         if self._server is not None:
             self._server.close()
-        for task, conn in list(self._tasks.items()):
-            if not conn.busy:
-                task.cancel()
+        if grace_s > 0:
+            for conn in self._tasks.values():
+                conn.hurry()
         if self._tasks:
             await asyncio.wait(list(self._tasks), timeout=grace_s)
-        left = list(self._tasks)
+        left = dict(self._tasks)
         for task in left:
             task.cancel()
         await asyncio.gather(*left, return_exceptions=True)
-        return len(left)
+        return sum(conn.busy for conn in left.values())
 
     @staticmethod
     def peer_host(writer: asyncio.StreamWriter) -> str:
@@ -316,6 +388,8 @@
                     Code.TOO_MANY_CONNECTIONS, host, retry_after_s=1.0
                 )
             await self._serve(conn)
+            if conn.unread:
+                await conn.discard(DISCARD_S)
         except RequestRefused as exc:
             self.log.emit(Event.REQUEST_REFUSED, code=exc.code.number)
             await self._refuse(conn, exc)
@@ -333,13 +407,23 @@
             await conn.serve()
         except RequestRefused:
             raise
+        except CallerStalled:
+            self.log.emit(
+                Event.CALLER_STALLED, code=Code.CALLER_STALLED.number
+            )
         except (AnswerBroken, WigeonfordError, h11.LocalProtocolError) as exc:
             self.log.emit(Event.REQUEST_ABORTED, detail=str(exc))
 
     async def _refuse(self, conn: _Connection, exc: RequestRefused) -> None:
         try:
             await conn.refuse(exc)
-        except (h11.LocalProtocolError, ConnectionError, TimeoutError):
+            await conn.discard(DISCARD_REFUSED_S)
+        except (
+            CallerStalled,
+            h11.LocalProtocolError,
+            ConnectionError,
+            TimeoutError,
+        ):
             return
 
     def _is_over_limit(self, host: str) -> bool:
--- a/src/wigeonford/settings/_daemons.py
+++ b/src/wigeonford/settings/_daemons.py
@@ -69,6 +69,8 @@
     body_bytes: int = bounded(1024, 1 << 34, default=1 << 30)
     head_timeout_s: float = bounded(0.1, 300, default=10.0)
     body_idle_timeout_s: float = bounded(0.1, 300, default=15.0)
+    body_bytes_per_s: float = bounded(1, 1e9, default=100.0)
+    write_timeout_s: float = bounded(0.1, 300, default=30.0)
     keep_alive_s: float = bounded(0.1, 3600, default=30.0)
     connections: int = bounded(1, 100000, default=4096)
     connections_per_address: int = bounded(1, 100000, default=512)
