Spill requests without capacity to a peer in another region

Cause: a request that found no slot or no target at home was refused though another region had room, and a look-up named only VMs of one region, so the callers of a lost region had none left. Change: RegionalDispatcher tries home, then entry VMs of at most two other regions, each asked within a window that halves on a refusal. Request and answer bytes are paced by leased shares of the link, interactive before bulk. The last VM of a look-up is of another region. Conclusion: no VM touches another region's targets; what nobody has room for is refused as not run with Retry-After.

--- a/src/wigeonford/compose.py
+++ b/src/wigeonford/compose.py
@@ -1,5 +1,7 @@
 """Composition root: wire the parts of each daemon."""
 
+import random
+
 from wigeonford.control import (
     ControlDaemon,
     ControlService,
@@ -15,7 +17,10 @@
     EntryDaemon,
     EqualShareLimiter,
     Front,
+    HopReceiver,
+    LinkLeases,
     Pipeline,
+    RegionalDispatcher,
     TargetDirectory,
     TargetRegistry,
 )
@@ -70,21 +75,44 @@
         log,
     )
     dispatcher = Dispatcher(registry, metrics, log)
+    links = LinkLeases(
+        cfg.name, cfg.availability_zone, config, cfg.secrets.peer, log
+    )
+    regional = RegionalDispatcher(
+        cfg.availability_zone,
+        dispatcher,
+        config,
+        links,
+        cfg.secrets.peer,
+        client_context(cfg.tls),
+        random.Random(),
+        log,
+    )
+    hops = HopReceiver(
+        cfg.availability_zone,
+        config,
+        registry,
+        dispatcher,
+        links,
+        cfg.secrets.peer,
+        log,
+    )
     pipeline = Pipeline(
         config,
         limiter,
         ControlClaims(control),
-        dispatcher,
+        regional,
         checks,
         metrics,
         cfg.secrets.key_hash,
     )
-    front = Front(config, pipeline, targets, cfg.secrets, metrics)
+    front = Front(config, pipeline, hops, targets, cfg.secrets, metrics)
     return EntryDaemon(
         cfg,
         announcer,
         config,
         targets,
+        links,
         dispatcher,
         front,
         HttpServer(front.handle, cfg.limits, log),
--- a/src/wigeonford/entry/__init__.py
+++ b/src/wigeonford/entry/__init__.py
@@ -5,7 +5,9 @@
 from wigeonford.entry._daemon import Announcer, EntryDaemon, LINGER_S
 from wigeonford.entry._dispatch import Dispatcher
 from wigeonford.entry._front import Announcement, Front
+from wigeonford.entry._hop import HopReceiver
 from wigeonford.entry._limiter import EqualShareLimiter, Limiter
+from wigeonford.entry._link_leases import LinkLeases
 from wigeonford.entry._lookup import (
     BlockTable,
     Lookup,
@@ -14,6 +16,7 @@
 )
 from wigeonford.entry._pipeline import Pipeline
 from wigeonford.entry._registry import TargetRegistry
+from wigeonford.entry._remote import RegionalDispatcher
 from wigeonford.entry._targets import TargetDirectory
 
 __all__ = [
@@ -30,10 +33,13 @@
     "EntryDaemon",
     "EqualShareLimiter",
     "Front",
+    "HopReceiver",
     "Limiter",
+    "LinkLeases",
     "Lookup",
     "LookupAnswer",
     "Pipeline",
+    "RegionalDispatcher",
     "TargetDirectory",
     "TargetRegistry",
 ]
--- a/src/wigeonford/entry/_daemon.py
+++ b/src/wigeonford/entry/_daemon.py
@@ -7,6 +7,7 @@
 from wigeonford.entry._config import ConfigFollower, FRESH_LEASE_S
 from wigeonford.entry._dispatch import Dispatcher
 from wigeonford.entry._front import Front
+from wigeonford.entry._link_leases import LinkLeases
 from wigeonford.entry._lookup import LOOKUP_LIFETIME_S
 from wigeonford.entry._targets import TargetDirectory
 from wigeonford.errors import PeerError
@@ -63,6 +64,7 @@
         announcer: Announcer,
         config: ConfigFollower,
         targets: TargetDirectory,
+        links: LinkLeases,
         dispatcher: Dispatcher,
         front: Front,
         http: HttpServer,
@@ -76,6 +78,7 @@
         self._announcer = announcer
         self._config = config
         self._targets = targets
+        self._links = links
         self._dispatcher = dispatcher
         self._front = front
         self._http = http
@@ -93,6 +96,7 @@
     async def start(self) -> None:
         """Serve; return once the configuration is there."""
         self._targets.attach(self._peers)
+        self._links.attach(self._peers)
         self.peer_address = await self._peers.start(
             self._cfg.peer_address,
             server_context(self._cfg.tls, require_peer=True),
@@ -105,6 +109,7 @@
         )
         await self._config.start()
         await self._targets.start()
+        await self._links.start()
         self._log.emit(
             Event.STARTED,
             address=str(self.address),
@@ -142,6 +147,7 @@
     async def _close_links(self) -> None:
         await self._config.stop()
         await self._targets.stop()
+        await self._links.stop()
         await self._peers.stop()
         self._dispatcher.close()
         for link in self._control:
--- a/src/wigeonford/entry/_front.py
+++ b/src/wigeonford/entry/_front.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from wigeonford.entry._config import ConfigFollower
+from wigeonford.entry._hop import HOP_HEADER, HopReceiver
 from wigeonford.entry._lookup import Lookup
 from wigeonford.entry._pipeline import Pipeline
 from wigeonford.entry._targets import TargetDirectory
@@ -59,12 +60,14 @@
         self,
         config: ConfigFollower,
         pipeline: Pipeline,
+        hops: HopReceiver,
         targets: TargetDirectory,
         secrets: Secrets,
         metrics: Metrics,
     ) -> None:
         self._config = config
         self._pipeline = pipeline
+        self._hops = hops
         self._targets = targets
         self._secrets = secrets
         self._metrics = metrics
@@ -91,6 +94,8 @@
             return await endpoint(self, request)
         if request.path.startswith(SYSTEM_PREFIX):
             raise RequestRefused(Code.NO_ROUTE, request.path)
+        if request.header(HOP_HEADER) is not None:
+            return await self._hops.handle(request)
         return await self._pipeline.handle(request)
 
     @_endpoint("GET", "/.wigeonford/lookup")
--- a/src/wigeonford/entry/_lookup.py
+++ b/src/wigeonford/entry/_lookup.py
@@ -1,14 +1,15 @@
 """Look-ups: from a caller's address to ranked entry VMs."""
 
 import bisect
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 import ipaddress
+import itertools
 from typing import Final
 import zlib
 
 from wigeonford.entry._config import EntryConfig
-from wigeonford.model import ClientBlock
+from wigeonford.model import AvailabilityZone, ClientBlock
 from wigeonford.peer import Member
 
 LOOKUP_LIFETIME_S: Final = 5.0
@@ -93,7 +94,7 @@
             )
 
         usable = (vm for vm in self._usable() if vm.name != without)
-        ranked = sorted(usable, key=rank)[:MAX_ANSWERS]
+        ranked = _with_another_region(sorted(usable, key=rank), region, zones)
         return LookupAnswer(
             tuple(
                 RankedVM(
@@ -118,6 +119,26 @@
                 yield member
 
 
+def _with_another_region(
+    ranked: list[Member],
+    region: str | None,
+    zones: Mapping[str, AvailabilityZone],
+) -> list[Member]:
+    """Return the first ones, the last of which is of another region.
+
+    A caller whose region is lost would be left without a VM otherwise.
+    """
+    chosen = ranked[:MAX_ANSWERS]
+    others = (
+        member
+        for member in ranked[MAX_ANSWERS:]
+        if zones[member.availability_zone].region != region
+    )
+    if all(zones[vm.availability_zone].region == region for vm in chosen):
+        chosen[-1:] = [*itertools.islice(others, 1)] or chosen[-1:]
+    return chosen
+
+
 def _spread(seed: str, name: str) -> int:
     """Return a rank that differs by seed and is stable for each."""
     return zlib.crc32(f"{seed}/{name}".encode())
--- a/src/wigeonford/entry/_pipeline.py
+++ b/src/wigeonford/entry/_pipeline.py
@@ -9,13 +9,14 @@
 from wigeonford.entry._admission import admit, Admitted, recheck
 from wigeonford.entry._claims import Claims, fingerprint, run_claimed
 from wigeonford.entry._config import ConfigFollower
-from wigeonford.entry._dispatch import Dispatcher, Outbound
+from wigeonford.entry._dispatch import Outbound
 from wigeonford.entry._hygiene import (
     clean_headers,
     clean_query,
     holds_key,
 )
 from wigeonford.entry._limiter import Limiter
+from wigeonford.entry._remote import Forwarder
 from wigeonford.errors import Code, RequestRefused
 from wigeonford.http import (
     CODE_HEADER,
@@ -55,7 +56,7 @@
         config: ConfigFollower,
         limiter: Limiter,
         claims: Claims,
-        dispatcher: Dispatcher,
+        dispatcher: Forwarder,
         checks: Checks,
         metrics: Metrics,
         hash_secret: str,
--- /dev/null
+++ b/src/wigeonford/entry/_remote.py
@@ -0,0 +1,317 @@
+"""Spill-over: what finds no capacity at home goes to another region."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import dataclasses
+import random
+import ssl
+import time
+from typing import Final, Protocol
+
+from wigeonford.entry._config import ConfigFollower, EntryConfig
+from wigeonford.entry._dispatch import Dispatcher, Outbound
+from wigeonford.entry._hop import hop_headers
+from wigeonford.entry._hygiene import answer_headers
+from wigeonford.entry._link_leases import LinkLeases
+from wigeonford.errors import Code, RequestRefused, RunState
+from wigeonford.events import Event, EventLog
+from wigeonford.http import (
+    ACCOUNT_HEADER,
+    AnswerBroken,
+    ClientConnection,
+    CODE_HEADER,
+    coded_headers,
+    ConnectFailed,
+    DEADLINE_HEADER,
+    ExchangeFailed,
+    find_header,
+    Headers,
+    Response,
+    RUN_STATE_HEADER,
+)
+from wigeonford.model import RequestClass
+from wigeonford.peer import Member
+from wigeonford.policy import SpillWindows
+from wigeonford.settings import Address
+
+MAX_REGIONS: Final = 2
+CONNECT_TIMEOUT_S: Final = 1.0
+LINK_WAIT_S: Final = 0.5
+RETURN_MARGIN_S: Final = 0.1
+BUFFERED_ANSWER_BYTES: Final = 65536
+HEAD_BYTES: Final = 512
+LEAST_RETRY_AFTER_S: Final = 1.0
+
+_SPILLS: Final = frozenset(
+    {
+        Code.NO_CAPACITY,
+        Code.NO_TARGET,
+        Code.TARGET_SHED,
+        Code.CONNECT_FAILED,
+        Code.QUEUE_FULL,
+    }
+)
+_CODES: Final = {code.number: code for code in Code}
+
+
+class Forwarder(Protocol):
+    """Carry a request to a target."""
+
+    async def forward(self, outbound: Outbound) -> Response:
+        """Return the answer; raise `RequestRefused`."""
+
+
+class _WatchedBody:
+    """Tell whether a body has begun to be read, so can't be resent."""
+
+    def __init__(self, body: AsyncIterator[bytes]) -> None:
+        self._body = body
+        self.begun = False
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        return self
+
+    async def __anext__(self) -> bytes:
+        self.begun = True
+        return await anext(self._body)
+
+
+class RegionalDispatcher:
+    """Try the region's own targets first, then peers elsewhere."""
+
+    def __init__(
+        self,
+        availability_zone: str,
+        home: Dispatcher,
+        config: ConfigFollower,
+        links: LinkLeases,
+        secret: str,
+        context: ssl.SSLContext | None,
+        rng: random.Random,
+        log: EventLog,
+    ) -> None:
+        self._zone = availability_zone
+        self._home = home
+        self._config = config
+        self._links = links
+        self._secret = secret
+        self._context = context
+        self._rng = rng
+        self._log = log
+        self._windows = SpillWindows()
+
+    async def forward(self, outbound: Outbound) -> Response:
+        """Return the answer; raise `RequestRefused`.
+
+        Only a request that is known not to have run goes elsewhere.
+        """
+        watched: _WatchedBody | None = None
+        if not isinstance(outbound.body, bytes):
+            watched = _WatchedBody(outbound.body)
+            outbound = dataclasses.replace(outbound, body=watched)
+        try:
+            return await self._home.forward(outbound)
+        except RequestRefused as exc:
+            begun = watched is not None and watched.begun
+            if begun or not _spills(outbound, exc):
+                raise
+            refusal = exc
+        return await self._spill(outbound, watched, refusal)
+
+    async def _spill(
+        self,
+        outbound: Outbound,
+        watched: _WatchedBody | None,
+        refusal: RequestRefused,
+    ) -> Response:
+        service = outbound.service.name
+        home, peers = _peers_by_region(self._config.current, self._zone)
+        untried = set(peers)
+        for _ in range(MAX_REGIONS):
+            now_s = time.monotonic()
+            region = self._windows.choose(service, untried, now_s)
+            if region is None or (watched is not None and watched.begun):
+                break
+            untried.discard(region)
+            peer = self._rng.choice(peers[region])
+            response = await self._hop(home, region, peer, outbound)
+            if response is not None:
+                return response
+        wait_s = self._windows.retry_after_s(service, peers, time.monotonic())
+        raise RequestRefused(
+            refusal.code,
+            refusal.detail,
+            run_state=RunState.NOT_RUN,
+            retry_after_s=max(wait_s, LEAST_RETRY_AFTER_S),
+        )
+
+    async def _hop(
+        self, home: str, region: str, peer: Member, outbound: Outbound
+    ) -> Response | None:
+        """Return the answer, or None when the region did not run it."""
+        service = outbound.service.name
+        self._windows.begin(region, service)
+        taken = False
+        try:
+            response = await self._exchange(home, region, peer, outbound)
+            taken = response is not None
+        except RequestRefused as exc:
+            taken = exc.run_state is not RunState.NOT_RUN
+            if taken:
+                raise
+            response = None
+        finally:
+            self._windows.end(
+                region, service, taken=taken, now_s=time.monotonic()
+            )
+        event = Event.SPILL_REFUSED if response is None else Event.SPILLED
+        self._log.emit(event, region=region, service=service)
+        return response
+
+    async def _exchange(
+        self, home: str, region: str, peer: Member, outbound: Outbound
+    ) -> Response | None:
+        kind = outbound.service.request_class
+        body = outbound.body
+        size = len(body) if isinstance(body, bytes) else 0
+        until_s = min(outbound.deadline_s, time.monotonic() + LINK_WAIT_S)
+        await self._links.carry(region, kind, size + HEAD_BYTES, until_s)
+        address = Address(peer.host, peer.port)
+        try:
+            conn = await ClientConnection.open(
+                address, CONNECT_TIMEOUT_S, self._context
+            )
+        except ConnectFailed:
+            return None
+        if not isinstance(body, bytes):
+            body = self._paced(region, kind, body, outbound.deadline_s)
+        response = await self._send(conn, home, outbound, body)
+        return await self._classify(conn, response, outbound)
+
+    async def _paced(
+        self,
+        region: str,
+        kind: RequestClass,
+        body: AsyncIterator[bytes],
+        deadline_s: float,
+    ) -> AsyncIterator[bytes]:
+        async for chunk in body:
+            await self._links.carry(region, kind, len(chunk), deadline_s)
+            yield chunk
+
+    async def _send(
+        self,
+        conn: ClientConnection,
+        home: str,
+        outbound: Outbound,
+        body: bytes | AsyncIterator[bytes],
+    ) -> Response:
+        headers = self._headers(conn.address, home, outbound)
+        try:
+            async with asyncio.timeout(_left_s(outbound)):
+                return await conn.exchange(
+                    outbound.method, outbound.target, headers, body
+                )
+        except TimeoutError as exc:
+            raise RequestRefused(Code.HOP_TIMEOUT) from exc
+        except ExchangeFailed as exc:
+            raise RequestRefused(Code.HOP_BROKEN, str(exc)) from exc
+        except RequestRefused as exc:
+            # A part of the body has left, so the peer may act on it.
+            raise RequestRefused(
+                exc.code, exc.detail, run_state=RunState.UNKNOWN
+            ) from exc
+
+    def _headers(
+        self, address: Address, home: str, outbound: Outbound
+    ) -> Headers:
+        left_ms = int((_left_s(outbound) - RETURN_MARGIN_S) * 1000)
+        account = find_header(outbound.headers, ACCOUNT_HEADER) or ""
+        kept = tuple(
+            (name, value)
+            for name, value in outbound.headers
+            if name not in (b"host", DEADLINE_HEADER)
+        )
+        return (
+            (b"host", str(address).encode()),
+            (DEADLINE_HEADER, str(max(1, left_ms)).encode()),
+            *kept,
+            *hop_headers(
+                self._secret, home, outbound.method, outbound.target, account
+            ),
+        )
+
+    async def _classify(
+        self, conn: ClientConnection, response: Response, outbound: Outbound
+    ) -> Response | None:
+        """Return an answer that ran, None for one that did not."""
+        number = int(response.header(CODE_HEADER) or -1)
+        if number != Code.FORWARDED.number:
+            conn.close()
+            _require_not_run(number, response.header(RUN_STATE_HEADER))
+            return None
+        headers = (
+            *answer_headers(response.headers),
+            *coded_headers(Code.FORWARDED, RunState.RAN),
+        )
+        stream = _closing(conn, response)
+        length = response.header(b"content-length")
+        if length is None or int(length) > BUFFERED_ANSWER_BYTES:
+            return Response(response.status, headers, stream)
+        try:
+            async with asyncio.timeout(_left_s(outbound)):
+                body = b"".join([chunk async for chunk in stream])
+        except TimeoutError as exc:
+            raise RequestRefused(Code.HOP_TIMEOUT) from exc
+        except AnswerBroken as exc:
+            raise RequestRefused(Code.HOP_BROKEN, str(exc)) from exc
+        return Response(response.status, headers, body)
+
+
+def _spills(outbound: Outbound, refusal: RequestRefused) -> bool:
+    return (
+        outbound.service.spill_over
+        and refusal.run_state is RunState.NOT_RUN
+        and refusal.code in _SPILLS
+        and _left_s(outbound) > RETURN_MARGIN_S
+    )
+
+
+def _require_not_run(number: int, run_state: str | None) -> None:
+    """Raise `RequestRefused` unless a peer says that nothing ran."""
+    if run_state == RunState.NOT_RUN.value:
+        return
+    code = _CODES.get(number, Code.HOP_BROKEN)
+    state = RunState.RAN if run_state == "ran" else RunState.UNKNOWN
+    raise RequestRefused(code, "in another region", run_state=state)
+
+
+async def _closing(
+    conn: ClientConnection, response: Response
+) -> AsyncIterator[bytes]:
+    assert not isinstance(response.body, bytes), "clients stream"
+    try:
+        async for chunk in response.body:
+            yield chunk
+    except ExchangeFailed as exc:
+        raise AnswerBroken(str(exc)) from exc
+    finally:
+        conn.close()
+
+
+def _left_s(outbound: Outbound) -> float:
+    return outbound.deadline_s - time.monotonic()
+
+
+def _peers_by_region(
+    config: EntryConfig, zone: str
+) -> tuple[str, dict[str, list[Member]]]:
+    """Return the home region, and the others' running entry VMs."""
+    zones = config.objects.availability_zones
+    home = zones[zone].region
+    peers: dict[str, list[Member]] = {}
+    for member in config.members.values():
+        place = zones.get(member.availability_zone)
+        if place is not None and place.region != home:
+            peers.setdefault(place.region, []).append(member)
+    return home, peers
--- a/src/wigeonford/peer/__init__.py
+++ b/src/wigeonford/peer/__init__.py
@@ -3,9 +3,11 @@
 from wigeonford.peer._link import (
     failure_error,
     LeaderElsewhere,
+    peer_proof,
     PeerClient,
     PeerServer,
 )
+from wigeonford.peer._link_messages import LinkLeaseAnswer, LinkLeaseAsk
 from wigeonford.peer._messages import (
     ClaimAnswer,
     ClaimClose,
@@ -33,6 +35,8 @@
     "Failure",
     "LeaderElsewhere",
     "LeaveRoster",
+    "LinkLeaseAnswer",
+    "LinkLeaseAsk",
     "Member",
     "ObjectRow",
     "Outcome",
@@ -42,4 +46,5 @@
     "TargetAnnounce",
     "failure_error",
     "message",
+    "peer_proof",
 ]
--- a/src/wigeonford/policy/__init__.py
+++ b/src/wigeonford/policy/__init__.py
@@ -8,8 +8,10 @@
     LeaseRequest,
 )
 from wigeonford.policy._limits import BucketShare, TokenBucket
+from wigeonford.policy._links import LinkDemand, LinkShare
 from wigeonford.policy._selection import Candidate, choose_target
 from wigeonford.policy._shift import ShiftCounter
+from wigeonford.policy._spill import admits_remote, SpillWindows
 
 __all__ = [
     "BucketShare",
@@ -18,8 +20,12 @@
     "LeaseGrantor",
     "LeaseHolder",
     "LeaseRequest",
+    "LinkDemand",
+    "LinkShare",
     "ShiftCounter",
+    "SpillWindows",
     "TokenBucket",
+    "admits_remote",
     "choose_target",
     "fair_part",
 ]
