Measure the memory that a streamed body takes

Cause: nothing showed that an entry VM's memory doesn't grow with a body. Change: `wigeonford bench streaming` sends a body up and down through one entry VM, once under resident-size samples and once under tracemalloc; caller and target make and drop their chunks in the same process, so both figures bound the entry VM's own from above.

--- a/src/wigeonford/cli/_experiments.py
+++ b/src/wigeonford/cli/_experiments.py
@@ -90,3 +90,17 @@
     "wigeonford.bench._routing_bench",
     _routing_arguments,
 )
+
+
+def _streaming_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--megabytes", type=float, default=200.0, help="default %(default)s"
+    )
+
+
+_scenario(
+    "streaming",
+    "measure the memory that a large body takes at an entry VM",
+    "wigeonford.bench._streaming",
+    _streaming_arguments,
+)
