--- a/src/wigeonford/bench/_routing_load.py
+++ b/src/wigeonford/bench/_routing_load.py
@@ -133,7 +133,16 @@
         service, method = uploads, "POST"
         path = f"/{uploads}/scans/{number}"
     return Arrival(
-        at_s, number, account, region, zone, service, method, path, late=late
+        at_s=at_s,
+        number=number,
+        account=account,
+        region=region,
+        zone=zone,
+        service=service,
+        method=method,
+        path=path,
+        measured=not late,
+        late=late,
     )
 
 
