--- a/src/wigeonford/bench/_routing_bench.py
+++ b/src/wigeonford/bench/_routing_bench.py
@@ -37,6 +37,7 @@
 RATE_PER_S: Final = 40.0
 WARM_UP_S: Final = 2.0
 DIRECT_CALLS: Final = 40
+DIRECT_S: Final = 4.0
 WATCH_S: Final = 0.05
 LAG_INTERVAL_S: Final = 0.01
 DOOMED_INTERVAL_S: Final = 0.25
@@ -316,7 +317,10 @@
     path = f"/{target.group.service}/items/0"
     added: list[float] = []
     direct: set[str] = set()
+    until_s = time.monotonic() + DIRECT_S
     for number in range(DIRECT_CALLS):
+        if time.monotonic() > until_s:
+            break
         entry, (account, key) = callers[number % len(callers)]
         direct.add(f"{account}/direct-{number}/0")
         named = (REQUEST_ID_HEADER, f"{account}/direct-{number}/0".encode())
--- a/src/wigeonford/cli/_experiments.py
+++ b/src/wigeonford/cli/_experiments.py
@@ -104,3 +104,11 @@
     "wigeonford.bench._streaming",
     _streaming_arguments,
 )
+
+
+_scenario(
+    "claims",
+    "compare ways to claim a non-idempotent request",
+    "wigeonford.bench._claims_bench",
+    lambda _parser: None,
+)
--- a/src/wigeonford/control/_commands.py
+++ b/src/wigeonford/control/_commands.py
@@ -5,7 +5,7 @@
 
 from wigeonford.codec import Codec
 from wigeonford.errors import Code
-from wigeonford.peer import Member, Outcome
+from wigeonford.peer import Member
 
 COMMANDS: Final = Codec("command")
 
@@ -78,31 +78,6 @@
     generation: int
 
 
-@command(6)
-@dataclass(frozen=True, slots=True)
-class OpenClaim:
-    """Claim the one run of a non-idempotent request."""
-
-    account: str
-    idempotency_key: str
-    fingerprint: bytes
-    claimant: str
-    time_s: float
-
-
-@command(7)
-@dataclass(frozen=True, slots=True)
-class CloseClaim:
-    """Complete a claim, or release it where the request did not run."""
-
-    account: str
-    idempotency_key: str
-    claimant: str
-    ran: bool
-    outcome: Outcome | None
-    time_s: float
-
-
 @dataclass(frozen=True, slots=True)
 class CommandResult:
     """Tell what became of a command; `code` is a result code's number."""
@@ -111,7 +86,6 @@
     revision: int
     detail: str = ""
     faults: tuple[str, ...] = field(default=())
-    outcome: Outcome | None = None
 
     @property
     def accepted(self) -> bool:
--- a/src/wigeonford/control/_replica.py
+++ b/src/wigeonford/control/_replica.py
@@ -1,13 +1,41 @@
 """Replicas of the state: how a command becomes part of the log."""
 
 import asyncio
+from dataclasses import dataclass
 from typing import Any, Final, Protocol
 
 from wigeonford.control._commands import CommandResult, COMMANDS
+from wigeonford.control._raft_members import is_command
+from wigeonford.control._raft_snapshot import pack_snapshot, unpack_snapshot
 from wigeonford.control._state import State
 from wigeonford.control._store import LogEntry, Snapshot, Store
+from wigeonford.peer import LeaderElsewhere, ReplicaChange
 
 SNAPSHOT_EVERY: Final = 2000
+SOLO_TERM: Final = 1
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaView:
+    """Show one control replica; `lag` in entries, None if not known."""
+
+    name: str
+    voter: bool
+    incarnation: str
+    lag: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaStatus:
+    """Show how a replica stands; positions are those of the log."""
+
+    name: str
+    role: str
+    term: int
+    commit_position: int
+    last_position: int
+    failure: str | None
+    replicas: tuple[ReplicaView, ...]
 
 
 class Replica(Protocol):
@@ -21,6 +49,14 @@
     def leader(self) -> str | None:
         """Return the name of the leader, where one is known."""
 
+    @property
+    def is_leader(self) -> bool:
+        """Return whether this replica leads, as far as it knows."""
+
+    @property
+    def term(self) -> int:
+        """Return the latest term that this replica knows."""
+
     async def start(self) -> None:
         """Recover from the store and take part."""
 
@@ -39,6 +75,18 @@
     def vouched_age_s(self) -> float | None:
         """Return how long ago a quorum confirmed the state, or None."""
 
+    async def ask_leader(self, record: Any) -> Any:
+        """Return the leader's reply to a peer message.
+
+        Raise `PeerError`; `LeaderElsewhere` if this replica leads.
+        """
+
+    async def change_replicas(self, change: ReplicaChange) -> None:
+        """Add or remove a replica; return once a quorum has it."""
+
+    def describe(self) -> ReplicaStatus:
+        """Return how the replica stands."""
+
 
 class SoloReplica:
     """Serve as the only replica: its own disk is the quorum."""
@@ -60,14 +108,26 @@
         """Return this replica's name."""
         return self._name
 
+    @property
+    def is_leader(self) -> bool:
+        """Return True: no other replica could lead."""
+        return True
+
+    @property
+    def term(self) -> int:
+        """Return 1: there are no elections."""
+        return SOLO_TERM
+
     async def start(self) -> None:
         """Recover the state from the snapshot and the log."""
         snapshot = self._store.read_snapshot()
         if snapshot is not None:
-            self._state = State.restore(snapshot.content)
+            _, state = unpack_snapshot(snapshot.content)
+            self._state = State.restore(state)
             self._position = snapshot.position
         for entry in self._store.read_log():
-            self._state.apply(COMMANDS.decode(entry.content))
+            if is_command(entry.content):
+                self._state.apply(COMMANDS.decode(entry.content))
             self._position = entry.position
 
     async def stop(self) -> None:
@@ -78,12 +138,18 @@
     async def propose(self, record: Any) -> CommandResult:
         """Sync the command, then apply it."""
         async with self._turn:
-            entry = LogEntry(self._position + 1, 1, COMMANDS.encode(record))
+            entry = LogEntry(
+                self._position + 1, SOLO_TERM, COMMANDS.encode(record)
+            )
             await asyncio.to_thread(self._store.append, [entry])
             self._position = entry.position
             result = self._state.apply(record)
             if self._position % SNAPSHOT_EVERY == 0:
-                snapshot = Snapshot(self._position, 1, self._state.snapshot())
+                snapshot = Snapshot(
+                    self._position,
+                    SOLO_TERM,
+                    pack_snapshot((), self._state.snapshot()),
+                )
                 await asyncio.to_thread(self._store.save_snapshot, snapshot)
             return result
 
@@ -93,3 +159,23 @@
     def vouched_age_s(self) -> float | None:
         """Return 0: this replica is its own quorum."""
         return 0.0
+
+    async def ask_leader(self, record: Any) -> Any:
+        """Raise `LeaderElsewhere`: this replica leads."""
+        raise LeaderElsewhere(self._name)
+
+    async def change_replicas(self, change: ReplicaChange) -> None:
+        """Raise `LeaderElsewhere`: no leader takes in replicas."""
+        raise LeaderElsewhere(None)
+
+    def describe(self) -> ReplicaStatus:
+        """Return how the replica stands."""
+        return ReplicaStatus(
+            self._name,
+            "leader",
+            SOLO_TERM,
+            self._position,
+            self._position,
+            None,
+            (ReplicaView(self._name, True, "", 0),),
+        )
--- a/src/wigeonford/control/_state.py
+++ b/src/wigeonford/control/_state.py
@@ -9,16 +9,13 @@
 import msgspec
 
 from wigeonford.config_table import ConfigTable
-from wigeonford.control._claims import ClaimTable
 from wigeonford.control._commands import (
     ApplyChange,
-    CloseClaim,
     CommandResult,
     COMMANDS,
     Edit,
     ExpireMember,
     IssueKey,
-    OpenClaim,
     RegisterMember,
     WithdrawKey,
 )
@@ -91,7 +88,6 @@
     def __init__(self) -> None:
         self.config = ConfigTable()
         self.history: list[HistoryEntry] = []
-        self.claims = ClaimTable()
         self._answers: dict[str, _Remembered] = {}
 
     @property
@@ -252,15 +248,6 @@
         self.config.drop_member(self._advance(), record.name)
         return self._result(Code.OK)
 
-    @_applies(OpenClaim)
-    def _open_claim(self, record: OpenClaim) -> CommandResult:
-        code, outcome = self.claims.open(record)
-        return CommandResult(code.number, self.revision, outcome=outcome)
-
-    @_applies(CloseClaim)
-    def _close_claim(self, record: CloseClaim) -> CommandResult:
-        return self._result(self.claims.close(record))
-
     def snapshot(self) -> bytes:
         """Return the whole state as bytes."""
         tables = _Tables(
@@ -276,12 +263,12 @@
             history=self.history,
         )
         plain = msgspec.to_builtins(tables, builtin_types=(bytes,))
-        return cbor2.dumps([plain, self.claims.to_plain()])
+        return cbor2.dumps(plain)
 
     @classmethod
     def restore(cls, data: bytes) -> "State":
         """Return the state of a snapshot."""
-        plain, claims = cbor2.loads(data)
+        plain = cbor2.loads(data)
         tables = msgspec.convert(plain, _Tables, builtin_types=(bytes,))
         state = cls()
         config = state.config
@@ -296,7 +283,6 @@
             config.drop_member(revision, name)
         config.set_objects(row for _, row in tables.rows)
         state.history = tables.history
-        state.claims = ClaimTable.from_plain(claims)
         state._answers = dict(tables.answers)
         return state
 
--- a/src/wigeonford/entry/_daemon.py
+++ b/src/wigeonford/entry/_daemon.py
@@ -4,6 +4,7 @@
 import time
 from typing import Final
 
+from wigeonford.entry._claims import ControlClaims
 from wigeonford.entry._config import ConfigFollower, FRESH_LEASE_S
 from wigeonford.entry._dispatch import Dispatcher
 from wigeonford.entry._front import Front
@@ -71,6 +72,7 @@
         peers: PeerServer,
         control: tuple[PeerClient, ...],
         checks: Checks,
+        claims: ControlClaims,
         log: EventLog,
     ) -> None:
         self._cfg = cfg
@@ -84,6 +86,7 @@
         self._http = http
         self._peers = peers
         self._control = control
+        self._claims = claims
         self._log = log
         self.address = cfg.address
         self.peer_address = cfg.peer_address
@@ -127,6 +130,7 @@
             await asyncio.wait([leaving], timeout=LEAVE_TIMEOUT_S)
         leaving.cancel()
         await asyncio.gather(leaving, return_exceptions=True)
+        await self._claims.stop()
         await self._close_links()
         self._checks.require(
             cut == 0, Invariant.STOP_CUTS_NOTHING, f"{cut} requests"
