Keep a caller's connection after a streamed answer

Cause: a request without a body was not read to its end before a streamed answer, so that answer closed the connection. Conclusion: a catalogue reader keeps its connection.

--- a/src/wigeonford/bench/_routing_bench.py
+++ b/src/wigeonford/bench/_routing_bench.py
@@ -306,8 +306,11 @@
             await asyncio.sleep(WATCH_S)
 
 
-async def _added_latency_ms(fleet: LocalFleet) -> float:
-    """Return the median that an entry VM adds to a call at rest."""
+async def _added_latency_ms(fleet: LocalFleet) -> float | None:
+    """Return the median that an entry VM adds to a call at rest.
+
+    None stands for a run in which no call was answered.
+    """
     target = fleet.targets[0]
     addresses = fleet.entry_addresses()
     entries = [
@@ -331,7 +334,7 @@
         if status == 200:
             added.append(system_s - direct_s)
     fleet.books.forget(direct)
-    return round(statistics.median(added) * 1000, 3)
+    return round(statistics.median(added) * 1000, 3) if added else None
 
 
 async def _timed(
--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -235,7 +235,7 @@
     async def _answer(self, request: Request) -> None:
         response = await self._handle(request)
         body = response.body
-        if isinstance(body, bytes):
+        if isinstance(body, bytes) or not request.has_body:
             await self._drain_request(request)
         close = self._server.draining or self._http.their_state is not h11.DONE
         await self._send_head(response, close=close)
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -34,6 +34,8 @@
     async def __call__(self, request: Request) -> Response:
         if request.method == "PUT":
             return Response(403, ((b"content-length", b"2"),), b"no")
+        if request.method == "OPTIONS":
+            return Response(200, ((b"content-length", b"2"),), self._two())
         if request.method == "TRACE":
             return Response(
                 200, ((b"transfer-encoding", b"chunked"),), self._endless()
@@ -42,6 +44,10 @@
         length = (b"content-length", str(len(body)).encode())
         return Response(200, (length,), body)
 
+    async def _two(self) -> AsyncIterator[bytes]:
+        for part in (b"o", b"k"):
+            yield part
+
     async def _endless(self) -> AsyncIterator[bytes]:
         try:
             while True:
@@ -81,6 +87,13 @@
         self.assertIn(b"200", answer)
         self.assertIn(b"connection: close", answer.lower())
 
+    async def test_a_connection_outlives_a_streamed_answer(self) -> None:
+        reader, writer = await self.connect()
+        for _ in range(2):
+            writer.write(GET.replace(b"GET", b"OPTIONS"))
+            answer = await reader.readuntil(b"\r\n\r\nok")
+            self.assertNotIn(b"connection: close", answer.lower())
+
     async def test_requests_amid_a_stop_are_served(self) -> None:
         """Stop while connections are idle, in a head or in a body."""
         for sent in (b"", GET[:9], POST % 3 + b"a"):
