--- a/src/wigeonford/compose.py
+++ b/src/wigeonford/compose.py
@@ -25,6 +25,7 @@
     LinkLeases,
     Pipeline,
     RegionalDispatcher,
+    RegistryCapacity,
     TargetDirectory,
     TargetRegistry,
 )
@@ -136,7 +137,7 @@
     hops = HopReceiver(
         cfg.availability_zone,
         config,
-        registry,
+        RegistryCapacity(registry),
         dispatcher,
         links,
         cfg.secrets.peer,
--- a/src/wigeonford/entry/__init__.py
+++ b/src/wigeonford/entry/__init__.py
@@ -5,7 +5,7 @@
 from wigeonford.entry._daemon import Announcer, EntryDaemon, LINGER_S
 from wigeonford.entry._dispatch import Dispatcher
 from wigeonford.entry._front import Announcement, Front
-from wigeonford.entry._hop import HopReceiver
+from wigeonford.entry._hop import HopReceiver, RegistryCapacity
 from wigeonford.entry._limiter import EqualShareLimiter, Limiter
 from wigeonford.entry._link_leases import LinkLeases
 from wigeonford.entry._lookup import (
@@ -40,6 +40,7 @@
     "LookupAnswer",
     "Pipeline",
     "RegionalDispatcher",
+    "RegistryCapacity",
     "TargetDirectory",
     "TargetRegistry",
 ]
--- a/src/wigeonford/entry/_hop.py
+++ b/src/wigeonford/entry/_hop.py
@@ -5,7 +5,7 @@
 import hashlib
 import hmac
 import time
-from typing import Final
+from typing import Final, Protocol
 
 from wigeonford.entry._admission import find_route
 from wigeonford.entry._config import ConfigFollower
@@ -52,6 +52,37 @@
     return hmac.new(secret.encode(), text, hashlib.sha256).hexdigest()
 
 
+class Capacity(Protocol):
+    """Tell what a region has free for the requests of others."""
+
+    def admits_remote(
+        self, service: str, side: Side | None, headroom: float
+    ) -> bool:
+        """Tell whether one more may run on a side of a service."""
+
+
+class RegistryCapacity:
+    """Count the slots of the announced targets against what runs."""
+
+    def __init__(self, registry: TargetRegistry) -> None:
+        self._registry = registry
+
+    def admits_remote(
+        self, service: str, side: Side | None, headroom: float
+    ) -> bool:
+        """Tell whether one more may run on a side of a service."""
+        candidates = [
+            candidate
+            for candidate in self._registry.candidates(
+                service, time.monotonic()
+            )
+            if side in (None, candidate.side)
+        ]
+        slots = sum(candidate.slots for candidate in candidates)
+        in_flight = sum(candidate.in_flight for candidate in candidates)
+        return admits_remote(slots, in_flight, headroom)
+
+
 class HopReceiver:
     """Run requests of other regions on what this region has free."""
 
@@ -59,7 +90,7 @@
         self,
         availability_zone: str,
         config: ConfigFollower,
-        registry: TargetRegistry,
+        capacity: Capacity,
         dispatcher: Dispatcher,
         links: LinkLeases,
         secret: str,
@@ -67,7 +98,7 @@
     ) -> None:
         self._zone = availability_zone
         self._config = config
-        self._registry = registry
+        self._capacity = capacity
         self._dispatcher = dispatcher
         self._links = links
         self._secret = secret
@@ -134,16 +165,8 @@
         zone = config.objects.availability_zones[self._zone]
         headroom = config.objects.regions[zone.region].headroom
         side = None if outbound.share is None else Side.OLD
-        candidates = [
-            candidate
-            for candidate in self._registry.candidates(
-                outbound.service.name, time.monotonic()
-            )
-            if side in (None, candidate.side)
-        ]
-        slots = sum(candidate.slots for candidate in candidates)
-        in_flight = sum(candidate.in_flight for candidate in candidates)
-        if not admits_remote(slots, in_flight, headroom):
+        service = outbound.service.name
+        if not self._capacity.admits_remote(service, side, headroom):
             raise RequestRefused(
                 Code.HOP_NO_CAPACITY, retry_after_s=RETRY_AFTER_S
             )
