Split the HTTP server and the routing bench by job

Change: a caller's connection and the bench's probes have modules of their own; no behaviour changes. Measured: tests.test_drain, test_http and test_bench_routing 17 passed.

--- a/src/wigeonford/bench/_routing_bench.py
+++ b/src/wigeonford/bench/_routing_bench.py
@@ -5,23 +5,25 @@
 import dataclasses
 from dataclasses import dataclass
 import gc
-import itertools
 import logging
 from pathlib import Path
 import random
-import statistics
 import tempfile
 import time
 from typing import Any, Final
 import uuid
 
-from wigeonford.bench._books import REQUEST_ID_HEADER
 from wigeonford.bench._fleet import LocalFleet
 from wigeonford.bench._report import Report
 from wigeonford.bench._routing_baseline import BaselineFleet
 from wigeonford.bench._routing_books import CallLedger
 from wigeonford.bench._routing_faults import Fault, FAULTS, Fleet, Stage
 from wigeonford.bench._routing_load import Arrival, OpenLoop, schedule
+from wigeonford.bench._routing_probes import (
+    added_latency_ms,
+    LoopWatch,
+    RevisionWatch,
+)
 from wigeonford.bench._routing_promises import count_breaches, Evidence
 from wigeonford.bench._settings import (
     Deployment,
@@ -30,17 +32,11 @@
 )
 from wigeonford.cli._operator import OperatorClient
 from wigeonford.events import configure_logging, EventLog
-from wigeonford.http import fetch, Headers
 from wigeonford.model import ObjectSet
-from wigeonford.settings import Address
 
 ALL: Final = "all"
 RATE_PER_S: Final = 40.0
 WARM_UP_S: Final = 2.0
-DIRECT_CALLS: Final = 40
-DIRECT_S: Final = 4.0
-WATCH_S: Final = 0.05
-LAG_INTERVAL_S: Final = 0.01
 DOOMED_INTERVAL_S: Final = 0.25
 DOOMED_NUMBER: Final = 1_000_000
 READ_PART: Final = 0.7
@@ -140,11 +136,11 @@
 async def _run_system(
     plan: RoutingPlan, fault: Fault, fleet: LocalFleet
 ) -> dict[str, Any]:
-    added_ms = await _added_latency_ms(fleet)
+    added_ms = await added_latency_ms(fleet)
     operator = fleet.operator()
     account = next(iter(fleet.keys))
     doomed = await operator.issue_key(uuid.uuid4().hex, account)
-    watch = _RevisionWatch(fleet)
+    watch = RevisionWatch(fleet)
     watching = asyncio.create_task(watch.run())
     ledger, stage, not_sent = await _drive(
         plan, fault, fleet, fleet.keys, operator, (account, doomed)
@@ -245,7 +241,7 @@
     # of it all would show as latency.
     gc.collect()
     gc.freeze()
-    lag = _LoopWatch()
+    lag = LoopWatch()
     watching = asyncio.create_task(lag.run())
     await asyncio.gather(*work)
     await load.finish()
@@ -292,80 +288,3 @@
         measured=False,
         key=key,
     )
-
-
-class _RevisionWatch:
-    """Look for an entry VM whose revision goes back."""
-
-    def __init__(self, fleet: LocalFleet) -> None:
-        self._fleet = fleet
-        self._seen: dict[str, int] = {}
-        self.reverted = 0
-
-    async def run(self) -> None:
-        """Watch until cancelled."""
-        while True:
-            for name, entry in self._fleet.entries.items():
-                revision = entry.config.current.revision
-                self.reverted += revision < self._seen.get(name, 0)
-                self._seen[name] = revision
-            await asyncio.sleep(WATCH_S)
-
-
-async def _added_latency_ms(fleet: LocalFleet) -> float | None:
-    """Return the median that an entry VM adds to a call at rest.
-
-    None stands for a run in which no call was answered.
-    """
-    target = fleet.targets[0]
-    addresses = fleet.entry_addresses()
-    entries = [
-        addresses[name] for name in fleet.entries_of(target.group.region)
-    ]
-    callers = list(itertools.product(entries, list(fleet.keys.items())[:3]))
-    path = f"/{target.group.service}/items/0"
-    added: list[float] = []
-    direct: set[str] = set()
-    until_s = time.monotonic() + DIRECT_S
-    for number in range(DIRECT_CALLS):
-        if time.monotonic() > until_s:
-            break
-        entry, (account, key) = callers[number % len(callers)]
-        direct.add(f"{account}/direct-{number}/0")
-        named = (REQUEST_ID_HEADER, f"{account}/direct-{number}/0".encode())
-        direct_s, _ = await _timed(target.address, path, (named,))
-        named = (REQUEST_ID_HEADER, f"{account}/entry-{number}/0".encode())
-        bearer = (b"authorization", f"Bearer {key}".encode())
-        system_s, status = await _timed(entry, path, (named, bearer))
-        if status == 200:
-            added.append(system_s - direct_s)
-    fleet.books.forget(direct)
-    return round(statistics.median(added) * 1000, 3) if added else None
-
-
-async def _timed(
-    address: Address, path: str, headers: Headers
-) -> tuple[float, int]:
-    started_s = time.perf_counter()
-    response = await fetch(address, "GET", path, headers)
-    return time.perf_counter() - started_s, response.status
-
-
-class _LoopWatch:
-    """Measure how late the event loop of this process runs its timers."""
-
-    def __init__(self) -> None:
-        self._late_s: list[float] = []
-
-    async def run(self) -> None:
-        """Measure until cancelled."""
-        loop = asyncio.get_running_loop()
-        while True:
-            due_s = loop.time() + LAG_INTERVAL_S
-            await asyncio.sleep(LAG_INTERVAL_S)
-            self._late_s.append(loop.time() - due_s)
-
-    def p99_ms(self) -> float:
-        """Return the 99th percentile in milliseconds."""
-        ordered = sorted(self._late_s)
-        return round(ordered[len(ordered) * 99 // 100] * 1000, 2)
--- a/src/wigeonford/http/__init__.py
+++ b/src/wigeonford/http/__init__.py
@@ -7,7 +7,8 @@
     fetch,
     read_body,
 )
-from wigeonford.http._server import AnswerBroken, Handler, HttpServer
+from wigeonford.http._connection import AnswerBroken, Handler
+from wigeonford.http._server import HttpServer
 from wigeonford.http._types import (
     ACCOUNT_HEADER,
     CODE_HEADER,
