--- /dev/null
+++ b/tests/test_hop_states.py
@@ -0,0 +1,162 @@
+"""What a hop to another region leaves open is told as it is."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+import dataclasses
+import io
+import logging
+import random
+import time
+from types import SimpleNamespace
+from typing import Any
+import unittest
+
+from wigeonford.bench import load_deployment
+from wigeonford.entry import EntryConfig, RegionalDispatcher
+from wigeonford.entry._dispatch import Outbound
+from wigeonford.errors import Code, RequestRefused, RunState
+from wigeonford.events import configure_logging, EventLog
+from wigeonford.http import (
+    AnswerBroken,
+    coded_headers,
+    error_response,
+    HttpServer,
+    Request,
+    Response,
+)
+from wigeonford.peer import Member
+from wigeonford.settings import Address, CallerLimits
+
+LENGTH = (b"content-length", b"4")
+FORWARDED = coded_headers(Code.FORWARDED, RunState.RAN)
+
+
+async def _hang(_request: Request) -> Response:
+    await asyncio.sleep(5.0)
+    return Response(200)
+
+
+async def _break(_request: Request) -> Response:
+    async def body() -> AsyncIterator[bytes]:
+        yield b"a"
+        raise AnswerBroken("cut")
+
+    return Response(200, (LENGTH, *FORWARDED), body())
+
+
+async def _full(_request: Request) -> Response:
+    return error_response(RequestRefused(Code.HOP_NO_CAPACITY))
+
+
+async def _unsure(_request: Request) -> Response:
+    return error_response(RequestRefused(Code.ANSWER_TIMEOUT))
+
+
+async def _uncoded(_request: Request) -> Response:
+    return Response(200, (LENGTH,), b"what")
+
+
+async def _whole(_request: Request) -> Response:
+    return Response(200, (LENGTH, *FORWARDED), b"good")
+
+
+class HopStatesTest(unittest.IsolatedAsyncioTestCase):
+    """Refuse at home and let the peer do all kinds of things."""
+
+    def setUp(self) -> None:
+        configure_logging(io.StringIO(), logging.INFO)
+        self.objects = load_deployment("guild").objects
+        self.asked = 0
+        self.home_refusal = RequestRefused(Code.NO_CAPACITY)
+        self.reads_body = False
+
+    async def forward(self, outbound: Outbound) -> Response:
+        """Stand for the dispatcher at home."""
+        if self.reads_body and not isinstance(outbound.body, bytes):
+            await anext(outbound.body)
+        raise self.home_refusal
+
+    async def carry(self, *_args: object) -> None:
+        """Stand for a link without a bound."""
+
+    async def spill(
+        self,
+        peer: Callable[[Request], Awaitable[Response]],
+        **changes: Any,
+    ) -> Response:
+        async def count(request: Request) -> Response:
+            self.asked += 1
+            return await peer(request)
+
+        server = HttpServer(count, CallerLimits(), EventLog())
+        address = await server.start(Address())
+        member = Member("s", "salt-a", address.host, address.port, 0, 1)
+        config = EntryConfig(1, self.objects, {}, {"s": member})
+        regional = RegionalDispatcher(
+            "amman-a",
+            self,  # type: ignore[arg-type]
+            SimpleNamespace(current=config),  # type: ignore[arg-type]
+            self,  # type: ignore[arg-type]
+            "secret",
+            None,
+            random.Random(1),
+            EventLog(),
+        )
+        outbound = Outbound(
+            service=self.objects.services["catalogue"],
+            share=None,
+            method="GET",
+            target="/catalogue/1",
+            headers=(),
+            body=b"",
+            idempotent=True,
+            deadline_s=time.monotonic() + 0.6,
+        )
+        outbound = dataclasses.replace(outbound, **changes)
+        try:
+            return await regional.forward(outbound)
+        finally:
+            await server.stop(0.0)
+
+    async def test_run_states_across_the_hop(self) -> None:
+        cases = (
+            (_hang, Code.HOP_TIMEOUT, RunState.UNKNOWN),
+            (_break, Code.HOP_BROKEN, RunState.UNKNOWN),
+            (_unsure, Code.ANSWER_TIMEOUT, RunState.UNKNOWN),
+            (_uncoded, Code.HOP_BROKEN, RunState.UNKNOWN),
+            (_full, Code.NO_CAPACITY, RunState.NOT_RUN),
+        )
+        for peer, code, state in cases:
+            with self.subTest(peer.__name__):
+                with self.assertRaises(RequestRefused) as caught:
+                    await self.spill(peer)
+                refusal = caught.exception
+                self.assertEqual(
+                    (refusal.code, refusal.run_state), (code, state)
+                )
+                if state is RunState.NOT_RUN:
+                    assert refusal.retry_after_s is not None
+                    self.assertGreaterEqual(refusal.retry_after_s, 1.0)
+        response = await self.spill(_whole)
+        self.assertEqual(response.body, b"good")
+
+    async def test_only_what_surely_did_not_run_goes_on(self) -> None:
+        async def stream() -> AsyncIterator[bytes]:
+            yield b"a"
+            yield b"b"
+
+        service = self.objects.services["catalogue"]
+        fixed = dataclasses.replace(service, spill_over=False)
+        unsure = RequestRefused(Code.ANSWER_BROKEN)
+        cases: tuple[tuple[str, RequestRefused, bool, dict[str, Any]], ...] = (
+            ("no spill-over", self.home_refusal, False, {"service": fixed}),
+            ("unknown at home", unsure, False, {}),
+            ("body begun", self.home_refusal, True, {"body": stream()}),
+        )
+        for name, refusal, reads_body, changes in cases:
+            with self.subTest(name):
+                self.home_refusal = refusal
+                self.reads_body = reads_body
+                with self.assertRaises(RequestRefused):
+                    await self.spill(_whole, **changes)
+                self.assertEqual(self.asked, 0)
