--- a/src/wigeonford/cli/_experiments.py
+++ b/src/wigeonford/cli/_experiments.py
@@ -106,6 +106,18 @@
 )
 
 
+def _control_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--seconds", type=float, default=15.0, help="default %(default)s"
+    )
+
+
+_scenario(
+    "control",
+    "break five control replicas under changes and claims",
+    "wigeonford.bench._control_bench",
+    _control_arguments,
+)
 _scenario(
     "claims",
     "compare ways to claim a non-idempotent request",
--- a/src/wigeonford/control/_claim_service.py
+++ b/src/wigeonford/control/_claim_service.py
@@ -52,6 +52,7 @@
 EXPIRE_INTERVAL_S: Final = 60.0
 READY_FLAG: Final = "ready"
 _KEY_BYTES: Final = 16
+STOPPED: Final = PeerError(Code.CLAIM_UNAVAILABLE, "the replica stops")
 
 
 def register_key(account: str, idempotency_key: str) -> bytes:
@@ -114,10 +115,14 @@
 
     async def stop(self) -> None:
         """Stop serving and release the store."""
+        self._ready.clear()
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        # A handler that still waited would keep its link open for good.
+        while not self._queue.empty():
+            _fail([self._queue.get_nowait()], STOPPED)
         for peer in self._peers.values():
             await peer.close()
         self._store.close()
@@ -250,6 +255,9 @@
                 replies = await asyncio.to_thread(
                     self._store.apply, requests, time.time()
                 )
+            except asyncio.CancelledError:
+                _fail(batch, STOPPED)
+                raise
             except WigeonfordError as exc:
                 self._log.emit(Event.TASK_FAILED, detail=str(exc))
                 _fail(batch, exc)
--- a/src/wigeonford/control/_daemon.py
+++ b/src/wigeonford/control/_daemon.py
@@ -51,6 +51,11 @@
         """Return the replica that this daemon runs."""
         return self._replica
 
+    @property
+    def services(self) -> tuple[Service, ...]:
+        """Return the services that this daemon runs."""
+        return self._services
+
     async def start(self) -> None:
         """Recover the state and serve."""
         for service in self._services:
