--- a/src/wigeonford/cli/_experiments.py
+++ b/src/wigeonford/cli/_experiments.py
@@ -66,6 +66,46 @@
     cli_command(f"bench {name}", help_text, arguments)(run)
 
 
+def _routing_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--deployment", choices=("guild", "authority"), default="guild"
+    )
+    parser.add_argument(
+        "--fault", default="none", help="a fault's name or all"
+    )
+    parser.add_argument(
+        "--seconds", type=float, default=10.0, help="default %(default)s"
+    )
+    parser.add_argument(
+        "--rate",
+        type=float,
+        default=40.0,
+        help="requests a second, default %(default)s",
+    )
+
+
+_scenario(
+    "routing",
+    "run a deployment under load and a fault beside a baseline",
+    "wigeonford.bench._routing_bench",
+    _routing_arguments,
+)
+
+
+def _streaming_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--megabytes", type=float, default=200.0, help="default %(default)s"
+    )
+
+
+_scenario(
+    "streaming",
+    "measure the memory that a large body takes at an entry VM",
+    "wigeonford.bench._streaming",
+    _streaming_arguments,
+)
+
+
 def _control_arguments(parser: argparse.ArgumentParser) -> None:
     parser.add_argument(
         "--seconds", type=float, default=15.0, help="default %(default)s"
--- a/src/wigeonford/compose.py
+++ b/src/wigeonford/compose.py
@@ -26,9 +26,13 @@
     DispatchGate,
     EntryDaemon,
     Front,
+    HopReceiver,
     LeasedShareLimiter,
+    LinkLeases,
     Parents,
     Pipeline,
+    RegionalDispatcher,
+    RegistryCapacity,
     SpreadShape,
     TargetDirectory,
     TargetRegistry,
@@ -133,8 +137,8 @@
         metrics,
         log,
     )
-    links = BudgetLinks(cfg.name, control, make_link)
-    limiter = LeasedShareLimiter(links, checks, metrics, log)
+    budget_links = BudgetLinks(cfg.name, control, make_link)
+    limiter = LeasedShareLimiter(budget_links, checks, metrics, log)
     config.on_change(limiter.reconfigure)
     registry = TargetRegistry()
     targets = TargetDirectory(
@@ -151,29 +155,53 @@
         return sum(c.slots for c in registry.candidates(service, now_s))
 
     dispatcher = Dispatcher(registry, metrics, log)
+    links = LinkLeases(
+        cfg.name, cfg.availability_zone, config, cfg.secrets.peer, log
+    )
+    regional = RegionalDispatcher(
+        cfg.availability_zone,
+        dispatcher,
+        config,
+        links,
+        cfg.secrets.peer,
+        client_context(cfg.tls),
+        random.Random(),
+        log,
+    )
+    hops = HopReceiver(
+        cfg.availability_zone,
+        config,
+        RegistryCapacity(registry),
+        dispatcher,
+        links,
+        cfg.secrets.peer,
+        log,
+    )
     claims = ControlClaims(control, log)
     pipeline = Pipeline(
         config,
         limiter,
         claims,
         DispatchGate(slots_of),
-        dispatcher,
+        regional,
         checks,
         metrics,
         cfg.secrets.key_hash,
     )
-    front = Front(config, pipeline, targets, cfg.secrets, metrics)
+    front = Front(config, pipeline, hops, targets, cfg.secrets, metrics)
     return EntryDaemon(
         cfg,
         announcer,
         config,
         targets,
         limiter,
+        links,
         dispatcher,
         front,
         HttpServer(front.handle, cfg.limits, log),
         PeerServer(cfg.secrets.peer, log),
         control,
+        checks,
         claims,
         log,
     )
--- a/src/wigeonford/entry/__init__.py
+++ b/src/wigeonford/entry/__init__.py
@@ -3,16 +3,19 @@
 from wigeonford.entry._budget_links import BudgetLinks
 from wigeonford.entry._claims import Claims, ControlClaims
 from wigeonford.entry._config import ConfigFollower, EntryConfig
-from wigeonford.entry._daemon import Announcer, EntryDaemon
+from wigeonford.entry._daemon import Announcer, EntryDaemon, LINGER_S
 from wigeonford.entry._dispatch import Dispatcher
 from wigeonford.entry._fair_queue import DispatchGate
 from wigeonford.entry._front import Announcement, Front
+from wigeonford.entry._hop import HopReceiver, RegistryCapacity
 from wigeonford.entry._limiter import (
     LeasedShareLimiter,
     Limiter,
 )
+from wigeonford.entry._link_leases import LinkLeases
 from wigeonford.entry._lookup import (
     Lookup,
+    LOOKUP_LIFETIME_S,
     LookupAnswer,
     LookupBuilder,
 )
@@ -20,6 +23,7 @@
 from wigeonford.entry._lookup_table import BlockTable, RangeTable
 from wigeonford.entry._pipeline import Pipeline
 from wigeonford.entry._registry import TargetRegistry
+from wigeonford.entry._remote import RegionalDispatcher
 from wigeonford.entry._spread import (
     MembersBelow,
     Parents,
@@ -29,6 +33,8 @@
 from wigeonford.entry._targets import TargetDirectory
 
 __all__ = [
+    "LINGER_S",
+    "LOOKUP_LIFETIME_S",
     "Announcement",
     "Announcer",
     "BlockTable",
@@ -41,8 +47,10 @@
     "EntryConfig",
     "EntryDaemon",
     "Front",
+    "HopReceiver",
     "LeasedShareLimiter",
     "Limiter",
+    "LinkLeases",
     "Lookup",
     "LookupAnswer",
     "LookupBuilder",
@@ -52,6 +60,8 @@
     "RangeTable",
     "RankedVM",
     "Ranking",
+    "RegionalDispatcher",
+    "RegistryCapacity",
     "SpreadShape",
     "TargetDirectory",
     "TargetRegistry",
--- a/src/wigeonford/entry/_pipeline.py
+++ b/src/wigeonford/entry/_pipeline.py
@@ -13,7 +13,7 @@
     run_claimed,
 )
 from wigeonford.entry._config import ConfigFollower
-from wigeonford.entry._dispatch import Dispatcher, Outbound
+from wigeonford.entry._dispatch import Outbound
 from wigeonford.entry._fair_queue import DispatchGate, Slot
 from wigeonford.entry._hygiene import (
     BodyScan,
@@ -23,6 +23,7 @@
     refuse_unstrippable_key,
 )
 from wigeonford.entry._limiter import Limiter, SpentToken
+from wigeonford.entry._remote import Forwarder
 from wigeonford.errors import Code, RequestRefused
 from wigeonford.http import (
     CODE_HEADER,
@@ -62,7 +63,7 @@
         limiter: Limiter,
         claims: Claims,
         gate: DispatchGate,
-        dispatcher: Dispatcher,
+        dispatcher: Forwarder,
         checks: Checks,
         metrics: Metrics,
         hash_secret: str,
--- a/src/wigeonford/peer/__init__.py
+++ b/src/wigeonford/peer/__init__.py
@@ -23,9 +23,11 @@
 from wigeonford.peer._link import (
     failure_error,
     LeaderElsewhere,
+    peer_proof,
     PeerClient,
     PeerServer,
 )
+from wigeonford.peer._link_messages import LinkLeaseAnswer, LinkLeaseAsk
 from wigeonford.peer._messages import (
     ClaimAnswer,
     ClaimClose,
@@ -87,6 +89,8 @@
     "InstallSnapshot",
     "LeaderElsewhere",
     "LeaveRoster",
+    "LinkLeaseAnswer",
+    "LinkLeaseAsk",
     "LoanReply",
     "LoanRequest",
     "Member",
@@ -118,4 +122,5 @@
     "VoteRequest",
     "failure_error",
     "message",
+    "peer_proof",
 ]
--- a/src/wigeonford/policy/__init__.py
+++ b/src/wigeonford/policy/__init__.py
@@ -21,33 +21,39 @@
     LeaseRequest,
 )
 from wigeonford.policy._limits import BucketShare, TokenBucket
+from wigeonford.policy._links import LinkDemand, LinkShare
 from wigeonford.policy._selection import Candidate, choose_target
 from wigeonford.policy._share_bucket import ShareBucket
 from wigeonford.policy._shift import ShiftCounter
+from wigeonford.policy._spill import admits_remote, SpillWindows
 from wigeonford.policy._token_queue import TokenQueue, Verdict
 
 __all__ = [
+    "DISPATCH_JITTER_S",
+    "REPORT_INTERVAL_S",
+    "SHARE_UNITS",
+    "TERM_S",
     "AccountShare",
     "BucketShare",
     "BudgetGrantor",
     "Candidate",
-    "DISPATCH_JITTER_S",
     "FairQueue",
     "LeaseGrant",
     "LeaseGrantor",
     "LeaseHolder",
     "LeaseRequest",
+    "LinkDemand",
+    "LinkShare",
     "LoanGrant",
-    "REPORT_INTERVAL_S",
-    "SHARE_UNITS",
     "ShareBucket",
     "ShareGrant",
     "ShareRequest",
     "ShiftCounter",
-    "TERM_S",
+    "SpillWindows",
     "TokenBucket",
     "TokenQueue",
     "Verdict",
+    "admits_remote",
     "choose_target",
     "fair_part",
     "leased_budget",
