Leave a replica that is cut off, and kill replicas abruptly

A killed replica took up to 10 s over closing handshakes on silent links and meanwhile served entry VMs an old revision, which they kept pulling from it. A crash now breaks its links at once, and an entry VM tries the next replica when the state is not vouched for within 1.5 s.

--- a/src/wigeonford/control/_daemon.py
+++ b/src/wigeonford/control/_daemon.py
@@ -78,10 +78,10 @@
 
     async def crash(self) -> None:
         """Drop everything at once, as a process does that is killed."""
+        await self._peers.abort()
+        await self._http.stop(0.0)
         await self._replica.stop()
         await self._stop_services()
-        await self._http.stop(0.0)
-        await self._peers.stop()
 
     async def stop(self) -> None:
         """Finish what is under way, then release the data folder."""
--- a/src/wigeonford/entry/__init__.py
+++ b/src/wigeonford/entry/__init__.py
@@ -1,6 +1,6 @@
 """Entry VMs: look-ups, admission, dispatch and the target registry."""
 
-from wigeonford.entry._claims import Claims, ControlClaims
+from wigeonford.entry._claims import ClaimRequest, Claims, ControlClaims
 from wigeonford.entry._config import ConfigFollower, EntryConfig
 from wigeonford.entry._daemon import Announcer, EntryDaemon
 from wigeonford.entry._dispatch import Dispatcher
@@ -15,6 +15,7 @@
     "Announcement",
     "Announcer",
     "BlockTable",
+    "ClaimRequest",
     "Claims",
     "ConfigFollower",
     "ControlClaims",
--- a/src/wigeonford/entry/_config.py
+++ b/src/wigeonford/entry/_config.py
@@ -17,6 +17,7 @@
 PULL_INTERVAL_S: Final = 0.5
 PULL_TIMEOUT_S: Final = 2.0
 FRESH_LEASE_S: Final = 4.0
+STALE_SOURCE_S: Final = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,6 +114,10 @@
             vouched_at_s = asked_at_s - update.vouched_age_s
             until_s = vouched_at_s + FRESH_LEASE_S
             self._fresh_until_s = max(self._fresh_until_s, until_s)
+        age_s = update.vouched_age_s
+        if age_s is None or age_s > STALE_SOURCE_S:
+            # This replica is cut off from the others; another may not be.
+            self._source += 1
         return True
 
     def _publish(self, table: ConfigTable) -> None:
--- a/src/wigeonford/peer/_link.py
+++ b/src/wigeonford/peer/_link.py
@@ -81,6 +81,15 @@
             self._server.close()
             await self._server.wait_closed()
 
+    async def abort(self) -> None:
+        """Break every link at once, as a process does that is killed."""
+        if self._server is not None:
+            links = list(self._server.connections)
+            self._server.close()
+            for conn in links:
+                conn.transport.abort()
+            await self._server.wait_closed()
+
     def _authenticate(
         self, conn: ServerConnection, request: Request
     ) -> Response | None:
