--- a/src/wigeonford/control/_raft_leader.py
+++ b/src/wigeonford/control/_raft_leader.py
@@ -113,8 +113,6 @@
     def tick(self, now_s: float) -> None:
         """Send heartbeats and keep the table."""
         if now_s >= self._heartbeat_at_s:
-            for progress in self._progress.values():
-                progress.resend_lost(now_s)
             self.heartbeat(now_s)
         self._advance_commit()
         self._keep_table(now_s)
@@ -150,8 +148,6 @@
             entries = node.log.between(
                 previous, node.log.last_position, MAX_BATCH_BYTES
             )
-        if entries and progress.next_position == progress.match_position + 1:
-            progress.progressed_at_s = now_s
         node.send(name, self._message(progress, previous, entries, now_s))
         progress.next_position += len(entries)
         return bool(entries)
@@ -206,7 +202,7 @@
             assert reply.position <= node.log.last_position, (
                 "followers match what was sent"
             )
-            progress.accept(reply.position, now_s)
+            progress.accept(reply.position)
         else:
             progress.reject(reply.position)
         self._advance_commit()
--- a/src/wigeonford/peer/__init__.py
+++ b/src/wigeonford/peer/__init__.py
@@ -50,6 +50,12 @@
     VoteReply,
     VoteRequest,
 )
+from wigeonford.peer._spread_messages import (
+    RosterAnswer,
+    RosterReport,
+    SpreadPull,
+    SpreadUpdate,
+)
 
 __all__ = [
     "MESSAGES",
@@ -78,6 +84,10 @@
     "PeerClient",
     "PeerServer",
     "PullConfig",
+    "RosterAnswer",
+    "RosterReport",
+    "SpreadPull",
+    "SpreadUpdate",
     "ReadConfirmed",
     "RegisterAbandon",
     "RegisterAccept",
--- a/tests/test_raft_cases.py
+++ b/tests/test_raft_cases.py
@@ -88,9 +88,6 @@
             world.carry_out("c0")
         held = self.core(world, "c2").log.term_at(2)
         self.assertEqual(held, 2, "the old entry is on a majority")
-        leading = self.core(world, "c0")
-        self.assertIs(leading.role, Role.LEADER)
-        self.assertFalse(leading.may_change_table, "its term comes first")
         world.crash("c0")
         world.wire.clear()
         self.elect(world, "c4", {"c1", "c2", "c3"})
@@ -151,6 +148,35 @@
         self.assertTrue(world.whole())
         world.settle()
 
+    def test_new_leader_changes_no_table_before_its_term(self) -> None:
+        world, leader = self.led(3)
+        world.propose(leader, command(1))
+        world.advance(1.0)
+        world.crash(leader)
+        while world.leader() is None:
+            world.advance(0.02)
+        core = self.core(world, str(world.leader()))
+        self.assertLess(core.commit_position, core.log.last_position)
+        self.assertLessEqual(core.log.table_position, core.commit_position)
+        self.assertFalse(core.may_change_table)
+        world.advance(1.0)
+        self.assertTrue(core.may_change_table)
+
+    def test_follower_commits_only_what_matches(self) -> None:
+        world = World(3, 5)
+        node = world.nodes["c0"]
+        node.disk.entries = [
+            LogEntry(1, 1, COMMANDS.encode(ChangeReplicas(()))),
+            LogEntry(2, 1, command(1)),
+            LogEntry(3, 1, command(2)),
+        ]
+        node.disk.hard = HardState("here", 1)
+        world.start("c0")
+        core = self.core(world, "c0")
+        heartbeat = AppendEntries("c1", "here", 2, 2, 1, (), 3, 0.0, None, 0.0)
+        core.receive(heartbeat, world.now_s)
+        self.assertEqual(core.commit_position, 2, "3 may be of a lost term")
+
     def test_half_deaf_follower_disturbs_nobody(self) -> None:
         world, leader = self.led(5)
         deaf = next(name for name in world.names if name != leader)
