--- a/src/wigeonford/entry/__init__.py
+++ b/src/wigeonford/entry/__init__.py
@@ -1,7 +1,7 @@
 """Entry VMs: look-ups, admission, dispatch and the target registry."""
 
 from wigeonford.entry._budget_links import BudgetLinks
-from wigeonford.entry._claims import Claims, ControlClaims
+from wigeonford.entry._claims import ClaimRequest, Claims, ControlClaims
 from wigeonford.entry._config import ConfigFollower, EntryConfig
 from wigeonford.entry._daemon import Announcer, EntryDaemon, LINGER_S
 from wigeonford.entry._dispatch import Dispatcher
@@ -39,6 +39,7 @@
     "Announcer",
     "BlockTable",
     "BudgetLinks",
+    "ClaimRequest",
     "Claims",
     "ConfigFollower",
     "ControlClaims",
