Split the revision in force from the follower

Change: entry/_published.py takes updates in and publishes; EntryConfig moves there. No behaviour changes.

--- a/src/wigeonford/entry/__init__.py
+++ b/src/wigeonford/entry/__init__.py
@@ -1,7 +1,7 @@
 """Entry VMs: look-ups, admission, dispatch and the target registry."""
 
 from wigeonford.entry._claims import Claims, ControlClaims
-from wigeonford.entry._config import ConfigFollower, EntryConfig
+from wigeonford.entry._config import ConfigFollower
 from wigeonford.entry._daemon import Announcer, EntryDaemon
 from wigeonford.entry._dispatch import Dispatcher
 from wigeonford.entry._front import Announcement, Front
@@ -10,6 +10,7 @@
 from wigeonford.entry._lookup_ranking import RankedVM, Ranking
 from wigeonford.entry._lookup_table import BlockTable, RangeTable
 from wigeonford.entry._pipeline import Pipeline
+from wigeonford.entry._published import EntryConfig
 from wigeonford.entry._registry import TargetRegistry
 from wigeonford.entry._spread import (
     MembersBelow,
--- a/src/wigeonford/entry/_admission.py
+++ b/src/wigeonford/entry/_admission.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from wigeonford.entry._config import EntryConfig
+from wigeonford.entry._published import EntryConfig
 from wigeonford.errors import Code, RequestRefused
 from wigeonford.http import Request
 from wigeonford.model import hash_key, KeyRecord, Route, Service
--- a/src/wigeonford/entry/_config.py
+++ b/src/wigeonford/entry/_config.py
@@ -2,21 +2,18 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 import math
 import time
 from typing import Final
 import zlib
 
-from wigeonford.config_table import ConfigTable
+from wigeonford.entry._published import EntryConfig, Published
 from wigeonford.entry._spread import HeardBatch, MembersBelow, Parents
 from wigeonford.errors import PeerError, WigeonfordError
 from wigeonford.events import Event, EventLog
 from wigeonford.invariants import Checks, Invariant
 from wigeonford.metrics import Metrics
-from wigeonford.model import KeyRecord, ObjectSet
 from wigeonford.peer import (
-    ConfigUpdate,
     Member,
     PeerClient,
     PeerServer,
@@ -38,19 +35,6 @@
 DRIFT_MARGIN: Final = 0.01
 
 
-@dataclass(frozen=True, slots=True)
-class EntryConfig:
-    """Hold one revision as an entry VM uses it."""
-
-    revision: int
-    objects: ObjectSet
-    keys_by_digest: dict[bytes, KeyRecord]
-    members: dict[str, Member]
-
-
-EMPTY_CONFIG: Final = EntryConfig(0, ObjectSet({}), {}, {})
-
-
 class ConfigFollower:
     """Pull changes from a parent or control; publish each revision.
 
@@ -72,24 +56,28 @@
         self._describe = describe
         self._parents = parents
         self._checks = checks
-        self._metrics = metrics
         self._log = log
         self._heard = MembersBelow()
+        self._roster: frozenset[str] = frozenset()
         self._above: PeerClient | None = None
         self._report_due_s = 0.0
-        self._table = ConfigTable()
+        self._published = Published(checks, metrics, log)
+        self._published.on_change(self._follow_roster)
         self._vouched_at_s: float | None = None
         self._reached_at_s: float | None = None
         self._renewed = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         # By name, so that relays divide themselves among the replicas.
         self._source = zlib.crc32(parents.name.encode())
-        self._listeners: list[Callable[[EntryConfig], None]] = []
-        self.current = EMPTY_CONFIG
+
+    @property
+    def current(self) -> EntryConfig:
+        """Return the revision in force."""
+        return self._published.current
 
     def on_change(self, listener: Callable[[EntryConfig], None]) -> None:
         """Call `listener` with each new revision."""
-        self._listeners.append(listener)
+        self._published.on_change(listener)
 
     def is_fresh(self, now_s: float) -> bool:
         """Tell whether a quorum has vouched for the revision lately."""
@@ -140,10 +128,10 @@
     def _spread_update(
         self, held: int, arrived_at_s: float, unknown: tuple[str, ...]
     ) -> SpreadUpdate:
-        revision = self._table.revision
+        revision = self._published.table.revision
         update = None
         if held < revision:
-            update = self._table.changes_since(held, None)
+            update = self._published.table.changes_since(held, None)
         return SpreadUpdate(
             revision,
             _age_s(self._vouched_at_s, arrived_at_s),
@@ -180,14 +168,14 @@
     async def _pull_control(self) -> bool:
         source = self._sources[self._source % len(self._sources)]
         asked_at_s = time.monotonic()
-        message = PullConfig(self._table.revision, self._describe())
+        message = PullConfig(self._published.table.revision, self._describe())
         try:
             update = await source.request(message, PULL_TIMEOUT_S)
         except PeerError as exc:
             self._log.emit(Event.PEER_LOST, detail=exc.detail)
             self._source += 1
             return False
-        if not self._accept(update):
+        if not self._published.accept(update):
             self._source += 1
             return False
         self._reached_at_s = asked_at_s
@@ -234,7 +222,9 @@
         batch = self._take_heard(link)
         asked_at_s = time.monotonic()
         message = SpreadPull(
-            self._table.revision, tuple(sorted(batch.names)), batch.joined
+            self._published.table.revision,
+            tuple(sorted(batch.names)),
+            batch.joined,
         )
         try:
             answer = await link.request(message, PARENT_TIMEOUT_S)
@@ -271,9 +261,11 @@
             # It may be about to catch up; when this VM itself last had
             # word of control sets how long there is to wait for that.
             return (self._reached_at_s or 0.0) >= oldest_s
-        if answer.update is not None and not self._accept(answer.update):
+        if answer.update is not None and not self._published.accept(
+            answer.update
+        ):
             return False
-        if answer.revision != self._table.revision:
+        if answer.revision != self._published.table.revision:
             return False
         self._reached_at_s = reached_at_s
         vouched_at_s = _instant_s(answer.vouched_age_s, asked_at_s)
@@ -282,29 +274,14 @@
         self._wake()
         return True
 
-    def _accept(self, update: ConfigUpdate) -> bool:
-        if update.revision < self.current.revision:
-            self._log.emit(
-                Event.CONFIG_OLDER_IGNORED,
-                held=self.current.revision,
-                offered=update.revision,
-            )
-            return False
-        if update.base == update.revision == self._table.revision:
-            if update.digest == self._table.digest:
-                return True
-            return self._start_over()
-        table = self._table.updated(update)
-        if table is None:
-            return self._start_over()
-        self._publish(table)
-        return True
-
-    def _start_over(self) -> bool:
-        """Ask for everything next time; what is in force stays."""
-        self._log.emit(Event.SPREAD_GAP_FOUND, revision=self.current.revision)
-        self._table = ConfigTable()
-        return False
+    def _follow_roster(self, config: EntryConfig) -> None:
+        self._parents.follow(config.members.values())
+        # Those that left are forgotten; a live one is asked for its
+        # description again.
+        for name in self._roster - config.members.keys():
+            self._heard.forget(name)
+        self._roster = frozenset(config.members)
+        self._heard.keep(self._roster)
 
     def _renew(self, vouched_at_s: float) -> None:
         now_s = time.monotonic()
@@ -320,42 +297,6 @@
         self._renewed.set()
         self._renewed = asyncio.Event()
 
-    def _publish(self, table: ConfigTable) -> None:
-        self._check_step(table)
-        for name in self.current.members.keys() - table.members.keys():
-            # A live one is asked for its description again.
-            self._heard.forget(name)
-        self._table = table
-        self.current = EntryConfig(
-            table.revision,
-            table.objects,
-            {key.digest: key for _, key in table.keys.values()},
-            {name: member for name, (_, member) in table.members.items()},
-        )
-        self._parents.follow(self.current.members.values())
-        self._heard.keep(frozenset(self.current.members))
-        self._metrics.revision.set({}, table.revision)
-        self._log.emit(Event.CONFIG_APPLIED, revision=table.revision)
-        for listener in self._listeners:
-            listener(self.current)
-
-    def _check_step(self, table: ConfigTable) -> None:
-        self._checks.require(
-            table.revision >= self.current.revision,
-            Invariant.CONFIG_NEVER_REVERTS,
-            f"{self.current.revision} to {table.revision}",
-        )
-        revived = [
-            key.key_id
-            for key in self.current.keys_by_digest.values()
-            if key.withdrawn and not _is_withdrawn(table, key)
-        ]
-        self._checks.require(
-            not revived,
-            Invariant.WITHDRAWN_KEY_STOPS,
-            f"keys in use again: {revived[:3]}",
-        )
-
 
 def _age_s(instant_s: float | None, now_s: float) -> float | None:
     return None if instant_s is None else now_s - instant_s
@@ -367,8 +308,3 @@
         return None
     # As if the parent's clock ran as much off as the margin allows.
     return asked_at_s - age_s - abs(age_s) * DRIFT_MARGIN
-
-
-def _is_withdrawn(table: ConfigTable, key: KeyRecord) -> bool:
-    held = table.keys.get(key.key_id)
-    return held is None or held[1].withdrawn
--- a/src/wigeonford/entry/_limiter.py
+++ b/src/wigeonford/entry/_limiter.py
@@ -3,7 +3,7 @@
 import time
 from typing import Final, Protocol
 
-from wigeonford.entry._config import EntryConfig
+from wigeonford.entry._published import EntryConfig
 from wigeonford.errors import Code, RequestRefused
 from wigeonford.policy import BucketShare, TokenBucket
 
--- a/src/wigeonford/entry/_lookup.py
+++ b/src/wigeonford/entry/_lookup.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 from typing import Final
 
-from wigeonford.entry._config import EntryConfig
 from wigeonford.entry._lookup_ranking import RankedVM, Ranking
 from wigeonford.entry._lookup_table import BlockTable
+from wigeonford.entry._published import EntryConfig
 from wigeonford.model import ClientBlock, ClientBlockPage
 
 LOOKUP_LIFETIME_S: Final = 5.0
--- a/src/wigeonford/entry/_lookup_ranking.py
+++ b/src/wigeonford/entry/_lookup_ranking.py
@@ -6,7 +6,7 @@
 from typing import Final
 import zlib
 
-from wigeonford.entry._config import EntryConfig
+from wigeonford.entry._published import EntryConfig
 from wigeonford.model import AvailabilityZone, ObjectSet
 from wigeonford.peer import Member
 
--- /dev/null
+++ b/src/wigeonford/entry/_published.py
@@ -0,0 +1,108 @@
+"""The revision in force at an entry VM, which never goes back."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+from wigeonford.config_table import ConfigTable
+from wigeonford.events import Event, EventLog
+from wigeonford.invariants import Checks, Invariant
+from wigeonford.metrics import Metrics
+from wigeonford.model import KeyRecord, ObjectSet
+from wigeonford.peer import ConfigUpdate, Member
+
+
+@dataclass(frozen=True, slots=True)
+class EntryConfig:
+    """Hold one revision as an entry VM uses it."""
+
+    revision: int
+    objects: ObjectSet
+    keys_by_digest: dict[bytes, KeyRecord]
+    members: dict[str, Member]
+
+
+EMPTY_CONFIG: Final = EntryConfig(0, ObjectSet({}), {}, {})
+
+
+class Published:
+    """Take updates in, and publish each revision atomically.
+
+    `table` is what the next update builds on; after a gap it is empty
+    while `current` stays in force.
+    """
+
+    def __init__(
+        self, checks: Checks, metrics: Metrics, log: EventLog
+    ) -> None:
+        self._checks = checks
+        self._metrics = metrics
+        self._log = log
+        self._listeners: list[Callable[[EntryConfig], None]] = []
+        self.table = ConfigTable()
+        self.current = EMPTY_CONFIG
+
+    def on_change(self, listener: Callable[[EntryConfig], None]) -> None:
+        """Call `listener` with each new revision."""
+        self._listeners.append(listener)
+
+    def accept(self, update: ConfigUpdate) -> bool:
+        """Take an update in; tell whether this holds its revision now."""
+        if update.revision < self.current.revision:
+            self._log.emit(
+                Event.CONFIG_OLDER_IGNORED,
+                held=self.current.revision,
+                offered=update.revision,
+            )
+            return False
+        if update.base == update.revision == self.table.revision:
+            if update.digest == self.table.digest:
+                return True
+            return self.start_over()
+        table = self.table.updated(update)
+        if table is None:
+            return self.start_over()
+        self._publish(table)
+        return True
+
+    def start_over(self) -> bool:
+        """Ask for everything next time; what is in force stays."""
+        self._log.emit(Event.SPREAD_GAP_FOUND, revision=self.current.revision)
+        self.table = ConfigTable()
+        return False
+
+    def _publish(self, table: ConfigTable) -> None:
+        self._check_step(table)
+        self.table = table
+        self.current = EntryConfig(
+            table.revision,
+            table.objects,
+            {key.digest: key for _, key in table.keys.values()},
+            {name: member for name, (_, member) in table.members.items()},
+        )
+        self._metrics.revision.set({}, table.revision)
+        self._log.emit(Event.CONFIG_APPLIED, revision=table.revision)
+        for listener in self._listeners:
+            listener(self.current)
+
+    def _check_step(self, table: ConfigTable) -> None:
+        self._checks.require(
+            table.revision >= self.current.revision,
+            Invariant.CONFIG_NEVER_REVERTS,
+            f"{self.current.revision} to {table.revision}",
+        )
+        revived = [
+            key.key_id
+            for key in self.current.keys_by_digest.values()
+            if key.withdrawn and not _is_withdrawn(table, key)
+        ]
+        self._checks.require(
+            not revived,
+            Invariant.WITHDRAWN_KEY_STOPS,
+            f"keys in use again: {revived[:3]}",
+        )
+
+
+def _is_withdrawn(table: ConfigTable, key: KeyRecord) -> bool:
+    held = table.keys.get(key.key_id)
+    return held is None or held[1].withdrawn
--- a/src/wigeonford/entry/_targets.py
+++ b/src/wigeonford/entry/_targets.py
@@ -5,7 +5,8 @@
 import time
 from typing import Final
 
-from wigeonford.entry._config import ConfigFollower, EntryConfig
+from wigeonford.entry._config import ConfigFollower
+from wigeonford.entry._published import EntryConfig
 from wigeonford.entry._registry import TargetRegistry
 from wigeonford.errors import Code, PeerError, RequestRefused
 from wigeonford.events import Event, EventLog
--- a/tests/test_config_follower.py
+++ b/tests/test_config_follower.py
@@ -122,7 +122,7 @@
 
     async def test_an_older_snapshot_after_a_gap_is_refused(self) -> None:
         await self.follower._pull()
-        self.follower._start_over()
+        self.follower._published.start_over()
         self.source.table = table_of(2)
         self.assertFalse(await self.follower._pull())
         self.assertEqual(self.follower.current.revision, 3)
