--- a/src/wigeonford/cli/_experiments.py
+++ b/src/wigeonford/cli/_experiments.py
@@ -66,6 +66,18 @@
     cli_command(f"bench {name}", help_text, arguments)(run)
 
 
+def _control_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--seconds", type=float, default=15.0, help="default %(default)s"
+    )
+
+
+_scenario(
+    "control",
+    "break five control replicas under changes and claims",
+    "wigeonford.bench._control_bench",
+    _control_arguments,
+)
 _scenario(
     "slopes",
     "measure what each role spends against nodes, blocks and the rest",
