--- a/src/wigeonford/cli/_experiments.py
+++ b/src/wigeonford/cli/_experiments.py
@@ -72,6 +72,18 @@
     )
 
 
+def _limits_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--requests", type=int, default=200_000, help="default %(default)s"
+    )
+    parser.add_argument(
+        "--faults",
+        action=argparse.BooleanOptionalAction,
+        default=True,
+        help="kill, restart and cut off entry VMs, default %(default)s",
+    )
+
+
 _scenario(
     "control",
     "break five control replicas under changes and claims",
@@ -84,10 +96,15 @@
     "wigeonford.bench._slopes_bench",
     lambda _parser: None,
 )
-
 _scenario(
     "claims",
     "compare ways to claim a non-idempotent request",
     "wigeonford.bench._claims_bench",
     lambda _parser: None,
 )
+_scenario(
+    "limits",
+    "compare ways of limiting client accounts in virtual time",
+    "wigeonford.bench._limits_bench",
+    _limits_arguments,
+)
--- a/src/wigeonford/compose.py
+++ b/src/wigeonford/compose.py
@@ -3,8 +3,10 @@
 from collections.abc import Callable
 from pathlib import Path
 import random
+import time
 
 from wigeonford.control import (
+    BudgetService,
     ClaimService,
     ControlDaemon,
     ControlService,
@@ -17,12 +19,14 @@
 )
 from wigeonford.entry import (
     Announcer,
+    BudgetLinks,
     ConfigFollower,
     ControlClaims,
     Dispatcher,
+    DispatchGate,
     EntryDaemon,
-    EqualShareLimiter,
     Front,
+    LeasedShareLimiter,
     Parents,
     Pipeline,
     SpreadShape,
@@ -52,13 +56,19 @@
     log = log.bind(vm=cfg.name)
     peers = PeerServer(cfg.secrets.peer, log)
     replica = _build_replica(cfg, peers, open_store(cfg.data_folder), log)
+    metrics = Metrics()
     api = OperatorApi(
-        replica, cfg.secrets.operator, cfg.secrets.key_hash, Metrics(), log
+        replica, cfg.secrets.operator, cfg.secrets.key_hash, metrics, log
     )
+    budgets = BudgetService(replica, Checks(log, metrics, cfg.on_breach), log)
     return ControlDaemon(
         cfg,
         replica,
-        (ControlService(replica, log), _build_claims(cfg, log)),
+        (
+            ControlService(replica, log),
+            _build_claims(cfg, log),
+            budgets,
+        ),
         peers,
         HttpServer(api.handle, CallerLimits(), log),
         log,
@@ -108,12 +118,13 @@
     metrics = Metrics()
     checks = Checks(log, metrics, cfg.on_breach)
     announcer = Announcer(cfg)
-    control = tuple(
-        PeerClient(
+
+    def make_link(address: Address) -> PeerClient:
+        return PeerClient(
             cfg.name, address, cfg.secrets.peer, log, client_context(cfg.tls)
         )
-        for address in cfg.control
-    )
+
+    control = tuple(make_link(address) for address in cfg.control)
     config = ConfigFollower(
         control,
         announcer.describe,
@@ -122,7 +133,8 @@
         metrics,
         log,
     )
-    limiter = EqualShareLimiter()
+    links = BudgetLinks(cfg.name, control, make_link)
+    limiter = LeasedShareLimiter(links, checks, metrics, log)
     config.on_change(limiter.reconfigure)
     registry = TargetRegistry()
     targets = TargetDirectory(
@@ -133,12 +145,18 @@
         cfg.secrets.peer,
         log,
     )
+
+    def slots_of(service: str) -> int:
+        now_s = time.monotonic()
+        return sum(c.slots for c in registry.candidates(service, now_s))
+
     dispatcher = Dispatcher(registry, metrics, log)
     claims = ControlClaims(control, log)
     pipeline = Pipeline(
         config,
         limiter,
         claims,
+        DispatchGate(slots_of),
         dispatcher,
         checks,
         metrics,
@@ -150,6 +168,7 @@
         announcer,
         config,
         targets,
+        limiter,
         dispatcher,
         front,
         HttpServer(front.handle, cfg.limits, log),
--- /dev/null
+++ b/src/wigeonford/control/_budgets.py
@@ -0,0 +1,175 @@
+"""Grant shares of client accounts' budgets while this replica leads.
+
+What was granted is kept in memory only. A new leader waits out what its
+predecessor can have granted, and a replica that no quorum has confirmed of
+late grants nothing, since another may lead by now.
+"""
+
+import asyncio
+from collections.abc import Callable, Mapping
+import time
+from typing import Final
+
+from wigeonford.control._replica import Replica
+from wigeonford.errors import WigeonfordError
+from wigeonford.events import Event, EventLog
+from wigeonford.invariants import Checks, Invariant
+from wigeonford.peer import (
+    GrantRow,
+    LeaderElsewhere,
+    PeerServer,
+    ShareReply,
+    ShareReport,
+    ShareRow,
+)
+from wigeonford.policy import (
+    BucketShare,
+    BudgetGrantor,
+    leased_budget,
+    ShareRequest,
+)
+
+WATCH_INTERVAL_S: Final = 0.05
+VOUCHED_WITHIN_S: Final = 1.5
+_EPSILON: Final = 1e-6
+
+
+class BudgetService:
+    """Answer share reports; its state lives for one term of office."""
+
+    def __init__(
+        self,
+        replica: Replica,
+        checks: Checks,
+        log: EventLog,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._replica = replica
+        self._checks = checks
+        self._log = log
+        self._clock = clock
+        self._task: asyncio.Task[None] | None = None
+        self._term = -1
+        self._since_s = 0.0
+        self._inherited: frozenset[str] = frozenset()
+        self._revision = -1
+        self._budgets: Mapping[str, BucketShare] = {}
+        self._grantors: dict[str, BudgetGrantor] = {}
+
+    def attach(self, server: PeerServer) -> None:
+        """Register the message handler."""
+        server.handle(ShareReport, self._answer)
+
+    async def start(self) -> None:
+        """Begin to watch for a change of office."""
+        self._task = asyncio.create_task(self._watch())
+
+    async def stop(self) -> None:
+        """Stop watching."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _watch(self) -> None:
+        while True:
+            try:
+                await self.take_office()
+            except WigeonfordError as exc:
+                self._log.emit(Event.BUDGET_OFFICE_DELAYED, detail=exc.detail)
+            await asyncio.sleep(WATCH_INTERVAL_S)
+
+    async def take_office(self) -> None:
+        """Begin to grant where this replica has come to lead.
+
+        Accounts that appear later were granted by nobody before, so they
+        need not wait; the state has to be current to tell them apart.
+        """
+        term = self._replica.term
+        if not self._replica.is_leader or term == self._term:
+            return
+        await self._replica.confirm()
+        if not self._replica.is_leader or term != self._replica.term:
+            return
+        now_s = self._clock()
+        self._grantors.clear()
+        self._follow_config(now_s)
+        self._since_s = now_s + VOUCHED_WITHIN_S
+        self._inherited = frozenset(self._budgets)
+        self._term = term
+
+    def _may_grant(self) -> bool:
+        """Tell whether no other replica can lead at this moment."""
+        age_s = self._replica.vouched_age_s()
+        return (
+            self._replica.is_leader
+            and self._replica.term == self._term
+            and age_s is not None
+            and age_s <= VOUCHED_WITHIN_S
+        )
+
+    def _follow_config(self, now_s: float) -> None:
+        config = self._replica.state.config
+        if config.revision == self._revision:
+            return
+        self._revision = config.revision
+        self._budgets = {
+            name: leased_budget(account.rate_per_s, account.burst)
+            for name, account in config.objects.client_accounts.items()
+        }
+        for name, grantor in self._grantors.items():
+            if name in self._budgets:
+                grantor.resize(self._budgets[name], now_s)
+
+    async def _answer(self, message: ShareReport) -> ShareReply:
+        now_s = self._clock()
+        if not self._may_grant():
+            raise LeaderElsewhere(self._replica.leader)
+        self._follow_config(now_s)
+        return ShareReply(
+            tuple(
+                self._grant(message.holder, row, now_s) for row in message.rows
+            )
+        )
+
+    def _grant(self, holder: str, row: ShareRow, now_s: float) -> GrantRow:
+        grantor = self._grantor(row.account, now_s)
+        if grantor is None:
+            return GrantRow(row.number, 0, 0, 0, False, ())
+        request = ShareRequest(
+            row.number,
+            max(0, row.held),
+            max(0, row.wanted),
+            max(0, row.spare),
+            max(0, row.returned_milli) / 1000,
+            max(0, row.need),
+        )
+        grant = grantor.request(holder, request, now_s)
+        parts = grantor.granted(now_s) + grantor.reserved()
+        self._checks.require(
+            parts <= 1 + _EPSILON,
+            Invariant.RATE_NOT_EXCEEDED,
+            f"{parts:.6f} of {row.account}'s budget is granted",
+        )
+        return GrantRow(
+            grant.number,
+            grant.units,
+            int(grant.tokens * 1000),
+            grant.loan,
+            grant.scarce,
+            grant.lenders,
+        )
+
+    def _grantor(self, account: str, now_s: float) -> BudgetGrantor | None:
+        budget = self._budgets.get(account)
+        if budget is None:
+            return None
+        grantor = self._grantors.get(account)
+        if grantor is None:
+            inherited = account in self._inherited
+            grantor = BudgetGrantor(
+                budget,
+                now_s,
+                takes_over_at_s=self._since_s if inherited else None,
+            )
+            self._grantors[account] = grantor
+        return grantor
--- a/src/wigeonford/entry/__init__.py
+++ b/src/wigeonford/entry/__init__.py
@@ -1,12 +1,21 @@
 """Entry VMs: look-ups, admission, dispatch and the target registry."""
 
+from wigeonford.entry._budget_links import BudgetLinks
 from wigeonford.entry._claims import Claims, ControlClaims
 from wigeonford.entry._config import ConfigFollower
 from wigeonford.entry._daemon import Announcer, EntryDaemon
 from wigeonford.entry._dispatch import Dispatcher
+from wigeonford.entry._fair_queue import DispatchGate
 from wigeonford.entry._front import Announcement, Front
-from wigeonford.entry._limiter import EqualShareLimiter, Limiter
-from wigeonford.entry._lookup import Lookup, LookupAnswer, LookupBuilder
+from wigeonford.entry._limiter import (
+    LeasedShareLimiter,
+    Limiter,
+)
+from wigeonford.entry._lookup import (
+    Lookup,
+    LookupAnswer,
+    LookupBuilder,
+)
 from wigeonford.entry._lookup_ranking import RankedVM, Ranking
 from wigeonford.entry._lookup_table import BlockTable, RangeTable
 from wigeonford.entry._pipeline import Pipeline
@@ -21,29 +30,31 @@
 from wigeonford.entry._targets import TargetDirectory
 
 __all__ = [
-    "MembersBelow",
-    "Parents",
-    "SpreadShape",
-    "plan_parents",
     "Announcement",
     "Announcer",
     "BlockTable",
+    "BudgetLinks",
     "Claims",
     "ConfigFollower",
     "ControlClaims",
+    "DispatchGate",
     "Dispatcher",
     "EntryConfig",
     "EntryDaemon",
-    "EqualShareLimiter",
     "Front",
+    "LeasedShareLimiter",
     "Limiter",
     "Lookup",
     "LookupAnswer",
     "LookupBuilder",
+    "MembersBelow",
+    "Parents",
+    "Pipeline",
     "RangeTable",
     "RankedVM",
     "Ranking",
-    "Pipeline",
+    "SpreadShape",
     "TargetDirectory",
     "TargetRegistry",
+    "plan_parents",
 ]
--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -4,12 +4,14 @@
 from dataclasses import dataclass
 from enum import Enum
 import logging
+import re
 import sys
 from typing import Any, Final, TextIO
 
 import structlog
 
 REDACTED: Final = "[redacted]"
+_KEY: Final = re.compile(r"wfk_[0-9a-f]{12}_[\w-]*", re.IGNORECASE)
 _SECRET_FIELDS: Final = frozenset(
     {"key", "secret", "credential", "authorization", "cookie", "token"}
 )
@@ -51,6 +53,13 @@
         203, "a handler raised an unexpected error", logging.ERROR
     )
 
+    BUDGET_REPORT_FAILED = _event(
+        250, "no leader answered a report of demand", logging.WARNING
+    )
+    BUDGET_OFFICE_DELAYED = _event(
+        251, "this replica leads but cannot grant yet", logging.WARNING
+    )
+
     TARGET_ANNOUNCED = _event(300, "a target announced itself")
     TARGET_LEFT = _event(301, "a target is leaving")
     TARGET_EXPIRED = _event(302, "a target's lease expired", logging.WARNING)
@@ -110,6 +119,9 @@
 ) -> MutableMapping[str, Any]:
     for name in fields.keys() & _SECRET_FIELDS:
         fields[name] = REDACTED
+    for name, value in fields.items():
+        if isinstance(value, str):
+            fields[name] = _KEY.sub(REDACTED, value)
     return fields
 
 
@@ -122,8 +134,8 @@
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
-            _redact,
             structlog.processors.format_exc_info,
+            _redact,
             structlog.processors.JSONRenderer(),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(level),
