--- a/src/wigeonford/entry/__init__.py
+++ b/src/wigeonford/entry/__init__.py
@@ -2,7 +2,7 @@
 
 from wigeonford.entry._budget_links import BudgetLinks
 from wigeonford.entry._claims import ClaimRequest, Claims, ControlClaims
-from wigeonford.entry._config import ConfigFollower, EntryConfig
+from wigeonford.entry._config import ConfigFollower
 from wigeonford.entry._daemon import Announcer, EntryDaemon, LINGER_S
 from wigeonford.entry._dispatch import Dispatcher
 from wigeonford.entry._fair_queue import DispatchGate
@@ -22,6 +22,7 @@
 from wigeonford.entry._lookup_ranking import RankedVM, Ranking
 from wigeonford.entry._lookup_table import BlockTable, RangeTable
 from wigeonford.entry._pipeline import Pipeline
+from wigeonford.entry._published import EntryConfig
 from wigeonford.entry._registry import TargetRegistry
 from wigeonford.entry._remote import RegionalDispatcher
 from wigeonford.entry._spread import (
--- a/src/wigeonford/entry/_limiter.py
+++ b/src/wigeonford/entry/_limiter.py
@@ -7,7 +7,7 @@
 from typing import Final, Protocol
 
 from wigeonford.entry._budget_links import BudgetLinks
-from wigeonford.entry._config import EntryConfig
+from wigeonford.entry._published import EntryConfig
 from wigeonford.errors import Code, PeerError, RequestRefused
 from wigeonford.events import Event, EventLog
 from wigeonford.invariants import Checks, Invariant
