--- a/src/wigeonford/cli/_experiments.py
+++ b/src/wigeonford/cli/_experiments.py
@@ -66,6 +66,26 @@
     cli_command(f"bench {name}", help_text, arguments)(run)
 
 
+def _control_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--seconds", type=float, default=15.0, help="default %(default)s"
+    )
+
+
+_scenario(
+    "control",
+    "break five control replicas under changes and claims",
+    "wigeonford.bench._control_bench",
+    _control_arguments,
+)
+_scenario(
+    "claims",
+    "compare ways to claim a non-idempotent request",
+    "wigeonford.bench._claims_bench",
+    lambda _parser: None,
+)
+
+
 def _limits_arguments(parser: argparse.ArgumentParser) -> None:
     parser.add_argument(
         "--requests", type=int, default=200_000, help="default %(default)s"
@@ -84,10 +104,3 @@
     "wigeonford.bench._limits_bench",
     _limits_arguments,
 )
-
-_scenario(
-    "claims",
-    "compare ways to claim a non-idempotent request",
-    "wigeonford.bench._claims_bench",
-    lambda _parser: None,
-)
--- a/src/wigeonford/control/_log_file.py
+++ b/src/wigeonford/control/_log_file.py
@@ -123,11 +123,15 @@
         self._require_sound()
         frame = _frame(None, meta or {}, truncate_after, entries)
         try:
-            _write_all(self._file, frame)
-            os.fdatasync(self._file)
+            self.write_frame(self._file, frame)
         except OSError as exc:
             raise self._fail(exc) from exc
 
+    def write_frame(self, file: int, frame: bytes) -> None:
+        """Write and sync one frame; a stand-in may fail here."""
+        write_all(file, frame)
+        os.fdatasync(file)
+
     def read_log(self) -> list[LogEntry]:
         """Return the log that follows the snapshot."""
         return self._read().entries
@@ -153,8 +157,7 @@
         new = self._folder / _NEW_NAME
         file = os.open(new, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
         try:
-            _write_all(file, frame)
-            os.fsync(file)
+            self.write_frame(file, frame)
         finally:
             os.close(file)
         new.rename(self._path)
@@ -196,8 +199,12 @@
             [(e.position, e.term, e.content) for e in entries],
         ]
     )
-    header = _HEADER.pack(_MAGIC, len(payload), zlib.crc32(payload))
-    return header + payload
+    return _HEADER.pack(_MAGIC, len(payload), _checksum(payload)) + payload
+
+
+def _checksum(payload: bytes) -> int:
+    """Return a checksum of size and content; no run of zeros passes."""
+    return zlib.crc32(payload, zlib.crc32(len(payload).to_bytes(4)))
 
 
 def _frame_at(data: bytes, start: int) -> bytes | None:
@@ -209,7 +216,7 @@
     payload = data[begin : begin + size]
     if magic != _MAGIC or len(payload) != size:
         return None
-    return payload if zlib.crc32(payload) == checksum else None
+    return payload if _checksum(payload) == checksum else None
 
 
 def _frames(data: bytes) -> Iterator[tuple[int, bytes]]:
@@ -230,7 +237,8 @@
     return False
 
 
-def _write_all(file: int, data: bytes) -> None:
+def write_all(file: int, data: bytes) -> None:
+    """Write all of the data at the file's end."""
     view = memoryview(data)
     while view:
         view = view[os.write(file, view) :]
--- a/src/wigeonford/policy/__init__.py
+++ b/src/wigeonford/policy/__init__.py
@@ -1,8 +1,8 @@
 """Pure decisions: limits, selection and shifts, without I/O or clocks."""
 
+from wigeonford.policy._account_share import AccountShare
+from wigeonford.policy._budget_grantor import BudgetGrantor
 from wigeonford.policy._budgets import (
-    AccountShare,
-    BudgetGrantor,
     DISPATCH_JITTER_S,
     leased_budget,
     LoanGrant,
