--- a/src/wigeonford/control/_budgets.py
+++ b/src/wigeonford/control/_budgets.py
@@ -30,6 +30,7 @@
 )
 
 WATCH_INTERVAL_S: Final = 0.05
+ELECTION_POLL_S: Final = 0.005
 VOUCHED_WITHIN_S: Final = 1.5
 _EPSILON: Final = 1e-6
 
@@ -76,7 +77,10 @@
                 await self.take_office()
             except WigeonfordError as exc:
                 self._log.emit(Event.BUDGET_OFFICE_DELAYED, detail=exc.detail)
-            await asyncio.sleep(WATCH_INTERVAL_S)
+            leaderless = self._replica.leader is None
+            await asyncio.sleep(
+                ELECTION_POLL_S if leaderless else WATCH_INTERVAL_S
+            )
 
     async def take_office(self) -> None:
         """Begin to grant where this replica has come to lead.
