--- a/src/wigeonford/policy/_token_queue.py
+++ b/src/wigeonford/policy/_token_queue.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from typing import Final, Generic, TypeVar
 
-from wigeonford.policy._budgets import AccountShare
+from wigeonford.policy._account_share import AccountShare
 
 WAIT_S: Final = 0.8
 ASK_GAP_S: Final = 0.1
