--- a/src/wigeonford/control/_service.py
+++ b/src/wigeonford/control/_service.py
@@ -19,6 +19,8 @@
     Member,
     PeerServer,
     PullConfig,
+    RosterAnswer,
+    RosterReport,
 )
 
 MEMBER_LEASE_S: Final = 6.0
@@ -41,6 +43,7 @@
     def attach(self, server: PeerServer) -> None:
         """Register the message handlers."""
         server.handle(PullConfig, self._pull_config)
+        server.handle(RosterReport, self._roster_report)
         server.handle(LeaveRoster, self._leave)
         server.handle(HeardMembers, self._hear_members)
 
@@ -64,6 +67,19 @@
             message.revision, self._replica.vouched_age_s()
         )
 
+    async def _roster_report(self, message: RosterReport) -> RosterAnswer:
+        for member in message.joined:
+            self._hear(member)
+        now_s = time.monotonic()
+        for name in message.heard:
+            self._heard_at_s[name] = now_s
+        self._heard_here.update(message.heard)
+        known = self._replica.state.config.members.keys()
+        described = known | self._registering.keys()
+        return RosterAnswer(
+            tuple(name for name in message.heard if name not in described)
+        )
+
     async def _leave(self, message: LeaveRoster) -> Done:
         await self._replica.propose(
             ExpireMember(message.name, message.generation)
--- a/src/wigeonford/entry/__init__.py
+++ b/src/wigeonford/entry/__init__.py
@@ -9,19 +9,31 @@
 from wigeonford.entry._limiter import EqualShareLimiter, Limiter
 from wigeonford.entry._link_leases import LinkLeases
 from wigeonford.entry._lookup import (
-    BlockTable,
     Lookup,
     LOOKUP_LIFETIME_S,
     LookupAnswer,
+    LookupBuilder,
 )
+from wigeonford.entry._lookup_ranking import RankedVM, Ranking
+from wigeonford.entry._lookup_table import BlockTable, RangeTable
 from wigeonford.entry._pipeline import Pipeline
 from wigeonford.entry._registry import TargetRegistry
 from wigeonford.entry._remote import RegionalDispatcher
+from wigeonford.entry._spread import (
+    MembersBelow,
+    Parents,
+    plan_parents,
+    SpreadShape,
+)
 from wigeonford.entry._targets import TargetDirectory
 
 __all__ = [
     "LINGER_S",
     "LOOKUP_LIFETIME_S",
+    "MembersBelow",
+    "Parents",
+    "SpreadShape",
+    "plan_parents",
     "Announcement",
     "Announcer",
     "BlockTable",
@@ -38,6 +50,10 @@
     "LinkLeases",
     "Lookup",
     "LookupAnswer",
+    "LookupBuilder",
+    "RangeTable",
+    "RankedVM",
+    "Ranking",
     "Pipeline",
     "RegionalDispatcher",
     "RegistryCapacity",
--- a/src/wigeonford/entry/_front.py
+++ b/src/wigeonford/entry/_front.py
@@ -1,7 +1,6 @@
 """The front of an entry VM: its own endpoints, and callers' requests."""
 
 from collections.abc import Awaitable, Callable
-import dataclasses
 from dataclasses import dataclass
 import hmac
 import time
@@ -12,7 +11,7 @@
 
 from wigeonford.entry._config import ConfigFollower
 from wigeonford.entry._hop import HOP_HEADER, HopReceiver
-from wigeonford.entry._lookup import Lookup
+from wigeonford.entry._lookup import LookupBuilder
 from wigeonford.entry._pipeline import Pipeline
 from wigeonford.entry._targets import TargetDirectory
 from wigeonford.errors import Code, RequestRefused
@@ -71,9 +70,9 @@
         self._targets = targets
         self._secrets = secrets
         self._metrics = metrics
-        self._lookup = Lookup(config.current)
+        self._lookup = LookupBuilder(config.current)
         self._leaving: str | None = None
-        config.on_change(self._rebuild_lookup)
+        config.on_change(self._lookup.follow)
 
     @property
     def draining(self) -> bool:
@@ -84,9 +83,6 @@
         """Leave this VM out of the look-ups that it answers."""
         self._leaving = name
 
-    def _rebuild_lookup(self, _config: object) -> None:
-        self._lookup = Lookup(self._config.current)
-
     async def handle(self, request: Request) -> Response:
         """Serve one request."""
         endpoint = _ENDPOINTS.get((request.method, request.path))
@@ -102,10 +98,10 @@
     async def _answer_lookup(self, request: Request) -> Response:
         query = parse_qs(request.query)
         seed = query.get("account", [request.client])[0]
-        answer = self._lookup.answer(
+        answer = self._lookup.current.answer(
             request.client, seed, without=self._leaving
         )
-        return _ok(dataclasses.asdict(answer))
+        return _ok(answer)
 
     @_endpoint("POST", "/.wigeonford/targets")
     async def _announce(self, request: Request) -> Response:
--- a/src/wigeonford/peer/__init__.py
+++ b/src/wigeonford/peer/__init__.py
@@ -52,6 +52,12 @@
     VoteReply,
     VoteRequest,
 )
+from wigeonford.peer._spread_messages import (
+    RosterAnswer,
+    RosterReport,
+    SpreadPull,
+    SpreadUpdate,
+)
 
 __all__ = [
     "MESSAGES",
@@ -82,6 +88,10 @@
     "PeerClient",
     "PeerServer",
     "PullConfig",
+    "RosterAnswer",
+    "RosterReport",
+    "SpreadPull",
+    "SpreadUpdate",
     "ReadConfirmed",
     "RegisterAbandon",
     "RegisterAccept",
