--- a/src/wigeonford/entry/_link_leases.py
+++ b/src/wigeonford/entry/_link_leases.py
@@ -6,11 +6,8 @@
 from typing import Final
 import uuid
 
-from wigeonford.entry._config import (
-    ConfigFollower,
-    EntryConfig,
-    FRESH_LEASE_S,
-)
+from wigeonford.entry._config import ConfigFollower, FRESH_LEASE_S
+from wigeonford.entry._published import EntryConfig
 from wigeonford.errors import Code, PeerError, RequestRefused
 from wigeonford.events import Event, EventLog
 from wigeonford.model import Link, RequestClass
--- a/src/wigeonford/entry/_lookup.py
+++ b/src/wigeonford/entry/_lookup.py
@@ -40,7 +40,7 @@
     def answer(self, client: str, seed: str) -> LookupAnswer:
         """Return the entry VMs for a caller's address, nearest first."""
         return LookupAnswer(
-            ranked,
+            self._ranking.find(self._blocks.find(client), seed),
             LOOKUP_LIFETIME_S,
             self._revision,
         )
