--- a/src/wigeonford/cli/_experiments.py
+++ b/src/wigeonford/cli/_experiments.py
@@ -72,20 +72,6 @@
     )
 
 
-_scenario(
-    "control",
-    "break five control replicas under changes and claims",
-    "wigeonford.bench._control_bench",
-    _control_arguments,
-)
-_scenario(
-    "claims",
-    "compare ways to claim a non-idempotent request",
-    "wigeonford.bench._claims_bench",
-    lambda _parser: None,
-)
-
-
 def _limits_arguments(parser: argparse.ArgumentParser) -> None:
     parser.add_argument(
         "--requests", type=int, default=200_000, help="default %(default)s"
@@ -98,6 +84,24 @@
     )
 
 
+_scenario(
+    "control",
+    "break five control replicas under changes and claims",
+    "wigeonford.bench._control_bench",
+    _control_arguments,
+)
+_scenario(
+    "slopes",
+    "measure what each role spends against nodes, blocks and the rest",
+    "wigeonford.bench._slopes_bench",
+    lambda _parser: None,
+)
+_scenario(
+    "claims",
+    "compare ways to claim a non-idempotent request",
+    "wigeonford.bench._claims_bench",
+    lambda _parser: None,
+)
 _scenario(
     "limits",
     "compare ways of limiting client accounts in virtual time",
--- a/src/wigeonford/compose.py
+++ b/src/wigeonford/compose.py
@@ -27,7 +27,9 @@
     EntryDaemon,
     Front,
     LeasedShareLimiter,
+    Parents,
     Pipeline,
+    SpreadShape,
     TargetDirectory,
     TargetRegistry,
 )
@@ -35,7 +37,7 @@
 from wigeonford.http import HttpServer
 from wigeonford.invariants import Checks
 from wigeonford.metrics import Metrics
-from wigeonford.peer import PeerClient, PeerServer
+from wigeonford.peer import Member, PeerClient, PeerServer
 from wigeonford.settings import (
     Address,
     CallerLimits,
@@ -123,7 +125,14 @@
         )
 
     control = tuple(make_link(address) for address in cfg.control)
-    config = ConfigFollower(control, announcer.describe, checks, metrics, log)
+    config = ConfigFollower(
+        control,
+        announcer.describe,
+        _build_parents(cfg, log),
+        checks,
+        metrics,
+        log,
+    )
     links = BudgetLinks(cfg.name, control, make_link)
     limiter = LeasedShareLimiter(links, checks, metrics, log)
     config.on_change(limiter.reconfigure)
@@ -168,3 +177,16 @@
         claims,
         log,
     )
+
+
+def _build_parents(cfg: EntrySettings, log: EventLog) -> Parents:
+    def connect(member: Member) -> PeerClient:
+        return PeerClient(
+            cfg.name,
+            Address(member.host, member.peer_port),
+            cfg.secrets.peer,
+            log,
+            client_context(cfg.tls),
+        )
+
+    return Parents(cfg.name, cfg.availability_zone, connect, SpreadShape())
--- a/src/wigeonford/entry/__init__.py
+++ b/src/wigeonford/entry/__init__.py
@@ -7,10 +7,25 @@
 from wigeonford.entry._dispatch import Dispatcher
 from wigeonford.entry._fair_queue import DispatchGate
 from wigeonford.entry._front import Announcement, Front
-from wigeonford.entry._limiter import LeasedShareLimiter, Limiter
-from wigeonford.entry._lookup import BlockTable, Lookup, LookupAnswer
+from wigeonford.entry._limiter import (
+    LeasedShareLimiter,
+    Limiter,
+)
+from wigeonford.entry._lookup import (
+    Lookup,
+    LookupAnswer,
+    LookupBuilder,
+)
+from wigeonford.entry._lookup_ranking import RankedVM, Ranking
+from wigeonford.entry._lookup_table import BlockTable, RangeTable
 from wigeonford.entry._pipeline import Pipeline
 from wigeonford.entry._registry import TargetRegistry
+from wigeonford.entry._spread import (
+    MembersBelow,
+    Parents,
+    plan_parents,
+    SpreadShape,
+)
 from wigeonford.entry._targets import TargetDirectory
 
 __all__ = [
@@ -30,7 +45,15 @@
     "Limiter",
     "Lookup",
     "LookupAnswer",
+    "LookupBuilder",
+    "MembersBelow",
+    "Parents",
     "Pipeline",
+    "RangeTable",
+    "RankedVM",
+    "Ranking",
+    "SpreadShape",
     "TargetDirectory",
     "TargetRegistry",
+    "plan_parents",
 ]
--- a/src/wigeonford/peer/__init__.py
+++ b/src/wigeonford/peer/__init__.py
@@ -58,6 +58,12 @@
     VoteReply,
     VoteRequest,
 )
+from wigeonford.peer._spread_messages import (
+    RosterAnswer,
+    RosterReport,
+    SpreadPull,
+    SpreadUpdate,
+)
 
 __all__ = [
     "MESSAGES",
@@ -74,9 +80,9 @@
     "Done",
     "EntryRecord",
     "Failure",
-    "GrantRow",
     "FoundingProbe",
     "FoundingReply",
+    "GrantRow",
     "HeardMembers",
     "InstallSnapshot",
     "LeaderElsewhere",
@@ -89,9 +95,6 @@
     "PeerClient",
     "PeerServer",
     "PullConfig",
-    "ShareReply",
-    "ShareReport",
-    "ShareRow",
     "ReadConfirmed",
     "RegisterAbandon",
     "RegisterAccept",
@@ -102,6 +105,13 @@
     "RegisterScan",
     "RegisterVote",
     "ReplicaChange",
+    "RosterAnswer",
+    "RosterReport",
+    "ShareReply",
+    "ShareReport",
+    "ShareRow",
+    "SpreadPull",
+    "SpreadUpdate",
     "SubmitCommand",
     "TargetAnnounce",
     "VoteReply",
--- a/src/wigeonford/peer/_messages.py
+++ b/src/wigeonford/peer/_messages.py
@@ -13,7 +13,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """Describe a running entry VM; `generation` rises at each start."""
+    """Describe a running entry VM; `generation` rises at each start.
+
+    `load_level` is coarse and rarely changed, 0 for a VM with room.
+    """
 
     name: str
     availability_zone: str
@@ -21,6 +24,7 @@
     port: int
     peer_port: int
     generation: int
+    load_level: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,7 +78,10 @@
 @message(4)
 @dataclass(frozen=True, slots=True)
 class ClaimOpen:
-    """Ask to be the only one to run a non-idempotent request."""
+    """Ask to be the only one to run a non-idempotent request.
+
+    `claimant` names this one try: another try is another claimant.
+    """
 
     account: str
     idempotency_key: str
