--- a/src/wigeonford/compose.py
+++ b/src/wigeonford/compose.py
@@ -3,8 +3,10 @@
 from collections.abc import Callable
 from pathlib import Path
 import random
+import time
 
 from wigeonford.control import (
+    BudgetService,
     ClaimService,
     ControlDaemon,
     ControlService,
@@ -17,14 +19,20 @@
 )
 from wigeonford.entry import (
     Announcer,
+    BudgetLinks,
     ConfigFollower,
     ControlClaims,
     Dispatcher,
+    DispatchGate,
     EntryDaemon,
-    EqualShareLimiter,
     Front,
+    HopReceiver,
+    LeasedShareLimiter,
+    LinkLeases,
     Parents,
     Pipeline,
+    RegionalDispatcher,
+    RegistryCapacity,
     SpreadShape,
     TargetDirectory,
     TargetRegistry,
@@ -52,13 +60,19 @@
     log = log.bind(vm=cfg.name)
     peers = PeerServer(cfg.secrets.peer, log)
     replica = _build_replica(cfg, peers, open_store(cfg.data_folder), log)
+    metrics = Metrics()
     api = OperatorApi(
-        replica, cfg.secrets.operator, cfg.secrets.key_hash, Metrics(), log
+        replica, cfg.secrets.operator, cfg.secrets.key_hash, metrics, log
     )
+    budgets = BudgetService(replica, Checks(log, metrics, cfg.on_breach), log)
     return ControlDaemon(
         cfg,
         replica,
-        (ControlService(replica, log), _build_claims(cfg, log)),
+        (
+            ControlService(replica, log),
+            _build_claims(cfg, log),
+            budgets,
+        ),
         peers,
         HttpServer(api.handle, CallerLimits(), log),
         log,
@@ -108,12 +122,13 @@
     metrics = Metrics()
     checks = Checks(log, metrics, cfg.on_breach)
     announcer = Announcer(cfg)
-    control = tuple(
-        PeerClient(
+
+    def make_link(address: Address) -> PeerClient:
+        return PeerClient(
             cfg.name, address, cfg.secrets.peer, log, client_context(cfg.tls)
         )
-        for address in cfg.control
-    )
+
+    control = tuple(make_link(address) for address in cfg.control)
     config = ConfigFollower(
         control,
         announcer.describe,
@@ -122,7 +137,8 @@
         metrics,
         log,
     )
-    limiter = EqualShareLimiter()
+    budget_links = BudgetLinks(cfg.name, control, make_link)
+    limiter = LeasedShareLimiter(budget_links, checks, metrics, log)
     config.on_change(limiter.reconfigure)
     registry = TargetRegistry()
     targets = TargetDirectory(
@@ -133,28 +149,59 @@
         cfg.secrets.peer,
         log,
     )
+
+    def slots_of(service: str) -> int:
+        now_s = time.monotonic()
+        return sum(c.slots for c in registry.candidates(service, now_s))
+
     dispatcher = Dispatcher(registry, metrics, log)
+    links = LinkLeases(
+        cfg.name, cfg.availability_zone, config, cfg.secrets.peer, log
+    )
+    regional = RegionalDispatcher(
+        cfg.availability_zone,
+        dispatcher,
+        config,
+        links,
+        cfg.secrets.peer,
+        client_context(cfg.tls),
+        random.Random(),
+        log,
+    )
+    hops = HopReceiver(
+        cfg.availability_zone,
+        config,
+        RegistryCapacity(registry),
+        dispatcher,
+        links,
+        cfg.secrets.peer,
+        log,
+    )
     claims = ControlClaims(control, log)
     pipeline = Pipeline(
         config,
         limiter,
         claims,
-        dispatcher,
+        DispatchGate(slots_of),
+        regional,
         checks,
         metrics,
         cfg.secrets.key_hash,
     )
-    front = Front(config, pipeline, targets, cfg.secrets, metrics)
+    front = Front(config, pipeline, hops, targets, cfg.secrets, metrics)
     return EntryDaemon(
         cfg,
         announcer,
         config,
         targets,
+        limiter,
+        links,
         dispatcher,
         front,
         HttpServer(front.handle, cfg.limits, log),
         PeerServer(cfg.secrets.peer, log),
         control,
+        checks,
         claims,
         log,
     )
--- a/src/wigeonford/entry/__init__.py
+++ b/src/wigeonford/entry/__init__.py
@@ -1,16 +1,29 @@
 """Entry VMs: look-ups, admission, dispatch and the target registry."""
 
+from wigeonford.entry._budget_links import BudgetLinks
 from wigeonford.entry._claims import ClaimRequest, Claims, ControlClaims
 from wigeonford.entry._config import ConfigFollower, EntryConfig
-from wigeonford.entry._daemon import Announcer, EntryDaemon
+from wigeonford.entry._daemon import Announcer, EntryDaemon, LINGER_S
 from wigeonford.entry._dispatch import Dispatcher
+from wigeonford.entry._fair_queue import DispatchGate
 from wigeonford.entry._front import Announcement, Front
-from wigeonford.entry._limiter import EqualShareLimiter, Limiter
-from wigeonford.entry._lookup import Lookup, LookupAnswer, LookupBuilder
+from wigeonford.entry._hop import HopReceiver, RegistryCapacity
+from wigeonford.entry._limiter import (
+    LeasedShareLimiter,
+    Limiter,
+)
+from wigeonford.entry._link_leases import LinkLeases
+from wigeonford.entry._lookup import (
+    Lookup,
+    LOOKUP_LIFETIME_S,
+    LookupAnswer,
+    LookupBuilder,
+)
 from wigeonford.entry._lookup_ranking import RankedVM, Ranking
 from wigeonford.entry._lookup_table import BlockTable, RangeTable
 from wigeonford.entry._pipeline import Pipeline
 from wigeonford.entry._registry import TargetRegistry
+from wigeonford.entry._remote import RegionalDispatcher
 from wigeonford.entry._spread import (
     MembersBelow,
     Parents,
@@ -20,30 +33,38 @@
 from wigeonford.entry._targets import TargetDirectory
 
 __all__ = [
-    "MembersBelow",
-    "Parents",
-    "SpreadShape",
-    "plan_parents",
+    "LINGER_S",
+    "LOOKUP_LIFETIME_S",
     "Announcement",
     "Announcer",
     "BlockTable",
+    "BudgetLinks",
     "ClaimRequest",
     "Claims",
     "ConfigFollower",
     "ControlClaims",
+    "DispatchGate",
     "Dispatcher",
     "EntryConfig",
     "EntryDaemon",
-    "EqualShareLimiter",
     "Front",
+    "HopReceiver",
+    "LeasedShareLimiter",
     "Limiter",
+    "LinkLeases",
     "Lookup",
     "LookupAnswer",
     "LookupBuilder",
+    "MembersBelow",
+    "Parents",
+    "Pipeline",
     "RangeTable",
     "RankedVM",
     "Ranking",
-    "Pipeline",
+    "RegionalDispatcher",
+    "RegistryCapacity",
+    "SpreadShape",
     "TargetDirectory",
     "TargetRegistry",
+    "plan_parents",
 ]
--- a/src/wigeonford/entry/_daemon.py
+++ b/src/wigeonford/entry/_daemon.py
@@ -5,20 +5,27 @@
 from typing import Final
 
 from wigeonford.entry._claims import ControlClaims
-from wigeonford.entry._config import ConfigFollower
+from wigeonford.entry._config import ConfigFollower, FRESH_LEASE_S
 from wigeonford.entry._dispatch import Dispatcher
 from wigeonford.entry._front import Front
+from wigeonford.entry._limiter import LeasedShareLimiter
+from wigeonford.entry._link_leases import LinkLeases
 from wigeonford.entry._lookup import LOOKUP_LIFETIME_S
 from wigeonford.entry._targets import TargetDirectory
 from wigeonford.errors import PeerError
 from wigeonford.events import Event, EventLog
 from wigeonford.http import HttpServer
+from wigeonford.invariants import Checks, Invariant
 from wigeonford.peer import LeaveRoster, Member, PeerClient, PeerServer
 from wigeonford.settings import EntrySettings
 from wigeonford.tls import server_context
 
-STOP_GRACE_S: Final = 60.0
+LINGER_S: Final = LOOKUP_LIFETIME_S + FRESH_LEASE_S
+"""How long a VM serves on; others may list it until their lease ends."""
+
+STOP_GRACE_MARGIN_S: Final = 10.0
 LEAVE_TIMEOUT_S: Final = 2.0
+LEAVE_RETRY_S: Final = 0.5
 
 
 class Announcer:
@@ -59,18 +66,24 @@
         announcer: Announcer,
         config: ConfigFollower,
         targets: TargetDirectory,
+        limiter: LeasedShareLimiter,
+        links: LinkLeases,
         dispatcher: Dispatcher,
         front: Front,
         http: HttpServer,
         peers: PeerServer,
         control: tuple[PeerClient, ...],
+        checks: Checks,
         claims: ControlClaims,
         log: EventLog,
     ) -> None:
         self._cfg = cfg
+        self._checks = checks
         self._announcer = announcer
         self._config = config
         self._targets = targets
+        self._limiter = limiter
+        self._links = links
         self._dispatcher = dispatcher
         self._front = front
         self._http = http
@@ -90,6 +103,8 @@
         """Serve; return once the configuration is there."""
         self._targets.attach(self._peers)
         self._config.attach(self._peers)
+        self._limiter.attach(self._peers)
+        self._links.attach(self._peers)
         self.peer_address = await self._peers.start(
             self._cfg.peer_address,
             server_context(self._cfg.tls, require_peer=True),
@@ -102,20 +117,36 @@
         )
         await self._config.start()
         await self._targets.start()
+        await self._limiter.start()
+        await self._links.start()
         self._log.emit(
             Event.STARTED,
             address=str(self.address),
             peer=str(self.peer_address),
         )
 
-    async def stop(self, lifetime_s: float = LOOKUP_LIFETIME_S) -> None:
-        """Leave the look-ups, serve out their lifetime, then stop."""
-        self._front.draining = True
-        await self._leave_roster()
-        await asyncio.sleep(lifetime_s)
-        await self._http.stop(STOP_GRACE_S)
+    async def stop(self, linger_s: float = LINGER_S) -> None:
+        """Leave the look-ups, serve on for a while, finish, then stop."""
+        self._front.drain(self._cfg.name)
+        self._http.drain()
+        leaving = asyncio.create_task(self._leave_roster())
+        await asyncio.sleep(linger_s)
+        cut = await self._http.stop(self._grace_s())
+        if not leaving.done():
+            await asyncio.wait([leaving], timeout=LEAVE_TIMEOUT_S)
+        leaving.cancel()
+        await asyncio.gather(leaving, return_exceptions=True)
         await self._claims.stop()
         await self._close_links()
+        self._checks.require(
+            cut == 0, Invariant.STOP_CUTS_NOTHING, f"{cut} requests"
+        )
+
+    def _grace_s(self) -> float:
+        """Return how long the longest request may still take."""
+        services = self._config.current.objects.services.values()
+        longest_s = max((s.timeout_s for s in services), default=0.0)
+        return longest_s + STOP_GRACE_MARGIN_S
 
     async def crash(self) -> None:
         """Drop everything at once, as a process does that is killed."""
@@ -126,16 +157,25 @@
     async def _close_links(self) -> None:
         await self._config.stop()
         await self._targets.stop()
+        await self._limiter.stop()
+        await self._links.stop()
         await self._peers.stop()
         self._dispatcher.close()
         for link in self._control:
             await link.close()
 
     async def _leave_roster(self) -> None:
+        """Tell control until it has confirmed."""
         message = self._announcer.leave()
+        while not await self._tell_control(message):
+            self._log.emit(Event.LEAVE_UNCONFIRMED)
+            await asyncio.sleep(LEAVE_RETRY_S)
+
+    async def _tell_control(self, message: LeaveRoster) -> bool:
         for link in self._control:
             try:
                 await link.request(message, LEAVE_TIMEOUT_S)
-                return
+                return True
             except PeerError as exc:
                 self._log.emit(Event.PEER_LOST, detail=exc.detail)
+        return False
--- a/src/wigeonford/entry/_front.py
+++ b/src/wigeonford/entry/_front.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from wigeonford.entry._config import ConfigFollower
+from wigeonford.entry._hop import HOP_HEADER, HopReceiver
 from wigeonford.entry._lookup import LookupBuilder
 from wigeonford.entry._pipeline import Pipeline
 from wigeonford.entry._targets import TargetDirectory
@@ -58,19 +59,31 @@
         self,
         config: ConfigFollower,
         pipeline: Pipeline,
+        hops: HopReceiver,
         targets: TargetDirectory,
         secrets: Secrets,
         metrics: Metrics,
     ) -> None:
         self._config = config
         self._pipeline = pipeline
+        self._hops = hops
         self._targets = targets
         self._secrets = secrets
         self._metrics = metrics
         self._lookup = LookupBuilder(config.current)
-        self.draining = False
+        self._leaving: str | None = None
         config.on_change(self._lookup.follow)
 
+    @property
+    def draining(self) -> bool:
+        """Tell whether this VM is about to stop."""
+        return self._leaving is not None
+
+    def drain(self, name: str) -> None:
+        """Leave this VM out of the look-ups that it answers."""
+        self._leaving = name
+        self._lookup.leave(name)
+
     async def handle(self, request: Request) -> Response:
         """Serve one request."""
         endpoint = _ENDPOINTS.get((request.method, request.path))
@@ -78,6 +91,8 @@
             return await endpoint(self, request)
         if request.path.startswith(SYSTEM_PREFIX):
             raise RequestRefused(Code.NO_ROUTE, request.path)
+        if request.header(HOP_HEADER) is not None:
+            return await self._hops.handle(request)
         return await self._pipeline.handle(request)
 
     @_endpoint("GET", "/.wigeonford/lookup")
--- a/src/wigeonford/entry/_lookup.py
+++ b/src/wigeonford/entry/_lookup.py
@@ -1,7 +1,7 @@
 """Look-ups: from a caller's address to ranked entry VMs."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 from wigeonford.entry._config import EntryConfig
@@ -82,6 +82,7 @@
             self._source.blocks.values(), self._source.pages.values()
         )
         self._task: asyncio.Task[None] | None = None
+        self._leaving: str | None = None
         self.current = Lookup(config, self._table)
 
     def follow(self, config: EntryConfig) -> None:
@@ -96,13 +97,24 @@
                 self._task = asyncio.create_task(self._build())
         self._replace()
 
+    def leave(self, name: str) -> None:
+        """Leave an entry VM out at once, whatever the roster says."""
+        self._leaving = name
+        self._replace()
+
     async def settled(self) -> None:
         """Return once the newest blocks are in use."""
         while self._task is not None:
             await asyncio.wait((self._task,))
 
     def _replace(self) -> None:
-        self.current = Lookup(self._config, self._table, self.current)
+        members = {
+            name: member
+            for name, member in self._config.members.items()
+            if name != self._leaving
+        }
+        config = replace(self._config, members=members)
+        self.current = Lookup(config, self._table, self.current)
 
     async def _build(self) -> None:
         try:
--- a/src/wigeonford/peer/__init__.py
+++ b/src/wigeonford/peer/__init__.py
@@ -1,5 +1,13 @@
 """Typed messages between processes and the links that carry them."""
 
+from wigeonford.peer._budget_messages import (
+    GrantRow,
+    LoanReply,
+    LoanRequest,
+    ShareReply,
+    ShareReport,
+    ShareRow,
+)
 from wigeonford.peer._claim_messages import (
     Ballot,
     ClaimRow,
@@ -15,9 +23,11 @@
 from wigeonford.peer._link import (
     failure_error,
     LeaderElsewhere,
+    peer_proof,
     PeerClient,
     PeerServer,
 )
+from wigeonford.peer._link_messages import LinkLeaseAnswer, LinkLeaseAsk
 from wigeonford.peer._messages import (
     ClaimAnswer,
     ClaimClose,
@@ -74,20 +84,21 @@
     "Failure",
     "FoundingProbe",
     "FoundingReply",
+    "GrantRow",
     "HeardMembers",
     "InstallSnapshot",
     "LeaderElsewhere",
     "LeaveRoster",
+    "LinkLeaseAnswer",
+    "LinkLeaseAsk",
+    "LoanReply",
+    "LoanRequest",
     "Member",
     "ObjectRow",
     "Outcome",
     "PeerClient",
     "PeerServer",
     "PullConfig",
-    "RosterAnswer",
-    "RosterReport",
-    "SpreadPull",
-    "SpreadUpdate",
     "ReadConfirmed",
     "RegisterAbandon",
     "RegisterAccept",
@@ -98,10 +109,18 @@
     "RegisterScan",
     "RegisterVote",
     "ReplicaChange",
+    "RosterAnswer",
+    "RosterReport",
+    "ShareReply",
+    "ShareReport",
+    "ShareRow",
+    "SpreadPull",
+    "SpreadUpdate",
     "SubmitCommand",
     "TargetAnnounce",
     "VoteReply",
     "VoteRequest",
     "failure_error",
     "message",
+    "peer_proof",
 ]
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -9,8 +9,8 @@
 
 from wigeonford.bench import load_deployment, LocalFleet
 from wigeonford.control import _raft_driver, Edit, recover_alone
-from wigeonford.control._replica import ReplicaStatus
-from wigeonford.errors import WigeonfordError
+from wigeonford.control._replica import Replica, ReplicaStatus
+from wigeonford.errors import PeerError, WigeonfordError
 from wigeonford.events import EventLog
 
 
@@ -77,6 +77,15 @@
                     return
                 await asyncio.sleep(0.05)
 
+    async def _until_confirmed(self, replica: Replica) -> None:
+        """Wait for a confirmed read, however long the catching up takes."""
+        while True:
+            try:
+                await replica.confirm()
+            except PeerError:
+                continue
+            return
+
     async def test_far_behind_catches_up_by_snapshot(self) -> None:
         with (
             mock.patch.object(_raft_driver, "SNAPSHOT_EVERY", 10),
@@ -91,7 +100,7 @@
                 await client.change(f"s{number}", region(f"s{number}"))
             await self.fleet.start_control("control-3")
             replica = self.fleet.controls["control-3"].replica
-            await replica.confirm()
+            await self._until_confirmed(replica)
         self.assertEqual(len(replica.state.config.rows), 61)
         for name in self.names:
             await self.fleet.crash_control(name)
