Release the claim store only between calls

Cause: the suite died of a segmentation fault: a replica that stopped closed its database while a worker thread was still in it. Change: calls and the closing take turns, and a call after it is refused. A test closes a store amid calls.

--- a/src/wigeonford/control/_register_store.py
+++ b/src/wigeonford/control/_register_store.py
@@ -1,8 +1,10 @@
 """Durable claim registers of one replica, read and written in batches."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 import sqlite3
+import threading
 from typing import Final
 
 from wigeonford.control._registers import (
@@ -35,9 +37,15 @@
 
 
 class RegisterStore:
-    """Keep registers on disk only, so that memory stays bounded."""
+    """Keep registers on disk only, so that memory stays bounded.
+
+    Calls come from worker threads, one at a time; a call that arrives
+    after `close` is refused.
+    """
 
     def __init__(self, folder: Path) -> None:
+        self._turn = threading.Lock()
+        self._closed = False
         try:
             folder.mkdir(parents=True, exist_ok=True)
             self._db = sqlite3.connect(
@@ -53,79 +61,86 @@
             raise StorageError(f"{folder}: {exc}") from exc
 
     def close(self) -> None:
-        """Release the data folder."""
-        self._db.close()
+        """Release the data folder once the call under way has ended."""
+        with self._turn:
+            self._closed = True
+            self._db.close()
+
+    @contextmanager
+    def _using(self) -> Iterator[sqlite3.Connection]:
+        """Hold the database; raise `StorageError` when it fails."""
+        with self._turn:
+            if self._closed:
+                raise StorageError("the data folder is released")
+            try:
+                yield self._db
+            except sqlite3.Error as exc:
+                self._roll_back()
+                raise StorageError(str(exc)) from exc
 
     def count(self) -> int:
         """Return how many registers are held."""
-        row = self._db.execute("SELECT count(*) FROM registers").fetchone()
+        with self._using() as db:
+            row = db.execute("SELECT count(*) FROM registers").fetchone()
         return int(row[0])
 
     def has_flag(self, name: str) -> bool:
         """Tell whether a flag has been set."""
-        found = self._db.execute(
-            "SELECT 1 FROM flags WHERE name = ?", (name,)
-        ).fetchone()
+        with self._using() as db:
+            found = db.execute(
+                "SELECT 1 FROM flags WHERE name = ?", (name,)
+            ).fetchone()
         return found is not None
 
     def set_flag(self, name: str) -> None:
         """Set a flag, durably."""
-        try:
-            self._db.execute("INSERT OR IGNORE INTO flags VALUES (?)", (name,))
-        except sqlite3.Error as exc:
-            raise StorageError(str(exc)) from exc
+        with self._using() as db:
+            db.execute("INSERT OR IGNORE INTO flags VALUES (?)", (name,))
 
     def apply(
         self, requests: Iterable[RegisterRequest], now_s: float
     ) -> list[RegisterReply]:
         """Return the replies to requests, all synced by one commit."""
         replies: list[RegisterReply] = []
-        try:
-            self._db.execute("BEGIN IMMEDIATE")
+        with self._using() as db:
+            db.execute("BEGIN IMMEDIATE")
             for request in requests:
                 before = self._load(request.key)
                 after, reply = transition(before, request)
                 if after != before:
                     self._save(request.key, after, now_s)
                 replies.append(reply)
-            self._db.execute("COMMIT")
-        except sqlite3.Error as exc:
-            self._roll_back()
-            raise StorageError(str(exc)) from exc
+            db.execute("COMMIT")
         return replies
 
     def merge(self, copies: Iterable[RegisterCopy], now_s: float) -> None:
         """Take copies from another replica into lost registers."""
-        try:
-            self._db.execute("BEGIN IMMEDIATE")
+        with self._using() as db:
+            db.execute("BEGIN IMMEDIATE")
             for copy in copies:
                 after = merge_copy(self._load(copy.key), copy)
                 self._save(copy.key, after, now_s)
-            self._db.execute("COMMIT")
-        except sqlite3.Error as exc:
-            self._roll_back()
-            raise StorageError(str(exc)) from exc
+            db.execute("COMMIT")
 
     def page(self, after: bytes, limit: int) -> RegisterPage:
         """Return the registers that follow a key."""
-        rows = self._db.execute(
-            "SELECT key, content FROM registers WHERE key > ? "
-            "ORDER BY key LIMIT ?",
-            (after, limit),
-        )
+        with self._using() as db:
+            rows = db.execute(
+                "SELECT key, content FROM registers WHERE key > ? "
+                "ORDER BY key LIMIT ?",
+                (after, limit),
+            ).fetchall()
         return RegisterPage(
             tuple(to_copy(key, _decode(content)) for key, content in rows)
         )
 
     def expire(self, now_s: float) -> int:
         """Forget registers past their retention; return how many."""
-        try:
-            cursor = self._db.execute(
+        with self._using() as db:
+            cursor = db.execute(
                 "DELETE FROM registers WHERE opened_at < ?",
                 (now_s - RETENTION_S,),
             )
-        except sqlite3.Error as exc:
-            raise StorageError(str(exc)) from exc
         return cursor.rowcount
 
     def _load(self, key: bytes) -> Register:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -7,16 +7,18 @@
 import tempfile
 import unittest
 
-from wigeonford.control import ClaimService, RegisterStore
+from wigeonford.control import ClaimService, RegisterStore, StorageError
 from wigeonford.errors import Code, PeerError
 from wigeonford.events import EventLog
 from wigeonford.peer import (
     ClaimAnswer,
     ClaimClose,
     ClaimOpen,
+    ClaimRow,
     Outcome,
     PeerClient,
     PeerServer,
+    RegisterVote,
 )
 from wigeonford.settings import Address
 
@@ -142,6 +144,20 @@
         with self.assertRaises(PeerError):
             await self.open("one", "a")
 
+    async def test_store_closes_amid_calls(self) -> None:
+        store = RegisterStore(self.folder / "closing")
+        row = ClaimRow(b"f", "a", 0.0, "open")
+        votes = [RegisterVote(n.to_bytes(4), row) for n in range(2000)]
+        calls = [
+            asyncio.create_task(asyncio.to_thread(store.apply, votes, 0.0))
+            for _ in range(4)
+        ]
+        await asyncio.sleep(0.01)
+        store.close()
+        results = await asyncio.gather(*calls, return_exceptions=True)
+        for result in results:
+            self.assertIsInstance(result, list | StorageError)
+
     async def test_no_quorum_runs_nothing(self) -> None:
         await self.stop("two")
         await self.stop("three")
