--- a/src/wigeonford/compose.py
+++ b/src/wigeonford/compose.py
@@ -3,8 +3,10 @@
 from collections.abc import Callable
 from pathlib import Path
 import random
+import time
 
 from wigeonford.control import (
+    BudgetService,
     ClaimService,
     ControlDaemon,
     ControlService,
@@ -17,14 +19,17 @@
 )
 from wigeonford.entry import (
     Announcer,
+    BudgetLinks,
     ConfigFollower,
     ControlClaims,
     Dispatcher,
+    DispatchGate,
     EntryDaemon,
-    EqualShareLimiter,
     Front,
     HopReceiver,
+    LeasedShareLimiter,
     LinkLeases,
+    MAX_SPILLED,
     Parents,
     Pipeline,
     RegionalDispatcher,
@@ -56,13 +61,19 @@
     log = log.bind(vm=cfg.name)
     peers = PeerServer(cfg.secrets.peer, log)
     replica = _build_replica(cfg, peers, open_store(cfg.data_folder), log)
+    metrics = Metrics()
     api = OperatorApi(
-        replica, cfg.secrets.operator, cfg.secrets.key_hash, Metrics(), log
+        replica, cfg.secrets.operator, cfg.secrets.key_hash, metrics, log
     )
+    budgets = BudgetService(replica, Checks(log, metrics, cfg.on_breach), log)
     return ControlDaemon(
         cfg,
         replica,
-        (ControlService(replica, log), _build_claims(cfg, log)),
+        (
+            ControlService(replica, log),
+            _build_claims(cfg, log),
+            budgets,
+        ),
         peers,
         HttpServer(api.handle, CallerLimits(), log),
         log,
@@ -112,12 +123,13 @@
     metrics = Metrics()
     checks = Checks(log, metrics, cfg.on_breach)
     announcer = Announcer(cfg)
-    control = tuple(
-        PeerClient(
+
+    def make_link(address: Address) -> PeerClient:
+        return PeerClient(
             cfg.name, address, cfg.secrets.peer, log, client_context(cfg.tls)
         )
-        for address in cfg.control
-    )
+
+    control = tuple(make_link(address) for address in cfg.control)
     config = ConfigFollower(
         control,
         announcer.describe,
@@ -126,7 +138,8 @@
         metrics,
         log,
     )
-    limiter = EqualShareLimiter()
+    links = BudgetLinks(cfg.name, control, make_link)
+    limiter = LeasedShareLimiter(links, checks, metrics, log)
     config.on_change(limiter.reconfigure)
     registry = TargetRegistry()
     targets = TargetDirectory(
@@ -137,15 +150,22 @@
         cfg.secrets.peer,
         log,
     )
+
+    def slots_of(service: str) -> int:
+        now_s = time.monotonic()
+        own = sum(c.slots for c in registry.candidates(service, now_s))
+        # Without a target of its own a VM still passes work on.
+        return own or MAX_SPILLED
+
     dispatcher = Dispatcher(registry, metrics, log)
-    links = LinkLeases(
+    link_leases = LinkLeases(
         cfg.name, cfg.availability_zone, config, cfg.secrets.peer, log
     )
     regional = RegionalDispatcher(
         cfg.availability_zone,
         dispatcher,
         config,
-        links,
+        link_leases,
         cfg.secrets.peer,
         client_context(cfg.tls),
         random.Random(),
@@ -156,7 +176,7 @@
         config,
         RegistryCapacity(registry),
         dispatcher,
-        links,
+        link_leases,
         cfg.secrets.peer,
         log,
     )
@@ -165,6 +185,7 @@
         config,
         limiter,
         claims,
+        DispatchGate(slots_of),
         regional,
         checks,
         metrics,
@@ -176,7 +197,8 @@
         announcer,
         config,
         targets,
-        links,
+        link_leases,
+        limiter,
         dispatcher,
         front,
         HttpServer(front.handle, cfg.limits, log),
--- a/src/wigeonford/control/__init__.py
+++ b/src/wigeonford/control/__init__.py
@@ -1,5 +1,6 @@
 """Replicated control state: log, state machine, commands and queries."""
 
+from wigeonford.control._budgets import BudgetService
 from wigeonford.control._claim_service import ClaimService
 from wigeonford.control._commands import (
     ApplyChange,
@@ -32,6 +33,7 @@
     "RegisterStore",
     "COMMANDS",
     "ApplyChange",
+    "BudgetService",
     "CommandResult",
     "ControlDaemon",
     "ControlService",
--- a/src/wigeonford/entry/__init__.py
+++ b/src/wigeonford/entry/__init__.py
@@ -1,12 +1,17 @@
 """Entry VMs: look-ups, admission, dispatch and the target registry."""
 
+from wigeonford.entry._budget_links import BudgetLinks
 from wigeonford.entry._claims import Claims, ControlClaims
 from wigeonford.entry._config import ConfigFollower, EntryConfig
 from wigeonford.entry._daemon import Announcer, EntryDaemon, LINGER_S
 from wigeonford.entry._dispatch import Dispatcher
+from wigeonford.entry._fair_queue import DispatchGate
 from wigeonford.entry._front import Announcement, Front
 from wigeonford.entry._hop import HopReceiver, RegistryCapacity
-from wigeonford.entry._limiter import EqualShareLimiter, Limiter
+from wigeonford.entry._limiter import (
+    LeasedShareLimiter,
+    Limiter,
+)
 from wigeonford.entry._link_leases import LinkLeases
 from wigeonford.entry._lookup import (
     Lookup,
@@ -18,7 +23,7 @@
 from wigeonford.entry._lookup_table import BlockTable, RangeTable
 from wigeonford.entry._pipeline import Pipeline
 from wigeonford.entry._registry import TargetRegistry
-from wigeonford.entry._remote import RegionalDispatcher
+from wigeonford.entry._remote import MAX_SPILLED, RegionalDispatcher
 from wigeonford.entry._spread import (
     MembersBelow,
     Parents,
@@ -30,33 +35,36 @@
 __all__ = [
     "LINGER_S",
     "LOOKUP_LIFETIME_S",
-    "MembersBelow",
-    "Parents",
-    "SpreadShape",
-    "plan_parents",
+    "MAX_SPILLED",
     "Announcement",
     "Announcer",
     "BlockTable",
+    "BudgetLinks",
     "Claims",
     "ConfigFollower",
     "ControlClaims",
+    "DispatchGate",
     "Dispatcher",
     "EntryConfig",
     "EntryDaemon",
-    "EqualShareLimiter",
     "Front",
     "HopReceiver",
+    "LeasedShareLimiter",
     "Limiter",
     "LinkLeases",
     "Lookup",
     "LookupAnswer",
     "LookupBuilder",
+    "MembersBelow",
+    "Parents",
+    "Pipeline",
     "RangeTable",
     "RankedVM",
     "Ranking",
-    "Pipeline",
     "RegionalDispatcher",
     "RegistryCapacity",
+    "SpreadShape",
     "TargetDirectory",
     "TargetRegistry",
+    "plan_parents",
 ]
--- a/src/wigeonford/entry/_daemon.py
+++ b/src/wigeonford/entry/_daemon.py
@@ -8,6 +8,7 @@
 from wigeonford.entry._config import ConfigFollower, FRESH_LEASE_S
 from wigeonford.entry._dispatch import Dispatcher
 from wigeonford.entry._front import Front
+from wigeonford.entry._limiter import LeasedShareLimiter
 from wigeonford.entry._link_leases import LinkLeases
 from wigeonford.entry._lookup import LOOKUP_LIFETIME_S
 from wigeonford.entry._targets import TargetDirectory
@@ -66,6 +67,7 @@
         config: ConfigFollower,
         targets: TargetDirectory,
         links: LinkLeases,
+        limiter: LeasedShareLimiter,
         dispatcher: Dispatcher,
         front: Front,
         http: HttpServer,
@@ -81,6 +83,7 @@
         self._config = config
         self._targets = targets
         self._links = links
+        self._limiter = limiter
         self._dispatcher = dispatcher
         self._front = front
         self._http = http
@@ -101,6 +104,7 @@
         self._targets.attach(self._peers)
         self._links.attach(self._peers)
         self._config.attach(self._peers)
+        self._limiter.attach(self._peers)
         self.peer_address = await self._peers.start(
             self._cfg.peer_address,
             server_context(self._cfg.tls, require_peer=True),
@@ -114,6 +118,7 @@
         await self._config.start()
         await self._targets.start()
         await self._links.start()
+        await self._limiter.start()
         self._log.emit(
             Event.STARTED,
             address=str(self.address),
@@ -153,6 +158,7 @@
         await self._config.stop()
         await self._targets.stop()
         await self._links.stop()
+        await self._limiter.stop()
         await self._peers.stop()
         self._dispatcher.close()
         for link in self._control:
