--- a/src/wigeonford/compose.py
+++ b/src/wigeonford/compose.py
@@ -152,17 +152,19 @@
 
     def slots_of(service: str) -> int:
         now_s = time.monotonic()
-        return sum(c.slots for c in registry.candidates(service, now_s))
+        own = sum(c.slots for c in registry.candidates(service, now_s))
+        # Without a target of its own a VM still passes work on.
+        return own or MAX_SPILLED
 
     dispatcher = Dispatcher(registry, metrics, log)
-    links = LinkLeases(
+    link_leases = LinkLeases(
         cfg.name, cfg.availability_zone, config, cfg.secrets.peer, log
     )
     regional = RegionalDispatcher(
         cfg.availability_zone,
         dispatcher,
         config,
-        links,
+        link_leases,
         cfg.secrets.peer,
         client_context(cfg.tls),
         random.Random(),
@@ -173,7 +175,7 @@
         config,
         RegistryCapacity(registry),
         dispatcher,
-        links,
+        link_leases,
         cfg.secrets.peer,
         log,
     )
--- a/src/wigeonford/entry/__init__.py
+++ b/src/wigeonford/entry/__init__.py
@@ -24,7 +24,7 @@
 from wigeonford.entry._pipeline import Pipeline
 from wigeonford.entry._published import EntryConfig
 from wigeonford.entry._registry import TargetRegistry
-from wigeonford.entry._remote import RegionalDispatcher
+from wigeonford.entry._remote import MAX_SPILLED, RegionalDispatcher
 from wigeonford.entry._spread import (
     MembersBelow,
     Parents,
--- a/src/wigeonford/entry/_remote.py
+++ b/src/wigeonford/entry/_remote.py
@@ -36,6 +36,9 @@
 from wigeonford.settings import Address
 
 MAX_REGIONS: Final = 2
+MAX_SPILLED: Final = 16
+"""How many requests of a service may be under way with no own target."""
+
 CONNECT_TIMEOUT_S: Final = 1.0
 LINK_WAIT_S: Final = 0.5
 RETURN_MARGIN_S: Final = 0.1
