--- a/src/wigeonford/entry/__init__.py
+++ b/src/wigeonford/entry/__init__.py
@@ -36,6 +36,7 @@
 __all__ = [
     "LINGER_S",
     "LOOKUP_LIFETIME_S",
+    "MAX_SPILLED",
     "Announcement",
     "Announcer",
     "BlockTable",
