Lease targets' slots from an owner entry VM to the others

Cause: each entry VM counted only its own requests, so the entry VMs of a region together overran a target's slots. Change: each target has an owner, chosen by rendezvous hash over the region's roster, that grants whole slots; short holders have idle slots recalled. Announcements go to the owner alone. Requests wait for a slot.

--- a/src/wigeonford/bench/_target.py
+++ b/src/wigeonford/bench/_target.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 import itertools
+import time
 from typing import Final
 
 import msgspec
@@ -52,7 +53,8 @@
         self._books = books
         self._http = HttpServer(self._handle, CallerLimits(), log)
         self._running = 0
-        self._sequence = itertools.count(1)
+        self._sequence = itertools.count(time.time_ns())
+        self._announced = False
         self._task: asyncio.Task[None] | None = None
         self.address = Address()
 
@@ -79,32 +81,36 @@
 
     async def announce(self, *, leaving: bool = False) -> None:
         """Tell the first entry VM that answers."""
-        content = Announcement(
-            service=self.group.service,
-            host=self.address.host,
-            port=self.address.port,
-            slots=self.group.slots,
-            sequence=next(self._sequence),
-            side=self.group.side,
-            lease_s=LEASE_S,
-            load=self._running / self.group.slots,
-            leaving=leaving,
-        )
-        headers = ((b"authorization", f"Bearer {self._secret}".encode()),)
         for entry in self._entries:
+            content = msgspec.json.encode(self._announcement(leaving))
+            self._announced = True
             try:
                 await fetch(
                     entry,
                     "POST",
                     "/.wigeonford/targets",
-                    headers,
-                    msgspec.json.encode(content),
+                    ((b"authorization", f"Bearer {self._secret}".encode()),),
+                    content,
                     timeout_s=1.0,
                 )
                 return
             except (ConnectFailed, ExchangeFailed):
                 continue
 
+    def _announcement(self, leaving: bool) -> Announcement:
+        return Announcement(
+            service=self.group.service,
+            host=self.address.host,
+            port=self.address.port,
+            slots=self.group.slots,
+            sequence=next(self._sequence),
+            side=self.group.side,
+            lease_s=LEASE_S,
+            load=self._running / self.group.slots,
+            leaving=leaving,
+            first=not self._announced,
+        )
+
     async def _keep_announcing(self) -> None:
         while True:
             await asyncio.sleep(ANNOUNCE_INTERVAL_S)
--- a/src/wigeonford/cli/_experiments.py
+++ b/src/wigeonford/cli/_experiments.py
@@ -64,3 +64,20 @@
         return Result(report.data, lines, code)
 
     cli_command(f"bench {name}", help_text, arguments)(run)
+
+
+def _selection_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--seconds",
+        type=float,
+        default=10.0,
+        help="virtual seconds measured, default %(default)s",
+    )
+
+
+_scenario(
+    "selection",
+    "ways to share targets' slots in a region, in virtual time",
+    "wigeonford.bench._selection",
+    _selection_arguments,
+)
--- a/src/wigeonford/compose.py
+++ b/src/wigeonford/compose.py
@@ -16,6 +16,8 @@
     EqualShareLimiter,
     Front,
     Pipeline,
+    RegionPeers,
+    SlotTable,
     TargetDirectory,
     TargetRegistry,
 )
@@ -60,16 +62,14 @@
     config = ConfigFollower(control, announcer.describe, checks, metrics, log)
     limiter = EqualShareLimiter()
     config.on_change(limiter.reconfigure)
-    registry = TargetRegistry()
+    region_peers = RegionPeers(
+        cfg.name, cfg.availability_zone, config, cfg.secrets.peer, log
+    )
     targets = TargetDirectory(
-        cfg.name,
-        cfg.availability_zone,
-        registry,
-        config,
-        cfg.secrets.peer,
-        log,
+        TargetRegistry(), region_peers, config, checks, log
     )
-    dispatcher = Dispatcher(registry, metrics, log)
+    slots = SlotTable(region_peers, targets, checks)
+    dispatcher = Dispatcher(slots, metrics, log)
     pipeline = Pipeline(
         config,
         limiter,
@@ -84,7 +84,9 @@
         cfg,
         announcer,
         config,
+        region_peers,
         targets,
+        slots,
         dispatcher,
         front,
         HttpServer(front.handle, cfg.limits, log),
--- a/src/wigeonford/entry/__init__.py
+++ b/src/wigeonford/entry/__init__.py
@@ -8,7 +8,9 @@
 from wigeonford.entry._limiter import EqualShareLimiter, Limiter
 from wigeonford.entry._lookup import BlockTable, Lookup, LookupAnswer
 from wigeonford.entry._pipeline import Pipeline
+from wigeonford.entry._region_peers import RegionPeers
 from wigeonford.entry._registry import TargetRegistry
+from wigeonford.entry._slots import SlotTable
 from wigeonford.entry._targets import TargetDirectory
 
 __all__ = [
@@ -27,6 +29,8 @@
     "Lookup",
     "LookupAnswer",
     "Pipeline",
+    "RegionPeers",
+    "SlotTable",
     "TargetDirectory",
     "TargetRegistry",
 ]
--- a/src/wigeonford/entry/_daemon.py
+++ b/src/wigeonford/entry/_daemon.py
@@ -8,6 +8,8 @@
 from wigeonford.entry._dispatch import Dispatcher
 from wigeonford.entry._front import Front
 from wigeonford.entry._lookup import LOOKUP_LIFETIME_S
+from wigeonford.entry._region_peers import RegionPeers
+from wigeonford.entry._slots import SlotTable
 from wigeonford.entry._targets import TargetDirectory
 from wigeonford.errors import PeerError
 from wigeonford.events import Event, EventLog
@@ -57,7 +59,9 @@
         cfg: EntrySettings,
         announcer: Announcer,
         config: ConfigFollower,
+        region_peers: RegionPeers,
         targets: TargetDirectory,
+        slots: SlotTable,
         dispatcher: Dispatcher,
         front: Front,
         http: HttpServer,
@@ -68,7 +72,9 @@
         self._cfg = cfg
         self._announcer = announcer
         self._config = config
+        self._region_peers = region_peers
         self._targets = targets
+        self._slots = slots
         self._dispatcher = dispatcher
         self._front = front
         self._http = http
@@ -86,6 +92,7 @@
     async def start(self) -> None:
         """Serve; return once the configuration is there."""
         self._targets.attach(self._peers)
+        self._slots.attach(self._peers)
         self.peer_address = await self._peers.start(
             self._cfg.peer_address,
             server_context(self._cfg.tls, require_peer=True),
@@ -98,6 +105,7 @@
         )
         await self._config.start()
         await self._targets.start()
+        await self._slots.start()
         self._log.emit(
             Event.STARTED,
             address=str(self.address),
@@ -120,7 +128,7 @@
 
     async def _close_links(self) -> None:
         await self._config.stop()
-        await self._targets.stop()
+        await self._region_peers.stop()
         await self._peers.stop()
         self._dispatcher.close()
         for link in self._control:
--- a/src/wigeonford/entry/_dispatch.py
+++ b/src/wigeonford/entry/_dispatch.py
@@ -1,7 +1,7 @@
 """Dispatch: attempts at targets until one answers or none may be tried."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from enum import Enum
 import time
@@ -9,7 +9,7 @@
 
 from wigeonford.entry._hygiene import answer_headers
 from wigeonford.entry._pool import ConnectionPool
-from wigeonford.entry._registry import Target, TargetRegistry
+from wigeonford.entry._slots import SlotTable
 from wigeonford.errors import Code, RequestRefused, RunState
 from wigeonford.events import Event, EventLog
 from wigeonford.http import (
@@ -25,7 +25,8 @@
 )
 from wigeonford.metrics import Metrics
 from wigeonford.model import Service, Share, Side
-from wigeonford.policy import Candidate, choose_target, ShiftCounter
+from wigeonford.policy import ShiftCounter, TargetOffer
+from wigeonford.settings import parse_address
 
 MAX_ATTEMPTS: Final = 3
 PREFETCH_BYTES: Final = 65536
@@ -74,9 +75,9 @@
     """Choose targets and forward requests to them."""
 
     def __init__(
-        self, registry: TargetRegistry, metrics: Metrics, log: EventLog
+        self, slots: SlotTable, metrics: Metrics, log: EventLog
     ) -> None:
-        self._registry = registry
+        self._slots = slots
         self._metrics = metrics
         self._log = log
         self._pool = ConnectionPool()
@@ -92,15 +93,20 @@
         tried: set[str] = set()
         failure: AttemptFailure | None = None
         while len(tried) < MAX_ATTEMPTS:
-            candidate = self._choose(outbound.service.name, side, tried)
-            if candidate is None:
+            try:
+                offer = await self._slots.acquire(
+                    outbound.service.name, side, tried, outbound.deadline_s
+                )
+            except RequestRefused:
+                if failure is None:
+                    raise
                 break
-            tried.add(candidate.target_id)
+            tried.add(offer.target_id)
             try:
-                return await self._attempt(outbound, candidate)
+                return await self._attempt(outbound, side, offer)
             except AttemptFailure as exc:
                 failure = exc
-                self._note(outbound, candidate, exc)
+                self._note(outbound, offer, exc)
                 if not _may_retry(outbound, exc):
                     break
         raise _refusal(failure)
@@ -111,28 +117,17 @@
         counter = self._shifts.setdefault(share.name, ShiftCounter())
         return counter.next_side(share)
 
-    def _choose(
-        self, service: str, side: Side | None, tried: set[str]
-    ) -> Candidate | None:
-        candidates = (
-            candidate
-            for candidate in self._registry.candidates(
-                service, time.monotonic()
-            )
-            if candidate.target_id not in tried
-        )
-        return choose_target(candidates, side)
-
     async def _attempt(
-        self, outbound: Outbound, candidate: Candidate
+        self, outbound: Outbound, side: Side | None, offer: TargetOffer
     ) -> Response:
-        target = self._registry.get(candidate.target_id)
-        self._registry.begin(target.target_id)
+        def release() -> None:
+            self._slots.release(outbound.service.name, side, offer)
+
         try:
-            response, conn = await self._exchange(outbound, target)
+            response, conn = await self._exchange(outbound, offer)
             head = await self._prefetch(response, outbound.deadline_s)
         except BaseException:
-            self._registry.end(target.target_id)
+            release()
             raise
         self._count(outbound, AttemptState.ANSWERED)
         headers = (
@@ -141,19 +136,21 @@
         )
         if isinstance(head, bytes):
             self._pool.release(conn)
-            self._registry.end(target.target_id)
+            release()
             return Response(response.status, headers, head)
-        stream = self._stream(head, conn, target)
+        stream = self._stream(head, conn, release)
         return Response(response.status, headers, stream)
 
     async def _exchange(
-        self, outbound: Outbound, target: Target
+        self, outbound: Outbound, offer: TargetOffer
     ) -> tuple[Response, ClientConnection]:
         # Work that must not run twice never risks a connection that may
         # have gone silent.
         fresh = not outbound.idempotent or not outbound.replayable
         try:
-            conn = await self._pool.acquire(target.address, fresh=fresh)
+            conn = await self._pool.acquire(
+                parse_address(offer.target_id), fresh=fresh
+            )
         except ConnectFailed as exc:
             raise AttemptFailure(
                 AttemptState.NOT_SENT, Code.CONNECT_FAILED, str(exc)
@@ -163,7 +160,7 @@
                 response = await conn.exchange(
                     outbound.method,
                     outbound.target,
-                    _with_host(outbound.headers, target),
+                    _with_host(outbound.headers, offer),
                     outbound.body,
                 )
         except RequestRefused as exc:
@@ -172,7 +169,7 @@
             ) from exc
         except TimeoutError as exc:
             raise AttemptFailure(
-                AttemptState.SENT, Code.ANSWER_TIMEOUT, target.target_id
+                AttemptState.SENT, Code.ANSWER_TIMEOUT, offer.target_id
             ) from exc
         except ExchangeFailed as exc:
             raise AttemptFailure(
@@ -238,7 +235,7 @@
         self,
         body: AsyncIterator[bytes],
         conn: ClientConnection,
-        target: Target,
+        release: Callable[[], None],
     ) -> AsyncIterator[bytes]:
         try:
             async for chunk in body:
@@ -247,15 +244,15 @@
             raise AnswerBroken(str(exc)) from exc
         finally:
             self._pool.release(conn)
-            self._registry.end(target.target_id)
+            release()
 
     def _note(
-        self, outbound: Outbound, candidate: Candidate, exc: AttemptFailure
+        self, outbound: Outbound, offer: TargetOffer, exc: AttemptFailure
     ) -> None:
         self._count(outbound, exc.state)
         self._log.emit(
             Event.ATTEMPT_FAILED,
-            target=candidate.target_id,
+            target=offer.target_id,
             state=exc.state.value,
             code=exc.code.number,
             detail=exc.detail,
@@ -267,9 +264,9 @@
         )
 
 
-def _with_host(headers: Headers, target: Target) -> Headers:
+def _with_host(headers: Headers, offer: TargetOffer) -> Headers:
     kept = tuple(h for h in headers if h[0] != b"host")
-    return ((b"host", str(target.address).encode()), *kept)
+    return ((b"host", offer.target_id.encode()), *kept)
 
 
 async def _replay(
--- a/src/wigeonford/entry/_front.py
+++ b/src/wigeonford/entry/_front.py
@@ -39,7 +39,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Announcement:
-    """Hold what a target tells of itself; `load` is 0 when idle."""
+    """Hold what a target tells of itself; `load` is 0 when idle.
+
+    `sequence` rises with each announcement and begins at the start time of
+    the target's process in nanoseconds, so that a restart overtakes what
+    went before it. `first` is true only of a process's first one.
+    """
 
     service: str
     host: str
@@ -50,6 +55,7 @@
     lease_s: float = 3.0
     load: float = 0.0
     leaving: bool = False
+    first: bool = False
 
 
 class Front:
@@ -155,6 +161,7 @@
         lease_s=found.lease_s,
         load=found.load,
         leaving=found.leaving,
+        first=found.first,
     )
 
 
--- a/src/wigeonford/entry/_registry.py
+++ b/src/wigeonford/entry/_registry.py
@@ -1,15 +1,14 @@
 """Registry of a region's targets, from their own announcements."""
 
-from collections.abc import Iterator
 from dataclasses import dataclass, replace
+from typing import Final
 
 from wigeonford.errors import Code, RequestRefused
 from wigeonford.model import Side
 from wigeonford.peer import TargetAnnounce
-from wigeonford.policy import Candidate
 from wigeonford.settings import Address
 
-TOMBSTONE_S = 60.0
+TOMBSTONE_S: Final = 60.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,11 +31,10 @@
 
 
 class TargetRegistry:
-    """Keep targets by lease and sequence, and count what is in flight."""
+    """Keep targets by lease and sequence."""
 
     def __init__(self) -> None:
         self._targets: dict[str, Target] = {}
-        self._in_flight: dict[str, int] = {}
 
     def announce(self, message: TargetAnnounce, now_s: float) -> Target:
         """Take an announcement; refuse one that a later one overtook."""
@@ -70,37 +68,14 @@
                 expired.append(left)
         return expired
 
-    def candidates(self, service: str, now_s: float) -> Iterator[Candidate]:
-        """Yield the targets of a service that may get new work."""
-        for target in self._targets.values():
-            if target.service != service or target.leaving:
-                continue
-            if target.expires_at_s > now_s:
-                yield Candidate(
-                    target.target_id,
-                    target.side,
-                    target.slots,
-                    self._in_flight.get(target.target_id, 0),
-                    target.load,
-                )
+    def find(self, target_id: str) -> Target | None:
+        """Return a target that is not forgotten."""
+        return self._targets.get(target_id)
 
-    def get(self, target_id: str) -> Target:
-        """Return a target that was a candidate."""
-        return self._targets[target_id]
+    def forget(self, target_id: str) -> None:
+        """Forget a target that another VM owns now."""
+        self._targets.pop(target_id, None)
 
     def all(self) -> tuple[Target, ...]:
         """Return every target that is not forgotten."""
         return tuple(self._targets.values())
-
-    def begin(self, target_id: str) -> None:
-        """Count a request that goes to a target."""
-        self._in_flight[target_id] = self._in_flight.get(target_id, 0) + 1
-
-    def end(self, target_id: str) -> None:
-        """Count a request that a target is done with."""
-        left = self._in_flight[target_id] - 1
-        assert left >= 0, "a request ends once"
-        if left:
-            self._in_flight[target_id] = left
-        else:
-            del self._in_flight[target_id]
--- a/src/wigeonford/errors.py
+++ b/src/wigeonford/errors.py
@@ -89,6 +89,10 @@
     )
     RETRY_BUDGET = _info(1209, 503, "the retry budget is spent")
 
+    NOT_OWNER = _info(
+        1230, 503, "another entry VM owns the target by this VM's roster"
+    )
+
     TARGET_SHED = _info(1300, 503, "the target refused the request unrun")
     CONNECT_FAILED = _info(1301, 502, "no connection to a target")
     ANSWER_BROKEN = _info(
--- a/src/wigeonford/peer/__init__.py
+++ b/src/wigeonford/peer/__init__.py
@@ -22,6 +22,7 @@
     PullConfig,
     TargetAnnounce,
 )
+from wigeonford.peer._slot_messages import SlotCall, TargetGone
 
 __all__ = [
     "MESSAGES",
@@ -39,7 +40,9 @@
     "PeerClient",
     "PeerServer",
     "PullConfig",
+    "SlotCall",
     "TargetAnnounce",
+    "TargetGone",
     "failure_error",
     "message",
 ]
--- a/src/wigeonford/peer/_messages.py
+++ b/src/wigeonford/peer/_messages.py
@@ -122,7 +122,10 @@
 @message(8)
 @dataclass(frozen=True, slots=True)
 class TargetAnnounce:
-    """Pass a target's announcement on to the entry VMs of its region."""
+    """Pass a target's announcement on to the entry VM that owns it.
+
+    `first` says that no earlier announcement of this process has left it.
+    """
 
     service: str
     host: str
@@ -133,6 +136,7 @@
     lease_s: float
     load: float
     leaving: bool
+    first: bool = False
 
 
 @message(9)
--- /dev/null
+++ b/src/wigeonford/peer/_slot_messages.py
@@ -0,0 +1,27 @@
+"""Messages by which entry VMs of a region share slots of targets."""
+
+from dataclasses import dataclass
+
+from wigeonford.peer._messages import message
+from wigeonford.policy import SlotAnswer, SlotAsk
+
+message(60)(SlotAsk)
+message(61)(SlotAnswer)
+
+
+@message(62)
+@dataclass(frozen=True, slots=True)
+class SlotCall:
+    """Tell a holder to ask an owner again; `recalled` asks for idle slots."""
+
+    owner: str
+    recalled: bool
+
+
+@message(63)
+@dataclass(frozen=True, slots=True)
+class TargetGone:
+    """Tell a holder that a target leaves, from an announcement on."""
+
+    target_id: str
+    sequence: int
--- /dev/null
+++ b/src/wigeonford/policy/_slot_types.py
@@ -0,0 +1,74 @@
+"""What entry VMs tell each other about slots of targets."""
+
+from dataclasses import dataclass
+
+from wigeonford.model import Side
+
+
+@dataclass(frozen=True, slots=True)
+class SlotWant:
+    """Say how many slots of a pool a holder needs now, or may soon."""
+
+    pool: str
+    needed: int
+    wanted: int
+
+
+@dataclass(frozen=True, slots=True)
+class SlotRow:
+    """Report the slots held at one target; `avoid` asks for no more."""
+
+    target_id: str
+    number: int
+    held: int
+    avoid: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class SlotAsk:
+    """Ask one owner for slots; `holder` names one run of an entry VM."""
+
+    holder: str
+    wants: tuple[SlotWant, ...]
+    rows: tuple[SlotRow, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SlotGrant:
+    """Grant whole slots of a target in answer to a row's number."""
+
+    target_id: str
+    number: int
+    amount: int
+
+
+@dataclass(frozen=True, slots=True)
+class TargetOffer:
+    """Describe a target that a holder may ask slots of.
+
+    `sequence` is that of the target's latest announcement.
+    """
+
+    target_id: str
+    service: str
+    side: Side
+    slots: int
+    sequence: int = 0
+
+    @property
+    def pools(self) -> tuple[str, str]:
+        """Return the pools that the target's slots belong to."""
+        return slot_pool(self.service), slot_pool(self.service, self.side)
+
+
+@dataclass(frozen=True, slots=True)
+class SlotAnswer:
+    """Answer a `SlotAsk`; targets that it did not list are offered."""
+
+    grants: tuple[SlotGrant, ...]
+    offers: tuple[TargetOffer, ...]
+
+
+def slot_pool(service: str, side: Side | None = None) -> str:
+    """Return the name of the slots of a service, or of one side of it."""
+    return f"{service}/{side.value if side is not None else ''}"
--- a/src/wigeonford/settings/__init__.py
+++ b/src/wigeonford/settings/__init__.py
@@ -7,6 +7,7 @@
     ControlSettings,
     EntrySettings,
     OperatorSettings,
+    parse_address,
     Secrets,
     Tls,
 )
@@ -27,5 +28,6 @@
     "decode",
     "load",
     "matching",
+    "parse_address",
     "read_jsonc",
 ]
--- a/src/wigeonford/settings/_daemons.py
+++ b/src/wigeonford/settings/_daemons.py
@@ -18,6 +18,12 @@
         return f"{self.host}:{self.port}"
 
 
+def parse_address(text: str) -> Address:
+    """Return the endpoint that an address was written as."""
+    host, _, port = text.rpartition(":")
+    return Address(host, int(port))
+
+
 @dataclass(frozen=True, slots=True)
 class Secrets:
     """Hold the secrets that the fleet shares, each of 16 characters up."""
--- /dev/null
+++ b/tests/test_slots.py
@@ -0,0 +1,197 @@
+"""Slots in use over all entry VMs never exceed what targets have."""
+
+import unittest
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import invariant, rule, RuleBasedStateMachine
+
+from wigeonford.model import Side
+from wigeonford.policy import (
+    divide_slots,
+    owner_of,
+    slot_pool,
+    SLOT_TERM_S,
+    SlotAnswer,
+    SlotAsk,
+    SlotBook,
+    SlotHolder,
+    TargetOffer,
+)
+
+HOLDERS = ("a", "b", "c")
+SLOTS = {"t1": 3, "t2": 4}
+POOL = slot_pool("catalogue")
+CONFIG_WAIT_S = 4.0
+
+
+def _offer(target_id: str, sequence: int = 1) -> TargetOffer:
+    slots = SLOTS[target_id]
+    return TargetOffer(target_id, "catalogue", Side.NEW, slots, sequence)
+
+
+class SlotMachine(RuleBasedStateMachine):
+    """Lose, delay and repeat messages; move targets to a new owner."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 100.0
+        self.book = SlotBook(SLOT_TERM_S, CONFIG_WAIT_S)
+        for target_id in SLOTS:
+            self.book.put(_offer(target_id), self.now_s, is_new=True)
+        self.holders = {n: SlotHolder(n, SLOT_TERM_S) for n in HOLDERS}
+        self.asks: list[SlotAsk] = []
+        self.answers: list[tuple[str, SlotAnswer]] = []
+        self.running: list[tuple[str, str, float]] = []
+
+    def _ask(self, name: str, *, recalled: bool = False) -> SlotAsk:
+        holder = self.holders[name]
+        return holder.ask(lambda _: True, (), self.now_s, recalled=recalled)
+
+    @rule(name=st.sampled_from(HOLDERS), recalled=st.booleans())
+    def exchange(self, name: str, recalled: bool) -> None:
+        ask = self._ask(name, recalled=recalled)
+        answer = self.book.ask(ask, self.now_s)
+        self.holders[name].accept(answer, self.now_s)
+
+    @rule(name=st.sampled_from(HOLDERS))
+    def lose_or_delay_ask(self, name: str) -> None:
+        self.asks.append(self._ask(name))
+
+    @rule(data=st.data())
+    def deliver_ask(self, data: st.DataObject) -> None:
+        if self.asks:
+            ask = data.draw(st.sampled_from(self.asks))
+            answer = self.book.ask(ask, self.now_s)
+            self.answers.append((ask.holder, answer))
+
+    @rule(data=st.data())
+    def deliver_answer(self, data: st.DataObject) -> None:
+        if self.answers:
+            name, answer = data.draw(st.sampled_from(self.answers))
+            self.holders[name].accept(answer, self.now_s)
+
+    @rule(name=st.sampled_from(HOLDERS))
+    def begin(self, name: str) -> None:
+        self.holders[name].want(POOL, self.now_s)
+        offer = self.holders[name].take(POOL, (), self.now_s)
+        if offer is None:
+            self.holders[name].done(POOL, self.now_s)
+            return
+        assert self.holders[name].within_lease(offer.target_id, self.now_s)
+        self.running.append((name, offer.target_id, self.now_s))
+
+    @rule(data=st.data())
+    def end(self, data: st.DataObject) -> None:
+        if self.running:
+            self._end(data.draw(st.sampled_from(self.running)))
+
+    def _end(self, request: tuple[str, str, float]) -> None:
+        self.running.remove(request)
+        self.holders[request[0]].give_back(request[1])
+        self.holders[request[0]].done(POOL, self.now_s)
+
+    @rule(seconds=st.sampled_from((0.1, 1.0, 2.0)))
+    def wait(self, seconds: float) -> None:
+        # A request that outlives its lease while its owner is out of reach
+        # is the one exception; so every request here ends in time.
+        for request in list(self.running):
+            self._end(request)
+        self.now_s += seconds
+        for holder in self.holders.values():
+            holder.forget_idle(self.now_s)
+
+    @rule()
+    def change_owner(self) -> None:
+        self.book = SlotBook(SLOT_TERM_S, CONFIG_WAIT_S)
+        for target_id in SLOTS:
+            self.book.put(_offer(target_id), self.now_s, is_new=False)
+        self.asks.clear()
+
+    @invariant()
+    def slots_are_not_exceeded(self) -> None:
+        for target_id, slots in SLOTS.items():
+            used = sum(h.in_use(target_id) for h in self.holders.values())
+            assert used <= slots, f"{used} of {slots} at {target_id}"
+
+
+SlotMachine.TestCase.settings = settings(
+    max_examples=150, stateful_step_count=40, derandomize=True, deadline=None
+)
+SlotTest = SlotMachine.TestCase
+
+
+def _filled(holder: SlotHolder, book: SlotBook, now_s: float) -> None:
+    for _ in range(3):
+        ask = holder.ask(lambda _: True, (), now_s)
+        holder.accept(book.ask(ask, now_s), now_s)
+
+
+class HandOverTest(unittest.TestCase):
+    """Slots go where they are needed, and away from what leaves."""
+
+    def setUp(self) -> None:
+        self.book = SlotBook(SLOT_TERM_S, CONFIG_WAIT_S)
+        for target_id in SLOTS:
+            self.book.put(_offer(target_id), 0.0, is_new=True)
+        self.holders = [SlotHolder(n, SLOT_TERM_S) for n in HOLDERS]
+
+    def test_idle_slots_are_recalled_for_who_waits(self) -> None:
+        first, second, _ = self.holders
+        for _ in range(7):
+            first.want(POOL, 10.0)
+        _filled(first, self.book, 10.0)
+        self.assertEqual(first.available(POOL, 10.0), 7)
+        for _ in range(7):
+            first.done(POOL, 10.0)
+        second.want(POOL, 10.0)
+        ask = second.ask(lambda _: True, (), 10.0)
+        second.accept(self.book.ask(ask, 10.0), 10.0)
+        ask = second.ask(lambda _: True, (), 10.0)
+        second.accept(self.book.ask(ask, 10.0), 10.0)
+        self.assertEqual(self.book.over_part(ask, 10.0), {"a"})
+        back = first.ask(lambda _: True, (), 10.0, recalled=True)
+        first.accept(self.book.ask(back, 10.0), 10.0)
+        self.assertEqual(self.book.under_part(back), {"b"})
+        _filled(second, self.book, 10.0)
+        self.assertEqual(second.available(POOL, 10.0), 1)
+
+    def test_leaving_target_is_not_revived_by_a_late_offer(self) -> None:
+        holder = self.holders[0]
+        holder.want(POOL, 10.0)
+        _filled(holder, self.book, 10.0)
+        late = self.book.ask(
+            SlotAsk("x", holder.ask(lambda _: True, (), 10.0).wants, ()), 10.0
+        )
+        for target_id in SLOTS:
+            holder.drop(target_id, 5, 10.0)
+        holder.accept(late, 10.0)
+        self.assertIsNone(holder.take(POOL, (), 10.0))
+        self.assertTrue(holder.is_gone("t1"))
+        newer = SlotAnswer((), (_offer("t1", 6),))
+        self.assertTrue(holder.accept(newer, 10.0))
+        self.assertFalse(holder.is_gone("t1"))
+
+    def test_headroom_and_warm_up_bound_grants(self) -> None:
+        self.book.headroom = 0.3
+        for holder in self.holders:
+            for _ in range(9):
+                holder.want(POOL, 10.0)
+            _filled(holder, self.book, 10.0)
+        self.assertEqual(self.book.granted(10.0), 4)
+        cold = SlotBook(SLOT_TERM_S, CONFIG_WAIT_S)
+        cold.put(_offer("t2"), 10.0, is_new=True)
+        _filled(self.holders[0], cold, 10.0)
+        self.assertEqual(cold.granted(10.0), 1)
+
+    def test_parts_follow_demand(self) -> None:
+        self.assertEqual(divide_slots(9, {"a": 2, "b": 3}), {"a": 2, "b": 3})
+        self.assertEqual(divide_slots(4, {"a": 6, "b": 2}), {"a": 3, "b": 1})
+
+    def test_owner_moves_only_from_the_member_that_left(self) -> None:
+        members = [f"vm-{number}" for number in range(10)]
+        targets = [f"10.0.0.{number}:80" for number in range(300)]
+        before = {t: owner_of(t, members) for t in targets}
+        after = {t: owner_of(t, members[1:]) for t in targets}
+        moved = {t for t in targets if before[t] != after[t]}
+        self.assertEqual(moved, {t for t in targets if before[t] == "vm-0"})
