Say truly how far each attempt came, and try again within budgets

Cause: a refusal told of the last attempt alone, so one that followed an attempt which had left could say "not run"; an answer that nobody read kept its slot; a connection gone silent cost the whole timeout; a request that crashed a target was sent to the next ones. Change: dispatch is split into modules; a refusal counts every attempt; AnswerBody lets go of slot and connection; pooled connections get a timer on the first byte; retries and hedges have budgets; failing targets are ejected with a floor; requests in flight at two deaths are in quarantine, told to peers; shifts are ramped, sticky and pause by themselves.

--- a/src/wigeonford/compose.py
+++ b/src/wigeonford/compose.py
@@ -11,6 +11,7 @@
     Announcer,
     ConfigFollower,
     ControlClaims,
+    DecisionRing,
     Dispatcher,
     EntryDaemon,
     EqualShareLimiter,
@@ -18,6 +19,7 @@
     Pipeline,
     RegionPeers,
     SlotTable,
+    Suspects,
     TargetDirectory,
     TargetRegistry,
 )
@@ -26,6 +28,7 @@
 from wigeonford.invariants import Checks
 from wigeonford.metrics import Metrics
 from wigeonford.peer import PeerClient, PeerServer
+from wigeonford.policy import Ejection
 from wigeonford.settings import CallerLimits, ControlSettings, EntrySettings
 from wigeonford.tls import client_context
 
@@ -68,8 +71,13 @@
     targets = TargetDirectory(
         TargetRegistry(), region_peers, config, checks, log
     )
-    slots = SlotTable(region_peers, targets, checks)
-    dispatcher = Dispatcher(slots, metrics, log)
+    ejection = Ejection()
+    slots = SlotTable(region_peers, targets, checks, ejection)
+    suspects = Suspects(region_peers, log)
+    decisions = DecisionRing()
+    dispatcher = Dispatcher(
+        slots, suspects, decisions, checks, metrics, log, ejection
+    )
     pipeline = Pipeline(
         config,
         limiter,
@@ -79,7 +87,7 @@
         metrics,
         cfg.secrets.key_hash,
     )
-    front = Front(config, pipeline, targets, cfg.secrets, metrics)
+    front = Front(config, pipeline, targets, decisions, cfg.secrets, metrics)
     return EntryDaemon(
         cfg,
         announcer,
@@ -87,6 +95,7 @@
         region_peers,
         targets,
         slots,
+        suspects,
         dispatcher,
         front,
         HttpServer(front.handle, cfg.limits, log),
--- a/src/wigeonford/entry/_daemon.py
+++ b/src/wigeonford/entry/_daemon.py
@@ -10,6 +10,7 @@
 from wigeonford.entry._lookup import LOOKUP_LIFETIME_S
 from wigeonford.entry._region_peers import RegionPeers
 from wigeonford.entry._slots import SlotTable
+from wigeonford.entry._suspects import Suspects
 from wigeonford.entry._targets import TargetDirectory
 from wigeonford.errors import PeerError
 from wigeonford.events import Event, EventLog
@@ -62,6 +63,7 @@
         region_peers: RegionPeers,
         targets: TargetDirectory,
         slots: SlotTable,
+        suspects: Suspects,
         dispatcher: Dispatcher,
         front: Front,
         http: HttpServer,
@@ -75,6 +77,7 @@
         self._region_peers = region_peers
         self._targets = targets
         self._slots = slots
+        self._suspects = suspects
         self._dispatcher = dispatcher
         self._front = front
         self._http = http
@@ -93,6 +96,7 @@
         """Serve; return once the configuration is there."""
         self._targets.attach(self._peers)
         self._slots.attach(self._peers)
+        self._suspects.attach(self._peers)
         self.peer_address = await self._peers.start(
             self._cfg.peer_address,
             server_context(self._cfg.tls, require_peer=True),
--- a/src/wigeonford/entry/_dispatch.py
+++ b/src/wigeonford/entry/_dispatch.py
@@ -1,301 +1,285 @@
 """Dispatch: attempts at targets until one answers or none may be tried."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass
-from enum import Enum
+from dataclasses import dataclass, field
 import time
 from typing import Final
-
-from wigeonford.entry._hygiene import answer_headers
-from wigeonford.entry._pool import ConnectionPool
+import uuid
+
+from wigeonford.entry._attempt import Attempts
+from wigeonford.entry._decisions import Decision, DecisionRing
+from wigeonford.entry._outbound import (
+    AttemptFailure,
+    AttemptState,
+    may_retry,
+    Outbound,
+    refusal,
+)
+from wigeonford.entry._shifts import Shifts
 from wigeonford.entry._slots import SlotTable
+from wigeonford.entry._suspects import Suspects
 from wigeonford.errors import Code, RequestRefused, RunState
 from wigeonford.events import Event, EventLog
-from wigeonford.http import (
-    AnswerBroken,
-    ClientConnection,
-    coded_headers,
-    ConnectFailed,
-    ExchangeFailed,
-    find_header,
-    Headers,
-    Response,
-    RUN_STATE_HEADER,
-)
+from wigeonford.http import find_header, Response
+from wigeonford.invariants import Checks, Invariant
 from wigeonford.metrics import Metrics
-from wigeonford.model import Service, Share, Side
-from wigeonford.policy import ShiftCounter, TargetOffer
-from wigeonford.settings import parse_address
+from wigeonford.model import Side
+from wigeonford.policy import (
+    AttemptBudget,
+    Ejection,
+    HEDGE_PART,
+    HEDGE_RESERVE,
+    RETRY_PART,
+    RETRY_RESERVE,
+    TargetOffer,
+)
 
 MAX_ATTEMPTS: Final = 3
-PREFETCH_BYTES: Final = 65536
-RETRY_AFTER_S: Final = 1.0
-_NO_BODY_STATUSES: Final = frozenset({204, 304})
-
-
-class AttemptState(Enum):
-    """Say how far an attempt at a target came."""
-
-    NOT_SENT = "not-sent"
-    SENT = "sent"
-    REFUSED = "refused"
-    ANSWERED = "answered"
+REQUEST_ID_HEADER: Final = b"x-request-id"
+_SERVER_ERROR: Final = 500
 
 
-@dataclass(frozen=True, slots=True)
-class Outbound:
-    """Hold a request as it goes to a target."""
+@dataclass(slots=True)
+class _Run:
+    """Follow the attempts of one request."""
 
-    service: Service
-    share: Share | None
-    method: str
-    target: str
-    headers: Headers
-    body: bytes | AsyncIterator[bytes]
-    idempotent: bool
-    deadline_s: float
-
-    @property
-    def replayable(self) -> bool:
-        """Tell whether the body can be sent once more."""
-        return isinstance(self.body, bytes)
-
-
-@dataclass(frozen=True, slots=True)
-class AttemptFailure(Exception):
-    """Report a failed attempt and how far it came."""
-
-    state: AttemptState
-    code: Code
-    detail: str
+    outbound: Outbound
+    decision: Decision
+    fingerprint: bytes
+    tried: set[str] = field(default_factory=set)
+    fresh: bool = False
+    sent: bool = False
 
 
 class Dispatcher:
     """Choose targets and forward requests to them."""
 
     def __init__(
-        self, slots: SlotTable, metrics: Metrics, log: EventLog
+        self,
+        slots: SlotTable,
+        suspects: Suspects,
+        decisions: DecisionRing,
+        checks: Checks,
+        metrics: Metrics,
+        log: EventLog,
+        ejection: Ejection,
     ) -> None:
         self._slots = slots
+        self._suspects = suspects
+        self._decisions = decisions
+        self._checks = checks
         self._metrics = metrics
         self._log = log
-        self._pool = ConnectionPool()
-        self._shifts: dict[str, ShiftCounter] = {}
+        self._attempts = Attempts(checks)
+        self._shifts = Shifts(checks, log)
+        self._ejection = ejection
+        self._retries = AttemptBudget(RETRY_PART, RETRY_RESERVE)
+        self._hedges = AttemptBudget(HEDGE_PART, HEDGE_RESERVE)
 
     def close(self) -> None:
         """Close idle connections."""
-        self._pool.close()
+        self._attempts.close()
 
     async def forward(self, outbound: Outbound) -> Response:
         """Return a target's answer; raise `RequestRefused`."""
-        side = self._side(outbound.share)
-        tried: set[str] = set()
+        run = self._begin(outbound)
+        try:
+            response = await self._forward(run)
+        except RequestRefused as exc:
+            run.decision.add("refused", code=exc.code, detail=exc.detail)
+            self._checks.require(
+                exc.run_state is not RunState.NOT_RUN or not run.sent,
+                Invariant.NOT_RUN_IS_TRUE,
+                exc.detail,
+            )
+            raise
+        run.decision.add("answered", detail=str(response.status))
+        return response
+
+    def _begin(self, outbound: Outbound) -> _Run:
+        given = find_header(outbound.headers, REQUEST_ID_HEADER)
+        decision = Decision(
+            given or uuid.uuid4().hex,
+            outbound.account,
+            outbound.service.name,
+            outbound.method,
+            outbound.target.partition("?")[0],
+            time.monotonic(),
+        )
+        self._decisions.add(decision)
+        self._retries.earn()
+        self._hedges.earn()
+        return _Run(outbound, decision, outbound.fingerprint())
+
+    async def _forward(self, run: _Run) -> Response:
         failure: AttemptFailure | None = None
-        while len(tried) < MAX_ATTEMPTS:
-            try:
-                offer = await self._slots.acquire(
-                    outbound.service.name, side, tried, outbound.deadline_s
-                )
-            except RequestRefused:
-                if failure is None:
-                    raise
+        for number in range(MAX_ATTEMPTS):
+            self._suspects.require_allowed(run.fingerprint, sent=run.sent)
+            if number and not self._retries.spend():
+                run.decision.add("retry budget spent")
                 break
-            tried.add(offer.target_id)
             try:
-                return await self._attempt(outbound, side, offer)
+                return await self._attempt_hedged(run)
             except AttemptFailure as exc:
                 failure = exc
-                self._note(outbound, offer, exc)
-                if not _may_retry(outbound, exc):
+                if not may_retry(run.outbound, exc):
                     break
-        raise _refusal(failure)
-
-    def _side(self, share: Share | None) -> Side | None:
-        if share is None:
-            return None
-        counter = self._shifts.setdefault(share.name, ShiftCounter())
-        return counter.next_side(share)
+            except RequestRefused:
+                if failure is None:
+                    raise
+                break
+        assert failure is not None, "a loop without failure returns"
+        raise refusal(failure, sent=run.sent)
+
+    async def _attempt_hedged(self, run: _Run) -> Response:
+        """Make an attempt, and a second one beside it if it is slow."""
+        latency = self._attempts.latency(run.outbound.service.name)
+        after_s = latency.hedge_after_s() if run.outbound.hedgeable else None
+        if after_s is None:
+            return await self._attempt(run)
+        tasks = [asyncio.create_task(self._attempt(run))]
+        try:
+            done, _ = await asyncio.wait(tasks, timeout=after_s)
+            if not done and self._may_hedge(run):
+                run.decision.add("hedged")
+                tasks.append(asyncio.create_task(self._attempt(run)))
+            return await _first_answer(tasks)
+        finally:
+            await _discard(tasks)
+
+    def _may_hedge(self, run: _Run) -> bool:
+        service = run.outbound.service.name
+        side = Side.OLD if run.outbound.share is not None else None
+        if not self._slots.available(service, side):
+            return False
+        return self._hedges.spend()
+
+    async def _attempt(self, run: _Run) -> Response:
+        outbound = run.outbound
+        side, offer = await self._acquire(run)
+        target_id = offer.target_id
+        run.tried.add(target_id)
+        run.decision.add("attempt", target=target_id, side=side)
+        self._suspects.begin(target_id, run.fingerprint)
+        started_s = time.monotonic()
 
-    async def _attempt(
-        self, outbound: Outbound, side: Side | None, offer: TargetOffer
-    ) -> Response:
         def release() -> None:
+            self._suspects.end(target_id, run.fingerprint)
             self._slots.release(outbound.service.name, side, offer)
 
+        fresh, run.fresh = run.fresh, False
         try:
-            response, conn = await self._exchange(outbound, offer)
-            head = await self._prefetch(response, outbound.deadline_s)
+            response = await self._attempts.run(
+                outbound, target_id, release, fresh=fresh
+            )
+        except AttemptFailure as exc:
+            await self._failed(run, side, target_id, exc)
+            raise
         except BaseException:
-            release()
+            run.sent = True
             raise
-        self._count(outbound, AttemptState.ANSWERED)
-        headers = (
-            *answer_headers(response.headers),
-            *coded_headers(Code.FORWARDED, RunState.RAN),
-        )
-        if isinstance(head, bytes):
-            self._pool.release(conn)
-            release()
-            return Response(response.status, headers, head)
-        stream = self._stream(head, conn, release)
-        return Response(response.status, headers, stream)
+        self._succeeded(run, side, target_id, response, started_s)
+        return response
 
-    async def _exchange(
-        self, outbound: Outbound, offer: TargetOffer
-    ) -> tuple[Response, ClientConnection]:
-        # Work that must not run twice never risks a connection that may
-        # have gone silent.
-        fresh = not outbound.idempotent or not outbound.replayable
-        try:
-            conn = await self._pool.acquire(
-                parse_address(offer.target_id), fresh=fresh
-            )
-        except ConnectFailed as exc:
-            raise AttemptFailure(
-                AttemptState.NOT_SENT, Code.CONNECT_FAILED, str(exc)
-            ) from exc
+    async def _acquire(self, run: _Run) -> tuple[Side | None, TargetOffer]:
+        """Return the side in turn and a slot there, or at the old side.
+
+        The old side never fails over to the new one, which has its cap.
+        """
+        side = self._shifts.next_side(run.outbound)
+        if side is not Side.NEW:
+            return side, await self._slot(run, side)
         try:
-            async with asyncio.timeout_at(self._until(outbound)):
-                response = await conn.exchange(
-                    outbound.method,
-                    outbound.target,
-                    _with_host(outbound.headers, offer),
-                    outbound.body,
-                )
+            return side, await self._slot(run, side)
         except RequestRefused as exc:
-            raise RequestRefused(
-                exc.code, exc.detail, run_state=RunState.UNKNOWN
-            ) from exc
-        except TimeoutError as exc:
-            raise AttemptFailure(
-                AttemptState.SENT, Code.ANSWER_TIMEOUT, offer.target_id
-            ) from exc
-        except ExchangeFailed as exc:
-            raise AttemptFailure(
-                AttemptState.SENT, Code.ANSWER_BROKEN, str(exc)
-            ) from exc
-        self._check_answer(outbound, response, conn)
-        return response, conn
-
-    def _until(self, outbound: Outbound) -> float:
-        loop = asyncio.get_running_loop()
-        left_s = outbound.deadline_s - time.monotonic()
-        return loop.time() + min(left_s, outbound.service.timeout_s)
-
-    def _check_answer(
-        self, outbound: Outbound, response: Response, conn: ClientConnection
-    ) -> None:
-        state = find_header(response.headers, RUN_STATE_HEADER)
-        if response.status == 503 and state == RunState.NOT_RUN.value:
-            conn.close()
-            raise AttemptFailure(
-                AttemptState.REFUSED, Code.TARGET_SHED, str(conn.address)
-            )
-        framed = (
-            find_header(response.headers, b"content-length") is not None
-            or find_header(response.headers, b"transfer-encoding") is not None
-            or response.status in _NO_BODY_STATUSES
-            or outbound.method == "HEAD"
+            run.decision.add("new side full", side=side, code=exc.code)
+            return Side.OLD, await self._slot(run, Side.OLD)
+
+    async def _slot(self, run: _Run, side: Side | None) -> TargetOffer:
+        outbound = run.outbound
+        if outbound.left_s <= 0:
+            raise RequestRefused(Code.DEADLINE_EXCEEDED)
+        service = outbound.service.name
+        targets = set(self._slots.targets(service, side))
+        avoid = run.tried if targets - run.tried else set()
+        return await self._slots.acquire(
+            service, side, frozenset(avoid), outbound.deadline_s
         )
-        if not framed:
-            conn.close()
-            raise AttemptFailure(
-                AttemptState.SENT,
-                Code.ANSWER_BROKEN,
-                "the answer's length can't be verified",
-            )
 
-    async def _prefetch(
-        self, response: Response, deadline_s: float
-    ) -> bytes | AsyncIterator[bytes]:
-        """Return a small answer whole, or a stream that replays its start."""
-        assert not isinstance(response.body, bytes), "clients stream"
-        parts: list[bytes] = []
-        size = 0
-        left_s = deadline_s - time.monotonic()
-        try:
-            async with asyncio.timeout(left_s):
-                async for chunk in response.body:
-                    parts.append(chunk)
-                    size += len(chunk)
-                    if size >= PREFETCH_BYTES:
-                        return _replay(parts, response.body)
-        except TimeoutError as exc:
-            raise AttemptFailure(
-                AttemptState.SENT, Code.ANSWER_TIMEOUT, "amid the answer"
-            ) from exc
-        except ExchangeFailed as exc:
-            raise AttemptFailure(
-                AttemptState.SENT, Code.ANSWER_BROKEN, str(exc)
-            ) from exc
-        return b"".join(parts)
-
-    async def _stream(
+    async def _failed(
         self,
-        body: AsyncIterator[bytes],
-        conn: ClientConnection,
-        release: Callable[[], None],
-    ) -> AsyncIterator[bytes]:
-        try:
-            async for chunk in body:
-                yield chunk
-        except ExchangeFailed as exc:
-            raise AnswerBroken(str(exc)) from exc
-        finally:
-            self._pool.release(conn)
-            release()
-
-    def _note(
-        self, outbound: Outbound, offer: TargetOffer, exc: AttemptFailure
+        run: _Run,
+        side: Side | None,
+        target_id: str,
+        exc: AttemptFailure,
     ) -> None:
-        self._count(outbound, exc.state)
+        run.sent = run.sent or exc.state is AttemptState.SENT
+        run.decision.add(
+            exc.state.value,
+            target=target_id,
+            side=side,
+            code=exc.code,
+            detail=exc.detail,
+        )
+        self._count(run, exc.state)
         self._log.emit(
             Event.ATTEMPT_FAILED,
-            target=offer.target_id,
+            target=target_id,
             state=exc.state.value,
             code=exc.code.number,
             detail=exc.detail,
         )
+        if exc.code is Code.CONNECTION_SILENT:
+            run.fresh = True
+            run.tried.discard(target_id)
+            return
+        dead = exc.code is Code.ANSWER_BROKEN and await self._suspects.broken(
+            target_id, run.fingerprint
+        )
+        self._shifts.observe(run.outbound, side, False, 0.0)
+        if self._ejection.failed(target_id, time.monotonic(), dead=dead):
+            self._log.emit(Event.TARGET_EJECTED, target=target_id)
 
-    def _count(self, outbound: Outbound, state: AttemptState) -> None:
+    def _succeeded(
+        self,
+        run: _Run,
+        side: Side | None,
+        target_id: str,
+        response: Response,
+        started_s: float,
+    ) -> None:
+        self._count(run, AttemptState.ANSWERED)
+        self._ejection.succeeded(target_id)
+        if isinstance(response.body, bytes):
+            self._suspects.clear(run.fingerprint)
+        ok = response.status < _SERVER_ERROR
+        latency_s = time.monotonic() - started_s
+        self._shifts.observe(run.outbound, side, ok, latency_s)
+
+    def _count(self, run: _Run, state: AttemptState) -> None:
+        service = run.outbound.service.name
         self._metrics.attempts.inc(
-            {"service": outbound.service.name, "outcome": state.value}
+            {"service": service, "outcome": state.value}
         )
 
 
-def _with_host(headers: Headers, offer: TargetOffer) -> Headers:
-    kept = tuple(h for h in headers if h[0] != b"host")
-    return ((b"host", offer.target_id.encode()), *kept)
-
+async def _first_answer(tasks: list[asyncio.Task[Response]]) -> Response:
+    """Return the first answer, else raise a failure.
 
-async def _replay(
-    parts: list[bytes], rest: AsyncIterator[bytes]
-) -> AsyncIterator[bytes]:
-    for part in parts:
-        yield part
-    async for chunk in rest:
-        yield chunk
-
-
-def _may_retry(outbound: Outbound, failure: AttemptFailure) -> bool:
-    if failure.state is AttemptState.SENT:
-        return outbound.idempotent and outbound.replayable
-    return outbound.replayable or failure.state is AttemptState.NOT_SENT
+    One that says how far an attempt came goes before a refusal, which
+    tells nothing of the attempt beside it.
+    """
+    failures: list[AttemptFailure | RequestRefused] = []
+    for task in asyncio.as_completed(tasks):
+        try:
+            return await task
+        except (AttemptFailure, RequestRefused) as exc:
+            failures.append(exc)
+    raise min(failures, key=lambda exc: isinstance(exc, RequestRefused))
 
 
-def _refusal(failure: AttemptFailure | None) -> RequestRefused:
-    if failure is None:
-        return RequestRefused(Code.NO_CAPACITY, retry_after_s=RETRY_AFTER_S)
-    run_state = (
-        RunState.UNKNOWN
-        if failure.state is AttemptState.SENT
-        else RunState.NOT_RUN
-    )
-    retry_after_s = RETRY_AFTER_S if run_state is RunState.NOT_RUN else None
-    return RequestRefused(
-        failure.code,
-        failure.detail,
-        run_state=run_state,
-        retry_after_s=retry_after_s,
-    )
+async def _discard(tasks: list[asyncio.Task[Response]]) -> None:
+    """Cancel attempts that lost, which closes their connections."""
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- a/src/wigeonford/entry/_front.py
+++ b/src/wigeonford/entry/_front.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from wigeonford.entry._config import ConfigFollower
+from wigeonford.entry._decisions import DecisionRing
 from wigeonford.entry._lookup import Lookup
 from wigeonford.entry._pipeline import Pipeline
 from wigeonford.entry._targets import TargetDirectory
@@ -66,12 +67,14 @@
         config: ConfigFollower,
         pipeline: Pipeline,
         targets: TargetDirectory,
+        decisions: DecisionRing,
         secrets: Secrets,
         metrics: Metrics,
     ) -> None:
         self._config = config
         self._pipeline = pipeline
         self._targets = targets
+        self._decisions = decisions
         self._secrets = secrets
         self._metrics = metrics
         self._lookup = Lookup(config.current)
@@ -99,13 +102,22 @@
 
     @_endpoint("POST", "/.wigeonford/targets")
     async def _announce(self, request: Request) -> Response:
-        self._authenticate_target(request)
+        _authenticate(request, self._secrets.target)
         message = _to_message(await _read_announcement(request))
         if message.service not in self._config.current.objects.services:
             raise RequestRefused(Code.OBJECT_UNKNOWN, message.service)
         await self._targets.announce(message)
         return _ok({"revision": self._config.current.revision})
 
+    @_endpoint("GET", "/.wigeonford/explain")
+    async def _explain(self, request: Request) -> Response:
+        _authenticate(request, self._secrets.operator)
+        request_id = parse_qs(request.query).get("id", [""])[0]
+        decision = self._decisions.find(request_id)
+        if decision is None:
+            raise RequestRefused(Code.REQUEST_NOT_KEPT, request_id)
+        return _ok(decision)
+
     @_endpoint("GET", "/health")
     async def _health(self, _request: Request) -> Response:
         fresh = self._config.is_fresh(time.monotonic())
@@ -126,13 +138,14 @@
         )
         return Response(200, headers, content)
 
-    def _authenticate_target(self, request: Request) -> None:
-        given = request.header(b"authorization")
-        if given is None:
-            raise RequestRefused(Code.CREDENTIAL_MISSING)
-        expected = f"Bearer {self._secrets.target}"
-        if not hmac.compare_digest(given.encode(), expected.encode()):
-            raise RequestRefused(Code.CREDENTIAL_WRONG)
+
+def _authenticate(request: Request, secret: str) -> None:
+    given = request.header(b"authorization")
+    if given is None:
+        raise RequestRefused(Code.CREDENTIAL_MISSING)
+    expected = f"Bearer {secret}"
+    if not hmac.compare_digest(given.encode(), expected.encode()):
+        raise RequestRefused(Code.CREDENTIAL_WRONG)
 
 
 async def _read_announcement(request: Request) -> Announcement:
--- a/src/wigeonford/entry/_pipeline.py
+++ b/src/wigeonford/entry/_pipeline.py
@@ -9,13 +9,14 @@
 from wigeonford.entry._admission import admit, Admitted, recheck
 from wigeonford.entry._claims import Claims, fingerprint, run_claimed
 from wigeonford.entry._config import ConfigFollower
-from wigeonford.entry._dispatch import Dispatcher, Outbound
+from wigeonford.entry._dispatch import Dispatcher
 from wigeonford.entry._hygiene import (
     clean_headers,
     clean_query,
     holds_key,
 )
 from wigeonford.entry._limiter import Limiter
+from wigeonford.entry._outbound import Outbound
 from wigeonford.errors import Code, RequestRefused
 from wigeonford.http import (
     CODE_HEADER,
--- a/src/wigeonford/entry/_pool.py
+++ b/src/wigeonford/entry/_pool.py
@@ -20,16 +20,24 @@
 
     async def acquire(
         self, address: Address, *, fresh: bool = False
-    ) -> ClientConnection:
-        """Return a connection; raise `ConnectFailed`."""
+    ) -> tuple[ClientConnection, bool]:
+        """Return a connection and whether it was used before.
+
+        Raise `ConnectFailed`.
+        """
         idle = self._idle.get(address)
         now_s = time.monotonic()
         while idle and not fresh:
             conn = idle.pop()
             if conn.reusable and now_s - conn.used_at_s < IDLE_S:
-                return conn
+                return conn, True
+            conn.close()
+        return await ClientConnection.open(address, CONNECT_TIMEOUT_S), False
+
+    def discard(self, address: Address) -> None:
+        """Close idle connections, as one of their kind went silent."""
+        for conn in self._idle.pop(address, ()):
             conn.close()
-        return await ClientConnection.open(address, CONNECT_TIMEOUT_S)
 
     def release(self, conn: ClientConnection) -> None:
         """Keep a connection for later, or close it if in doubt."""
--- a/src/wigeonford/entry/_slots.py
+++ b/src/wigeonford/entry/_slots.py
@@ -16,6 +16,7 @@
 from wigeonford.model import Side
 from wigeonford.peer import Done, PeerServer, SlotCall, TargetGone
 from wigeonford.policy import (
+    Ejection,
     slot_pool,
     SLOT_TERM_S,
     SlotHolder,
@@ -45,7 +46,11 @@
     """Use slots of the region's targets that this VM holds a lease of."""
 
     def __init__(
-        self, peers: RegionPeers, directory: TargetDirectory, checks: Checks
+        self,
+        peers: RegionPeers,
+        directory: TargetDirectory,
+        checks: Checks,
+        ejection: Ejection,
     ) -> None:
         self._peers = peers
         self._directory = directory
@@ -55,7 +60,7 @@
         self._waiting: dict[str, collections.deque[_Waiter]] = {}
         self._asking: set[str] = set()
         self._polling = False
-        self._ejected: Collection[str] = ()
+        self._ejection = ejection
         self._turn = 0
         self._free = asyncio.Event()
         directory.on_call(self._called)
@@ -79,10 +84,6 @@
         """Return once a slot has come free at this VM."""
         await self._free.wait()
 
-    def eject(self, targets: Collection[str]) -> None:
-        """Take no more slots of these targets and hand back what is held."""
-        self._ejected = targets
-
     def targets(self, service: str, side: Side | None) -> tuple[str, ...]:
         """Return the ids of a service's targets that are known here."""
         return self._holder.targets(slot_pool(service, side))
@@ -124,7 +125,8 @@
 
     def _take(self, pool: str, avoid: Collection[str]) -> TargetOffer | None:
         now_s = time.monotonic()
-        offer = self._holder.take(pool, {*avoid, *self._ejected}, now_s)
+        ejected = self._ejected(pool, now_s)
+        offer = self._holder.take(pool, {*avoid, *ejected}, now_s)
         if offer is None:
             return None
         self._checks.require(
@@ -139,6 +141,19 @@
         )
         return offer
 
+    def _ejected(self, pool: str, now_s: float) -> set[str]:
+        return self._ejection.ejected(self._holder.targets(pool), now_s)
+
+    def _avoided(self, now_s: float) -> set[str]:
+        """Return the targets whose slots are of no use here now."""
+        avoided: set[str] = set()
+        for pool in self._holder.pools():
+            avoided |= self._ejected(pool, now_s)
+        for waiting in self._waiting.values():
+            for waiter in waiting:
+                avoided.update(waiter.avoid)
+        return avoided
+
     async def _wait(
         self, pool: str, avoid: Collection[str], deadline_s: float
     ) -> TargetOffer:
@@ -239,10 +254,11 @@
         try:
             offered = True
             while offered:
+                now_s = time.monotonic()
                 ask = self._holder.ask(
                     lambda target: self._peers.owner(target) == owner,
-                    self._ejected,
-                    time.monotonic(),
+                    self._avoided(now_s),
+                    now_s,
                     recalled=recalled,
                 )
                 if owner == self._peers.name:
--- /dev/null
+++ b/src/wigeonford/entry/_suspects.py
@@ -0,0 +1,122 @@
+"""Requests in flight, deaths of targets and the requests behind them."""
+
+import asyncio
+from collections import Counter
+import contextlib
+import time
+from typing import Final
+
+from wigeonford.entry._region_peers import RegionPeers
+from wigeonford.errors import Code, RequestRefused, RunState
+from wigeonford.events import Event, EventLog
+from wigeonford.http import ClientConnection, ConnectFailed
+from wigeonford.peer import Done, PeerServer, SuspectCleared, TargetDeath
+from wigeonford.policy import Quarantine
+from wigeonford.settings import parse_address
+
+PROBE_TIMEOUT_S: Final = 0.2
+TELL_TIMEOUT_S: Final = 1.0
+RETRY_AFTER_S: Final = 30.0
+MAX_TOLD: Final = 64
+
+
+class Suspects:
+    """Bar requests that were in flight when targets failed."""
+
+    def __init__(self, peers: RegionPeers, log: EventLog) -> None:
+        self._peers = peers
+        self._log = log
+        self._quarantine = Quarantine()
+        self._in_flight: dict[str, Counter[bytes]] = {}
+        self._probes: dict[str, asyncio.Task[bool]] = {}
+
+    def attach(self, server: PeerServer) -> None:
+        """Register the message handlers."""
+        server.handle(TargetDeath, self._take_death)
+        server.handle(SuspectCleared, self._take_cleared)
+
+    def require_allowed(self, fingerprint: bytes, *, sent: bool) -> None:
+        """Raise `RequestRefused` for a request in quarantine.
+
+        `sent` tells that an earlier attempt of it has left.
+        """
+        if self._quarantine.is_barred(fingerprint, time.monotonic()):
+            self._log.emit(
+                Event.REQUEST_QUARANTINED, fingerprint=fingerprint.hex()
+            )
+            raise RequestRefused(
+                Code.QUARANTINED,
+                run_state=RunState.UNKNOWN if sent else RunState.NOT_RUN,
+                retry_after_s=None if sent else RETRY_AFTER_S,
+            )
+
+    def begin(self, target_id: str, fingerprint: bytes) -> None:
+        """Count a request in flight at a target."""
+        self._in_flight.setdefault(target_id, Counter())[fingerprint] += 1
+
+    def end(self, target_id: str, fingerprint: bytes) -> None:
+        """Count a request that a target is done with."""
+        flight = self._in_flight[target_id]
+        flight[fingerprint] -= 1
+        if not flight[fingerprint]:
+            del flight[fingerprint]
+        if not flight:
+            del self._in_flight[target_id]
+
+    def clear(self, fingerprint: bytes) -> None:
+        """Suspect a request no more, as it was answered whole."""
+        if self._quarantine.clear(fingerprint):
+            self._tell(SuspectCleared(fingerprint))
+
+    async def broken(self, target_id: str, fingerprint: bytes) -> bool:
+        """Tell whether a target whose answer broke off has died.
+
+        The requests in flight at that moment are its suspects; one probe
+        serves all whose connections broke together.
+        """
+        probe = self._probes.get(target_id)
+        if probe is None:
+            suspects = {*self._in_flight.get(target_id, ()), fingerprint}
+            probe = asyncio.create_task(self._probe(target_id, suspects))
+            self._probes[target_id] = probe
+            probe.add_done_callback(
+                lambda _: self._probes.pop(target_id, None)
+            )
+        with contextlib.suppress(asyncio.CancelledError):
+            return await asyncio.shield(probe)
+        raise asyncio.CancelledError
+
+    async def _probe(self, target_id: str, suspects: set[bytes]) -> bool:
+        try:
+            conn = await ClientConnection.open(
+                parse_address(target_id), PROBE_TIMEOUT_S
+            )
+        except ConnectFailed:
+            self._record(target_id, suspects)
+            return True
+        conn.close()
+        return False
+
+    def _record(self, target_id: str, suspects: set[bytes]) -> None:
+        now_s = time.monotonic()
+        self._quarantine.record_death(target_id, suspects, now_s)
+        self._log.emit(
+            Event.TARGET_DIED, target=target_id, suspects=len(suspects)
+        )
+        told = tuple(sorted(suspects)[:MAX_TOLD])
+        self._tell(TargetDeath(target_id, told))
+
+    def _tell(self, record: TargetDeath | SuspectCleared) -> None:
+        for name in self._peers.names:
+            if name != self._peers.name:
+                self._peers.send(name, record, TELL_TIMEOUT_S)
+
+    async def _take_death(self, record: TargetDeath) -> Done:
+        self._quarantine.record_death(
+            record.target_id, record.fingerprints, time.monotonic()
+        )
+        return Done()
+
+    async def _take_cleared(self, record: SuspectCleared) -> Done:
+        self._quarantine.clear(record.fingerprint)
+        return Done()
--- a/src/wigeonford/errors.py
+++ b/src/wigeonford/errors.py
@@ -102,6 +102,13 @@
         1303, 504, "the target did not answer in time", RunState.UNKNOWN
     )
 
+    REQUEST_NOT_KEPT = _info(
+        1311, 404, "no decision is kept of a request with this id"
+    )
+    CONNECTION_SILENT = _info(
+        1310, 504, "a connection to a target went silent", RunState.UNKNOWN
+    )
+
     CLAIM_IN_PROGRESS = _info(
         1400, 409, "a request with this key is running", RunState.UNKNOWN
     )
--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -51,6 +51,15 @@
         203, "a handler raised an unexpected error", logging.ERROR
     )
 
+    SHIFT_PAUSED = _event(
+        210,
+        "paused a shift, as its new side does worse",
+        logging.WARNING,
+    )
+    REQUEST_QUARANTINED = _event(
+        211, "refused a request in quarantine", logging.WARNING
+    )
+
     TARGET_ANNOUNCED = _event(300, "a target announced itself")
     TARGET_LEFT = _event(301, "a target is leaving")
     TARGET_EXPIRED = _event(302, "a target's lease expired", logging.WARNING)
@@ -58,6 +67,11 @@
         303, "refused a target's announcement", logging.WARNING
     )
 
+    TARGET_EJECTED = _event(
+        310, "ejected a target that fails", logging.WARNING
+    )
+    TARGET_DIED = _event(311, "a target failed amid requests", logging.WARNING)
+
     CONFIG_APPLIED = _event(400, "a new revision is in force")
     CONFIG_STALE = _event(
         401, "the configuration lease expired", logging.WARNING
--- a/src/wigeonford/model/_kinds.py
+++ b/src/wigeonford/model/_kinds.py
@@ -122,7 +122,8 @@
     """Move a part of a service from its old to its new targets.
 
     `cap` bounds the new side's part of the service's requests; `part` is
-    what it gets now, over a ramp of `ramp_s` seconds.
+    what it gets now, over a ramp of `ramp_s` seconds. With `sticky`, an
+    account stays on one side while the cap allows it.
     """
 
     name: str = bounded(1, 64)
@@ -131,6 +132,7 @@
     part: float = bounded(0, 1, default=0.0)
     ramp_s: float = bounded(0, 86400, default=0.0)
     paused: bool = False
+    sticky: bool = False
 
 
 @kind("links")
--- a/src/wigeonford/peer/__init__.py
+++ b/src/wigeonford/peer/__init__.py
@@ -22,7 +22,12 @@
     PullConfig,
     TargetAnnounce,
 )
-from wigeonford.peer._slot_messages import SlotCall, TargetGone
+from wigeonford.peer._slot_messages import (
+    SlotCall,
+    SuspectCleared,
+    TargetDeath,
+    TargetGone,
+)
 
 __all__ = [
     "MESSAGES",
@@ -41,7 +46,9 @@
     "PeerServer",
     "PullConfig",
     "SlotCall",
+    "SuspectCleared",
     "TargetAnnounce",
+    "TargetDeath",
     "TargetGone",
     "failure_error",
     "message",
--- a/src/wigeonford/peer/_slot_messages.py
+++ b/src/wigeonford/peer/_slot_messages.py
@@ -25,3 +25,20 @@
 
     target_id: str
     sequence: int
+
+
+@message(64)
+@dataclass(frozen=True, slots=True)
+class TargetDeath:
+    """Name the requests that were in flight when a target failed."""
+
+    target_id: str
+    fingerprints: tuple[bytes, ...]
+
+
+@message(65)
+@dataclass(frozen=True, slots=True)
+class SuspectCleared:
+    """Say that a suspected request was answered whole."""
+
+    fingerprint: bytes
--- a/src/wigeonford/policy/__init__.py
+++ b/src/wigeonford/policy/__init__.py
@@ -1,5 +1,6 @@
 """Pure decisions: limits, selection and shifts, without I/O or clocks."""
 
+from wigeonford.policy._ejection import Ejection
 from wigeonford.policy._leases import (
     fair_part,
     LeaseGrant,
@@ -9,6 +10,15 @@
 )
 from wigeonford.policy._limits import BucketShare, TokenBucket
 from wigeonford.policy._ownership import owner_of
+from wigeonford.policy._quarantine import Quarantine, request_fingerprint
+from wigeonford.policy._retry import (
+    AttemptBudget,
+    HEDGE_PART,
+    HEDGE_RESERVE,
+    LatencyWindow,
+    RETRY_PART,
+    RETRY_RESERVE,
+)
 from wigeonford.policy._selection import Candidate, choose_target
 from wigeonford.policy._shift import ShiftCounter
 from wigeonford.policy._slot_book import divide_slots, SLOT_TERM_S, SlotBook
@@ -24,13 +34,21 @@
 )
 
 __all__ = [
+    "HEDGE_PART",
+    "HEDGE_RESERVE",
+    "RETRY_PART",
+    "RETRY_RESERVE",
     "SLOT_TERM_S",
+    "AttemptBudget",
     "BucketShare",
     "Candidate",
+    "Ejection",
+    "LatencyWindow",
     "LeaseGrant",
     "LeaseGrantor",
     "LeaseHolder",
     "LeaseRequest",
+    "Quarantine",
     "ShiftCounter",
     "SlotAnswer",
     "SlotAsk",
@@ -45,5 +63,6 @@
     "divide_slots",
     "fair_part",
     "owner_of",
+    "request_fingerprint",
     "slot_pool",
 ]
--- /dev/null
+++ b/src/wigeonford/policy/_retry.py
@@ -0,0 +1,68 @@
+"""Budgets for retries and hedges, and when to send them."""
+
+from collections import deque
+from typing import Final
+
+RETRY_PART: Final = 0.2
+RETRY_RESERVE: Final = 10.0
+HEDGE_PART: Final = 0.05
+HEDGE_RESERVE: Final = 2.0
+HEDGE_QUANTILE: Final = 0.95
+SAMPLES: Final = 256
+MIN_SAMPLES: Final = 32
+FIRST_BYTE_FACTOR: Final = 4.0
+MIN_FIRST_BYTE_S: Final = 0.05
+MIN_HEDGE_S: Final = 0.005
+
+
+class AttemptBudget:
+    """Allow extra attempts, at most a part of the requests of late.
+
+    Each request earns `part` of an attempt; no more than `reserve` are kept.
+    """
+
+    def __init__(self, part: float, reserve: float) -> None:
+        self._part = part
+        self._reserve = reserve
+        self._tokens = reserve
+
+    def earn(self) -> None:
+        """Count a request."""
+        self._tokens = min(self._reserve, self._tokens + self._part)
+
+    def spend(self) -> bool:
+        """Take an extra attempt if there is one."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+class LatencyWindow:
+    """Keep the latest latencies of a service, in seconds."""
+
+    def __init__(self) -> None:
+        self._samples: deque[float] = deque(maxlen=SAMPLES)
+
+    def add(self, seconds: float) -> None:
+        """Record how long a target took to begin its answer."""
+        self._samples.append(seconds)
+
+    def quantile(self, part: float) -> float | None:
+        """Return a quantile; None until there are enough samples."""
+        if len(self._samples) < MIN_SAMPLES:
+            return None
+        ordered = sorted(self._samples)
+        return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
+
+    def hedge_after_s(self) -> float | None:
+        """Return when a second attempt may help; None if not known."""
+        found = self.quantile(HEDGE_QUANTILE)
+        return max(found, MIN_HEDGE_S) if found is not None else None
+
+    def first_byte_s(self) -> float | None:
+        """Return how long a pooled connection may stay silent."""
+        found = self.quantile(HEDGE_QUANTILE)
+        if found is None:
+            return None
+        return max(MIN_FIRST_BYTE_S, FIRST_BYTE_FACTOR * found)
--- a/src/wigeonford/policy/_slot_holder.py
+++ b/src/wigeonford/policy/_slot_holder.py
@@ -126,6 +126,10 @@
         """Return the ids of the targets known of a pool."""
         return tuple(held.offer.target_id for held in self._in_pool(pool))
 
+    def pools(self) -> tuple[str, ...]:
+        """Return the pools that requests have needed of late."""
+        return tuple(self._demand)
+
     def all_targets(self) -> tuple[str, ...]:
         """Return the ids of every target known."""
         return tuple(self._targets)
@@ -155,6 +159,10 @@
 
         A holder whose slots are recalled keeps those in use or waited for.
         """
+        for target_id in avoid:
+            held = self._targets.get(target_id)
+            if held is not None:
+                held.lease.reduce(held.in_use)
         wants = tuple(self._wants(is_owner, now_s, recalled=recalled))
         rows = tuple(
             self._row(held, target_id in avoid, now_s)
@@ -222,8 +230,6 @@
             yield SlotWant(pool, needed, here if recalled else wanted)
 
     def _row(self, held: _Held, avoid: bool, now_s: float) -> SlotRow:
-        if avoid:
-            held.lease.reduce(held.in_use)
         request: LeaseRequest = held.lease.ask(0.0, now_s)
         request = replace(request, held=held.held(now_s))
         return SlotRow(
--- /dev/null
+++ b/tests/test_policy_attempts.py
@@ -0,0 +1,141 @@
+"""Budgets, ejection, quarantine and shifts, in virtual time."""
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wigeonford.model import Share, Side
+from wigeonford.policy import (
+    AttemptBudget,
+    Ejection,
+    LatencyWindow,
+    Quarantine,
+    request_fingerprint,
+    ShiftCounter,
+)
+
+TARGETS = ("t1", "t2", "t3", "t4")
+
+
+def _share(part: float, cap: float = 0.5, **fields: object) -> Share:
+    return Share("move", "catalogue", cap, part, **fields)  # type: ignore
+
+
+class ShiftTest(unittest.TestCase):
+    """The new side stays under its cap at each prefix."""
+
+    @settings(max_examples=200, derandomize=True, deadline=None)
+    @given(
+        part=st.floats(0, 1),
+        cap=st.floats(0, 1),
+        accounts=st.lists(st.sampled_from("abcdefgh"), max_size=200),
+        sticky=st.booleans(),
+    )
+    def test_cap_holds_at_every_prefix(
+        self, part: float, cap: float, accounts: list[str], sticky: bool
+    ) -> None:
+        share = _share(min(part, cap), cap)
+        counter = ShiftCounter()
+        new = 0
+        for total, account in enumerate(accounts, 1):
+            name = account if sticky else None
+            new += counter.next_side(share, 0.0, name) is Side.NEW
+            self.assertLessEqual(new, cap * total)
+            self.assertTrue(counter.is_under_cap())
+
+    def test_what_was_not_used_is_not_saved_up(self) -> None:
+        counter = ShiftCounter()
+        sticky = next(
+            name
+            for name in map(str, range(100))
+            if counter.next_side(_share(0.2), 0.0, name) is Side.OLD
+        )
+        for _ in range(1000):
+            counter.next_side(_share(0.2), 0.0, sticky)
+        sides = [counter.next_side(_share(0.2)) for _ in range(100)]
+        self.assertLessEqual(sides.count(Side.NEW), 20 + 1)
+
+    def test_part_is_ramped_and_accounts_stay(self) -> None:
+        share = _share(0.4, ramp_s=100.0)
+        counter = ShiftCounter()
+        counter.next_side(share, 0.0)
+        self.assertEqual(counter.part(25.0), 0.1)
+        self.assertEqual(counter.part(100.0), 0.4)
+        counter.next_side(_share(0.5, ramp_s=100.0), 100.0)
+        self.assertAlmostEqual(counter.part(150.0), 0.45)
+        rng = random.Random(3)
+        seen: dict[str, set[Side]] = {}
+        steady = ShiftCounter()
+        for number in range(4000):
+            name = str(rng.randrange(50))
+            side = steady.next_side(_share(0.5), 0.0, name)
+            if number > 1000:
+                seen.setdefault(name, set()).add(side)
+        stayed = sum(len(sides) == 1 for sides in seen.values())
+        self.assertGreaterEqual(stayed, 25)
+
+    def test_worse_new_side_pauses_until_an_operator_acts(self) -> None:
+        for ok, latency_s in ((False, 0.0), (True, 0.5)):
+            with self.subTest(ok=ok):
+                counter = ShiftCounter()
+                counter.next_side(_share(0.5), 0.0)
+                paused = []
+                for _ in range(40):
+                    counter.observe(Side.OLD, True, 0.01)
+                    paused.append(counter.observe(Side.NEW, ok, latency_s))
+                self.assertEqual(paused.count(True), 1)
+                sides = {counter.next_side(_share(0.5)) for _ in range(9)}
+                self.assertEqual(sides, {Side.OLD})
+                later = [counter.next_side(_share(0.4)) for _ in range(9)]
+                self.assertIn(Side.NEW, later)
+
+
+class AttemptPolicyTest(unittest.TestCase):
+    """Extra attempts are few; failing targets and requests are left out."""
+
+    def test_retries_are_a_part_of_requests(self) -> None:
+        budget = AttemptBudget(0.2, 10.0)
+        spent = 0
+        for _ in range(1000):
+            budget.earn()
+            spent += budget.spend()
+        self.assertLessEqual(spent, 1000 * 0.2 + 10)
+        self.assertGreaterEqual(spent, 200)
+
+    def test_timers_follow_what_was_seen(self) -> None:
+        window = LatencyWindow()
+        self.assertIsNone(window.hedge_after_s())
+        for number in range(100):
+            window.add(number / 1000)
+        self.assertAlmostEqual(window.hedge_after_s() or 0, 0.095)
+        self.assertAlmostEqual(window.first_byte_s() or 0, 0.38)
+
+    def test_ejection_backs_off_and_keeps_half(self) -> None:
+        ejection = Ejection()
+        for target in TARGETS[:3]:
+            for _ in range(3):
+                ejection.failed(target, 0.0)
+        self.assertEqual(len(ejection.ejected(TARGETS, 0.5)), 2)
+        self.assertEqual(ejection.ejected(TARGETS, 1.5), set())
+        self.assertTrue(ejection.failed("t1", 2.0, dead=True))
+        self.assertEqual(ejection.ejected(TARGETS, 3.5), {"t1"})
+        ejection.succeeded("t1")
+        self.assertEqual(ejection.ejected(TARGETS, 3.5), set())
+
+    def test_poison_is_barred_and_bystanders_are_not(self) -> None:
+        poison = request_fingerprint("a", "GET", "/poison", b"")
+        bystander = request_fingerprint("a", "GET", "/ab", b"")
+        self.assertNotEqual(
+            bystander, request_fingerprint("a", "GET", "/a", b"b")
+        )
+        quarantine = Quarantine()
+        quarantine.record_death("t1", {poison, bystander}, 0.0)
+        quarantine.record_death("t1", {poison, bystander}, 0.1)
+        self.assertFalse(quarantine.is_barred(poison, 0.2))
+        self.assertTrue(quarantine.clear(bystander))
+        quarantine.record_death("t2", {poison, bystander}, 1.0)
+        self.assertTrue(quarantine.is_barred(poison, 1.1))
+        self.assertFalse(quarantine.is_barred(bystander, 1.1))
+        self.assertFalse(quarantine.is_barred(poison, 62.0))
