--- a/src/wigeonford/entry/_daemon.py
+++ b/src/wigeonford/entry/_daemon.py
@@ -122,6 +122,7 @@
         await self._leave_roster()
         await asyncio.sleep(lifetime_s)
         await self._http.stop(STOP_GRACE_S)
+        await self._slots.hand_back()
         await self._close_links()
 
     async def crash(self) -> None:
--- a/src/wigeonford/entry/_slots.py
+++ b/src/wigeonford/entry/_slots.py
@@ -60,6 +60,7 @@
         self._waiting: dict[str, collections.deque[_Waiter]] = {}
         self._asking: set[str] = set()
         self._polling = False
+        self._watching = 0
         self._ejection = ejection
         self._turn = 0
         self._free = asyncio.Event()
@@ -80,9 +81,29 @@
         free = self._holder.available(pool, time.monotonic())
         return max(0, free - len(self._waiting.get(pool, ())))
 
-    async def wait_free(self) -> None:
-        """Return once a slot has come free at this VM."""
-        await self._free.wait()
+    async def wait_free(self, service: str, side: Side | None = None) -> None:
+        """Return once a slot may have come free at this VM.
+
+        Waiting counts as demand, so that owners are asked for slots.
+        """
+        pool = slot_pool(service, side)
+        self._holder.want(pool, time.monotonic())
+        self._watching += 1
+        self._poll()
+        try:
+            await self._free.wait()
+        finally:
+            self._watching -= 1
+            self._holder.done(pool, time.monotonic())
+
+    async def hand_back(self) -> None:
+        """Hand back every slot that is not in use, before a stop."""
+        await asyncio.gather(
+            *(
+                self._exchange(owner, recalled=True)
+                for owner in self._peers.names
+            )
+        )
 
     def targets(self, service: str, side: Side | None) -> tuple[str, ...]:
         """Return the ids of a service's targets that are known here."""
@@ -215,7 +236,7 @@
 
     async def _ask_while_short(self) -> None:
         try:
-            while any(self._waiting.values()):
+            while self._watching or any(self._waiting.values()):
                 self._ask_all()
                 await asyncio.sleep(ASK_INTERVAL_S)
         finally:
