Hedge where no request waits, rather than where a slot lies idle

Cause: a VM holds few more slots than it uses, so hedges hardly ever went out. Change: a hedge may ask the owner for a slot while none waits.

--- a/src/wigeonford/entry/_dispatch.py
+++ b/src/wigeonford/entry/_dispatch.py
@@ -150,7 +150,7 @@
     def _may_hedge(self, run: _Run) -> bool:
         service = run.outbound.service.name
         side = Side.OLD if run.outbound.share is not None else None
-        if not self._slots.available(service, side):
+        if self._slots.is_short(service, side):
             return False
         return self._hedges.spend()
 
--- a/src/wigeonford/entry/_slots.py
+++ b/src/wigeonford/entry/_slots.py
@@ -81,6 +81,10 @@
         free = self._holder.available(pool, time.monotonic())
         return max(0, free - len(self._waiting.get(pool, ())))
 
+    def is_short(self, service: str, side: Side | None = None) -> bool:
+        """Tell whether requests wait for slots of a service here."""
+        return bool(self._waiting.get(slot_pool(service, side)))
+
     async def wait_free(self, service: str, side: Side | None = None) -> None:
         """Return once a slot may have come free at this VM.
 
