Hand targets over to their new owner with all that is granted

Cause: a new owner can't know earlier grants, so it only renewed slots for 7 s, also after a planned stop; a test that stops an entry VM and goes on sending got 503s. Change: an owner that lives on tells the new one what holders may have.

--- a/src/wigeonford/entry/_daemon.py
+++ b/src/wigeonford/entry/_daemon.py
@@ -123,6 +123,7 @@
         await asyncio.sleep(lifetime_s)
         await self._http.stop(STOP_GRACE_S)
         await self._slots.hand_back()
+        await self._targets.hand_over_all()
         await self._close_links()
 
     async def crash(self) -> None:
--- a/src/wigeonford/entry/_region_peers.py
+++ b/src/wigeonford/entry/_region_peers.py
@@ -32,6 +32,7 @@
         self._links: dict[str, tuple[Member, PeerClient]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._owners: dict[str, str | None] = {}
+        self._left = False
         config.on_change(self._follow_roster)
 
     def owner(self, target_id: str) -> str | None:
@@ -40,6 +41,11 @@
             self._owners[target_id] = owner_of(target_id, self.names)
         return self._owners[target_id]
 
+    def leave(self) -> None:
+        """Own no target from now on, as this VM stops."""
+        self._left = True
+        self._set_names(self.names)
+
     async def request(self, name: str, record: Any, timeout_s: float) -> Any:
         """Return a peer's reply; raise `PeerError`."""
         link = self._links.get(name)
@@ -86,12 +92,16 @@
             if member.availability_zone in zones
             and zones[member.availability_zone].region == home.region
         }
-        names = tuple(sorted(members))
+        self._set_names(tuple(sorted(members)))
+        members.pop(self.name, None)
+        self._link(members)
+
+    def _set_names(self, names: tuple[str, ...]) -> None:
+        if self._left:
+            names = tuple(name for name in names if name != self.name)
         if names != self.names:
             self.names = names
             self._owners.clear()
-        members.pop(self.name, None)
-        self._link(members)
 
     def _link(self, members: dict[str, Member]) -> None:
         for name, (member, client) in list(self._links.items()):
--- a/src/wigeonford/entry/_targets.py
+++ b/src/wigeonford/entry/_targets.py
@@ -1,7 +1,8 @@
 """The owner's side: announcements of targets and grants of their slots."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+import contextlib
 import time
 from typing import Final
 
@@ -17,6 +18,7 @@
     SlotCall,
     TargetAnnounce,
     TargetGone,
+    TargetHandover,
 )
 from wigeonford.policy import (
     SLOT_TERM_S,
@@ -28,6 +30,8 @@
 
 SPREAD_TIMEOUT_S: Final = 1.0
 SWEEP_INTERVAL_S: Final = 0.5
+HANDOVER_TRIES: Final = 8
+HANDOVER_INTERVAL_S: Final = 0.25
 
 CallListener = Callable[[SlotCall | TargetGone], None]
 
@@ -58,6 +62,7 @@
         """Register the message handlers."""
         server.handle(TargetAnnounce, self._take)
         server.handle(SlotAsk, self._serve)
+        server.handle(TargetHandover, self._take_over)
 
     async def start(self) -> None:
         """Begin to expire targets."""
@@ -111,6 +116,51 @@
     async def _serve(self, ask: SlotAsk) -> SlotAnswer:
         return self.serve(ask)
 
+    async def hand_over_all(self) -> None:
+        """Make other VMs the owners of every target, before a stop."""
+        self._peers.leave()
+        await asyncio.gather(
+            *(self._hand_over(handover) for handover in self._handovers())
+        )
+
+    def _handovers(self) -> Iterator[TargetHandover]:
+        """Give up targets that another VM owns now; yield what it needs."""
+        now_s = time.monotonic()
+        for target_id in self._book.owned():
+            if self._peers.owner(target_id) == self._peers.name:
+                continue
+            held = self._book.hand_over(target_id, now_s)
+            target = self._registry.find(target_id)
+            self._registry.forget(target_id)
+            if held is not None and target is not None:
+                yield TargetHandover(_announcement(target, now_s), held)
+
+    async def _hand_over(self, handover: TargetHandover) -> None:
+        """Tell the new owner, which may learn of the roster later."""
+        known = handover.announcement
+        for _ in range(HANDOVER_TRIES):
+            owner = self._peers.owner(f"{known.host}:{known.port}")
+            if owner is None or owner == self._peers.name:
+                return
+            try:
+                await self._peers.request(owner, handover, SPREAD_TIMEOUT_S)
+                return
+            except PeerError:
+                await asyncio.sleep(HANDOVER_INTERVAL_S)
+
+    async def _take_over(self, message: TargetHandover) -> Done:
+        known = message.announcement
+        target_id = f"{known.host}:{known.port}"
+        if self._peers.owner(target_id) != self._peers.name:
+            raise PeerError(Code.NOT_OWNER, self._peers.name)
+        now_s = time.monotonic()
+        with contextlib.suppress(RequestRefused):
+            self._registry.announce(known, now_s)
+        target = self._registry.find(target_id)
+        if target is not None and not target.leaving:
+            self._book.take_over(_offer(target), message.held, now_s)
+        return Done()
+
     def _record(self, message: TargetAnnounce) -> None:
         now_s = time.monotonic()
         known = self._registry.find(f"{message.host}:{message.port}")
@@ -120,14 +170,7 @@
             return
         if known is None or known.leaving:
             self._log.emit(Event.TARGET_ANNOUNCED, target=target.target_id)
-        offer = TargetOffer(
-            target.target_id,
-            target.service,
-            target.side,
-            target.slots,
-            target.sequence,
-        )
-        self._book.put(offer, now_s, is_new=message.first)
+        self._book.put(_offer(target), now_s, is_new=message.first)
 
     def _leave(self, target: Target, event: Event) -> None:
         self._log.emit(event, target=target.target_id)
@@ -154,11 +197,33 @@
     def _follow(self, _config: object) -> None:
         """Stop granting slots of targets that another VM owns now."""
         self._book.headroom = self._peers.headroom
-        for target_id in self._book.owned():
-            if self._peers.owner(target_id) != self._peers.name:
-                self._book.remove(target_id)
-                self._registry.forget(target_id)
+        for handover in self._handovers():
+            self._peers.spawn(self._hand_over(handover))
 
 
 def _ignore(_record: SlotCall | TargetGone) -> None:
     return
+
+
+def _offer(target: Target) -> TargetOffer:
+    return TargetOffer(
+        target.target_id,
+        target.service,
+        target.side,
+        target.slots,
+        target.sequence,
+    )
+
+
+def _announcement(target: Target, now_s: float) -> TargetAnnounce:
+    return TargetAnnounce(
+        service=target.service,
+        host=target.address.host,
+        port=target.address.port,
+        side=target.side.value,
+        slots=target.slots,
+        sequence=target.sequence,
+        lease_s=target.expires_at_s - now_s,
+        load=target.load,
+        leaving=target.leaving,
+    )
--- a/src/wigeonford/peer/__init__.py
+++ b/src/wigeonford/peer/__init__.py
@@ -27,6 +27,7 @@
     SuspectCleared,
     TargetDeath,
     TargetGone,
+    TargetHandover,
 )
 
 __all__ = [
@@ -50,6 +51,7 @@
     "TargetAnnounce",
     "TargetDeath",
     "TargetGone",
+    "TargetHandover",
     "failure_error",
     "message",
 ]
--- a/src/wigeonford/peer/_slot_messages.py
+++ b/src/wigeonford/peer/_slot_messages.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from wigeonford.peer._messages import message
-from wigeonford.policy import SlotAnswer, SlotAsk
+from wigeonford.peer._messages import message, TargetAnnounce
+from wigeonford.policy import SlotAnswer, SlotAsk, SlotHeld
 
 message(60)(SlotAsk)
 message(61)(SlotAnswer)
@@ -42,3 +42,12 @@
     """Say that a suspected request was answered whole."""
 
     fingerprint: bytes
+
+
+@message(66)
+@dataclass(frozen=True, slots=True)
+class TargetHandover:
+    """Make another entry VM a target's owner, with all that is granted."""
+
+    announcement: TargetAnnounce
+    held: tuple[SlotHeld, ...]
--- a/src/wigeonford/policy/_slot_book.py
+++ b/src/wigeonford/policy/_slot_book.py
@@ -1,15 +1,20 @@
 """The owner's side of slots: grant whole slots of its targets."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 import math
 from typing import Final
 
-from wigeonford.policy._leases import LeaseGrantor, LeaseRequest
+from wigeonford.policy._leases import (
+    DRIFT_MARGIN,
+    LeaseGrantor,
+    LeaseRequest,
+)
 from wigeonford.policy._slot_types import (
     SlotAnswer,
     SlotAsk,
     SlotGrant,
+    SlotHeld,
     SlotRow,
     TargetOffer,
 )
@@ -18,6 +23,15 @@
 WARM_UP_S: Final = 3.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Granted:
+    """Hold the most that a holder may have, from its latest request."""
+
+    amount: int
+    number: int
+    expires_at_s: float
+
+
 @dataclass(slots=True)
 class _Owned:
     """Hold a target, its grantor and what each holder was granted."""
@@ -25,7 +39,23 @@
     offer: TargetOffer
     grantor: LeaseGrantor
     cold_since_s: float | None
-    amounts: dict[str, int] = field(default_factory=dict)
+    settled_at_s: float
+    granted: dict[str, _Granted] = field(default_factory=dict)
+
+    def amount(self, holder: str) -> int:
+        granted = self.granted.get(holder)
+        return granted.amount if granted is not None else 0
+
+    def note(self, holder: str, granted: _Granted) -> None:
+        """Record a grant, unless its request was overtaken by another."""
+        known = self.granted.get(holder)
+        if known is None or granted.number >= known.number:
+            self.granted[holder] = granted
+
+    def expire(self, now_s: float) -> None:
+        for holder, granted in list(self.granted.items()):
+            if granted.expires_at_s <= now_s:
+                del self.granted[holder]
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,12 +99,57 @@
             takes_over=not is_new,
         )
         cold_since_s = now_s if is_new else None
-        self._owned[offer.target_id] = _Owned(offer, grantor, cold_since_s)
+        if not is_new:
+            wait_s += self._term_s * (1 + DRIFT_MARGIN)
+        self._owned[offer.target_id] = _Owned(
+            offer, grantor, cold_since_s, now_s + wait_s
+        )
 
     def remove(self, target_id: str) -> tuple[str, ...]:
         """Own a target no more; return the holders to tell."""
         owned = self._owned.pop(target_id, None)
-        return tuple(owned.amounts) if owned is not None else ()
+        return tuple(owned.granted) if owned is not None else ()
+
+    def hand_over(
+        self, target_id: str, now_s: float
+    ) -> tuple[SlotHeld, ...] | None:
+        """Own a target no more; return all that holders may have of it.
+
+        Return None where an earlier owner's grants are not known either.
+        """
+        owned = self._owned.pop(target_id, None)
+        if owned is None or owned.settled_at_s > now_s:
+            return None
+        owned.expire(now_s)
+        return tuple(
+            SlotHeld(holder, granted.amount)
+            for holder, granted in owned.granted.items()
+            if granted.amount
+        )
+
+    def take_over(
+        self, offer: TargetOffer, held: Iterable[SlotHeld], now_s: float
+    ) -> None:
+        """Own a target whose earlier owner told what it has granted."""
+        amounts = {item.holder: item.amount for item in held}
+        known = self._owned.get(offer.target_id)
+        if known is not None:
+            if known.settled_at_s <= now_s:
+                return
+            known.expire(now_s)
+            for holder, granted in known.granted.items():
+                amounts[holder] = max(granted.amount, amounts.get(holder, 0))
+        if sum(amounts.values()) > offer.slots:
+            # What is held is being reduced; wait until leases have run out.
+            return
+        grantor = LeaseGrantor(
+            offer.slots, self._term_s, now_s, whole=True, takes_over=False
+        )
+        owned = _Owned(offer, grantor, None, now_s)
+        for holder, amount in amounts.items():
+            grantor.request(LeaseRequest(holder, 0, amount, amount), now_s)
+            owned.note(holder, _Granted(amount, 0, now_s + self._term_s))
+        self._owned[offer.target_id] = owned
 
     def owned(self) -> tuple[str, ...]:
         """Return the ids of all targets owned."""
@@ -144,6 +219,8 @@
 
     def _size(self, now_s: float) -> None:
         """Set each target's capacity by its warm-up and the headroom."""
+        for item in self._owned.values():
+            item.expire(now_s)
         left = self.bound()
         taken = sum(item.offer.slots for item in self._owned.values()) - left
         ordered = sorted(
@@ -172,7 +249,7 @@
                 yield item
 
     def _held(self, pool: str, holder: str) -> int:
-        return sum(item.amounts.get(holder, 0) for item in self._in_pool(pool))
+        return sum(item.amount(holder) for item in self._in_pool(pool))
 
     def _place(
         self,
@@ -223,9 +300,9 @@
             )
             grant = item.grantor.request(request, now_s)
             amount = int(grant.amount)
-            item.amounts[holder] = max(amount, row.held)
-            if not item.amounts[holder]:
-                del item.amounts[holder]
+            most = max(amount, row.held)
+            granted = _Granted(most, row.number, now_s + self._term_s)
+            item.note(holder, granted)
             yield SlotGrant(target_id, grant.number, amount)
 
 
--- a/src/wigeonford/policy/_slot_types.py
+++ b/src/wigeonford/policy/_slot_types.py
@@ -42,6 +42,14 @@
     amount: int
 
 
+@dataclass(frozen=True, slots=True)
+class SlotHeld:
+    """Tell what a holder may have of a target that changes its owner."""
+
+    holder: str
+    amount: int
+
+
 @dataclass(frozen=True, slots=True)
 class TargetOffer:
     """Describe a target that a holder may ask slots of.
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -108,6 +108,18 @@
             self.book.put(_offer(target_id), self.now_s, is_new=False)
         self.asks.clear()
 
+    @rule()
+    def hand_over(self) -> None:
+        earlier, self.book = self.book, SlotBook(SLOT_TERM_S, CONFIG_WAIT_S)
+        for target_id in SLOTS:
+            held = earlier.hand_over(target_id, self.now_s)
+            if held is None:
+                self.book.put(_offer(target_id), self.now_s, is_new=False)
+            else:
+                self.book.take_over(_offer(target_id), held, self.now_s)
+                assert self.book.owned(), "slots handed over fit"
+        self.asks.clear()
+
     @invariant()
     def slots_are_not_exceeded(self) -> None:
         for target_id, slots in SLOTS.items():
