--- a/src/wigeonford/compose.py
+++ b/src/wigeonford/compose.py
@@ -1,11 +1,19 @@
 """Composition root: wire the parts of each daemon."""
 
+from collections.abc import Callable
+from pathlib import Path
+import random
+
 from wigeonford.control import (
+    ClaimService,
     ControlDaemon,
     ControlService,
+    LogFileStore,
     OperatorApi,
+    RaftReplica,
+    RegisterStore,
+    Replica,
     SoloReplica,
-    SqliteStore,
 )
 from wigeonford.entry import (
     Announcer,
@@ -23,33 +31,80 @@
     TargetDirectory,
     TargetRegistry,
 )
-from wigeonford.events import EventLog
+from wigeonford.events import Event, EventLog
 from wigeonford.http import HttpServer
 from wigeonford.invariants import Checks
 from wigeonford.metrics import Metrics
 from wigeonford.peer import PeerClient, PeerServer
 from wigeonford.policy import Ejection
-from wigeonford.settings import CallerLimits, ControlSettings, EntrySettings
+from wigeonford.settings import (
+    Address,
+    CallerLimits,
+    ControlSettings,
+    EntrySettings,
+)
 from wigeonford.tls import client_context
 
 
-def build_control(cfg: ControlSettings, log: EventLog) -> ControlDaemon:
+def build_control(
+    cfg: ControlSettings,
+    log: EventLog,
+    open_store: Callable[[Path], LogFileStore] = LogFileStore,
+) -> ControlDaemon:
     """Return a control replica that is ready to start."""
     log = log.bind(vm=cfg.name)
-    replica = SoloReplica(cfg.name, SqliteStore(cfg.data_folder))
+    peers = PeerServer(cfg.secrets.peer, log)
+    replica = _build_replica(cfg, peers, open_store(cfg.data_folder), log)
     api = OperatorApi(
         replica, cfg.secrets.operator, cfg.secrets.key_hash, Metrics(), log
     )
     return ControlDaemon(
         cfg,
         replica,
-        ControlService(replica, log),
-        PeerServer(cfg.secrets.peer, log),
+        (ControlService(replica, log), _build_claims(cfg, log)),
+        peers,
         HttpServer(api.handle, CallerLimits(), log),
         log,
     )
 
 
+def _build_claims(cfg: ControlSettings, log: EventLog) -> ClaimService:
+    others = {
+        member.name: PeerClient(
+            cfg.name,
+            member.peer_address,
+            cfg.secrets.peer,
+            log,
+            client_context(cfg.tls),
+        )
+        for member in cfg.members
+        if member.name != cfg.name
+    }
+    store = RegisterStore(cfg.data_folder)
+    return ClaimService(store, others, log, random.Random())
+
+
+def _build_replica(
+    cfg: ControlSettings,
+    peers: PeerServer,
+    store: LogFileStore,
+    log: EventLog,
+) -> Replica:
+    if store.dropped_bytes:
+        log.emit(Event.LOG_TAIL_DROPPED, bytes=store.dropped_bytes)
+    if not cfg.members:
+        return SoloReplica(cfg.name, store)
+
+    def connect(address: Address) -> PeerClient:
+        return PeerClient(
+            cfg.name, address, cfg.secrets.peer, log, client_context(cfg.tls)
+        )
+
+    replica = RaftReplica(cfg, store, connect, log)
+    replica.attach(peers)
+    return replica
+
+
 def build_entry(cfg: EntrySettings, log: EventLog) -> EntryDaemon:
     """Return an entry VM that is ready to start."""
     log = log.bind(vm=cfg.name)
@@ -78,10 +133,11 @@
     dispatcher = Dispatcher(
         slots, suspects, decisions, checks, metrics, log, ejection
     )
+    claims = ControlClaims(control, log)
     pipeline = Pipeline(
         config,
         limiter,
-        ControlClaims(control),
+        claims,
         dispatcher,
         checks,
         metrics,
@@ -101,5 +157,6 @@
         HttpServer(front.handle, cfg.limits, log),
         PeerServer(cfg.secrets.peer, log),
         control,
+        claims,
         log,
     )
--- a/src/wigeonford/control/_daemon.py
+++ b/src/wigeonford/control/_daemon.py
@@ -1,7 +1,8 @@
 """The control daemon: one replica, its links and the operators' API."""
 
+from typing import Protocol
+
 from wigeonford.control._replica import Replica
-from wigeonford.control._service import ControlService
 from wigeonford.events import Event, EventLog
 from wigeonford.http import HttpServer
 from wigeonford.peer import PeerServer
@@ -11,6 +12,19 @@
 STOP_GRACE_S = 5.0
 
 
+class Service(Protocol):
+    """Serve peers over the daemon's links."""
+
+    def attach(self, server: PeerServer) -> None:
+        """Register the message handlers."""
+
+    async def start(self) -> None:
+        """Begin to serve."""
+
+    async def stop(self) -> None:
+        """Stop serving."""
+
+
 class ControlDaemon:
     """Run a control replica."""
 
@@ -18,14 +32,14 @@
         self,
         cfg: ControlSettings,
         replica: Replica,
-        service: ControlService,
+        services: tuple[Service, ...],
         peers: PeerServer,
         http: HttpServer,
         log: EventLog,
     ) -> None:
         self._cfg = cfg
         self._replica = replica
-        self._service = service
+        self._services = services
         self._peers = peers
         self._http = http
         self._log = log
@@ -37,15 +51,22 @@
         """Return the replica that this daemon runs."""
         return self._replica
 
+    @property
+    def services(self) -> tuple[Service, ...]:
+        """Return the services that this daemon runs."""
+        return self._services
+
     async def start(self) -> None:
         """Recover the state and serve."""
-        self._service.attach(self._peers)
+        for service in self._services:
+            service.attach(self._peers)
         self.peer_address = await self._peers.start(
             self._cfg.peer_address,
             server_context(self._cfg.tls, require_peer=True),
         )
         await self._replica.start()
-        await self._service.start()
+        for service in self._services:
+            await service.start()
         self.operator_address = await self._http.start(
             self._cfg.operator_address, server_context(self._cfg.tls)
         )
@@ -55,9 +76,20 @@
             peer=str(self.peer_address),
         )
 
+    async def crash(self) -> None:
+        """Drop everything at once, as a process does that is killed."""
+        await self._replica.stop()
+        await self._stop_services()
+        await self._http.stop(0.0)
+        await self._peers.stop()
+
     async def stop(self) -> None:
         """Finish what is under way, then release the data folder."""
         await self._http.stop(STOP_GRACE_S)
-        await self._service.stop()
+        await self._stop_services()
         await self._peers.stop()
         await self._replica.stop()
+
+    async def _stop_services(self) -> None:
+        for service in self._services:
+            await service.stop()
--- a/src/wigeonford/entry/_daemon.py
+++ b/src/wigeonford/entry/_daemon.py
@@ -4,6 +4,7 @@
 import time
 from typing import Final
 
+from wigeonford.entry._claims import ControlClaims
 from wigeonford.entry._config import ConfigFollower
 from wigeonford.entry._dispatch import Dispatcher
 from wigeonford.entry._front import Front
@@ -69,6 +70,7 @@
         http: HttpServer,
         peers: PeerServer,
         control: tuple[PeerClient, ...],
+        claims: ControlClaims,
         log: EventLog,
     ) -> None:
         self._cfg = cfg
@@ -83,6 +85,7 @@
         self._http = http
         self._peers = peers
         self._control = control
+        self._claims = claims
         self._log = log
         self.address = cfg.address
         self.peer_address = cfg.peer_address
@@ -124,6 +127,7 @@
         await self._http.stop(STOP_GRACE_S)
         await self._slots.hand_back()
         await self._targets.hand_over_all()
+        await self._claims.stop()
         await self._close_links()
 
     async def crash(self) -> None:
