--- a/src/wigeonford/entry/_slots.py
+++ b/src/wigeonford/entry/_slots.py
@@ -202,6 +202,7 @@
         except BaseException as exc:
             if fut.done() and not fut.cancelled():
                 self._holder.give_back(fut.result().target_id)
+                self._drain()
             if isinstance(exc, TimeoutError):
                 raise self._refusal(pool) from exc
             raise
--- a/src/wigeonford/policy/__init__.py
+++ b/src/wigeonford/policy/__init__.py
@@ -21,8 +21,9 @@
 )
 from wigeonford.policy._selection import Candidate, choose_target
 from wigeonford.policy._shift import ShiftCounter
-from wigeonford.policy._slot_book import divide_slots, SLOT_TERM_S, SlotBook
+from wigeonford.policy._slot_book import SLOT_TERM_S, SlotBook
 from wigeonford.policy._slot_holder import SlotHolder
+from wigeonford.policy._slot_parts import divide_slots
 from wigeonford.policy._slot_types import (
     slot_pool,
     SlotAnswer,
--- a/src/wigeonford/policy/_slot_book.py
+++ b/src/wigeonford/policy/_slot_book.py
@@ -10,6 +10,7 @@
     LeaseGrantor,
     LeaseRequest,
 )
+from wigeonford.policy._slot_parts import divide_slots, warm_slots
 from wigeonford.policy._slot_types import (
     SlotAnswer,
     SlotAsk,
@@ -20,7 +21,6 @@
 )
 
 SLOT_TERM_S: Final = 3.0
-WARM_UP_S: Final = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +52,11 @@
         if known is None or granted.number >= known.number:
             self.granted[holder] = granted
 
+    def warm_slots(self, now_s: float) -> int:
+        if self.cold_since_s is None:
+            return self.offer.slots
+        return warm_slots(self.offer.slots, now_s - self.cold_since_s)
+
     def expire(self, now_s: float) -> None:
         for holder, granted in list(self.granted.items()):
             if granted.expires_at_s <= now_s:
@@ -230,7 +235,7 @@
         for index, item in enumerate(ordered):
             fewer = taken // len(ordered) + (index < taken % len(ordered))
             capacity = max(0, item.offer.slots - fewer)
-            item.grantor.capacity = min(capacity, _warm_slots(item, now_s))
+            item.grantor.capacity = min(capacity, item.warm_slots(now_s))
 
     def _parts(self, pool: str, now_s: float) -> dict[str, int]:
         wants = self._wants.get(pool, {})
@@ -304,32 +309,3 @@
             granted = _Granted(most, row.number, now_s + self._term_s)
             item.note(holder, granted)
             yield SlotGrant(target_id, grant.number, amount)
-
-
-def _warm_slots(item: _Owned, now_s: float) -> int:
-    """Return how many slots a target may use this long after it began."""
-    if item.cold_since_s is None:
-        return item.offer.slots
-    age = (now_s - item.cold_since_s) / WARM_UP_S
-    if age >= 1.0:
-        item.cold_since_s = None
-        return item.offer.slots
-    return max(1, math.ceil(item.offer.slots * age))
-
-
-def divide_slots(capacity: int, wants: Mapping[str, int]) -> dict[str, int]:
-    """Return whole parts in proportion to wants, none above its want.
-
-    Entry VMs that carry more load get more; fairness among client accounts
-    is not decided here.
-    """
-    total = sum(wants.values())
-    if total <= capacity:
-        return dict(wants)
-    exact = {name: capacity * want / total for name, want in wants.items()}
-    parts = {name: math.floor(part) for name, part in exact.items()}
-    left = capacity - sum(parts.values())
-    by_rest = sorted(wants, key=lambda name: (parts[name] - exact[name], name))
-    for name in by_rest[:left]:
-        parts[name] += 1
-    return parts
--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,53 @@
+"""Announcements by sequence and lease."""
+
+import unittest
+
+from wigeonford.entry import TargetRegistry
+from wigeonford.errors import Code, RequestRefused
+from wigeonford.peer import TargetAnnounce
+
+TARGET = "10.0.0.1:80"
+START_NS = 1_000_000
+
+
+def _message(sequence: int, *, leaving: bool = False) -> TargetAnnounce:
+    return TargetAnnounce(
+        "catalogue", "10.0.0.1", 80, "new", 4, sequence, 3.0, 0.0, leaving
+    )
+
+
+class RegistryTest(unittest.TestCase):
+    """Late duplicates never revive a target; a restart does."""
+
+    def setUp(self) -> None:
+        self.registry = TargetRegistry()
+        self.registry.announce(_message(START_NS), 0.0)
+
+    def _is_refused(self, sequence: int, now_s: float) -> bool:
+        try:
+            self.registry.announce(_message(sequence), now_s)
+        except RequestRefused as exc:
+            return exc.code is Code.ANNOUNCEMENT_STALE
+        return False
+
+    def test_late_duplicate_does_not_revive(self) -> None:
+        self.registry.announce(_message(START_NS + 2, leaving=True), 1.0)
+        for sequence in (START_NS, START_NS + 1, START_NS + 2):
+            self.assertTrue(self._is_refused(sequence, 1.5))
+        found = self.registry.find(TARGET)
+        assert found is not None, "one that left is remembered"
+        self.assertTrue(found.leaving)
+
+    def test_restart_at_the_same_address_overtakes(self) -> None:
+        self.registry.announce(_message(START_NS + 900, leaving=True), 1.0)
+        restarted = self.registry.announce(_message(2 * START_NS), 1.5)
+        self.assertFalse(restarted.leaving)
+        self.assertTrue(self._is_refused(START_NS + 901, 1.6))
+
+    def test_lease_ends_once_and_is_remembered(self) -> None:
+        self.assertEqual(self.registry.expire(2.9), [])
+        self.assertEqual(len(self.registry.expire(3.1)), 1)
+        self.assertEqual(self.registry.expire(3.2), [])
+        self.assertTrue(self._is_refused(START_NS, 3.3))
+        self.registry.expire(3.1 + 60.0)
+        self.assertIsNone(self.registry.find(TARGET))
