--- a/src/wigeonford/entry/_daemon.py
+++ b/src/wigeonford/entry/_daemon.py
@@ -100,6 +100,7 @@
         self._targets.attach(self._peers)
         self._slots.attach(self._peers)
         self._suspects.attach(self._peers)
+        self._config.attach(self._peers)
         self.peer_address = await self._peers.start(
             self._cfg.peer_address,
             server_context(self._cfg.tls, require_peer=True),
--- a/src/wigeonford/peer/__init__.py
+++ b/src/wigeonford/peer/__init__.py
@@ -57,6 +57,12 @@
     TargetGone,
     TargetHandover,
 )
+from wigeonford.peer._spread_messages import (
+    RosterAnswer,
+    RosterReport,
+    SpreadPull,
+    SpreadUpdate,
+)
 
 __all__ = [
     "MESSAGES",
@@ -91,6 +97,10 @@
     "TargetDeath",
     "TargetGone",
     "TargetHandover",
+    "RosterAnswer",
+    "RosterReport",
+    "SpreadPull",
+    "SpreadUpdate",
     "ReadConfirmed",
     "RegisterAbandon",
     "RegisterAccept",
