--- a/src/wigeonford/compose.py
+++ b/src/wigeonford/compose.py
@@ -5,6 +5,7 @@
 import random
 
 from wigeonford.control import (
+    BudgetService,
     ClaimService,
     ControlDaemon,
     ControlService,
@@ -17,13 +18,15 @@
 )
 from wigeonford.entry import (
     Announcer,
+    BudgetLinks,
     ConfigFollower,
     ControlClaims,
     DecisionRing,
     Dispatcher,
+    DispatchGate,
     EntryDaemon,
-    EqualShareLimiter,
     Front,
+    LeasedShareLimiter,
     Parents,
     Pipeline,
     RegionPeers,
@@ -57,13 +60,19 @@
     log = log.bind(vm=cfg.name)
     peers = PeerServer(cfg.secrets.peer, log)
     replica = _build_replica(cfg, peers, open_store(cfg.data_folder), log)
+    metrics = Metrics()
     api = OperatorApi(
-        replica, cfg.secrets.operator, cfg.secrets.key_hash, Metrics(), log
+        replica, cfg.secrets.operator, cfg.secrets.key_hash, metrics, log
     )
+    budgets = BudgetService(replica, Checks(log, metrics, cfg.on_breach), log)
     return ControlDaemon(
         cfg,
         replica,
-        (ControlService(replica, log), _build_claims(cfg, log)),
+        (
+            ControlService(replica, log),
+            _build_claims(cfg, log),
+            budgets,
+        ),
         peers,
         HttpServer(api.handle, CallerLimits(), log),
         log,
@@ -113,12 +122,13 @@
     metrics = Metrics()
     checks = Checks(log, metrics, cfg.on_breach)
     announcer = Announcer(cfg)
-    control = tuple(
-        PeerClient(
+
+    def make_link(address: Address) -> PeerClient:
+        return PeerClient(
             cfg.name, address, cfg.secrets.peer, log, client_context(cfg.tls)
         )
-        for address in cfg.control
-    )
+
+    control = tuple(make_link(address) for address in cfg.control)
     config = ConfigFollower(
         control,
         announcer.describe,
@@ -127,7 +137,8 @@
         metrics,
         log,
     )
-    limiter = EqualShareLimiter()
+    links = BudgetLinks(cfg.name, control, make_link)
+    limiter = LeasedShareLimiter(links, checks, metrics, log)
     config.on_change(limiter.reconfigure)
     region_peers = RegionPeers(
         cfg.name, cfg.availability_zone, config, cfg.secrets.peer, log
@@ -147,6 +158,7 @@
         config,
         limiter,
         claims,
+        DispatchGate(slots.limit),
         dispatcher,
         checks,
         metrics,
@@ -161,6 +173,7 @@
         targets,
         slots,
         suspects,
+        limiter,
         dispatcher,
         front,
         HttpServer(front.handle, cfg.limits, log),
--- a/src/wigeonford/entry/_daemon.py
+++ b/src/wigeonford/entry/_daemon.py
@@ -8,6 +8,7 @@
 from wigeonford.entry._config import ConfigFollower
 from wigeonford.entry._dispatch import Dispatcher
 from wigeonford.entry._front import Front
+from wigeonford.entry._limiter import LeasedShareLimiter
 from wigeonford.entry._lookup import LOOKUP_LIFETIME_S
 from wigeonford.entry._region_peers import RegionPeers
 from wigeonford.entry._slots import SlotTable
@@ -65,6 +66,7 @@
         targets: TargetDirectory,
         slots: SlotTable,
         suspects: Suspects,
+        limiter: LeasedShareLimiter,
         dispatcher: Dispatcher,
         front: Front,
         http: HttpServer,
@@ -80,6 +82,7 @@
         self._targets = targets
         self._slots = slots
         self._suspects = suspects
+        self._limiter = limiter
         self._dispatcher = dispatcher
         self._front = front
         self._http = http
@@ -101,6 +104,7 @@
         self._slots.attach(self._peers)
         self._suspects.attach(self._peers)
         self._config.attach(self._peers)
+        self._limiter.attach(self._peers)
         self.peer_address = await self._peers.start(
             self._cfg.peer_address,
             server_context(self._cfg.tls, require_peer=True),
@@ -114,6 +118,7 @@
         await self._config.start()
         await self._targets.start()
         await self._slots.start()
+        await self._limiter.start()
         self._log.emit(
             Event.STARTED,
             address=str(self.address),
@@ -139,6 +144,7 @@
 
     async def _close_links(self) -> None:
         await self._config.stop()
+        await self._limiter.stop()
         await self._region_peers.stop()
         await self._peers.stop()
         self._dispatcher.close()
--- a/src/wigeonford/entry/_slots.py
+++ b/src/wigeonford/entry/_slots.py
@@ -27,6 +27,7 @@
 ASK_INTERVAL_S: Final = 0.02
 ASK_TIMEOUT_S: Final = 0.5
 MAX_OWNERS: Final = 6
+ASK_AHEAD: Final = 2
 MAX_WAITING: Final = 256
 MAX_WAIT_S: Final = 1.0
 NO_TARGET_WAIT_S: Final = 0.25
@@ -81,6 +82,15 @@
         free = self._holder.available(pool, time.monotonic())
         return max(0, free - len(self._waiting.get(pool, ())))
 
+    def limit(self, service: str) -> int:
+        """Return how many requests of a service may be under way.
+
+        These are the slots held here and some more, by whose demand owners
+        are asked for slots.
+        """
+        held = self._holder.held(slot_pool(service), time.monotonic())
+        return held + max(ASK_AHEAD, held // 2)
+
     def is_short(self, service: str, side: Side | None = None) -> bool:
         """Tell whether requests wait for slots of a service here."""
         return bool(self._waiting.get(slot_pool(service, side)))
--- a/src/wigeonford/policy/__init__.py
+++ b/src/wigeonford/policy/__init__.py
@@ -1,6 +1,19 @@
 """Pure decisions: limits, selection and shifts, without I/O or clocks."""
 
+from wigeonford.policy._budgets import (
+    AccountShare,
+    BudgetGrantor,
+    DISPATCH_JITTER_S,
+    leased_budget,
+    LoanGrant,
+    REPORT_INTERVAL_S,
+    SHARE_UNITS,
+    ShareGrant,
+    ShareRequest,
+    TERM_S,
+)
 from wigeonford.policy._ejection import Ejection
+from wigeonford.policy._fair_queue import FairQueue
 from wigeonford.policy._leases import (
     fair_part,
     LeaseGrant,
@@ -20,6 +33,7 @@
     RETRY_RESERVE,
 )
 from wigeonford.policy._selection import Candidate, choose_target
+from wigeonford.policy._share_bucket import ShareBucket
 from wigeonford.policy._shift import ShiftCounter
 from wigeonford.policy._slot_book import SLOT_TERM_S, SlotBook
 from wigeonford.policy._slot_holder import SlotHolder
@@ -34,23 +48,35 @@
     SlotWant,
     TargetOffer,
 )
+from wigeonford.policy._token_queue import TokenQueue, Verdict
 
 __all__ = [
+    "DISPATCH_JITTER_S",
     "HEDGE_PART",
     "HEDGE_RESERVE",
+    "REPORT_INTERVAL_S",
     "RETRY_PART",
     "RETRY_RESERVE",
+    "SHARE_UNITS",
     "SLOT_TERM_S",
+    "TERM_S",
+    "AccountShare",
     "AttemptBudget",
     "BucketShare",
+    "BudgetGrantor",
     "Candidate",
     "Ejection",
+    "FairQueue",
     "LatencyWindow",
     "LeaseGrant",
     "LeaseGrantor",
     "LeaseHolder",
     "LeaseRequest",
+    "LoanGrant",
     "Quarantine",
+    "ShareBucket",
+    "ShareGrant",
+    "ShareRequest",
     "ShiftCounter",
     "SlotAnswer",
     "SlotAsk",
@@ -62,9 +88,12 @@
     "SlotWant",
     "TargetOffer",
     "TokenBucket",
+    "TokenQueue",
+    "Verdict",
     "choose_target",
     "divide_slots",
     "fair_part",
+    "leased_budget",
     "owner_of",
     "request_fingerprint",
     "slot_pool",
--- a/src/wigeonford/policy/_slot_holder.py
+++ b/src/wigeonford/policy/_slot_holder.py
@@ -122,6 +122,10 @@
         """Return how many more requests may go out now."""
         return sum(held.free(now_s) for held in self._in_pool(pool))
 
+    def held(self, pool: str, now_s: float) -> int:
+        """Return how many slots of a pool are leased here or in use."""
+        return sum(held.held(now_s) for held in self._in_pool(pool))
+
     def targets(self, pool: str) -> tuple[str, ...]:
         """Return the ids of the targets known of a pool."""
         return tuple(held.offer.target_id for held in self._in_pool(pool))
@@ -215,7 +219,7 @@
         self, is_owner: Callable[[str], bool], now_s: float, *, recalled: bool
     ) -> Iterator[SlotWant]:
         for pool, demand in self._demand.items():
-            held_slots = self._held(pool, now_s)
+            held_slots = self.held(pool, now_s)
             kept = demand.current if recalled else demand.wanted(now_s)
             spare = max(0, held_slots - kept)
             owned = [
@@ -236,9 +240,6 @@
             held.offer.target_id, request.number, int(request.held), avoid
         )
 
-    def _held(self, pool: str, now_s: float) -> int:
-        return sum(held.held(now_s) for held in self._in_pool(pool))
-
     def _in_pool(self, pool: str) -> Iterator[_Held]:
         for held in self._targets.values():
             if pool in held.offer.pools:
