--- a/src/wigeonford/bench/_target.py
+++ b/src/wigeonford/bench/_target.py
@@ -73,7 +73,8 @@
         self._http = HttpServer(self._handle, CallerLimits(), log)
         self._running = 0
         self._dying: asyncio.Task[None] | None = None
-        self._sequence = itertools.count(1)
+        self._sequence = itertools.count(time.time_ns())
+        self._announced = False
         self._task: asyncio.Task[None] | None = None
         self.address = Address()
 
@@ -125,32 +126,36 @@
 
     async def announce(self, *, leaving: bool = False) -> None:
         """Tell the first entry VM that answers."""
-        content = Announcement(
-            service=self.group.service,
-            host=self.address.host,
-            port=self.address.port,
-            slots=self.group.slots,
-            sequence=next(self._sequence),
-            side=self.group.side,
-            lease_s=LEASE_S,
-            load=self._load(),
-            leaving=leaving,
-        )
-        headers = ((b"authorization", f"Bearer {self._secret}".encode()),)
         for entry in self._entries:
+            content = msgspec.json.encode(self._announcement(leaving))
+            self._announced = True
             try:
                 await fetch(
                     entry,
                     "POST",
                     "/.wigeonford/targets",
-                    headers,
-                    msgspec.json.encode(content),
+                    ((b"authorization", f"Bearer {self._secret}".encode()),),
+                    content,
                     timeout_s=1.0,
                 )
                 return
             except (ConnectFailed, ExchangeFailed):
                 continue
 
+    def _announcement(self, leaving: bool) -> Announcement:
+        return Announcement(
+            service=self.group.service,
+            host=self.address.host,
+            port=self.address.port,
+            slots=self.group.slots,
+            sequence=next(self._sequence),
+            side=self.group.side,
+            lease_s=LEASE_S,
+            load=self._load(),
+            leaving=leaving,
+            first=not self._announced,
+        )
+
     def _load(self) -> float:
         if self.conduct.reports_idle:
             return 0.0
--- a/src/wigeonford/cli/_experiments.py
+++ b/src/wigeonford/cli/_experiments.py
@@ -148,3 +148,20 @@
     "wigeonford.bench._limits_bench",
     _limits_arguments,
 )
+
+
+def _selection_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--seconds",
+        type=float,
+        default=10.0,
+        help="virtual seconds measured, default %(default)s",
+    )
+
+
+_scenario(
+    "selection",
+    "ways to share targets' slots in a region, in virtual time",
+    "wigeonford.bench._selection",
+    _selection_arguments,
+)
--- a/src/wigeonford/compose.py
+++ b/src/wigeonford/compose.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from pathlib import Path
 import random
-import time
 
 from wigeonford.control import (
     BudgetService,
@@ -22,6 +21,7 @@
     BudgetLinks,
     ConfigFollower,
     ControlClaims,
+    DecisionRing,
     Dispatcher,
     DispatchGate,
     EntryDaemon,
@@ -33,8 +33,11 @@
     Parents,
     Pipeline,
     RegionalDispatcher,
-    RegistryCapacity,
+    RegionPeers,
+    SlotCapacity,
+    SlotTable,
     SpreadShape,
+    Suspects,
     TargetDirectory,
     TargetRegistry,
 )
@@ -43,6 +46,7 @@
 from wigeonford.invariants import Checks
 from wigeonford.metrics import Metrics
 from wigeonford.peer import Member, PeerClient, PeerServer
+from wigeonford.policy import Ejection
 from wigeonford.settings import (
     Address,
     CallerLimits,
@@ -141,23 +145,25 @@
     budget_links = BudgetLinks(cfg.name, control, make_link)
     limiter = LeasedShareLimiter(budget_links, checks, metrics, log)
     config.on_change(limiter.reconfigure)
-    registry = TargetRegistry()
+    region_peers = RegionPeers(
+        cfg.name, cfg.availability_zone, config, cfg.secrets.peer, log
+    )
     targets = TargetDirectory(
-        cfg.name,
-        cfg.availability_zone,
-        registry,
-        config,
-        cfg.secrets.peer,
-        log,
+        TargetRegistry(), region_peers, config, checks, log
+    )
+    ejection = Ejection()
+    slots = SlotTable(region_peers, targets, checks, ejection)
+    suspects = Suspects(region_peers, log)
+    decisions = DecisionRing()
+    dispatcher = Dispatcher(
+        slots, suspects, decisions, checks, metrics, log, ejection
     )
 
     def slots_of(service: str) -> int:
-        now_s = time.monotonic()
-        own = sum(c.slots for c in registry.candidates(service, now_s))
         # Without a target of its own a VM still passes work on.
-        return own or MAX_SPILLED
+        known = slots.targets(service, None)
+        return slots.limit(service) if known else MAX_SPILLED
 
-    dispatcher = Dispatcher(registry, metrics, log)
     link_leases = LinkLeases(
         cfg.name, cfg.availability_zone, config, cfg.secrets.peer, log
     )
@@ -174,7 +180,7 @@
     hops = HopReceiver(
         cfg.availability_zone,
         config,
-        RegistryCapacity(registry),
+        SlotCapacity(slots),
         dispatcher,
         link_leases,
         cfg.secrets.peer,
@@ -191,12 +197,17 @@
         metrics,
         cfg.secrets.key_hash,
     )
-    front = Front(config, pipeline, hops, targets, cfg.secrets, metrics)
+    front = Front(
+        config, pipeline, hops, targets, decisions, cfg.secrets, metrics
+    )
     return EntryDaemon(
         cfg,
         announcer,
         config,
+        region_peers,
         targets,
+        slots,
+        suspects,
         limiter,
         link_leases,
         dispatcher,
--- a/src/wigeonford/entry/__init__.py
+++ b/src/wigeonford/entry/__init__.py
@@ -4,10 +4,11 @@
 from wigeonford.entry._claims import ClaimRequest, Claims, ControlClaims
 from wigeonford.entry._config import ConfigFollower
 from wigeonford.entry._daemon import Announcer, EntryDaemon, LINGER_S
+from wigeonford.entry._decisions import DecisionRing
 from wigeonford.entry._dispatch import Dispatcher
 from wigeonford.entry._fair_queue import DispatchGate
 from wigeonford.entry._front import Announcement, Front
-from wigeonford.entry._hop import HopReceiver, RegistryCapacity
+from wigeonford.entry._hop import HopReceiver, SlotCapacity
 from wigeonford.entry._limiter import (
     LeasedShareLimiter,
     Limiter,
@@ -23,14 +24,17 @@
 from wigeonford.entry._lookup_table import BlockTable, RangeTable
 from wigeonford.entry._pipeline import Pipeline
 from wigeonford.entry._published import EntryConfig
+from wigeonford.entry._region_peers import RegionPeers
 from wigeonford.entry._registry import TargetRegistry
 from wigeonford.entry._remote import MAX_SPILLED, RegionalDispatcher
+from wigeonford.entry._slots import SlotTable
 from wigeonford.entry._spread import (
     MembersBelow,
     Parents,
     plan_parents,
     SpreadShape,
 )
+from wigeonford.entry._suspects import Suspects
 from wigeonford.entry._targets import TargetDirectory
 
 __all__ = [
@@ -45,6 +49,7 @@
     "Claims",
     "ConfigFollower",
     "ControlClaims",
+    "DecisionRing",
     "DispatchGate",
     "Dispatcher",
     "EntryConfig",
@@ -63,9 +68,12 @@
     "RangeTable",
     "RankedVM",
     "Ranking",
+    "RegionPeers",
     "RegionalDispatcher",
-    "RegistryCapacity",
+    "SlotCapacity",
+    "SlotTable",
     "SpreadShape",
+    "Suspects",
     "TargetDirectory",
     "TargetRegistry",
     "plan_parents",
--- a/src/wigeonford/entry/_daemon.py
+++ b/src/wigeonford/entry/_daemon.py
@@ -11,6 +11,9 @@
 from wigeonford.entry._limiter import LeasedShareLimiter
 from wigeonford.entry._link_leases import LinkLeases
 from wigeonford.entry._lookup import LOOKUP_LIFETIME_S
+from wigeonford.entry._region_peers import RegionPeers
+from wigeonford.entry._slots import SlotTable
+from wigeonford.entry._suspects import Suspects
 from wigeonford.entry._targets import TargetDirectory
 from wigeonford.errors import PeerError
 from wigeonford.events import Event, EventLog
@@ -65,7 +68,10 @@
         cfg: EntrySettings,
         announcer: Announcer,
         config: ConfigFollower,
+        region_peers: RegionPeers,
         targets: TargetDirectory,
+        slots: SlotTable,
+        suspects: Suspects,
         limiter: LeasedShareLimiter,
         links: LinkLeases,
         dispatcher: Dispatcher,
@@ -81,7 +87,10 @@
         self._checks = checks
         self._announcer = announcer
         self._config = config
+        self._region_peers = region_peers
         self._targets = targets
+        self._slots = slots
+        self._suspects = suspects
         self._limiter = limiter
         self._links = links
         self._dispatcher = dispatcher
@@ -102,6 +111,8 @@
     async def start(self) -> None:
         """Serve; return once the configuration is there."""
         self._targets.attach(self._peers)
+        self._slots.attach(self._peers)
+        self._suspects.attach(self._peers)
         self._config.attach(self._peers)
         self._limiter.attach(self._peers)
         self._links.attach(self._peers)
@@ -117,6 +128,7 @@
         )
         await self._config.start()
         await self._targets.start()
+        await self._slots.start()
         await self._limiter.start()
         await self._links.start()
         self._log.emit(
@@ -132,6 +144,8 @@
         leaving = asyncio.create_task(self._leave_roster())
         await asyncio.sleep(linger_s)
         cut = await self._http.stop(self._grace_s())
+        await self._slots.hand_back()
+        await self._targets.hand_over_all()
         if not leaving.done():
             await asyncio.wait([leaving], timeout=LEAVE_TIMEOUT_S)
         leaving.cancel()
@@ -156,9 +170,9 @@
 
     async def _close_links(self) -> None:
         await self._config.stop()
-        await self._targets.stop()
         await self._limiter.stop()
         await self._links.stop()
+        await self._region_peers.stop()
         await self._peers.stop()
         self._dispatcher.close()
         for link in self._control:
--- a/src/wigeonford/entry/_front.py
+++ b/src/wigeonford/entry/_front.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from wigeonford.entry._config import ConfigFollower
+from wigeonford.entry._decisions import DecisionRing
 from wigeonford.entry._hop import HOP_HEADER, HopReceiver
 from wigeonford.entry._lookup import LookupBuilder
 from wigeonford.entry._pipeline import Pipeline
@@ -39,7 +40,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Announcement:
-    """Hold what a target tells of itself; `load` is 0 when idle."""
+    """Hold what a target tells of itself; `load` is 0 when idle.
+
+    `sequence` rises with each announcement and begins at the start time of
+    the target's process in nanoseconds, so that a restart overtakes what
+    went before it. `first` is true only of a process's first one.
+    """
 
     service: str
     host: str
@@ -50,6 +56,7 @@
     lease_s: float = 3.0
     load: float = 0.0
     leaving: bool = False
+    first: bool = False
 
 
 class Front:
@@ -61,6 +68,7 @@
         pipeline: Pipeline,
         hops: HopReceiver,
         targets: TargetDirectory,
+        decisions: DecisionRing,
         secrets: Secrets,
         metrics: Metrics,
     ) -> None:
@@ -68,6 +76,7 @@
         self._pipeline = pipeline
         self._hops = hops
         self._targets = targets
+        self._decisions = decisions
         self._secrets = secrets
         self._metrics = metrics
         self._lookup = LookupBuilder(config.current)
@@ -103,13 +112,22 @@
 
     @_endpoint("POST", "/.wigeonford/targets")
     async def _announce(self, request: Request) -> Response:
-        self._authenticate_target(request)
+        _authenticate(request, self._secrets.target)
         message = _to_message(await _read_announcement(request))
         if message.service not in self._config.current.objects.services:
             raise RequestRefused(Code.OBJECT_UNKNOWN, message.service)
         await self._targets.announce(message)
         return _ok({"revision": self._config.current.revision})
 
+    @_endpoint("GET", "/.wigeonford/explain")
+    async def _explain(self, request: Request) -> Response:
+        _authenticate(request, self._secrets.operator)
+        request_id = parse_qs(request.query).get("id", [""])[0]
+        decision = self._decisions.find(request_id)
+        if decision is None:
+            raise RequestRefused(Code.REQUEST_NOT_KEPT, request_id)
+        return _ok(decision)
+
     @_endpoint("GET", "/health")
     async def _health(self, _request: Request) -> Response:
         fresh = self._config.is_fresh(time.monotonic())
@@ -130,13 +148,14 @@
         )
         return Response(200, headers, content)
 
-    def _authenticate_target(self, request: Request) -> None:
-        given = request.header(b"authorization")
-        if given is None:
-            raise RequestRefused(Code.CREDENTIAL_MISSING)
-        expected = f"Bearer {self._secrets.target}"
-        if not hmac.compare_digest(given.encode(), expected.encode()):
-            raise RequestRefused(Code.CREDENTIAL_WRONG)
+
+def _authenticate(request: Request, secret: str) -> None:
+    given = request.header(b"authorization")
+    if given is None:
+        raise RequestRefused(Code.CREDENTIAL_MISSING)
+    expected = f"Bearer {secret}"
+    if not hmac.compare_digest(given.encode(), expected.encode()):
+        raise RequestRefused(Code.CREDENTIAL_WRONG)
 
 
 async def _read_announcement(request: Request) -> Announcement:
@@ -165,6 +184,7 @@
         lease_s=found.lease_s,
         load=found.load,
         leaving=found.leaving,
+        first=found.first,
     )
 
 
--- a/src/wigeonford/entry/_hop.py
+++ b/src/wigeonford/entry/_hop.py
@@ -9,10 +9,11 @@
 
 from wigeonford.entry._admission import find_route
 from wigeonford.entry._config import ConfigFollower
-from wigeonford.entry._dispatch import Dispatcher, Outbound
+from wigeonford.entry._dispatch import Dispatcher
 from wigeonford.entry._hygiene import clean_headers
 from wigeonford.entry._link_leases import LinkLeases
-from wigeonford.entry._registry import TargetRegistry
+from wigeonford.entry._outbound import Outbound
+from wigeonford.entry._slots import SlotTable
 from wigeonford.errors import Code, RequestRefused
 from wigeonford.events import Event, EventLog
 from wigeonford.http import (
@@ -61,26 +62,25 @@
         """Tell whether one more may run on a side of a service."""
 
 
-class RegistryCapacity:
-    """Count the slots of the announced targets against what runs."""
+class SlotCapacity:
+    """Admit what this VM's leased slots can take after its own requests."""
 
-    def __init__(self, registry: TargetRegistry) -> None:
-        self._registry = registry
+    def __init__(self, slots: SlotTable) -> None:
+        self._slots = slots
 
     def admits_remote(
         self, service: str, side: Side | None, headroom: float
     ) -> bool:
-        """Tell whether one more may run on a side of a service."""
-        candidates = [
-            candidate
-            for candidate in self._registry.candidates(
-                service, time.monotonic()
-            )
-            if side in (None, candidate.side)
-        ]
-        slots = sum(candidate.slots for candidate in candidates)
-        in_flight = sum(candidate.in_flight for candidate in candidates)
-        return admits_remote(slots, in_flight, headroom)
+        """Tell whether one more may run on a side of a service.
+
+        Where no slot is held, one that waits makes the owners grant some;
+        others are refused at once, so that they can go elsewhere.
+        """
+        held = self._slots.held(service, side)
+        if not held:
+            return not self._slots.is_short(service, side)
+        used = held - self._slots.available(service, side)
+        return admits_remote(held, used, headroom)
 
 
 class HopReceiver:
--- a/src/wigeonford/entry/_remote.py
+++ b/src/wigeonford/entry/_remote.py
@@ -9,10 +9,11 @@
 from typing import Final, Protocol
 
 from wigeonford.entry._config import ConfigFollower
-from wigeonford.entry._dispatch import Dispatcher, Outbound
+from wigeonford.entry._dispatch import Dispatcher
 from wigeonford.entry._hop import hop_headers
 from wigeonford.entry._hygiene import answer_headers
 from wigeonford.entry._link_leases import LinkLeases
+from wigeonford.entry._outbound import Outbound
 from wigeonford.entry._published import EntryConfig
 from wigeonford.errors import Code, RequestRefused, RunState
 from wigeonford.events import Event, EventLog
--- a/src/wigeonford/errors.py
+++ b/src/wigeonford/errors.py
@@ -109,6 +109,10 @@
         RunState.UNKNOWN,
     )
 
+    NOT_OWNER = _info(
+        1230, 503, "another entry VM owns the target by this VM's roster"
+    )
+
     TARGET_SHED = _info(1300, 503, "the target refused the request unrun")
     CONNECT_FAILED = _info(1301, 502, "no connection to a target")
     ANSWER_BROKEN = _info(
@@ -118,6 +122,13 @@
         1303, 504, "the target did not answer in time", RunState.UNKNOWN
     )
 
+    REQUEST_NOT_KEPT = _info(
+        1311, 404, "no decision is kept of a request with this id"
+    )
+    CONNECTION_SILENT = _info(
+        1310, 504, "a connection to a target went silent", RunState.UNKNOWN
+    )
+
     CLAIM_IN_PROGRESS = _info(
         1400, 409, "a request with this key is running", RunState.UNKNOWN
     )
--- a/src/wigeonford/peer/__init__.py
+++ b/src/wigeonford/peer/__init__.py
@@ -60,6 +60,13 @@
     VoteReply,
     VoteRequest,
 )
+from wigeonford.peer._slot_messages import (
+    SlotCall,
+    SuspectCleared,
+    TargetDeath,
+    TargetGone,
+    TargetHandover,
+)
 from wigeonford.peer._spread_messages import (
     RosterAnswer,
     RosterReport,
@@ -114,10 +121,15 @@
     "ShareReply",
     "ShareReport",
     "ShareRow",
+    "SlotCall",
     "SpreadPull",
     "SpreadUpdate",
     "SubmitCommand",
+    "SuspectCleared",
     "TargetAnnounce",
+    "TargetDeath",
+    "TargetGone",
+    "TargetHandover",
     "VoteReply",
     "VoteRequest",
     "failure_error",
--- a/src/wigeonford/policy/__init__.py
+++ b/src/wigeonford/policy/__init__.py
@@ -12,6 +12,7 @@
     ShareRequest,
     TERM_S,
 )
+from wigeonford.policy._ejection import Ejection
 from wigeonford.policy._fair_queue import FairQueue
 from wigeonford.policy._leases import (
     fair_part,
@@ -22,22 +23,53 @@
 )
 from wigeonford.policy._limits import BucketShare, TokenBucket
 from wigeonford.policy._links import LinkDemand, LinkShare
+from wigeonford.policy._ownership import owner_of
+from wigeonford.policy._quarantine import Quarantine, request_fingerprint
+from wigeonford.policy._retry import (
+    AttemptBudget,
+    HEDGE_PART,
+    HEDGE_RESERVE,
+    LatencyWindow,
+    RETRY_PART,
+    RETRY_RESERVE,
+)
 from wigeonford.policy._selection import Candidate, choose_target
 from wigeonford.policy._share_bucket import ShareBucket
 from wigeonford.policy._shift import ShiftCounter
+from wigeonford.policy._slot_book import SLOT_TERM_S, SlotBook
+from wigeonford.policy._slot_holder import SlotHolder
+from wigeonford.policy._slot_parts import divide_slots
+from wigeonford.policy._slot_types import (
+    slot_pool,
+    SlotAnswer,
+    SlotAsk,
+    SlotGrant,
+    SlotHeld,
+    SlotRow,
+    SlotWant,
+    TargetOffer,
+)
 from wigeonford.policy._spill import admits_remote, SpillWindows
 from wigeonford.policy._token_queue import TokenQueue, Verdict
 
 __all__ = [
     "DISPATCH_JITTER_S",
+    "HEDGE_PART",
+    "HEDGE_RESERVE",
     "REPORT_INTERVAL_S",
+    "RETRY_PART",
+    "RETRY_RESERVE",
     "SHARE_UNITS",
+    "SLOT_TERM_S",
     "TERM_S",
     "AccountShare",
+    "AttemptBudget",
     "BucketShare",
     "BudgetGrantor",
     "Candidate",
+    "Ejection",
     "FairQueue",
+    "LatencyWindow",
     "LeaseGrant",
     "LeaseGrantor",
     "LeaseHolder",
@@ -45,16 +77,30 @@
     "LinkDemand",
     "LinkShare",
     "LoanGrant",
+    "Quarantine",
     "ShareBucket",
     "ShareGrant",
     "ShareRequest",
     "ShiftCounter",
+    "SlotAnswer",
+    "SlotAsk",
+    "SlotBook",
+    "SlotGrant",
+    "SlotHeld",
+    "SlotHolder",
+    "SlotRow",
+    "SlotWant",
     "SpillWindows",
+    "TargetOffer",
     "TokenBucket",
     "TokenQueue",
     "Verdict",
     "admits_remote",
     "choose_target",
+    "divide_slots",
     "fair_part",
     "leased_budget",
+    "owner_of",
+    "request_fingerprint",
+    "slot_pool",
 ]
--- a/tests/test_hop_states.py
+++ b/tests/test_hop_states.py
@@ -13,7 +13,7 @@
 
 from wigeonford.bench import load_deployment
 from wigeonford.entry import EntryConfig, RegionalDispatcher
-from wigeonford.entry._dispatch import Outbound
+from wigeonford.entry._outbound import Outbound
 from wigeonford.errors import Code, RequestRefused, RunState
 from wigeonford.events import configure_logging, EventLog
 from wigeonford.http import (
