Answer a hop without capacity with its own code; probe before streaming

Cause: with leased slots a region without targets refuses as 1205 from the dispatcher, and a target new to its owner is not yet granted when the streaming bench began. Change: a hop turns a refusal for want of capacity that ran nothing into 1243; the bench announces a first start and waits until its target is taken.

--- a/src/wigeonford/bench/_streaming.py
+++ b/src/wigeonford/bench/_streaming.py
@@ -35,6 +35,8 @@
 from wigeonford.model import ObjectSet
 from wigeonford.settings import Address, CallerLimits
 
+PROBE_PATH: Final = "/archive/probe"
+PROBE_PAUSE_S: Final = 0.1
 MEBIBYTE: Final = 1 << 20
 LIMIT_MB: Final = 16.0
 CHUNK_BYTES: Final = 65536
@@ -59,6 +61,7 @@
         address = await target.start(Address())
         try:
             await _announce(fleet, address)
+            await _until_taken(fleet)
             data = {
                 "megabytes": args.megabytes,
                 "limit_mb": LIMIT_MB,
@@ -96,6 +99,8 @@
         self._size = size
 
     async def handle(self, request: Request) -> Response:
+        if request.path == PROBE_PATH:
+            return Response(200, ((b"content-length", b"0"),))
         if request.method == "GET":
             length = (b"content-length", str(self._size).encode())
             return Response(200, (length,), _chunks(self._size))
@@ -126,6 +131,7 @@
         slots=4,
         sequence=1,
         lease_s=30.0,
+        first=True,
     )
     secret = f"Bearer {BENCH_SECRETS.target}".encode()
     response = await fetch(
@@ -138,6 +144,18 @@
     assert response.status == 200, "the target is announced"
 
 
+async def _until_taken(fleet: LocalFleet) -> None:
+    """Return once the entry VM holds a slot of the target."""
+    entry = next(iter(fleet.entry_addresses().values()))
+    while True:
+        response = await fetch(
+            entry, "GET", PROBE_PATH, _head(fleet, entry, 0)[1:2]
+        )
+        if response.status == 200:
+            return
+        await asyncio.sleep(PROBE_PAUSE_S)
+
+
 async def _measured(
     fleet: LocalFleet, size: int, *, upload: bool
 ) -> dict[str, Any]:
--- a/src/wigeonford/entry/_hop.py
+++ b/src/wigeonford/entry/_hop.py
@@ -14,7 +14,7 @@
 from wigeonford.entry._link_leases import LinkLeases
 from wigeonford.entry._outbound import Outbound
 from wigeonford.entry._slots import SlotTable
-from wigeonford.errors import Code, RequestRefused
+from wigeonford.errors import Code, RequestRefused, RunState
 from wigeonford.events import Event, EventLog
 from wigeonford.http import (
     ACCOUNT_HEADER,
@@ -32,6 +32,7 @@
 HOP_PROOF_HEADER: Final = b"wigeonford-hop-proof"
 MAX_AGE_S: Final = 30.0
 BUFFERED_BODY_BYTES: Final = 65536
+_NO_CAPACITY: Final = frozenset({Code.NO_CAPACITY, Code.NO_TARGET})
 RETRY_AFTER_S: Final = 1.0
 
 
@@ -83,6 +84,10 @@
         return admits_remote(held, used, headroom)
 
 
+def _no_capacity() -> RequestRefused:
+    return RequestRefused(Code.HOP_NO_CAPACITY, retry_after_s=RETRY_AFTER_S)
+
+
 class HopReceiver:
     """Run requests of other regions on what this region has free."""
 
@@ -112,7 +117,12 @@
         region = self._origin(request)
         outbound = await self._outbound(request)
         self._admit(outbound)
-        response = await self._dispatcher.forward(outbound)
+        try:
+            response = await self._dispatcher.forward(outbound)
+        except RequestRefused as exc:
+            if exc.code in _NO_CAPACITY and exc.run_state is RunState.NOT_RUN:
+                raise _no_capacity() from exc
+            raise
         return await self._carried(region, outbound, response)
 
     def _origin(self, request: Request) -> str:
@@ -167,9 +177,7 @@
         side = None if outbound.share is None else Side.OLD
         service = outbound.service.name
         if not self._capacity.admits_remote(service, side, headroom):
-            raise RequestRefused(
-                Code.HOP_NO_CAPACITY, retry_after_s=RETRY_AFTER_S
-            )
+            raise _no_capacity()
 
     async def _carried(
         self, region: str, outbound: Outbound, response: Response
