--- a/src/wigeonford/cli/_experiments.py
+++ b/src/wigeonford/cli/_experiments.py
@@ -165,3 +165,20 @@
     "wigeonford.bench._selection",
     _selection_arguments,
 )
+
+
+def _soak_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--deployment", choices=("guild", "authority"), default="guild"
+    )
+    parser.add_argument(
+        "--minutes", type=float, default=1.0, help="default %(default)s"
+    )
+
+
+_scenario(
+    "soak",
+    "run everything at once with faults at random times",
+    "wigeonford.bench._soak_bench",
+    _soak_arguments,
+)
--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -83,7 +83,8 @@
 
     def hurry(self) -> None:
         """Close soon, unless a request is on its way."""
-        if self._idle is not None:
+        # An idle time-out that is just ending closes the connection too.
+        if self._idle is not None and not self._idle.expired():
             now_s = asyncio.get_running_loop().time()
             self._idle.reschedule(now_s + LAST_BYTE_WAIT_S)
 
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -67,6 +67,20 @@
         self.address = await self.server.start(Address())
         self.addAsyncCleanup(self.server.stop, 0.0)
 
+    async def test_stop_amid_an_idle_timeout(self) -> None:
+        await self.connect()
+        while not self.server._tasks:
+            await asyncio.sleep(0)
+        conn = next(iter(self.server._tasks.values()))
+        while conn._idle is None:
+            await asyncio.sleep(0)
+        idle = conn._idle
+        idle.reschedule(asyncio.get_running_loop().time() - 1)
+        while not idle.expired():
+            await asyncio.sleep(0)
+        conn.hurry()
+        self.assertEqual(await self.server.stop(1.0), 0)
+
     async def connect(
         self,
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
