Keep the slot of abandoned work; judge silence by the service's bound

Cause: under 'shift' and 'lagging-health' an entry VM that had seen few answers took a pooled connection for silent after 0.5 s, whatever the service, and freed the slot of a request that its target still ran. Targets then got more than their slots, shed, and requests ended as 1310. Change: until enough answers are seen, silence means a quarter of the service's time-out; the slot of work that was timed out or cancelled is kept for the time in which an answer would have begun. The test of a silent connection sets the new part in place of the old seconds.

Also asserts that the account named to a target is the key's own, and that non-idempotent work is not attempted after it was sent; 'tools.mutate' breaks one mechanism a promise and shows which check catches it.

--- a/src/wigeonford/entry/_attempt.py
+++ b/src/wigeonford/entry/_attempt.py
@@ -29,7 +29,8 @@
 from wigeonford.settings import parse_address
 
 PREFETCH_BYTES: Final = 65536
-FIRST_BYTE_S: Final = 0.5
+UNKNOWN_FIRST_BYTE_PART: Final = 0.25
+_ABANDONED: Final = frozenset({Code.CONNECTION_SILENT, Code.ANSWER_TIMEOUT})
 _NO_BODY_STATUSES: Final = frozenset({204, 304})
 
 
@@ -64,6 +65,15 @@
         try:
             response, conn = await self._exchange(outbound, target_id, fresh)
             started, rest = await self._prefetch(outbound, response)
+        except AttemptFailure as exc:
+            if exc.code in _ABANDONED:
+                self._release_later(outbound, release)
+            else:
+                release()
+            raise
+        except asyncio.CancelledError:
+            self._release_later(outbound, release)
+            raise
         except BaseException:
             release()
             raise
@@ -87,6 +97,17 @@
             response.status, headers, AnswerBody(started, rest, conn, done)
         )
 
+    def _release_later(
+        self, outbound: Outbound, release: Callable[[], None]
+    ) -> None:
+        """Keep the slot of work that a target may still be busy with.
+
+        It learns from the closed connection that nobody waits, but what it
+        runs ends only some time later.
+        """
+        busy_s = min(self._silent_s(outbound), outbound.service.timeout_s)
+        asyncio.get_running_loop().call_later(busy_s, release)
+
     async def _connect(
         self, outbound: Outbound, target_id: str, fresh: bool
     ) -> tuple[ClientConnection, bool]:
@@ -140,7 +161,9 @@
 
     def _silent_s(self, outbound: Outbound) -> float:
         seen_s = self.latency(outbound.service.name).first_byte_s()
-        return seen_s if seen_s is not None else FIRST_BYTE_S
+        if seen_s is not None:
+            return seen_s
+        return outbound.service.timeout_s * UNKNOWN_FIRST_BYTE_PART
 
     async def _prefetch(
         self, outbound: Outbound, response: Response
--- a/src/wigeonford/entry/_dispatch.py
+++ b/src/wigeonford/entry/_dispatch.py
@@ -158,6 +158,11 @@
         outbound = run.outbound
         side, offer = await self._acquire(run)
         target_id = offer.target_id
+        self._checks.require(
+            outbound.idempotent or not run.sent,
+            Invariant.AT_MOST_ONCE,
+            f"another attempt at {target_id}",
+        )
         run.tried.add(target_id)
         run.decision.add("attempt", target=target_id, side=side)
         self._suspects.begin(target_id, run.fingerprint)
--- a/src/wigeonford/entry/_pipeline.py
+++ b/src/wigeonford/entry/_pipeline.py
@@ -26,6 +26,7 @@
 from wigeonford.entry._remote import Forwarder
 from wigeonford.errors import Code, RequestRefused
 from wigeonford.http import (
+    ACCOUNT_HEADER,
     CODE_HEADER,
     DEADLINE_HEADER,
     error_response,
@@ -173,6 +174,7 @@
         )
         outbound = self._outbound(work)
         self._check_no_key(outbound)
+        self._check_account(work, outbound)
         return await self._dispatcher.forward(outbound)
 
     def _outbound(self, work: Work) -> Outbound:
@@ -199,6 +201,17 @@
             deadline_s=work.deadline_s,
         )
 
+    def _check_account(self, work: Work, outbound: Outbound) -> None:
+        """Check that a target is told of the key's own account only."""
+        key = work.admitted.key
+        expected = [] if key is None else [key.account.encode()]
+        named = [v for name, v in outbound.headers if name == ACCOUNT_HEADER]
+        self._checks.require(
+            named == expected,
+            Invariant.KEY_MATCHES_ACCOUNT,
+            work.admitted.route.name,
+        )
+
     def _check_no_key(self, outbound: Outbound) -> None:
         texts = [outbound.target]
         texts.extend(
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -302,11 +302,11 @@
     async def test_silent_connection_is_left_before_its_target(self) -> None:
         self.service = Service("catalogue", timeout_s=1.5)
         elapsed_s = []
-        for first_byte_s in (0.05, 9.0):
+        for part in (0.05, 9.0):
             await self.asyncSetUp()
             self.service = Service("catalogue", timeout_s=1.0)
-            name = "wigeonford.entry._attempt.FIRST_BYTE_S"
-            with mock.patch(name, first_byte_s):
+            name = "wigeonford.entry._attempt.UNKNOWN_FIRST_BYTE_PART"
+            with mock.patch(name, part):
                 await self._silent_target()
                 await self.forward("/1")
                 started_s = time.monotonic()
--- /dev/null
+++ b/tools/mutate.py
@@ -0,0 +1,182 @@
+"""Apply one-line faults to a copy of the tree; show what catches each."""
+
+import argparse
+from collections.abc import Iterator
+from dataclasses import dataclass
+import os
+from pathlib import Path
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+from typing import Final
+
+ROOT: Final = Path(__file__).parent.parent
+COPIED: Final = ("src", "tests", "tools", "docs", "pyproject.toml")
+TIMEOUT_S: Final = 240
+_CHECK: Final = re.compile(r"^(?:FAIL|ERROR): (\S+)", re.MULTILINE)
+
+
+@dataclass(frozen=True, slots=True)
+class Mutation:
+    """Describe a fault in one mechanism and the tests to run on it."""
+
+    promise: str
+    path: str
+    old: str
+    new: str
+    tests: tuple[str, ...]
+
+
+MUTATIONS: Final = (
+    Mutation(
+        "SHIFT_UNDER_CAP",
+        "policy/_shift.py",
+        "        self._credit -= UNIT\n",
+        "        self._credit -= UNIT // 2\n",
+        ("tests.test_policy_attempts", "tests.test_dispatch"),
+    ),
+    Mutation(
+        "REGION_NOT_OVERLOADED",
+        "policy/_leases.py",
+        "            max(held, amount),\n",
+        "            amount,\n",
+        ("tests.test_leases", "tests.test_slots"),
+    ),
+    Mutation(
+        "KEY_MATCHES_ACCOUNT",
+        "entry/_hygiene.py",
+        "        kept.append((ACCOUNT_HEADER, account.encode()))\n",
+        '        kept.append((ACCOUNT_HEADER, b"another"))\n',
+        ("tests.test_demo", "tests.test_hygiene"),
+    ),
+    Mutation(
+        "NO_KEY_TO_TARGET",
+        "entry/_hygiene.py",
+        '        elif holds_key(value.decode("latin-1")):\n',
+        "        elif False:\n",
+        ("tests.test_hygiene", "tests.test_demo"),
+    ),
+    Mutation(
+        "WITHDRAWN_KEY_STOPS",
+        "control/_state.py",
+        "stopped = replace(held[1], withdrawn=True)",
+        "stopped = replace(held[1], withdrawn=False)",
+        ("tests.test_demo",),
+    ),
+    Mutation(
+        "RATE_NOT_EXCEEDED",
+        "policy/_share_bucket.py",
+        "        self._tokens = max(0.0, self._tokens - 1.0)\n",
+        "        self._tokens = max(0.0, self._tokens - 0.5)\n",
+        ("tests.test_limits",),
+    ),
+    Mutation(
+        "WHOLE_ANSWER",
+        "http/_client.py",
+        'answer cut")\n        except (OSError, h11.ProtocolError) as exc:\n'
+        '            raise ExchangeFailed(f"{self.address}: {exc!r}") from exc\n',
+        'answer cut")\n        except (OSError, h11.ProtocolError):\n'
+        "            return\n",
+        ("tests.test_dispatch", "tests.test_demo"),
+    ),
+    Mutation(
+        "NOT_RUN_IS_TRUE",
+        "entry/_attempt.py",
+        "AttemptState.SENT, Code.ANSWER_BROKEN, str(exc)",
+        "AttemptState.NOT_SENT, Code.ANSWER_BROKEN, str(exc)",
+        ("tests.test_dispatch",),
+    ),
+    Mutation(
+        "AT_MOST_ONCE",
+        "control/_proposer.py",
+        "    return count // 2 + 1\n",
+        "    return count // 2\n",
+        ("tests.test_claim_registers",),
+    ),
+    Mutation(
+        "LEAVING_TARGET_UNUSED",
+        "entry/_registry.py",
+        "message.sequence <= held.sequence",
+        "False",
+        ("tests.test_registry",),
+    ),
+    Mutation(
+        "STOP_CUTS_NOTHING",
+        "http/_server.py",
+        "await asyncio.wait(list(self._tasks), timeout=grace_s)",
+        "await asyncio.wait(list(self._tasks), timeout=0)",
+        ("tests.test_drain",),
+    ),
+    Mutation(
+        "CONFIG_NEVER_REVERTS",
+        "config_table.py",
+        "        if table.digest != update.digest:\n",
+        "        if False:\n",
+        ("tests.test_state", "tests.test_config_follower"),
+    ),
+)
+
+
+def run_mutation(mutation: Mutation) -> str:
+    """Return which checks caught a fault, "survived" or "not applied"."""
+    with tempfile.TemporaryDirectory() as folder:
+        copy = Path(folder)
+        for name in COPIED:
+            source = ROOT / name
+            if source.is_dir():
+                shutil.copytree(source, copy / name, symlinks=True)
+            else:
+                shutil.copy(source, copy / name)
+        path = copy / "src" / "wigeonford" / mutation.path
+        text = path.read_text()
+        if text.count(mutation.old) < 1:
+            return "not applied"
+        path.write_text(text.replace(mutation.old, mutation.new, 1))
+        return _test(copy, mutation.tests)
+
+
+def _test(copy: Path, tests: tuple[str, ...]) -> str:
+    environment = dict(os.environ, PYTHONPATH=f"{copy / 'src'}:{copy}")
+    try:
+        done = subprocess.run(
+            [sys.executable, "-m", "nose2", *tests],
+            cwd=copy,
+            env=environment,
+            capture_output=True,
+            text=True,
+            timeout=TIMEOUT_S,
+            check=False,
+        )
+    except subprocess.TimeoutExpired:
+        return "caught: the tests do not end"
+    caught = sorted(set(_CHECK.findall(done.stderr + done.stdout)))
+    if done.returncode == 0:
+        return "survived"
+    return f"caught by {', '.join(caught) or 'the run'}"
+
+
+def report(mutations: tuple[Mutation, ...]) -> Iterator[tuple[str, str]]:
+    """Yield each promise and what became of its fault."""
+    for mutation in mutations:
+        yield mutation.promise, run_mutation(mutation)
+
+
+def main() -> int:
+    """Print what caught each fault; return 1 where one survived."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("promise", nargs="*", help="promises, default all")
+    args = parser.parse_args()
+    chosen = tuple(
+        m for m in MUTATIONS if not args.promise or m.promise in args.promise
+    )
+    survived = 0
+    for promise, outcome in report(chosen):
+        survived += not outcome.startswith("caught")
+        print(f"{promise}: {outcome}", flush=True)
+    return int(survived > 0)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
