--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -76,9 +76,9 @@
         "WHOLE_ANSWER",
         "http/_client.py",
         'answer cut")\n        except (OSError, h11.ProtocolError) as exc:\n'
-        '            raise ExchangeFailed(f"{self.address}: {exc!r}") from exc\n',
-        'answer cut")\n        except (OSError, h11.ProtocolError):\n'
-        "            return\n",
+        "            raise ExchangeFailed(",
+        'answer cut")\n        except (OSError, h11.ProtocolError) as exc:\n'
+        "            return\n            raise ExchangeFailed(",
         ("tests.test_dispatch", "tests.test_demo"),
     ),
     Mutation(
