--- a/src/wigeonford/entry/_hop.py
+++ b/src/wigeonford/entry/_hop.py
@@ -185,10 +185,15 @@
         """Return the answer paced by the link that it goes over."""
         chunks = _chunks(response)
         body = self._paced(region, outbound.service, chunks, outbound)
-        if isinstance(response.body, bytes):
+        if not isinstance(response.body, bytes):
+            return dataclasses.replace(response, body=body)
+        try:
             whole = b"".join([chunk async for chunk in body])
-            return dataclasses.replace(response, body=whole)
-        return dataclasses.replace(response, body=body)
+        except AnswerBroken as exc:
+            raise RequestRefused(
+                Code.LINK_BUDGET, "amid the answer", run_state=RunState.RAN
+            ) from exc
+        return dataclasses.replace(response, body=whole)
 
     async def _paced(
         self,
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -193,12 +193,21 @@
         answer = msgspec.json.decode(response.body)
         return [vm["name"] for vm in answer["entry_vms"]]
 
+    async def until_served(self, entry: Address) -> None:
+        """Return once a VM that has just started holds slots."""
+        while True:
+            answer = await fetch(entry, "GET", "/catalogue/about")
+            if answer.status == 200:
+                return
+
     async def test_late_cached_lookups_are_served_by_two_that_stop(
         self,
     ) -> None:
         names = ["amman-a-1", "amman-a-2"]
         addresses = [self.fleet.entries[name].address for name in names]
         other = self.fleet.entries["amman-b-1"].address
+        for address in addresses:
+            await self.until_served(address)
         stops = [
             asyncio.create_task(self.fleet.stop_entry(name, 3.0))
             for name in names
@@ -209,7 +218,7 @@
         self.assertFalse(set(names) & set(await self.listed(other)))
         for address in addresses:
             late = await fetch(address, "GET", "/catalogue/about")
-            self.assertEqual(late.status, 200)
+            self.assertEqual(late.status, 200, late)
             self.assertEqual(late.header(b"connection"), "close")
         await asyncio.gather(*stops)
         self.assertFalse(self.fleet.breaches)
--- a/tests/test_hop_states.py
+++ b/tests/test_hop_states.py
@@ -12,7 +12,7 @@
 import unittest
 
 from wigeonford.bench import load_deployment
-from wigeonford.entry import EntryConfig, RegionalDispatcher
+from wigeonford.entry import EntryConfig, HopReceiver, RegionalDispatcher
 from wigeonford.entry._outbound import Outbound
 from wigeonford.errors import Code, RequestRefused, RunState
 from wigeonford.events import configure_logging, EventLog
@@ -140,6 +140,35 @@
         response = await self.spill(_whole)
         self.assertEqual(response.body, b"good")
 
+    async def test_answer_past_the_links_budget_is_known_to_have_run(
+        self,
+    ) -> None:
+        async def refuse(*_args: object) -> None:
+            raise RequestRefused(Code.LINK_BUDGET)
+
+        links = SimpleNamespace(carry=refuse)
+        receiver = HopReceiver(
+            "salt-a",
+            SimpleNamespace(),  # type: ignore[arg-type]
+            SimpleNamespace(),
+            SimpleNamespace(),  # type: ignore[arg-type]
+            links,  # type: ignore[arg-type]
+            "secret",
+            EventLog(),
+        )
+        outbound = SimpleNamespace(
+            service=self.objects.services["catalogue"], deadline_s=1.0
+        )
+        answer = Response(200, (LENGTH, *FORWARDED), b"good")
+        with self.assertRaises(RequestRefused) as caught:
+            await receiver._carried(
+                "amman",
+                outbound,  # type: ignore[arg-type]
+                answer,
+            )
+        self.assertEqual(caught.exception.code, Code.LINK_BUDGET)
+        self.assertEqual(caught.exception.run_state, RunState.RAN)
+
     async def test_only_what_surely_did_not_run_goes_on(self) -> None:
         async def stream() -> AsyncIterator[bytes]:
             yield b"a"
