--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,106 @@
+"""The daemons as processes of their own, on loopback."""
+
+import asyncio
+import json
+from pathlib import Path
+import signal
+import sys
+import tempfile
+from typing import Any
+import unittest
+
+import msgspec
+
+from wigeonford.bench import load_deployment
+from wigeonford.cli import edits_between, OperatorClient
+from wigeonford.http import CODE_HEADER, fetch, RUN_STATE_HEADER
+from wigeonford.settings import Address
+
+SECRETS = {
+    "peer": "a-secret-of-the-peers",
+    "key_hash": "a-secret-of-the-keys",
+    "operator": "a-secret-of-operators",
+    "target": "a-secret-of-the-targets",
+}
+READY = 100
+NOT_SERVED = ("1200", "1201", "1204", "1205")
+
+
+class ProcessTest(unittest.IsolatedAsyncioTestCase):
+    """Start a control replica and an entry VM, and stop them."""
+
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    async def start(
+        self, program: str, settings: dict[str, Any]
+    ) -> tuple[asyncio.subprocess.Process, dict[str, Any]]:
+        """Return a daemon and the fields of its event that it is ready."""
+        path = self.folder / f"{program}.jsonc"
+        path.write_text(f"// settings\n{json.dumps(settings)}")
+        daemon = await asyncio.create_subprocess_exec(
+            str(Path(sys.executable).parent / program),
+            "--settings",
+            str(path),
+            stderr=asyncio.subprocess.PIPE,
+        )
+        assert daemon.stderr is not None, "the log goes to a pipe"
+        while True:
+            event = json.loads(await daemon.stderr.readline())
+            if event.get("number") == READY:
+                return daemon, event
+
+    async def stop(self, daemon: asyncio.subprocess.Process) -> None:
+        daemon.send_signal(signal.SIGTERM)
+        await daemon.communicate()
+        self.assertEqual(daemon.returncode, 0)
+
+    async def test_look_up_and_refusal_through_processes(self) -> None:
+        control, ready = await self.start(
+            "wigeonford-control",
+            {
+                "name": "control-1",
+                "region": "amman",
+                "data_folder": str(self.folder / "data"),
+                "secrets": SECRETS,
+            },
+        )
+        operator = OperatorClient(
+            (_address(ready["operator"]),), SECRETS["operator"], "operator"
+        )
+        objects = load_deployment("guild").objects
+        await operator.change("c", edits_between((), objects, prune=False))
+        key = await operator.issue_key("k", "guild-office")
+        peer = _address(ready["peer"])
+        entry, ready = await self.start(
+            "wigeonford-entry",
+            {
+                "name": "amman-a-1",
+                "availability_zone": "amman-a",
+                "secrets": SECRETS,
+                "control": [{"host": peer.host, "port": peer.port}],
+            },
+        )
+        await self.ask(_address(ready["address"]), key)
+        await self.stop(entry)
+        await self.stop(control)
+
+    async def ask(self, entry: Address, key: str) -> None:
+        answer = await fetch(entry, "GET", "/.wigeonford/lookup")
+        assert isinstance(answer.body, bytes), "answers are read whole"
+        self.assertEqual(answer.status, 200)
+        msgspec.json.decode(answer.body)
+        head = ((b"authorization", f"Bearer {key}".encode()),)
+        refused = await fetch(entry, "GET", "/catalogue/1", head)
+        # The key is accepted; there is no target, or not yet a token.
+        self.assertIn(refused.header(CODE_HEADER), NOT_SERVED)
+        self.assertEqual(refused.header(RUN_STATE_HEADER), "not-run")
+        unknown = await fetch(entry, "GET", "/catalogue/1")
+        self.assertEqual(unknown.header(CODE_HEADER), "1100")
+
+
+def _address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return Address(host, int(port))
