--- a/src/wigeonford/bench/_routing_bench.py
+++ b/src/wigeonford/bench/_routing_bench.py
@@ -37,8 +37,8 @@
 ALL: Final = "all"
 RATE_PER_S: Final = 40.0
 WARM_UP_S: Final = 2.0
-DOOMED_INTERVAL_S: Final = 0.25
-DOOMED_NUMBER: Final = 1_000_000
+WITHDRAWN_INTERVAL_S: Final = 0.25
+WITHDRAWN_NUMBER: Final = 1_000_000
 READ_PART: Final = 0.7
 
 
@@ -139,11 +139,11 @@
     added_ms = await added_latency_ms(fleet)
     operator = fleet.operator()
     account = next(iter(fleet.keys))
-    doomed = await operator.issue_key(uuid.uuid4().hex, account)
+    withdrawn = await operator.issue_key(uuid.uuid4().hex, account)
     watch = RevisionWatch(fleet)
     watching = asyncio.create_task(watch.run())
     ledger, stage, not_sent = await _drive(
-        plan, fault, fleet, fleet.keys, operator, (account, doomed)
+        plan, fault, fleet, fleet.keys, operator, (account, withdrawn)
     )
     watching.cancel()
     await asyncio.gather(watching, return_exceptions=True)
@@ -213,7 +213,7 @@
     fleet: Fleet,
     keys: dict[str, str],
     operator: OperatorClient | None,
-    doomed: tuple[str, str] | None,
+    withdrawn: tuple[str, str] | None,
 ) -> tuple[CallLedger, Stage, int]:
     """Warm up, then run the schedule beside the fault."""
     objects = fleet.deployment.objects
@@ -235,8 +235,10 @@
         objects, fault.shape, plan.rate_per_s, plan.seconds, rng
     )
     work = [load.run(arrivals), fault.act(stage)]
-    if operator is not None and doomed is not None:
-        work.append(_withdraw(plan, objects, load, ledger, operator, doomed))
+    if operator is not None and withdrawn is not None:
+        work.append(
+            _withdraw(plan, objects, load, ledger, operator, withdrawn)
+        )
     # One process holds what some dozens do elsewhere; a full collection
     # of it all would show as latency.
     gc.collect()
@@ -257,25 +259,27 @@
     load: OpenLoop,
     ledger: CallLedger,
     operator: OperatorClient,
-    doomed: tuple[str, str],
+    withdrawn: tuple[str, str],
 ) -> None:
     """Withdraw a key early on, and present it until the run ends."""
-    account, key = doomed
+    account, key = withdrawn
     service = next(iter(objects.services))
     started_s = time.monotonic()
-    number = DOOMED_NUMBER
+    number = WITHDRAWN_NUMBER
     while (elapsed_s := time.monotonic() - started_s) < plan.seconds:
         if elapsed_s > 1.0 and ledger.withdrawn_at_s == float("inf"):
             await operator.withdraw_key(uuid.uuid4().hex, key.split("_")[1])
             ledger.withdrawn_at_s = time.monotonic()
         load.send(
-            _doomed_read(service, account, key, number), time.monotonic()
+            _withdrawn_read(service, account, key, number), time.monotonic()
         )
         number += 1
-        await asyncio.sleep(DOOMED_INTERVAL_S)
+        await asyncio.sleep(WITHDRAWN_INTERVAL_S)
 
 
-def _doomed_read(service: str, account: str, key: str, number: int) -> Arrival:
+def _withdrawn_read(
+    service: str, account: str, key: str, number: int
+) -> Arrival:
     return Arrival(
         at_s=0.0,
         number=number,
--- a/src/wigeonford/bench/_routing_books.py
+++ b/src/wigeonford/bench/_routing_books.py
@@ -47,7 +47,7 @@
 
     calls: list[CallRecord] = field(default_factory=list)
     jobs: list[JobRecord] = field(default_factory=list)
-    doomed: set[str] = field(default_factory=set)
+    withdrawn: set[str] = field(default_factory=set)
     withdrawn_at_s: float = float("inf")
 
     def measured(self) -> Iterator[JobRecord]:
--- a/src/wigeonford/bench/_routing_load.py
+++ b/src/wigeonford/bench/_routing_load.py
@@ -194,7 +194,7 @@
         for number in range(sends):
             ids.append(f"{arrival.account}/{arrival.number}/{number}")
             if arrival.key is not None:
-                self._ledger.doomed.add(ids[-1])
+                self._ledger.withdrawn.add(ids[-1])
             call = await self._call(arrival, ids)
             if not _sends_again(arrival, call, intended_s):
                 break
--- a/src/wigeonford/bench/_routing_promises.py
+++ b/src/wigeonford/bench/_routing_promises.py
@@ -96,7 +96,7 @@
     ledger = evidence.ledger
     until_s = ledger.withdrawn_at_s + WITHDRAWN_S
     return sum(
-        record.request_id in ledger.doomed and record.started_s > until_s
+        record.request_id in ledger.withdrawn and record.started_s > until_s
         for record in evidence.books.records
     )
 
--- a/src/wigeonford/control/_budgets.py
+++ b/src/wigeonford/control/_budgets.py
@@ -36,7 +36,7 @@
 
 
 class BudgetService:
-    """Answer share reports; its state lives for one term of office."""
+    """Answer share reports; its state lives for one term of leadership."""
 
     def __init__(
         self,
@@ -62,7 +62,7 @@
         server.handle(ShareReport, self._answer)
 
     async def start(self) -> None:
-        """Begin to watch for a change of office."""
+        """Begin to watch for a change of leadership."""
         self._task = asyncio.create_task(self._watch())
 
     async def stop(self) -> None:
@@ -74,15 +74,15 @@
     async def _watch(self) -> None:
         while True:
             try:
-                await self.take_office()
+                await self.begin_term()
             except WigeonfordError as exc:
-                self._log.emit(Event.BUDGET_OFFICE_DELAYED, detail=exc.detail)
+                self._log.emit(Event.BUDGET_GRANTS_DELAYED, detail=exc.detail)
             leaderless = self._replica.leader is None
             await asyncio.sleep(
                 ELECTION_POLL_S if leaderless else WATCH_INTERVAL_S
             )
 
-    async def take_office(self) -> None:
+    async def begin_term(self) -> None:
         """Begin to grant where this replica has come to lead.
 
         Accounts that appear later were granted by nobody before, so they
--- a/src/wigeonford/control/_raft.py
+++ b/src/wigeonford/control/_raft.py
@@ -4,10 +4,10 @@
 import random
 from typing import Any, Final
 
+from wigeonford.control._raft_bootstrap import Bootstrap
 from wigeonford.control._raft_effects import Effect, HardState, Role
 from wigeonford.control._raft_election import Election
 from wigeonford.control._raft_follower import Following
-from wigeonford.control._raft_founding import Founding
 from wigeonford.control._raft_leader import Leading
 from wigeonford.control._raft_log import RaftLog
 from wigeonford.control._raft_members import ReplicaTable
@@ -15,8 +15,8 @@
 from wigeonford.peer import (
     AppendEntries,
     AppendReply,
-    FoundingProbe,
-    FoundingReply,
+    BootstrapProbe,
+    BootstrapReply,
     InstallSnapshot,
     VoteReply,
     VoteRequest,
@@ -55,7 +55,7 @@
         self._node = RaftNode(identity, hard, log, rng, now_s)
         self._election = Election(self._node)
         self._following = Following(self._node)
-        self._founding = Founding(self._node)
+        self._bootstrap = Bootstrap(self._node)
         self._leading = Leading(self._node)
 
     @property
@@ -110,7 +110,7 @@
             self._tick_leader(now_s)
         elif now_s >= node.election_at_s:
             if node.is_empty:
-                if self._founding.probe(now_s):
+                if self._bootstrap.probe(now_s):
                     self._leading.start(now_s, founded=True)
             elif self._election.start(now_s):
                 self._leading.start(now_s)
@@ -154,13 +154,13 @@
         elif node.role is Role.LEADER and record.term == node.term:
             self._leading.on_reply(record, now_s)
 
-    @_receives(FoundingProbe)
-    def _founding_probe(self, record: FoundingProbe, _now_s: float) -> None:
-        self._founding.on_probe(record)
+    @_receives(BootstrapProbe)
+    def _bootstrap_probe(self, record: BootstrapProbe, _now_s: float) -> None:
+        self._bootstrap.on_probe(record)
 
-    @_receives(FoundingReply)
-    def _founding_reply(self, record: FoundingReply, now_s: float) -> None:
-        if self._founding.on_reply(record):
+    @_receives(BootstrapReply)
+    def _bootstrap_reply(self, record: BootstrapReply, now_s: float) -> None:
+        if self._bootstrap.on_reply(record):
             self._leading.start(now_s, founded=True)
 
     def propose(self, contents: list[bytes]) -> int | None:
--- a/src/wigeonford/control/_raft_founding.py
+++ b/src/wigeonford/control/_raft_bootstrap.py
@@ -7,12 +7,12 @@
 )
 from wigeonford.control._raft_node import RaftNode
 from wigeonford.control._store import LogEntry
-from wigeonford.peer import FoundingProbe, FoundingReply
+from wigeonford.peer import BootstrapProbe, BootstrapReply
 
-FOUNDING_TERM = 1
+BOOTSTRAP_TERM = 1
 
 
-class Founding:
+class Bootstrap:
     """Begin a log once every configured member says that it is empty.
 
     A member whose data folder was lost among others that kept theirs finds
@@ -31,30 +31,30 @@
             return False
         for name in node.identity.configured:
             if name != node.name:
-                probe = FoundingProbe(node.name, node.hard.incarnation)
+                probe = BootstrapProbe(node.name, node.hard.incarnation)
                 node.send(name, probe)
         return self._found()
 
-    def on_probe(self, probe: FoundingProbe) -> None:
-        """Answer; a new founder gets a new incarnation of this replica.
+    def on_probe(self, probe: BootstrapProbe) -> None:
+        """Answer; a new initiator gets a new incarnation of this replica.
 
-        What an earlier founder may have begun is then void here, even
+        What an earlier initiator may have begun is then void here, even
         where its messages are still under way.
         """
         node = self._node
-        if node.is_empty and node.hard.founder != probe.incarnation:
-            if node.hard.founder is not None:
+        if node.is_empty and node.hard.initiator != probe.incarnation:
+            if node.hard.initiator is not None:
                 node.set_hard(incarnation=new_incarnation(node))
-            node.set_hard(founder=probe.incarnation)
-        reply = FoundingReply(
+            node.set_hard(initiator=probe.incarnation)
+        reply = BootstrapReply(
             node.name, node.hard.incarnation, probe.incarnation, node.is_empty
         )
         node.send(probe.sender, reply)
 
-    def on_reply(self, reply: FoundingReply) -> bool:
+    def on_reply(self, reply: BootstrapReply) -> bool:
         """Note an empty member; True if the log has been begun."""
         node = self._node
-        if not node.is_empty or reply.founder != node.hard.incarnation:
+        if not node.is_empty or reply.initiator != node.hard.incarnation:
             return False
         if not reply.empty:
             self._empty.clear()
@@ -72,9 +72,9 @@
             for name, (host, port) in sorted(node.identity.configured.items())
         )
         vote = f"{node.name}/{node.hard.incarnation}"
-        node.set_hard(term=FOUNDING_TERM, voted_for=vote)
+        node.set_hard(term=BOOTSTRAP_TERM, voted_for=vote)
         content = COMMANDS.encode(ChangeReplicas(table))
-        node.log.append([LogEntry(1, FOUNDING_TERM, content)])
+        node.log.append([LogEntry(1, BOOTSTRAP_TERM, content)])
         return True
 
 
--- a/src/wigeonford/control/_raft_effects.py
+++ b/src/wigeonford/control/_raft_effects.py
@@ -21,14 +21,14 @@
 class HardState:
     """Hold what must be durable before a message depends on it.
 
-    `founder` is the incarnation of the founder that was last answered
+    `initiator` is the incarnation of the initiator that was last answered
     while the data folder was empty.
     """
 
     incarnation: str
     term: int = 0
     voted_for: str | None = None
-    founder: str | None = None
+    initiator: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -64,7 +64,7 @@
     BUDGET_REPORT_FAILED = _event(
         250, "no leader answered a report of demand", logging.WARNING
     )
-    BUDGET_OFFICE_DELAYED = _event(
+    BUDGET_GRANTS_DELAYED = _event(
         251, "this replica leads but cannot grant yet", logging.WARNING
     )
     CALLER_STALLED = _event(
--- a/src/wigeonford/peer/_raft_messages.py
+++ b/src/wigeonford/peer/_raft_messages.py
@@ -98,7 +98,7 @@
 
 @message(25)
 @dataclass(frozen=True, slots=True)
-class FoundingProbe:
+class BootstrapProbe:
     """Ask whether a replica has an empty data folder."""
 
     sender: str
@@ -107,12 +107,12 @@
 
 @message(26)
 @dataclass(frozen=True, slots=True)
-class FoundingReply:
-    """Answer `FoundingProbe` to one incarnation of the founder."""
+class BootstrapReply:
+    """Answer `BootstrapProbe` to one incarnation of the initiator."""
 
     sender: str
     incarnation: str
-    founder: str
+    initiator: str
     empty: bool
 
 
--- a/tests/test_bench_routing.py
+++ b/tests/test_bench_routing.py
@@ -38,7 +38,9 @@
             books.runs[run.operation] += 1
     evidence = Evidence(
         load_deployment("guild").objects,
-        CallLedger(calls=calls, doomed={"doomed/1/0"}, withdrawn_at_s=0.0),
+        CallLedger(
+            calls=calls, withdrawn={"withdrawn/1/0"}, withdrawn_at_s=0.0
+        ),
         books,
         frozenset({ENTRY}),
         0,
@@ -84,9 +86,9 @@
         for name, runs, noted in cases:
             with self.subTest(name):
                 self.assertEqual(self.breaches(runs, noted), {name: 1})
-        doomed = CallLedger(doomed={key.request_id}, withdrawn_at_s=0.0)
+        withdrawn = CallLedger(withdrawn={key.request_id}, withdrawn_at_s=0.0)
         self.assertEqual(
-            self.breaches([key], [], ledger=doomed),
+            self.breaches([key], [], ledger=withdrawn),
             {"WITHDRAWN_KEY_STOPS": 1},
         )
 
--- a/tests/test_limits_path.py
+++ b/tests/test_limits_path.py
@@ -70,7 +70,7 @@
 
 
 class BudgetServiceTest(unittest.IsolatedAsyncioTestCase):
-    """Grant only in office, and wait out what another has granted."""
+    """Grant only while leading, and wait out what another has granted."""
 
     def setUp(self) -> None:
         configure_logging(io.StringIO(), logging.CRITICAL)
@@ -89,17 +89,19 @@
         return reply.rows[0].units
 
     async def test_unknown_account_gets_nothing(self) -> None:
-        await self.service.take_office()
+        await self.service.begin_term()
         self.assertEqual(await self.units(), 0)
 
-    async def test_account_that_appears_in_office_need_not_wait(self) -> None:
-        await self.service.take_office()
+    async def test_account_that_appears_while_leading_need_not_wait(
+        self,
+    ) -> None:
+        await self.service.begin_term()
         self.replica.config = StandInConfig(2, OBJECTS)
         self.assertEqual(await self.units(), 500_000)
 
     async def test_new_leader_waits_out_its_predecessor(self) -> None:
         self.replica.config = StandInConfig(2, OBJECTS)
-        await self.service.take_office()
+        await self.service.begin_term()
         self.assertEqual(await self.units(), 0)
         self.now_s += 7.75
         self.assertEqual(await self.units(), 0)
@@ -108,11 +110,11 @@
         self.replica.term = 2
         with self.assertRaises(LeaderElsewhere):
             await self.units("b/1")
-        await self.service.take_office()
+        await self.service.begin_term()
         self.assertEqual(await self.units("b/1"), 0)
 
     async def test_only_a_confirmed_leader_grants(self) -> None:
-        await self.service.take_office()
+        await self.service.begin_term()
         for is_leader, age_s in ((False, 0.0), (True, None), (True, 1.6)):
             with self.subTest(is_leader=is_leader, age_s=age_s):
                 self.replica.is_leader = is_leader
