Use TLS on every link between entry VMs

Cause: links within a region and those that divide a link's budget were made without a TLS context, so that with 'tls' set an entry VM could not reach its region. Nothing had tested TLS. Change: both take the composition root's way to make a link.

--- a/src/wigeonford/bench/__init__.py
+++ b/src/wigeonford/bench/__init__.py
@@ -4,9 +4,14 @@
 from wigeonford.bench._fleet import free_address, LocalFleet
 from wigeonford.bench._link import LinkState, StandInLink
 from wigeonford.bench._report import Report
-from wigeonford.bench._settings import Deployment, load_deployment
+from wigeonford.bench._settings import (
+    BENCH_SECRETS,
+    Deployment,
+    load_deployment,
+)
 
 __all__ = [
+    "BENCH_SECRETS",
     "Deployment",
     "LinkState",
     "LocalFleet",
--- a/src/wigeonford/compose.py
+++ b/src/wigeonford/compose.py
@@ -146,7 +146,7 @@
     limiter = LeasedShareLimiter(budget_links, checks, metrics, log)
     config.on_change(limiter.reconfigure)
     region_peers = RegionPeers(
-        cfg.name, cfg.availability_zone, config, cfg.secrets.peer, log
+        cfg.name, cfg.availability_zone, config, make_link, log
     )
     targets = TargetDirectory(
         TargetRegistry(), region_peers, config, checks, log
@@ -165,7 +165,7 @@
         return slots.limit(service) if known else MAX_SPILLED
 
     link_leases = LinkLeases(
-        cfg.name, cfg.availability_zone, config, cfg.secrets.peer, log
+        cfg.name, cfg.availability_zone, config, make_link, log
     )
     regional = RegionalDispatcher(
         cfg.availability_zone,
--- a/src/wigeonford/entry/_link_leases.py
+++ b/src/wigeonford/entry/_link_leases.py
@@ -6,6 +6,7 @@
 from typing import Final
 import uuid
 
+from wigeonford.entry._budget_links import PeerLink
 from wigeonford.entry._config import ConfigFollower, FRESH_LEASE_S
 from wigeonford.entry._published import EntryConfig
 from wigeonford.errors import Code, PeerError, RequestRefused
@@ -58,14 +59,14 @@
         name: str,
         availability_zone: str,
         config: ConfigFollower,
-        secret: str,
+        make_link: PeerLink,
         log: EventLog,
     ) -> None:
         self._name = name
         self._run = f"{name}/{uuid.uuid4().hex}"
         self._zone = availability_zone
         self._config = config
-        self._secret = secret
+        self._make_link = make_link
         self._log = log
         self._outgoing: dict[str, _Outgoing] = {}
         self._grantors: dict[str, LeaseGrantor] = {}
@@ -214,9 +215,7 @@
         if self._peer is None or self._peer.address != address:
             if self._peer is not None:
                 await self._peer.close()
-            self._peer = PeerClient(
-                self._name, address, self._secret, self._log
-            )
+            self._peer = self._make_link(address)
         return self._peer
 
     async def _answer(self, ask: LinkLeaseAsk) -> LinkLeaseAnswer:
--- a/src/wigeonford/entry/_region_peers.py
+++ b/src/wigeonford/entry/_region_peers.py
@@ -4,6 +4,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from wigeonford.entry._budget_links import PeerLink
 from wigeonford.entry._config import ConfigFollower
 from wigeonford.entry._published import EntryConfig
 from wigeonford.errors import Code, PeerError
@@ -21,14 +22,14 @@
         name: str,
         availability_zone: str,
         config: ConfigFollower,
-        secret: str,
+        make_link: PeerLink,
         log: EventLog,
     ) -> None:
         self.name = name
         self.names: tuple[str, ...] = ()
         self.headroom = 0.0
         self._availability_zone = availability_zone
-        self._secret = secret
+        self._make_link = make_link
         self._log = log
         self._links: dict[str, tuple[Member, PeerClient]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -112,7 +113,5 @@
         for name, member in members.items():
             if name not in self._links:
                 address = Address(member.host, member.peer_port)
-                client = PeerClient(
-                    self.name, address, self._secret, self._log
-                )
+                client = self._make_link(address)
                 self._links[name] = member, client
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -25,7 +25,7 @@
 from wigeonford.invariants import Checks, OnBreach
 from wigeonford.metrics import Metrics
 from wigeonford.model import Service
-from wigeonford.peer import TargetAnnounce
+from wigeonford.peer import PeerClient, TargetAnnounce
 from wigeonford.policy import Ejection
 
 WHOLE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
@@ -129,7 +129,7 @@
             "vm",
             "zone",
             config,
-            secret,
+            lambda address: PeerClient("vm", address, secret, log),
             log,
         )
         self.peers.names = ("vm",)
