--- a/src/wigeonford/compose.py
+++ b/src/wigeonford/compose.py
@@ -4,6 +4,12 @@
 from pathlib import Path
 import random
 
+from wigeonford._compose_steering import (
+    build_steer_control as build_steer_control,
+)
+from wigeonford._compose_steering import (
+    build_steer_entry as build_steer_entry,
+)
 from wigeonford.control import (
     BudgetService,
     ClaimService,
--- a/src/wigeonford/control/__init__.py
+++ b/src/wigeonford/control/__init__.py
@@ -2,6 +2,7 @@
 
 from wigeonford.control._budgets import BudgetService
 from wigeonford.control._claim_service import ClaimService
+from wigeonford.control._cold_clock import ColdClock
 from wigeonford.control._commands import (
     ApplyChange,
     CommandResult,
@@ -13,44 +14,67 @@
     WithdrawKey,
 )
 from wigeonford.control._daemon import ControlDaemon
+from wigeonford.control._group_service import GroupService
 from wigeonford.control._log_file import LogFileStore
 from wigeonford.control._operator_api import OperatorApi
+from wigeonford.control._part_service import PartService
 from wigeonford.control._raft_replica import RaftReplica
 from wigeonford.control._recovery import recover_alone
 from wigeonford.control._register_store import RegisterStore
 from wigeonford.control._replica import Replica, SoloReplica
 from wigeonford.control._service import ControlService
 from wigeonford.control._state import State
+from wigeonford.control._steering import Steering
+from wigeonford.control._steering_commands import (
+    AnnounceTargets,
+    PatchDeployment,
+    RemoveTargets,
+    ReplaceDeployment,
+    SetEvacuation,
+)
 from wigeonford.control._store import (
     LogEntry,
     Snapshot,
     StorageError,
     Store,
 )
+from wigeonford.control._target_service import TargetService
+from wigeonford.control._view_service import ViewService
 
 __all__ = [
-    "ClaimService",
-    "RegisterStore",
-    "COMMANDS",
+    "AnnounceTargets",
     "ApplyChange",
     "BudgetService",
+    "COMMANDS",
+    "ClaimService",
+    "ColdClock",
     "CommandResult",
     "ControlDaemon",
     "ControlService",
     "Edit",
     "ExpireMember",
+    "GroupService",
     "IssueKey",
     "LogEntry",
     "LogFileStore",
     "OperatorApi",
+    "PartService",
+    "PatchDeployment",
     "RaftReplica",
     "RegisterMember",
+    "RegisterStore",
+    "RemoveTargets",
+    "ReplaceDeployment",
     "Replica",
+    "SetEvacuation",
     "Snapshot",
     "SoloReplica",
     "State",
+    "Steering",
     "StorageError",
     "Store",
+    "TargetService",
+    "ViewService",
     "WithdrawKey",
     "recover_alone",
 ]
--- a/src/wigeonford/control/_raft_driver.py
+++ b/src/wigeonford/control/_raft_driver.py
@@ -87,6 +87,7 @@
         self._position = 0
         self._snapshot_at = 0
         self._led = False
+        self._listeners: list[Callable[[], None]] = []
         self.state = State()
         self.vouched_at_s: float | None = None
 
@@ -121,6 +122,10 @@
         spread = random.randrange(SNAPSHOT_EVERY)
         self._snapshot_at = self._position + SNAPSHOT_EVERY + spread
 
+    def on_applied(self, listener: Callable[[], None]) -> None:
+        """Call a function after each change of the state."""
+        self._listeners.append(listener)
+
     async def stop(self) -> None:
         """Stop running and release the store."""
         if self._task is not None:
@@ -250,6 +255,7 @@
         self._position = effect.position
         self._plan_snapshot()
         self._log.emit(Event.SNAPSHOT_INSTALLED, position=effect.position)
+        self._notify()
 
     @_performs(Send)
     async def _send(self, effect: Send) -> None:
@@ -278,6 +284,11 @@
                 result = self.state.apply(COMMANDS.decode(entry.content))
             self._position = entry.position
             self._waiting.resolve(entry.position, entry.term, result)
+        self._notify()
+
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            listener()
 
     @_performs(ChangeRole)
     async def _change_role(self, effect: ChangeRole) -> None:
--- a/src/wigeonford/control/_raft_leader.py
+++ b/src/wigeonford/control/_raft_leader.py
@@ -11,8 +11,10 @@
     quorum_value,
     ReplicaTable,
     START_TERM,
+    voters,
     voters_changed,
     with_entry,
+    without_entry,
 )
 from wigeonford.control._raft_node import (
     ELECTION_MIN_S,
@@ -24,6 +26,8 @@
 from wigeonford.peer import AppendEntries, AppendReply, EntryRecord
 
 MAX_BATCH_BYTES = 262144
+REPLACE_AFTER_S = 3.0
+"""Silence after which a replica may be replaced; restarts take less."""
 
 
 class Leading:
@@ -242,9 +246,37 @@
                 del self._found_incarnations[name]
                 return
         promoted = self._caught_up_learner(now_s)
-        if promoted is not None:
+        surplus = self._surplus(now_s, replacing=promoted is not None)
+        if surplus is not None:
+            self.change_table(without_entry(table, surplus))
+        elif promoted is not None:
             self.change_table(promoted)
 
+    def _surplus(self, now_s: float, *, replacing: bool) -> str | None:
+        """Return a silent replica that the group can do without, if any.
+
+        A silent voter goes before the learner that replaces it becomes a
+        voter, so that no majority ever has to be found among both.
+        """
+        wanted = self._node.identity.wanted_voters
+        table = self._node.log.table
+        if not wanted:
+            return None
+        count = len(voters(table)) + replacing
+        for entry in table:
+            if not self._is_silent(entry.name, now_s):
+                continue
+            if count > wanted or (not entry.voter and count >= wanted):
+                return entry.name
+        return None
+
+    def _is_silent(self, name: str, now_s: float) -> bool:
+        progress = self._progress.get(name)
+        if progress is None:
+            return False
+        heard_s = max(progress.acked_sent_s, self._led_since_s)
+        return now_s - heard_s > REPLACE_AFTER_S
+
     def _caught_up_learner(self, now_s: float) -> ReplicaTable | None:
         node = self._node
         for entry in node.log.table:
--- a/src/wigeonford/control/_raft_node.py
+++ b/src/wigeonford/control/_raft_node.py
@@ -26,10 +26,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Identity:
-    """Name a replica and the members that its settings list."""
+    """Name a replica and the members that its settings list.
+
+    With `wanted_voters` set, a leader removes silent voters beyond or in
+    exchange for that number by itself; 0 leaves that to the operators.
+    """
 
     name: str
     configured: dict[str, tuple[str, int]]
+    wanted_voters: int = 0
 
 
 class RaftNode:
--- a/src/wigeonford/control/_raft_replica.py
+++ b/src/wigeonford/control/_raft_replica.py
@@ -71,8 +71,10 @@
         connect: Connect,
         log: EventLog,
         clock: Callable[[], float] = time.monotonic,
+        wanted_voters: int = 0,
     ) -> None:
         self._name = cfg.name
+        self._wanted_voters = wanted_voters
         self._store = store
         self._clock = clock
         self._members = {
@@ -103,6 +105,19 @@
         """Return the latest term that this replica knows."""
         return self._driver.term
 
+    @property
+    def incarnation(self) -> str:
+        """Return the incarnation that the data folder holds."""
+        return self._driver.core.hard.incarnation
+
+    def members(self) -> tuple[str, ...]:
+        """Return the names of the replicas in the newest table."""
+        return tuple(entry.name for entry in self._driver.core.log.table)
+
+    def on_applied(self, listener: Callable[[], None]) -> None:
+        """Call a function after each change of the state."""
+        self._driver.on_applied(listener)
+
     def attach(self, server: PeerServer) -> None:
         """Register the handlers of the other replicas' messages."""
         for kind in _CORE_MESSAGES:
@@ -122,7 +137,7 @@
             for name, address in self._members.items()
         }
         core = RaftCore(
-            Identity(self._name, configured),
+            Identity(self._name, configured, self._wanted_voters),
             hard,
             log,
             self._rng,
--- a/src/wigeonford/control/_replica.py
+++ b/src/wigeonford/control/_replica.py
@@ -1,6 +1,7 @@
 """Replicas of the state: how a command becomes part of the log."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Final, Protocol
 
@@ -57,6 +58,9 @@
     def term(self) -> int:
         """Return the latest term that this replica knows."""
 
+    def on_applied(self, listener: Callable[[], None]) -> None:
+        """Call a function after each change of the state."""
+
     async def start(self) -> None:
         """Recover from the store and take part."""
 
@@ -97,6 +101,7 @@
         self._state = State()
         self._position = 0
         self._turn = asyncio.Lock()
+        self._listeners: list[Callable[[], None]] = []
 
     @property
     def state(self) -> State:
@@ -118,6 +123,10 @@
         """Return 1: there are no elections."""
         return SOLO_TERM
 
+    def on_applied(self, listener: Callable[[], None]) -> None:
+        """Call a function after each change of the state."""
+        self._listeners.append(listener)
+
     async def start(self) -> None:
         """Recover the state from the snapshot and the log."""
         snapshot = self._store.read_snapshot()
@@ -144,6 +153,8 @@
             await asyncio.to_thread(self._store.append, [entry])
             self._position = entry.position
             result = self._state.apply(record)
+            for listener in self._listeners:
+                listener()
             if self._position % SNAPSHOT_EVERY == 0:
                 snapshot = Snapshot(
                     self._position,
--- a/src/wigeonford/control/_state.py
+++ b/src/wigeonford/control/_state.py
@@ -19,6 +19,7 @@
     RegisterMember,
     WithdrawKey,
 )
+from wigeonford.control._steering import Steering
 from wigeonford.errors import Code
 from wigeonford.model import (
     check_set,
@@ -62,6 +63,7 @@
     gone_members: list[tuple[int, str]] = field(default_factory=list)
     answers: list[tuple[str, _Remembered]] = field(default_factory=list)
     history: list[HistoryEntry] = field(default_factory=list)
+    steering: bytes = b""
 
 
 _APPLIERS: Final[dict[type[Any], Callable[["State", Any], CommandResult]]] = {}
@@ -88,6 +90,7 @@
     def __init__(self) -> None:
         self.config = ConfigTable()
         self.history: list[HistoryEntry] = []
+        self.steering = Steering()
         self._answers: dict[str, _Remembered] = {}
 
     @property
@@ -101,6 +104,8 @@
 
     def apply(self, record: Any) -> CommandResult:
         """Apply one command; the same commands give the same results."""
+        if self.steering.takes(record):
+            return self.steering.apply(record)
         return _APPLIERS[type(record)](self, record)
 
     def _result(self, code: Code, detail: str = "") -> CommandResult:
@@ -261,6 +266,7 @@
             ],
             answers=list(self._answers.items()),
             history=self.history,
+            steering=self.steering.snapshot(),
         )
         plain = msgspec.to_builtins(tables, builtin_types=(bytes,))
         return cbor2.dumps(plain)
@@ -284,6 +290,8 @@
         config.set_objects(row for _, row in tables.rows)
         state.history = tables.history
         state._answers = dict(tables.answers)
+        if tables.steering:
+            state.steering = Steering.restore(tables.steering)
         return state
 
 
--- /dev/null
+++ b/src/wigeonford/deployment/__init__.py
@@ -0,0 +1,45 @@
+"""Deployments: what is published as a whole to steer requests."""
+
+from wigeonford.deployment._changes import (
+    apply_patch,
+    DeploymentPatch,
+)
+from wigeonford.deployment._check import check_deployment
+from wigeonford.deployment._evacuation import Evacuations
+from wigeonford.deployment._routes import KeyTable, RouteTable, Splitter
+from wigeonford.deployment._targets import (
+    Announcement,
+    Applied,
+    Target,
+    TargetTable,
+)
+from wigeonford.deployment._types import (
+    Account,
+    Deployment,
+    RequestLimits,
+    Route,
+    RouteKind,
+    Service,
+    Share,
+)
+
+__all__ = [
+    "Account",
+    "Announcement",
+    "Applied",
+    "apply_patch",
+    "check_deployment",
+    "Deployment",
+    "DeploymentPatch",
+    "Evacuations",
+    "KeyTable",
+    "RequestLimits",
+    "Route",
+    "RouteKind",
+    "RouteTable",
+    "Service",
+    "Share",
+    "Splitter",
+    "Target",
+    "TargetTable",
+]
--- /dev/null
+++ b/src/wigeonford/deployment/_changes.py
@@ -0,0 +1,70 @@
+"""Partial changes of a deployment."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+from typing import TypeVar
+
+from wigeonford.deployment._types import (
+    Account,
+    Deployment,
+    RequestLimits,
+    Route,
+    Service,
+)
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, slots=True)
+class DeploymentPatch:
+    """Add or replace named items, and remove others by name."""
+
+    version: int
+    services: tuple[Service, ...] = ()
+    accounts: tuple[Account, ...] = ()
+    hosts: tuple[str, ...] = ()
+    routes: tuple[Route, ...] = ()
+    limits: RequestLimits | None = None
+    removed_services: tuple[str, ...] = ()
+    removed_accounts: tuple[str, ...] = ()
+    removed_routes: tuple[str, ...] = ()
+    removed_hosts: tuple[str, ...] = ()
+
+
+def apply_patch(base: Deployment, patch: DeploymentPatch) -> Deployment:
+    """Return the deployment that a patch makes of its base."""
+    hosts = _merge(base.hosts, patch.hosts, patch.removed_hosts, str)
+    routes = _merge(base.routes, patch.routes, patch.removed_routes, _name_of)
+    return replace(
+        base,
+        version=patch.version,
+        services=_merge(
+            base.services, patch.services, patch.removed_services, _name_of
+        ),
+        accounts=_merge(
+            base.accounts, patch.accounts, patch.removed_accounts, _name_of
+        ),
+        limits=patch.limits or base.limits,
+        hosts=hosts,
+        routes=tuple(
+            route for route in routes if route.host not in patch.removed_hosts
+        ),
+    )
+
+
+def _name_of(item: Service | Account | Route) -> str:
+    return item.name
+
+
+def _merge(
+    held: Iterable[T],
+    added: Iterable[T],
+    removed: Iterable[str],
+    name_of: Callable[[T], str],
+) -> tuple[T, ...]:
+    """Return items in their order, replaced in place or put at the end."""
+    items = {name_of(item): item for item in held}
+    for name in removed:
+        items.pop(name, None)
+    items.update((name_of(item), item) for item in added)
+    return tuple(items.values())
--- a/src/wigeonford/entry/_attempt.py
+++ b/src/wigeonford/entry/_attempt.py
@@ -12,12 +12,12 @@
     AttemptState,
     Outbound,
 )
-from wigeonford.entry._pool import ConnectionPool
 from wigeonford.errors import Code, RequestRefused, RunState
 from wigeonford.http import (
     ClientConnection,
     coded_headers,
     ConnectFailed,
+    ConnectionPool,
     ExchangeFailed,
     find_header,
     Headers,
--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -139,6 +139,48 @@
         514, "could not update the roster", logging.WARNING
     )
 
+    ENTRY_HEARD = _event(520, "heard of an entry VM, or of its new state")
+    ENTRY_SILENT = _event(521, "an entry VM has gone silent", logging.WARNING)
+    PARTS_TERM_BEGUN = _event(522, "began to grant parts of accounts' rates")
+    GROUP_NOT_FOUND = _event(
+        523, "no control replica took this one in", logging.WARNING
+    )
+    JOIN_DELAYED = _event(
+        524, "could not take a replica in yet", logging.WARNING
+    )
+    REPLICA_JOINED = _event(525, "took a replica into the group")
+    DEPLOYMENT_ORDER = _event(526, "an operator's order was decided")
+    TARGET_JUDGED = _event(527, "an announcement changed or was refused")
+    READ_UNCONFIRMED = _event(
+        528, "could not confirm which version is newest", logging.WARNING
+    )
+
+    VIEW_TAKEN = _event(530, "took over a newer view of what steers")
+    CONTROL_LOST = _event(
+        531, "lost touch with a control replica", logging.WARNING
+    )
+    CONTROL_REGAINED = _event(532, "in touch with a control replica")
+    PARTS_LOST = _event(
+        533, "no leader renews the parts of accounts' rates", logging.WARNING
+    )
+    PARTS_REGAINED = _event(534, "a leader grants parts of accounts' rates")
+    FRONT_CLOSED = _event(535, "stopped listening; what was under way ended")
+    SETTINGS_RELOADED = _event(540, "read the settings again")
+
+    REQUEST_ADMITTED = _event(220, "admitted a request")
+    REQUEST_PLACED = _event(221, "chose a target for a request")
+    REQUEST_ANSWERED = _event(222, "answered a request")
+    REQUEST_FAILED = _event(
+        223, "a request ended without a target's answer", logging.WARNING
+    )
+    TARGET_DOWN = _event(
+        320, "a target can't be reached; it is left out", logging.WARNING
+    )
+    TARGET_BACK = _event(321, "a target answers again")
+    TARGET_SLOW = _event(
+        322, "a target is far slower than its peers", logging.WARNING
+    )
+
     PEER_CONNECTED = _event(600, "connected to a peer")
     PEER_LOST = _event(601, "lost a peer", logging.WARNING)
     PEER_REFUSED = _event(602, "refused a peer", logging.WARNING)
--- a/src/wigeonford/http/__init__.py
+++ b/src/wigeonford/http/__init__.py
@@ -8,6 +8,7 @@
     read_body,
 )
 from wigeonford.http._connection import AnswerBroken, Handler
+from wigeonford.http._pool import ConnectionPool
 from wigeonford.http._server import HttpServer
 from wigeonford.http._types import (
     ACCOUNT_HEADER,
@@ -33,6 +34,7 @@
     "AnswerBroken",
     "ClientConnection",
     "ConnectFailed",
+    "ConnectionPool",
     "ExchangeFailed",
     "Handler",
     "Headers",
--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -13,6 +13,7 @@
 
 from wigeonford.errors import Code, RequestRefused, RunState, WigeonfordError
 from wigeonford.events import Event, EventLog
+from wigeonford.http._reader import WatchedReader
 from wigeonford.http._types import (
     error_response,
     find_header,
@@ -56,31 +57,59 @@
 
     def __init__(
         self,
-        reader: asyncio.StreamReader,
+        reader: WatchedReader,
         writer: asyncio.StreamWriter,
         server: "ConnectionHost",
     ) -> None:
         self._reader = reader
         self._writer = writer
         self._server = server
-        self._limits = server.limits
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.limits.head_bytes
         )
         self._idle: asyncio.Timeout | None = None
         self.busy = False
 
+    @property
+    def _limits(self) -> CallerLimits:
+        return self._server.limits
+
     async def serve(self) -> None:
-        """Serve until either side closes."""
+        """Serve until either side closes.
+
+        A caller that leaves amid a request cancels the task that runs
+        this, and with it the work on the request.
+        """
         while True:
             request = await self._read_request()
             if request is None:
                 return
-            await self._answer(request)
+            self._watch_caller(request)
+            try:
+                await self._answer(request)
+            finally:
+                self._reader.on_gone = None
             if not self._next_cycle():
                 return
             self.busy = False
 
+    def _watch_caller(self, request: Request) -> None:
+        """Cancel this task once the caller leaves with its request sent.
+
+        One that leaves before is found by whoever reads the body.
+        """
+        task = asyncio.current_task()
+        assert task is not None, "connections are served in tasks"
+
+        def leave() -> None:
+            sent = self._http.their_state is not h11.SEND_BODY
+            if sent or not request.has_body:
+                task.cancel()
+
+        self._reader.on_gone = leave
+        if self._reader.gone:
+            leave()
+
     def hurry(self) -> None:
         """Close soon, unless a request is on its way."""
         # An idle time-out that is just ending closes the connection too.
@@ -231,6 +260,8 @@
                 self._check_pace(size, waited_s)
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
+                if self._reader.gone:
+                    raise ConnectionResetError("the caller has left")
                 return
             else:
                 raise RequestRefused(Code.REQUEST_TRUNCATED, "closed")
--- a/src/wigeonford/entry/_pool.py
+++ b/src/wigeonford/http/_pool.py
@@ -4,7 +4,7 @@
 import time
 from typing import Final
 
-from wigeonford.http import ClientConnection
+from wigeonford.http._client import ClientConnection
 from wigeonford.settings import Address
 
 IDLE_S: Final = 5.0
@@ -15,11 +15,16 @@
 class ConnectionPool:
     """Keep connections whose last exchange ended whole."""
 
-    def __init__(self) -> None:
+    def __init__(self, silence_s: float | None = None) -> None:
         self._idle: dict[Address, deque[ClientConnection]] = {}
+        self._silence_s = silence_s
 
     async def acquire(
-        self, address: Address, *, fresh: bool = False
+        self,
+        address: Address,
+        *,
+        fresh: bool = False,
+        connect_s: float = CONNECT_TIMEOUT_S,
     ) -> tuple[ClientConnection, bool]:
         """Return a connection and whether it was used before.
 
@@ -29,10 +34,23 @@
         now_s = time.monotonic()
         while idle and not fresh:
             conn = idle.pop()
-            if conn.reusable and now_s - conn.used_at_s < IDLE_S:
+            idle_s = min(IDLE_S, conn.keep_s)
+            if conn.reusable and now_s - conn.used_at_s < idle_s:
                 return conn, True
             conn.close()
-        return await ClientConnection.open(address, CONNECT_TIMEOUT_S), False
+        conn = await ClientConnection.open(
+            address, connect_s, silence_s=self._silence_s
+        )
+        return conn, False
+
+    def close_idle(self) -> None:
+        """Close what has been idle for too long to be used again."""
+        now_s = time.monotonic()
+        for address, idle in list(self._idle.items()):
+            while idle and now_s - idle[0].used_at_s >= IDLE_S:
+                idle.popleft().close()
+            if not idle:
+                del self._idle[address]
 
     def discard(self, address: Address) -> None:
         """Close idle connections, as one of their kind went silent."""
--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -16,6 +16,7 @@
     Handler,
     READ_BYTES,
 )
+from wigeonford.http._reader import WatchedReader
 from wigeonford.settings import Address, CallerLimits
 
 ACCEPTED_S: Final = 0.05
@@ -43,17 +44,27 @@
         self, address: Address, context: ssl.SSLContext | None = None
     ) -> Address:
         """Listen; return the address with the port that was bound."""
-        self._server = await asyncio.start_server(
-            self._accept,
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._protocol,
             address.host,
             address.port,
             ssl=context,
-            limit=READ_BYTES,
             backlog=1024,
         )
         port = self._server.sockets[0].getsockname()[1]
         return Address(address.host, port)
 
+    def _protocol(self) -> asyncio.StreamReaderProtocol:
+        reader = WatchedReader(READ_BYTES)
+
+        async def accept(
+            _reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await self._accept(reader, writer)
+
+        return asyncio.StreamReaderProtocol(reader, accept)
+
     def drain(self) -> None:
         """Go on serving, but ask callers to close with each answer."""
         self.draining = True
@@ -95,7 +106,7 @@
         return str(peer[0]) if peer else ""
 
     async def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, reader: WatchedReader, writer: asyncio.StreamWriter
     ) -> None:
         task = asyncio.current_task()
         assert task is not None, "connections are served in tasks"
--- /dev/null
+++ b/src/wigeonford/platform/_documents.py
@@ -0,0 +1,305 @@
+"""Decode and encode the platform's configurations.
+
+Times are in seconds on the wire; a version is eight hexadecimal digits.
+"""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+import re
+from typing import Any, Final, TypeVar
+
+import msgspec
+
+from wigeonford.deployment import (
+    Account,
+    Deployment,
+    DeploymentPatch,
+    RequestLimits,
+    Route,
+    RouteKind,
+    Service,
+    Share,
+)
+
+T = TypeVar("T")
+
+_VERSION: Final = re.compile(r"[0-9a-fA-F]{1,8}")
+
+
+class DocumentInvalid(Exception):
+    """Report a configuration that can't be read in full."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Split:
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Path:
+    """Mirror a route.
+
+    `target_latency_s` is the latency objective; `cache_affinity` says that
+    targets keep objects warm; `anonymous_access` needs no key.
+    """
+
+    name: str
+    path_prefix: str
+    kind: RouteKind
+    timeout_s: float
+    target_latency_s: float
+    attempts: int = 1
+    priority: int = 0
+    anonymous_access: bool = False
+    cache_affinity: bool = False
+    home_regions: tuple[str, ...] = ()
+    service: str | None = None
+    traffic_split: tuple[_Split, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class _Host:
+    host: str
+    paths: tuple[_Path, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class _Service:
+    name: str
+    health_check_path: str = "/health"
+    connection_limit: int = 0
+    protocol: str = "h1"
+    tls: bool = False
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Tenant:
+    """Mirror a client account."""
+
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int = 0
+    requests_per_s: float = 0.0
+    burst: float = 0.0
+    home_regions: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class _Limits:
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Configuration:
+    version: str
+    services: tuple[_Service, ...]
+    limits: _Limits
+    hosts: tuple[_Host, ...]
+    tenants: tuple[_Tenant, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class _Upsert:
+    services: tuple[_Service, ...] = ()
+    tenants: tuple[_Tenant, ...] = ()
+    hosts: tuple[_Host, ...] = ()
+    limits: _Limits | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class _Remove:
+    services: tuple[str, ...] = ()
+    tenants: tuple[str, ...] = ()
+    routes: tuple[str, ...] = ()
+    hosts: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class _Patch:
+    version: str
+    upsert: _Upsert = _Upsert()
+    remove: _Remove = _Remove()
+
+
+def decode_version(text: str) -> int:
+    """Return a version; raise `DocumentInvalid`."""
+    if not _VERSION.fullmatch(text.strip()):
+        raise DocumentInvalid(f"{text!r} is not a version")
+    return int(text, 16)
+
+
+def encode_version(version: int) -> str:
+    """Return a version as it is written."""
+    return f"{version:08x}"
+
+
+def _decode(content: bytes, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(content, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+        raise DocumentInvalid(str(exc)) from exc
+
+
+def decode_deployment(content: bytes) -> Deployment:
+    """Return a whole configuration; raise `DocumentInvalid`."""
+    plain = _decode(content, _Configuration)
+    return Deployment(
+        decode_version(plain.version),
+        tuple(_services(plain.services)),
+        _limits(plain.limits),
+        tuple(_accounts(plain.tenants)),
+        tuple(host.host for host in plain.hosts),
+        tuple(_routes(plain.hosts)),
+    )
+
+
+def decode_patch(content: bytes) -> DeploymentPatch:
+    """Return a partial change; raise `DocumentInvalid`."""
+    plain = _decode(content, _Patch)
+    added, removed = plain.upsert, plain.remove
+    return DeploymentPatch(
+        decode_version(plain.version),
+        tuple(_services(added.services)),
+        tuple(_accounts(added.tenants)),
+        tuple(host.host for host in added.hosts),
+        tuple(_routes(added.hosts)),
+        _limits(added.limits) if added.limits else None,
+        removed.services,
+        removed.tenants,
+        removed.routes,
+        removed.hosts,
+    )
+
+
+def _services(items: Iterable[_Service]) -> Iterator[Service]:
+    for item in items:
+        yield Service(
+            item.name,
+            item.health_check_path,
+            item.connection_limit,
+            item.protocol,
+            item.tls,
+            item.cold_start_s,
+            item.cold_per_s,
+        )
+
+
+def _accounts(items: Iterable[_Tenant]) -> Iterator[Account]:
+    for item in items:
+        yield Account(
+            item.name,
+            item.api_keys,
+            item.priority,
+            item.requests_per_s,
+            item.burst,
+            item.home_regions,
+        )
+
+
+def _limits(item: _Limits) -> RequestLimits:
+    return RequestLimits(
+        item.max_header_bytes,
+        item.max_body_bytes,
+        item.header_timeout_s,
+        item.idle_timeout_s,
+    )
+
+
+def _routes(hosts: Iterable[_Host]) -> Iterator[Route]:
+    for host in hosts:
+        for item in host.paths:
+            yield Route(
+                item.name,
+                host.host,
+                item.path_prefix,
+                item.kind,
+                item.timeout_s,
+                item.target_latency_s,
+                item.attempts,
+                item.priority,
+                item.anonymous_access,
+                item.cache_affinity,
+                item.home_regions,
+                item.service,
+                tuple(
+                    Share(part.service, part.weight)
+                    for part in item.traffic_split
+                ),
+            )
+
+
+def encode_deployment(deployment: Deployment) -> bytes:
+    """Return a configuration as it was put."""
+    plain = {
+        "version": encode_version(deployment.version),
+        "services": [
+            {
+                "name": item.name,
+                "health_check_path": item.health_path,
+                "connection_limit": item.connection_limit,
+                "protocol": item.protocol,
+                "tls": item.tls,
+                "cold_start_s": item.cold_start_s,
+                "cold_per_s": item.cold_per_s,
+            }
+            for item in deployment.services
+        ],
+        "limits": {
+            "max_header_bytes": deployment.limits.head_bytes,
+            "max_body_bytes": deployment.limits.body_bytes,
+            "header_timeout_s": deployment.limits.head_timeout_s,
+            "idle_timeout_s": deployment.limits.idle_timeout_s,
+        },
+        "tenants": [
+            {
+                "name": item.name,
+                "api_keys": list(item.keys),
+                "priority": item.priority,
+                "requests_per_s": item.rate_per_s,
+                "burst": item.burst,
+                "home_regions": list(item.home_regions),
+            }
+            for item in deployment.accounts
+        ],
+        "hosts": [
+            {
+                "host": host,
+                "paths": [
+                    _encode_route(route)
+                    for route in deployment.routes
+                    if route.host == host
+                ],
+            }
+            for host in deployment.hosts
+        ],
+    }
+    return msgspec.json.encode(plain)
+
+
+def _encode_route(route: Route) -> dict[str, Any]:
+    plain: dict[str, Any] = {
+        "name": route.name,
+        "path_prefix": route.path_prefix,
+        "kind": route.kind.value,
+        "timeout_s": route.timeout_s,
+        "target_latency_s": route.objective_s,
+        "priority": route.priority,
+        "attempts": route.attempts,
+        "anonymous_access": route.is_open,
+        "cache_affinity": route.by_object,
+        "home_regions": list(route.home_regions),
+    }
+    if route.service is not None:
+        plain["service"] = route.service
+    if route.split:
+        plain["traffic_split"] = [
+            {"service": share.service, "weight": share.weight}
+            for share in route.split
+        ]
+    return plain
--- /dev/null
+++ b/src/wigeonford/platform/_settings.py
@@ -0,0 +1,146 @@
+"""Decode the platform's settings file."""
+
+from dataclasses import dataclass, field
+from pathlib import Path
+import tomllib
+from typing import Any, Final
+
+import msgspec
+
+from wigeonford.errors import Code, Fault, SettingsError
+from wigeonford.settings import (
+    Address,
+    parse_address,
+    RepeatBounds,
+    SteerControlSettings,
+    SteerEntrySettings,
+)
+
+SETTINGS_VARIABLE: Final = "WIGEONFORD_CONFIG"
+DEFAULT_PATH: Final = "/etc/wigeonford/settings.toml"
+
+
+@dataclass(frozen=True, slots=True)
+class _Listen:
+    """Hold the addresses for what the role serves."""
+
+    front: str | None = None
+    ready: str | None = None
+    control: str | None = None
+    directory: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class _Limits:
+    memory_mb: int = 0
+    file_descriptors: int = 4096
+
+
+@dataclass(frozen=True, slots=True)
+class _Tolerance:
+    machines: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class _Bounds:
+    drain_s: float = 2.5
+    grace_s: float = 6.0
+    retry_budget_ratio: float = 0.2
+    budget_slack: float = 50.0
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """Mirror the file; what it holds beside these fields is ignored.
+
+    `internal_port_range` is first and last port between own processes;
+    the first is where control replicas listen for peers. `bootstrap` is
+    true at the first start of the whole system only.
+    """
+
+    node: str
+    ip_address: str
+    zone: str
+    region: str
+    internal_port_range: tuple[int, int]
+    seeds: tuple[str, ...]
+    bootstrap: bool = False
+    data_directory: str = ""
+    zones: dict[str, str] = field(default_factory=dict)
+    listen: _Listen = field(default_factory=_Listen)
+    limits: _Limits = field(default_factory=_Limits)
+    fault_tolerance: _Tolerance = field(default_factory=_Tolerance)
+    bounds: _Bounds = field(default_factory=_Bounds)
+
+    @property
+    def peer_port(self) -> int:
+        """Return the port at which control replicas take peers."""
+        return self.internal_port_range[0]
+
+    @property
+    def peer_seeds(self) -> tuple[str, ...]:
+        """Return the seeds as addresses for peers."""
+        return tuple(
+            str(Address(parse_address(seed).host, self.peer_port))
+            for seed in self.seeds
+        )
+
+
+def read_settings(path: Path) -> PlatformSettings:
+    """Return what a file holds; raise `SettingsError`."""
+    try:
+        plain: Any = tomllib.loads(path.read_text())
+        return msgspec.convert(plain, PlatformSettings)
+    except (OSError, tomllib.TOMLDecodeError) as exc:
+        fault = Fault(str(path), repr(exc), "a readable TOML file")
+        raise SettingsError(Code.SETTINGS_UNREADABLE, (fault,)) from exc
+    except msgspec.ValidationError as exc:
+        fault = Fault(str(path), str(exc), "valid")
+        raise SettingsError(Code.SETTINGS_INVALID, (fault,)) from exc
+
+
+def _listen_address(text: str | None, name: str) -> Address:
+    if text is None:
+        fault = Fault(f"listen.{name}", "missing", "an address")
+        raise SettingsError(Code.SETTINGS_INVALID, (fault,))
+    return parse_address(text)
+
+
+def to_control(cfg: PlatformSettings) -> SteerControlSettings:
+    """Return the settings of a control replica."""
+    peer = Address(cfg.ip_address, cfg.peer_port)
+    if not cfg.data_directory:
+        fault = Fault("data_directory", "missing", "a folder")
+        raise SettingsError(Code.SETTINGS_INVALID, (fault,))
+    return SteerControlSettings(
+        name=cfg.node,
+        peer_address=peer,
+        api_address=_listen_address(cfg.listen.control, "control"),
+        data_folder=Path(cfg.data_directory),
+        seeds=cfg.peer_seeds,
+        may_found=cfg.bootstrap,
+        zones=cfg.zones,
+        wanted_voters=2 * cfg.fault_tolerance.machines + 1,
+        drain_s=cfg.bounds.drain_s,
+        grace_s=cfg.bounds.grace_s,
+    )
+
+
+def to_entry(cfg: PlatformSettings) -> SteerEntrySettings:
+    """Return the settings of an entry VM."""
+    directory = cfg.listen.directory
+    return SteerEntrySettings(
+        name=cfg.node,
+        availability_zone=cfg.zone,
+        region=cfg.region,
+        address=_listen_address(cfg.listen.front, "front"),
+        ready_address=_listen_address(cfg.listen.ready, "ready"),
+        seeds=cfg.peer_seeds,
+        zones=cfg.zones,
+        lookup_address=parse_address(directory) if directory else None,
+        repeats=RepeatBounds(
+            cfg.bounds.retry_budget_ratio, cfg.bounds.budget_slack
+        ),
+        grace_s=cfg.bounds.grace_s,
+        descriptors=cfg.limits.file_descriptors,
+    )
--- a/src/wigeonford/policy/__init__.py
+++ b/src/wigeonford/policy/__init__.py
@@ -12,6 +12,7 @@
     ShareRequest,
     TERM_S,
 )
+from wigeonford.policy._demand import Demand
 from wigeonford.policy._ejection import Ejection
 from wigeonford.policy._fair_queue import FairQueue
 from wigeonford.policy._leases import (
@@ -53,22 +54,17 @@
 from wigeonford.policy._token_queue import TokenQueue, Verdict
 
 __all__ = [
-    "DISPATCH_JITTER_S",
-    "HEDGE_PART",
-    "HEDGE_RESERVE",
-    "REPORT_INTERVAL_S",
-    "RETRY_PART",
-    "RETRY_RESERVE",
-    "SHARE_UNITS",
-    "SLOT_TERM_S",
-    "TERM_S",
     "AccountShare",
     "AttemptBudget",
     "BucketShare",
     "BudgetGrantor",
     "Candidate",
+    "DISPATCH_JITTER_S",
+    "Demand",
     "Ejection",
     "FairQueue",
+    "HEDGE_PART",
+    "HEDGE_RESERVE",
     "LatencyWindow",
     "LeaseGrant",
     "LeaseGrantor",
@@ -78,6 +74,11 @@
     "LinkShare",
     "LoanGrant",
     "Quarantine",
+    "REPORT_INTERVAL_S",
+    "RETRY_PART",
+    "RETRY_RESERVE",
+    "SHARE_UNITS",
+    "SLOT_TERM_S",
     "ShareBucket",
     "ShareGrant",
     "ShareRequest",
@@ -91,6 +92,7 @@
     "SlotRow",
     "SlotWant",
     "SpillWindows",
+    "TERM_S",
     "TargetOffer",
     "TokenBucket",
     "TokenQueue",
--- a/src/wigeonford/settings/__init__.py
+++ b/src/wigeonford/settings/__init__.py
@@ -13,6 +13,11 @@
 )
 from wigeonford.settings._decode import bounded, decode, Decoder, matching
 from wigeonford.settings._files import load, read_jsonc
+from wigeonford.settings._steering import (
+    RepeatBounds,
+    SteerControlSettings,
+    SteerEntrySettings,
+)
 
 __all__ = [
     "Address",
@@ -22,7 +27,10 @@
     "Decoder",
     "EntrySettings",
     "OperatorSettings",
+    "RepeatBounds",
     "Secrets",
+    "SteerControlSettings",
+    "SteerEntrySettings",
     "Tls",
     "bounded",
     "decode",
--- /dev/null
+++ b/src/wigeonford/steer/_follower.py
@@ -0,0 +1,222 @@
+"""Follow control: hear of news from every replica, fetch it from one."""
+
+import asyncio
+from collections.abc import Callable
+import random
+import time
+from typing import Final
+
+from wigeonford.errors import PeerError
+from wigeonford.events import Event, EventLog
+from wigeonford.peer import (
+    EntryStatus,
+    FetchView,
+    PeerClient,
+    ReportStatus,
+    ViewNotice,
+    ViewUpdate,
+    WatchView,
+)
+from wigeonford.settings import Address, parse_address
+from wigeonford.steer._suspects import SuspectBook
+from wigeonford.steer._view import Roster, View, ViewBuilder
+
+Connect = Callable[[Address], PeerClient]
+
+WATCH_TIMEOUT_S: Final = 1.6
+"""A watch is held for 0.7 s; the rest covers a slow link and a turn."""
+FETCH_TIMEOUT_S: Final = 2.0
+"""A large deployment over a narrow link."""
+RETRY_S: Final = 0.25
+"""Pause after a failed watch, doubled up to `MAX_RETRY_S`."""
+MAX_RETRY_S: Final = 1.0
+"""Well within the time in which a regained replica has to be heard."""
+REPORT_TIMEOUT_S: Final = 0.5
+"""A planned stop waits no longer for control to know of it."""
+
+
+class ViewFollower:
+    """Watch every control replica and keep the newest view.
+
+    One task a replica; whichever has news first is asked for it. Without
+    control the last view stays in force.
+    """
+
+    def __init__(
+        self,
+        seeds: Callable[[], tuple[str, ...]],
+        status: Callable[[], EntryStatus],
+        suspects: SuspectBook,
+        connect: Connect,
+        log: EventLog,
+        rng: random.Random,
+    ) -> None:
+        self._seeds = seeds
+        self._status = status
+        self._suspects = suspects
+        self._connect = connect
+        self._log = log
+        self._rng = rng
+        self._builder = ViewBuilder()
+        self._listeners: list[Callable[[View], None]] = []
+        self._watchers: dict[str, asyncio.Task[None]] = {}
+        self._members: set[str] = set()
+        self._in_touch: set[str] = set()
+        self._fetching = asyncio.Lock()
+        self._wanted = asyncio.Event()
+        self._keeper: asyncio.Task[None] | None = None
+        self.roster = Roster()
+        self.view: View | None = None
+        self.taken_at_s = 0.0
+
+    def on_view(self, listener: Callable[[View], None]) -> None:
+        """Call a function with each new view."""
+        self._listeners.append(listener)
+
+    @property
+    def in_touch(self) -> frozenset[str]:
+        """Return the addresses of the replicas in touch."""
+        return frozenset(self._in_touch)
+
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """Return the addresses at which control may be found."""
+        return tuple(sorted({*self._members, *self._seeds()}))
+
+    def running_entries(self) -> dict[str, EntryStatus]:
+        """Return the entry VMs that run, by name."""
+        return self.roster.entries(time.monotonic())
+
+    async def start(self) -> None:
+        """Begin to follow."""
+        self._keeper = asyncio.create_task(self._keep_watchers())
+
+    async def stop(self) -> None:
+        """Stop following."""
+        tasks = list(self._watchers.values())
+        if self._keeper is not None:
+            tasks.append(self._keeper)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def report(self) -> None:
+        """Tell every replica at once how this VM stands."""
+        message = ReportStatus(self._status())
+        await asyncio.gather(
+            *(self._send(address, message) for address in self.addresses)
+        )
+
+    async def _send(self, address: str, message: ReportStatus) -> None:
+        client = self._connect(parse_address(address))
+        try:
+            await client.request(message, REPORT_TIMEOUT_S)
+        except PeerError as exc:
+            self._log.emit(
+                Event.LEAVE_UNCONFIRMED, control=address, detail=str(exc)
+            )
+        finally:
+            await client.close()
+
+    async def _keep_watchers(self) -> None:
+        while True:
+            wanted = set(self.addresses)
+            for address in wanted - self._watchers.keys():
+                self._watchers[address] = asyncio.create_task(
+                    self._watch(address)
+                )
+            for address in self._watchers.keys() - wanted:
+                self._watchers.pop(address).cancel()
+                self._in_touch.discard(address)
+            self._wanted.clear()
+            try:
+                async with asyncio.timeout(1.0):
+                    await self._wanted.wait()
+            except TimeoutError:
+                continue
+
+    async def _watch(self, address: str) -> None:
+        client = self._connect(parse_address(address))
+        pause_s = RETRY_S
+        try:
+            while True:
+                try:
+                    await self._watch_once(address, client)
+                    pause_s = RETRY_S
+                except PeerError as exc:
+                    self._note_lost(address, exc)
+                    await client.close()
+                    await asyncio.sleep(pause_s * self._rng.uniform(0.7, 1.3))
+                    pause_s = min(2 * pause_s, MAX_RETRY_S)
+                    client = self._connect(parse_address(address))
+        finally:
+            await client.close()
+
+    async def _watch_once(self, address: str, client: PeerClient) -> None:
+        notice = await client.request(
+            WatchView(
+                self._builder.revision,
+                self._status(),
+                self.roster.digest_of(address),
+                self._suspects.to_report(),
+            ),
+            WATCH_TIMEOUT_S,
+        )
+        assert isinstance(notice, ViewNotice), "the answer to a watch"
+        if address not in self._in_touch:
+            self._in_touch.add(address)
+            self._log.emit(Event.CONTROL_REGAINED, control=address)
+        self.roster.take(address, notice, time.monotonic())
+        self._suspects.merge(notice.suspicions, time.monotonic())
+        members = set(notice.control)
+        if members and members != self._members:
+            self._members = members
+            self._wanted.set()
+        if notice.revision > self._builder.revision:
+            await self._fetch(address, client, notice.revision)
+
+    def _note_lost(self, address: str, exc: PeerError) -> None:
+        if address in self._in_touch:
+            self._in_touch.discard(address)
+            self._log.emit(
+                Event.CONTROL_LOST,
+                control=address,
+                code=exc.code.number,
+                left=len(self._in_touch),
+                revision=self._builder.revision,
+            )
+
+    async def _fetch(
+        self, address: str, client: PeerClient, revision: int
+    ) -> None:
+        """Fetch what is new, unless another replica has just given it."""
+        async with self._fetching:
+            if revision <= self._builder.revision:
+                return
+            update = await client.request(
+                FetchView(self._builder.revision), FETCH_TIMEOUT_S
+            )
+            assert isinstance(update, ViewUpdate), "the answer to a fetch"
+            self._take(address, update)
+
+    def _take(self, address: str, update: ViewUpdate) -> None:
+        before = self.view
+        if not self._builder.take(update):
+            return
+        view = self._builder.build()
+        self._log.emit(
+            Event.VIEW_TAKEN,
+            revision=update.revision,
+            version=view.deployment.version if view else None,
+            before=before.revision if before else 0,
+            targets=len(view.targets) if view else 0,
+            changed=len(update.targets),
+            removed=len(update.removed),
+            control=address,
+        )
+        if view is None:
+            return
+        self.view = view
+        self.taken_at_s = time.monotonic()
+        for listener in self._listeners:
+            listener(view)
--- /dev/null
+++ b/src/wigeonford/steer/_part_reporter.py
@@ -0,0 +1,117 @@
+"""Ask the leader for parts of the accounts' rates, again and again."""
+
+import asyncio
+from collections.abc import Callable
+import itertools
+import time
+from typing import Final
+
+from wigeonford.errors import PeerError
+from wigeonford.events import Event, EventLog
+from wigeonford.peer import (
+    EntryStatus,
+    LeaderElsewhere,
+    PartsAnswer,
+    PartsReport,
+    PeerClient,
+)
+from wigeonford.settings import parse_address
+from wigeonford.steer._follower import Connect, ViewFollower
+from wigeonford.steer._rates import AccountRates
+
+REPORT_INTERVAL_S: Final = 0.4
+"""Parts that are not used move to others within a second."""
+REPORT_TIMEOUT_S: Final = 1.0
+"""Several round trips between regions."""
+
+
+class PartReporter:
+    """Find the leader and renew the leases."""
+
+    def __init__(
+        self,
+        follower: ViewFollower,
+        rates: AccountRates,
+        status: Callable[[], EntryStatus],
+        connect: Connect,
+        log: EventLog,
+    ) -> None:
+        self._follower = follower
+        self._rates = rates
+        self._status = status
+        self._connect = connect
+        self._log = log
+        self._leader: str | None = None
+        self._client: PeerClient | None = None
+        self._turns = itertools.count()
+        self._granted = False
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to report."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop reporting."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        await self._drop_client()
+
+    async def _run(self) -> None:
+        while True:
+            if self._follower.view is not None:
+                await self._report()
+            await asyncio.sleep(REPORT_INTERVAL_S)
+
+    async def _report(self) -> None:
+        view = self._follower.view
+        assert view is not None, "reported on a view"
+        accounts = {item.name: item for item in view.deployment.accounts}
+        roster = self._follower.roster.entries(time.monotonic())
+        self._rates.follow(accounts, len(roster))
+        status = self._status()
+        report = PartsReport(
+            status.name,
+            status.incarnation,
+            tuple(self._rates.requests(accounts, time.monotonic())),
+        )
+        try:
+            answer = await self._ask(report)
+        except LeaderElsewhere as exc:
+            await self._drop_client()
+            self._leader = exc.leader
+            return
+        except PeerError as exc:
+            await self._drop_client()
+            self._note(False, str(exc))
+            return
+        for grant in answer.grants:
+            self._rates.accept(grant)
+        self._note(True, self._leader or "")
+
+    def _note(self, granted: bool, detail: str) -> None:
+        if granted == self._granted:
+            return
+        self._granted = granted
+        event = Event.PARTS_REGAINED if granted else Event.PARTS_LOST
+        self._log.emit(event, detail=detail)
+
+    async def _ask(self, report: PartsReport) -> PartsAnswer:
+        if self._client is None:
+            self._client = self._connect(parse_address(self._find_leader()))
+        answer = await self._client.request(report, REPORT_TIMEOUT_S)
+        assert isinstance(answer, PartsAnswer), "the answer to a report"
+        return answer
+
+    def _find_leader(self) -> str:
+        if self._leader is None:
+            addresses = self._follower.addresses
+            self._leader = addresses[next(self._turns) % len(addresses)]
+        return self._leader
+
+    async def _drop_client(self) -> None:
+        self._leader = None
+        if self._client is not None:
+            await self._client.close()
+            self._client = None
--- /dev/null
+++ b/src/wigeonford/steer/_rates.py
@@ -0,0 +1,104 @@
+"""Client accounts' rates: each entry VM spends its leased part."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from wigeonford.deployment import Account
+from wigeonford.peer import PartGrant, PartRequest
+from wigeonford.policy import Demand, LeaseGrant, LeaseHolder
+
+LEASE_S: Final = 20.0
+"""The grantor's term."""
+DEMAND_MARGIN: Final = 1.6
+"""How much more than the demand of late is asked for, since it grows
+faster than parts move."""
+LEAST_WANTED_PER_S: Final = 2.0
+"""What an entry VM without demand keeps ready."""
+UNLEASED_PART: Final = 0.2
+"""Part of a rate that all entry VMs without a lease share; the rules let a
+fleet run over by more."""
+BURST_RESERVE: Final = 1.0
+"""Least tokens that a full bucket holds, so that small parts work."""
+
+
+@dataclass(slots=True)
+class _Meter:
+    """Meter one account at this VM."""
+
+    holder: LeaseHolder
+    demand: Demand
+    tokens: float
+    at_s: float
+
+
+class AccountRates:
+    """Admit requests within this VM's parts of the accounts' rates.
+
+    A part is a fraction, so that a change of a rate is in force with the
+    deployment that makes it.
+    """
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._meters: dict[str, _Meter] = {}
+        self._entries = 1
+
+    def follow(self, accounts: Mapping[str, Account], entries: int) -> None:
+        """Take over the accounts and the count of entry VMs."""
+        self._entries = max(1, entries)
+        for name in self._meters.keys() - accounts.keys():
+            del self._meters[name]
+
+    def part(self, account: str, now_s: float) -> float:
+        """Return the part of an account's rate that may be used here."""
+        floor = UNLEASED_PART / self._entries
+        meter = self._meters.get(account)
+        return max(floor, meter.holder.amount(now_s)) if meter else floor
+
+    def admit(self, account: Account, now_s: float) -> float:
+        """Return 0 to admit a request, or else when to ask again, in s."""
+        if account.rate_per_s <= 0:
+            return 0.0
+        meter = self._meter(account.name, now_s)
+        meter.demand.add(now_s)
+        rate = account.rate_per_s * self.part(account.name, now_s)
+        full = max(
+            BURST_RESERVE, account.burst * self.part(account.name, now_s)
+        )
+        meter.tokens = min(full, meter.tokens + (now_s - meter.at_s) * rate)
+        meter.at_s = now_s
+        if meter.tokens >= 1.0:
+            meter.tokens -= 1.0
+            return 0.0
+        return (1.0 - meter.tokens) / rate
+
+    def _meter(self, account: str, now_s: float) -> _Meter:
+        meter = self._meters.get(account)
+        if meter is None:
+            holder = LeaseHolder(self._name, LEASE_S)
+            meter = _Meter(holder, Demand(now_s), 0.0, now_s)
+            self._meters[account] = meter
+        return meter
+
+    def requests(
+        self, accounts: Mapping[str, Account], now_s: float
+    ) -> Iterator[PartRequest]:
+        """Yield what to ask the leader for."""
+        for account in accounts.values():
+            if account.rate_per_s <= 0:
+                continue
+            meter = self._meter(account.name, now_s)
+            wanted = max(
+                LEAST_WANTED_PER_S,
+                DEMAND_MARGIN * meter.demand.rate_per_s(now_s),
+            )
+            part = min(1.0, wanted / account.rate_per_s)
+            ask = meter.holder.ask(part, now_s)
+            yield PartRequest(account.name, ask.number, ask.held, ask.wanted)
+
+    def accept(self, grant: PartGrant) -> None:
+        """Take over a grant."""
+        meter = self._meters.get(grant.account)
+        if meter is not None:
+            meter.holder.accept(LeaseGrant(grant.number, grant.part))
--- /dev/null
+++ b/src/wigeonford/steer/_target_book.py
@@ -0,0 +1,200 @@
+"""What an entry VM has seen of each target: load, failures, warmth."""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+import math
+from typing import Final
+
+from wigeonford.deployment import Announcement, Service
+
+DOWN_S: Final = 0.4
+"""First pause after a target could not be reached; doubles each time."""
+MAX_DOWN_S: Final = 3.0
+"""Targets come back from a crash within seconds."""
+OTHERS_HALF_LIFE_S: Final = 0.5
+"""How fast a reported load that is not this VM's loses its meaning; about
+the time that a request runs."""
+FAILED_MEMORY: Final = 0.8
+"""Weight of what was before in a target's share of failures."""
+GREY_SHARE: Final = 0.35
+"""A share of failures that overload alone does not bring about."""
+GREY_S: Final = 2.0
+"""How long a failing target gets only trials."""
+DURATION_MEMORY: Final = 0.8
+"""Weight of what was before in a target's slowness."""
+WARM_KEPT: Final = 64
+"""Objects remembered for each target, beyond what targets remember."""
+
+
+@dataclass(slots=True)
+class TargetRecord:
+    """Hold what is known of one incarnation of a target.
+
+    `slowness` is the ratio of its durations to those of its service.
+    """
+
+    announced: Announcement
+    region: str
+    since_s: float
+    in_flight: int = 0
+    others: float = 0.0
+    others_at_s: float = 0.0
+    down_until_s: float = 0.0
+    down_count: int = 0
+    cold_until_s: float = 0.0
+    failures: float = 0.0
+    failed_at_s: float = float("-inf")
+    full_until_s: float = 0.0
+    slowness: float = 1.0
+    warm: OrderedDict[str, None] = field(default_factory=OrderedDict)
+
+    @property
+    def target_id(self) -> str:
+        """Return the target's id."""
+        return self.announced.target_id
+
+    @property
+    def zone(self) -> str:
+        """Return the target's availability zone."""
+        return self.announced.availability_zone
+
+    def load(self, now_s: float) -> float:
+        """Return how many requests the target is thought to hold."""
+        elapsed_s = now_s - self.others_at_s
+        if self.others <= 0.0 or elapsed_s > 8 * OTHERS_HALF_LIFE_S:
+            return float(self.in_flight)
+        kept = math.pow(0.5, elapsed_s / OTHERS_HALF_LIFE_S)
+        return self.in_flight + self.others * kept
+
+    def report_load(self, running: int, waiting: int, now_s: float) -> None:
+        """Take over the load that an answer tells."""
+        self.others = max(0.0, running + waiting - self.in_flight)
+        self.others_at_s = now_s
+
+    def is_down(self, now_s: float) -> bool:
+        """Tell whether the target is left out after failing."""
+        return now_s < self.down_until_s
+
+    def is_cold(self, now_s: float) -> bool:
+        """Tell whether the target stands only few requests."""
+        return now_s < self.cold_until_s
+
+    def is_grey(self, now_s: float) -> bool:
+        """Tell whether the target fails too often to be chosen first."""
+        return self.failures > GREY_SHARE and now_s - self.failed_at_s < GREY_S
+
+    def mark_down(self, now_s: float) -> float:
+        """Leave the target out for a while; return for how long."""
+        pause_s = min(DOWN_S * math.pow(2, self.down_count), MAX_DOWN_S)
+        self.down_count = min(self.down_count + 1, 10)
+        self.down_until_s = now_s + pause_s
+        return pause_s
+
+    def mark_up(self, now_s: float, cold_s: float) -> bool:
+        """Take note of an answer; tell whether the target had been down.
+
+        One that was away long enough to start anew is cold until told
+        otherwise.
+        """
+        if not self.down_count:
+            return False
+        self.down_count = 0
+        self.down_until_s = 0.0
+        self.cold_until_s = max(self.cold_until_s, now_s + cold_s)
+        return True
+
+    def record_result(self, failed: bool, now_s: float) -> None:
+        """Count an attempt towards the share of failures."""
+        self.failures *= FAILED_MEMORY
+        if failed:
+            self.failures += 1 - FAILED_MEMORY
+            self.failed_at_s = now_s
+
+    def record_ratio(self, ratio: float) -> None:
+        """Take note of how long an answer took, against its service."""
+        kept = DURATION_MEMORY * self.slowness
+        self.slowness = kept + (1 - DURATION_MEMORY) * min(ratio, 10.0)
+
+    def touch(self, thing: str) -> None:
+        """Remember that the target has served an object."""
+        self.warm[thing] = None
+        self.warm.move_to_end(thing)
+        if len(self.warm) > WARM_KEPT:
+            self.warm.popitem(last=False)
+
+
+class TargetBook:
+    """Keep a record of each target that a view names."""
+
+    def __init__(self) -> None:
+        self._records: dict[str, TargetRecord] = {}
+        self._by_service: dict[str, tuple[TargetRecord, ...]] = {}
+        self._taken_back: dict[str, int] = {}
+        self.revision = 0
+
+    def get(self, target_id: str) -> TargetRecord | None:
+        """Return the record of a target."""
+        return self._records.get(target_id)
+
+    def __iter__(self) -> Iterator[TargetRecord]:
+        return iter(self._records.values())
+
+    def of_service(self, service: str) -> tuple[TargetRecord, ...]:
+        """Return the targets of a service that are not leaving."""
+        return self._by_service.get(service, ())
+
+    def follow(
+        self,
+        targets: Mapping[str, Announcement],
+        regions: Mapping[str, str],
+        now_s: float,
+    ) -> None:
+        """Take over the targets of a new view."""
+        records: dict[str, TargetRecord] = {}
+        for target_id, said in targets.items():
+            held = self._records.get(target_id)
+            if held is None or held.announced.born_ms != said.born_ms:
+                region = regions.get(said.availability_zone, "")
+                held = TargetRecord(said, region, now_s)
+                held.cold_until_s = now_s + said.cold_s
+            elif held.announced is not said and held.announced != said:
+                held.announced = said
+                held.cold_until_s = now_s + said.cold_s
+                # It speaks, so that it runs.
+                held.down_until_s = min(held.down_until_s, now_s)
+            records[target_id] = held
+        self._records = records
+        self.revision += 1
+        by_service: dict[str, list[TargetRecord]] = {}
+        for record in records.values():
+            if not record.announced.leaving:
+                by_service.setdefault(record.announced.service, []).append(
+                    record
+                )
+        self._by_service = {
+            service: tuple(held) for service, held in by_service.items()
+        }
+
+    def follow_evacuations(
+        self,
+        taken_back: Mapping[str, int],
+        services: Mapping[str, Service],
+        now_s: float,
+    ) -> None:
+        """Take targets of a zone that was just taken back for cold."""
+        zones = {
+            zone
+            for zone, count in taken_back.items()
+            if count != self._taken_back.get(zone, 0)
+        }
+        self._taken_back = dict(taken_back)
+        for record in self._in_zones(zones):
+            service = services.get(record.announced.service)
+            if service is not None:
+                until_s = now_s + service.cold_start_s
+                record.cold_until_s = max(record.cold_until_s, until_s)
+
+    def _in_zones(self, zones: Iterable[str]) -> Iterator[TargetRecord]:
+        wanted = set(zones)
+        return (record for record in self if record.zone in wanted)
