--- a/src/wigeonford/compose.py
+++ b/src/wigeonford/compose.py
@@ -61,6 +61,13 @@
 )
 from wigeonford.tls import client_context
 
+__all__ = [
+    "build_control",
+    "build_entry",
+    "build_steer_control",
+    "build_steer_entry",
+]
+
 
 def build_control(
     cfg: ControlSettings,
