--- a/src/wigeonford/control/_part_service.py
+++ b/src/wigeonford/control/_part_service.py
@@ -1,14 +1,19 @@
 """Grant parts of the client accounts' rates while this replica leads.
 
-Grants are kept in memory. A new leader renews what entry VMs report and
-grants no more until its predecessor's leases have run out.
+Grants are kept in memory; which entry VMs may hold any is in the log. A new
+leader renews what they report, and grants the rest once all of them have
+reported or their leases have run out. A restarted VM holds nothing of what
+its former run held.
 """
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Callable, Iterator
 import time
 from typing import Final
 
 from wigeonford.control._replica import Replica
+from wigeonford.control._steering_commands import ChangeHolders
+from wigeonford.errors import WigeonfordError
 from wigeonford.events import Event, EventLog
 from wigeonford.peer import (
     LeaderElsewhere,
@@ -24,6 +29,10 @@
 """Longer than all of control may be without power in the fault plan."""
 ENTRY_GONE_S: Final = 5.0
 """Entry VMs report twice a second; ten are lost."""
+HOLDER_GONE_S: Final = 1.5 * PART_LEASE_S
+"""When a silent holder's lease has run out, with room for clocks."""
+SWEEP_INTERVAL_S: Final = 2.0
+"""Holders that are gone only matter to the next leader."""
 _LAST_NUMBER: Final = 1 << 62
 
 
@@ -40,44 +49,57 @@
         self._log = log
         self._clock = clock
         self._term = -1
-        self._founded = False
+        self._since_s = 0.0
+        self._unheard: set[str] = set()
         self._grantors: dict[str, LeaseGrantor] = {}
         self._entries: dict[str, tuple[str, float]] = {}
+        self._task: asyncio.Task[None] | None = None
 
     def attach(self, server: PeerServer) -> None:
         """Register the message handler."""
         server.handle(PartsReport, self._answer)
 
     async def start(self) -> None:
-        """Begin to notice when this replica comes to lead."""
-        self._replica.on_applied(self._begin_term)
+        """Begin to drop entry VMs that are long gone."""
+        self._task = asyncio.create_task(self._sweep())
 
     async def stop(self) -> None:
-        """Return: there is nothing to end."""
+        """Stop dropping."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
 
     async def _answer(self, message: PartsReport) -> PartsAnswer:
         if not self._replica.is_leader:
             raise LeaderElsewhere(self._replica.leader)
-        self._begin_term()
+        if self._term != self._replica.term:
+            # Reading the holders needs all that was agreed before.
+            await self._replica.confirm()
+            self._begin_term()
+        if message.entry not in self._replica.state.steering.holders:
+            await self._replica.propose(ChangeHolders((message.entry,), ()))
+        if not self._replica.is_leader or self._term != self._replica.term:
+            raise LeaderElsewhere(self._replica.leader)
         now_s = self._clock()
         self._note_entry(message, now_s)
         grants = tuple(
             self._grant(message, request, now_s)
             for request in message.requests
         )
+        self._note_heard(message.entry, now_s)
         return PartsAnswer(self._count_entries(now_s), grants)
 
     def _begin_term(self) -> None:
         term = self._replica.term
         if term == self._term or not self._replica.is_leader:
             return
-        # Nobody granted anything before the first deployment.
-        self._founded = self._replica.state.steering.deployment is None
         self._term = term
+        self._since_s = self._clock()
+        self._unheard = set(self._replica.state.steering.holders)
         self._grantors.clear()
         self._entries.clear()
         self._log.emit(
-            Event.PARTS_TERM_BEGUN, term=term, takes_over=not self._founded
+            Event.PARTS_TERM_BEGUN, term=term, unheard=sorted(self._unheard)
         )
 
     def _note_entry(self, message: PartsReport, now_s: float) -> None:
@@ -90,18 +112,57 @@
         for grantor in self._grantors.values():
             grantor.release(holder, _LAST_NUMBER)
 
+    def _note_heard(self, entry: str, now_s: float) -> None:
+        if entry not in self._unheard:
+            return
+        self._unheard.discard(entry)
+        if not self._unheard:
+            for grantor in self._grantors.values():
+                grantor.know_all(now_s)
+            self._log.emit(Event.PARTS_ALL_HEARD, term=self._term)
+
     def _count_entries(self, now_s: float) -> int:
         return sum(
             now_s - at_s <= ENTRY_GONE_S for _, at_s in self._entries.values()
         )
 
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            if not self._replica.is_leader or self._term != (
+                self._replica.term
+            ):
+                continue
+            gone = tuple(sorted(self._gone(self._clock())))
+            if not gone:
+                continue
+            try:
+                await self._replica.propose(ChangeHolders((), gone))
+            except WigeonfordError as exc:
+                self._log.emit(Event.ROSTER_UPDATE_FAILED, detail=str(exc))
+                continue
+            for name in gone:
+                self._entries.pop(name, None)
+                self._note_heard(name, self._clock())
+
+    def _gone(self, now_s: float) -> Iterator[str]:
+        """Yield the holders whose leases have surely run out."""
+        for name in self._replica.state.steering.holders:
+            _, at_s = self._entries.get(name, ("", self._since_s))
+            if now_s - max(at_s, self._since_s) > HOLDER_GONE_S:
+                yield name
+
     def _grant(
         self, message: PartsReport, request: PartRequest, now_s: float
     ) -> PartGrant:
         grantor = self._grantors.get(request.account)
         if grantor is None:
             grantor = LeaseGrantor(
-                1.0, PART_LEASE_S, now_s, takes_over=not self._founded
+                1.0,
+                PART_LEASE_S,
+                now_s,
+                takes_over=bool(self._unheard),
+                surplus=True,
             )
             self._grantors[request.account] = grantor
         grant = grantor.request(
--- a/src/wigeonford/control/_raft_driver.py
+++ b/src/wigeonford/control/_raft_driver.py
@@ -39,7 +39,7 @@
 from wigeonford.errors import Code
 from wigeonford.events import Event, EventLog
 from wigeonford.peer import InstallSnapshot, LeaderElsewhere
-from wigeonford.settings import Address
+from wigeonford.settings import Address, parse_address
 
 TICK_S: Final = 0.05
 SNAPSHOT_EVERY: Final = 2000
@@ -148,14 +148,24 @@
         """Return a future that is done once a position is applied."""
         return self._waiting.applied(position, self._position)
 
-    def channel(self, name: str) -> PeerChannel:
-        """Return the channel to a replica."""
+    def channel(self, name: str) -> PeerChannel | None:
+        """Return the channel to a replica, None where it can't be found."""
+        address = self._find_address(name)
+        return None if address is None else self._channels.to(name, address)
+
+    def _find_address(self, name: str) -> Address | None:
+        """Return where a replica is reached.
+
+        One that takes itself into a group is named by its address, so that
+        it is found before a table that lists it has arrived.
+        """
         address = self._members.get(name)
-        if address is None:
-            entry = find_entry(self.core.log.table, name)
-            host, port = (entry.host, entry.port) if entry else ("", 0)
-            address = Address(host, port)
-        return self._channels.to(name, address)
+        if address is not None:
+            return address
+        entry = find_entry(self.core.log.table, name)
+        if entry is not None:
+            return Address(entry.host, entry.port)
+        return parse_address(name) if ":" in name else None
 
     async def _run(self) -> None:
         try:
@@ -259,7 +269,14 @@
 
     @_performs(Send)
     async def _send(self, effect: Send) -> None:
-        self.channel(effect.to).send(effect.record)
+        self._send_to(effect.to, effect.record)
+
+    def _send_to(self, name: str, record: Any) -> None:
+        channel = self.channel(name)
+        if channel is None:
+            self._log.emit(Event.PEER_UNKNOWN, peer=name)
+            return
+        channel.send(record)
 
     @_performs(SendSnapshot)
     async def _send_snapshot(self, effect: SendSnapshot) -> None:
@@ -274,7 +291,7 @@
             snapshot.content,
             effect.sent_at_s,
         )
-        self.channel(effect.to).send(message)
+        self._send_to(effect.to, message)
 
     @_performs(Apply)
     async def _apply(self, effect: Apply) -> None:
--- a/src/wigeonford/control/_raft_node.py
+++ b/src/wigeonford/control/_raft_node.py
@@ -19,8 +19,8 @@
 from wigeonford.control._raft_members import find_entry
 
 HEARTBEAT_S: Final = 0.2
-ELECTION_MIN_S: Final = 1.0
-ELECTION_MAX_S: Final = 2.0
+ELECTION_MIN_S: Final = 0.7
+ELECTION_MAX_S: Final = 1.7
 _STAMP_RANGE_S: Final = 1e9
 
 
--- a/src/wigeonford/control/_raft_replica.py
+++ b/src/wigeonford/control/_raft_replica.py
@@ -191,6 +191,8 @@
         if leader is None or leader == self._name:
             raise LeaderElsewhere(leader)
         channel = self._driver.channel(leader)
+        if channel is None:
+            raise LeaderElsewhere(leader)
         return await channel.request(record, REQUEST_TIMEOUT_S)
 
     def describe(self) -> ReplicaStatus:
--- a/src/wigeonford/control/_steering.py
+++ b/src/wigeonford/control/_steering.py
@@ -10,6 +10,7 @@
 from wigeonford.control._commands import CommandResult
 from wigeonford.control._steering_commands import (
     AnnounceTargets,
+    ChangeHolders,
     PatchDeployment,
     RemoveTargets,
     ReplaceDeployment,
@@ -43,6 +44,7 @@
     targets: list[Target] = field(default_factory=list)
     tombstones: list[tuple[str, int, int]] = field(default_factory=list)
     orders: list[bytes] = field(default_factory=list)
+    holders: list[str] = field(default_factory=list)
 
 
 _Applier = Callable[["Steering", Any], CommandResult]
@@ -71,6 +73,7 @@
         self.evacuations = Evacuations()
         self.evacuation_revision = 0
         self.targets = TargetTable()
+        self.holders: set[str] = set()
         self._orders: dict[bytes, None] = {}
 
     @staticmethod
@@ -171,6 +174,12 @@
                 self.revision = revision
         return self._result(Code.OK)
 
+    @_applies(ChangeHolders)
+    def _change_holders(self, record: ChangeHolders) -> CommandResult:
+        self.holders.update(record.added)
+        self.holders.difference_update(record.removed)
+        return self._result(Code.OK)
+
     def snapshot(self) -> bytes:
         """Return this part of the state as bytes."""
         tables = _SteeringTables(
@@ -183,6 +192,7 @@
             list(self.targets),
             list(self.targets.tombstones()),
             list(self._orders),
+            sorted(self.holders),
         )
         return cbor2.dumps(msgspec.to_builtins(tables, builtin_types=(bytes,)))
 
@@ -199,5 +209,6 @@
         steering.evacuation_revision = tables.evacuation_revision
         steering.evacuations = Evacuations(tables.evacuated, tables.taken_back)
         steering.targets = TargetTable(tables.targets, tables.tombstones)
+        steering.holders = set(tables.holders)
         steering._orders = dict.fromkeys(tables.orders)
         return steering
--- a/src/wigeonford/control/_steering_commands.py
+++ b/src/wigeonford/control/_steering_commands.py
@@ -55,3 +55,12 @@
     """
 
     targets: tuple[tuple[str, int | None], ...]
+
+
+@command(45)
+@dataclass(frozen=True, slots=True)
+class ChangeHolders:
+    """Note which entry VMs may hold parts of accounts' rates."""
+
+    added: tuple[str, ...]
+    removed: tuple[str, ...]
--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -149,6 +149,9 @@
         524, "could not take a replica in yet", logging.WARNING
     )
     REPLICA_JOINED = _event(525, "took a replica into the group")
+    PARTS_ALL_HEARD = _event(
+        529, "every holder of parts has reported to this leader"
+    )
     DEPLOYMENT_ORDER = _event(526, "an operator's order was decided")
     TARGET_JUDGED = _event(527, "an announcement changed or was refused")
     READ_UNCONFIRMED = _event(
@@ -183,6 +186,9 @@
 
     PEER_CONNECTED = _event(600, "connected to a peer")
     PEER_LOST = _event(601, "lost a peer", logging.WARNING)
+    PEER_UNKNOWN = _event(
+        603, "no address is known of a peer; a message is lost", logging.ERROR
+    )
     PEER_REFUSED = _event(602, "refused a peer", logging.WARNING)
 
 
--- a/src/wigeonford/policy/_leases.py
+++ b/src/wigeonford/policy/_leases.py
@@ -50,7 +50,10 @@
     """Grant shares of a budget; `whole` grants whole units only.
 
     A grantor that takes over from another can't know what that one has
-    granted. For one term it renews what holders report and grants no more.
+    granted. For one term it renews what holders report, and grants anew
+    only what they give back. With `surplus`, what nobody wants is granted
+    too, in proportion to the wants, so that demand may rise between two
+    requests.
     """
 
     def __init__(
@@ -61,10 +64,13 @@
         *,
         whole: bool = False,
         takes_over: bool = True,
+        surplus: bool = False,
     ) -> None:
         self.capacity = capacity
         self._term_s = term_s
         self._whole = whole
+        self._surplus = surplus
+        self._adopted = 0.0
         self._records: dict[str, LeaseRecord] = {}
         wait_s = term_s * (1 + DRIFT_MARGIN) if takes_over else 0.0
         self._waits_until_s = now_s + wait_s
@@ -84,6 +90,10 @@
         """Tell whether no grant of a predecessor can be in force."""
         return now_s >= self._waits_until_s
 
+    def know_all(self, now_s: float) -> None:
+        """Take note that every holder of a predecessor has reported."""
+        self._waits_until_s = min(self._waits_until_s, now_s)
+
     def wanted(self, now_s: float) -> float:
         """Return what all holders together have asked for."""
         return sum(record.wanted for record in self._live(now_s).values())
@@ -105,7 +115,7 @@
             for holder, record in live.items()
             if holder != request.holder
         }
-        amount = self._amount(request.wanted, held, others, now_s, reserved)
+        amount = self._amount(request.wanted, others, now_s, reserved)
         self._records = others
         self._records[request.holder] = LeaseRecord(
             max(held, amount),
@@ -135,24 +145,28 @@
         if known is not None:
             return min(request.held, known.amount)
         if now_s < self._waits_until_s:
+            self._adopted += request.held
             return request.held
         return 0.0
 
     def _amount(
         self,
         wanted: float,
-        held: float,
         others: Mapping[str, LeaseRecord],
         now_s: float,
         reserved: float,
     ) -> float:
         used = sum(record.amount for record in others.values())
-        free = max(0.0, self.capacity - used - reserved)
+        capacity = self.capacity
         if now_s < self._waits_until_s:
-            return min(held, wanted, free)
+            capacity = min(capacity, self._adopted)
+        free = max(0.0, capacity - used - reserved)
         wants = [record.wanted for record in others.values()]
-        fair = fair_part(self.capacity, wanted, wants)
-        amount = min(wanted, fair, free)
+        if self._surplus and 0 < wanted + sum(wants) < capacity:
+            fair = capacity * wanted / (wanted + sum(wants))
+        else:
+            fair = min(wanted, fair_part(capacity, wanted, wants))
+        amount = min(fair, free)
         return float(int(amount)) if self._whole else amount
 
 
--- a/src/wigeonford/steer/_cold.py
+++ b/src/wigeonford/steer/_cold.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from wigeonford.peer import EntryStatus
-from wigeonford.steer._placement import rank_score
+from wigeonford.steer._homes import rank_score
 from wigeonford.steer._target_book import TargetRecord
 
 WARDENS: Final = 2
--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -25,8 +25,7 @@
 from wigeonford.steer._cold import ColdRates, wardens
 from wigeonford.steer._placement import (
     Choice,
-    choose,
-    ObjectOrder,
+    Placement,
     Wish,
 )
 from wigeonford.steer._rates import AccountRates
@@ -53,6 +52,9 @@
 """Targets in a row that a request finds unreachable before it is refused."""
 FULL_S: Final = 0.1
 """How long a target that refused as full gets nothing more."""
+LEAST_PATIENCE: Final = 0.25
+"""Part of a warm request's duration that any request may wait; estimates
+are no better."""
 UNKNOWN_VIEW_RETRY_S: Final = 0.5
 """A starting VM knows the deployment by then."""
 
@@ -111,7 +113,7 @@
         self._rng = rng
         self._clock = clock
         self._splitter = Splitter()
-        self._order = ObjectOrder()
+        self._placement = Placement()
         self._cold = ColdRates()
         self._stats: dict[str, RouteStats] = {}
         self._repeats: dict[str, AttemptBudget] = {}
@@ -273,8 +275,7 @@
             load=round(load, 1),
             wait_s=round(choice.wait_s, 3),
             work_s=round(choice.work_s, 3),
-            crosses=choice.crosses,
-            rank=choice.rank,
+            role=choice.role,
             revision=work.view.revision,
         )
         work.under_way = True
@@ -300,18 +301,14 @@
         view = self._view() or work.view
         stats = self._stats_of(work.route)
         homes = _homes_of(work.route, work.account)
-        order = self._order.of(
-            work.req.thing or work.req.request_id,
-            work.service,
-            self._book.of_service(work.service),
-            self._book.revision,
-        )
         wish = Wish(
-            work.req.thing,
+            work.service,
+            work.req.thing or work.req.request_id,
             status.availability_zone,
             status.region,
             stats.size_bytes,
             stats.durations,
+            self._patience_s(work, now_s),
             homes,
             frozenset(work.tried),
         )
@@ -319,7 +316,20 @@
         def may_use_cold(record: TargetRecord) -> bool:
             return self._may_use_cold(work, record, now_s)
 
-        return choose(order, wish, view.evacuated, may_use_cold, now_s)
+        return self._placement.choose(
+            self._book.of_service(work.service),
+            wish,
+            view.evacuated,
+            may_use_cold,
+            now_s,
+        )
+
+    def _patience_s(self, work: _Work, now_s: float) -> float:
+        """Return how long a request may wait and still be of full use."""
+        stats = self._stats_of(work.route)
+        used_s = now_s - work.req.arrived_s
+        spare_s = work.route.objective_s - used_s - stats.warm_s
+        return max(LEAST_PATIENCE * stats.warm_s, spare_s)
 
     def _may_use_cold(
         self, work: _Work, record: TargetRecord, now_s: float
@@ -406,8 +416,14 @@
             if isinstance(body, bytes)
         )
         expected_s = stats.warm_s if was_warm else stats.cold_s
-        if was_warm:
-            record.record_ratio(took_s / max(0.001, expected_s))
+        ratio = took_s / max(0.001, expected_s)
+        if was_warm and record.record_ratio(ratio, self._clock()):
+            self._log.emit(
+                Event.TARGET_SLOW,
+                target=record.target_id,
+                took_s=round(took_s, 3),
+                usual_s=round(expected_s, 3),
+            )
         stats.record(took_s, size, was_warm=was_warm)
 
     def _judge(
--- /dev/null
+++ b/src/wigeonford/steer/_homes.py
@@ -0,0 +1,125 @@
+"""Divide objects among targets: pure.
+
+The load that this answers: requests for objects of uneven weight, each
+served in a third of the time where it was served lately, by targets that
+remember few objects. Every entry VM divides the objects that it has seen in
+the same way, so that an object is known at one target, or two while the
+first is busy, and no target has to remember many more than its part.
+"""
+
+from collections import Counter, OrderedDict
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+import hashlib
+import math
+from typing import Final
+
+SPREAD: Final = 1.15
+"""How many objects more than the average a target may be home to."""
+KEPT_THINGS: Final = 2048
+"""Objects that are divided; the target size has some hundreds a service."""
+
+
+def rank_score(thing: str, target_id: str) -> int:
+    """Return the place of a target in an object's order, highest first."""
+    digest = hashlib.blake2b(
+        f"{thing}\0{target_id}".encode(), digest_size=8
+    ).digest()
+    return int.from_bytes(digest, "big")
+
+
+@dataclass(frozen=True, slots=True)
+class Home:
+    """Name an object's target, and the one that helps out."""
+
+    first: str
+    second: str | None
+
+
+def divide(
+    things: Iterable[str], target_ids: Sequence[str]
+) -> dict[str, Home]:
+    """Return the homes of objects among some targets.
+
+    Rendezvous hashing with a bound on the objects of each target: a target
+    that joins or leaves moves few objects but its own.
+    """
+    ordered = sorted(things, key=_thing_score)
+    most = math.ceil(SPREAD * len(ordered) / len(target_ids))
+    held: Counter[str] = Counter()
+    homes: dict[str, Home] = {}
+    for thing in ordered:
+        homes[thing] = _settle(thing, target_ids, held, most)
+    return homes
+
+
+def _thing_score(thing: str) -> int:
+    return rank_score(thing, "")
+
+
+def _settle(
+    thing: str, target_ids: Sequence[str], held: Counter[str], most: int
+) -> Home:
+    ranked = sorted(
+        target_ids, key=lambda name: rank_score(thing, name), reverse=True
+    )
+    first = next((name for name in ranked if held[name] < most), ranked[0])
+    held[first] += 1
+    second = next((name for name in ranked if name != first), None)
+    return Home(first, second)
+
+
+class Division:
+    """Keep the division of one service's objects within one domain.
+
+    An object that is new gets a place among the others at once; all are
+    divided anew when targets come or go.
+    """
+
+    def __init__(self) -> None:
+        self._targets: tuple[str, ...] = ()
+        self._things: frozenset[str] = frozenset()
+        self._homes: dict[str, Home] = {}
+
+    def home_of(
+        self, thing: str, things: Mapping[str, None], targets: tuple[str, ...]
+    ) -> Home:
+        """Return an object's home; `things` are all objects known."""
+        if targets != self._targets or (
+            thing not in self._homes and self._is_outdated(things)
+        ):
+            self._targets = targets
+            self._homes = divide(things, targets)
+        home = self._homes.get(thing)
+        if home is None:
+            home = self._add(thing)
+        return home
+
+    def _is_outdated(self, things: Mapping[str, None]) -> bool:
+        """Tell whether a division anew pays, which it does rarer and rarer
+        the more objects there are.
+        """
+        return len(things) >= 1.1 * len(self._homes)
+
+    def _add(self, thing: str) -> Home:
+        held = Counter(home.first for home in self._homes.values())
+        count = len(self._homes) + 1
+        most = math.ceil(SPREAD * count / len(self._targets))
+        home = _settle(thing, self._targets, held, most)
+        self._homes[thing] = home
+        return home
+
+
+class Things:
+    """Remember the objects of one service that requests named of late."""
+
+    def __init__(self) -> None:
+        self._seen: OrderedDict[str, None] = OrderedDict()
+
+    def note(self, thing: str) -> Mapping[str, None]:
+        """Take note of an object; return all that are known."""
+        self._seen[thing] = None
+        self._seen.move_to_end(thing)
+        if len(self._seen) > KEPT_THINGS:
+            self._seen.popitem(last=False)
+        return self._seen
--- a/src/wigeonford/steer/_part_reporter.py
+++ b/src/wigeonford/steer/_part_reporter.py
@@ -1,7 +1,7 @@
 """Ask the leader for parts of the accounts' rates, again and again."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 import itertools
 import time
 from typing import Final
@@ -11,6 +11,7 @@
 from wigeonford.peer import (
     EntryStatus,
     LeaderElsewhere,
+    PartRequest,
     PartsAnswer,
     PartsReport,
     PeerClient,
@@ -52,10 +53,12 @@
         self._task = asyncio.create_task(self._run())
 
     async def stop(self) -> None:
-        """Stop reporting."""
+        """Give everything back and stop reporting."""
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
+        if self._granted:
+            await self._send(self._rates.give_back(time.monotonic()))
         await self._drop_client()
 
     async def _run(self) -> None:
@@ -70,11 +73,12 @@
         accounts = {item.name: item for item in view.deployment.accounts}
         roster = self._follower.roster.entries(time.monotonic())
         self._rates.follow(accounts, len(roster))
+        await self._send(self._rates.requests(accounts, time.monotonic()))
+
+    async def _send(self, requests: Iterable[PartRequest]) -> None:
         status = self._status()
         report = PartsReport(
-            status.name,
-            status.incarnation,
-            tuple(self._rates.requests(accounts, time.monotonic())),
+            status.name, status.incarnation, tuple(requests)
         )
         try:
             answer = await self._ask(report)
--- a/src/wigeonford/steer/_placement.py
+++ b/src/wigeonford/steer/_placement.py
@@ -1,39 +1,33 @@
-"""Choose a target for a request: pure.
-
-The load that this answers: objects of uneven weight, far more of them than
-one target remembers, on targets of few slots, where a request for an
-object that the target has served lately takes a third of the time. So each
-object has a home among the targets of a region, or of a zone where its
-bytes are many, and leaves it only when waiting there takes longer than
-starting anew elsewhere.
+"""Choose a target for a request: pure but for what it remembers.
+
+The load that this answers: heavy days, on which a request for an object
+that its target does not remember takes three times the work, and there is
+none to spare. An object is served at its home in the region, or in the zone
+where its bytes are many. Of what the region has no room for, whole objects
+move to their homes in other regions, slowly. A second target helps out only
+with a free slot, and a request that would wait past its objective is
+refused rather than make all behind it late.
 """
 
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
-import hashlib
 from typing import Final
 
+from wigeonford.steer._homes import Division, rank_score, Things
+from wigeonford.steer._spill import Spill
 from wigeonford.steer._target_book import TargetRecord
 
 BULKY_BYTES: Final = 4096.0
 """Bytes a request from which homes stay within the zone; about where the
 traffic between zones costs more than a second first touch."""
-HOMES: Final = 3
-"""How many targets in the order of an object are weighed by cost."""
 WAIT_SLOTS: Final = 3.0
 """Requests waiting for each slot beyond which a target refuses more."""
 CROSS_REGION_S: Final = 0.11
 """A round trip between the farthest regions of the users' sites."""
-CROSS_ZONE_S: Final = 0.003
-"""A round trip between zones."""
-REGION_WEIGHT_S: Final = 0.05
-"""What a crossing between regions weighs beyond its time, so that a short
-wait is no reason to leave the region."""
-BYTE_WEIGHT_S: Final = 1e-5
-"""What a byte between zones weighs; it makes 60 kB weigh as much as a
-first touch."""
-ORDER_CACHE: Final = 4096
-"""Objects whose order of targets is kept; larger than a site has."""
+FREE_PART: Final = 0.8
+"""Part of a target's slots that may be taken when it helps out."""
+
+MayUse = Callable[[TargetRecord], bool]
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,175 +42,214 @@
 class Wish:
     """Describe a request as placement sees it.
 
-    `size_bytes` are those that go both ways. `homes` are the regions it
-    may be served in, None for any. `tried` are targets it has been at.
+    `size_bytes` are those that go both ways. `patience_s` is how long it
+    may wait for a slot in its region. `homes` are the regions it may be
+    served in, None for any. `tried` are targets it has been at.
     """
 
+    service: str
     thing: str
     zone: str
     region: str
     size_bytes: float
     durations: Durations
+    patience_s: float
     homes: frozenset[str] | None = None
     tried: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
 class Choice:
-    """Name the target, and why: what it was thought to take.
+    """Name the target, and why.
 
-    `weight_s` is what the way there weighs beyond its time.
+    `role` says what it is to the object: its home or its second home, in
+    this domain or another.
     """
 
     record: TargetRecord
     wait_s: float
     work_s: float
-    weight_s: float
-    crosses: str
-    rank: int
-
-    @property
-    def finish_s(self) -> float:
-        """Return how long the request is thought to take."""
-        return self.wait_s + self.work_s
-
-    @property
-    def cost_s(self) -> float:
-        """Return what choices are compared by."""
-        return self.finish_s + self.weight_s
-
-
-def rank_score(thing: str, target_id: str) -> int:
-    """Return the place of a target in an object's order, highest first."""
-    digest = hashlib.blake2b(
-        f"{thing}\0{target_id}".encode(), digest_size=8
-    ).digest()
-    return int.from_bytes(digest, "big")
+    role: str
 
 
-class ObjectOrder:
-    """Keep each object's order of a service's targets."""
+class Placement:
+    """Choose targets, and keep the divisions of objects."""
 
     def __init__(self) -> None:
-        self._revision = -1
-        self._orders: dict[tuple[str, str], list[TargetRecord]] = {}
+        self._things: dict[str, Things] = {}
+        self._divisions: dict[tuple[str, str], Division] = {}
+        self._spills: dict[tuple[str, str], Spill] = {}
+        self._sound: dict[tuple[str, str], int] = {}
 
-    def of(
+    def spill_part(self, service: str, domain: str) -> float:
+        """Return the part of a service's objects that leave a domain."""
+        spill = self._spills.get((service, domain))
+        return spill.part if spill is not None else 0.0
+
+    def choose(
         self,
-        thing: str,
-        service: str,
         records: Sequence[TargetRecord],
-        revision: int,
-    ) -> list[TargetRecord]:
-        """Return the targets in the order of an object."""
-        if revision != self._revision or len(self._orders) > ORDER_CACHE:
-            self._orders.clear()
-            self._revision = revision
-        key = (service, thing)
-        order = self._orders.get(key)
-        if order is None:
-            order = sorted(
-                records,
-                key=lambda record: rank_score(thing, record.target_id),
-                reverse=True,
-            )
-            self._orders[key] = order
-        return order
-
-
-MayUse = Callable[[TargetRecord], bool]
+        wish: Wish,
+        evacuated: frozenset[str],
+        may_use_cold: MayUse,
+        now_s: float,
+    ) -> Choice | None:
+        """Return the target for a request, or None if none has room."""
+        usable = [
+            record
+            for record in records
+            if not record.is_down(now_s)
+            and record.zone not in evacuated
+            and (wish.homes is None or record.region in wish.homes)
+        ]
+        warm = [record for record in usable if not record.is_cold(now_s)]
+        sound = [record for record in warm if record.is_sound(now_s)] or warm
+        trial = self._trial(usable, wish, may_use_cold, now_s)
+        if trial is not None:
+            return trial
+        if not sound:
+            return None
+        things = self._things.setdefault(wish.service, Things()).note(
+            wish.thing
+        )
+        return self._choose_sound(sound, wish, things, now_s)
 
+    def _trial(
+        self,
+        usable: Iterable[TargetRecord],
+        wish: Wish,
+        may_use_cold: MayUse,
+        now_s: float,
+    ) -> Choice | None:
+        """Return a cold target that is due for one of its few requests."""
+        for record in usable:
+            if not record.is_cold(now_s) or record.region != wish.region:
+                continue
+            if record.target_id in wish.tried or not may_use_cold(record):
+                continue
+            if record.load(now_s) < record.announced.slots * FREE_PART:
+                return Choice(record, 0.0, wish.durations.cold_s, "cold")
+        return None
 
-def choose(
-    order: Sequence[TargetRecord],
-    wish: Wish,
-    evacuated: frozenset[str],
-    may_use_cold: MayUse,
-    now_s: float,
-) -> Choice | None:
-    """Return the best target for a request, or None if there is none.
+    def _choose_sound(
+        self,
+        sound: Sequence[TargetRecord],
+        wish: Wish,
+        things: Mapping[str, None],
+        now_s: float,
+    ) -> Choice | None:
+        domains = _domains(sound, wish)
+        own, local = domains[0]
+        if not local:
+            return self._elsewhere(domains[1:], wish, things, now_s)
+        spill = self._spill_of(wish.service, own, local, now_s)
+        choice = self._within(own, local, wish, things, now_s)
+        slots = sum(record.announced.slots for record in local)
+        use = sum(record.load(now_s) for record in local) / slots
+        leaves = _position(wish.thing) < spill.part
+        if not leaves:
+            spill.note(choice is not None, use, now_s)
+            return choice
+        spill.note(choice is not None or use < 1.0, use, now_s)
+        return self._elsewhere(domains[1:], wish, things, now_s) or choice
+
+    def _spill_of(
+        self,
+        service: str,
+        domain: str,
+        local: Sequence[TargetRecord],
+        now_s: float,
+    ) -> Spill:
+        key = (service, domain)
+        spill = self._spills.get(key)
+        if spill is None:
+            spill = self._spills[key] = Spill(now_s)
+        if len(local) < self._sound.get(key, 0):
+            spill.free(now_s)
+        self._sound[key] = len(local)
+        return spill
+
+    def _elsewhere(
+        self,
+        domains: Sequence[tuple[str, list[TargetRecord]]],
+        wish: Wish,
+        things: Mapping[str, None],
+        now_s: float,
+    ) -> Choice | None:
+        """Return the object's home in another domain that has room."""
+        ranked = sorted(
+            (item for item in domains if item[1]),
+            key=lambda item: rank_score(wish.thing, item[0]),
+            reverse=True,
+        )
+        # Domains of the own region go first.
+        ranked.sort(key=lambda item: item[1][0].region != wish.region)
+        for name, records in ranked:
+            choice = self._within(name, records, wish, things, now_s)
+            if choice is not None:
+                return choice
+        return None
 
-    The order is that of the request's object. Each tier has a home of its
-    own for the object; of the first few with room in each tier, the one
-    that takes least is chosen.
-    """
-    usable = [
-        record
-        for record in order
-        if record.target_id not in wish.tried
-        and not record.is_down(now_s)
-        and record.zone not in evacuated
-        and (wish.homes is None or record.region in wish.homes)
-        and (not record.is_cold(now_s) or may_use_cold(record))
-    ]
-    sound = [record for record in usable if not record.is_grey(now_s)]
-    for pool in (sound, usable):
-        choices = (
-            choice
-            for tier in _tiers(pool, wish)
-            for choice in _homes(tier, wish, now_s)
+    def _within(
+        self,
+        domain: str,
+        records: Sequence[TargetRecord],
+        wish: Wish,
+        things: Mapping[str, None],
+        now_s: float,
+    ) -> Choice | None:
+        """Return the object's home in a domain, or the one that helps."""
+        by_id = {record.target_id: record for record in records}
+        division = self._divisions.setdefault(
+            (wish.service, domain), Division()
+        )
+        home = division.home_of(wish.thing, things, tuple(sorted(by_id)))
+        patience_s = wish.patience_s
+        if records[0].region != wish.region:
+            patience_s -= CROSS_REGION_S
+        first = by_id[home.first]
+        if first.target_id not in wish.tried:
+            wait_s = _wait_s(first, wish.durations, now_s)
+            if wait_s is not None and wait_s <= patience_s:
+                work_s = wish.durations.warm_s
+                return Choice(first, wait_s, work_s, f"home in {domain}")
+        second = by_id.get(home.second or "")
+        if second is None or second.target_id in wish.tried:
+            return None
+        free = second.load(now_s) < second.announced.slots * FREE_PART
+        if not free or now_s < second.full_until_s:
+            return None
+        return Choice(
+            second, 0.0, wish.durations.cold_s, f"second in {domain}"
         )
-        best = min(choices, key=_cost, default=None)
-        if best is not None:
-            return best
-    return None
 
 
-def _cost(choice: Choice) -> float:
-    return choice.cost_s
+def _position(thing: str) -> float:
+    """Return where an object stands among those that leave first, 0 to 1."""
+    return rank_score(thing, "leaves") / (1 << 64)
 
 
-def _tiers(
+def _domains(
     records: Sequence[TargetRecord], wish: Wish
-) -> Iterator[Iterator[TargetRecord]]:
-    bulky = wish.size_bytes >= BULKY_BYTES
-    if bulky:
-        yield (record for record in records if record.zone == wish.zone)
-    yield (
-        record
-        for record in records
-        if record.region == wish.region
-        and not (bulky and record.zone == wish.zone)
-    )
-    yield (record for record in records if record.region != wish.region)
-
-
-def _homes(
-    tier: Iterator[TargetRecord], wish: Wish, now_s: float
-) -> Iterator[Choice]:
-    """Yield the first few choices of a tier that have room."""
-    found = 0
-    for rank, record in enumerate(tier):
-        choice = _weigh(record, rank, wish, now_s)
-        if choice is not None:
-            yield choice
-            found += 1
-            if found == HOMES:
-                return
-
-
-def _weigh(
-    record: TargetRecord, rank: int, wish: Wish, now_s: float
-) -> Choice | None:
-    """Return what a target would take, or None if it would refuse."""
+) -> list[tuple[str, list[TargetRecord]]]:
+    """Return the domains an object has homes in, the own one first."""
+    zone_wide = wish.size_bytes >= BULKY_BYTES
+    own = wish.zone if zone_wide else wish.region
+    domains: dict[str, list[TargetRecord]] = {own: []}
+    for record in records:
+        name = record.zone if zone_wide else record.region
+        domains.setdefault(name, []).append(record)
+    return list(domains.items())
+
+
+def _wait_s(
+    record: TargetRecord, durations: Durations, now_s: float
+) -> float | None:
+    """Return how long a request would wait, None if it would be refused."""
     slots = max(1, record.announced.slots)
     load = record.load(now_s)
     if load >= slots * (1 + WAIT_SLOTS) or now_s < record.full_until_s:
         return None
-    durations = wish.durations
-    is_warm = rank == 0 or wish.thing in record.warm
-    slowness = max(1.0, record.slowness)
-    work_s = (durations.warm_s if is_warm else durations.cold_s) * slowness
     # A target whose slots are full takes up the next as one ends.
     ahead = max(0.0, load + 1 - slots)
-    wait_s = ahead * durations.warm_s * slowness / slots
-    crosses, weight_s = "", 0.0
-    if record.region != wish.region:
-        crosses = "region"
-        work_s += CROSS_REGION_S
-        weight_s = REGION_WEIGHT_S + BYTE_WEIGHT_S * wish.size_bytes
-    elif record.zone != wish.zone:
-        crosses = "zone"
-        work_s += CROSS_ZONE_S
-        weight_s = BYTE_WEIGHT_S * wish.size_bytes
-    return Choice(record, wait_s, work_s, weight_s, crosses, rank)
+    return ahead * durations.warm_s * max(1.0, record.slowness) / slots
--- a/src/wigeonford/steer/_rates.py
+++ b/src/wigeonford/steer/_rates.py
@@ -97,6 +97,13 @@
             ask = meter.holder.ask(part, now_s)
             yield PartRequest(account.name, ask.number, ask.held, ask.wanted)
 
+    def give_back(self, now_s: float) -> Iterator[PartRequest]:
+        """Yield what tells the leader that nothing is held any more."""
+        for name, meter in self._meters.items():
+            meter.holder.reduce(0.0)
+            ask = meter.holder.ask(0.0, now_s)
+            yield PartRequest(name, ask.number, ask.held, ask.wanted)
+
     def accept(self, grant: PartGrant) -> None:
         """Take over a grant."""
         meter = self._meters.get(grant.account)
--- /dev/null
+++ b/src/wigeonford/steer/_spill.py
@@ -0,0 +1,56 @@
+"""How much of a service's work leaves the region: pure.
+
+The load that this answers: a region whose targets can't take all that its
+callers ask for, while others have room. The part that leaves follows the
+pressure slowly, since every object that moves is started anew elsewhere and
+a region that is filled at a stroke overloads in turn.
+"""
+
+import math
+from typing import Final
+
+SLEW_PER_S: Final = 0.05
+"""Change of the part in a second; callers' regions may shift by 0.15 in two
+seconds."""
+FREE_SLEW_PER_S: Final = 0.5
+"""The same after the start, and after targets were lost."""
+FREE_S: Final = 2.0
+"""How long the part may change fast."""
+MEMORY_S: Final = 1.0
+"""Over how long pressure is averaged."""
+PRESSED: Final = 0.04
+"""Part of requests without room from which more has to leave."""
+RELIEVED: Final = 0.01
+"""Part of requests without room below which some may return."""
+BUSY: Final = 0.7
+"""Use of the slots above which none returns."""
+
+
+class Spill:
+    """Track the part of the objects that are served elsewhere."""
+
+    def __init__(self, now_s: float) -> None:
+        self.part = 0.0
+        self._pressed = 0.0
+        self._count = 0.0
+        self._at_s = now_s
+        self._free_until_s = now_s + FREE_S
+
+    def free(self, now_s: float) -> None:
+        """Let the part change fast for a while."""
+        self._free_until_s = now_s + FREE_S
+
+    def note(self, has_room: bool, use: float, now_s: float) -> None:
+        """Take note of a request and of the use of the region's slots."""
+        elapsed_s = max(0.0, now_s - self._at_s)
+        self._at_s = now_s
+        kept = math.exp(-elapsed_s / MEMORY_S)
+        self._pressed = self._pressed * kept + (not has_room)
+        self._count = self._count * kept + 1
+        pressure = self._pressed / self._count
+        free = now_s < self._free_until_s
+        step = elapsed_s * (FREE_SLEW_PER_S if free else SLEW_PER_S)
+        if pressure > PRESSED:
+            self.part = min(1.0, self.part + step)
+        elif pressure < RELIEVED and use < BUSY:
+            self.part = max(0.0, self.part - step)
--- a/src/wigeonford/steer/_target_book.py
+++ b/src/wigeonford/steer/_target_book.py
@@ -12,9 +12,9 @@
 """First pause after a target could not be reached; doubles each time."""
 MAX_DOWN_S: Final = 3.0
 """Targets come back from a crash within seconds."""
-OTHERS_HALF_LIFE_S: Final = 0.5
-"""How fast a reported load that is not this VM's loses its meaning; about
-the time that a request runs."""
+OTHERS_HALF_LIFE_S: Final = 1.5
+"""How fast a reported load that is not this VM's loses its meaning; a few
+times as long as a request runs."""
 FAILED_MEMORY: Final = 0.8
 """Weight of what was before in a target's share of failures."""
 GREY_SHARE: Final = 0.35
@@ -23,8 +23,14 @@
 """How long a failing target gets only trials."""
 DURATION_MEMORY: Final = 0.8
 """Weight of what was before in a target's slowness."""
-WARM_KEPT: Final = 64
-"""Objects remembered for each target, beyond what targets remember."""
+SLOW_RATIO: Final = 2.2
+"""How much slower than its peers a target is no home any more; about what
+a first touch takes against a later one, so that more is needed than some
+objects forgotten."""
+SLOW_S: Final = 4.0
+"""How long a slow target is left out; disruptions last as long."""
+WARM_KEPT: Final = 16
+"""Objects remembered for each target; targets remember some more."""
 
 
 @dataclass(slots=True)
@@ -47,6 +53,7 @@
     failed_at_s: float = float("-inf")
     full_until_s: float = 0.0
     slowness: float = 1.0
+    slow_until_s: float = 0.0
     warm: OrderedDict[str, None] = field(default_factory=OrderedDict)
 
     @property
@@ -84,6 +91,10 @@
         """Tell whether the target fails too often to be chosen first."""
         return self.failures > GREY_SHARE and now_s - self.failed_at_s < GREY_S
 
+    def is_sound(self, now_s: float) -> bool:
+        """Tell whether the target may be home to objects."""
+        return not self.is_grey(now_s) and now_s >= self.slow_until_s
+
     def mark_down(self, now_s: float) -> float:
         """Leave the target out for a while; return for how long."""
         pause_s = min(DOWN_S * math.pow(2, self.down_count), MAX_DOWN_S)
@@ -111,10 +122,19 @@
             self.failures += 1 - FAILED_MEMORY
             self.failed_at_s = now_s
 
-    def record_ratio(self, ratio: float) -> None:
-        """Take note of how long an answer took, against its service."""
+    def record_ratio(self, ratio: float, now_s: float) -> bool:
+        """Take note of how long an answer took, against its service.
+
+        Tell whether the target has come to be far slower than its peers;
+        it is tried again after a while.
+        """
         kept = DURATION_MEMORY * self.slowness
         self.slowness = kept + (1 - DURATION_MEMORY) * min(ratio, 10.0)
+        if self.slowness < SLOW_RATIO or now_s < self.slow_until_s:
+            return False
+        self.slow_until_s = now_s + SLOW_S
+        self.slowness = 1.0
+        return True
 
     def touch(self, thing: str) -> None:
         """Remember that the target has served an object."""
