--- a/src/wigeonford/_compose_steering.py
+++ b/src/wigeonford/_compose_steering.py
@@ -130,7 +130,7 @@
     follower = ViewFollower(
         seeds, lambda: readiness.status, suspects, connect, log, rng
     )
-    rates = AccountRates(cfg.name)
+    rates = AccountRates(cfg.name, cfg.rate_slack)
     reporter = PartReporter(
         follower, rates, lambda: readiness.status, connect, log
     )
--- a/src/wigeonford/platform/_settings.py
+++ b/src/wigeonford/platform/_settings.py
@@ -47,6 +47,7 @@
     grace_s: float = 6.0
     retry_budget_ratio: float = 0.2
     budget_slack: float = 50.0
+    quota_slack: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +139,7 @@
         seeds=cfg.peer_seeds,
         zones=cfg.zones,
         lookup_address=parse_address(directory) if directory else None,
+        rate_slack=cfg.bounds.quota_slack,
         repeats=RepeatBounds(
             cfg.bounds.retry_budget_ratio, cfg.bounds.budget_slack
         ),
--- a/src/wigeonford/settings/_steering.py
+++ b/src/wigeonford/settings/_steering.py
@@ -45,6 +45,7 @@
     """Settings of an entry VM that steers a deployment.
 
     `seeds` are peer addresses of control; `zones` gives each zone's region.
+    By `rate_slack` requests an account may be over its rate, fleet-wide.
     """
 
     name: str
@@ -55,6 +56,7 @@
     seeds: tuple[str, ...]
     zones: Mapping[str, str]
     lookup_address: Address | None = None
+    rate_slack: float = bounded(0, 1e6, default=0.0)
     repeats: RepeatBounds = field(default_factory=RepeatBounds)
     grace_s: float = bounded(0, 600, default=6.0)
     descriptors: int = bounded(64, 1 << 20, default=4096)
--- a/src/wigeonford/steer/_homes.py
+++ b/src/wigeonford/steer/_homes.py
@@ -96,9 +96,7 @@
         return home
 
     def _is_outdated(self, things: Mapping[str, None]) -> bool:
-        """Tell whether a division anew pays, which it does rarer and rarer
-        the more objects there are.
-        """
+        """Tell whether enough objects are new to divide all anew."""
         return len(things) >= 1.1 * len(self._homes)
 
     def _add(self, thing: str) -> Home:
--- a/src/wigeonford/steer/_part_reporter.py
+++ b/src/wigeonford/steer/_part_reporter.py
@@ -77,9 +77,7 @@
 
     async def _send(self, requests: Iterable[PartRequest]) -> None:
         status = self._status()
-        report = PartsReport(
-            status.name, status.incarnation, tuple(requests)
-        )
+        report = PartsReport(status.name, status.incarnation, tuple(requests))
         try:
             answer = await self._ask(report)
         except LeaderElsewhere as exc:
--- a/src/wigeonford/steer/_placement.py
+++ b/src/wigeonford/steer/_placement.py
@@ -9,7 +9,7 @@
 refused rather than make all behind it late.
 """
 
-from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -27,6 +27,9 @@
 FREE_PART: Final = 0.8
 """Part of a target's slots that may be taken when it helps out."""
 
+LOST_PART: Final = 0.75
+"""Part of a domain's targets that has to be left, or work may leave fast."""
+
 MayUse = Callable[[TargetRecord], bool]
 
 
@@ -164,7 +167,7 @@
         spill = self._spills.get(key)
         if spill is None:
             spill = self._spills[key] = Spill(now_s)
-        if len(local) < self._sound.get(key, 0):
+        if len(local) < LOST_PART * self._sound.get(key, 0):
             spill.free(now_s)
         self._sound[key] = len(local)
         return spill
--- a/src/wigeonford/steer/_rates.py
+++ b/src/wigeonford/steer/_rates.py
@@ -20,6 +20,8 @@
 fleet run over by more."""
 BURST_RESERVE: Final = 1.0
 """Least tokens that a full bucket holds, so that small parts work."""
+SLACK_USED: Final = 0.8
+"""Part of the fleet's slack that the entry VMs add to their bursts."""
 
 
 @dataclass(slots=True)
@@ -39,8 +41,9 @@
     deployment that makes it.
     """
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, slack: float = 0.0) -> None:
         self._name = name
+        self._slack = slack
         self._meters: dict[str, _Meter] = {}
         self._entries = 1
 
@@ -64,7 +67,9 @@
         meter.demand.add(now_s)
         rate = account.rate_per_s * self.part(account.name, now_s)
         full = max(
-            BURST_RESERVE, account.burst * self.part(account.name, now_s)
+            BURST_RESERVE,
+            account.burst * self.part(account.name, now_s)
+            + SLACK_USED * self._slack / self._entries,
         )
         meter.tokens = min(full, meter.tokens + (now_s - meter.at_s) * rate)
         meter.at_s = now_s
--- a/src/wigeonford/steer/_spill.py
+++ b/src/wigeonford/steer/_spill.py
@@ -13,7 +13,7 @@
 """Change of the part in a second; callers' regions may shift by 0.15 in two
 seconds."""
 FREE_SLEW_PER_S: Final = 0.5
-"""The same after the start, and after targets were lost."""
+"""The same after many targets were lost at once."""
 FREE_S: Final = 2.0
 """How long the part may change fast."""
 MEMORY_S: Final = 1.0
@@ -34,7 +34,7 @@
         self._pressed = 0.0
         self._count = 0.0
         self._at_s = now_s
-        self._free_until_s = now_s + FREE_S
+        self._free_until_s = now_s
 
     def free(self, now_s: float) -> None:
         """Let the part change fast for a while."""
