--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -9,5 +9,8 @@
         -r deploy/requirements.txt
     touch "$stamp"
 fi
-rm -rf "$deps/wigeonford"
-cp -R src/wigeonford "$deps/wigeonford"
+# Processes of another run may be reading what is there already.
+if ! diff -rq -x __pycache__ src/wigeonford "$deps/wigeonford" >/dev/null; then
+    rm -rf "$deps/wigeonford"
+    cp -R src/wigeonford "$deps/wigeonford"
+fi
--- a/src/wigeonford/_compose_steering.py
+++ b/src/wigeonford/_compose_steering.py
@@ -12,11 +12,12 @@
     PartService,
     RaftReplica,
     Replica,
+    Service,
     TargetService,
     ViewService,
 )
 from wigeonford.events import Event, EventLog
-from wigeonford.http import Handler, HttpServer
+from wigeonford.http import Handler, HttpServer, Request, Response
 from wigeonford.metrics import Metrics
 from wigeonford.peer import EntryStatus, PeerClient, PeerServer
 from wigeonford.settings import (
@@ -51,6 +52,39 @@
 BuildLookupApi = Callable[[ViewFollower, Readiness], Handler]
 
 
+def metrics_server(metrics: Metrics, log: EventLog) -> HttpServer:
+    """Return a server of a daemon's metrics as text."""
+
+    async def handle(_request: Request) -> Response:
+        content, kind = metrics.render()
+        headers = (
+            (b"content-type", kind.encode()),
+            (b"content-length", str(len(content)).encode()),
+        )
+        return Response(200, headers, content)
+
+    return HttpServer(handle, CallerLimits(), log)
+
+
+class MetricsService:
+    """Serve a control replica's metrics beside its other services."""
+
+    def __init__(self, server: HttpServer, address: Address) -> None:
+        self._server = server
+        self._address = address
+
+    def attach(self, _server: PeerServer) -> None:
+        """Return: peers ask for nothing here."""
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        await self._server.start(self._address)
+
+    async def stop(self) -> None:
+        """Stop serving."""
+        await self._server.stop(0.0)
+
+
 def build_steer_control(
     cfg: SteerControlSettings,
     seeds: Seeds,
@@ -87,12 +121,15 @@
     cold = ColdClock()
     targets = TargetService(replica, cold, log)
     group = GroupService(name, replica, seeds, connect, log, random.Random())
-    services = (
+    services: tuple[Service, ...] = (
         ViewService(replica, cold, group.members, log),
         targets,
         PartService(replica, log),
         group,
     )
+    if cfg.metrics_address is not None:
+        server = metrics_server(Metrics(), log)
+        services = (*services, MetricsService(server, cfg.metrics_address))
     http = HttpServer(
         build_api(replica, targets, log), CallerLimits(body_bytes=1 << 26), log
     )
@@ -125,6 +162,7 @@
         return PeerClient(cfg.name, address, OPEN_SECRET, log)
 
     rng = random.Random()
+    metrics = Metrics()
     readiness = Readiness(describe)
     suspects = SuspectBook()
     follower = ViewFollower(
@@ -145,7 +183,7 @@
         suspects,
         links,
         cfg.repeats,
-        Metrics(),
+        metrics,
         log,
         rng,
     )
@@ -157,6 +195,8 @@
     if cfg.lookup_address is not None:
         also = HttpServer(lookups.handler, CallerLimits(), log)
         servers.append((also, cfg.lookup_address))
+    if cfg.metrics_address is not None:
+        servers.append((metrics_server(metrics, log), cfg.metrics_address))
     return SteerDaemon(
         cfg,
         readiness,
--- a/src/wigeonford/control/__init__.py
+++ b/src/wigeonford/control/__init__.py
@@ -13,7 +13,7 @@
     RegisterMember,
     WithdrawKey,
 )
-from wigeonford.control._daemon import ControlDaemon
+from wigeonford.control._daemon import ControlDaemon, Service
 from wigeonford.control._group_service import GroupService
 from wigeonford.control._log_file import LogFileStore
 from wigeonford.control._operator_api import OperatorApi
@@ -66,6 +66,7 @@
     "RemoveTargets",
     "ReplaceDeployment",
     "Replica",
+    "Service",
     "SetEvacuation",
     "Snapshot",
     "SoloReplica",
--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -6,10 +6,12 @@
 import logging
 import re
 import sys
-from typing import Any, Final, TextIO
+from typing import Any, cast, Final, TextIO
 
 import structlog
 
+from wigeonford._log_writer import LineRates, LogWriter
+
 REDACTED: Final = "[redacted]"
 _KEY: Final = re.compile(r"wfk_[0-9a-f]{12}_[\w-]*", re.IGNORECASE)
 _SECRET_FIELDS: Final = frozenset(
@@ -42,6 +44,10 @@
         105, "an invariant does not hold", logging.CRITICAL
     )
 
+    LINES_LEFT_OUT = _event(
+        106, "left out lines over an event's rate", logging.WARNING
+    )
+
     REQUEST_REFUSED = _event(200, "refused a request")
     REQUEST_ABORTED = _event(
         201, "closed the connection amid an answer", logging.WARNING
@@ -203,8 +209,36 @@
     return fields
 
 
+ROUTINE_LINES_PER_S: Final = 200.0
+"""Lines a second of each event that tells of success; an entry VM of the
+target size serves fewer requests."""
+NOTABLE_LINES_PER_S: Final = 1000.0
+"""The same for failures and for changes of what a process believes."""
+_ROUTINE: Final = frozenset(
+    {
+        Event.REQUEST_ADMITTED.value.number,
+        Event.REQUEST_PLACED.value.number,
+        Event.REQUEST_ANSWERED.value.number,
+    }
+)
+
+
+def _lines_per_s(number: int) -> float:
+    if number in _ROUTINE:
+        return ROUTINE_LINES_PER_S
+    return NOTABLE_LINES_PER_S
+
+
+_RATES: Final = LineRates(_lines_per_s)
+
+
+def open_log_writer(stream: TextIO) -> LogWriter:
+    """Return a writer for `configure_logging` that never blocks."""
+    return LogWriter(stream)
+
+
 def configure_logging(
-    stream: TextIO | None = None, level: int = logging.INFO
+    stream: TextIO | LogWriter | None = None, level: int = logging.INFO
 ) -> None:
     """Write one JSON object a line to `stream`, standard error if None."""
     structlog.configure(
@@ -217,7 +251,9 @@
             structlog.processors.JSONRenderer(),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(level),
-        logger_factory=structlog.WriteLoggerFactory(stream or sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(
+            cast(TextIO, stream or sys.stderr)
+        ),
         cache_logger_on_first_use=False,
     )
 
@@ -237,6 +273,14 @@
     def emit(self, event: Event, **fields: object) -> None:
         """Write one event."""
         info = event.value
+        if not _RATES.allows(info.number):
+            return
+        left_out = _RATES.take_left_out()
+        if left_out:
+            note = Event.LINES_LEFT_OUT.value
+            self._logger.log(
+                note.level, note.text, number=note.number, events=left_out
+            )
         self._logger.log(info.level, info.text, number=info.number, **fields)
 
 
--- a/src/wigeonford/platform/_settings.py
+++ b/src/wigeonford/platform/_settings.py
@@ -17,6 +17,9 @@
 )
 
 SETTINGS_VARIABLE: Final = "WIGEONFORD_CONFIG"
+METRICS_PORT: Final = 9464
+"""Where deploy/system.toml says that metrics are; the users' ports lie
+elsewhere."""
 DEFAULT_PATH: Final = "/etc/wigeonford/settings.toml"
 
 
@@ -121,6 +124,7 @@
         seeds=cfg.peer_seeds,
         may_found=cfg.bootstrap,
         zones=cfg.zones,
+        metrics_address=Address(cfg.ip_address, METRICS_PORT),
         wanted_voters=2 * cfg.fault_tolerance.machines + 1,
         drain_s=cfg.bounds.drain_s,
         grace_s=cfg.bounds.grace_s,
@@ -138,6 +142,7 @@
         ready_address=_listen_address(cfg.listen.ready, "ready"),
         seeds=cfg.peer_seeds,
         zones=cfg.zones,
+        metrics_address=Address(cfg.ip_address, METRICS_PORT),
         lookup_address=parse_address(directory) if directory else None,
         rate_slack=cfg.bounds.quota_slack,
         repeats=RepeatBounds(
--- a/src/wigeonford/platform/daemon.py
+++ b/src/wigeonford/platform/daemon.py
@@ -18,7 +18,12 @@
     serve_until_signal,
 )
 from wigeonford.errors import SettingsError
-from wigeonford.events import configure_logging, Event, EventLog
+from wigeonford.events import (
+    configure_logging,
+    Event,
+    EventLog,
+    open_log_writer,
+)
 from wigeonford.http import Handler
 from wigeonford.platform._control_api import ControlApi
 from wigeonford.platform._front import (
@@ -124,15 +129,18 @@
     parser = argparse.ArgumentParser("wigeonford.platform.daemon")
     parser.add_argument("role", choices=sorted(_BUILDERS))
     args = parser.parse_args()
-    configure_logging(sys.stdout)
+    writer = open_log_writer(sys.stdout)
+    configure_logging(writer)
     log = EventLog(role=args.role)
     path = Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_PATH))
     try:
         file = SettingsFile(path, log)
     except (OSError, SettingsError) as exc:
         log.emit(Event.SETTINGS_REJECTED, detail=str(exc))
+        writer.close()
         return EXIT_USAGE
     asyncio.run(_run(file, args.role, log))
+    writer.close()
     return EXIT_DONE
 
 
--- a/src/wigeonford/settings/_steering.py
+++ b/src/wigeonford/settings/_steering.py
@@ -35,6 +35,7 @@
     seeds: tuple[str, ...]
     may_found: bool
     zones: Mapping[str, str]
+    metrics_address: Address | None = None
     wanted_voters: int = 5
     drain_s: float = bounded(0, 600, default=2.5)
     grace_s: float = bounded(0, 600, default=6.0)
@@ -56,6 +57,7 @@
     seeds: tuple[str, ...]
     zones: Mapping[str, str]
     lookup_address: Address | None = None
+    metrics_address: Address | None = None
     rate_slack: float = bounded(0, 1e6, default=0.0)
     repeats: RepeatBounds = field(default_factory=RepeatBounds)
     grace_s: float = bounded(0, 600, default=6.0)
