--- a/src/wigeonford/control/_raft_driver.py
+++ b/src/wigeonford/control/_raft_driver.py
@@ -44,6 +44,8 @@
 TICK_S: Final = 0.05
 SNAPSHOT_EVERY: Final = 2000
 KEPT_ENTRIES: Final = 4000
+SLOW_DISK_S: Final = 0.5
+"""Far longer than a sync takes; a leader is given up soon after."""
 
 _Performer = Callable[["RaftDriver", Any], Any]
 _PERFORMERS: Final[dict[type[Any], _Performer]] = {}
@@ -260,7 +262,15 @@
 
     @_performs(Save)
     async def _save(self, effect: Save) -> None:
-        await self._disk.save(effect)
+        saving = asyncio.ensure_future(self._disk.save(effect))
+        began_s = self._clock()
+        done, _ = await asyncio.wait({saving}, timeout=SLOW_DISK_S)
+        if not done:
+            self._log.emit(Event.STORAGE_SLOW, entries=len(effect.entries))
+        await saving
+        if not done:
+            took_s = round(self._clock() - began_s, 2)
+            self._log.emit(Event.STORAGE_BACK, took_s=took_s)
 
     @_performs(SaveInstalled)
     async def _install(self, effect: SaveInstalled) -> None:
--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -136,6 +136,10 @@
     STORAGE_FAILED = _event(
         510, "storage failed; the replica takes no part", logging.CRITICAL
     )
+    STORAGE_SLOW = _event(
+        515, "the disk does not answer; the replica waits", logging.WARNING
+    )
+    STORAGE_BACK = _event(516, "the disk has answered again")
     REPLICA_STOPPED = _event(
         511, "the replica stopped on an internal error", logging.CRITICAL
     )
