--- a/src/wigeonford/steer/_placement.py
+++ b/src/wigeonford/steer/_placement.py
@@ -14,7 +14,7 @@
 from typing import Final
 
 from wigeonford.steer._homes import Division, rank_score, Things
-from wigeonford.steer._spill import Spill
+from wigeonford.steer._spill import first_part, Spill
 from wigeonford.steer._target_book import TargetRecord
 
 BULKY_BYTES: Final = 4096.0
@@ -144,10 +144,9 @@
         own, local = domains[0]
         if not local:
             return self._elsewhere(domains[1:], wish, things, now_s)
-        spill = self._spill_of(wish.service, own, local, now_s)
+        spill = self._spill_of(wish.service, domains, now_s)
         choice = self._within(own, local, wish, things, now_s)
-        slots = sum(record.announced.slots for record in local)
-        use = sum(record.load(now_s) for record in local) / slots
+        use = sum(record.load(now_s) for record in local) / _slots(local)
         leaves = _position(wish.thing) < spill.part
         if not leaves:
             spill.note(choice is not None, use, now_s)
@@ -158,14 +157,16 @@
     def _spill_of(
         self,
         service: str,
-        domain: str,
-        local: Sequence[TargetRecord],
+        domains: Sequence[tuple[str, list[TargetRecord]]],
         now_s: float,
     ) -> Spill:
+        domain, local = domains[0]
         key = (service, domain)
         spill = self._spills.get(key)
         if spill is None:
-            spill = self._spills[key] = Spill(now_s)
+            slots = [_slots(records) for _, records in domains]
+            part = first_part(slots[0], sum(slots), len(domains))
+            spill = self._spills[key] = Spill(now_s, part)
         if len(local) < LOST_PART * self._sound.get(key, 0):
             spill.free(now_s)
         self._sound[key] = len(local)
@@ -257,6 +258,10 @@
     return sound if 2 * len(sound) > len(records) else records
 
 
+def _slots(records: Sequence[TargetRecord]) -> int:
+    return sum(record.announced.slots for record in records)
+
+
 def _wait_s(
     record: TargetRecord, durations: Durations, now_s: float
 ) -> float | None:
--- a/src/wigeonford/steer/_rates.py
+++ b/src/wigeonford/steer/_rates.py
@@ -14,7 +14,9 @@
 """How much more than the demand of late is asked for, since it grows
 faster than parts move."""
 LEAST_WANTED_PER_S: Final = 2.0
-"""What an entry VM without demand keeps ready."""
+"""What an entry VM without demand keeps ready, at most."""
+LEAST_WANTED_PART: Final = 0.3
+"""The same as a part of an even share, for accounts with low rates."""
 UNLEASED_PART: Final = 0.2
 """Part of a rate that all entry VMs without a lease share; the rules let a
 fleet run over by more."""
@@ -94,8 +96,9 @@
             if account.rate_per_s <= 0:
                 continue
             meter = self._meter(account.name, now_s)
+            even_per_s = account.rate_per_s / self._entries
             wanted = max(
-                LEAST_WANTED_PER_S,
+                min(LEAST_WANTED_PER_S, LEAST_WANTED_PART * even_per_s),
                 DEMAND_MARGIN * meter.demand.rate_per_s(now_s),
             )
             part = min(1.0, wanted / account.rate_per_s)
--- a/src/wigeonford/steer/_spill.py
+++ b/src/wigeonford/steer/_spill.py
@@ -26,11 +26,25 @@
 """Use of the slots above which none returns."""
 
 
+EVEN_MARGIN: Final = 1.5
+"""How much more than an even part of the callers a region is thought to be
+able to take at first."""
+
+
+def first_part(slots: int, all_slots: int, domains: int) -> float:
+    """Return what should leave a domain before its load is known.
+
+    Callers are thought to be spread evenly over domains, unlike targets.
+    """
+    even = slots * domains / max(1, all_slots)
+    return max(0.0, 1.0 - EVEN_MARGIN * even)
+
+
 class Spill:
     """Track the part of the objects that are served elsewhere."""
 
-    def __init__(self, now_s: float) -> None:
-        self.part = 0.0
+    def __init__(self, now_s: float, part: float = 0.0) -> None:
+        self.part = part
         self._pressed = 0.0
         self._count = 0.0
         self._at_s = now_s
