--- a/src/wigeonford/steer/_placement.py
+++ b/src/wigeonford/steer/_placement.py
@@ -17,7 +17,7 @@
 from wigeonford.steer._spill import first_part, Spill
 from wigeonford.steer._target_book import TargetRecord
 
-BULKY_BYTES: Final = 4096.0
+BULKY_BYTES: Final = 16384.0
 """Bytes a request from which homes stay within the zone; about where the
 traffic between zones costs more than a second first touch."""
 WAIT_SLOTS: Final = 3.0
