--- a/src/wigeonford/steer/_placement.py
+++ b/src/wigeonford/steer/_placement.py
@@ -4,9 +4,9 @@
 that its target does not remember takes three times the work, and there is
 none to spare. An object is served at its home in the region, or in the zone
 where its bytes are many. Of what the region has no room for, whole objects
-move to their homes in other regions, slowly. A second target helps out only
-with a free slot, and a request that would wait past its objective is
-refused rather than make all behind it late.
+move to their homes in other regions, slowly. A second target helps out
+where it knows the object or there is room to spare, and a request that would
+wait past its objective is refused rather than make all behind it late.
 """
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
@@ -27,6 +27,9 @@
 FREE_PART: Final = 0.8
 """Part of a target's slots that may be taken when it helps out."""
 
+SPARE_USE: Final = 0.6
+"""Use of a domain's slots below which an object may be started anew at a
+second target, which takes three times a warm request's work."""
 LOST_PART: Final = 0.75
 """Part of a domain's targets that has to be left, or work may leave fast."""
 
@@ -146,7 +149,7 @@
             return self._elsewhere(domains[1:], wish, things, now_s)
         spill = self._spill_of(wish.service, domains, now_s)
         choice = self._within(own, local, wish, things, now_s)
-        use = sum(record.load(now_s) for record in local) / _slots(local)
+        use = _use(local, now_s)
         leaves = _position(wish.thing) < spill.part
         if not leaves:
             spill.note(choice is not None, use, now_s)
@@ -219,11 +222,18 @@
         second = by_id.get(home.second or "")
         if second is None or second.target_id in wish.tried:
             return None
+        if wish.thing in second.warm:
+            wait_s = _wait_s(second, wish.durations, now_s)
+            if wait_s is not None and wait_s <= patience_s:
+                work_s = wish.durations.warm_s
+                return Choice(second, wait_s, work_s, f"second in {domain}")
+            return None
         free = second.load(now_s) < second.announced.slots * FREE_PART
-        if not free or now_s < second.full_until_s:
+        spare = _use(records, now_s) < SPARE_USE
+        if not (free and spare) or now_s < second.full_until_s:
             return None
         return Choice(
-            second, 0.0, wish.durations.cold_s, f"second in {domain}"
+            second, 0.0, wish.durations.cold_s, f"new second in {domain}"
         )
 
 
@@ -258,6 +268,10 @@
     return sound if 2 * len(sound) > len(records) else records
 
 
+def _use(records: Sequence[TargetRecord], now_s: float) -> float:
+    return sum(record.load(now_s) for record in records) / _slots(records)
+
+
 def _slots(records: Sequence[TargetRecord]) -> int:
     return sum(record.announced.slots for record in records)
 
