--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -1,13 +1,12 @@
 """Steer a request: route, account, target, attempts, answer."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Callable, Mapping
 import random
 import time
 from typing import Final
 
-from wigeonford.deployment import Account, Route, Splitter
+from wigeonford.deployment import Account, Route
 from wigeonford.errors import Code, RequestRefused
 from wigeonford.errors import RunState as Ran
 from wigeonford.events import Event, EventLog
@@ -16,6 +15,7 @@
 from wigeonford.peer import EntryStatus
 from wigeonford.policy import AttemptBudget
 from wigeonford.settings import RepeatBounds
+from wigeonford.steer._admission import Admission
 from wigeonford.steer._attempt import (
     Attempt,
     AttemptResult,
@@ -23,25 +23,17 @@
     TargetLinks,
 )
 from wigeonford.steer._cold import ColdRates, wardens
-from wigeonford.steer._placement import (
-    Choice,
-    Placement,
-    Wish,
-)
+from wigeonford.steer._learning import Learning, Sent
+from wigeonford.steer._placement import Choice, Placement, Wish
 from wigeonford.steer._rates import AccountRates
 from wigeonford.steer._request import SteerRequest
-from wigeonford.steer._retry_after import (
-    retry_after_s,
-    room_after_s,
-)
-from wigeonford.steer._route_stats import RouteStats
-from wigeonford.steer._suspects import fingerprint, SuspectBook
+from wigeonford.steer._retry_after import retry_after_s, room_after_s
+from wigeonford.steer._suspects import SuspectBook
 from wigeonford.steer._target_book import TargetBook, TargetRecord
 from wigeonford.steer._view import View
+from wigeonford.steer._work import Work
 
-HELD_BODY_BYTES: Final = 1 << 20
-"""Bodies up to this size are read whole, so that they can be sent again."""
-ANSWER_LATE_S: Final = 0.15
+ANSWER_LATE_S: Final = 0.1
 """How long after its deadline a request may still be answered; the way
 back from a target in another region."""
 REPEATS_USED: Final = 0.7
@@ -50,33 +42,9 @@
 """Part of the fleet's slack that the entry VMs' reserves add up to."""
 MAX_UNREACHED: Final = 4
 """Targets in a row that a request finds unreachable before it is refused."""
-FULL_S: Final = 0.1
-"""How long a target that refused as full gets nothing more."""
 LEAST_PATIENCE: Final = 0.25
 """Part of a warm request's duration that any request may wait; estimates
 are no better."""
-UNKNOWN_VIEW_RETRY_S: Final = 0.5
-"""A starting VM knows the deployment by then."""
-
-
-@dataclass(slots=True)
-class _Work:
-    """Hold a request while it is under way."""
-
-    req: SteerRequest
-    view: View
-    route: Route
-    account: Account | None
-    service: str
-    body: bytes | AsyncIterator[bytes]
-    deadline_s: float
-    print_: bytes
-    tried: set[str] = field(default_factory=set)
-    sent: int = 0
-    unreached: int = 0
-    broken: bool = False
-    under_way: bool = False
-    detail: str = ""
 
 
 class Forwarder:
@@ -104,25 +72,23 @@
         self._view = view
         self._entries = entries
         self._book = book
-        self._rates = rates
-        self._suspects = suspects
         self._links = links
+        self._admission = Admission(view, rates, suspects, rng, clock)
+        self._learning = Learning(links, suspects, metrics, log, clock)
         self._repeat_limits = repeats
         self._metrics = metrics
         self._log = log
         self._rng = rng
         self._clock = clock
-        self._splitter = Splitter()
         self._placement = Placement()
         self._cold = ColdRates()
-        self._stats: dict[str, RouteStats] = {}
         self._repeats: dict[str, AttemptBudget] = {}
 
     async def forward(self, req: SteerRequest) -> Response:
         """Return a target's answer; raise `RequestRefused`."""
         began_s = self._clock()
         try:
-            work = await self._admit(req)
+            work = await self._admission.admit(req)
         except RequestRefused as exc:
             self._note_refused(req, None, exc)
             raise
@@ -147,7 +113,7 @@
         return answer
 
     def _note_refused(
-        self, req: SteerRequest, work: _Work | None, exc: RequestRefused
+        self, req: SteerRequest, work: Work | None, exc: RequestRefused
     ) -> None:
         account = work.account if work else None
         self._metrics.count_result(
@@ -172,68 +138,7 @@
             took_s=round(self._clock() - req.arrived_s, 3),
         )
 
-    async def _admit(self, req: SteerRequest) -> _Work:
-        view = self._view()
-        if view is None:
-            raise RequestRefused(
-                Code.CONFIG_STALE,
-                "no deployment is known yet",
-                retry_after_s=UNKNOWN_VIEW_RETRY_S,
-            )
-        route = view.find_route(req.host, req.path)
-        if route is None:
-            raise RequestRefused(Code.NO_ROUTE, f"{req.host}{req.path}")
-        account = self._find_account(req, view, route)
-        if account is not None:
-            after_s = self._rates.admit(account, self._clock())
-            if after_s > 0:
-                raise RequestRefused(
-                    Code.RATE_EXCEEDED,
-                    f"{account.name}: part "
-                    f"{self._rates.part(account.name, self._clock()):.3f} "
-                    f"of {account.rate_per_s}/s",
-                    retry_after_s=retry_after_s(after_s, self._rng),
-                )
-        left_s = route.timeout_s
-        if req.time_left_s is not None:
-            left_s = min(left_s, req.time_left_s)
-        work = _Work(
-            req,
-            view,
-            route,
-            account,
-            self._splitter.choose(route),
-            b"",
-            req.arrived_s + left_s,
-            b"",
-        )
-        if req.has_body:
-            work.body = await _read_body(req.body)
-        body = work.body if isinstance(work.body, bytes) else b""
-        work.print_ = fingerprint(
-            account.name if account else "", req.method, req.target, body
-        )
-        if self._suspects.is_barred(work.print_, self._clock()):
-            raise RequestRefused(
-                Code.QUARANTINED, "targets failed under this request"
-            )
-        return work
-
-    def _find_account(
-        self, req: SteerRequest, view: View, route: Route
-    ) -> Account | None:
-        account = view.find_account(req.key)
-        if route.is_open or not view.deployment.has_accounts:
-            return account
-        if account is None:
-            missing = req.key is None
-            raise RequestRefused(
-                Code.KEY_MISSING if missing else Code.KEY_UNKNOWN,
-                f"version {view.deployment.version}",
-            )
-        return account
-
-    async def _run(self, work: _Work) -> Response:
+    async def _run(self, work: Work) -> Response:
         self._repeats_of(work.service).earn()
         try:
             until_s = work.deadline_s + ANSWER_LATE_S - self._clock()
@@ -252,14 +157,14 @@
                 exc.code, exc.detail, run_state=Ran.UNKNOWN
             ) from exc
 
-    def _timed_out(self, work: _Work) -> RequestRefused:
+    def _timed_out(self, work: Work) -> RequestRefused:
         if work.under_way or work.broken:
             return RequestRefused(Code.ANSWER_TIMEOUT, work.detail)
         return RequestRefused(
             Code.NO_CAPACITY, work.detail or "the time limit has passed"
         )
 
-    async def _try_once(self, work: _Work) -> Response | None:
+    async def _try_once(self, work: Work) -> Response | None:
         """Make an attempt; return the answer, None to try again."""
         choice = self._choose(work)
         if choice is None:
@@ -269,7 +174,7 @@
         work.tried.add(record.target_id)
         was_warm = work.req.thing in record.warm
         record.in_flight += 1
-        load = record.load(began_s)
+        sent = Sent(record, began_s, record.load(began_s), was_warm)
         if record.is_cold(began_s):
             self._cold.spend(record.target_id)
         self._log.emit(
@@ -277,9 +182,9 @@
             request=work.req.request_id,
             target=record.target_id,
             route=work.route.name,
-            account=work.account.name if work.account else None,
+            account=work.account_name,
             attempt=work.sent + work.unreached + 1,
-            load=round(load, 1),
+            load=round(sent.load, 1),
             wait_s=round(choice.wait_s, 3),
             work_s=round(choice.work_s, 3),
             role=choice.role,
@@ -291,7 +196,7 @@
                 Attempt(
                     work.req,
                     record,
-                    work.account.name if work.account else None,
+                    work.account_name,
                     work.body,
                     work.deadline_s,
                 )
@@ -299,14 +204,14 @@
         finally:
             record.in_flight -= 1
         work.under_way = False
-        self._learn(work, record, result, began_s, load, was_warm)
+        self._learning.learn(work, sent, result)
         return self._judge(work, record, result, began_s)
 
-    def _choose(self, work: _Work) -> Choice | None:
+    def _choose(self, work: Work) -> Choice | None:
         now_s = self._clock()
         status = self._status()
         view = self._view() or work.view
-        stats = self._stats_of(work.route)
+        stats = self._learning.stats_of(work.route)
         homes = _homes_of(work.route, work.account)
         wish = Wish(
             work.service,
@@ -331,15 +236,15 @@
             now_s,
         )
 
-    def _patience_s(self, work: _Work, now_s: float) -> float:
+    def _patience_s(self, work: Work, now_s: float) -> float:
         """Return how long a request may wait and still be of full use."""
-        stats = self._stats_of(work.route)
+        stats = self._learning.stats_of(work.route)
         used_s = now_s - work.req.arrived_s
         spare_s = work.route.objective_s - used_s - stats.warm_s
         return max(LEAST_PATIENCE * stats.warm_s, spare_s)
 
     def _may_use_cold(
-        self, work: _Work, record: TargetRecord, now_s: float
+        self, work: Work, record: TargetRecord, now_s: float
     ) -> bool:
         names = wardens(record, self._entries().values())
         service = work.view.services.get(record.announced.service)
@@ -349,93 +254,9 @@
             return True
         return self._cold.may_send(record.target_id, service.cold_per_s, now_s)
 
-    def _learn(
-        self,
-        work: _Work,
-        record: TargetRecord,
-        result: AttemptResult,
-        began_s: float,
-        load: float,
-        was_warm: bool,
-    ) -> None:
-        """Take note of what an attempt tells of its target."""
-        now_s = self._clock()
-        self._metrics.attempts.inc(
-            {"service": work.service, "outcome": result.outcome.value}
-        )
-        facts = result.facts
-        if facts is not None and facts.running is not None:
-            record.report_load(facts.running, facts.waiting or 0, now_s)
-        service = work.view.services.get(record.announced.service)
-        cold_s = service.cold_start_s if service else 0.0
-        if result.outcome is Outcome.NOT_SENT:
-            pause_s = record.mark_down(now_s, cold_s)
-            self._log.emit(
-                Event.TARGET_DOWN,
-                target=record.target_id,
-                pause_s=round(pause_s, 2),
-                detail=result.detail,
-            )
-            return
-        if result.outcome is Outcome.WRONG_TARGET:
-            record.mark_down(now_s, cold_s)
-            self._links.forget(record.announced.address)
-            self._log.emit(
-                Event.TARGET_DOWN,
-                target=record.target_id,
-                detail="another target has its address",
-            )
-            return
-        failed = result.outcome in (Outcome.BROKEN, Outcome.NOT_RUN)
-        answer = result.answer
-        if answer is not None and answer.status >= 500:
-            failed = True
-        record.record_result(failed, now_s)
-        if result.outcome is Outcome.NOT_RUN:
-            record.full_until_s = now_s + FULL_S
-        if result.outcome is Outcome.BROKEN and not result.reused:
-            self._suspects.record(work.print_, record.target_id, now_s)
-        if not failed and record.mark_up(now_s, cold_s):
-            self._log.emit(Event.TARGET_BACK, target=record.target_id)
-        if answer is not None and not failed:
-            self._learn_duration(
-                work, record, answer, now_s - began_s, load, was_warm
-            )
-
-    def _learn_duration(
-        self,
-        work: _Work,
-        record: TargetRecord,
-        answer: Response,
-        took_s: float,
-        load: float,
-        was_warm: bool,
-    ) -> None:
-        self._suspects.clear(work.print_, self._clock())
-        if work.req.thing:
-            record.touch(work.req.thing)
-        if load > record.announced.slots:
-            return
-        stats = self._stats_of(work.route)
-        size = sum(
-            len(body)
-            for body in (work.body, answer.body)
-            if isinstance(body, bytes)
-        )
-        expected_s = stats.warm_s if was_warm else stats.cold_s
-        ratio = took_s / max(0.001, expected_s)
-        if was_warm and record.record_ratio(ratio, self._clock()):
-            self._log.emit(
-                Event.TARGET_SLOW,
-                target=record.target_id,
-                took_s=round(took_s, 3),
-                usual_s=round(expected_s, 3),
-            )
-        stats.record(took_s, size, was_warm=was_warm)
-
     def _judge(
         self,
-        work: _Work,
+        work: Work,
         record: TargetRecord,
         result: AttemptResult,
         began_s: float,
@@ -472,7 +293,7 @@
             raise self._refusal(work)
         return None
 
-    def _may_repeat(self, work: _Work, result: AttemptResult) -> bool:
+    def _may_repeat(self, work: Work, result: AttemptResult) -> bool:
         """Tell whether another attempt is allowed and worth its budget."""
         if not isinstance(work.body, bytes):
             return False
@@ -484,12 +305,12 @@
             return work.unreached < MAX_UNREACHED
         if work.sent >= work.route.attempts:
             return False
-        stats = self._stats_of(work.route)
+        stats = self._learning.stats_of(work.route)
         if work.deadline_s - self._clock() < stats.warm_s:
             return False
         return self._repeats_of(work.service).spend()
 
-    def _refusal(self, work: _Work) -> RequestRefused:
+    def _refusal(self, work: Work) -> RequestRefused:
         """Return the error for a request that gets no further attempt."""
         if work.broken:
             return RequestRefused(
@@ -498,7 +319,7 @@
         now_s = self._clock()
         records = self._book.of_service(work.service)
         room_s = room_after_s(
-            records, self._stats_of(work.route).warm_s, now_s
+            records, self._learning.stats_of(work.route).warm_s, now_s
         )
         code = Code.NO_CAPACITY if records else Code.NO_TARGET
         return RequestRefused(
@@ -507,12 +328,6 @@
             retry_after_s=retry_after_s(room_s, self._rng),
         )
 
-    def _stats_of(self, route: Route) -> RouteStats:
-        stats = self._stats.get(route.name)
-        if stats is None:
-            stats = self._stats[route.name] = RouteStats.guess(route)
-        return stats
-
     def _repeats_of(self, service: str) -> AttemptBudget:
         budget = self._repeats.get(service)
         if budget is None:
@@ -532,26 +347,3 @@
     if not homes:
         return None
     return frozenset(set.intersection(*homes))
-
-
-async def _read_body(
-    body: AsyncIterator[bytes],
-) -> bytes | AsyncIterator[bytes]:
-    """Return a body read whole, or as a stream where it is large."""
-    parts: list[bytes] = []
-    size = 0
-    async for chunk in body:
-        parts.append(chunk)
-        size += len(chunk)
-        if size > HELD_BODY_BYTES:
-            return _rejoin(parts, body)
-    return b"".join(parts)
-
-
-async def _rejoin(
-    parts: list[bytes], rest: AsyncIterator[bytes]
-) -> AsyncIterator[bytes]:
-    for part in parts:
-        yield part
-    async for chunk in rest:
-        yield chunk
--- /dev/null
+++ b/src/wigeonford/steer/_learning.py
@@ -0,0 +1,128 @@
+"""What attempts tell of targets and routes."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+from wigeonford.deployment import Route
+from wigeonford.events import Event, EventLog
+from wigeonford.http import Response
+from wigeonford.metrics import Metrics
+from wigeonford.steer._attempt import AttemptResult, Outcome, TargetLinks
+from wigeonford.steer._route_stats import RouteStats
+from wigeonford.steer._suspects import SuspectBook
+from wigeonford.steer._target_book import TargetRecord
+from wigeonford.steer._work import Work
+
+FULL_S: Final = 0.1
+"""How long a target that refused as full gets nothing more."""
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """Hold what was known of a target when an attempt was made."""
+
+    record: TargetRecord
+    began_s: float
+    load: float
+    was_warm: bool
+
+
+class Learning:
+    """Keep the records of targets and the averages of routes up to date."""
+
+    def __init__(
+        self,
+        links: TargetLinks,
+        suspects: SuspectBook,
+        metrics: Metrics,
+        log: EventLog,
+        clock: Callable[[], float],
+    ) -> None:
+        self._links = links
+        self._suspects = suspects
+        self._metrics = metrics
+        self._log = log
+        self._clock = clock
+        self._stats: dict[str, RouteStats] = {}
+
+    def stats_of(self, route: Route) -> RouteStats:
+        """Return the averages of a route."""
+        stats = self._stats.get(route.name)
+        if stats is None:
+            stats = self._stats[route.name] = RouteStats.guess(route)
+        return stats
+
+    def learn(self, work: Work, sent: Sent, result: AttemptResult) -> None:
+        """Take note of what an attempt tells of its target."""
+        now_s = self._clock()
+        record = sent.record
+        self._metrics.attempts.inc(
+            {"service": work.service, "outcome": result.outcome.value}
+        )
+        facts = result.facts
+        if facts is not None and facts.running is not None:
+            record.report_load(facts.running, facts.waiting or 0, now_s)
+        service = work.view.services.get(record.announced.service)
+        cold_s = service.cold_start_s if service else 0.0
+        if result.outcome is Outcome.NOT_SENT:
+            pause_s = record.mark_down(now_s, cold_s)
+            self._log.emit(
+                Event.TARGET_DOWN,
+                target=record.target_id,
+                pause_s=round(pause_s, 2),
+                detail=result.detail,
+            )
+            return
+        if result.outcome is Outcome.WRONG_TARGET:
+            record.mark_down(now_s, cold_s)
+            self._links.forget(record.announced.address)
+            self._log.emit(
+                Event.TARGET_DOWN,
+                target=record.target_id,
+                detail="another target has its address",
+            )
+            return
+        failed = result.outcome in (Outcome.BROKEN, Outcome.NOT_RUN)
+        answer = result.answer
+        if answer is not None and answer.status >= 500:
+            failed = True
+        record.record_result(failed, now_s)
+        if result.outcome is Outcome.NOT_RUN:
+            record.full_until_s = now_s + FULL_S
+        if result.outcome is Outcome.BROKEN and not result.reused:
+            self._suspects.record(work.print_, record.target_id, now_s)
+        if not failed and record.mark_up(now_s, cold_s):
+            self._log.emit(Event.TARGET_BACK, target=record.target_id)
+        if answer is not None and not failed:
+            self._learn_duration(work, sent, answer, now_s - sent.began_s)
+
+    def _learn_duration(
+        self,
+        work: Work,
+        sent: Sent,
+        answer: Response,
+        took_s: float,
+    ) -> None:
+        record = sent.record
+        self._suspects.clear(work.print_, self._clock())
+        if work.req.thing:
+            record.touch(work.req.thing)
+        if sent.load > record.announced.slots:
+            return
+        stats = self.stats_of(work.route)
+        size = sum(
+            len(body)
+            for body in (work.body, answer.body)
+            if isinstance(body, bytes)
+        )
+        expected_s = stats.warm_s if sent.was_warm else stats.cold_s
+        ratio = took_s / max(0.001, expected_s)
+        if sent.was_warm and record.record_ratio(ratio, self._clock()):
+            self._log.emit(
+                Event.TARGET_SLOW,
+                target=record.target_id,
+                took_s=round(took_s, 3),
+                usual_s=round(expected_s, 3),
+            )
+        stats.record(took_s, size, was_warm=sent.was_warm)
