--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -172,3 +172,68 @@
         for step in range(200, 1200):
             spill.note(has_room=True, use=0.3, now_s=step * 0.02)
         self.assertEqual(0.0, spill.part)
+
+
+class BoundsTest(unittest.TestCase):
+    """Homes, evacuations and cold targets bound every choice."""
+
+    def setUp(self) -> None:
+        self.records = [
+            *make_records(3, 4, "south"),
+            *make_records(3, 4, "north"),
+        ]
+        self.placement = Placement()
+
+    def choose(
+        self,
+        homes: frozenset[str] | None = None,
+        evacuated: frozenset[str] = frozenset(),
+        tried: frozenset[str] = frozenset(),
+    ) -> TargetRecord | None:
+        """Return the target of one object for a caller in the south."""
+        wish = Wish(
+            "reads",
+            "object-1",
+            "south-a",
+            "south",
+            1500.0,
+            Durations(WARM_S, COLD_S),
+            OBJECTIVE_S - WARM_S,
+            homes,
+            tried,
+        )
+        choice = self.placement.choose(
+            self.records, wish, evacuated, lambda _: False, 1.0
+        )
+        return choice.record if choice is not None else None
+
+    def test_homes_bind(self) -> None:
+        found = self.choose(homes=frozenset({"north"}))
+        self.assertEqual("north", found.region if found else None)
+        self.assertIsNone(self.choose(homes=frozenset({"west"})))
+
+    def test_evacuated_zone_gets_nothing(self) -> None:
+        found = self.choose(evacuated=frozenset({"south-a"}))
+        self.assertEqual("north", found.region if found else None)
+        both = frozenset({"south-a", "north-a"})
+        self.assertIsNone(self.choose(evacuated=both))
+
+    def test_cold_and_unreachable_targets_get_nothing(self) -> None:
+        for record in self.records[:3]:
+            record.cold_until_s = 5.0
+        for record in self.records[3:]:
+            record.mark_down(0.9, 3.0)
+        self.assertIsNone(self.choose())
+
+    def test_an_object_keeps_its_home(self) -> None:
+        first = self.choose()
+        assert first is not None, "there is room"
+        again = {(self.choose() or first).target_id for _ in range(20)}
+        self.assertEqual({first.target_id}, again)
+
+    def test_target_that_was_tried_is_not_tried_again(self) -> None:
+        first = self.choose()
+        assert first is not None, "there is room"
+        second = self.choose(tried=frozenset({first.target_id}))
+        assert second is not None, "another has room"
+        self.assertNotEqual(first.target_id, second.target_id)
