--- a/src/wigeonford/_compose_steering.py
+++ b/src/wigeonford/_compose_steering.py
@@ -8,6 +8,7 @@
 from wigeonford.control import (
     ColdClock,
     ControlDaemon,
+    ElectionTiming,
     GroupService,
     LogFileStore,
     PartService,
@@ -47,6 +48,11 @@
 OPEN_SECRET = "peers-share-a-network-of-their-own"
 """Used where settings hold no secret: only own processes reach peers."""
 
+ELECTION_MIN_S = 0.7
+ELECTION_MAX_S = 1.7
+"""Some round trips between regions beyond the heartbeat's 0.2 s: a VM of
+its own runs each replica, and days are short."""
+
 Seeds = Callable[[], tuple[str, ...]]
 BuildControlApi = Callable[[Replica, TargetService, EventLog], Handler]
 BuildCallerApi = Callable[[Forwarder], Handler]
@@ -116,7 +122,12 @@
         log.emit(Event.LOG_TAIL_DROPPED, bytes=store.dropped_bytes)
     peers = PeerServer(OPEN_SECRET, log)
     replica = RaftReplica(
-        control, store, connect, log, wanted_voters=cfg.wanted_voters
+        control,
+        store,
+        connect,
+        log,
+        wanted_voters=cfg.wanted_voters,
+        timing=ElectionTiming(ELECTION_MIN_S, ELECTION_MAX_S),
     )
     replica.attach(peers)
     cold = ColdClock()
--- a/src/wigeonford/control/__init__.py
+++ b/src/wigeonford/control/__init__.py
@@ -18,6 +18,7 @@
 from wigeonford.control._log_file import LogFileStore
 from wigeonford.control._operator_api import OperatorApi
 from wigeonford.control._part_service import PartService
+from wigeonford.control._raft_node import ElectionTiming
 from wigeonford.control._raft_replica import RaftReplica
 from wigeonford.control._recovery import recover_alone
 from wigeonford.control._register_store import RegisterStore
@@ -52,6 +53,7 @@
     "ControlDaemon",
     "ControlService",
     "Edit",
+    "ElectionTiming",
     "ExpireMember",
     "GroupService",
     "IssueKey",
--- a/src/wigeonford/control/_raft_leader.py
+++ b/src/wigeonford/control/_raft_leader.py
@@ -17,7 +17,6 @@
     without_entry,
 )
 from wigeonford.control._raft_node import (
-    ELECTION_MIN_S,
     HEARTBEAT_S,
     RaftNode,
 )
@@ -117,7 +116,7 @@
     def lost_quorum(self, now_s: float) -> bool:
         """Tell whether no quorum has answered within a timeout."""
         latest_s = max(self.quorum_sent_s(now_s), self._led_since_s)
-        return now_s - latest_s > ELECTION_MIN_S
+        return now_s - latest_s > self._node.identity.timing.min_s
 
     def tick(self, now_s: float) -> None:
         """Send heartbeats and keep the table."""
@@ -147,7 +146,7 @@
         previous = progress.next_position - 1
         if previous < base:
             # A follower that is down would only get it lost.
-            alive = now_s - progress.acked_sent_s < ELECTION_MIN_S
+            alive = self._is_alive(progress, now_s)
             if alive and now_s >= progress.snapshot_until_s:
                 progress.snapshot_until_s = now_s + SNAPSHOT_TIMEOUT_S
                 node.send_snapshot(name, progress.incarnation, now_s)
@@ -162,6 +161,10 @@
         progress.next_position += len(entries)
         return bool(entries)
 
+    def _is_alive(self, progress: Progress, now_s: float) -> bool:
+        silent_s = now_s - progress.acked_sent_s
+        return silent_s < self._node.identity.timing.min_s
+
     def _message(
         self,
         progress: Progress,
@@ -289,7 +292,7 @@
             progress = self._progress.get(entry.name)
             if entry.voter or progress is None:
                 continue
-            alive = now_s - progress.acked_sent_s < ELECTION_MIN_S
+            alive = self._is_alive(progress, now_s)
             if alive and progress.match_position >= node.commit_position:
                 return with_entry(node.log.table, replace(entry, voter=True))
         return None
--- a/src/wigeonford/control/_raft_node.py
+++ b/src/wigeonford/control/_raft_node.py
@@ -19,11 +19,20 @@
 from wigeonford.control._raft_members import find_entry
 
 HEARTBEAT_S: Final = 0.2
-ELECTION_MIN_S: Final = 0.7
-ELECTION_MAX_S: Final = 1.7
 _STAMP_RANGE_S: Final = 1e9
 
 
+@dataclass(frozen=True, slots=True)
+class ElectionTiming:
+    """Bound the time without a leader after which a replica stands.
+
+    The defaults bear a busy machine that many processes share.
+    """
+
+    min_s: float = 1.0
+    max_s: float = 2.0
+
+
 @dataclass(frozen=True, slots=True)
 class Identity:
     """Name a replica and the members that its settings list.
@@ -35,6 +44,7 @@
     name: str
     configured: dict[str, tuple[str, int]]
     wanted_voters: int = 0
+    timing: ElectionTiming = ElectionTiming()
 
 
 class RaftNode:
@@ -101,13 +111,14 @@
 
     def delay_election(self, now_s: float) -> None:
         """Draw a new election timeout."""
+        timing = self.identity.timing
         self.election_at_s = now_s + self.rng.uniform(
-            ELECTION_MIN_S, ELECTION_MAX_S
+            timing.min_s, timing.max_s
         )
 
     def hears_leader(self, now_s: float) -> bool:
         """Tell whether a leader was heard within the least timeout."""
-        return now_s - self.heard_leader_s < ELECTION_MIN_S
+        return now_s - self.heard_leader_s < self.identity.timing.min_s
 
     def become_follower(
         self, term: int, leader: str | None, now_s: float
--- a/src/wigeonford/control/_raft_replica.py
+++ b/src/wigeonford/control/_raft_replica.py
@@ -21,7 +21,7 @@
     TableChange,
 )
 from wigeonford.control._raft_members import is_command
-from wigeonford.control._raft_node import Identity
+from wigeonford.control._raft_node import ElectionTiming, Identity
 from wigeonford.control._replica import ReplicaStatus
 from wigeonford.control._state import State
 from wigeonford.control._store import Store
@@ -72,9 +72,11 @@
         log: EventLog,
         clock: Callable[[], float] = time.monotonic,
         wanted_voters: int = 0,
+        timing: ElectionTiming = ElectionTiming(),
     ) -> None:
         self._name = cfg.name
         self._wanted_voters = wanted_voters
+        self._timing = timing
         self._store = store
         self._clock = clock
         self._members = {
@@ -137,7 +139,9 @@
             for name, address in self._members.items()
         }
         core = RaftCore(
-            Identity(self._name, configured, self._wanted_voters),
+            Identity(
+                self._name, configured, self._wanted_voters, self._timing
+            ),
             hard,
             log,
             self._rng,
--- a/src/wigeonford/steer/_follower.py
+++ b/src/wigeonford/steer/_follower.py
@@ -120,6 +120,7 @@
 
     async def _keep_watchers(self) -> None:
         while True:
+            self._drop_ended()
             wanted = set(self.addresses)
             for address in wanted - self._watchers.keys():
                 self._watchers[address] = asyncio.create_task(
@@ -135,6 +136,17 @@
             except TimeoutError:
                 continue
 
+    def _drop_ended(self) -> None:
+        """Forget watches that ended on an error, so that they begin anew."""
+        for address, task in list(self._watchers.items()):
+            if task.done():
+                del self._watchers[address]
+                self._in_touch.discard(address)
+                exc = None if task.cancelled() else task.exception()
+                self._log.emit(
+                    Event.TASK_FAILED, control=address, detail=repr(exc)
+                )
+
     async def _watch(self, address: str) -> None:
         client = self._connect(parse_address(address))
         pause_s = RETRY_S
