--- a/src/wigeonford/control/_raft_node.py
+++ b/src/wigeonford/control/_raft_node.py
@@ -33,6 +33,9 @@
     max_s: float = 2.0
 
 
+USUAL_TIMING: Final = ElectionTiming()
+
+
 @dataclass(frozen=True, slots=True)
 class Identity:
     """Name a replica and the members that its settings list.
@@ -44,7 +47,7 @@
     name: str
     configured: dict[str, tuple[str, int]]
     wanted_voters: int = 0
-    timing: ElectionTiming = ElectionTiming()
+    timing: ElectionTiming = USUAL_TIMING
 
 
 class RaftNode:
--- a/src/wigeonford/control/_raft_replica.py
+++ b/src/wigeonford/control/_raft_replica.py
@@ -21,7 +21,11 @@
     TableChange,
 )
 from wigeonford.control._raft_members import is_command
-from wigeonford.control._raft_node import ElectionTiming, Identity
+from wigeonford.control._raft_node import (
+    ElectionTiming,
+    Identity,
+    USUAL_TIMING,
+)
 from wigeonford.control._replica import ReplicaStatus
 from wigeonford.control._state import State
 from wigeonford.control._store import Store
@@ -72,7 +76,7 @@
         log: EventLog,
         clock: Callable[[], float] = time.monotonic,
         wanted_voters: int = 0,
-        timing: ElectionTiming = ElectionTiming(),
+        timing: ElectionTiming = USUAL_TIMING,
     ) -> None:
         self._name = cfg.name
         self._wanted_voters = wanted_voters
