--- a/src/wigeonford/_compose_steering.py
+++ b/src/wigeonford/_compose_steering.py
@@ -19,7 +19,13 @@
     ViewService,
 )
 from wigeonford.events import Event, EventLog
-from wigeonford.http import Handler, HttpServer, Request, Response
+from wigeonford.http import (
+    Handler,
+    HttpServer,
+    Request,
+    Response,
+    whole_response,
+)
 from wigeonford.metrics import Metrics
 from wigeonford.peer import EntryStatus, PeerClient, PeerServer
 from wigeonford.settings import (
@@ -63,12 +69,8 @@
     """Return a server of a daemon's metrics as text."""
 
     async def handle(_request: Request) -> Response:
-        content, kind = metrics.render()
-        headers = (
-            (b"content-type", kind.encode()),
-            (b"content-length", str(len(content)).encode()),
-        )
-        return Response(200, headers, content)
+        content, content_type = metrics.render()
+        return whole_response(200, content, content_type)
 
     return HttpServer(handle, CallerLimits(), log)
 
--- a/src/wigeonford/control/_group_service.py
+++ b/src/wigeonford/control/_group_service.py
@@ -18,7 +18,7 @@
     PeerServer,
     ReplicaChange,
 )
-from wigeonford.settings import Address, parse_address
+from wigeonford.settings import parse_address
 
 JOIN_INTERVAL_S: Final = 0.5
 """Pause between asks, before jitter; a join takes two round trips."""
@@ -147,8 +147,3 @@
                 incarnation=message.incarnation,
             )
         return GroupMembers(self.members())
-
-
-def group_address(seed: str, port: int) -> str:
-    """Return a seed's address for peers, given its operators' address."""
-    return str(Address(parse_address(seed).host, port))
--- a/src/wigeonford/control/_operator_api.py
+++ b/src/wigeonford/control/_operator_api.py
@@ -20,7 +20,13 @@
 from wigeonford.control._replica import Replica
 from wigeonford.errors import ChangeRefused, Code
 from wigeonford.events import Event, EventLog
-from wigeonford.http import coded_headers, json_response, Request, Response
+from wigeonford.http import (
+    coded_headers,
+    json_response,
+    Request,
+    Response,
+    whole_response,
+)
 from wigeonford.metrics import Metrics
 from wigeonford.model import hash_key, KEY_PREFIX
 from wigeonford.peer import ReplicaChange
@@ -117,11 +123,7 @@
     @_endpoint("GET", "/metrics")
     async def _metrics_page(self, _request: Request) -> Response:
         content, content_type = self._metrics.render()
-        headers = (
-            (b"content-type", content_type.encode()),
-            (b"content-length", str(len(content)).encode()),
-        )
-        return Response(200, headers, content)
+        return whole_response(200, content, content_type)
 
     @_endpoint("GET", "/v1/objects")
     async def _objects(self, request: Request) -> Response:
--- a/src/wigeonford/entry/_front.py
+++ b/src/wigeonford/entry/_front.py
@@ -16,7 +16,13 @@
 from wigeonford.entry._pipeline import Pipeline
 from wigeonford.entry._targets import TargetDirectory
 from wigeonford.errors import Code, RequestRefused
-from wigeonford.http import coded_headers, json_response, Request, Response
+from wigeonford.http import (
+    coded_headers,
+    json_response,
+    Request,
+    Response,
+    whole_response,
+)
 from wigeonford.metrics import Metrics
 from wigeonford.model import Side
 from wigeonford.peer import TargetAnnounce
@@ -142,11 +148,7 @@
     @_endpoint("GET", "/metrics")
     async def _metrics_page(self, _request: Request) -> Response:
         content, content_type = self._metrics.render()
-        headers = (
-            (b"content-type", content_type.encode()),
-            (b"content-length", str(len(content)).encode()),
-        )
-        return Response(200, headers, content)
+        return whole_response(200, content, content_type)
 
 
 def _authenticate(request: Request, secret: str) -> None:
--- a/src/wigeonford/http/__init__.py
+++ b/src/wigeonford/http/__init__.py
@@ -23,6 +23,7 @@
     Request,
     Response,
     RUN_STATE_HEADER,
+    whole_response,
 )
 
 __all__ = [
@@ -47,4 +48,5 @@
     "find_header",
     "json_response",
     "read_body",
+    "whole_response",
 ]
--- a/src/wigeonford/http/_types.py
+++ b/src/wigeonford/http/_types.py
@@ -76,18 +76,28 @@
     )
 
 
-def json_response(
-    status: int, content: bytes, headers: Iterable[tuple[bytes, bytes]] = ()
+def whole_response(
+    status: int,
+    content: bytes,
+    content_type: str,
+    headers: Iterable[tuple[bytes, bytes]] = (),
 ) -> Response:
-    """Return an answer with a JSON body."""
+    """Return an answer whose body is at hand."""
     head = (
-        (b"content-type", b"application/json"),
+        (b"content-type", content_type.encode()),
         (b"content-length", str(len(content)).encode()),
         *headers,
     )
     return Response(status, head, content)
 
 
+def json_response(
+    status: int, content: bytes, headers: Iterable[tuple[bytes, bytes]] = ()
+) -> Response:
+    """Return an answer with a JSON body."""
+    return whole_response(status, content, "application/json", headers)
+
+
 def error_response(exc: WigeonfordError) -> Response:
     """Return the answer that tells a caller about an error."""
     info = exc.code.value
--- a/src/wigeonford/steer/_placement.py
+++ b/src/wigeonford/steer/_placement.py
@@ -87,11 +87,6 @@
         self._spills: dict[tuple[str, str], Spill] = {}
         self._sound: dict[tuple[str, str], int] = {}
 
-    def spill_part(self, service: str, domain: str) -> float:
-        """Return the part of a service's objects that leave a domain."""
-        spill = self._spills.get((service, domain))
-        return spill.part if spill is not None else 0.0
-
     def choose(
         self,
         records: Sequence[TargetRecord],
