--- a/src/wigeonford/_compose_steering.py
+++ b/src/wigeonford/_compose_steering.py
@@ -41,6 +41,7 @@
 from wigeonford.steer import (
     AccountRates,
     Forwarder,
+    Loans,
     PartReporter,
     Readiness,
     SteerDaemon,
@@ -202,6 +203,7 @@
         follower.running_entries,
         book,
         rates,
+        Loans(reporter.borrow, log),
         suspects,
         links,
         cfg.repeats,
--- a/src/wigeonford/control/_part_service.py
+++ b/src/wigeonford/control/_part_service.py
@@ -1,5 +1,8 @@
 """Grant parts of the client accounts' rates while this replica leads.
 
+A part is for a VM that uses it all the time. The rest of a rate is a pool,
+lent by the token to those that hear of an account only now and then.
+
 Grants are kept in memory; which entry VMs may hold any is in the log. A new
 leader renews what they report, and grants the rest once all of them have
 reported or their leases have run out. A restarted VM holds nothing of what
@@ -13,17 +16,26 @@
 
 from wigeonford.control._replica import Replica
 from wigeonford.control._steering_commands import ChangeHolders
+from wigeonford.deployment import Account, Deployment
 from wigeonford.errors import WigeonfordError
 from wigeonford.events import Event, EventLog
 from wigeonford.peer import (
+    BorrowTokens,
     LeaderElsewhere,
     PartGrant,
     PartRequest,
     PartsAnswer,
     PartsReport,
     PeerServer,
+    TokenLoan,
+    TokensLent,
+)
+from wigeonford.policy import (
+    LeaseGrantor,
+    LeaseRequest,
+    pooled_part,
+    TokenPool,
 )
-from wigeonford.policy import LeaseGrantor, LeaseRequest
 
 PART_LEASE_S: Final = 20.0
 """Longer than all of control may be without power in the fault plan."""
@@ -52,12 +64,16 @@
         self._since_s = 0.0
         self._unheard: set[str] = set()
         self._grantors: dict[str, LeaseGrantor] = {}
+        self._pools: dict[str, TokenPool] = {}
+        self._deployment: Deployment | None = None
+        self._account_table: dict[str, Account] = {}
         self._entries: dict[str, tuple[str, float]] = {}
         self._task: asyncio.Task[None] | None = None
 
     def attach(self, server: PeerServer) -> None:
         """Register the message handler."""
         server.handle(PartsReport, self._answer)
+        server.handle(BorrowTokens, self._lend)
 
     async def start(self) -> None:
         """Begin to drop entry VMs that are long gone."""
@@ -69,13 +85,55 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
-    async def _answer(self, message: PartsReport) -> PartsAnswer:
+    async def _lead(self) -> None:
+        """Begin a term if need be; raise `LeaderElsewhere`."""
         if not self._replica.is_leader:
             raise LeaderElsewhere(self._replica.leader)
         if self._term != self._replica.term:
             # Reading the holders needs all that was agreed before.
             await self._replica.confirm()
             self._begin_term()
+        if not self._replica.is_leader or self._term != self._replica.term:
+            raise LeaderElsewhere(self._replica.leader)
+
+    async def _lend(self, message: BorrowTokens) -> TokensLent:
+        await self._lead()
+        now_s = self._clock()
+        accounts = self._accounts()
+        return TokensLent(
+            tuple(
+                self._lend_of(accounts[name], tokens, now_s)
+                for name, tokens in message.wanted.items()
+                if name in accounts
+            )
+        )
+
+    def _accounts(self) -> dict[str, Account]:
+        """Return the accounts in force, by name."""
+        deployment = self._replica.state.steering.deployment
+        if deployment is not self._deployment:
+            self._deployment = deployment
+            accounts = deployment.accounts if deployment else ()
+            self._account_table = {item.name: item for item in accounts}
+        return self._account_table
+
+    def _lend_of(
+        self, account: Account, tokens: int, now_s: float
+    ) -> TokenLoan:
+        pool = self._pools.get(account.name)
+        if pool is None:
+            pool = TokenPool(now_s)
+            self._pools[account.name] = pool
+        grantor = self._grantor(account.name, now_s)
+        part = 1.0 - grantor.capacity
+        if grantor.knows_all(now_s):
+            part = max(0.0, 1.0 - grantor.granted(now_s))
+        pool.resize(account.rate_per_s, account.burst, part, now_s)
+        lent, after_s = pool.lend(tokens, now_s)
+        return TokenLoan(account.name, lent, after_s)
+
+    async def _answer(self, message: PartsReport) -> PartsAnswer:
+        await self._lead()
         if message.entry not in self._replica.state.steering.holders:
             await self._replica.propose(ChangeHolders((message.entry,), ()))
         if not self._replica.is_leader or self._term != self._replica.term:
@@ -97,6 +155,7 @@
         self._since_s = self._clock()
         self._unheard = set(self._replica.state.steering.holders)
         self._grantors.clear()
+        self._pools.clear()
         self._entries.clear()
         self._log.emit(
             Event.PARTS_TERM_BEGUN, term=term, unheard=sorted(self._unheard)
@@ -155,16 +214,7 @@
     def _grant(
         self, message: PartsReport, request: PartRequest, now_s: float
     ) -> PartGrant:
-        grantor = self._grantors.get(request.account)
-        if grantor is None:
-            grantor = LeaseGrantor(
-                1.0,
-                PART_LEASE_S,
-                now_s,
-                takes_over=bool(self._unheard),
-                surplus=True,
-            )
-            self._grantors[request.account] = grantor
+        grantor = self._grantor(request.account, now_s)
         grant = grantor.request(
             LeaseRequest(
                 _holder(message.entry, message.incarnation),
@@ -176,6 +226,25 @@
         )
         return PartGrant(request.account, grant.number, grant.amount)
 
+    def _grantor(self, account: str, now_s: float) -> LeaseGrantor:
+        """Return an account's grantor, less what is kept for the pool."""
+        grantor = self._grantors.get(account)
+        if grantor is None:
+            grantor = LeaseGrantor(
+                1.0,
+                PART_LEASE_S,
+                now_s,
+                takes_over=bool(self._unheard),
+                surplus=True,
+            )
+            self._grantors[account] = grantor
+        known = self._accounts().get(account)
+        if known is not None:
+            holders = len(self._replica.state.steering.holders)
+            pooled = pooled_part(known.rate_per_s, holders)
+            grantor.capacity = 1.0 - pooled
+        return grantor
+
 
 def _holder(entry: str, incarnation: str) -> str:
     return f"{entry}/{incarnation}"
--- a/src/wigeonford/peer/__init__.py
+++ b/src/wigeonford/peer/__init__.py
@@ -74,6 +74,7 @@
     SpreadUpdate,
 )
 from wigeonford.peer._steering_messages import (
+    BorrowTokens,
     EntryStatus,
     FetchView,
     GroupMembers,
@@ -85,6 +86,8 @@
     PartsReport,
     ReportStatus,
     Suspicion,
+    TokenLoan,
+    TokensLent,
     ViewNotice,
     ViewUpdate,
     WatchView,
@@ -96,6 +99,7 @@
     "Ballot",
     "BootstrapProbe",
     "BootstrapReply",
+    "BorrowTokens",
     "ClaimAnswer",
     "ClaimClose",
     "ClaimOpen",
@@ -157,6 +161,8 @@
     "TargetDeath",
     "TargetGone",
     "TargetHandover",
+    "TokenLoan",
+    "TokensLent",
     "ViewNotice",
     "ViewUpdate",
     "VoteReply",
--- a/src/wigeonford/peer/_steering_messages.py
+++ b/src/wigeonford/peer/_steering_messages.py
@@ -132,6 +132,32 @@
     grants: tuple[PartGrant, ...]
 
 
+@message(200)
+@dataclass(frozen=True, slots=True)
+class BorrowTokens:
+    """Ask the leader for tokens that are to be spent at once, by account."""
+
+    entry: str
+    wanted: dict[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class TokenLoan:
+    """Lend tokens; `after_s` tells when the pool will have one more."""
+
+    account: str
+    tokens: int
+    after_s: float
+
+
+@message(201)
+@dataclass(frozen=True, slots=True)
+class TokensLent:
+    """Answer `BorrowTokens`."""
+
+    loans: tuple[TokenLoan, ...]
+
+
 @message(197)
 @dataclass(frozen=True, slots=True)
 class JoinGroup:
--- a/src/wigeonford/policy/__init__.py
+++ b/src/wigeonford/policy/__init__.py
@@ -51,6 +51,7 @@
     TargetOffer,
 )
 from wigeonford.policy._spill import admits_remote, SpillWindows
+from wigeonford.policy._token_pool import pooled_part, TokenPool
 from wigeonford.policy._token_queue import TokenQueue, Verdict
 
 __all__ = [
@@ -95,6 +96,7 @@
     "TERM_S",
     "TargetOffer",
     "TokenBucket",
+    "TokenPool",
     "TokenQueue",
     "Verdict",
     "admits_remote",
@@ -105,4 +107,5 @@
     "owner_of",
     "request_fingerprint",
     "slot_pool",
+    "pooled_part",
 ]
--- a/src/wigeonford/steer/__init__.py
+++ b/src/wigeonford/steer/__init__.py
@@ -4,6 +4,7 @@
 from wigeonford.steer._daemon import Readiness, SteerDaemon
 from wigeonford.steer._follower import ViewFollower
 from wigeonford.steer._forwarder import Forwarder
+from wigeonford.steer._loans import Loans
 from wigeonford.steer._lookups import LIFETIME_S, rank_entries
 from wigeonford.steer._part_reporter import PartReporter
 from wigeonford.steer._rates import AccountRates
@@ -22,6 +23,7 @@
     "AccountRates",
     "AnswerFacts",
     "Forwarder",
+    "Loans",
     "PartReporter",
     "Readiness",
     "Roster",
--- a/src/wigeonford/steer/_admission.py
+++ b/src/wigeonford/steer/_admission.py
@@ -6,6 +6,7 @@
 
 from wigeonford.deployment import Account, Route, Splitter
 from wigeonford.errors import Code, RequestRefused
+from wigeonford.steer._loans import Loans
 from wigeonford.steer._rates import AccountRates
 from wigeonford.steer._request import SteerRequest
 from wigeonford.steer._retry_after import retry_after_s
@@ -26,12 +27,14 @@
         self,
         view: Callable[[], View | None],
         rates: AccountRates,
+        loans: Loans,
         suspects: SuspectBook,
         rng: random.Random,
         clock: Callable[[], float],
     ) -> None:
         self._view = view
         self._rates = rates
+        self._loans = loans
         self._suspects = suspects
         self._rng = rng
         self._clock = clock
@@ -53,19 +56,11 @@
         if route is None:
             raise RequestRefused(Code.NO_ROUTE, f"{req.host}{req.path}")
         account = self._find_account(req, view, route)
-        if account is not None:
-            after_s = self._rates.admit(account, self._clock())
-            if after_s > 0:
-                raise RequestRefused(
-                    Code.RATE_EXCEEDED,
-                    f"{account.name}: part "
-                    f"{self._rates.part(account.name, self._clock()):.3f} "
-                    f"of {account.rate_per_s}/s",
-                    retry_after_s=retry_after_s(after_s, self._rng),
-                )
         left_s = route.timeout_s
         if req.time_left_s is not None:
             left_s = min(left_s, req.time_left_s)
+        if account is not None:
+            await self._spend(account, left_s)
         work = Work(
             req,
             view,
@@ -88,6 +83,22 @@
             )
         return work
 
+    async def _spend(self, account: Account, left_s: float) -> None:
+        """Spend a token of an account; raise `RequestRefused`."""
+        after_s = self._rates.admit(account, self._clock())
+        borrows = after_s > 0 and self._rates.in_touch
+        if borrows:
+            after_s = await self._loans.borrow(account.name, left_s)
+        if after_s > 0:
+            part = self._rates.part(account.name, self._clock())
+            how = "pool empty" if borrows else "nothing to borrow"
+            raise RequestRefused(
+                Code.RATE_EXCEEDED,
+                f"{account.name}: part {part:.3f} of "
+                f"{account.rate_per_s}/s, {how}",
+                retry_after_s=retry_after_s(after_s, self._rng),
+            )
+
     def _find_account(
         self, req: SteerRequest, view: View, route: Route
     ) -> Account | None:
--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -24,6 +24,7 @@
 )
 from wigeonford.steer._cold import ColdRates, wardens
 from wigeonford.steer._learning import Learning, Sent
+from wigeonford.steer._loans import Loans
 from wigeonford.steer._placement import Choice, Placement, Wish
 from wigeonford.steer._rates import AccountRates
 from wigeonford.steer._request import SteerRequest
@@ -60,6 +61,7 @@
         entries: Callable[[], Mapping[str, EntryStatus]],
         book: TargetBook,
         rates: AccountRates,
+        loans: Loans,
         suspects: SuspectBook,
         links: TargetLinks,
         repeats: RepeatBounds,
@@ -73,7 +75,7 @@
         self._entries = entries
         self._book = book
         self._links = links
-        self._admission = Admission(view, rates, suspects, rng, clock)
+        self._admission = Admission(view, rates, loans, suspects, rng, clock)
         self._learning = Learning(links, suspects, metrics, log, clock)
         self._repeat_limits = repeats
         self._metrics = metrics
--- a/src/wigeonford/steer/_part_reporter.py
+++ b/src/wigeonford/steer/_part_reporter.py
@@ -1,20 +1,23 @@
 """Ask the leader for parts of the accounts' rates, again and again."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 import itertools
 import time
 from typing import Final
 
-from wigeonford.errors import PeerError
+from wigeonford.errors import Code, PeerError
 from wigeonford.events import Event, EventLog
 from wigeonford.peer import (
+    BorrowTokens,
     EntryStatus,
     LeaderElsewhere,
     PartRequest,
     PartsAnswer,
     PartsReport,
     PeerClient,
+    TokenLoan,
+    TokensLent,
 )
 from wigeonford.settings import parse_address
 from wigeonford.steer._follower import Connect, ViewFollower
@@ -24,6 +27,8 @@
 """Parts that are not used move to others within a second."""
 REPORT_TIMEOUT_S: Final = 1.0
 """Several round trips between regions."""
+BORROW_TIMEOUT_S: Final = 0.5
+"""The same; a request waits for it."""
 
 
 class PartReporter:
@@ -61,6 +66,15 @@
             await self._send(self._rates.give_back(time.monotonic()))
         await self._drop_client()
 
+    async def borrow(self, wanted: Mapping[str, int]) -> tuple[TokenLoan, ...]:
+        """Ask the leader for tokens by account; raise `PeerError`."""
+        if self._client is None or not self._granted:
+            raise PeerError(Code.NOT_LEADER, "no leader is known")
+        message = BorrowTokens(self._status().name, dict(wanted))
+        answer = await self._client.request(message, BORROW_TIMEOUT_S)
+        assert isinstance(answer, TokensLent), "the answer to a loan"
+        return answer.loans
+
     async def _run(self) -> None:
         while True:
             if self._follower.view is not None:
@@ -82,6 +96,7 @@
             answer = await self._ask(report)
         except LeaderElsewhere as exc:
             await self._drop_client()
+            self._note(False, str(exc))
             self._leader = exc.leader
             return
         except PeerError as exc:
@@ -96,6 +111,7 @@
         if granted == self._granted:
             return
         self._granted = granted
+        self._rates.in_touch = granted
         event = Event.PARTS_REGAINED if granted else Event.PARTS_LOST
         self._log.emit(event, detail=detail)
 
--- a/src/wigeonford/steer/_rates.py
+++ b/src/wigeonford/steer/_rates.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
+import math
 from typing import Final
 
 from wigeonford.deployment import Account
@@ -17,11 +18,14 @@
 """What an entry VM without demand keeps ready, at most."""
 LEAST_WANTED_PART: Final = 0.3
 """The same as a part of an even share, for accounts with low rates."""
+LEAST_PART_PER_S: Final = 1.0
+"""Below this demand a VM leases nothing and borrows: two requests within
+the memory of the demand."""
 UNLEASED_PART: Final = 0.2
-"""Part of a rate that all entry VMs without a lease share; the rules let a
-fleet run over by more."""
+"""Part of a rate that all entry VMs share that no leader answers; the rules
+let a fleet run over by more."""
 BURST_RESERVE: Final = 1.0
-"""Least tokens that a full bucket holds, so that small parts work."""
+"""Least tokens of a full bucket while nothing can be borrowed."""
 SLACK_USED: Final = 0.8
 """Part of the fleet's slack that the entry VMs add to their bursts."""
 
@@ -34,6 +38,7 @@
     demand: Demand
     tokens: float
     at_s: float
+    told: float = 0.0
 
 
 class AccountRates:
@@ -48,6 +53,7 @@
         self._slack = slack
         self._meters: dict[str, _Meter] = {}
         self._entries = 1
+        self.in_touch = False
 
     def follow(self, accounts: Mapping[str, Account], entries: int) -> None:
         """Take over the accounts and the count of entry VMs."""
@@ -57,28 +63,30 @@
 
     def part(self, account: str, now_s: float) -> float:
         """Return the part of an account's rate that may be used here."""
-        floor = UNLEASED_PART / self._entries
+        floor = 0.0 if self.in_touch else UNLEASED_PART / self._entries
         meter = self._meters.get(account)
         return max(floor, meter.holder.amount(now_s)) if meter else floor
 
     def admit(self, account: Account, now_s: float) -> float:
-        """Return 0 to admit a request, or else when to ask again, in s."""
+        """Return 0 to admit a request, or else when to ask again, in s.
+
+        While a leader is in touch, what is not admitted may borrow.
+        """
         if account.rate_per_s <= 0:
             return 0.0
         meter = self._meter(account.name, now_s)
         meter.demand.add(now_s)
-        rate = account.rate_per_s * self.part(account.name, now_s)
-        full = max(
-            BURST_RESERVE,
-            account.burst * self.part(account.name, now_s)
-            + SLACK_USED * self._slack / self._entries,
-        )
+        part = self.part(account.name, now_s)
+        rate = account.rate_per_s * part
+        full = account.burst * part + SLACK_USED * self._slack / self._entries
+        if not self.in_touch:
+            full = max(BURST_RESERVE, full)
         meter.tokens = min(full, meter.tokens + (now_s - meter.at_s) * rate)
         meter.at_s = now_s
         if meter.tokens >= 1.0:
             meter.tokens -= 1.0
             return 0.0
-        return (1.0 - meter.tokens) / rate
+        return (1.0 - meter.tokens) / rate if rate > 0 else math.inf
 
     def _meter(self, account: str, now_s: float) -> _Meter:
         meter = self._meters.get(account)
@@ -101,6 +109,12 @@
                 min(LEAST_WANTED_PER_S, LEAST_WANTED_PART * even_per_s),
                 DEMAND_MARGIN * meter.demand.rate_per_s(now_s),
             )
+            held = meter.holder.amount(now_s)
+            if wanted < LEAST_PART_PER_S:
+                wanted = 0.0
+                if held == 0 and meter.told == 0:
+                    continue
+            meter.told = held
             part = min(1.0, wanted / account.rate_per_s)
             ask = meter.holder.ask(part, now_s)
             yield PartRequest(account.name, ask.number, ask.held, ask.wanted)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -5,8 +5,14 @@
 import unittest
 
 from tests.test_deployment import make_deployment
+from wigeonford.deployment import Account
 from wigeonford.peer import PartGrant
-from wigeonford.policy import LeaseGrantor, LeaseRequest
+from wigeonford.policy import (
+    LeaseGrantor,
+    LeaseRequest,
+    pooled_part,
+    TokenPool,
+)
 from wigeonford.steer import AccountRates
 
 
@@ -97,3 +103,84 @@
         self.assertGreater(after_s, 0.0)
         again_s = 0.95 + after_s + 0.001
         self.assertEqual(0.0, self.rates.admit(self.account, again_s))
+
+
+VMS = 70
+"""Entry VMs of the largest deployment known."""
+WINDOW_S = 5.0
+SLACK = 20.0
+"""What the users' rules let a fleet run over in a window."""
+
+
+class SparseAccountTest(unittest.TestCase):
+    """Play an account whose requests are spread over many entry VMs."""
+
+    def setUp(self) -> None:
+        self.account = replace(
+            make_deployment().accounts[0], rate_per_s=13.0, burst=13.0
+        )
+
+    def play(
+        self, demand_per_s: float, *, borrows: bool, seconds: float = 60.0
+    ) -> tuple[list[float], float]:
+        """Return when requests were admitted, and the part that was."""
+        rng = random.Random(7)
+        fleet = [AccountRates(str(index), SLACK) for index in range(VMS)]
+        pool = TokenPool(0.0)
+        part = pooled_part(self.account.rate_per_s, VMS)
+        for rates in fleet:
+            rates.in_touch = borrows
+            rates.follow({self.account.name: self.account}, VMS)
+            if not borrows:
+                self._lease(rates, 1.0 / VMS)
+        admitted: list[float] = []
+        asked = 0
+        now_s = rng.expovariate(demand_per_s)
+        while now_s < seconds:
+            asked += 1
+            after_s = rng.choice(fleet).admit(self.account, now_s)
+            if after_s > 0 and borrows:
+                after_s = self._borrow(pool, part, now_s)
+            if after_s == 0:
+                admitted.append(now_s)
+            now_s += rng.expovariate(demand_per_s)
+        return admitted, len(admitted) / asked
+
+    def _lease(self, rates: AccountRates, part: float) -> None:
+        accounts: dict[str, Account] = {
+            self.account.name: replace(self.account, rate_per_s=1e6)
+        }
+        request = next(rates.requests(accounts, 0.0))
+        rates.accept(PartGrant(self.account.name, request.number, part))
+
+    def _borrow(self, pool: TokenPool, part: float, now_s: float) -> float:
+        pool.resize(self.account.rate_per_s, self.account.burst, part, now_s)
+        lent, after_s = pool.lend(1, now_s)
+        return 0.0 if lent else after_s
+
+    def test_demand_below_the_pool_is_served(self) -> None:
+        demand_per_s = 0.7 * self.account.rate_per_s
+        _, alone = self.play(demand_per_s, borrows=False, seconds=18.0)
+        _, served = self.play(demand_per_s, borrows=True)
+        self.assertLess(alone, 0.75)
+        self.assertGreater(served, 0.97)
+
+    def test_overload_stays_within_the_rules(self) -> None:
+        account = self.account
+        most = 1.1 * (account.rate_per_s * WINDOW_S + account.burst) + SLACK
+        admitted, _ = self.play(6 * account.rate_per_s, borrows=True)
+        for index, at_s in enumerate(admitted):
+            window = sum(
+                at <= at_s + WINDOW_S for at in admitted[index : index + 200]
+            )
+            self.assertLessEqual(window, most)
+
+    def test_empty_pool_tells_when_a_token_comes(self) -> None:
+        pool = TokenPool(0.0)
+        pool.resize(10.0, 5.0, 0.5, 0.0)
+        self.assertEqual((0, 0.2), pool.lend(1, 0.0))
+        self.assertEqual(1, pool.lend(1, 0.21)[0])
+
+    def test_busy_accounts_are_hardly_pooled(self) -> None:
+        self.assertLess(pooled_part(1000.0, 10), 0.02)
+        self.assertGreater(pooled_part(13.0, VMS), 0.8)
