Soak the real programs under faults from outside

tests/soak starts the daemons as processes and puts proxies before callers, targets and control's API; a seeded plan stops, kills and pauses processes, tears the log's tail, empties a disk, and delays, resets, cuts one way or silences connections. A ledger checks what callers, targets and the operator saw: at most once, 'not run' is true, answers whole and their own, leaving targets, rates, planned stops, acknowledged versions, withdrawn keys, and that everything serves again afterwards. Between the processes themselves there is no proxy; they are paused and killed instead.

--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of the real programs under faults from outside."""
--- /dev/null
+++ b/tests/soak/_processes.py
@@ -0,0 +1,158 @@
+"""The real programs as processes of this machine."""
+
+import asyncio
+import os
+from pathlib import Path
+import shutil
+import signal
+import sys
+from typing import Final
+
+from tests.soak._plan import CONTROLS, ENTRIES
+
+API_PORT: Final = 8383
+READY_PORT: Final = 8384
+FRONT_PORT: Final = 8389
+PEER_PORT: Final = 7460
+GRACE_S: Final = 6.0
+END_S: Final = 2.0
+"""How long after its grace a process that was told to stop is killed."""
+ZONES: Final = ("zone-a", "zone-b", "zone-c")
+
+_SETTINGS: Final = """
+node = "{name}"
+ip_address = "{host}"
+zone = "{zone}"
+region = "region-{zone}"
+internal_port_range = [{peer_port}, {last_port}]
+seeds = [{seeds}]
+bootstrap = {founds}
+data_directory = "{data}"
+[zones]
+zone-a = "region-zone-a"
+zone-b = "region-zone-b"
+zone-c = "region-zone-c"
+[listen]
+control = "{host}:{api}"
+front = "{host}:{front}"
+ready = "{host}:{ready}"
+[fault_tolerance]
+machines = 1
+[bounds]
+drain_s = 2.5
+grace_s = {grace_s}
+retry_budget_ratio = 0.2
+budget_slack = 50
+quota_slack = 20
+"""
+
+
+class Program:
+    """Run one daemon; start it again with what its disk holds."""
+
+    def __init__(
+        self, role: str, host: str, zone: str, seeds: str, folder: Path
+    ) -> None:
+        self.host = host
+        self.data = folder / "data"
+        self._role = role
+        self._zone = zone
+        self._seeds = seeds
+        self._folder = folder
+        self._settings = folder / "settings.toml"
+        self._proc: asyncio.subprocess.Process | None = None
+        self.data.mkdir(parents=True)
+
+    async def start(self, *, founds: bool = False) -> None:
+        """Start the process; it founds a group only where told."""
+        self._settings.write_text(
+            _SETTINGS.format(
+                name=self._folder.name,
+                host=self.host,
+                zone=self._zone,
+                peer_port=PEER_PORT,
+                last_port=PEER_PORT + 15,
+                seeds=self._seeds,
+                founds=str(founds).lower(),
+                data=self.data if self._role == "control" else "",
+                api=API_PORT,
+                front=FRONT_PORT,
+                ready=READY_PORT,
+                grace_s=GRACE_S,
+            )
+        )
+        with (self._folder / "log.jsonl").open("ab") as log:
+            self._proc = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "wigeonford.platform.daemon",
+                self._role,
+                stdout=log,
+                stderr=log,
+                env={
+                    "PATH": os.environ["PATH"],
+                    "HOME": os.environ.get("HOME", "/"),
+                    "WIGEONFORD_CONFIG": str(self._settings),
+                },
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it runs."""
+        if self._proc is not None and self._proc.returncode is None:
+            self._proc.send_signal(number)
+
+    async def stop(self) -> int:
+        """Ask the process to end; return its exit code."""
+        self.send(signal.SIGTERM)
+        return await self._end(GRACE_S)
+
+    async def kill(self) -> None:
+        """Kill the process."""
+        self.send(signal.SIGKILL)
+        await self._end(GRACE_S)
+
+    async def _end(self, grace_s: float) -> int:
+        proc = self._proc
+        if proc is None:
+            return 0
+        try:
+            async with asyncio.timeout(grace_s + END_S):
+                return await proc.wait()
+        except TimeoutError:
+            proc.kill()
+            return await proc.wait()
+
+    def tear_tail(self, garbage: bytes) -> None:
+        """Leave a write that the disk has only begun."""
+        with (self.data / "control.log").open("ab") as log:
+            log.write(garbage)
+
+    def lose_disk(self) -> None:
+        """Empty the data folder."""
+        shutil.rmtree(self.data)
+        self.data.mkdir()
+
+
+def make_programs(
+    net: str, folder: Path
+) -> tuple[list[Program], list[Program]]:
+    """Return the control replicas and the entry VMs of a net 127.x."""
+    hosts = [f"{net}.1.{number + 1}" for number in range(CONTROLS)]
+    seeds = ", ".join(f'"{host}:{API_PORT}"' for host in hosts)
+    controls = [
+        Program(
+            "control", host, ZONES[number], seeds, folder / f"core-{number}"
+        )
+        for number, host in enumerate(hosts)
+    ]
+    entries = [
+        Program(
+            "entry",
+            f"{net}.2.{number + 1}",
+            ZONES[number],
+            seeds,
+            folder / f"front-{number}",
+        )
+        for number in range(ENTRIES)
+    ]
+    return controls, entries
