Open the links between replicas as soon as they start

Ruled out: shorter election times (a vote may not come sooner than a lease that the old leader may hold). Test: test_silent_peers.

--- a/src/wigeonford/control/_raft_channel.py
+++ b/src/wigeonford/control/_raft_channel.py
@@ -10,6 +10,10 @@
 
 SEND_TIMEOUT_S: Final = 1.0
 MAX_UNDER_WAY: Final = 256
+OPEN_TRIES: Final = 5
+OPEN_PAUSE_S: Final = 0.15
+"""Replicas that start together listen within this; the tries end before
+the first of them may stand for election."""
 
 Connect = Callable[[Address], PeerClient]
 
@@ -30,6 +34,19 @@
             self._under_way += 1
             self._spawn(self._deliver(record))
 
+    def open(self) -> None:
+        """Open the link, so that the first election need not wait for it."""
+        self._spawn(self._open())
+
+    async def _open(self) -> None:
+        for _ in range(OPEN_TRIES):
+            try:
+                await self._client.open(SEND_TIMEOUT_S)
+                return
+            except PeerError:
+                # Messages open the link later on, if it is of use then.
+                await asyncio.sleep(OPEN_PAUSE_S)
+
     def _spawn(self, work: Any) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
--- a/src/wigeonford/control/_raft_driver.py
+++ b/src/wigeonford/control/_raft_driver.py
@@ -123,6 +123,13 @@
         self._position = core.log.base_position
         self._plan_snapshot()
         self._task = asyncio.create_task(self._run())
+        self._open_links()
+
+    def _open_links(self) -> None:
+        for entry in self.core.log.table:
+            channel = self.channel(entry.name)
+            if channel is not None and entry.name != self._name:
+                channel.open()
 
     def _plan_snapshot(self) -> None:
         # Replicas that all stopped to save at once would miss heartbeats.
--- a/src/wigeonford/peer/_link.py
+++ b/src/wigeonford/peer/_link.py
@@ -168,19 +168,22 @@
         self._numbers = itertools.count(1)
         self._waiting: dict[int, asyncio.Future[Any]] = {}
 
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the link is open at present."""
+        return self._conn is not None
+
+    async def open(self, timeout_s: float) -> None:
+        """Open the link ahead of the first message; raise `PeerError`."""
+        await self._connected_within(timeout_s)
+
     async def request(self, record: Any, timeout_s: float) -> Any:
         """Return the peer's reply; raise `PeerError`.
 
         `PEER_UNREACHABLE` says that the message did not leave, and
         `PEER_TIMEOUT` that it may have been carried out.
         """
-        try:
-            async with asyncio.timeout(timeout_s):
-                conn = await self._connected()
-        except (OSError, TimeoutError, InvalidHandshake) as exc:
-            raise PeerError(
-                Code.PEER_UNREACHABLE, f"{self.address}: {exc!r}"
-            ) from exc
+        conn = await self._connected_within(timeout_s)
         number = next(self._numbers)
         fut: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         # A send that fails leaves the future's own failure unread.
@@ -214,6 +217,15 @@
         except TimeoutError:
             conn.transport.abort()
 
+    async def _connected_within(self, timeout_s: float) -> WebSocketClient:
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._connected()
+        except (OSError, TimeoutError, InvalidHandshake) as exc:
+            raise PeerError(
+                Code.PEER_UNREACHABLE, f"{self.address}: {exc!r}"
+            ) from exc
+
     async def _connected(self) -> WebSocketClient:
         async with self._opening:
             if self._conn is None:
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -6,8 +6,10 @@
 import unittest
 
 from tests.test_deployment import make_deployment
+from wigeonford.bench._fleet import free_address
 from wigeonford.bench._link import LinkState, StandInLink
 from wigeonford.bench._settings import BENCH_SECRETS
+from wigeonford.control._raft_channel import PeerChannel
 from wigeonford.errors import Code, PeerError
 from wigeonford.events import EventLog
 from wigeonford.peer import (
@@ -110,3 +112,30 @@
         await reporter.stop()
         await follower.stop()
         self.assertEqual(set(asked), {"127.0.0.1:3"})
+
+
+class OpenLinkTest(unittest.IsolatedAsyncioTestCase):
+    """Open the links between replicas before an election needs them."""
+
+    async def test_a_peer_that_listens_later_is_reached(self) -> None:
+        server = PeerServer(BENCH_SECRETS.peer, EventLog())
+        address = free_address("127.0.0.1")
+        opened = asyncio.Event()
+
+        async def connected(_record: FetchView) -> PartsAnswer:
+            opened.set()
+            return PartsAnswer(0, ())
+
+        server.handle(FetchView, connected)
+        client = PeerClient("a", address, BENCH_SECRETS.peer, EventLog())
+        channel = PeerChannel(lambda _address: client, address)
+        channel.open()
+        await asyncio.sleep(0)
+        await server.start(address)
+        async with asyncio.timeout(HANDSHAKE_S):
+            while not client.is_open:
+                await asyncio.sleep(0.01)
+        await channel.request(FetchView(0), 1.0)
+        self.assertTrue(opened.is_set())
+        await channel.close()
+        await server.stop()
