--- a/src/wigeonford/cli/_experiments.py
+++ b/src/wigeonford/cli/_experiments.py
@@ -3,9 +3,28 @@
 import argparse
 from collections.abc import Callable
 import importlib
+from types import ModuleType
 
 from wigeonford.cli._commands import cli_command, Result
 from wigeonford.daemon import EXIT_DONE, EXIT_REFUSED
+from wigeonford.errors import Code, WigeonfordError
+
+
+def _load(name: str) -> ModuleType:
+    """Return a module of stand-ins; operators' commands need none.
+
+    Raise `WigeonfordError` where a package of the bench extra is missing.
+    """
+    try:
+        return importlib.import_module(name)
+    except ModuleNotFoundError as exc:
+        package = (exc.name or "").partition(".")[0]
+        if package == "wigeonford":
+            raise
+        raise WigeonfordError(
+            Code.EXTRA_MISSING,
+            f"{package}; install the extra: pip install 'wigeonford[bench]'",
+        ) from exc
 
 
 def _demo_arguments(parser: argparse.ArgumentParser) -> None:
@@ -28,10 +47,7 @@
 )
 async def demo(args: argparse.Namespace) -> Result:
     """Run control, entry VMs, targets and callers in this process."""
-    # Imported here, since operators' commands need no stand-ins.
-    from wigeonford.bench import run_demo
-
-    report = await run_demo(
+    report = await _load("wigeonford.bench").run_demo(
         args.deployment, args.requests, args.seed, quiet=args.json
     )
     lines = tuple(f"{name}: {value}" for name, value in report.data.items())
@@ -55,8 +71,7 @@
         configure(parser)
 
     async def run(args: argparse.Namespace) -> Result:
-        # Imported here, since operators' commands need no stand-ins.
-        report = await importlib.import_module(module).run(args)
+        report = await _load(module).run(args)
         lines = tuple(
             f"{name}: {value}" for name, value in report.data.items()
         )
--- a/src/wigeonford/errors.py
+++ b/src/wigeonford/errors.py
@@ -153,6 +153,9 @@
     CHANGE_ID_REUSED = _info(
         2005, 409, "the change id was used for another change"
     )
+    EXTRA_MISSING = _info(
+        2006, 501, "the command needs packages that are not installed"
+    )
     CREDENTIAL_MISSING = _info(2100, 401, "the credential is missing")
     CREDENTIAL_WRONG = _info(2101, 403, "the credential is not accepted")
     ANNOUNCEMENT_STALE = _info(2102, 409, "a later announcement has been seen")
