--- a/tests/soak/_processes.py
+++ b/tests/soak/_processes.py
@@ -92,6 +92,7 @@
                 env={
                     "PATH": os.environ["PATH"],
                     "HOME": os.environ.get("HOME", "/"),
+                    "PYTHONPATH": os.environ.get("PYTHONPATH", ""),
                     "WIGEONFORD_CONFIG": str(self._settings),
                 },
             )
--- a/tests/soak/_world.py
+++ b/tests/soak/_world.py
@@ -104,12 +104,14 @@
             ]
             await asyncio.gather(*faults)
             await self._recover()
+        except Exception as exc:
+            self.ledger.findings.append(f"soak: {exc!r}")
+        finally:
             for task in self._tasks:
                 if task.done() and not task.cancelled() and task.exception():
                     self.ledger.findings.append(f"soak: {task.exception()!r}")
-            return self.ledger.check()
-        finally:
             await self._end()
+        return self.ledger.check()
 
     async def _start(self) -> None:
         for proxy in (*self.apis, *self.fronts):
