Many entry VMs: an object's home is the first of its order

Cause (grown guild, 70 entry VMs): each VM divides the objects evenly that it has seen itself. A first touch takes three times the work.

--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -25,6 +25,7 @@
 from wigeonford.steer._cold import ColdRates, wardens
 from wigeonford.steer._learning import Learning, Sent
 from wigeonford.steer._loans import Loans
+from wigeonford.steer._neighbours import Neighbours
 from wigeonford.steer._placement import Choice, Placement, Wish
 from wigeonford.steer._rates import AccountRates
 from wigeonford.steer._request import SteerRequest
@@ -82,6 +83,7 @@
         self._log = log
         self._rng = rng
         self._clock = clock
+        self._neighbours = Neighbours(status, entries, clock)
         self._placement = Placement()
         self._cold = ColdRates()
         self._repeats: dict[str, AttemptBudget] = {}
@@ -225,6 +227,7 @@
             self._patience_s(work, now_s),
             homes,
             frozenset(work.tried),
+            self._neighbours.count(),
         )
 
         def may_use_cold(record: TargetRecord) -> bool:
--- a/src/wigeonford/steer/_homes.py
+++ b/src/wigeonford/steer/_homes.py
@@ -4,7 +4,10 @@
 served in a third of the time where it was served lately, by targets that
 remember few objects. Every entry VM divides the objects that it has seen in
 the same way, so that an object is known at one target, or two while the
-first is busy, and no target has to remember many more than its part.
+first is busy, and no target has to remember many more than its part. Where
+many entry VMs share the requests, each has seen other objects, and what they
+divided evenly would be known at many targets; there, an object's first
+target in its order is its home.
 """
 
 from collections import Counter, OrderedDict
@@ -16,6 +19,9 @@
 
 SPREAD: Final = 1.15
 """How many objects more than the average a target may be home to."""
+FEW_VMS: Final = 8
+"""Entry VMs of a region up to which each has seen most objects within a few
+seconds; an even division by more of them differs from VM to VM."""
 KEPT_THINGS: Final = 2048
 """Objects that are divided; the target size has some hundreds a service."""
 
@@ -69,6 +75,14 @@
     return Home(first, second)
 
 
+def rank_home(thing: str, target_ids: Iterable[str]) -> Home:
+    """Return an object's home by its order of targets alone."""
+    ranked = sorted(
+        target_ids, key=lambda name: rank_score(thing, name), reverse=True
+    )
+    return Home(ranked[0], ranked[1] if len(ranked) > 1 else None)
+
+
 class Division:
     """Keep the division of one service's objects within one domain.
 
@@ -80,6 +94,18 @@
         self._targets: tuple[str, ...] = ()
         self._things: frozenset[str] = frozenset()
         self._homes: dict[str, Home] = {}
+        self._ranked: dict[str, Home] = {}
+
+    def first_of(self, thing: str, targets: tuple[str, ...]) -> Home:
+        """Return an object's home, whatever other objects there are."""
+        if targets != self._targets or len(self._ranked) > KEPT_THINGS:
+            self._targets = targets
+            self._homes = {}
+            self._ranked = {}
+        home = self._ranked.get(thing)
+        if home is None:
+            home = self._ranked[thing] = rank_home(thing, targets)
+        return home
 
     def home_of(
         self, thing: str, things: Mapping[str, None], targets: tuple[str, ...]
@@ -89,6 +115,7 @@
             thing not in self._homes and self._is_outdated(things)
         ):
             self._targets = targets
+            self._ranked = {}
             self._homes = divide(things, targets)
         home = self._homes.get(thing)
         if home is None:
--- a/src/wigeonford/steer/_placement.py
+++ b/src/wigeonford/steer/_placement.py
@@ -13,7 +13,12 @@
 from dataclasses import dataclass
 from typing import Final
 
-from wigeonford.steer._homes import Division, rank_score, Things
+from wigeonford.steer._homes import (
+    Division,
+    FEW_VMS,
+    rank_score,
+    Things,
+)
 from wigeonford.steer._spill import first_part, Spill
 from wigeonford.steer._target_book import TargetRecord
 
@@ -50,7 +55,8 @@
 
     `size_bytes` are those that go both ways. `patience_s` is how long it
     may wait for a slot in its region. `homes` are the regions it may be
-    served in, None for any. `tried` are targets it has been at.
+    served in, None for any. `tried` are targets it has been at. `vms` is
+    how many entry VMs share the region's requests.
     """
 
     service: str
@@ -62,6 +68,7 @@
     patience_s: float
     homes: frozenset[str] | None = None
     tried: frozenset[str] = frozenset()
+    vms: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -204,7 +211,11 @@
         division = self._divisions.setdefault(
             (wish.service, domain), Division()
         )
-        home = division.home_of(wish.thing, things, tuple(sorted(by_id)))
+        target_ids = tuple(sorted(by_id))
+        if wish.vms <= FEW_VMS:
+            home = division.home_of(wish.thing, things, target_ids)
+        else:
+            home = division.first_of(wish.thing, target_ids)
         patience_s = wish.patience_s
         if records[0].region != wish.region:
             patience_s -= CROSS_REGION_S
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -118,6 +118,61 @@
         self.assertGreater(ends["in objective"], 0.9 * sum(ends.values()))
 
 
+def play_fleet(vms: int, *, many: bool) -> Counter[str]:
+    """Play a region's load over many entry VMs; return how requests ended.
+
+    `many` is what the VMs are told of their number.
+    """
+    rng = random.Random(11)
+    names = make_records(40, 4, "south")
+    stand_ins = {record.target_id: StandIn(record, 30) for record in names}
+    fleet = [(Placement(), make_records(40, 4, "south")) for _ in range(vms)]
+    pending: list[tuple[float, int, TargetRecord]] = []
+    ends: Counter[str] = Counter()
+    now_s = 0.0
+    for number in range(6000):
+        now_s += rng.expovariate(200.0)
+        while pending and pending[0][0] <= now_s:
+            heapq.heappop(pending)[2].in_flight -= 1
+        placement, records = rng.choice(fleet)
+        wish = Wish(
+            "reads",
+            f"object-{int(600 * rng.random() ** 1.5)}",
+            "south-a",
+            "south",
+            1500.0,
+            Durations(WARM_S, COLD_S),
+            OBJECTIVE_S - WARM_S,
+            vms=vms if many else 1,
+        )
+        choice = placement.choose(
+            records, wish, frozenset(), lambda _: True, now_s
+        )
+        if choice is None:
+            ends["refused"] += 1
+            continue
+        stand_in = stand_ins[choice.record.target_id]
+        ends["cold"] += wish.thing not in stand_in.warm
+        end_s = stand_in.serve(wish.thing, now_s)
+        choice.record.in_flight += 1
+        heapq.heappush(pending, (end_s, number, choice.record))
+        ends["in objective"] += end_s - now_s <= OBJECTIVE_S
+    return ends
+
+
+class ManyEntryVmsTest(unittest.TestCase):
+    """VMs that have each seen other objects agree on their homes."""
+
+    def test_objects_are_started_once(self) -> None:
+        divided = play_fleet(24, many=False)
+        ranked = play_fleet(24, many=True)
+        self.assertLess(ranked["cold"], 0.6 * divided["cold"])
+        self.assertGreater(
+            ranked["in objective"], 1.1 * divided["in objective"]
+        )
+        self.assertEqual(0, ranked["refused"])
+
+
 class DivisionTest(unittest.TestCase):
     """Objects are divided evenly and move little."""
 
