Log each admission with its inputs; list requests without an explained end

Event 220 was defined and never written. 'wigeonford unexplained' reads logs and lists the requests whose end no line explains. Tests: test_story.

--- a/src/wigeonford/steer/_admission.py
+++ b/src/wigeonford/steer/_admission.py
@@ -6,6 +6,7 @@
 
 from wigeonford.deployment import Account, Route, Splitter
 from wigeonford.errors import Code, RequestRefused
+from wigeonford.events import Event, EventLog
 from wigeonford.steer._loans import Loans
 from wigeonford.steer._rates import AccountRates
 from wigeonford.steer._request import SteerRequest
@@ -29,6 +30,7 @@
         rates: AccountRates,
         loans: Loans,
         suspects: SuspectBook,
+        log: EventLog,
         rng: random.Random,
         clock: Callable[[], float],
     ) -> None:
@@ -36,6 +38,7 @@
         self._rates = rates
         self._loans = loans
         self._suspects = suspects
+        self._log = log
         self._rng = rng
         self._clock = clock
         self._splitter = Splitter()
@@ -59,8 +62,7 @@
         left_s = route.timeout_s
         if req.time_left_s is not None:
             left_s = min(left_s, req.time_left_s)
-        if account is not None:
-            await self._spend(account, left_s)
+        borrowed = account is not None and await self._spend(account, left_s)
         work = Work(
             req,
             view,
@@ -71,6 +73,17 @@
             req.arrived_s + left_s,
             b"",
         )
+        self._log.emit(
+            Event.REQUEST_ADMITTED,
+            request=req.request_id,
+            route=route.name,
+            service=work.service,
+            account=work.account_name,
+            borrowed=borrowed,
+            left_s=round(left_s, 3),
+            version=view.deployment.version,
+            revision=view.revision,
+        )
         if req.has_body:
             work.body = await _read_body(req.body)
         body = work.body if isinstance(work.body, bytes) else b""
@@ -83,8 +96,11 @@
             )
         return work
 
-    async def _spend(self, account: Account, left_s: float) -> None:
-        """Spend a token of an account; raise `RequestRefused`."""
+    async def _spend(self, account: Account, left_s: float) -> bool:
+        """Spend a token of an account; raise `RequestRefused`.
+
+        Return whether it was borrowed.
+        """
         after_s = self._rates.admit(account, self._clock())
         borrows = after_s > 0 and self._rates.in_touch
         if borrows:
@@ -98,6 +114,7 @@
                 f"{account.rate_per_s}/s, {how}",
                 retry_after_s=retry_after_s(after_s, self._rng),
             )
+        return borrows
 
     def _find_account(
         self, req: SteerRequest, view: View, route: Route
--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -76,7 +76,9 @@
         self._entries = entries
         self._book = book
         self._links = links
-        self._admission = Admission(view, rates, loans, suspects, rng, clock)
+        self._admission = Admission(
+            view, rates, loans, suspects, log, rng, clock
+        )
         self._learning = Learning(links, suspects, metrics, log, clock)
         self._repeat_limits = repeats
         self._metrics = metrics
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -3,7 +3,12 @@
 import json
 import unittest
 
-from wigeonford.cli._story import describe, read_lines, tell
+from wigeonford.cli._story import (
+    describe,
+    find_unexplained,
+    read_lines,
+    tell,
+)
 from wigeonford.events import Event
 
 
@@ -74,3 +79,36 @@
         )
         self.assertIn("lost touch with a control replica", text)
         self.assertIn("revision=17", text)
+
+
+class UnexplainedTest(unittest.TestCase):
+    """Find the requests whose end no line explains."""
+
+    def found(self, *contents: str) -> list[str]:
+        later = line("59.0", Event.VIEW_TAKEN)
+        lines = find_unexplained(read_lines((*contents, later)))
+        return [item.fields["request"] for item in lines]
+
+    def test_each_kind_of_end(self) -> None:
+        placed = [
+            line("10.0", Event.REQUEST_PLACED, request=name)
+            for name in ("answered", "failed", "mute", "silent")
+        ]
+        found = self.found(
+            *placed,
+            line(
+                "11.0", Event.REQUEST_ANSWERED, request="answered", status=200
+            ),
+            line("11.0", Event.REQUEST_FAILED, request="failed", reason="X"),
+            line("11.0", Event.REQUEST_FAILED, request="mute"),
+            line("50.0", Event.REQUEST_PLACED, request="under way"),
+        )
+        self.assertEqual(["mute", "silent"], found)
+
+    def test_end_of_the_process(self) -> None:
+        found = self.found(
+            line("10.0", Event.REQUEST_PLACED, request="abc"),
+            line("12.0", Event.STARTED),
+            line("13.0", Event.REQUEST_PLACED, request="abd"),
+        )
+        self.assertEqual(["abd"], found)
