Rank the entry VMs for a cold target twice a second, not at each request

With 89 entry VMs and 52 targets that return cold at once (grown dvtra), each request ranked 89 names for every one of them: 4,600 hashes. Test: test_target_book.

--- a/src/wigeonford/steer/_cold.py
+++ b/src/wigeonford/steer/_cold.py
@@ -5,7 +5,7 @@
 entry VMs near it, a few by hash may send to it, each its part of the rate.
 """
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection, Mapping
 from typing import Final
 
 from wigeonford.peer import EntryStatus
@@ -14,6 +14,8 @@
 
 WARDENS: Final = 2
 """Entry VMs that may send to one cold target."""
+KEPT_S: Final = 0.5
+"""Less than a watch of the roster is held."""
 USED_PART: Final = 0.8
 """Part of the rate that is used, since views of the roster differ."""
 
@@ -35,6 +37,32 @@
     return [status.name for status in ranked[:WARDENS]]
 
 
+class Wardens:
+    """Keep for a moment which entry VMs may send to which cold target.
+
+    Each request asks about every cold target near it, and ranking the
+    entry VMs of a large fleet takes a tenth of a millisecond.
+    """
+
+    def __init__(
+        self, entries: Callable[[], Mapping[str, EntryStatus]]
+    ) -> None:
+        self._entries = entries
+        self._kept: dict[str, frozenset[str]] = {}
+        self._until_s = float("-inf")
+
+    def may_send(self, name: str, record: TargetRecord, now_s: float) -> bool:
+        """Tell whether an entry VM may send to a cold target."""
+        if now_s >= self._until_s:
+            self._kept.clear()
+            self._until_s = now_s + KEPT_S
+        names = self._kept.get(record.target_id)
+        if names is None:
+            names = frozenset(wardens(record, self._entries().values()))
+            self._kept[record.target_id] = names
+        return name in names
+
+
 class ColdRates:
     """Meter what this entry VM sends to cold targets.
 
--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -22,7 +22,7 @@
     Outcome,
     TargetLinks,
 )
-from wigeonford.steer._cold import ColdRates, wardens
+from wigeonford.steer._cold import ColdRates, Wardens
 from wigeonford.steer._learning import Learning, Sent
 from wigeonford.steer._loans import Loans
 from wigeonford.steer._neighbours import Neighbours
@@ -88,6 +88,7 @@
         self._neighbours = Neighbours(status, entries, clock)
         self._placement = Placement()
         self._cold = ColdRates()
+        self._wardens = Wardens(entries)
         self._repeats: dict[str, AttemptBudget] = {}
 
     async def forward(self, req: SteerRequest) -> Response:
@@ -253,9 +254,9 @@
     def _may_use_cold(
         self, work: Work, record: TargetRecord, now_s: float
     ) -> bool:
-        names = wardens(record, self._entries().values())
         service = work.view.services.get(record.announced.service)
-        if service is None or self._status().name not in names:
+        name = self._status().name
+        if service is None or not self._wardens.may_send(name, record, now_s):
             return False
         if service.cold_per_s <= 0:
             return True
--- a/tests/test_target_book.py
+++ b/tests/test_target_book.py
@@ -5,7 +5,13 @@
 from tests.test_deployment import announce
 from wigeonford.deployment import Service
 from wigeonford.peer import EntryStatus
-from wigeonford.steer._cold import ColdRates, WARDENS, wardens
+from wigeonford.steer._cold import (
+    ColdRates,
+    KEPT_S,
+    WARDENS,
+    Wardens,
+    wardens,
+)
 from wigeonford.steer._suspects import fingerprint, SuspectBook
 from wigeonford.steer._target_book import TargetBook, TargetRecord
 
@@ -102,6 +108,13 @@
         names = wardens(record, entries)
         self.assertEqual(WARDENS, len(names))
         self.assertEqual(names, wardens(record, entries[::-1]))
+
+        roster = {status.name: status for status in entries}
+        kept = Wardens(lambda: roster)
+        self.assertTrue(kept.may_send(names[0], record, 0.0))
+        del roster[names[0]]
+        self.assertTrue(kept.may_send(names[0], record, KEPT_S / 2))
+        self.assertFalse(kept.may_send(names[0], record, KEPT_S))
         self.assertTrue(all(name.startswith("a") for name in names))
 
     def test_rate_and_first_second_are_kept(self) -> None:
