--- a/tests/soak/_processes.py
+++ b/tests/soak/_processes.py
@@ -61,6 +61,7 @@
         self._folder = folder
         self._settings = folder / "settings.toml"
         self._proc: asyncio.subprocess.Process | None = None
+        self._starting = asyncio.Lock()
         self.data.mkdir(parents=True)
 
     async def start(self, *, founds: bool = False) -> None:
@@ -68,8 +69,11 @@
 
         It founds a group only where told.
         """
-        if self._proc is not None and self._proc.returncode is None:
-            return
+        async with self._starting:
+            if self._proc is None or self._proc.returncode is not None:
+                await self._start(founds)
+
+    async def _start(self, founds: bool) -> None:
         self._settings.write_text(
             _SETTINGS.format(
                 name=self._folder.name,
