Pool whole rates where parts would stand idle

With 70 entry VMs a part of an account of 100/s is about one token a second; parts stood idle half of the time while others found the pool empty. Up to 24 entry VMs nothing changes.

--- a/src/wigeonford/policy/_token_pool.py
+++ b/src/wigeonford/policy/_token_pool.py
@@ -12,6 +12,11 @@
 EVEN_PER_S: Final = 1.0
 """Requests a second at each entry VM at which half of a rate is pooled; a
 VM that has fewer can't tell its demand within a lease's renewal."""
+IDLE_PER_S: Final = 2.0
+"""The same, below which a large fleet pools all of a rate: leased parts
+would hold a token or two and stand idle half of the time."""
+FEW_HOLDERS: Final = 24
+"""Entry VMs up to which their parts of the burst make up for that."""
 
 
 def pooled_part(rate_per_s: float, holders: int) -> float:
@@ -21,6 +26,8 @@
     lend this much, since no leader leases it.
     """
     even_per_s = rate_per_s / max(1, holders)
+    if holders > FEW_HOLDERS and even_per_s < IDLE_PER_S:
+        return 1.0
     return EVEN_PER_S / (EVEN_PER_S + even_per_s)
 
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -13,7 +13,8 @@
     pooled_part,
     TokenPool,
 )
-from wigeonford.steer import AccountRates
+from wigeonford.steer._part_reporter import REPORT_INTERVAL_S
+from wigeonford.steer._rates import AccountRates
 
 
 def ask(
@@ -128,6 +129,10 @@
         fleet = [AccountRates(str(index), SLACK) for index in range(VMS)]
         pool = TokenPool(0.0)
         part = pooled_part(self.account.rate_per_s, VMS)
+        grantor = LeaseGrantor(
+            1.0 - part, 20.0, 0.0, takes_over=False, surplus=True
+        )
+        report_s = [rng.uniform(0.0, REPORT_INTERVAL_S) for _ in fleet]
         for rates in fleet:
             rates.in_touch = borrows
             rates.follow({self.account.name: self.account}, VMS)
@@ -138,14 +143,32 @@
         now_s = rng.expovariate(demand_per_s)
         while now_s < seconds:
             asked += 1
+            for index, rates in enumerate(fleet):
+                if borrows and report_s[index] <= now_s:
+                    report_s[index] = now_s + REPORT_INTERVAL_S
+                    self._report(rates, str(index), grantor, now_s)
             after_s = rng.choice(fleet).admit(self.account, now_s)
             if after_s > 0 and borrows:
-                after_s = self._borrow(pool, part, now_s)
+                free = 1.0 - grantor.granted(now_s)
+                after_s = self._borrow(pool, free, now_s)
             if after_s == 0:
                 admitted.append(now_s)
             now_s += rng.expovariate(demand_per_s)
         return admitted, len(admitted) / asked
 
+    def _report(
+        self,
+        rates: AccountRates,
+        name: str,
+        grantor: LeaseGrantor,
+        now_s: float,
+    ) -> None:
+        accounts = {self.account.name: self.account}
+        for ask_ in rates.requests(accounts, now_s):
+            request = LeaseRequest(name, ask_.number, ask_.held, ask_.wanted)
+            amount = grantor.request(request, now_s).amount
+            rates.accept(PartGrant(ask_.account, ask_.number, amount))
+
     def _lease(self, rates: AccountRates, part: float) -> None:
         accounts: dict[str, Account] = {
             self.account.name: replace(self.account, rate_per_s=1e6)
@@ -165,6 +188,11 @@
         self.assertLess(alone, 0.75)
         self.assertGreater(served, 0.97)
 
+    def test_nearly_all_of_a_rate_can_be_used(self) -> None:
+        self.account = replace(self.account, rate_per_s=100.0, burst=100.0)
+        _, served = self.play(95.0, borrows=True)
+        self.assertGreater(served, 0.98)
+
     def test_overload_stays_within_the_rules(self) -> None:
         account = self.account
         most = 1.1 * (account.rate_per_s * WINDOW_S + account.burst) + SLACK
