--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -3,6 +3,7 @@
 from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
 import heapq
+import itertools
 import random
 import unittest
 
@@ -173,6 +174,68 @@
         self.assertEqual(0, ranked["refused"])
 
 
+def share_at_home(vms: int, rate_per_s: float, seconds: float) -> list[float]:
+    """Play the first seconds of a region with far too few targets.
+
+    Return, for each window of two seconds, which part of the region's
+    requests began to run within it.
+    """
+    rng = random.Random(5)
+
+    def everywhere() -> list[TargetRecord]:
+        return [
+            *make_records(2, 3, "north"),
+            *make_records(10, 3, "south"),
+            *make_records(10, 3, "west"),
+        ]
+
+    stand_ins = {
+        record.target_id: StandIn(record, 30) for record in everywhere()
+    }
+    fleet = [(Placement(), everywhere()) for _ in range(vms)]
+    pending: list[tuple[float, int, TargetRecord]] = []
+    windows = [Counter[bool]() for _ in range(int(seconds / 2) + 1)]
+    now_s = 0.0
+    number = 0
+    while now_s < seconds:
+        number += 1
+        now_s += rng.expovariate(rate_per_s)
+        while pending and pending[0][0] <= now_s:
+            heapq.heappop(pending)[2].in_flight -= 1
+        placement, records = rng.choice(fleet)
+        wish = Wish(
+            "reads",
+            f"object-{rng.randrange(200)}",
+            "north-a",
+            "north",
+            1500.0,
+            Durations(WARM_S, COLD_S),
+            OBJECTIVE_S - WARM_S,
+            vms=vms,
+        )
+        choice = placement.choose(
+            records, wish, frozenset(), lambda _: True, now_s
+        )
+        if choice is None:
+            continue
+        stand_in = stand_ins[choice.record.target_id]
+        end_s = stand_in.serve(wish.thing, now_s)
+        choice.record.in_flight += 1
+        heapq.heappush(pending, (end_s, number, choice.record))
+        home = choice.record.region == "north"
+        windows[int(now_s / 2)][home] += 1
+    return [window[True] / window.total() for window in windows[:-1]]
+
+
+class SmallRegionTest(unittest.TestCase):
+    """A region with few targets does not change places in a rush."""
+
+    def test_share_moves_within_the_bound(self) -> None:
+        shares = share_at_home(4, 100.0, 8.0)
+        for before, after in itertools.pairwise(shares):
+            self.assertLessEqual(abs(before - after), 0.15, shares)
+
+
 class DivisionTest(unittest.TestCase):
     """Objects are divided evenly and move little."""
 
