--- a/src/wigeonford/steer/_rates.py
+++ b/src/wigeonford/steer/_rates.py
@@ -22,7 +22,7 @@
 """Below this demand a VM leases nothing and borrows: two requests within
 the memory of the demand."""
 UNLEASED_PART: Final = 0.2
-"""Part of a rate that all entry VMs share that no leader answers; the rules
+"""Part of a rate that entry VMs out of touch with a leader share; the rules
 let a fleet run over by more."""
 BURST_RESERVE: Final = 1.0
 """Least tokens of a full bucket while nothing can be borrowed."""
@@ -32,7 +32,11 @@
 
 @dataclass(slots=True)
 class _Meter:
-    """Meter one account at this VM."""
+    """Meter one account at this VM.
+
+    `told` is the part that was held when the leader was last asked; it has
+    to hear of a part that is given up.
+    """
 
     holder: LeaseHolder
     demand: Demand
