--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -194,7 +194,7 @@
             load=round(sent.load, 1),
             wait_s=round(choice.wait_s, 3),
             work_s=round(choice.work_s, 3),
-            role=choice.role,
+            why=choice.role,
             revision=work.view.revision,
         )
         work.under_way = True
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -50,7 +50,13 @@
 
     def test_order_whose_target_crashed(self) -> None:
         text = self.told(
-            line("16.0", Event.REQUEST_PLACED, request="abc", target="t-1"),
+            line(
+                "16.0",
+                Event.REQUEST_PLACED,
+                request="abc",
+                target="t-1",
+                why="home in south",
+            ),
             line(
                 "16.4",
                 Event.ATTEMPT_FAILED,
@@ -61,6 +67,7 @@
             line("16.5", Event.TARGET_DOWN, target="t-1", detail="refused"),
             line("16.5", Event.TARGET_DOWN, target="t-2", detail="refused"),
         )
+        self.assertIn("why=home in south", text)
         self.assertIn("outcome=broken", text)
         self.assertIn("target=t-1 detail=refused", text)
         self.assertNotIn("t-2", text)
