End background tasks, order targets and track the leader in one place

Eight parts cancelled their task and waited for it in the same three lines (_tasks.end_task). Two functions ranked targets alike. The part reporter kept a copy of AccountRates.in_touch and a second constant for the time limit of a loan. Division held a field that nothing read. In the soak, three ways to kill a program were one.

--- a/src/wigeonford/control/_budgets.py
+++ b/src/wigeonford/control/_budgets.py
@@ -10,6 +10,7 @@
 import time
 from typing import Final
 
+from wigeonford._tasks import end_task
 from wigeonford.control._replica import Replica
 from wigeonford.errors import WigeonfordError
 from wigeonford.events import Event, EventLog
@@ -67,9 +68,7 @@
 
     async def stop(self) -> None:
         """Stop watching."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await end_task(self._task)
 
     async def _watch(self) -> None:
         while True:
--- a/src/wigeonford/control/_group_service.py
+++ b/src/wigeonford/control/_group_service.py
@@ -6,6 +6,7 @@
 import time
 from typing import Final
 
+from wigeonford._tasks import end_task
 from wigeonford.control._raft_channel import Connect
 from wigeonford.control._raft_replica import RaftReplica
 from wigeonford.errors import PeerError, WigeonfordError
@@ -66,9 +67,7 @@
 
     async def stop(self) -> None:
         """Stop looking."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await end_task(self._task)
         for client in self._clients.values():
             await client.close()
 
--- a/src/wigeonford/control/_part_service.py
+++ b/src/wigeonford/control/_part_service.py
@@ -14,6 +14,7 @@
 import time
 from typing import Final
 
+from wigeonford._tasks import end_task
 from wigeonford.control._replica import Replica
 from wigeonford.control._steering_commands import ChangeHolders
 from wigeonford.deployment import Account, Deployment
@@ -81,9 +82,7 @@
 
     async def stop(self) -> None:
         """Stop dropping."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await end_task(self._task)
 
     async def _lead(self) -> None:
         """Begin a term if need be; raise `LeaderElsewhere`."""
--- a/src/wigeonford/control/_raft_driver.py
+++ b/src/wigeonford/control/_raft_driver.py
@@ -5,6 +5,7 @@
 import random
 from typing import Any, Final
 
+from wigeonford._tasks import end_task
 from wigeonford.control._commands import CommandResult, COMMANDS
 from wigeonford.control._raft import RaftCore
 from wigeonford.control._raft_channel import Channels, PeerChannel
@@ -142,9 +143,7 @@
 
     async def stop(self) -> None:
         """Stop running and release the store."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await end_task(self._task)
         self._waiting.fail_all(Code.NO_QUORUM, "the replica stops")
         await self._channels.close()
         await self._disk.close()
--- a/src/wigeonford/control/_target_service.py
+++ b/src/wigeonford/control/_target_service.py
@@ -5,6 +5,7 @@
 import time
 from typing import Final
 
+from wigeonford._tasks import end_task
 from wigeonford.control._cold_clock import ColdClock
 from wigeonford.control._replica import Replica
 from wigeonford.control._steering_commands import (
@@ -56,9 +57,7 @@
 
     async def stop(self) -> None:
         """Stop sweeping."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await end_task(self._task)
 
     async def announce(self, said: Announcement) -> Applied:
         """Return what became of an announcement, agreed where it counts.
--- a/src/wigeonford/entry/_config.py
+++ b/src/wigeonford/entry/_config.py
@@ -7,6 +7,7 @@
 from typing import Final
 import zlib
 
+from wigeonford._tasks import end_task
 from wigeonford.entry._published import EntryConfig, Published
 from wigeonford.entry._spread import HeardBatch, MembersBelow, Parents
 from wigeonford.errors import PeerError, WigeonfordError
@@ -105,9 +106,7 @@
 
     async def stop(self) -> None:
         """Stop following."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await end_task(self._task)
         for link in (*self._sources, *self._parents.all_links()):
             await link.close()
 
--- a/src/wigeonford/entry/_link_leases.py
+++ b/src/wigeonford/entry/_link_leases.py
@@ -6,6 +6,7 @@
 from typing import Final
 import uuid
 
+from wigeonford._tasks import end_task
 from wigeonford.entry._budget_links import PeerLink
 from wigeonford.entry._config import ConfigFollower, FRESH_LEASE_S
 from wigeonford.entry._published import EntryConfig
@@ -85,9 +86,7 @@
 
     async def stop(self) -> None:
         """Stop asking; the leases run out."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await end_task(self._task)
         if self._peer is not None:
             await self._peer.close()
 
--- a/src/wigeonford/steer/_homes.py
+++ b/src/wigeonford/steer/_homes.py
@@ -63,12 +63,16 @@
     return rank_score(thing, "")
 
 
+def _target_order(thing: str, target_ids: Iterable[str]) -> list[str]:
+    return sorted(
+        target_ids, key=lambda name: rank_score(thing, name), reverse=True
+    )
+
+
 def _settle(
     thing: str, target_ids: Sequence[str], held: Counter[str], most: int
 ) -> Home:
-    ranked = sorted(
-        target_ids, key=lambda name: rank_score(thing, name), reverse=True
-    )
+    ranked = _target_order(thing, target_ids)
     first = next((name for name in ranked if held[name] < most), ranked[0])
     held[first] += 1
     second = next((name for name in ranked if name != first), None)
@@ -77,9 +81,7 @@
 
 def rank_home(thing: str, target_ids: Iterable[str]) -> Home:
     """Return an object's home by its order of targets alone."""
-    ranked = sorted(
-        target_ids, key=lambda name: rank_score(thing, name), reverse=True
-    )
+    ranked = _target_order(thing, target_ids)
     return Home(ranked[0], ranked[1] if len(ranked) > 1 else None)
 
 
@@ -92,7 +94,6 @@
 
     def __init__(self) -> None:
         self._targets: tuple[str, ...] = ()
-        self._things: frozenset[str] = frozenset()
         self._homes: dict[str, Home] = {}
         self._ranked: dict[str, Home] = {}
 
--- a/src/wigeonford/steer/_part_reporter.py
+++ b/src/wigeonford/steer/_part_reporter.py
@@ -6,6 +6,7 @@
 import time
 from typing import Final
 
+from wigeonford._tasks import end_task
 from wigeonford.errors import Code, PeerError
 from wigeonford.events import Event, EventLog
 from wigeonford.peer import (
@@ -21,14 +22,13 @@
 )
 from wigeonford.settings import parse_address
 from wigeonford.steer._follower import Connect, ViewFollower
+from wigeonford.steer._loans import LOAN_TIMEOUT_S
 from wigeonford.steer._rates import AccountRates
 
 REPORT_INTERVAL_S: Final = 0.4
 """Parts that are not used move to others within a second."""
 REPORT_TIMEOUT_S: Final = 1.0
 """Several round trips between regions."""
-BORROW_TIMEOUT_S: Final = 0.5
-"""The same; a request waits for it."""
 
 
 class PartReporter:
@@ -50,7 +50,6 @@
         self._leader: str | None = None
         self._client: PeerClient | None = None
         self._turns = itertools.count()
-        self._granted = False
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -59,19 +58,17 @@
 
     async def stop(self) -> None:
         """Give everything back and stop reporting."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
-        if self._granted:
+        await end_task(self._task)
+        if self._rates.in_touch:
             await self._send(self._rates.give_back(time.monotonic()))
         await self._drop_client()
 
     async def borrow(self, wanted: Mapping[str, int]) -> tuple[TokenLoan, ...]:
         """Ask the leader for tokens by account; raise `PeerError`."""
-        if self._client is None or not self._granted:
+        if self._client is None or not self._rates.in_touch:
             raise PeerError(Code.NOT_LEADER, "no leader is known")
         message = BorrowTokens(self._status().name, dict(wanted))
-        answer = await self._client.request(message, BORROW_TIMEOUT_S)
+        answer = await self._client.request(message, LOAN_TIMEOUT_S)
         assert isinstance(answer, TokensLent), "the answer to a loan"
         return answer.loans
 
@@ -108,9 +105,8 @@
         self._note(True, self._leader or "")
 
     def _note(self, granted: bool, detail: str) -> None:
-        if granted == self._granted:
+        if granted == self._rates.in_touch:
             return
-        self._granted = granted
         self._rates.in_touch = granted
         event = Event.PARTS_REGAINED if granted else Event.PARTS_LOST
         self._log.emit(event, detail=detail)
--- a/tests/soak/_world.py
+++ b/tests/soak/_world.py
@@ -264,8 +264,13 @@
     await _kill(world.controls[fault.on], fault.for_s)
 
 
-async def _kill(program: Program, for_s: float) -> None:
+async def _kill(
+    program: Program, for_s: float, damage: Callable[[], None] | None = None
+) -> None:
+    """Kill a program; start it again once its disk has been damaged."""
     await program.kill()
+    if damage is not None:
+        damage()
     await asyncio.sleep(for_s)
     await program.start()
 
@@ -301,19 +306,14 @@
 @_plays("control-torn-tail")
 async def _tear_tail(world: World, fault: Fault) -> None:
     program = world.controls[fault.on]
-    await program.kill()
-    program.tear_tail(world.rng.randbytes(TORN_BYTES))
-    await asyncio.sleep(fault.for_s)
-    await program.start()
+    garbage = world.rng.randbytes(TORN_BYTES)
+    await _kill(program, fault.for_s, lambda: program.tear_tail(garbage))
 
 
 @_plays("control-lost-disk")
 async def _lose_disk(world: World, fault: Fault) -> None:
     program = world.controls[fault.on]
-    await program.kill()
-    program.lose_disk()
-    await asyncio.sleep(fault.for_s)
-    await program.start()
+    await _kill(program, fault.for_s, program.lose_disk)
 
 
 @_plays("control-power")
