Drop the meters of cold targets that are gone

ColdRates.forget was there and nobody called it, so an entry VM kept a meter for each target that was ever cold. A new view now drops those of targets it has not. Test: test_target_book. The sweeper's end is waited for like that of other tasks, and two events stand in the order of their numbers.

--- a/src/wigeonford/_compose_steering.py
+++ b/src/wigeonford/_compose_steering.py
@@ -211,6 +211,7 @@
         log,
         rng,
     )
+    follower.on_view(forwarder.follow)
     front = HttpServer(build_caller_api(forwarder), CallerLimits(), log)
     lookups = HttpServer(
         build_lookup_api(follower, readiness), CallerLimits(), log
--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -178,10 +178,10 @@
         533, "no leader renews the parts of accounts' rates", logging.WARNING
     )
     PARTS_REGAINED = _event(534, "a leader grants parts of accounts' rates")
+    FRONT_CLOSED = _event(535, "stopped listening; what was under way ended")
     LOAN_FAILED = _event(
         536, "no leader lent tokens of accounts' rates", logging.WARNING
     )
-    FRONT_CLOSED = _event(535, "stopped listening; what was under way ended")
     SETTINGS_RELOADED = _event(540, "read the settings again")
 
     REQUEST_ADMITTED = _event(220, "admitted a request")
--- a/src/wigeonford/steer/_daemon.py
+++ b/src/wigeonford/steer/_daemon.py
@@ -5,6 +5,7 @@
 import time
 from typing import Final, Protocol
 
+from wigeonford._tasks import end_task
 from wigeonford.deployment import Deployment
 from wigeonford.events import Event, EventLog
 from wigeonford.http import HttpServer
@@ -119,8 +120,7 @@
         left_s = began_s + grace_s * (1 - LAST_PART) - time.monotonic()
         cut = await self._front.stop(max(0.0, left_s))
         self._log.emit(Event.FRONT_CLOSED, cut=cut)
-        if self._sweeper is not None:
-            self._sweeper.cancel()
+        await end_task(self._sweeper)
         for part in self._parts:
             await part.stop()
         for server, _ in self._servers:
--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -91,6 +91,10 @@
         self._wardens = Wardens(entries)
         self._repeats: dict[str, AttemptBudget] = {}
 
+    def follow(self, view: View) -> None:
+        """Forget what is kept of targets that a new view has not."""
+        self._cold.forget(view.targets)
+
     async def forward(self, req: SteerRequest) -> Response:
         """Return a target's answer; raise `RequestRefused`."""
         began_s = self._clock()
--- a/tests/test_target_book.py
+++ b/tests/test_target_book.py
@@ -117,6 +117,14 @@
         self.assertFalse(kept.may_send(names[0], record, KEPT_S))
         self.assertTrue(all(name.startswith("a") for name in names))
 
+    def test_meters_of_targets_that_are_gone_are_dropped(self) -> None:
+        rates = ColdRates()
+        for target_id in ("stays", "goes"):
+            self.assertFalse(rates.may_send(target_id, 4.0, 0.0))
+        rates.forget(("stays",))
+        self.assertTrue(rates.may_send("stays", 4.0, 10.0))
+        self.assertFalse(rates.may_send("goes", 4.0, 10.0))
+
     def test_rate_and_first_second_are_kept(self) -> None:
         rates = [ColdRates() for _ in range(WARDENS)]
         sent: list[float] = []
