--- a/src/wigeonford/_compose_steering.py
+++ b/src/wigeonford/_compose_steer_control.py
@@ -1,10 +1,10 @@
-"""Wire the daemons that steer one deployment."""
+"""Wire a control replica that publishes a deployment."""
 
 from collections.abc import Callable
 import random
-import secrets
 import signal
 
+from wigeonford._compose_shared import metrics_server, OPEN_SECRET, Seeds
 from wigeonford.control import (
     ColdClock,
     ControlDaemon,
@@ -22,12 +22,9 @@
 from wigeonford.http import (
     Handler,
     HttpServer,
-    Request,
-    Response,
-    whole_response,
 )
 from wigeonford.metrics import Metrics
-from wigeonford.peer import EntryStatus, PeerClient, PeerServer
+from wigeonford.peer import PeerClient, PeerServer
 from wigeonford.settings import (
     Address,
     CallerLimits,
@@ -36,44 +33,14 @@
     parse_address,
     Secrets,
     SteerControlSettings,
-    SteerEntrySettings,
 )
-from wigeonford.steer import (
-    AccountRates,
-    Forwarder,
-    Loans,
-    PartReporter,
-    Readiness,
-    SteerDaemon,
-    SuspectBook,
-    TargetBook,
-    TargetLinks,
-    TargetWire,
-    ViewFollower,
-)
-
-OPEN_SECRET = "peers-share-a-network-of-their-own"
-"""Used where settings hold no secret: only own processes reach peers."""
 
 ELECTION_MIN_S = 0.7
 ELECTION_MAX_S = 1.7
 """Some round trips between regions beyond the heartbeat's 0.2 s: a VM of
 its own runs each replica, and days are short."""
 
-Seeds = Callable[[], tuple[str, ...]]
 BuildControlApi = Callable[[Replica, TargetService, EventLog], Handler]
-BuildCallerApi = Callable[[Forwarder], Handler]
-BuildLookupApi = Callable[[ViewFollower, Readiness], Handler]
-
-
-def metrics_server(metrics: Metrics, log: EventLog) -> HttpServer:
-    """Return a server of a daemon's metrics as text."""
-
-    async def handle(_request: Request) -> Response:
-        content, content_type = metrics.render()
-        return whole_response(200, content, content_type)
-
-    return HttpServer(handle, CallerLimits(), log)
 
 
 class MetricsService:
@@ -157,79 +124,3 @@
         build_api(replica, targets, log), CallerLimits(body_bytes=1 << 26), log
     )
     return ControlDaemon(control, replica, services, peers, http, log)
-
-
-def build_steer_entry(
-    cfg: SteerEntrySettings,
-    seeds: Seeds,
-    wire: TargetWire,
-    build_caller_api: BuildCallerApi,
-    build_lookup_api: BuildLookupApi,
-    log: EventLog,
-) -> SteerDaemon:
-    """Return an entry VM that steers a deployment."""
-    log = log.bind(vm=cfg.name)
-    incarnation = secrets.token_hex(6)
-
-    def describe(ready: bool) -> EntryStatus:
-        return EntryStatus(
-            cfg.name,
-            incarnation,
-            str(cfg.address),
-            cfg.availability_zone,
-            cfg.region,
-            ready,
-        )
-
-    def connect(address: Address) -> PeerClient:
-        return PeerClient(cfg.name, address, OPEN_SECRET, log)
-
-    rng = random.Random()
-    metrics = Metrics()
-    readiness = Readiness(describe)
-    suspects = SuspectBook()
-    follower = ViewFollower(
-        seeds, lambda: readiness.status, suspects, connect, log, rng
-    )
-    rates = AccountRates(cfg.name, cfg.rate_slack)
-    reporter = PartReporter(
-        follower, rates, lambda: readiness.status, connect, log
-    )
-    book = TargetBook()
-    links = TargetLinks(wire)
-    forwarder = Forwarder(
-        lambda: readiness.status,
-        lambda: follower.view,
-        follower.running_entries,
-        book,
-        rates,
-        Loans(reporter.borrow, log),
-        suspects,
-        links,
-        cfg.repeats,
-        metrics,
-        log,
-        rng,
-    )
-    follower.on_view(forwarder.follow)
-    front = HttpServer(build_caller_api(forwarder), CallerLimits(), log)
-    lookups = HttpServer(
-        build_lookup_api(follower, readiness), CallerLimits(), log
-    )
-    servers = [(lookups, cfg.ready_address)]
-    if cfg.lookup_address is not None:
-        also = HttpServer(lookups.handler, CallerLimits(), log)
-        servers.append((also, cfg.lookup_address))
-    if cfg.metrics_address is not None:
-        servers.append((metrics_server(metrics, log), cfg.metrics_address))
-    return SteerDaemon(
-        cfg,
-        readiness,
-        follower,
-        reporter,
-        book,
-        links,
-        tuple(servers),
-        front,
-        log,
-    )
--- /dev/null
+++ b/src/wigeonford/_compose_steer_entry.py
@@ -0,0 +1,112 @@
+"""Wire an entry VM that steers a deployment."""
+
+from collections.abc import Callable
+import random
+import secrets
+
+from wigeonford._compose_shared import metrics_server, OPEN_SECRET, Seeds
+from wigeonford.events import EventLog
+from wigeonford.http import (
+    Handler,
+    HttpServer,
+)
+from wigeonford.messages.steering import EntryStatus
+from wigeonford.metrics import Metrics
+from wigeonford.peer import PeerClient
+from wigeonford.settings import (
+    Address,
+    CallerLimits,
+    SteerEntrySettings,
+)
+from wigeonford.steer import (
+    AccountRates,
+    Forwarder,
+    Loans,
+    PartReporter,
+    Readiness,
+    SteerDaemon,
+    SuspectBook,
+    TargetBook,
+    TargetLinks,
+    TargetWire,
+    ViewFollower,
+)
+
+BuildCallerApi = Callable[[Forwarder], Handler]
+BuildLookupApi = Callable[[ViewFollower, Readiness], Handler]
+
+
+def build_steer_entry(
+    cfg: SteerEntrySettings,
+    seeds: Seeds,
+    wire: TargetWire,
+    build_caller_api: BuildCallerApi,
+    build_lookup_api: BuildLookupApi,
+    log: EventLog,
+) -> SteerDaemon:
+    """Return an entry VM that steers a deployment."""
+    log = log.bind(vm=cfg.name)
+    incarnation = secrets.token_hex(6)
+
+    def describe(ready: bool) -> EntryStatus:
+        return EntryStatus(
+            cfg.name,
+            incarnation,
+            str(cfg.address),
+            cfg.availability_zone,
+            cfg.region,
+            ready,
+        )
+
+    def connect(address: Address) -> PeerClient:
+        return PeerClient(cfg.name, address, OPEN_SECRET, log)
+
+    rng = random.Random()
+    metrics = Metrics()
+    readiness = Readiness(describe)
+    suspects = SuspectBook()
+    follower = ViewFollower(
+        seeds, lambda: readiness.status, suspects, connect, log, rng
+    )
+    rates = AccountRates(cfg.name, cfg.rate_slack)
+    reporter = PartReporter(
+        follower, rates, lambda: readiness.status, connect, log
+    )
+    book = TargetBook()
+    links = TargetLinks(wire)
+    forwarder = Forwarder(
+        lambda: readiness.status,
+        lambda: follower.view,
+        follower.running_entries,
+        book,
+        rates,
+        Loans(reporter.borrow, log),
+        suspects,
+        links,
+        cfg.repeats,
+        metrics,
+        log,
+        rng,
+    )
+    follower.on_view(forwarder.follow)
+    front = HttpServer(build_caller_api(forwarder), CallerLimits(), log)
+    lookups = HttpServer(
+        build_lookup_api(follower, readiness), CallerLimits(), log
+    )
+    servers = [(lookups, cfg.ready_address)]
+    if cfg.lookup_address is not None:
+        also = HttpServer(lookups.handler, CallerLimits(), log)
+        servers.append((also, cfg.lookup_address))
+    if cfg.metrics_address is not None:
+        servers.append((metrics_server(metrics, log), cfg.metrics_address))
+    return SteerDaemon(
+        cfg,
+        readiness,
+        follower,
+        reporter,
+        book,
+        links,
+        tuple(servers),
+        front,
+        log,
+    )
--- a/src/wigeonford/bench/_claims_bench.py
+++ b/src/wigeonford/bench/_claims_bench.py
@@ -17,20 +17,24 @@
 from typing import Any, Final
 
 from wigeonford.bench._report import Report
-from wigeonford.control._claim_rounds import (
+from wigeonford.claims._claim_rounds import (
     open_round,
     Outgoing,
     RoundRunner,
 )
-from wigeonford.control._proposer import CLAIM_TIMEOUT_S, majority
-from wigeonford.control._register_store import RegisterStore
-from wigeonford.control._registers import (
+from wigeonford.claims._proposer import CLAIM_TIMEOUT_S, majority
+from wigeonford.claims._register_store import RegisterStore
+from wigeonford.claims._registers import (
     EMPTY_REGISTER,
     Register,
     RegisterRequest,
     transition,
 )
-from wigeonford.peer import ClaimRow, RegisterReply, RegisterVote
+from wigeonford.messages.claim import (
+    ClaimRow,
+    RegisterReply,
+    RegisterVote,
+)
 
 REGIONS: Final = 3
 REPLICA_REGIONS: Final = (0, 0, 1, 1, 2)
--- a/src/wigeonford/bench/_control_faults.py
+++ b/src/wigeonford/bench/_control_faults.py
@@ -10,7 +10,7 @@
     ControlCluster,
     ENTRY_NAMES,
 )
-from wigeonford.control import ClaimService
+from wigeonford.claims import ClaimService
 
 MAX_DOWN: Final = 2
 WHOLE_TIMEOUT_S: Final = 4.0
--- a/src/wigeonford/bench/_control_load.py
+++ b/src/wigeonford/bench/_control_load.py
@@ -14,8 +14,9 @@
 from wigeonford.entry import ClaimRequest, ControlClaims, EntryDaemon
 from wigeonford.errors import ChangeRefused, Code, PeerError
 from wigeonford.events import EventLog
+from wigeonford.messages.object import Outcome
 from wigeonford.model import hash_key
-from wigeonford.peer import Outcome, PeerClient
+from wigeonford.peer import PeerClient
 from wigeonford.settings import Address
 
 ACCOUNTS: Final = tuple(f"account-{n}" for n in range(8))
--- a/src/wigeonford/bench/_limits_bench.py
+++ b/src/wigeonford/bench/_limits_bench.py
@@ -10,7 +10,7 @@
 from wigeonford.bench._limits_ways import Way, WAYS
 from wigeonford.bench._report import Report
 from wigeonford.bench._settings import load_deployment
-from wigeonford.policy import BucketShare
+from wigeonford.leases import BucketShare
 
 CHOSEN: Final = "leased_shares"
 ENTRIES: Final = 12
--- a/src/wigeonford/bench/_limits_ways.py
+++ b/src/wigeonford/bench/_limits_ways.py
@@ -5,16 +5,15 @@
 from typing import Any, Final, Protocol
 
 from wigeonford.bench._limits_sim import CONTROL, Network
+from wigeonford.leases import BucketShare, TokenBucket
 from wigeonford.policy import (
     AccountShare,
-    BucketShare,
     BudgetGrantor,
     leased_budget,
     LoanGrant,
     REPORT_INTERVAL_S,
     ShareGrant,
     ShareRequest,
-    TokenBucket,
     TokenQueue,
     Verdict,
 )
--- a/src/wigeonford/bench/_slopes_live.py
+++ b/src/wigeonford/bench/_slopes_live.py
@@ -18,7 +18,7 @@
 from wigeonford.control import ApplyChange, Edit
 from wigeonford.entry import SpreadShape
 from wigeonford.events import configure_logging, EventLog
-from wigeonford.peer import ObjectRow
+from wigeonford.messages.object import ObjectRow
 from wigeonford.settings import Address, EntrySettings
 
 SETTLE_ROUNDS: Final = 4
--- a/src/wigeonford/bench/_slopes_measures.py
+++ b/src/wigeonford/bench/_slopes_measures.py
@@ -34,17 +34,16 @@
     TargetRegistry,
 )
 from wigeonford.entry._lookup_ranking import ACCOUNT_BUCKETS
-from wigeonford.metrics import Metrics
-from wigeonford.model import KeyRecord, pack_blocks
-from wigeonford.peer import (
-    Member,
-    MESSAGES,
+from wigeonford.leases import LeaseGrantor, LeaseHolder
+from wigeonford.messages.object import Member, TargetAnnounce
+from wigeonford.messages.spread import (
     RosterReport,
     SpreadPull,
     SpreadUpdate,
-    TargetAnnounce,
 )
-from wigeonford.policy import LeaseGrantor, LeaseHolder
+from wigeonford.metrics import Metrics
+from wigeonford.model import KeyRecord, pack_blocks
+from wigeonford.peer import MESSAGES
 
 Measure = Callable[[random.Random], Iterator[Series]]
 MEASURES: Final[dict[str, Measure]] = {}
--- a/src/wigeonford/bench/_slopes_objects.py
+++ b/src/wigeonford/bench/_slopes_objects.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from wigeonford.config_table import ConfigTable
+from wigeonford.messages.object import Member, ObjectRow
 from wigeonford.model import ClientBlockPage, KeyRecord, pack_blocks
-from wigeonford.peer import Member, ObjectRow
 
 ZONES: Final = tuple(f"region-{n % 6}-zone-{n // 6}" for n in range(14))
 IPV6_PART: Final = 0.3
--- a/src/wigeonford/bench/_slopes_tree.py
+++ b/src/wigeonford/bench/_slopes_tree.py
@@ -14,8 +14,9 @@
 from wigeonford.entry import ConfigFollower, Parents, SpreadShape
 from wigeonford.events import EventLog
 from wigeonford.invariants import Checks, OnBreach
+from wigeonford.messages.object import LeaveRoster, Member
 from wigeonford.metrics import Metrics
-from wigeonford.peer import LeaveRoster, Member, PeerClient, PeerServer
+from wigeonford.peer import PeerClient, PeerServer
 from wigeonford.settings import Address, ControlSettings
 
 POLL_S: Final = 0.01
--- a/src/wigeonford/control/_claim_rounds.py
+++ b/src/wigeonford/claims/_claim_rounds.py
@@ -5,11 +5,13 @@
 """
 
 from collections.abc import Callable, Collection, Generator
-from dataclasses import dataclass, replace
 from enum import StrEnum
 from typing import Final
 
-from wigeonford.control._proposer import (
+import msgspec
+from msgspec.structs import replace
+
+from wigeonford.claims._proposer import (
     are_enough,
     CLOSED,
     decide_votes,
@@ -24,28 +26,27 @@
     UNAVAILABLE,
     Write,
 )
-from wigeonford.control._registers import (
+from wigeonford.claims._registers import (
     OPEN_BALLOT,
     OWNER_NUMBER,
     RegisterRequest,
 )
 from wigeonford.errors import Code
-from wigeonford.peer import (
+from wigeonford.messages.claim import (
     Ballot,
     ClaimRow,
-    Outcome,
     RegisterAbandon,
     RegisterAccept,
     RegisterPrepare,
     RegisterReply,
     RegisterVote,
 )
+from wigeonford.messages.object import Outcome
 
 MAX_RECOVERIES: Final = 6
 
 
-@dataclass(frozen=True, slots=True)
-class Broadcast:
+class Broadcast(msgspec.Struct, frozen=True):
     """Ask to send a request to every replica; None is only awaited."""
 
     request: RegisterRequest | None
@@ -59,8 +60,7 @@
 Round = Generator[Broadcast, RegisterReply | None, Decision]
 
 
-@dataclass(frozen=True, slots=True)
-class _Collected:
+class _Collected(msgspec.Struct, frozen=True):
     """Hold the replies that granted, and the highest promise seen."""
 
     granted: tuple[RegisterReply, ...]
@@ -181,8 +181,7 @@
     return replace(row, state=state.value, outcome=outcome)
 
 
-@dataclass(frozen=True, slots=True)
-class Outgoing:
+class Outgoing(msgspec.Struct, frozen=True):
     """Hold a request to broadcast and the phase that its replies carry."""
 
     phase: int
--- a/src/wigeonford/control/_claim_service.py
+++ b/src/wigeonford/claims/_claim_service.py
@@ -7,7 +7,7 @@
 import time
 from typing import Any, Final
 
-from wigeonford.control._claim_rounds import (
+from wigeonford.claims._claim_rounds import (
     close_round,
     closing_row,
     open_round,
@@ -16,24 +16,18 @@
     RoundRunner,
     Won,
 )
-from wigeonford.control._proposer import (
+from wigeonford.claims._proposer import (
     Decision,
     majority,
     RowState,
     UNAVAILABLE,
 )
-from wigeonford.control._register_store import RegisterStore
-from wigeonford.control._registers import RegisterRequest
+from wigeonford.claims._register_store import RegisterStore
+from wigeonford.claims._registers import RegisterRequest
 from wigeonford.errors import Code, PeerError, WigeonfordError
 from wigeonford.events import Event, EventLog
-from wigeonford.peer import (
-    ClaimAnswer,
-    ClaimClose,
-    ClaimOpen,
+from wigeonford.messages.claim import (
     ClaimRow,
-    Done,
-    PeerClient,
-    PeerServer,
     RegisterAbandon,
     RegisterAccept,
     RegisterPage,
@@ -42,6 +36,8 @@
     RegisterScan,
     RegisterVote,
 )
+from wigeonford.messages.object import ClaimAnswer, ClaimClose, ClaimOpen
+from wigeonford.peer import Done, PeerClient, PeerServer
 
 PHASE_TIMEOUT_S: Final = 0.6
 ROUND_TIMEOUT_S: Final = 2.0
--- a/src/wigeonford/control/_proposer.py
+++ b/src/wigeonford/claims/_proposer.py
@@ -2,13 +2,16 @@
 
 from collections import Counter
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass, replace
 from enum import StrEnum
 from typing import Final
 
-from wigeonford.control._registers import OPEN_BALLOT
+import msgspec
+from msgspec.structs import replace
+
+from wigeonford.claims._registers import OPEN_BALLOT
 from wigeonford.errors import Code
-from wigeonford.peer import ClaimRow, Outcome, RegisterReply
+from wigeonford.messages.claim import ClaimRow, RegisterReply
+from wigeonford.messages.object import Outcome
 
 CLAIM_TIMEOUT_S: Final = 60.0
 
@@ -22,8 +25,7 @@
     RELEASED = "released"
 
 
-@dataclass(frozen=True, slots=True)
-class Decision:
+class Decision(msgspec.Struct, frozen=True):
     """Say what became of a claim; OK lets the claimant run."""
 
     code: Code
@@ -37,8 +39,7 @@
     RECOVER = "recover"
 
 
-@dataclass(frozen=True, slots=True)
-class Write:
+class Write(msgspec.Struct, frozen=True):
     """Ask for a row to be accepted, and say what that will mean."""
 
     row: ClaimRow
--- a/src/wigeonford/control/_register_store.py
+++ b/src/wigeonford/claims/_register_store.py
@@ -7,7 +7,7 @@
 import threading
 from typing import Final
 
-from wigeonford.control._registers import (
+from wigeonford.claims._registers import (
     EMPTY_REGISTER,
     merge_copy,
     Register,
@@ -16,12 +16,12 @@
     transition,
 )
 from wigeonford.control._store import StorageError
-from wigeonford.peer import (
-    MESSAGES,
+from wigeonford.messages.claim import (
     RegisterCopy,
     RegisterPage,
     RegisterReply,
 )
+from wigeonford.peer import MESSAGES
 
 DATABASE_NAME: Final = "claims.sqlite"
 RETENTION_S: Final = 86400.0
--- a/src/wigeonford/control/_registers.py
+++ b/src/wigeonford/claims/_registers.py
@@ -6,10 +6,12 @@
 numbers are for recovery, with a promise before each acceptance.
 """
 
-from dataclasses import dataclass, replace
 from typing import Final
 
-from wigeonford.peer import (
+import msgspec
+from msgspec.structs import replace
+
+from wigeonford.messages.claim import (
     Ballot,
     ClaimRow,
     RegisterAbandon,
@@ -29,8 +31,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Register:
+class Register(msgspec.Struct, frozen=True):
     """Hold what a replica has promised and accepted for one key."""
 
     promised: Ballot = OPEN_BALLOT
--- a/src/wigeonford/cli/_operator.py
+++ b/src/wigeonford/cli/_operator.py
@@ -10,8 +10,8 @@
 from wigeonford.control import Edit
 from wigeonford.errors import ChangeRefused, Code, PeerError
 from wigeonford.http import ConnectFailed, ExchangeFailed, fetch, Response
+from wigeonford.messages.raft import ReplicaChange
 from wigeonford.model import derive_key, ObjectSet
-from wigeonford.peer import ReplicaChange
 from wigeonford.settings import Address
 
 TIMEOUT_S: Final = 10.0
--- a/src/wigeonford/compose.py
+++ b/src/wigeonford/compose.py
@@ -4,21 +4,13 @@
 from pathlib import Path
 import random
 
-from wigeonford._compose_steering import (
-    build_steer_control as build_steer_control,
-)
-from wigeonford._compose_steering import (
-    build_steer_entry as build_steer_entry,
-)
+from wigeonford._compose_steer_control import build_steer_control
+from wigeonford._compose_steer_entry import build_steer_entry
+from wigeonford.claims import ClaimService, RegisterStore
 from wigeonford.control import (
-    BudgetService,
-    ClaimService,
     ControlDaemon,
-    ControlService,
     LogFileStore,
-    OperatorApi,
     RaftReplica,
-    RegisterStore,
     Replica,
     SoloReplica,
 )
@@ -48,10 +40,12 @@
     TargetRegistry,
 )
 from wigeonford.events import Event, EventLog
+from wigeonford.fleet import BudgetService, ControlService, OperatorApi
 from wigeonford.http import HttpServer
 from wigeonford.invariants import Checks
+from wigeonford.messages.object import Member
 from wigeonford.metrics import Metrics
-from wigeonford.peer import Member, PeerClient, PeerServer
+from wigeonford.peer import PeerClient, PeerServer
 from wigeonford.policy import Ejection
 from wigeonford.settings import (
     Address,
--- a/src/wigeonford/config_table.py
+++ b/src/wigeonford/config_table.py
@@ -7,13 +7,13 @@
 import cbor2
 import msgspec
 
+from wigeonford.messages.object import ConfigUpdate, Member, ObjectRow
 from wigeonford.model import (
     decode_object,
     KeyRecord,
     ObjectKey,
     ObjectSet,
 )
-from wigeonford.peer import ConfigUpdate, Member, ObjectRow
 
 DIGEST_BYTES: Final = 16
 
--- a/src/wigeonford/control/__init__.py
+++ b/src/wigeonford/control/__init__.py
@@ -1,7 +1,5 @@
 """Replicated control state: log, state machine, commands and queries."""
 
-from wigeonford.control._budgets import BudgetService
-from wigeonford.control._claim_service import ClaimService
 from wigeonford.control._cold_clock import ColdClock
 from wigeonford.control._commands import (
     ApplyChange,
@@ -16,14 +14,11 @@
 from wigeonford.control._daemon import ControlDaemon, Service
 from wigeonford.control._group_service import GroupService
 from wigeonford.control._log_file import LogFileStore
-from wigeonford.control._operator_api import OperatorApi
 from wigeonford.control._part_service import PartService
 from wigeonford.control._raft_node import ElectionTiming
 from wigeonford.control._raft_replica import RaftReplica
 from wigeonford.control._recovery import recover_alone
-from wigeonford.control._register_store import RegisterStore
 from wigeonford.control._replica import Replica, SoloReplica
-from wigeonford.control._service import ControlService
 from wigeonford.control._state import State
 from wigeonford.control._steering import Steering
 from wigeonford.control._steering_commands import (
@@ -45,13 +40,10 @@
 __all__ = [
     "AnnounceTargets",
     "ApplyChange",
-    "BudgetService",
     "COMMANDS",
-    "ClaimService",
     "ColdClock",
     "CommandResult",
     "ControlDaemon",
-    "ControlService",
     "Edit",
     "ElectionTiming",
     "ExpireMember",
@@ -59,12 +51,10 @@
     "IssueKey",
     "LogEntry",
     "LogFileStore",
-    "OperatorApi",
     "PartService",
     "PatchDeployment",
     "RaftReplica",
     "RegisterMember",
-    "RegisterStore",
     "RemoveTargets",
     "ReplaceDeployment",
     "Replica",
--- a/src/wigeonford/control/_commands.py
+++ b/src/wigeonford/control/_commands.py
@@ -1,19 +1,19 @@
 """Commands: the records of the replicated log that change the state."""
 
-from dataclasses import dataclass, field
 from typing import Any, Final
 
+import msgspec
+
 from wigeonford.codec import Codec
 from wigeonford.errors import Code
-from wigeonford.peer import Member
+from wigeonford.messages.object import Member
 
 COMMANDS: Final = Codec("command")
 
 command = COMMANDS.register
 
 
-@dataclass(frozen=True, slots=True)
-class Edit:
+class Edit(msgspec.Struct, frozen=True):
     """Put or delete one object.
 
     `expected_version` is the version that the author saw, 0 for an object
@@ -27,8 +27,7 @@
 
 
 @command(1)
-@dataclass(frozen=True, slots=True)
-class ApplyChange:
+class ApplyChange(msgspec.Struct, frozen=True):
     """Apply edits as a whole, or refuse them as a whole."""
 
     change_id: str
@@ -38,8 +37,7 @@
 
 
 @command(2)
-@dataclass(frozen=True, slots=True)
-class IssueKey:
+class IssueKey(msgspec.Struct, frozen=True):
     """Let a key, known by its keyed hash, act for a client account."""
 
     change_id: str
@@ -51,8 +49,7 @@
 
 
 @command(3)
-@dataclass(frozen=True, slots=True)
-class WithdrawKey:
+class WithdrawKey(msgspec.Struct, frozen=True):
     """Stop a key for good."""
 
     change_id: str
@@ -62,30 +59,27 @@
 
 
 @command(4)
-@dataclass(frozen=True, slots=True)
-class RegisterMember:
+class RegisterMember(msgspec.Struct, frozen=True):
     """Put an entry VM on the roster, or move it to another address."""
 
     member: Member
 
 
 @command(5)
-@dataclass(frozen=True, slots=True)
-class ExpireMember:
+class ExpireMember(msgspec.Struct, frozen=True):
     """Take an entry VM off the roster unless it has started anew."""
 
     name: str
     generation: int
 
 
-@dataclass(frozen=True, slots=True)
-class CommandResult:
+class CommandResult(msgspec.Struct, frozen=True):
     """Tell what became of a command; `code` is a result code's number."""
 
     code: int
     revision: int
     detail: str = ""
-    faults: tuple[str, ...] = field(default=())
+    faults: tuple[str, ...] = msgspec.field(default=())
 
     @property
     def accepted(self) -> bool:
--- a/src/wigeonford/control/_group_service.py
+++ b/src/wigeonford/control/_group_service.py
@@ -11,14 +11,9 @@
 from wigeonford.control._raft_replica import RaftReplica
 from wigeonford.errors import PeerError, WigeonfordError
 from wigeonford.events import Event, EventLog
-from wigeonford.peer import (
-    GroupMembers,
-    JoinGroup,
-    LeaderElsewhere,
-    PeerClient,
-    PeerServer,
-    ReplicaChange,
-)
+from wigeonford.messages.raft import ReplicaChange
+from wigeonford.messages.steering import GroupMembers, JoinGroup
+from wigeonford.peer import LeaderElsewhere, PeerClient, PeerServer
 from wigeonford.settings import parse_address
 
 JOIN_INTERVAL_S: Final = 0.5
--- a/src/wigeonford/control/_log_file.py
+++ b/src/wigeonford/control/_log_file.py
@@ -1,7 +1,6 @@
 """Append-only storage of one replica: framed records, synced in order."""
 
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass, field
 import os
 from pathlib import Path
 import struct
@@ -9,6 +8,7 @@
 import zlib
 
 import cbor2
+import msgspec
 
 from wigeonford.control._store import LogEntry, Snapshot, StorageError
 
@@ -18,13 +18,12 @@
 _HEADER: Final = struct.Struct(">4sII")
 
 
-@dataclass(slots=True)
-class _Content:
+class _Content(msgspec.Struct):
     """Collect what the frames of a file add up to."""
 
     snapshot: Snapshot | None = None
-    entries: list[LogEntry] = field(default_factory=list)
-    meta: dict[str, bytes] = field(default_factory=dict)
+    entries: list[LogEntry] = msgspec.field(default_factory=list)
+    meta: dict[str, bytes] = msgspec.field(default_factory=dict)
     end: int = 0
 
     def add(self, payload: bytes) -> None:
--- a/src/wigeonford/control/_part_service.py
+++ b/src/wigeonford/control/_part_service.py
@@ -20,23 +20,22 @@
 from wigeonford.deployment import Account, Deployment
 from wigeonford.errors import WigeonfordError
 from wigeonford.events import Event, EventLog
-from wigeonford.peer import (
+from wigeonford.leases import (
+    LeaseGrantor,
+    LeaseRequest,
+    pooled_part,
+    TokenPool,
+)
+from wigeonford.messages.steering import (
     BorrowTokens,
-    LeaderElsewhere,
     PartGrant,
     PartRequest,
     PartsAnswer,
     PartsReport,
-    PeerServer,
     TokenLoan,
     TokensLent,
 )
-from wigeonford.policy import (
-    LeaseGrantor,
-    LeaseRequest,
-    pooled_part,
-    TokenPool,
-)
+from wigeonford.peer import LeaderElsewhere, PeerServer
 
 PART_LEASE_S: Final = 20.0
 """Longer than all of control may be without power in the fault plan."""
--- a/src/wigeonford/control/_raft.py
+++ b/src/wigeonford/control/_raft.py
@@ -12,7 +12,7 @@
 from wigeonford.control._raft_log import RaftLog
 from wigeonford.control._raft_members import ReplicaTable
 from wigeonford.control._raft_node import Identity, RaftNode
-from wigeonford.peer import (
+from wigeonford.messages.raft import (
     AppendEntries,
     AppendReply,
     BootstrapProbe,
--- a/src/wigeonford/control/_raft_bootstrap.py
+++ b/src/wigeonford/control/_raft_bootstrap.py
@@ -7,7 +7,7 @@
 )
 from wigeonford.control._raft_node import RaftNode
 from wigeonford.control._store import LogEntry
-from wigeonford.peer import BootstrapProbe, BootstrapReply
+from wigeonford.messages.raft import BootstrapProbe, BootstrapReply
 
 BOOTSTRAP_TERM = 1
 
--- a/src/wigeonford/control/_raft_driver.py
+++ b/src/wigeonford/control/_raft_driver.py
@@ -39,7 +39,8 @@
 from wigeonford.control._store import Snapshot, StorageError, Store
 from wigeonford.errors import Code
 from wigeonford.events import Event, EventLog
-from wigeonford.peer import InstallSnapshot, LeaderElsewhere
+from wigeonford.messages.raft import InstallSnapshot
+from wigeonford.peer import LeaderElsewhere
 from wigeonford.settings import Address, parse_address
 
 TICK_S: Final = 0.05
--- a/src/wigeonford/control/_raft_effects.py
+++ b/src/wigeonford/control/_raft_effects.py
@@ -1,9 +1,10 @@
 """What the consensus core asks its driver to do, in this order."""
 
-from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any
 
+import msgspec
+
 from wigeonford.control._raft_members import ReplicaTable
 from wigeonford.control._store import LogEntry
 
@@ -17,8 +18,7 @@
     LEADER = "leader"
 
 
-@dataclass(frozen=True, slots=True)
-class HardState:
+class HardState(msgspec.Struct, frozen=True):
     """Hold what must be durable before a message depends on it.
 
     `initiator` is the incarnation of the initiator that was last answered
@@ -31,8 +31,7 @@
     initiator: str | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Save:
+class Save(msgspec.Struct, frozen=True):
     """Make the hard state and the log's end durable, in one sync.
 
     Entries after `truncate_after` are dropped first; None keeps them all.
@@ -43,8 +42,7 @@
     entries: tuple[LogEntry, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class SaveInstalled:
+class SaveInstalled(msgspec.Struct, frozen=True):
     """Replace log and state by a snapshot, durably."""
 
     position: int
@@ -53,16 +51,14 @@
     content: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class Send:
+class Send(msgspec.Struct, frozen=True):
     """Send a message to a replica; it may be lost."""
 
     to: str
     record: Any
 
 
-@dataclass(frozen=True, slots=True)
-class SendSnapshot:
+class SendSnapshot(msgspec.Struct, frozen=True):
     """Send the stored snapshot to a replica; it may be lost."""
 
     to: str
@@ -71,15 +67,13 @@
     sent_at_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class Apply:
+class Apply(msgspec.Struct, frozen=True):
     """Apply committed entries to the state machine."""
 
     entries: tuple[LogEntry, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ChangeRole:
+class ChangeRole(msgspec.Struct, frozen=True):
     """Tell that the role or the term has changed."""
 
     role: Role
--- a/src/wigeonford/control/_raft_election.py
+++ b/src/wigeonford/control/_raft_election.py
@@ -3,7 +3,7 @@
 from wigeonford.control._raft_effects import Role
 from wigeonford.control._raft_members import find_entry, is_quorum, voters
 from wigeonford.control._raft_node import RaftNode
-from wigeonford.peer import VoteReply, VoteRequest
+from wigeonford.messages.raft import VoteReply, VoteRequest
 
 
 class Election:
--- a/src/wigeonford/control/_raft_follower.py
+++ b/src/wigeonford/control/_raft_follower.py
@@ -4,7 +4,11 @@
 from wigeonford.control._raft_node import RaftNode
 from wigeonford.control._raft_snapshot import unpack_snapshot
 from wigeonford.control._store import LogEntry
-from wigeonford.peer import AppendEntries, AppendReply, InstallSnapshot
+from wigeonford.messages.raft import (
+    AppendEntries,
+    AppendReply,
+    InstallSnapshot,
+)
 
 
 class Following:
--- a/src/wigeonford/control/_raft_inbox.py
+++ b/src/wigeonford/control/_raft_inbox.py
@@ -1,38 +1,35 @@
 """What the task that owns a consensus core is asked to do."""
 
 import asyncio
-from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from wigeonford.control._commands import CommandResult
-from wigeonford.peer import ReplicaChange
+from wigeonford.messages.raft import ReplicaChange
 
 
-@dataclass(frozen=True, slots=True)
-class Received:
+class Received(msgspec.Struct, frozen=True):
     """Take a message from another replica."""
 
     record: Any
 
 
-@dataclass(frozen=True, slots=True)
-class Proposal:
+class Proposal(msgspec.Struct, frozen=True):
     """Add a command to the log and answer with its result."""
 
     content: bytes
     fut: asyncio.Future[CommandResult]
 
 
-@dataclass(frozen=True, slots=True)
-class Read:
+class Read(msgspec.Struct, frozen=True):
     """Answer with a position once the lead is confirmed after `asked_s`."""
 
     asked_s: float
     fut: asyncio.Future[int]
 
 
-@dataclass(frozen=True, slots=True)
-class TableChange:
+class TableChange(msgspec.Struct, frozen=True):
     """Change the table of replicas."""
 
     change: ReplicaChange
--- a/src/wigeonford/control/_raft_leader.py
+++ b/src/wigeonford/control/_raft_leader.py
@@ -1,6 +1,6 @@
 """Leading: replicate, commit, vouch, and keep the table of replicas."""
 
-from dataclasses import replace
+from msgspec.structs import replace
 
 from wigeonford.control._commands import COMMANDS
 from wigeonford.control._raft_effects import Role
@@ -22,7 +22,11 @@
 )
 from wigeonford.control._raft_progress import Progress, SNAPSHOT_TIMEOUT_S
 from wigeonford.control._store import LogEntry
-from wigeonford.peer import AppendEntries, AppendReply, EntryRecord
+from wigeonford.messages.raft import (
+    AppendEntries,
+    AppendReply,
+    EntryRecord,
+)
 
 MAX_BATCH_BYTES = 262144
 REPLACE_AFTER_S = 3.0
--- a/src/wigeonford/control/_raft_members.py
+++ b/src/wigeonford/control/_raft_members.py
@@ -1,17 +1,16 @@
 """The table of control replicas and the rules of its changes."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, replace
 from typing import Any, Final, TypeVar
 
 import msgspec
+from msgspec.structs import replace
 
 from wigeonford.control._commands import command, COMMANDS
-from wigeonford.peer import ReplicaChange
+from wigeonford.messages.raft import ReplicaChange
 
 
-@dataclass(frozen=True, slots=True)
-class ReplicaEntry:
+class ReplicaEntry(msgspec.Struct, frozen=True):
     """Describe one replica; a new incarnation starts as a learner."""
 
     name: str
@@ -25,16 +24,14 @@
 
 
 @command(20)
-@dataclass(frozen=True, slots=True)
-class ChangeReplicas:
+class ChangeReplicas(msgspec.Struct, frozen=True):
     """Set the table of replicas; in force once it is in the log."""
 
     replicas: ReplicaTable
 
 
 @command(21)
-@dataclass(frozen=True, slots=True)
-class StartTerm:
+class StartTerm(msgspec.Struct, frozen=True):
     """Begin a leader's term, so that earlier entries can be committed."""
 
 
--- a/src/wigeonford/control/_raft_node.py
+++ b/src/wigeonford/control/_raft_node.py
@@ -1,9 +1,11 @@
 """What one replica knows, and the transitions that its parts share."""
 
-from dataclasses import dataclass, replace
 import random
 from typing import Any, Final
 
+import msgspec
+from msgspec.structs import replace
+
 from wigeonford.control._raft_effects import (
     Apply,
     ChangeRole,
@@ -22,8 +24,7 @@
 _STAMP_RANGE_S: Final = 1e9
 
 
-@dataclass(frozen=True, slots=True)
-class ElectionTiming:
+class ElectionTiming(msgspec.Struct, frozen=True):
     """Bound the time without a leader after which a replica stands.
 
     The defaults bear a busy machine that many processes share.
@@ -36,8 +37,7 @@
 USUAL_TIMING: Final = ElectionTiming()
 
 
-@dataclass(frozen=True, slots=True)
-class Identity:
+class Identity(msgspec.Struct, frozen=True):
     """Name a replica and the members that its settings list.
 
     With `wanted_voters` set, a leader removes silent voters beyond or in
--- a/src/wigeonford/control/_raft_progress.py
+++ b/src/wigeonford/control/_raft_progress.py
@@ -1,14 +1,14 @@
 """What a leader knows of each follower."""
 
-from dataclasses import dataclass
 from typing import Final
 
+import msgspec
+
 SNAPSHOT_TIMEOUT_S: Final = 5.0
 MAX_AHEAD: Final = 4096
 
 
-@dataclass(slots=True)
-class Progress:
+class Progress(msgspec.Struct):
     """Track replication to one incarnation of a follower.
 
     Entries that were lost need no timeout: the next heartbeat follows them,
--- a/src/wigeonford/control/_raft_replica.py
+++ b/src/wigeonford/control/_raft_replica.py
@@ -31,23 +31,21 @@
 from wigeonford.control._store import Store
 from wigeonford.errors import Code, PeerError, RunState
 from wigeonford.events import EventLog
-from wigeonford.peer import (
+from wigeonford.messages.raft import (
     AppendEntries,
     AppendReply,
     BootstrapProbe,
     BootstrapReply,
     CommandOutcome,
     ConfirmRead,
-    Done,
     InstallSnapshot,
-    LeaderElsewhere,
-    PeerServer,
     ReadConfirmed,
     ReplicaChange,
     SubmitCommand,
     VoteReply,
     VoteRequest,
 )
+from wigeonford.peer import Done, LeaderElsewhere, PeerServer
 from wigeonford.settings import ControlSettings
 
 T = TypeVar("T")
--- a/src/wigeonford/control/_recovery.py
+++ b/src/wigeonford/control/_recovery.py
@@ -1,8 +1,9 @@
 """Recovery by hand after a majority of data folders is lost."""
 
-from dataclasses import replace
 from pathlib import Path
 
+from msgspec.structs import replace
+
 from wigeonford.control._commands import COMMANDS
 from wigeonford.control._log_file import LogFileStore
 from wigeonford.control._raft_disk import (
--- a/src/wigeonford/control/_replica.py
+++ b/src/wigeonford/control/_replica.py
@@ -2,22 +2,23 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any, Final, Protocol
 
+import msgspec
+
 from wigeonford.control._commands import CommandResult, COMMANDS
 from wigeonford.control._raft_members import is_command
 from wigeonford.control._raft_snapshot import pack_snapshot, unpack_snapshot
 from wigeonford.control._state import State
 from wigeonford.control._store import LogEntry, Snapshot, Store
-from wigeonford.peer import LeaderElsewhere, ReplicaChange
+from wigeonford.messages.raft import ReplicaChange
+from wigeonford.peer import LeaderElsewhere
 
 SNAPSHOT_EVERY: Final = 2000
 SOLO_TERM: Final = 1
 
 
-@dataclass(frozen=True, slots=True)
-class ReplicaView:
+class ReplicaView(msgspec.Struct, frozen=True):
     """Show one control replica; `lag` in entries, None if not known."""
 
     name: str
@@ -26,8 +27,7 @@
     lag: int | None
 
 
-@dataclass(frozen=True, slots=True)
-class ReplicaStatus:
+class ReplicaStatus(msgspec.Struct, frozen=True):
     """Show how a replica stands; positions are those of the log."""
 
     name: str
--- a/src/wigeonford/control/_state.py
+++ b/src/wigeonford/control/_state.py
@@ -1,12 +1,12 @@
 """The replicated state machine: pure, and the same on every replica."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
 import hashlib
 from typing import Any, Final
 
 import cbor2
 import msgspec
+from msgspec.structs import replace
 
 from wigeonford.config_table import ConfigTable
 from wigeonford.control._commands import (
@@ -21,20 +21,19 @@
 )
 from wigeonford.control._steering import Steering
 from wigeonford.errors import Code
+from wigeonford.messages.object import Member, ObjectRow
 from wigeonford.model import (
     check_set,
     decode_object,
     KeyRecord,
     ObjectSet,
 )
-from wigeonford.peer import Member, ObjectRow
 
 MAX_ANSWERS: Final = 20000
 MAX_HISTORY: Final = 20000
 
 
-@dataclass(frozen=True, slots=True)
-class HistoryEntry:
+class HistoryEntry(msgspec.Struct, frozen=True):
     """Record who changed what, when."""
 
     revision: int
@@ -44,25 +43,25 @@
     summary: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class _Remembered:
+class _Remembered(msgspec.Struct, frozen=True):
     """Keep the first answer to a change id."""
 
     fingerprint: bytes
     result: CommandResult
 
 
-@dataclass(slots=True)
-class _Tables:
+class _Tables(msgspec.Struct):
     """Hold everything that a snapshot carries."""
 
     revision: int = 0
-    rows: list[tuple[int, ObjectRow]] = field(default_factory=list)
-    keys: list[tuple[int, KeyRecord]] = field(default_factory=list)
-    members: list[tuple[int, Member]] = field(default_factory=list)
-    gone_members: list[tuple[int, str]] = field(default_factory=list)
-    answers: list[tuple[str, _Remembered]] = field(default_factory=list)
-    history: list[HistoryEntry] = field(default_factory=list)
+    rows: list[tuple[int, ObjectRow]] = msgspec.field(default_factory=list)
+    keys: list[tuple[int, KeyRecord]] = msgspec.field(default_factory=list)
+    members: list[tuple[int, Member]] = msgspec.field(default_factory=list)
+    gone_members: list[tuple[int, str]] = msgspec.field(default_factory=list)
+    answers: list[tuple[str, _Remembered]] = msgspec.field(
+        default_factory=list
+    )
+    history: list[HistoryEntry] = msgspec.field(default_factory=list)
     steering: bytes = b""
 
 
--- a/src/wigeonford/control/_steering.py
+++ b/src/wigeonford/control/_steering.py
@@ -1,7 +1,6 @@
 """The replicated part of the state that steers requests: pure."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 from typing import Any, Final
 
 import cbor2
@@ -31,20 +30,21 @@
 day."""
 
 
-@dataclass(slots=True)
-class _SteeringTables:
+class _SteeringTables(msgspec.Struct):
     """Hold everything that a snapshot carries."""
 
     revision: int = 0
     deployment: Deployment | None = None
     deployment_revision: int = 0
     evacuation_revision: int = 0
-    evacuated: list[str] = field(default_factory=list)
-    taken_back: dict[str, int] = field(default_factory=dict)
-    targets: list[Target] = field(default_factory=list)
-    tombstones: list[tuple[str, int, int]] = field(default_factory=list)
-    orders: list[bytes] = field(default_factory=list)
-    holders: list[str] = field(default_factory=list)
+    evacuated: list[str] = msgspec.field(default_factory=list)
+    taken_back: dict[str, int] = msgspec.field(default_factory=dict)
+    targets: list[Target] = msgspec.field(default_factory=list)
+    tombstones: list[tuple[str, int, int]] = msgspec.field(
+        default_factory=list
+    )
+    orders: list[bytes] = msgspec.field(default_factory=list)
+    holders: list[str] = msgspec.field(default_factory=list)
 
 
 _Applier = Callable[["Steering", Any], CommandResult]
--- a/src/wigeonford/control/_steering_commands.py
+++ b/src/wigeonford/control/_steering_commands.py
@@ -1,14 +1,13 @@
 """Commands that change what steers requests."""
 
-from dataclasses import dataclass
+import msgspec
 
 from wigeonford.control._commands import command
 from wigeonford.deployment import Announcement, Deployment, DeploymentPatch
 
 
 @command(40)
-@dataclass(frozen=True, slots=True)
-class ReplaceDeployment:
+class ReplaceDeployment(msgspec.Struct, frozen=True):
     """Publish a whole deployment on top of the version `expected`.
 
     `order_id` tells one order from another, however often it is sent.
@@ -20,8 +19,7 @@
 
 
 @command(41)
-@dataclass(frozen=True, slots=True)
-class PatchDeployment:
+class PatchDeployment(msgspec.Struct, frozen=True):
     """Change named items on top of the version `expected`."""
 
     order_id: bytes
@@ -30,8 +28,7 @@
 
 
 @command(42)
-@dataclass(frozen=True, slots=True)
-class SetEvacuation:
+class SetEvacuation(msgspec.Struct, frozen=True):
     """Begin or end the evacuation of an availability zone."""
 
     zone: str
@@ -39,16 +36,14 @@
 
 
 @command(43)
-@dataclass(frozen=True, slots=True)
-class AnnounceTargets:
+class AnnounceTargets(msgspec.Struct, frozen=True):
     """Take over what targets say of themselves."""
 
     announcements: tuple[Announcement, ...]
 
 
 @command(44)
-@dataclass(frozen=True, slots=True)
-class RemoveTargets:
+class RemoveTargets(msgspec.Struct, frozen=True):
     """Remove targets for good, each given by id and incarnation.
 
     An incarnation of None means the one that is known.
@@ -58,8 +53,7 @@
 
 
 @command(45)
-@dataclass(frozen=True, slots=True)
-class ChangeHolders:
+class ChangeHolders(msgspec.Struct, frozen=True):
     """Note which entry VMs may hold parts of accounts' rates."""
 
     added: tuple[str, ...]
--- a/src/wigeonford/control/_store.py
+++ b/src/wigeonford/control/_store.py
@@ -1,9 +1,10 @@
 """What one replica must keep under its data folder."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
 from typing import Protocol
 
+import msgspec
+
 from wigeonford.errors import Code, WigeonfordError
 
 
@@ -14,8 +15,7 @@
         super().__init__(Code.STORAGE_FAILED, detail)
 
 
-@dataclass(frozen=True, slots=True)
-class LogEntry:
+class LogEntry(msgspec.Struct, frozen=True):
     """Hold one record of the replicated log."""
 
     position: int
@@ -23,8 +23,7 @@
     content: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class Snapshot:
+class Snapshot(msgspec.Struct, frozen=True):
     """Hold the state up to and including a log position."""
 
     position: int
--- a/src/wigeonford/control/_suspicions.py
+++ b/src/wigeonford/control/_suspicions.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from typing import Final
 
-from wigeonford.peer import Suspicion
+from wigeonford.messages.steering import Suspicion
 
 KEPT_S: Final = 60.0
 """As long as a crashing request is refused after its last crash."""
--- a/src/wigeonford/control/_target_service.py
+++ b/src/wigeonford/control/_target_service.py
@@ -15,7 +15,8 @@
 from wigeonford.deployment import Announcement, Applied
 from wigeonford.errors import WigeonfordError
 from wigeonford.events import Event, EventLog
-from wigeonford.peer import Done, HeardTargets, PeerServer
+from wigeonford.messages.steering import HeardTargets
+from wigeonford.peer import Done, PeerServer
 
 SWEEP_INTERVAL_S: Final = 2.0
 """Pause between reports of heard targets to the leader."""
--- a/src/wigeonford/control/_view_service.py
+++ b/src/wigeonford/control/_view_service.py
@@ -2,25 +2,26 @@
 
 import asyncio
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, replace
 import time
 from typing import Final
 import zlib
 
+import msgspec
+from msgspec.structs import replace
+
 from wigeonford.control._cold_clock import ColdClock
 from wigeonford.control._replica import Replica
 from wigeonford.control._suspicions import Suspicions
 from wigeonford.events import Event, EventLog
-from wigeonford.peer import (
-    Done,
+from wigeonford.messages.steering import (
     EntryStatus,
     FetchView,
-    PeerServer,
     ReportStatus,
     ViewNotice,
     ViewUpdate,
     WatchView,
 )
+from wigeonford.peer import Done, PeerServer
 
 WATCH_S: Final = 0.7
 """How long a watch is held without news; also the entry VMs' heartbeat."""
@@ -28,8 +29,7 @@
 """Three heartbeats and a lost connection's renewal."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Heard:
+class _Heard(msgspec.Struct, frozen=True):
     status: EntryStatus
     at_s: float
 
--- a/src/wigeonford/deployment/_changes.py
+++ b/src/wigeonford/deployment/_changes.py
@@ -1,9 +1,11 @@
 """Partial changes of a deployment."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
 from typing import TypeVar
 
+import msgspec
+from msgspec.structs import replace
+
 from wigeonford.deployment._types import (
     Account,
     Deployment,
@@ -15,8 +17,7 @@
 T = TypeVar("T")
 
 
-@dataclass(frozen=True, slots=True)
-class DeploymentPatch:
+class DeploymentPatch(msgspec.Struct, frozen=True):
     """Add or replace named items, and remove others by name."""
 
     version: int
--- a/src/wigeonford/deployment/_targets.py
+++ b/src/wigeonford/deployment/_targets.py
@@ -1,17 +1,18 @@
 """Targets as they announce themselves: pure, and the same on replicas."""
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, replace
 from enum import StrEnum
 from typing import Final
 
+import msgspec
+from msgspec.structs import replace
+
 MAX_TOMBSTONES: Final = 20000
 """Targets remembered after they left; a day of the target size starts
 fewer."""
 
 
-@dataclass(frozen=True, slots=True)
-class Announcement:
+class Announcement(msgspec.Struct, frozen=True):
     """Hold what a target says of itself.
 
     `born_ms` is the Unix time of its start and orders its incarnations;
@@ -31,8 +32,7 @@
     cold_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class Target:
+class Target(msgspec.Struct, frozen=True):
     """Hold a target and the revision that last changed it."""
 
     revision: int
--- a/src/wigeonford/deployment/_types.py
+++ b/src/wigeonford/deployment/_types.py
@@ -1,8 +1,9 @@
 """The parts of a deployment; times in seconds."""
 
-from dataclasses import dataclass
 from enum import StrEnum
 
+import msgspec
+
 
 class RouteKind(StrEnum):
     """Say how often a request of a route may run.
@@ -21,16 +22,14 @@
         return self is RouteKind.SAFE
 
 
-@dataclass(frozen=True, slots=True)
-class Share:
+class Share(msgspec.Struct, frozen=True):
     """Give a service its part of a route, in proportion to the weight."""
 
     service: str
     weight: float
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(msgspec.Struct, frozen=True):
     """Steer the requests of one host below a path prefix.
 
     `service` is None where `split` divides the route. `attempts` counts
@@ -61,8 +60,7 @@
         return tuple(share.service for share in self.split if share.weight)
 
 
-@dataclass(frozen=True, slots=True)
-class Service:
+class Service(msgspec.Struct, frozen=True):
     """Describe the targets of one service.
 
     A target is cold for `cold_start_s` after its start and then stands
@@ -78,8 +76,7 @@
     cold_per_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class Account:
+class Account(msgspec.Struct, frozen=True):
     """Describe a client account; a rate of 0 has no bound."""
 
     name: str
@@ -90,8 +87,7 @@
     home_regions: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class RequestLimits:
+class RequestLimits(msgspec.Struct, frozen=True):
     """Bound what a caller may send and how long it may take."""
 
     head_bytes: int
@@ -100,8 +96,7 @@
     idle_timeout_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class Deployment:
+class Deployment(msgspec.Struct, frozen=True):
     """Hold one version of everything that steers requests."""
 
     version: int
--- a/src/wigeonford/entry/_budget_links.py
+++ b/src/wigeonford/entry/_budget_links.py
@@ -6,16 +6,16 @@
 import uuid
 
 from wigeonford.errors import Code, PeerError
-from wigeonford.peer import (
+from wigeonford.messages.budget import (
     GrantRow,
     LoanReply,
     LoanRequest,
-    Member,
-    PeerClient,
     ShareReply,
     ShareReport,
     ShareRow,
 )
+from wigeonford.messages.object import Member
+from wigeonford.peer import PeerClient
 from wigeonford.policy import LoanGrant, ShareGrant, ShareRequest
 from wigeonford.settings import Address
 
--- a/src/wigeonford/entry/_claims.py
+++ b/src/wigeonford/entry/_claims.py
@@ -22,13 +22,13 @@
     Response,
     RUN_STATE_HEADER,
 )
-from wigeonford.peer import (
+from wigeonford.messages.object import (
     ClaimAnswer,
     ClaimClose,
     ClaimOpen,
     Outcome,
-    PeerClient,
 )
+from wigeonford.peer import PeerClient
 
 CLAIM_TIMEOUT_S: Final = 2.5
 CLOSE_ATTEMPTS: Final = 8
--- a/src/wigeonford/entry/_config.py
+++ b/src/wigeonford/entry/_config.py
@@ -13,16 +13,14 @@
 from wigeonford.errors import PeerError, WigeonfordError
 from wigeonford.events import Event, EventLog
 from wigeonford.invariants import Checks, Invariant
-from wigeonford.metrics import Metrics
-from wigeonford.peer import (
-    Member,
-    PeerClient,
-    PeerServer,
-    PullConfig,
+from wigeonford.messages.object import Member, PullConfig
+from wigeonford.messages.spread import (
     RosterReport,
     SpreadPull,
     SpreadUpdate,
 )
+from wigeonford.metrics import Metrics
+from wigeonford.peer import PeerClient, PeerServer
 
 PULL_INTERVAL_S: Final = 0.5
 TREE_PULL_INTERVAL_S: Final = 1.0
--- a/src/wigeonford/entry/_daemon.py
+++ b/src/wigeonford/entry/_daemon.py
@@ -19,7 +19,8 @@
 from wigeonford.events import Event, EventLog
 from wigeonford.http import HttpServer
 from wigeonford.invariants import Checks, Invariant
-from wigeonford.peer import LeaveRoster, Member, PeerClient, PeerServer
+from wigeonford.messages.object import LeaveRoster, Member
+from wigeonford.peer import PeerClient, PeerServer
 from wigeonford.settings import EntrySettings
 from wigeonford.tls import server_context
 
--- a/src/wigeonford/entry/_dispatch.py
+++ b/src/wigeonford/entry/_dispatch.py
@@ -22,10 +22,10 @@
 from wigeonford.events import Event, EventLog
 from wigeonford.http import find_header, Response
 from wigeonford.invariants import Checks, Invariant
+from wigeonford.leases import AttemptBudget
 from wigeonford.metrics import Metrics
 from wigeonford.model import Side
 from wigeonford.policy import (
-    AttemptBudget,
     Ejection,
     HEDGE_PART,
     HEDGE_RESERVE,
--- a/src/wigeonford/entry/_front.py
+++ b/src/wigeonford/entry/_front.py
@@ -23,9 +23,9 @@
     Response,
     whole_response,
 )
+from wigeonford.messages.object import TargetAnnounce
 from wigeonford.metrics import Metrics
 from wigeonford.model import Side
-from wigeonford.peer import TargetAnnounce
 from wigeonford.settings import Secrets
 
 SYSTEM_PREFIX: Final = "/.wigeonford/"
--- a/src/wigeonford/entry/_hop.py
+++ b/src/wigeonford/entry/_hop.py
@@ -7,6 +7,8 @@
 import time
 from typing import Final, Protocol
 
+from msgspec.structs import replace
+
 from wigeonford.entry._admission import find_route
 from wigeonford.entry._config import ConfigFollower
 from wigeonford.entry._dispatch import Dispatcher
@@ -186,14 +188,14 @@
         chunks = _chunks(response)
         body = self._paced(region, outbound.service, chunks, outbound)
         if not isinstance(response.body, bytes):
-            return dataclasses.replace(response, body=body)
+            return replace(response, body=body)
         try:
             whole = b"".join([chunk async for chunk in body])
         except AnswerBroken as exc:
             raise RequestRefused(
                 Code.LINK_BUDGET, "amid the answer", run_state=RunState.RAN
             ) from exc
-        return dataclasses.replace(response, body=whole)
+        return replace(response, body=whole)
 
     async def _paced(
         self,
--- a/src/wigeonford/entry/_limiter.py
+++ b/src/wigeonford/entry/_limiter.py
@@ -11,16 +11,16 @@
 from wigeonford.errors import Code, PeerError, RequestRefused
 from wigeonford.events import Event, EventLog
 from wigeonford.invariants import Checks, Invariant
+from wigeonford.leases import BucketShare, TokenBucket
+from wigeonford.messages.budget import LoanReply, LoanRequest
 from wigeonford.metrics import Metrics
-from wigeonford.peer import LoanReply, LoanRequest, PeerServer
+from wigeonford.peer import PeerServer
 from wigeonford.policy import (
     AccountShare,
-    BucketShare,
     DISPATCH_JITTER_S,
     leased_budget,
     REPORT_INTERVAL_S,
     ShareRequest,
-    TokenBucket,
     TokenQueue,
     Verdict,
 )
--- a/src/wigeonford/entry/_link_leases.py
+++ b/src/wigeonford/entry/_link_leases.py
@@ -12,22 +12,17 @@
 from wigeonford.entry._published import EntryConfig
 from wigeonford.errors import Code, PeerError, RequestRefused
 from wigeonford.events import Event, EventLog
-from wigeonford.model import Link, RequestClass
-from wigeonford.peer import (
-    LinkLeaseAnswer,
-    LinkLeaseAsk,
-    Member,
-    PeerClient,
-    PeerServer,
-)
-from wigeonford.policy import (
+from wigeonford.leases import (
     LeaseGrant,
     LeaseGrantor,
     LeaseHolder,
     LeaseRequest,
-    LinkDemand,
-    LinkShare,
 )
+from wigeonford.messages.link import LinkLeaseAnswer, LinkLeaseAsk
+from wigeonford.messages.object import Member
+from wigeonford.model import Link, RequestClass
+from wigeonford.peer import PeerClient, PeerServer
+from wigeonford.policy import LinkDemand, LinkShare
 from wigeonford.settings import Address
 
 TERM_S: Final = 3.0
--- a/src/wigeonford/entry/_lookup_ranking.py
+++ b/src/wigeonford/entry/_lookup_ranking.py
@@ -7,8 +7,8 @@
 import zlib
 
 from wigeonford.entry._published import EntryConfig
+from wigeonford.messages.object import Member
 from wigeonford.model import AvailabilityZone, ObjectSet
-from wigeonford.peer import Member
 
 MAX_ANSWERS: Final = 4
 MAX_OWN_ZONE: Final = 2
--- a/src/wigeonford/entry/_pipeline.py
+++ b/src/wigeonford/entry/_pipeline.py
@@ -1,10 +1,12 @@
 """The way of a caller's request: admission, limits, claim, dispatch."""
 
 from collections.abc import AsyncIterator
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 import time
 from typing import Final
 
+from msgspec.structs import replace
+
 from wigeonford.entry._admission import admit, Admitted, recheck
 from wigeonford.entry._claims import (
     ClaimRequest,
--- a/src/wigeonford/entry/_published.py
+++ b/src/wigeonford/entry/_published.py
@@ -7,9 +7,9 @@
 from wigeonford.config_table import ConfigTable
 from wigeonford.events import Event, EventLog
 from wigeonford.invariants import Checks, Invariant
+from wigeonford.messages.object import ConfigUpdate, Member
 from wigeonford.metrics import Metrics
 from wigeonford.model import KeyRecord, ObjectSet
-from wigeonford.peer import ConfigUpdate, Member
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonford/entry/_region_peers.py
+++ b/src/wigeonford/entry/_region_peers.py
@@ -9,7 +9,8 @@
 from wigeonford.entry._published import EntryConfig
 from wigeonford.errors import Code, PeerError
 from wigeonford.events import Event, EventLog
-from wigeonford.peer import Member, PeerClient
+from wigeonford.messages.object import Member
+from wigeonford.peer import PeerClient
 from wigeonford.policy import owner_of
 from wigeonford.settings import Address
 
--- a/src/wigeonford/entry/_registry.py
+++ b/src/wigeonford/entry/_registry.py
@@ -4,8 +4,8 @@
 from typing import Final
 
 from wigeonford.errors import Code, RequestRefused
+from wigeonford.messages.object import TargetAnnounce
 from wigeonford.model import Side
-from wigeonford.peer import TargetAnnounce
 from wigeonford.settings import Address
 
 TOMBSTONE_S: Final = 60.0
--- a/src/wigeonford/entry/_remote.py
+++ b/src/wigeonford/entry/_remote.py
@@ -31,8 +31,8 @@
     Response,
     RUN_STATE_HEADER,
 )
+from wigeonford.messages.object import Member
 from wigeonford.model import RequestClass
-from wigeonford.peer import Member
 from wigeonford.policy import SpillWindows
 from wigeonford.settings import Address
 
--- a/src/wigeonford/entry/_slots.py
+++ b/src/wigeonford/entry/_slots.py
@@ -13,8 +13,9 @@
 from wigeonford.entry._targets import TargetDirectory
 from wigeonford.errors import Code, PeerError, RequestRefused
 from wigeonford.invariants import Checks, Invariant
+from wigeonford.messages.slot import SlotCall, TargetGone
 from wigeonford.model import Side
-from wigeonford.peer import Done, PeerServer, SlotCall, TargetGone
+from wigeonford.peer import Done, PeerServer
 from wigeonford.policy import (
     Ejection,
     slot_pool,
--- a/src/wigeonford/entry/_spread.py
+++ b/src/wigeonford/entry/_spread.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass
 from typing import Final
 
-from wigeonford.peer import Member, PeerClient
+from wigeonford.messages.object import Member
+from wigeonford.peer import PeerClient
 
 FLAT_MEMBERS: Final = 16
 FAN_OUT: Final = 4
--- a/src/wigeonford/entry/_suspects.py
+++ b/src/wigeonford/entry/_suspects.py
@@ -10,7 +10,8 @@
 from wigeonford.errors import Code, RequestRefused, RunState
 from wigeonford.events import Event, EventLog
 from wigeonford.http import ClientConnection, ConnectFailed
-from wigeonford.peer import Done, PeerServer, SuspectCleared, TargetDeath
+from wigeonford.messages.slot import SuspectCleared, TargetDeath
+from wigeonford.peer import Done, PeerServer
 from wigeonford.policy import Quarantine
 from wigeonford.settings import parse_address
 
--- a/src/wigeonford/entry/_targets.py
+++ b/src/wigeonford/entry/_targets.py
@@ -12,14 +12,9 @@
 from wigeonford.errors import Code, PeerError, RequestRefused
 from wigeonford.events import Event, EventLog
 from wigeonford.invariants import Checks, Invariant
-from wigeonford.peer import (
-    Done,
-    PeerServer,
-    SlotCall,
-    TargetAnnounce,
-    TargetGone,
-    TargetHandover,
-)
+from wigeonford.messages.object import TargetAnnounce
+from wigeonford.messages.slot import SlotCall, TargetGone, TargetHandover
+from wigeonford.peer import Done, PeerServer
 from wigeonford.policy import (
     SLOT_TERM_S,
     SlotAnswer,
--- a/src/wigeonford/errors.py
+++ b/src/wigeonford/errors.py
@@ -1,9 +1,10 @@
 """Numbered result codes and the exceptions that carry them."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass
 from enum import Enum, StrEnum
 
+import msgspec
+
 
 class RunState(StrEnum):
     """Whether a target has run the request that an answer belongs to."""
@@ -13,8 +14,7 @@
     UNKNOWN = "unknown"
 
 
-@dataclass(frozen=True, slots=True)
-class CodeInfo:
+class CodeInfo(msgspec.Struct, frozen=True):
     """Describe one result code; `http_status` is 0 off the HTTP paths."""
 
     number: int
@@ -211,8 +211,7 @@
     """Refuse an operator's change."""
 
 
-@dataclass(frozen=True, slots=True)
-class Fault:
+class Fault(msgspec.Struct, frozen=True):
     """Locate one fault in settings or objects."""
 
     path: str
--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -1,13 +1,13 @@
 """Numbered log events and the structured logger that writes them."""
 
 from collections.abc import Iterator, MutableMapping
-from dataclasses import dataclass
 from enum import Enum
 import logging
 import re
 import sys
 from typing import Any, cast, Final, TextIO
 
+import msgspec
 import structlog
 
 from wigeonford._log_writer import LineRates, LogWriter
@@ -19,8 +19,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class EventInfo:
+class EventInfo(msgspec.Struct, frozen=True):
     """Describe one log event."""
 
     number: int
--- a/src/wigeonford/control/_budgets.py
+++ b/src/wigeonford/fleet/_budgets.py
@@ -15,20 +15,15 @@
 from wigeonford.errors import WigeonfordError
 from wigeonford.events import Event, EventLog
 from wigeonford.invariants import Checks, Invariant
-from wigeonford.peer import (
+from wigeonford.leases import BucketShare
+from wigeonford.messages.budget import (
     GrantRow,
-    LeaderElsewhere,
-    PeerServer,
     ShareReply,
     ShareReport,
     ShareRow,
 )
-from wigeonford.policy import (
-    BucketShare,
-    BudgetGrantor,
-    leased_budget,
-    ShareRequest,
-)
+from wigeonford.peer import LeaderElsewhere, PeerServer
+from wigeonford.policy import BudgetGrantor, leased_budget, ShareRequest
 
 WATCH_INTERVAL_S: Final = 0.05
 ELECTION_POLL_S: Final = 0.005
--- a/src/wigeonford/control/_queries.py
+++ b/src/wigeonford/fleet/_queries.py
@@ -1,13 +1,12 @@
 """Queries: views of the replicated state that change nothing."""
 
-from dataclasses import dataclass
+import msgspec
 
 from wigeonford.control._state import HistoryEntry, State
-from wigeonford.peer import ObjectRow
+from wigeonford.messages.object import ObjectRow
 
 
-@dataclass(frozen=True, slots=True)
-class ObjectView:
+class ObjectView(msgspec.Struct, frozen=True):
     """Show an object with its version and the revision that set it."""
 
     kind: str
--- a/src/wigeonford/control/_service.py
+++ b/src/wigeonford/fleet/_service.py
@@ -11,17 +11,15 @@
 from wigeonford.control._replica import Replica
 from wigeonford.errors import WigeonfordError
 from wigeonford.events import Event, EventLog
-from wigeonford.peer import (
+from wigeonford.messages.object import (
     ConfigUpdate,
-    Done,
-    HeardMembers,
     LeaveRoster,
     Member,
-    PeerServer,
     PullConfig,
-    RosterAnswer,
-    RosterReport,
 )
+from wigeonford.messages.raft import HeardMembers
+from wigeonford.messages.spread import RosterAnswer, RosterReport
+from wigeonford.peer import Done, PeerServer
 
 MEMBER_LEASE_S: Final = 6.0
 SWEEP_INTERVAL_S: Final = 1.0
--- a/src/wigeonford/http/_types.py
+++ b/src/wigeonford/http/_types.py
@@ -1,7 +1,6 @@
 """Requests and responses as both sides of HTTP/1.1 see them."""
 
 from collections.abc import AsyncIterator, Iterable
-from dataclasses import dataclass, field
 from typing import Final
 
 import msgspec
@@ -32,8 +31,7 @@
     yield b""
 
 
-@dataclass(frozen=True, slots=True)
-class Request:
+class Request(msgspec.Struct, frozen=True):
     """Hold a request head and the stream of its body."""
 
     method: str
@@ -41,7 +39,7 @@
     query: str
     headers: Headers
     client: str
-    body: AsyncIterator[bytes] = field(default_factory=no_body)
+    body: AsyncIterator[bytes] = msgspec.field(default_factory=no_body)
 
     def header(self, name: bytes) -> str | None:
         """Return the first value of a header, or None."""
@@ -55,8 +53,7 @@
         return chunked or length not in (None, "0")
 
 
-@dataclass(frozen=True, slots=True)
-class Response:
+class Response(msgspec.Struct, frozen=True):
     """Hold an answer; a streamed body that raises breaks the answer."""
 
     status: int
--- a/src/wigeonford/invariants.py
+++ b/src/wigeonford/invariants.py
@@ -1,8 +1,9 @@
 """Checks of the promises, asserted while the program runs."""
 
-from dataclasses import dataclass
 from enum import Enum, StrEnum
 
+import msgspec
+
 from wigeonford.errors import Code, WigeonfordError
 from wigeonford.events import Event, EventLog
 from wigeonford.metrics import Metrics
@@ -44,8 +45,7 @@
     """Stop the process under test; nothing may swallow it."""
 
 
-@dataclass(frozen=True, slots=True)
-class Checks:
+class Checks(msgspec.Struct, frozen=True):
     """Assert invariants, log and count their breaches."""
 
     log: EventLog
--- a/src/wigeonford/policy/_leases.py
+++ b/src/wigeonford/leases/_leases.py
@@ -8,15 +8,15 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Final
 
+import msgspec
+
 DRIFT_MARGIN: Final = 0.05
 """The part of a term by which two clocks may drift apart."""
 
 
-@dataclass(frozen=True, slots=True)
-class LeaseRequest:
+class LeaseRequest(msgspec.Struct, frozen=True):
     """Ask for units of a budget; `held` is what the holder has now.
 
     `holder` names one run of a process, since numbers start anew with it.
@@ -28,16 +28,14 @@
     wanted: float
 
 
-@dataclass(frozen=True, slots=True)
-class LeaseGrant:
+class LeaseGrant(msgspec.Struct, frozen=True):
     """Answer the request `number`; it replaces what the holder has."""
 
     number: int
     amount: float
 
 
-@dataclass(frozen=True, slots=True)
-class LeaseRecord:
+class LeaseRecord(msgspec.Struct, frozen=True):
     """Hold the most that a holder may have, and what it last wanted."""
 
     amount: float
--- a/src/wigeonford/policy/_limits.py
+++ b/src/wigeonford/leases/_limits.py
@@ -1,10 +1,9 @@
 """Token buckets over the part of a budget that one VM may spend."""
 
-from dataclasses import dataclass
+import msgspec
 
 
-@dataclass(frozen=True, slots=True)
-class BucketShare:
+class BucketShare(msgspec.Struct, frozen=True):
     """Bound one VM's part of a budget: tokens a second, and at once."""
 
     rate_per_s: float
--- a/src/wigeonford/policy/_token_pool.py
+++ b/src/wigeonford/leases/_token_pool.py
@@ -7,7 +7,7 @@
 
 from typing import Final
 
-from wigeonford.policy._limits import BucketShare, TokenBucket
+from wigeonford.leases._limits import BucketShare, TokenBucket
 
 EVEN_PER_S: Final = 1.0
 """Requests a second at each entry VM at which half of a rate is pooled; a
--- a/src/wigeonford/peer/_budget_messages.py
+++ b/src/wigeonford/messages/budget.py
@@ -1,9 +1,10 @@
 """Messages that lease and lend parts of client accounts' budgets."""
 
-from dataclasses import dataclass
 from typing import NamedTuple
 
-from wigeonford.peer._messages import message
+import msgspec
+
+from wigeonford.peer import message
 
 
 class ShareRow(NamedTuple):
@@ -34,8 +35,7 @@
 
 
 @message(50)
-@dataclass(frozen=True, slots=True)
-class ShareReport:
+class ShareReport(msgspec.Struct, frozen=True):
     """Report the demand of every account that is active at an entry VM.
 
     `holder` names one run of the VM's process.
@@ -46,16 +46,14 @@
 
 
 @message(51)
-@dataclass(frozen=True, slots=True)
-class ShareReply:
+class ShareReply(msgspec.Struct, frozen=True):
     """Answer a `ShareReport`, row by row."""
 
     rows: tuple[GrantRow, ...]
 
 
 @message(52)
-@dataclass(frozen=True, slots=True)
-class LoanRequest:
+class LoanRequest(msgspec.Struct, frozen=True):
     """Ask a peer for whole tokens; the id makes it idempotent."""
 
     loan_id: str
@@ -64,8 +62,7 @@
 
 
 @message(53)
-@dataclass(frozen=True, slots=True)
-class LoanReply:
+class LoanReply(msgspec.Struct, frozen=True):
     """Answer a `LoanRequest`: tokens, and how long they may be spent."""
 
     tokens: int
--- a/src/wigeonford/peer/_claim_messages.py
+++ b/src/wigeonford/messages/claim.py
@@ -1,20 +1,19 @@
 """Messages between control replicas about claim registers."""
 
-from dataclasses import dataclass
+import msgspec
 
-from wigeonford.peer._messages import message, Outcome
+from wigeonford.messages.object import Outcome
+from wigeonford.peer import message
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class Ballot:
+class Ballot(msgspec.Struct, frozen=True, order=True):
     """Order proposals for one register; the proposer breaks ties."""
 
     number: int
     proposer: str
 
 
-@dataclass(frozen=True, slots=True)
-class ClaimRow:
+class ClaimRow(msgspec.Struct, frozen=True):
     """Hold the value of a register; times are of the wall clock.
 
     `state` is open, ran, unknown or released.
@@ -28,8 +27,7 @@
 
 
 @message(40)
-@dataclass(frozen=True, slots=True)
-class RegisterVote:
+class RegisterVote(msgspec.Struct, frozen=True):
     """Ask for the one vote of the open ballot that a replica has."""
 
     key: bytes
@@ -37,8 +35,7 @@
 
 
 @message(41)
-@dataclass(frozen=True, slots=True)
-class RegisterPrepare:
+class RegisterPrepare(msgspec.Struct, frozen=True):
     """Ask a replica to promise that it takes no lower ballot."""
 
     key: bytes
@@ -46,8 +43,7 @@
 
 
 @message(42)
-@dataclass(frozen=True, slots=True)
-class RegisterAccept:
+class RegisterAccept(msgspec.Struct, frozen=True):
     """Ask a replica to accept a value."""
 
     key: bytes
@@ -56,8 +52,7 @@
 
 
 @message(46)
-@dataclass(frozen=True, slots=True)
-class RegisterAbandon:
+class RegisterAbandon(msgspec.Struct, frozen=True):
     """Tell that a claimant that did not win will never run its request."""
 
     key: bytes
@@ -65,8 +60,7 @@
 
 
 @message(43)
-@dataclass(frozen=True, slots=True)
-class RegisterReply:
+class RegisterReply(msgspec.Struct, frozen=True):
     """Answer each of the four.
 
     `granted` tells whether the vote, promise or acceptance was given. The
@@ -82,16 +76,14 @@
 
 
 @message(44)
-@dataclass(frozen=True, slots=True)
-class RegisterScan:
+class RegisterScan(msgspec.Struct, frozen=True):
     """Ask for the registers that follow a key, in order."""
 
     after: bytes
     limit: int
 
 
-@dataclass(frozen=True, slots=True)
-class RegisterCopy:
+class RegisterCopy(msgspec.Struct, frozen=True):
     """Carry one register to a replica that has lost its own."""
 
     key: bytes
@@ -102,8 +94,7 @@
 
 
 @message(45)
-@dataclass(frozen=True, slots=True)
-class RegisterPage:
+class RegisterPage(msgspec.Struct, frozen=True):
     """Answer `RegisterScan`; an empty page ends the scan."""
 
     registers: tuple[RegisterCopy, ...]
--- a/src/wigeonford/peer/_link_messages.py
+++ b/src/wigeonford/messages/link.py
@@ -1,13 +1,12 @@
 """Messages by which entry VMs share the bytes of inter-region links."""
 
-from dataclasses import dataclass
+import msgspec
 
-from wigeonford.peer._messages import message
+from wigeonford.peer import message
 
 
 @message(90)
-@dataclass(frozen=True, slots=True)
-class LinkLeaseAsk:
+class LinkLeaseAsk(msgspec.Struct, frozen=True):
     """Ask the grantor of a link for bytes a second of it."""
 
     link: str
@@ -18,8 +17,7 @@
 
 
 @message(91)
-@dataclass(frozen=True, slots=True)
-class LinkLeaseAnswer:
+class LinkLeaseAnswer(msgspec.Struct, frozen=True):
     """Answer with the bytes a second that the holder has from now on."""
 
     number: int
--- a/src/wigeonford/peer/_raft_messages.py
+++ b/src/wigeonford/messages/raft.py
@@ -1,12 +1,11 @@
 """Messages between control replicas."""
 
-from dataclasses import dataclass
+import msgspec
 
-from wigeonford.peer._messages import message
+from wigeonford.peer import message
 
 
-@dataclass(frozen=True, slots=True)
-class EntryRecord:
+class EntryRecord(msgspec.Struct, frozen=True):
     """Carry one log entry; its position follows from its place."""
 
     term: int
@@ -14,8 +13,7 @@
 
 
 @message(20)
-@dataclass(frozen=True, slots=True)
-class VoteRequest:
+class VoteRequest(msgspec.Struct, frozen=True):
     """Ask one incarnation of a replica for its vote.
 
     With `pre_vote` set, ask whether it would vote, which binds nobody.
@@ -31,8 +29,7 @@
 
 
 @message(21)
-@dataclass(frozen=True, slots=True)
-class VoteReply:
+class VoteReply(msgspec.Struct, frozen=True):
     """Answer `VoteRequest`; `term` is the request's where granted."""
 
     sender: str
@@ -43,8 +40,7 @@
 
 
 @message(22)
-@dataclass(frozen=True, slots=True)
-class AppendEntries:
+class AppendEntries(msgspec.Struct, frozen=True):
     """Replicate entries that follow `previous_position`; also a heartbeat.
 
     `sent_at_s` is the leader's clock, given back in the reply. `echo_s` is
@@ -65,8 +61,7 @@
 
 
 @message(23)
-@dataclass(frozen=True, slots=True)
-class AppendReply:
+class AppendReply(msgspec.Struct, frozen=True):
     """Answer `AppendEntries` and `InstallSnapshot`.
 
     `position` is where the logs match if accepted; otherwise it is the
@@ -83,8 +78,7 @@
 
 
 @message(24)
-@dataclass(frozen=True, slots=True)
-class InstallSnapshot:
+class InstallSnapshot(msgspec.Struct, frozen=True):
     """Replace the state of a follower that is too far behind."""
 
     sender: str
@@ -97,8 +91,7 @@
 
 
 @message(25)
-@dataclass(frozen=True, slots=True)
-class BootstrapProbe:
+class BootstrapProbe(msgspec.Struct, frozen=True):
     """Ask whether a replica has an empty data folder."""
 
     sender: str
@@ -106,8 +99,7 @@
 
 
 @message(26)
-@dataclass(frozen=True, slots=True)
-class BootstrapReply:
+class BootstrapReply(msgspec.Struct, frozen=True):
     """Answer `BootstrapProbe` to one incarnation of the initiator."""
 
     sender: str
@@ -117,46 +109,40 @@
 
 
 @message(27)
-@dataclass(frozen=True, slots=True)
-class SubmitCommand:
+class SubmitCommand(msgspec.Struct, frozen=True):
     """Forward an encoded command to the leader."""
 
     content: bytes
 
 
 @message(28)
-@dataclass(frozen=True, slots=True)
-class CommandOutcome:
+class CommandOutcome(msgspec.Struct, frozen=True):
     """Answer `SubmitCommand` with the encoded result."""
 
     content: bytes
 
 
 @message(29)
-@dataclass(frozen=True, slots=True)
-class ConfirmRead:
+class ConfirmRead(msgspec.Struct, frozen=True):
     """Ask the leader for a position that is current by a quorum."""
 
 
 @message(30)
-@dataclass(frozen=True, slots=True)
-class ReadConfirmed:
+class ReadConfirmed(msgspec.Struct, frozen=True):
     """Answer `ConfirmRead`; reads are current from `position` on."""
 
     position: int
 
 
 @message(31)
-@dataclass(frozen=True, slots=True)
-class HeardMembers:
+class HeardMembers(msgspec.Struct, frozen=True):
     """Tell the leader which entry VMs a follower has heard lately."""
 
     names: tuple[str, ...]
 
 
 @message(32)
-@dataclass(frozen=True, slots=True)
-class ReplicaChange:
+class ReplicaChange(msgspec.Struct, frozen=True):
     """Add a replica at an address, or remove it; the leader's to do."""
 
     name: str
--- a/src/wigeonford/peer/_slot_messages.py
+++ b/src/wigeonford/messages/slot.py
@@ -1,8 +1,9 @@
 """Messages by which entry VMs of a region share slots of targets."""
 
-from dataclasses import dataclass
+import msgspec
 
-from wigeonford.peer._messages import message, TargetAnnounce
+from wigeonford.messages.object import TargetAnnounce
+from wigeonford.peer import message
 from wigeonford.policy import SlotAnswer, SlotAsk, SlotHeld
 
 message(60)(SlotAsk)
@@ -10,8 +11,7 @@
 
 
 @message(62)
-@dataclass(frozen=True, slots=True)
-class SlotCall:
+class SlotCall(msgspec.Struct, frozen=True):
     """Tell a holder to ask an owner again; `recalled` asks for idle slots."""
 
     owner: str
@@ -19,8 +19,7 @@
 
 
 @message(63)
-@dataclass(frozen=True, slots=True)
-class TargetGone:
+class TargetGone(msgspec.Struct, frozen=True):
     """Tell a holder that a target leaves, from an announcement on."""
 
     target_id: str
@@ -28,8 +27,7 @@
 
 
 @message(64)
-@dataclass(frozen=True, slots=True)
-class TargetDeath:
+class TargetDeath(msgspec.Struct, frozen=True):
     """Name the requests that were in flight when a target failed."""
 
     target_id: str
@@ -37,16 +35,14 @@
 
 
 @message(65)
-@dataclass(frozen=True, slots=True)
-class SuspectCleared:
+class SuspectCleared(msgspec.Struct, frozen=True):
     """Say that a suspected request was answered whole."""
 
     fingerprint: bytes
 
 
 @message(66)
-@dataclass(frozen=True, slots=True)
-class TargetHandover:
+class TargetHandover(msgspec.Struct, frozen=True):
     """Make another entry VM a target's owner, with all that is granted."""
 
     announcement: TargetAnnounce
--- a/src/wigeonford/peer/_spread_messages.py
+++ b/src/wigeonford/messages/spread.py
@@ -1,13 +1,13 @@
 """Messages of the tree that spreads configuration and the roster."""
 
-from dataclasses import dataclass
+import msgspec
 
-from wigeonford.peer._messages import ConfigUpdate, Member, message
+from wigeonford.messages.object import ConfigUpdate, Member
+from wigeonford.peer import message
 
 
 @message(70)
-@dataclass(frozen=True, slots=True)
-class SpreadPull:
+class SpreadPull(msgspec.Struct, frozen=True):
     """Ask a parent for what changed and for a newer vouch.
 
     `heard` names the members that were heard since the last pull, the
@@ -20,8 +20,7 @@
 
 
 @message(71)
-@dataclass(frozen=True, slots=True)
-class SpreadUpdate:
+class SpreadUpdate(msgspec.Struct, frozen=True):
     """Answer `SpreadPull`; `update` is None where nothing changed.
 
     `vouched_age_s` counts from the arrival of the pull and is negative
@@ -39,8 +38,7 @@
 
 
 @message(72)
-@dataclass(frozen=True, slots=True)
-class RosterReport:
+class RosterReport(msgspec.Struct, frozen=True):
     """Tell control which members were heard below a relay."""
 
     heard: tuple[str, ...]
@@ -48,8 +46,7 @@
 
 
 @message(73)
-@dataclass(frozen=True, slots=True)
-class RosterAnswer:
+class RosterAnswer(msgspec.Struct, frozen=True):
     """Answer `RosterReport` with the members that need a description."""
 
     unknown: tuple[str, ...]
--- a/src/wigeonford/peer/_steering_messages.py
+++ b/src/wigeonford/messages/steering.py
@@ -1,13 +1,12 @@
 """Messages between entry VMs and control that carry what steers."""
 
-from dataclasses import dataclass
+import msgspec
 
 from wigeonford.deployment import Announcement, Deployment
-from wigeonford.peer._messages import message
+from wigeonford.peer import message
 
 
-@dataclass(frozen=True, slots=True)
-class EntryStatus:
+class EntryStatus(msgspec.Struct, frozen=True):
     """Describe a running entry VM; `incarnation` is new at each start.
 
     `address` takes requests and look-ups come in at `lookup_address`.
@@ -21,16 +20,14 @@
     ready: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Suspicion:
+class Suspicion(msgspec.Struct, frozen=True):
     """Tell which incarnations of targets died under a request."""
 
     fingerprint: bytes
     deaths: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class PartRequest:
+class PartRequest(msgspec.Struct, frozen=True):
     """Ask for a part of an account's rate, 0 to 1.
 
     `number` orders the requests of one run of an entry VM.
@@ -42,8 +39,7 @@
     wanted: float
 
 
-@dataclass(frozen=True, slots=True)
-class PartGrant:
+class PartGrant(msgspec.Struct, frozen=True):
     """Answer the request `number` of an account."""
 
     account: str
@@ -52,8 +48,7 @@
 
 
 @message(190)
-@dataclass(frozen=True, slots=True)
-class WatchView:
+class WatchView(msgspec.Struct, frozen=True):
     """Wait until there is news after `revision`, and report for duty.
 
     `roster_digest` is that of the roster last received.
@@ -66,8 +61,7 @@
 
 
 @message(191)
-@dataclass(frozen=True, slots=True)
-class ViewNotice:
+class ViewNotice(msgspec.Struct, frozen=True):
     """Answer `WatchView` with the revision that can be fetched.
 
     `roster` is None where it has not changed. `silent` names targets that
@@ -82,16 +76,14 @@
 
 
 @message(192)
-@dataclass(frozen=True, slots=True)
-class FetchView:
+class FetchView(msgspec.Struct, frozen=True):
     """Ask for what changed after a revision."""
 
     revision: int
 
 
 @message(193)
-@dataclass(frozen=True, slots=True)
-class ViewUpdate:
+class ViewUpdate(msgspec.Struct, frozen=True):
     """Answer `FetchView`; None where a part has not changed.
 
     `cold_s` of an announcement is as of the answer.
@@ -106,16 +98,14 @@
 
 
 @message(194)
-@dataclass(frozen=True, slots=True)
-class ReportStatus:
+class ReportStatus(msgspec.Struct, frozen=True):
     """Tell at once that an entry VM has become ready, or is not any more."""
 
     status: EntryStatus
 
 
 @message(195)
-@dataclass(frozen=True, slots=True)
-class PartsReport:
+class PartsReport(msgspec.Struct, frozen=True):
     """Ask the leader for parts of the accounts' rates."""
 
     entry: str
@@ -124,8 +114,7 @@
 
 
 @message(196)
-@dataclass(frozen=True, slots=True)
-class PartsAnswer:
+class PartsAnswer(msgspec.Struct, frozen=True):
     """Answer `PartsReport`; `entries` counts the entry VMs that report."""
 
     entries: int
@@ -133,16 +122,14 @@
 
 
 @message(200)
-@dataclass(frozen=True, slots=True)
-class BorrowTokens:
+class BorrowTokens(msgspec.Struct, frozen=True):
     """Ask the leader for tokens that are to be spent at once, by account."""
 
     entry: str
     wanted: dict[str, int]
 
 
-@dataclass(frozen=True, slots=True)
-class TokenLoan:
+class TokenLoan(msgspec.Struct, frozen=True):
     """Lend tokens; `after_s` tells when the pool will have one more."""
 
     account: str
@@ -151,16 +138,14 @@
 
 
 @message(201)
-@dataclass(frozen=True, slots=True)
-class TokensLent:
+class TokensLent(msgspec.Struct, frozen=True):
     """Answer `BorrowTokens`."""
 
     loans: tuple[TokenLoan, ...]
 
 
 @message(197)
-@dataclass(frozen=True, slots=True)
-class JoinGroup:
+class JoinGroup(msgspec.Struct, frozen=True):
     """Ask for a place among the control replicas."""
 
     name: str
@@ -170,16 +155,14 @@
 
 
 @message(198)
-@dataclass(frozen=True, slots=True)
-class GroupMembers:
+class GroupMembers(msgspec.Struct, frozen=True):
     """Answer `JoinGroup` with the addresses of the replicas known."""
 
     addresses: tuple[str, ...]
 
 
 @message(199)
-@dataclass(frozen=True, slots=True)
-class HeardTargets:
+class HeardTargets(msgspec.Struct, frozen=True):
     """Tell the leader which targets announced themselves of late."""
 
     target_ids: tuple[str, ...]
--- a/src/wigeonford/model/_keys.py
+++ b/src/wigeonford/model/_keys.py
@@ -1,12 +1,13 @@
 """Callers' keys: issue, parse and keyed hash."""
 
 import base64
-from dataclasses import dataclass
 import hashlib
 import hmac
 import re
 from typing import Final
 
+import msgspec
+
 KEY_PREFIX: Final = "wfk_"
 KEY_START: Final = re.compile(rb"wfk_[0-9a-f]{12}_", re.IGNORECASE)
 """Match the start of a key, which is enough to tell one."""
@@ -15,8 +16,7 @@
 _ID_BYTES: Final = 6
 
 
-@dataclass(frozen=True, slots=True)
-class KeyRecord:
+class KeyRecord(msgspec.Struct, frozen=True):
     """Hold what is kept of a key: never the key itself."""
 
     key_id: str
--- a/src/wigeonford/platform/_announcements.py
+++ b/src/wigeonford/platform/_announcements.py
@@ -1,7 +1,6 @@
 """Decode what targets say of themselves on the platform."""
 
 from collections.abc import Container
-from dataclasses import dataclass
 from typing import Annotated, Final, Literal
 
 import msgspec
@@ -19,8 +18,7 @@
     """Report an announcement that names no target to use."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Information:
+class _Information(msgspec.Struct, frozen=True):
     """Mirror what stays the same; `version` is that of the software."""
 
     service: _Text
@@ -29,15 +27,13 @@
     slots: Annotated[int, msgspec.Meta(ge=1)]
 
 
-@dataclass(frozen=True, slots=True)
-class _Status:
+class _Status(msgspec.Struct, frozen=True):
     state: Literal["ready", "draining"]
     sequence: _Count
     cold_remaining_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_S)]
 
 
-@dataclass(frozen=True, slots=True)
-class _Instance:
+class _Instance(msgspec.Struct, frozen=True):
     """Mirror an announcement; `born` is the Unix millisecond of its start."""
 
     address: Annotated[
--- /dev/null
+++ b/src/wigeonford/platform/_control_role.py
@@ -0,0 +1,22 @@
+"""Wire a control replica on the platform."""
+
+from wigeonford._compose_steer_control import build_steer_control
+from wigeonford.control import Replica, TargetService
+from wigeonford.daemon import Daemon
+from wigeonford.events import EventLog
+from wigeonford.http import Handler
+from wigeonford.platform._control_api import ControlApi
+from wigeonford.platform._settings import to_control
+from wigeonford.platform._settings_file import SettingsFile
+
+
+def build_daemon(file: SettingsFile, log: EventLog) -> Daemon:
+    """Return the daemon that the settings describe."""
+    cfg = to_control(file.current)
+
+    def build_api(
+        replica: Replica, targets: TargetService, log: EventLog
+    ) -> Handler:
+        return ControlApi(replica, targets, dict(cfg.zones), log).handle
+
+    return build_steer_control(cfg, file.seeds, build_api, log)
--- a/src/wigeonford/platform/_documents.py
+++ b/src/wigeonford/platform/_documents.py
@@ -4,7 +4,6 @@
 """
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
 import re
 from typing import Any, Final, TypeVar
 
@@ -30,14 +29,12 @@
     """Report a configuration that can't be read in full."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Split:
+class _Split(msgspec.Struct, frozen=True):
     service: str
     weight: float
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Path:
+class _Path(msgspec.Struct, frozen=True, kw_only=True):
     """Mirror a route.
 
     `target_latency_s` is the latency objective; `cache_affinity` says that
@@ -58,14 +55,12 @@
     traffic_split: tuple[_Split, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class _Host:
+class _Host(msgspec.Struct, frozen=True):
     host: str
     paths: tuple[_Path, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class _Service:
+class _Service(msgspec.Struct, frozen=True):
     name: str
     health_check_path: str = "/health"
     connection_limit: int = 0
@@ -75,8 +70,7 @@
     cold_per_s: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class _Tenant:
+class _Tenant(msgspec.Struct, frozen=True):
     """Mirror a client account."""
 
     name: str
@@ -87,16 +81,14 @@
     home_regions: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class _Limits:
+class _Limits(msgspec.Struct, frozen=True):
     max_header_bytes: int
     max_body_bytes: int
     header_timeout_s: float
     idle_timeout_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class _Configuration:
+class _Configuration(msgspec.Struct, frozen=True):
     version: str
     services: tuple[_Service, ...]
     limits: _Limits
@@ -104,24 +96,21 @@
     tenants: tuple[_Tenant, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class _Upsert:
+class _Upsert(msgspec.Struct, frozen=True):
     services: tuple[_Service, ...] = ()
     tenants: tuple[_Tenant, ...] = ()
     hosts: tuple[_Host, ...] = ()
     limits: _Limits | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class _Remove:
+class _Remove(msgspec.Struct, frozen=True):
     services: tuple[str, ...] = ()
     tenants: tuple[str, ...] = ()
     routes: tuple[str, ...] = ()
     hosts: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class _Patch:
+class _Patch(msgspec.Struct, frozen=True):
     version: str
     upsert: _Upsert = _Upsert()
     remove: _Remove = _Remove()
--- /dev/null
+++ b/src/wigeonford/platform/_entry_role.py
@@ -0,0 +1,24 @@
+"""Wire an entry VM on the platform."""
+
+from wigeonford._compose_steer_entry import build_steer_entry
+from wigeonford.daemon import Daemon
+from wigeonford.events import EventLog
+from wigeonford.platform._front import (
+    CallerApi,
+    LookupApi,
+    PlatformTargetWire,
+)
+from wigeonford.platform._settings import to_entry
+from wigeonford.platform._settings_file import SettingsFile
+
+
+def build_daemon(file: SettingsFile, log: EventLog) -> Daemon:
+    """Return the daemon that the settings describe."""
+    return build_steer_entry(
+        to_entry(file.current),
+        file.seeds,
+        PlatformTargetWire(),
+        lambda forwarder: CallerApi(forwarder).handle,
+        lambda follower, readiness: LookupApi(follower, readiness).handle,
+        log,
+    )
--- a/src/wigeonford/platform/_front.py
+++ b/src/wigeonford/platform/_front.py
@@ -15,7 +15,7 @@
     Request,
     Response,
 )
-from wigeonford.peer import EntryStatus
+from wigeonford.messages.steering import EntryStatus
 from wigeonford.steer import (
     AnswerFacts,
     Forwarder,
--- a/src/wigeonford/platform/_settings.py
+++ b/src/wigeonford/platform/_settings.py
@@ -1,6 +1,5 @@
 """Decode the platform's settings file."""
 
-from dataclasses import dataclass, field
 from pathlib import Path
 import tomllib
 from typing import Any, Final
@@ -23,8 +22,7 @@
 DEFAULT_PATH: Final = "/etc/wigeonford/settings.toml"
 
 
-@dataclass(frozen=True, slots=True)
-class _Listen:
+class _Listen(msgspec.Struct, frozen=True):
     """Hold the addresses for what the role serves."""
 
     front: str | None = None
@@ -33,19 +31,16 @@
     directory: str | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class _Limits:
+class _Limits(msgspec.Struct, frozen=True):
     memory_mb: int = 0
     file_descriptors: int = 4096
 
 
-@dataclass(frozen=True, slots=True)
-class _Tolerance:
+class _Tolerance(msgspec.Struct, frozen=True):
     machines: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class _Bounds:
+class _Bounds(msgspec.Struct, frozen=True):
     drain_s: float = 2.5
     grace_s: float = 6.0
     retry_budget_ratio: float = 0.2
@@ -53,8 +48,7 @@
     quota_slack: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class PlatformSettings:
+class PlatformSettings(msgspec.Struct, frozen=True):
     """Mirror the file; what it holds beside these fields is ignored.
 
     `internal_port_range` is first and last port between own processes;
@@ -70,11 +64,11 @@
     seeds: tuple[str, ...]
     bootstrap: bool = False
     data_directory: str = ""
-    zones: dict[str, str] = field(default_factory=dict)
-    listen: _Listen = field(default_factory=_Listen)
-    limits: _Limits = field(default_factory=_Limits)
-    fault_tolerance: _Tolerance = field(default_factory=_Tolerance)
-    bounds: _Bounds = field(default_factory=_Bounds)
+    zones: dict[str, str] = msgspec.field(default_factory=dict)
+    listen: _Listen = msgspec.field(default_factory=_Listen)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    fault_tolerance: _Tolerance = msgspec.field(default_factory=_Tolerance)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
     @property
     def peer_port(self) -> int:
--- a/src/wigeonford/policy/__init__.py
+++ b/src/wigeonford/policy/__init__.py
@@ -12,22 +12,12 @@
     ShareRequest,
     TERM_S,
 )
-from wigeonford.policy._demand import Demand
 from wigeonford.policy._ejection import Ejection
 from wigeonford.policy._fair_queue import FairQueue
-from wigeonford.policy._leases import (
-    fair_part,
-    LeaseGrant,
-    LeaseGrantor,
-    LeaseHolder,
-    LeaseRequest,
-)
-from wigeonford.policy._limits import BucketShare, TokenBucket
 from wigeonford.policy._links import LinkDemand, LinkShare
 from wigeonford.policy._ownership import owner_of
 from wigeonford.policy._quarantine import Quarantine, request_fingerprint
 from wigeonford.policy._retry import (
-    AttemptBudget,
     HEDGE_PART,
     HEDGE_RESERVE,
     LatencyWindow,
@@ -51,26 +41,18 @@
     TargetOffer,
 )
 from wigeonford.policy._spill import admits_remote, SpillWindows
-from wigeonford.policy._token_pool import pooled_part, TokenPool
 from wigeonford.policy._token_queue import TokenQueue, Verdict
 
 __all__ = [
     "AccountShare",
-    "AttemptBudget",
-    "BucketShare",
     "BudgetGrantor",
     "Candidate",
     "DISPATCH_JITTER_S",
-    "Demand",
     "Ejection",
     "FairQueue",
     "HEDGE_PART",
     "HEDGE_RESERVE",
     "LatencyWindow",
-    "LeaseGrant",
-    "LeaseGrantor",
-    "LeaseHolder",
-    "LeaseRequest",
     "LinkDemand",
     "LinkShare",
     "LoanGrant",
@@ -95,17 +77,13 @@
     "SpillWindows",
     "TERM_S",
     "TargetOffer",
-    "TokenBucket",
-    "TokenPool",
     "TokenQueue",
     "Verdict",
     "admits_remote",
     "choose_target",
     "divide_slots",
-    "fair_part",
     "leased_budget",
     "owner_of",
     "request_fingerprint",
     "slot_pool",
-    "pooled_part",
 ]
--- a/src/wigeonford/policy/_account_share.py
+++ b/src/wigeonford/policy/_account_share.py
@@ -3,6 +3,9 @@
 import math
 from typing import Final
 
+from wigeonford.leases._demand import Demand
+from wigeonford.leases._leases import DRIFT_MARGIN, LeaseGrant, LeaseHolder
+from wigeonford.leases._limits import BucketShare
 from wigeonford.policy._budgets import (
     HEADROOM,
     LOAN_S,
@@ -12,9 +15,6 @@
     ShareRequest,
     TERM_S,
 )
-from wigeonford.policy._demand import Demand
-from wigeonford.policy._leases import DRIFT_MARGIN, LeaseGrant, LeaseHolder
-from wigeonford.policy._limits import BucketShare
 from wigeonford.policy._share_bucket import ShareBucket
 
 MIN_LOAN_S: Final = 0.3
--- a/src/wigeonford/policy/_budget_grantor.py
+++ b/src/wigeonford/policy/_budget_grantor.py
@@ -7,6 +7,8 @@
 
 import math
 
+from wigeonford.leases._leases import LeaseGrantor, LeaseRequest
+from wigeonford.leases._limits import BucketShare
 from wigeonford.policy._budgets import (
     HEADROOM,
     LOAN_S,
@@ -15,8 +17,6 @@
     ShareRequest,
     TERM_S,
 )
-from wigeonford.policy._leases import LeaseGrantor, LeaseRequest
-from wigeonford.policy._limits import BucketShare
 from wigeonford.policy._share_bucket import ShareBucket
 
 
--- a/src/wigeonford/policy/_budgets.py
+++ b/src/wigeonford/policy/_budgets.py
@@ -1,9 +1,10 @@
 """What is said between the grantor of a budget and its holders."""
 
-from dataclasses import dataclass
 from typing import Final
 
-from wigeonford.policy._limits import BucketShare
+import msgspec
+
+from wigeonford.leases._limits import BucketShare
 
 SHARE_UNITS: Final = 1_000_000
 TERM_S: Final = 6.0
@@ -29,8 +30,7 @@
     return BucketShare(kept_rate_per_s / (1 + late), 1.0)
 
 
-@dataclass(frozen=True, slots=True)
-class ShareRequest:
+class ShareRequest(msgspec.Struct, frozen=True):
     """Ask for millionths of a budget, and for a loan of whole tokens.
 
     `spare` tells the grantor what could be borrowed here; `returned` are
@@ -45,8 +45,7 @@
     need: int
 
 
-@dataclass(frozen=True, slots=True)
-class ShareGrant:
+class ShareGrant(msgspec.Struct, frozen=True):
     """Answer a request: millionths, tokens that come with them, a loan.
 
     A scarce budget is one of which holders want more than there is.
@@ -60,8 +59,7 @@
     lenders: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class LoanGrant:
+class LoanGrant(msgspec.Struct, frozen=True):
     """Answer a peer: whole tokens, usable for `lifetime_s`."""
 
     tokens: int
--- a/src/wigeonford/policy/_ejection.py
+++ b/src/wigeonford/policy/_ejection.py
@@ -1,17 +1,17 @@
 """Ejection of targets by what was seen of their answers."""
 
 from collections.abc import Collection
-from dataclasses import dataclass
 from typing import Final
 
+import msgspec
+
 FAILURES: Final = 3
 FIRST_EJECTION_S: Final = 1.0
 LONGEST_EJECTION_S: Final = 30.0
 KEPT_PART: Final = 0.5
 
 
-@dataclass(slots=True)
-class _Seen:
+class _Seen(msgspec.Struct):
     failures: int = 0
     ejections: int = 0
     until_s: float = float("-inf")
--- a/src/wigeonford/policy/_fair_queue.py
+++ b/src/wigeonford/policy/_fair_queue.py
@@ -2,9 +2,10 @@
 
 import collections
 from collections.abc import Iterator
-from dataclasses import dataclass
 from typing import Final, Generic, TypeVar
 
+import msgspec
+
 from wigeonford.model import RequestClass
 
 BULK_PART: Final = 0.2
@@ -12,8 +13,7 @@
 T = TypeVar("T")
 
 
-@dataclass(frozen=True, slots=True)
-class _Entry(Generic[T]):
+class _Entry(msgspec.Struct, Generic[T], frozen=True):
     """Hold a waiting item with its start tag."""
 
     item: T
--- a/src/wigeonford/policy/_links.py
+++ b/src/wigeonford/policy/_links.py
@@ -5,9 +5,10 @@
 other, so interactive work goes first and bulk always makes progress.
 """
 
-from dataclasses import dataclass
 from typing import Final
 
+import msgspec
+
 from wigeonford.model import RequestClass
 
 BURST_S: Final = 0.1
@@ -16,8 +17,7 @@
 LEAST_BULK_PART: Final = 0.05
 
 
-@dataclass(slots=True)
-class _Part:
+class _Part(msgspec.Struct):
     """Hold one class's tokens, in bytes."""
 
     tokens: float = 0.0
--- a/src/wigeonford/policy/_quarantine.py
+++ b/src/wigeonford/policy/_quarantine.py
@@ -1,10 +1,11 @@
 """Quarantine of requests that were in flight when targets failed."""
 
 from collections.abc import Collection
-from dataclasses import dataclass, field
 import hashlib
 from typing import Final
 
+import msgspec
+
 DEATHS: Final = 2
 SUSPICION_S: Final = 60.0
 SAME_DEATH_S: Final = 1.0
@@ -24,10 +25,9 @@
     return digest.digest()
 
 
-@dataclass(slots=True)
-class _Suspect:
+class _Suspect(msgspec.Struct):
     expires_at_s: float
-    deaths: dict[str, float] = field(default_factory=dict)
+    deaths: dict[str, float] = msgspec.field(default_factory=dict)
 
 
 class Quarantine:
--- a/src/wigeonford/policy/_selection.py
+++ b/src/wigeonford/policy/_selection.py
@@ -1,13 +1,13 @@
 """Choice of a target among those with a free slot."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 from wigeonford.model import Side
 
 
-@dataclass(frozen=True, slots=True)
-class Candidate:
+class Candidate(msgspec.Struct, frozen=True):
     """Describe a target as selection sees it."""
 
     target_id: str
--- a/src/wigeonford/policy/_share_bucket.py
+++ b/src/wigeonford/policy/_share_bucket.py
@@ -7,15 +7,15 @@
 """
 
 import collections
-from dataclasses import dataclass
 
-from wigeonford.policy._limits import BucketShare
+import msgspec
+
+from wigeonford.leases._limits import BucketShare
 
 _EPSILON = 1e-9
 
 
-@dataclass(slots=True)
-class _Loan:
+class _Loan(msgspec.Struct):
     """Hold whole tokens that count until a time."""
 
     tokens: float
--- a/src/wigeonford/policy/_shift.py
+++ b/src/wigeonford/policy/_shift.py
@@ -1,9 +1,10 @@
 """Deterministic split of requests between the old and the new side."""
 
-from dataclasses import dataclass, field
 from typing import Final
 import zlib
 
+import msgspec
+
 from wigeonford.model import Share, Side
 
 UNIT: Final = 1_000_000
@@ -17,8 +18,7 @@
 WEIGHT: Final = 0.05
 
 
-@dataclass(slots=True)
-class _SideSeen:
+class _SideSeen(msgspec.Struct):
     """Follow one side's errors and latency by moving averages."""
 
     count: int = 0
@@ -33,8 +33,7 @@
             self.latency_s += weight * (latency_s - self.latency_s)
 
 
-@dataclass(slots=True)
-class ShiftCounter:
+class ShiftCounter(msgspec.Struct):
     """Split one VM's attempts; the new side is at its cap at any prefix.
 
     Each attempt earns the part in force, in millionths, and one at the new
@@ -51,7 +50,7 @@
     _share: Share | None = None
     _from_part: float = 0.0
     _since_s: float = 0.0
-    _seen: dict[Side, _SideSeen] = field(
+    _seen: dict[Side, _SideSeen] = msgspec.field(
         default_factory=lambda: {side: _SideSeen() for side in Side}
     )
 
--- a/src/wigeonford/policy/_slot_book.py
+++ b/src/wigeonford/policy/_slot_book.py
@@ -1,11 +1,12 @@
 """The owner's side of slots: grant whole slots of its targets."""
 
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass, field
 import math
 from typing import Final
 
-from wigeonford.policy._leases import (
+import msgspec
+
+from wigeonford.leases._leases import (
     DRIFT_MARGIN,
     LeaseGrantor,
     LeaseRequest,
@@ -23,8 +24,7 @@
 SLOT_TERM_S: Final = 3.0
 
 
-@dataclass(frozen=True, slots=True)
-class _Granted:
+class _Granted(msgspec.Struct, frozen=True):
     """Hold the most that a holder may have, from its latest request."""
 
     amount: int
@@ -32,15 +32,14 @@
     expires_at_s: float
 
 
-@dataclass(slots=True)
-class _Owned:
+class _Owned(msgspec.Struct):
     """Hold a target, its grantor and what each holder was granted."""
 
     offer: TargetOffer
     grantor: LeaseGrantor
     cold_since_s: float | None
     settled_at_s: float
-    granted: dict[str, _Granted] = field(default_factory=dict)
+    granted: dict[str, _Granted] = msgspec.field(default_factory=dict)
 
     def amount(self, holder: str) -> int:
         granted = self.granted.get(holder)
@@ -63,8 +62,7 @@
                 del self.granted[holder]
 
 
-@dataclass(frozen=True, slots=True)
-class _Want:
+class _Want(msgspec.Struct, frozen=True):
     needed: int
     wanted: int
     expires_at_s: float
--- a/src/wigeonford/policy/_slot_holder.py
+++ b/src/wigeonford/policy/_slot_holder.py
@@ -1,10 +1,12 @@
 """The holder's side of slots: use, ask for and hand back slots."""
 
 from collections.abc import Callable, Collection, Iterator
-from dataclasses import dataclass, replace
 from typing import Final
 
-from wigeonford.policy._leases import LeaseGrant, LeaseHolder, LeaseRequest
+import msgspec
+from msgspec.structs import replace
+
+from wigeonford.leases._leases import LeaseGrant, LeaseHolder, LeaseRequest
 from wigeonford.policy._slot_types import (
     SlotAnswer,
     SlotAsk,
@@ -19,8 +21,7 @@
 FORGET_TERMS: Final = 2
 
 
-@dataclass(slots=True)
-class _Held:
+class _Held(msgspec.Struct):
     """Hold one target's lease and how much of it is in use."""
 
     offer: TargetOffer
@@ -38,8 +39,7 @@
         return max(0, int(self.lease.amount(now_s)) - self.in_use)
 
 
-@dataclass(slots=True)
-class _Demand:
+class _Demand(msgspec.Struct):
     """Follow how many slots of a pool are wanted, now and at most."""
 
     current: int = 0
--- a/src/wigeonford/policy/_slot_types.py
+++ b/src/wigeonford/policy/_slot_types.py
@@ -1,12 +1,11 @@
 """What entry VMs tell each other about slots of targets."""
 
-from dataclasses import dataclass
+import msgspec
 
 from wigeonford.model import Side
 
 
-@dataclass(frozen=True, slots=True)
-class SlotWant:
+class SlotWant(msgspec.Struct, frozen=True):
     """Say how many slots of a pool a holder needs now, or may soon."""
 
     pool: str
@@ -14,8 +13,7 @@
     wanted: int
 
 
-@dataclass(frozen=True, slots=True)
-class SlotRow:
+class SlotRow(msgspec.Struct, frozen=True):
     """Report the slots held at one target; `avoid` asks for no more."""
 
     target_id: str
@@ -24,8 +22,7 @@
     avoid: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class SlotAsk:
+class SlotAsk(msgspec.Struct, frozen=True):
     """Ask one owner for slots; `holder` names one run of an entry VM."""
 
     holder: str
@@ -33,8 +30,7 @@
     rows: tuple[SlotRow, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class SlotGrant:
+class SlotGrant(msgspec.Struct, frozen=True):
     """Grant whole slots of a target in answer to a row's number."""
 
     target_id: str
@@ -42,16 +38,14 @@
     amount: int
 
 
-@dataclass(frozen=True, slots=True)
-class SlotHeld:
+class SlotHeld(msgspec.Struct, frozen=True):
     """Tell what a holder may have of a target that changes its owner."""
 
     holder: str
     amount: int
 
 
-@dataclass(frozen=True, slots=True)
-class TargetOffer:
+class TargetOffer(msgspec.Struct, frozen=True):
     """Describe a target that a holder may ask slots of.
 
     `sequence` is that of the target's latest announcement.
@@ -69,8 +63,7 @@
         return slot_pool(self.service), slot_pool(self.service, self.side)
 
 
-@dataclass(frozen=True, slots=True)
-class SlotAnswer:
+class SlotAnswer(msgspec.Struct, frozen=True):
     """Answer a `SlotAsk`; targets that it did not list are offered."""
 
     grants: tuple[SlotGrant, ...]
--- a/src/wigeonford/policy/_spill.py
+++ b/src/wigeonford/policy/_spill.py
@@ -1,9 +1,10 @@
 """Which regions may take a request that finds no capacity at home."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 from typing import Final
 
+import msgspec
+
 HOLD_OFF_S: Final = 0.5
 MAX_HOLD_OFF_S: Final = 4.0
 FIRST_WINDOW: Final = 4.0
@@ -11,8 +12,7 @@
 LEAST_FREE_PART: Final = 0.1
 
 
-@dataclass(slots=True)
-class _Window:
+class _Window(msgspec.Struct):
     """Bound what is under way to one region for one service."""
 
     size: float = FIRST_WINDOW
--- a/src/wigeonford/policy/_token_queue.py
+++ b/src/wigeonford/policy/_token_queue.py
@@ -2,10 +2,11 @@
 
 import collections
 from collections.abc import Iterator
-from dataclasses import dataclass
 from enum import Enum
 from typing import Final, Generic, TypeVar
 
+import msgspec
+
 from wigeonford.policy._account_share import AccountShare
 
 WAIT_S: Final = 0.8
@@ -23,8 +24,7 @@
     REFUSED = "refused"
 
 
-@dataclass(frozen=True, slots=True)
-class _Waiter(Generic[T]):
+class _Waiter(msgspec.Struct, Generic[T], frozen=True):
     item: T
     gives_up_at_s: float
 
--- a/src/wigeonford/steer/_attempt.py
+++ b/src/wigeonford/steer/_attempt.py
@@ -2,11 +2,12 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
 from enum import Enum
 import time
 from typing import Final
 
+import msgspec
+
 from wigeonford.http import (
     AnswerBroken,
     ClientConnection,
@@ -49,8 +50,7 @@
     BROKEN = "broken"
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptResult:
+class AttemptResult(msgspec.Struct, frozen=True):
     """Hold an attempt's outcome; the answer is there if answered.
 
     `reused` tells that the connection had served before, so that its loss
@@ -64,8 +64,7 @@
     reused: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Attempt:
+class Attempt(msgspec.Struct, frozen=True):
     """Describe what to send where; `deadline_s` is on the steady clock."""
 
     req: SteerRequest
--- a/src/wigeonford/steer/_cold.py
+++ b/src/wigeonford/steer/_cold.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Collection, Mapping
 from typing import Final
 
-from wigeonford.peer import EntryStatus
+from wigeonford.messages.steering import EntryStatus
 from wigeonford.steer._homes import rank_score
 from wigeonford.steer._target_book import TargetRecord
 
--- a/src/wigeonford/steer/_daemon.py
+++ b/src/wigeonford/steer/_daemon.py
@@ -9,7 +9,7 @@
 from wigeonford.deployment import Deployment
 from wigeonford.events import Event, EventLog
 from wigeonford.http import HttpServer
-from wigeonford.peer import EntryStatus
+from wigeonford.messages.steering import EntryStatus
 from wigeonford.settings import (
     Address,
     CallerLimits,
--- a/src/wigeonford/steer/_follower.py
+++ b/src/wigeonford/steer/_follower.py
@@ -8,15 +8,15 @@
 
 from wigeonford.errors import PeerError
 from wigeonford.events import Event, EventLog
-from wigeonford.peer import (
+from wigeonford.messages.steering import (
     EntryStatus,
     FetchView,
-    PeerClient,
     ReportStatus,
     ViewNotice,
     ViewUpdate,
     WatchView,
 )
+from wigeonford.peer import PeerClient
 from wigeonford.settings import Address, parse_address
 from wigeonford.steer._suspects import SuspectBook
 from wigeonford.steer._view import Roster, View, ViewBuilder
--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -11,9 +11,9 @@
 from wigeonford.errors import RunState as Ran
 from wigeonford.events import Event, EventLog
 from wigeonford.http import Response
+from wigeonford.leases import AttemptBudget
+from wigeonford.messages.steering import EntryStatus
 from wigeonford.metrics import Metrics
-from wigeonford.peer import EntryStatus
-from wigeonford.policy import AttemptBudget
 from wigeonford.settings import RepeatBounds
 from wigeonford.steer._admission import Admission
 from wigeonford.steer._attempt import (
--- a/src/wigeonford/steer/_homes.py
+++ b/src/wigeonford/steer/_homes.py
@@ -12,11 +12,12 @@
 
 from collections import Counter, OrderedDict
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass
 import hashlib
 import math
 from typing import Final
 
+import msgspec
+
 SPREAD: Final = 1.15
 """How many objects more than the average a target may be home to."""
 FEW_VMS: Final = 8
@@ -34,8 +35,7 @@
     return int.from_bytes(digest, "big")
 
 
-@dataclass(frozen=True, slots=True)
-class Home:
+class Home(msgspec.Struct, frozen=True):
     """Name an object's target, and the one that helps out."""
 
     first: str
--- a/src/wigeonford/steer/_learning.py
+++ b/src/wigeonford/steer/_learning.py
@@ -1,9 +1,10 @@
 """What attempts tell of targets and routes."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Final
 
+import msgspec
+
 from wigeonford.deployment import Route
 from wigeonford.events import Event, EventLog
 from wigeonford.http import Response
@@ -18,8 +19,7 @@
 """How long a target that refused as full gets nothing more."""
 
 
-@dataclass(frozen=True, slots=True)
-class Sent:
+class Sent(msgspec.Struct, frozen=True):
     """Hold what was known of a target when an attempt was made."""
 
     record: TargetRecord
--- a/src/wigeonford/steer/_loans.py
+++ b/src/wigeonford/steer/_loans.py
@@ -12,7 +12,7 @@
 
 from wigeonford.errors import PeerError
 from wigeonford.events import Event, EventLog
-from wigeonford.peer import TokenLoan
+from wigeonford.messages.steering import TokenLoan
 
 FLUSH_S: Final = 0.005
 """Requests that come this close together are asked for at once; far below
--- a/src/wigeonford/steer/_lookups.py
+++ b/src/wigeonford/steer/_lookups.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection
 from typing import Final
 
-from wigeonford.peer import EntryStatus
+from wigeonford.messages.steering import EntryStatus
 
 LIFETIME_S: Final = 1.0
 """How long callers keep an answer; some keep it three times as long, and a
--- a/src/wigeonford/steer/_neighbours.py
+++ b/src/wigeonford/steer/_neighbours.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Mapping
 from typing import Final
 
-from wigeonford.peer import EntryStatus
+from wigeonford.messages.steering import EntryStatus
 
 COUNT_EVERY_S: Final = 1.0
 """Entry VMs come and go by the second at most."""
--- a/src/wigeonford/steer/_part_reporter.py
+++ b/src/wigeonford/steer/_part_reporter.py
@@ -9,17 +9,16 @@
 from wigeonford._tasks import end_task
 from wigeonford.errors import Code, PeerError
 from wigeonford.events import Event, EventLog
-from wigeonford.peer import (
+from wigeonford.messages.steering import (
     BorrowTokens,
     EntryStatus,
-    LeaderElsewhere,
     PartRequest,
     PartsAnswer,
     PartsReport,
-    PeerClient,
     TokenLoan,
     TokensLent,
 )
+from wigeonford.peer import LeaderElsewhere, PeerClient
 from wigeonford.settings import parse_address
 from wigeonford.steer._follower import Connect, ViewFollower
 from wigeonford.steer._loans import LOAN_TIMEOUT_S
--- a/src/wigeonford/steer/_placement.py
+++ b/src/wigeonford/steer/_placement.py
@@ -10,9 +10,10 @@
 """
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass
 from typing import Final
 
+import msgspec
+
 from wigeonford.steer._homes import (
     Division,
     FEW_VMS,
@@ -41,16 +42,14 @@
 MayUse = Callable[[TargetRecord], bool]
 
 
-@dataclass(frozen=True, slots=True)
-class Durations:
+class Durations(msgspec.Struct, frozen=True):
     """Tell how long requests of a route run, in seconds."""
 
     warm_s: float
     cold_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class Wish:
+class Wish(msgspec.Struct, frozen=True):
     """Describe a request as placement sees it.
 
     `size_bytes` are those that go both ways. `patience_s` is how long it
@@ -71,8 +70,7 @@
     vms: int = 1
 
 
-@dataclass(frozen=True, slots=True)
-class Choice:
+class Choice(msgspec.Struct, frozen=True):
     """Name the target, and why.
 
     `role` says what it is to the object: its home or its second home, in
--- a/src/wigeonford/steer/_rates.py
+++ b/src/wigeonford/steer/_rates.py
@@ -1,13 +1,14 @@
 """Client accounts' rates: each entry VM spends its leased part."""
 
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
 import math
 from typing import Final
 
+import msgspec
+
 from wigeonford.deployment import Account
-from wigeonford.peer import PartGrant, PartRequest
-from wigeonford.policy import Demand, LeaseGrant, LeaseHolder
+from wigeonford.leases import Demand, LeaseGrant, LeaseHolder
+from wigeonford.messages.steering import PartGrant, PartRequest
 
 LEASE_S: Final = 20.0
 """The grantor's term."""
@@ -30,8 +31,7 @@
 """Part of the fleet's slack that the entry VMs add to their bursts."""
 
 
-@dataclass(slots=True)
-class _Meter:
+class _Meter(msgspec.Struct):
     """Meter one account at this VM.
 
     `told` is the part that was held when the leader was last asked; it has
--- a/src/wigeonford/steer/_request.py
+++ b/src/wigeonford/steer/_request.py
@@ -1,15 +1,15 @@
 """A request to be steered, and what an answer of a target says."""
 
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
 
+import msgspec
+
 from wigeonford.http import Headers, Response
 
 
-@dataclass(frozen=True, slots=True)
-class SteerRequest:
+class SteerRequest(msgspec.Struct, frozen=True):
     """Hold a caller's request.
 
     `request_id` names one try of the caller. `thing` names the object it
@@ -39,8 +39,7 @@
     WRONG_TARGET = "wrong-target"
 
 
-@dataclass(frozen=True, slots=True)
-class AnswerFacts:
+class AnswerFacts(msgspec.Struct, frozen=True):
     """Hold what the head of a target's answer says.
 
     `running` and `waiting` are the target's load, None where not told.
--- a/src/wigeonford/steer/_route_stats.py
+++ b/src/wigeonford/steer/_route_stats.py
@@ -1,8 +1,9 @@
 """How long and how large the requests of each route are."""
 
-from dataclasses import dataclass
 from typing import Final
 
+import msgspec
+
 from wigeonford.deployment import Route, RouteKind
 from wigeonford.steer._placement import Durations
 
@@ -20,8 +21,7 @@
 """First guess at a request's size both ways, by kind."""
 
 
-@dataclass(slots=True)
-class RouteStats:
+class RouteStats(msgspec.Struct):
     """Hold the averages of one route."""
 
     warm_s: float
--- a/src/wigeonford/steer/_suspects.py
+++ b/src/wigeonford/steer/_suspects.py
@@ -4,7 +4,7 @@
 import hashlib
 from typing import Final
 
-from wigeonford.peer import Suspicion
+from wigeonford.messages.steering import Suspicion
 
 CRASHES: Final = 3
 """A request is refused once it was in flight at so many deaths."""
--- a/src/wigeonford/steer/_target_book.py
+++ b/src/wigeonford/steer/_target_book.py
@@ -2,10 +2,11 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass, field
 import math
 from typing import Final
 
+import msgspec
+
 from wigeonford.deployment import Announcement, Service
 
 DOWN_S: Final = 0.4
@@ -33,8 +34,7 @@
 """Objects remembered for each target; targets remember some more."""
 
 
-@dataclass(slots=True)
-class TargetRecord:
+class TargetRecord(msgspec.Struct):
     """Hold what is known of one incarnation of a target.
 
     `slowness` is the ratio of its durations to those of its service.
@@ -54,7 +54,7 @@
     full_until_s: float = 0.0
     slowness: float = 1.0
     slow_until_s: float = 0.0
-    warm: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    warm: OrderedDict[str, None] = msgspec.field(default_factory=OrderedDict)
 
     @property
     def target_id(self) -> str:
--- a/src/wigeonford/steer/_view.py
+++ b/src/wigeonford/steer/_view.py
@@ -1,9 +1,10 @@
 """What an entry VM knows of the deployment, the targets and its peers."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from typing import Final
 
+import msgspec
+
 from wigeonford.deployment import (
     Account,
     Announcement,
@@ -13,11 +14,14 @@
     RouteTable,
     Service,
 )
-from wigeonford.peer import EntryStatus, ViewNotice, ViewUpdate
+from wigeonford.messages.steering import (
+    EntryStatus,
+    ViewNotice,
+    ViewUpdate,
+)
 
 
-@dataclass(frozen=True, slots=True)
-class View:
+class View(msgspec.Struct, frozen=True):
     """Hold one revision of what steers requests, ready for look-ups."""
 
     revision: int
@@ -38,8 +42,7 @@
         return self.keys.find(key)
 
 
-@dataclass(slots=True)
-class ViewBuilder:
+class ViewBuilder(msgspec.Struct):
     """Put a view together from updates; it never goes back."""
 
     revision: int = 0
@@ -47,8 +50,8 @@
     _routes: RouteTable | None = None
     _keys: KeyTable | None = None
     _evacuated: frozenset[str] = frozenset()
-    _taken_back: dict[str, int] = field(default_factory=dict)
-    _targets: dict[str, Announcement] = field(default_factory=dict)
+    _taken_back: dict[str, int] = msgspec.field(default_factory=dict)
+    _targets: dict[str, Announcement] = msgspec.field(default_factory=dict)
 
     def take(self, update: ViewUpdate) -> bool:
         """Take over an update; tell whether it was newer."""
--- a/src/wigeonford/steer/_work.py
+++ b/src/wigeonford/steer/_work.py
@@ -1,15 +1,15 @@
 """A request while it is under way."""
 
 from collections.abc import AsyncIterator
-from dataclasses import dataclass, field
+
+import msgspec
 
 from wigeonford.deployment import Account, Route
 from wigeonford.steer._request import SteerRequest
 from wigeonford.steer._view import View
 
 
-@dataclass(slots=True)
-class Work:
+class Work(msgspec.Struct):
     """Hold what was decided for a request, and how far it has come.
 
     `print_` is its fingerprint; `sent` counts the attempts that reached a
@@ -25,7 +25,7 @@
     body: bytes | AsyncIterator[bytes]
     deadline_s: float
     print_: bytes
-    tried: set[str] = field(default_factory=set)
+    tried: set[str] = msgspec.field(default_factory=set)
     sent: int = 0
     unreached: int = 0
     broken: bool = False
--- a/tests/raft_world.py
+++ b/tests/raft_world.py
@@ -30,7 +30,7 @@
 from wigeonford.control._raft_node import Identity
 from wigeonford.control._raft_snapshot import pack_snapshot, unpack_snapshot
 from wigeonford.control._store import LogEntry, Snapshot
-from wigeonford.peer import (
+from wigeonford.messages.raft import (
     AppendEntries,
     AppendReply,
     InstallSnapshot,
--- a/tests/test_claim_registers.py
+++ b/tests/test_claim_registers.py
@@ -15,7 +15,7 @@
     RuleBasedStateMachine,
 )
 
-from wigeonford.control._claim_rounds import (
+from wigeonford.claims._claim_rounds import (
     close_round,
     closing_row,
     open_round,
@@ -23,13 +23,13 @@
     RoundRunner,
     Won,
 )
-from wigeonford.control._proposer import (
+from wigeonford.claims._proposer import (
     CLAIM_TIMEOUT_S,
     decide_votes,
     majority,
     possible_winners,
 )
-from wigeonford.control._registers import (
+from wigeonford.claims._registers import (
     EMPTY_REGISTER,
     merge_copy,
     OPEN_BALLOT,
@@ -39,7 +39,8 @@
     transition,
 )
 from wigeonford.errors import Code
-from wigeonford.peer import ClaimRow, Outcome, RegisterReply
+from wigeonford.messages.claim import ClaimRow, RegisterReply
+from wigeonford.messages.object import Outcome
 
 KEY = b"key"
 RUNS = 4000
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -7,19 +7,18 @@
 import tempfile
 import unittest
 
-from wigeonford.control import ClaimService, RegisterStore, StorageError
+from wigeonford.claims import ClaimService, RegisterStore
+from wigeonford.control import StorageError
 from wigeonford.errors import Code, PeerError
 from wigeonford.events import EventLog
-from wigeonford.peer import (
+from wigeonford.messages.claim import ClaimRow, RegisterVote
+from wigeonford.messages.object import (
     ClaimAnswer,
     ClaimClose,
     ClaimOpen,
-    ClaimRow,
     Outcome,
-    PeerClient,
-    PeerServer,
-    RegisterVote,
 )
+from wigeonford.peer import PeerClient, PeerServer
 from wigeonford.settings import Address
 
 SECRET = "a-secret-of-the-peers"
--- a/tests/test_config_follower.py
+++ b/tests/test_config_follower.py
@@ -11,16 +11,11 @@
 from wigeonford.entry._config import FRESH_LEASE_S
 from wigeonford.events import configure_logging, EventLog
 from wigeonford.invariants import Checks, Invariant, InvariantBreach
+from wigeonford.messages.object import ConfigUpdate, ObjectRow, PullConfig
+from wigeonford.messages.spread import SpreadPull, SpreadUpdate
 from wigeonford.metrics import Metrics
 from wigeonford.model import KeyRecord
-from wigeonford.peer import (
-    ConfigUpdate,
-    ObjectRow,
-    PeerClient,
-    PullConfig,
-    SpreadPull,
-    SpreadUpdate,
-)
+from wigeonford.peer import PeerClient
 
 
 def table_of(revision: int, *keys: KeyRecord) -> ConfigTable:
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -1,8 +1,9 @@
 """Deployments: check, partial changes, routes, splits and targets."""
 
-from dataclasses import replace
 import unittest
 
+from msgspec.structs import replace
+
 from wigeonford.deployment import (
     Account,
     Announcement,
@@ -38,7 +39,7 @@
         True,
         service="ledger",
     )
-    return replace(route, **changes)  # type: ignore[arg-type]
+    return replace(route, **changes)
 
 
 def make_deployment(*routes: Route, version: int = 1) -> Deployment:
@@ -144,7 +145,7 @@
     said = Announcement(
         "t-1", 1000, 5, "ledger", "10.0.0.1:80", "south-a", "v1", 4, False, 0.0
     )
-    return replace(said, **changes)  # type: ignore[arg-type]
+    return replace(said, **changes)
 
 
 class TargetTableTest(unittest.TestCase):
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -23,9 +23,10 @@
 from wigeonford.events import configure_logging, EventLog
 from wigeonford.http import read_body, Response
 from wigeonford.invariants import Checks, OnBreach
+from wigeonford.messages.object import TargetAnnounce
 from wigeonford.metrics import Metrics
 from wigeonford.model import Service
-from wigeonford.peer import PeerClient, TargetAnnounce
+from wigeonford.peer import PeerClient
 from wigeonford.policy import Ejection
 
 WHOLE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -6,7 +6,8 @@
 import unittest
 
 from wigeonford.events import EventLog
-from wigeonford.peer import EntryStatus, PeerClient, ViewNotice
+from wigeonford.messages.steering import EntryStatus, ViewNotice
+from wigeonford.peer import PeerClient
 from wigeonford.settings import Address
 from wigeonford.steer import SuspectBook, ViewFollower
 
--- a/tests/test_group_service.py
+++ b/tests/test_group_service.py
@@ -8,7 +8,8 @@
 from wigeonford.control._group_service import GroupService
 from wigeonford.errors import Code, PeerError
 from wigeonford.events import EventLog
-from wigeonford.peer import JoinGroup, PeerClient
+from wigeonford.messages.steering import JoinGroup
+from wigeonford.peer import PeerClient
 from wigeonford.settings import Address
 
 
--- a/tests/test_hop_states.py
+++ b/tests/test_hop_states.py
@@ -24,7 +24,7 @@
     Request,
     Response,
 )
-from wigeonford.peer import Member
+from wigeonford.messages.object import Member
 from wigeonford.settings import Address, CallerLimits
 
 LENGTH = (b"content-length", b"4")
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -11,7 +11,7 @@
     RuleBasedStateMachine,
 )
 
-from wigeonford.policy import (
+from wigeonford.leases import (
     fair_part,
     LeaseGrant,
     LeaseGrantor,
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,6 +1,5 @@
 """All VMs together never spend more than an account's rate and burst."""
 
-import dataclasses
 import unittest
 
 from hypothesis import settings
@@ -12,10 +11,12 @@
     rule,
     RuleBasedStateMachine,
 )
+from msgspec.structs import replace
 
+from wigeonford.leases import BucketShare, Demand
+from wigeonford.leases._leases import DRIFT_MARGIN
 from wigeonford.policy import (
     AccountShare,
-    BucketShare,
     BudgetGrantor,
     DISPATCH_JITTER_S,
     leased_budget,
@@ -28,8 +29,6 @@
     TokenQueue,
     Verdict,
 )
-from wigeonford.policy._demand import Demand
-from wigeonford.policy._leases import DRIFT_MARGIN
 
 BUDGET = BucketShare(8.0, 12.0)
 NAMES = st.sampled_from(("a", "b", "c"))
@@ -362,9 +361,9 @@
         self.assertEqual(self.grantor.request("b/1", asks, 0.1).units, 0)
         cut = ShareRequest(8, whole, whole, 0, 0, 0)
         self.assertEqual(self.grantor.request("a/1", cut, 0.2).units, half)
-        asks = dataclasses.replace(asks, number=2)
+        asks = replace(asks, number=2)
         self.assertEqual(self.grantor.request("b/1", asks, 0.3).units, 0)
         confirms = ShareRequest(9, half, whole, 0, 0, 0)
         self.grantor.request("a/1", confirms, 0.4)
-        asks = dataclasses.replace(asks, number=3)
+        asks = replace(asks, number=3)
         self.assertEqual(self.grantor.request("b/1", asks, 0.5).units, half)
--- a/tests/test_limits_path.py
+++ b/tests/test_limits_path.py
@@ -12,23 +12,22 @@
 
 from wigeonford.bench import load_deployment, LocalFleet
 from wigeonford.bench._settings import BENCH_SECRETS
-from wigeonford.control import BudgetService
 from wigeonford.entry import EntryConfig, LeasedShareLimiter
 from wigeonford.errors import Code, PeerError, RequestRefused
 from wigeonford.events import configure_logging, EventLog
+from wigeonford.fleet import BudgetService
 from wigeonford.http import fetch
 from wigeonford.invariants import Checks, InvariantBreach, OnBreach
-from wigeonford.metrics import Metrics
-from wigeonford.model import ObjectSet
-from wigeonford.peer import (
-    LeaderElsewhere,
+from wigeonford.messages.budget import (
     LoanReply,
     LoanRequest,
-    PeerClient,
     ShareReply,
     ShareReport,
     ShareRow,
 )
+from wigeonford.metrics import Metrics
+from wigeonford.model import ObjectSet
+from wigeonford.peer import LeaderElsewhere, PeerClient
 from wigeonford.policy import LoanGrant, ShareGrant, ShareRequest
 
 OBJECTS = load_deployment("guild").objects
--- a/tests/test_lookup.py
+++ b/tests/test_lookup.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from wigeonford.entry import BlockTable, EntryConfig, LookupBuilder, Ranking
+from wigeonford.messages.object import Member
 from wigeonford.model import (
     AvailabilityZone,
     check_set,
@@ -23,7 +24,6 @@
     Prefix,
     Region,
 )
-from wigeonford.peer import Member
 
 ZONES = ("north-a", "north-b", "south-a", "west-a")
 Network = ipaddress.IPv4Network | ipaddress.IPv6Network
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -1,18 +1,19 @@
 """Parts of accounts' rates: never over the rate, soon where demand is."""
 
-from dataclasses import replace
 import random
 import unittest
 
+from msgspec.structs import replace
+
 from tests.test_deployment import make_deployment
 from wigeonford.deployment import Account
-from wigeonford.peer import PartGrant
-from wigeonford.policy import (
+from wigeonford.leases import (
     LeaseGrantor,
     LeaseRequest,
     pooled_part,
     TokenPool,
 )
+from wigeonford.messages.steering import PartGrant
 from wigeonford.steer._part_reporter import REPORT_INTERVAL_S
 from wigeonford.steer._rates import AccountRates
 
--- a/tests/test_policy_attempts.py
+++ b/tests/test_policy_attempts.py
@@ -6,9 +6,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from wigeonford.leases import AttemptBudget
 from wigeonford.model import Share, Side
 from wigeonford.policy import (
-    AttemptBudget,
     Ejection,
     LatencyWindow,
     Quarantine,
--- a/tests/test_raft_cases.py
+++ b/tests/test_raft_cases.py
@@ -15,7 +15,7 @@
     without_entry,
 )
 from wigeonford.control._store import LogEntry
-from wigeonford.peer import AppendEntries, ReplicaChange
+from wigeonford.messages.raft import AppendEntries, ReplicaChange
 
 
 def command(number: int, size: int = 0) -> bytes:
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -4,7 +4,7 @@
 
 from wigeonford.entry import TargetRegistry
 from wigeonford.errors import Code, RequestRefused
-from wigeonford.peer import TargetAnnounce
+from wigeonford.messages.object import TargetAnnounce
 
 TARGET = "10.0.0.1:80"
 START_NS = 1_000_000
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -11,7 +11,7 @@
     voters,
 )
 from wigeonford.control._raft_node import Identity
-from wigeonford.peer import ReplicaChange
+from wigeonford.messages.raft import ReplicaChange
 
 WANTED = 3
 
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -12,17 +12,16 @@
 from wigeonford.control._raft_channel import PeerChannel
 from wigeonford.errors import Code, PeerError
 from wigeonford.events import EventLog
-from wigeonford.peer import (
+from wigeonford.messages.steering import (
     EntryStatus,
     FetchView,
     PartsAnswer,
     PartsReport,
-    PeerClient,
-    PeerServer,
     ViewNotice,
     ViewUpdate,
     WatchView,
 )
+from wigeonford.peer import PeerClient, PeerServer
 from wigeonford.settings import Address
 from wigeonford.steer import (
     AccountRates,
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -21,7 +21,7 @@
 from wigeonford.entry import _config, MembersBelow, plan_parents, SpreadShape
 from wigeonford.entry._config import FRESH_LEASE_S
 from wigeonford.events import configure_logging
-from wigeonford.peer import Member
+from wigeonford.messages.object import Member
 
 SHAPE = SpreadShape(flat_members=2, fan_out=2)
 NAMES = [f"vm-{number:02}" for number in range(20)]
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -1,8 +1,9 @@
 """The replicated part that steers: orders, resends, snapshots."""
 
-from dataclasses import replace
 import unittest
 
+from msgspec.structs import replace
+
 from tests.test_deployment import announce, make_deployment
 from wigeonford.control import (
     AnnounceTargets,
--- a/tests/test_target_book.py
+++ b/tests/test_target_book.py
@@ -4,7 +4,7 @@
 
 from tests.test_deployment import announce
 from wigeonford.deployment import Service
-from wigeonford.peer import EntryStatus
+from wigeonford.messages.steering import EntryStatus
 from wigeonford.steer._cold import (
     ColdRates,
     KEPT_S,
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -13,14 +13,9 @@
 from wigeonford.errors import Code, PeerError
 from wigeonford.events import EventLog
 from wigeonford.http import ConnectFailed, fetch, HttpServer, Request, Response
-from wigeonford.peer import (
-    Done,
-    LeaveRoster,
-    LoanReply,
-    LoanRequest,
-    PeerClient,
-    PeerServer,
-)
+from wigeonford.messages.budget import LoanReply, LoanRequest
+from wigeonford.messages.object import LeaveRoster
+from wigeonford.peer import Done, PeerClient, PeerServer
 from wigeonford.settings import (
     Address,
     CallerLimits,
