--- a/src/wigeonford/_compose_steer_control.py
+++ b/src/wigeonford/_compose_steer_control.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import random
+import secrets
 import signal
 
 from wigeonford._compose_shared import metrics_server, OPEN_SECRET, Seeds
@@ -40,6 +41,8 @@
 """Some round trips between regions beyond the heartbeat's 0.2 s: a VM of
 its own runs each replica, and days are short."""
 
+EPOCH_BITS = 48
+"""Enough that two runs of a replica never have the same number."""
 BuildControlApi = Callable[[Replica, TargetService, EventLog], Handler]
 
 
@@ -112,7 +115,15 @@
         lambda: signal.raise_signal(signal.SIGTERM),
     )
     services: tuple[Service, ...] = (
-        ViewService(replica, cold, group.members, log),
+        ViewService(
+            replica,
+            cold,
+            group.members,
+            log,
+            region=cfg.region,
+            availability_zone=cfg.availability_zone,
+            epoch=secrets.randbits(EPOCH_BITS),
+        ),
         targets,
         PartService(replica, log),
         group,
--- a/src/wigeonford/control/_view_service.py
+++ b/src/wigeonford/control/_view_service.py
@@ -1,16 +1,16 @@
 """Serve the entry VMs: what steers requests, and who else runs."""
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 import time
 from typing import Final
-import zlib
 
-import msgspec
 from msgspec.structs import replace
 
+from wigeonford._tasks import end_task
 from wigeonford.control._cold_clock import ColdClock
 from wigeonford.control._replica import Replica
+from wigeonford.control._roster import Roster
 from wigeonford.control._suspicions import Suspicions
 from wigeonford.events import Event, EventLog
 from wigeonford.messages.steering import (
@@ -25,13 +25,16 @@
 
 WATCH_S: Final = 0.7
 """How long a watch is held without news; also the entry VMs' heartbeat."""
-ENTRY_SILENT_S: Final = 2.5
-"""Three heartbeats and a lost connection's renewal."""
-
-
-class _Heard(msgspec.Struct, frozen=True):
-    status: EntryStatus
-    at_s: float
+WATCH_S_PER_ENTRY: Final = 0.006
+"""The same for each entry VM in large fleets, so that their heartbeats cost
+a replica no more than some 160 watches a second."""
+MAX_WATCH_S: Final = 1.5
+"""Entry VMs take a replica for lost that says nothing for longer."""
+NEWS_TICK_S: Final = 0.05
+"""Changes of what steers that come this close together are told at once."""
+ROSTER_TICK_S: Final = 0.25
+"""The same for entry VMs that come and go; all of a large fleet may start
+at once, and each would be told of each."""
 
 
 class ViewService:
@@ -44,15 +47,24 @@
         members: Callable[[], tuple[str, ...]],
         log: EventLog,
         clock: Callable[[], float] = time.monotonic,
+        *,
+        region: str = "",
+        availability_zone: str = "",
+        epoch: int = 0,
     ) -> None:
         self._replica = replica
         self._cold = cold
         self._members = members
         self._log = log
         self._clock = clock
-        self._heard: dict[str, _Heard] = {}
+        self._region = region
+        self._availability_zone = availability_zone
+        self._roster = Roster(epoch)
+        self._told_roster = 0
         self._suspicions = Suspicions()
         self._news = asyncio.Event()
+        self._pending = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
 
     def attach(self, server: PeerServer) -> None:
         """Register the message handlers."""
@@ -61,41 +73,51 @@
         server.handle(ReportStatus, self._report)
 
     async def start(self) -> None:
-        """Begin to notice changes of the state."""
-        self._replica.on_applied(self._announce_news)
+        """Begin to notice changes of the state and of the roster."""
+        self._replica.on_applied(self._pending.set)
+        self._tasks = [
+            asyncio.create_task(self._tell_news()),
+            asyncio.create_task(self._tell_roster()),
+        ]
 
     async def stop(self) -> None:
         """Let the watches that are held end."""
-        self._announce_news()
+        for task in self._tasks:
+            await end_task(task)
+        self._wake()
 
-    def _announce_news(self) -> None:
+    def _wake(self) -> None:
         self._news.set()
         self._news = asyncio.Event()
 
-    def roster(self) -> tuple[EntryStatus, ...]:
-        """Return the entry VMs that were heard of late."""
-        limit_s = self._clock() - ENTRY_SILENT_S
-        for name, heard in list(self._heard.items()):
-            if heard.at_s < limit_s:
-                del self._heard[name]
+    async def _tell_news(self) -> None:
+        while True:
+            await self._pending.wait()
+            await asyncio.sleep(NEWS_TICK_S)
+            self._pending.clear()
+            self._wake()
+
+    async def _tell_roster(self) -> None:
+        while True:
+            await asyncio.sleep(ROSTER_TICK_S)
+            for name, silent_s in self._roster.expire(self._clock()):
                 self._log.emit(
                     Event.ENTRY_SILENT,
                     entry=name,
-                    silent_s=round(self._clock() - heard.at_s, 2),
+                    silent_s=round(silent_s, 2),
                 )
-        return tuple(heard.status for _, heard in sorted(self._heard.items()))
+            if self._roster.revision != self._told_roster:
+                self._told_roster = self._roster.revision
+                self._wake()
 
     def _hear(self, status: EntryStatus) -> None:
-        known = self._heard.get(status.name)
-        self._heard[status.name] = _Heard(status, self._clock())
-        if known is None or known.status != status:
+        if self._roster.hear(status, self._clock()):
             self._log.emit(
                 Event.ENTRY_HEARD,
                 entry=status.name,
                 ready=status.ready,
                 incarnation=status.incarnation,
             )
-            self._announce_news()
 
     async def _report(self, message: ReportStatus) -> Done:
         self._hear(message.status)
@@ -104,8 +126,9 @@
     async def _watch(self, message: WatchView) -> ViewNotice:
         self._hear(message.status)
         if self._suspicions.merge(message.suspicions, self._clock()):
-            self._announce_news()
-        until_s = self._clock() + WATCH_S
+            self._pending.set()
+        hold_s = max(WATCH_S, WATCH_S_PER_ENTRY * len(self._roster))
+        until_s = self._clock() + min(MAX_WATCH_S, hold_s)
         known = self._suspicions.revision
         while not self._has_news(message, known):
             news = self._news
@@ -118,26 +141,37 @@
             except TimeoutError:
                 break
         # The entry VM waited here, so that it runs still.
-        self._hear(message.status)
+        self._roster.refresh(message.status, self._clock())
         return self._notice(message)
 
     def _has_news(self, message: WatchView, known: int) -> bool:
         return (
             self._replica.state.steering.revision > message.revision
-            or roster_digest(self.roster()) != message.roster_digest
+            or self._has_roster_news(message)
             or self._suspicions.revision > known
         )
 
+    def _has_roster_news(self, message: WatchView) -> bool:
+        if message.roster_epoch is None:
+            return False
+        return (
+            message.roster_epoch != self._roster.epoch
+            or message.roster_revision < self._told_roster
+        )
+
     def _notice(self, message: WatchView) -> ViewNotice:
-        roster = self.roster()
-        digest = roster_digest(roster)
-        changed = digest != message.roster_digest
+        roster = None
+        if message.roster_epoch is not None and self._has_roster_news(message):
+            roster = self._roster.changes_since(
+                message.roster_epoch, message.roster_revision
+            )
         return ViewNotice(
             self._replica.state.steering.revision,
-            roster if changed else None,
-            digest,
+            roster,
             self._members(),
             self._suspicions.recent(self._clock()),
+            self._region,
+            self._availability_zone,
         )
 
     async def _fetch(self, message: FetchView) -> ViewUpdate:
@@ -163,13 +197,3 @@
             ),
             tuple(steering.targets.removed_since(revision)),
         )
-
-
-def roster_digest(roster: tuple[EntryStatus, ...]) -> int:
-    """Return a number that changes with the roster."""
-    return zlib.crc32("\n".join(_lines(roster)).encode())
-
-
-def _lines(roster: tuple[EntryStatus, ...]) -> Iterator[str]:
-    for status in roster:
-        yield f"{status.name} {status.incarnation} {status.ready}"
--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -193,6 +193,8 @@
         320, "a target can't be reached; it is left out", logging.WARNING
     )
     TARGET_BACK = _event(321, "a target answers again")
+    TARGET_PAUSED = _event(323, "a target wants nothing for a while")
+    TARGET_LEAVING = _event(324, "a target says in an answer that it leaves")
     TARGET_SLOW = _event(
         322, "a target is far slower than its peers", logging.WARNING
     )
--- a/src/wigeonford/http/_client.py
+++ b/src/wigeonford/http/_client.py
@@ -21,6 +21,12 @@
 MAX_STRAY_ANSWERS: Final = 2
 """Answers to earlier requests that are read past before giving up."""
 
+MAX_STRAY_BYTES: Final = 262144
+"""Bytes of such an answer's body that are read past; a new connection costs
+less than more of them."""
+MAX_INTERIM_ANSWERS: Final = 8
+"""Interim answers (1xx) before the final one; servers send one or two."""
+
 KEEP_ALIVE_PART: Final = 0.5
 """How much of a stated idle time is used; the rest covers the way there."""
 _KEEP_ALIVE: Final = re.compile(r"timeout=(\d+)")
@@ -189,7 +195,11 @@
 
     async def _next_head(self) -> h11.Response:
         event = await self._next_event()
+        interim = 0
         while isinstance(event, h11.InformationalResponse):
+            interim += 1
+            if interim > MAX_INTERIM_ANSWERS:
+                raise ExchangeFailed(f"{self.address}: no final answer")
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise ExchangeFailed(f"{self.address}: closed without answer")
@@ -204,11 +214,15 @@
         """
         if not isinstance(body, bytes):
             raise ExchangeFailed(f"{self.address}: stray answer")
+        size = 0
         while not isinstance(
             event := await self._next_event(), h11.EndOfMessage
         ):
             if not isinstance(event, h11.Data):
                 raise ExchangeFailed(f"{self.address}: stray answer cut")
+            size += len(event.data)
+            if size > MAX_STRAY_BYTES:
+                raise ExchangeFailed(f"{self.address}: stray answer too long")
         left, closed = self._http.trailing_data
         if closed or self._http.their_state is not h11.DONE:
             raise ExchangeFailed(f"{self.address}: closed after a stray")
--- a/src/wigeonford/messages/steering.py
+++ b/src/wigeonford/messages/steering.py
@@ -6,7 +6,7 @@
 from wigeonford.peer import message
 
 
-class EntryStatus(msgspec.Struct, frozen=True):
+class EntryStatus(msgspec.Struct, frozen=True, array_like=True):
     """Describe a running entry VM; `incarnation` is new at each start.
 
     `address` takes requests and look-ups come in at `lookup_address`.
@@ -47,16 +47,32 @@
     part: float
 
 
+class RosterChange(msgspec.Struct, frozen=True):
+    """Tell which entry VMs run, or what changed after a revision.
+
+    Revisions count within an `epoch`, which is one run of a replica. If it
+    is `whole`, entry VMs that are not named do not run.
+    """
+
+    epoch: int
+    revision: int
+    whole: bool
+    running: tuple[EntryStatus, ...]
+    gone: tuple[str, ...]
+
+
 @message(190)
 class WatchView(msgspec.Struct, frozen=True):
     """Wait until there is news after `revision`, and report for duty.
 
-    `roster_digest` is that of the roster last received.
+    `roster_epoch` and `roster_revision` are those of the roster last had
+    from this replica; the epoch is None where none is wanted.
     """
 
     revision: int
     status: EntryStatus
-    roster_digest: int
+    roster_epoch: int | None
+    roster_revision: int
     suspicions: tuple[Suspicion, ...] = ()
 
 
@@ -64,15 +80,16 @@
 class ViewNotice(msgspec.Struct, frozen=True):
     """Answer `WatchView` with the revision that can be fetched.
 
-    `roster` is None where it has not changed. `silent` names targets that
-    this replica has heard before, but not lately.
+    `roster` is None where it has not changed or is not wanted. `region`
+    and `availability_zone` are the replica's own.
     """
 
     revision: int
-    roster: tuple[EntryStatus, ...] | None
-    roster_digest: int
+    roster: RosterChange | None
     control: tuple[str, ...]
     suspicions: tuple[Suspicion, ...] = ()
+    region: str = ""
+    availability_zone: str = ""
 
 
 @message(192)
--- a/src/wigeonford/platform/_front.py
+++ b/src/wigeonford/platform/_front.py
@@ -1,5 +1,6 @@
 """Serve the platform's callers, and speak to its targets."""
 
+import math
 import time
 from typing import Final
 from urllib.parse import parse_qs
@@ -39,6 +40,10 @@
 # "running,waiting,slots" of a target.
 _LOAD: Final = b"x-server-load"
 _SIGNATURE: Final = b"x-response-signature"
+# "1" in all answers of a target that is about to end.
+_LEAVING: Final = b"server-leaving"
+# Seconds for which a target that answers 503 wants nothing from this VM.
+_PAUSE: Final = b"retry-after"
 
 _ONE_HOP: Final = frozenset(
     {
@@ -55,6 +60,8 @@
     }
 )
 _SET_HERE: Final = frozenset({_ACCOUNT, _TARGET_ID, _TIME_LEFT, _KEY})
+# What targets tell entry VMs of themselves.
+_TO_VMS: Final = frozenset({_LOAD, _LEAVING})
 # Statuses that promise that a request has not run and never will.
 _PROMISES: Final = frozenset({408, 421, 429, 503})
 
@@ -87,19 +94,34 @@
     def facts(self, response: Response) -> AnswerFacts:
         """Return what the head of an answer says."""
         status = response.status
-        running, waiting = _decode_load(response.header(_LOAD))
         if status == 421:
             return AnswerFacts(TargetRun.WRONG_TARGET, False)
-        if response.header(_NOT_RUN) is not None:
-            return AnswerFacts(TargetRun.NOT_RUN, False, running, waiting)
-        whole = status not in _PROMISES
+        running, waiting = _decode_load(response.header(_LOAD))
+        not_run = response.header(_NOT_RUN) is not None
+        whole = status not in _PROMISES and not not_run
         if 200 <= status < 300:
-            whole = (
+            whole = whole and (
                 response.header(_SIGNATURE) is not None
                 and response.header(_REQUEST_ID) is not None
                 and response.header(b"content-encoding") is None
             )
-        return AnswerFacts(TargetRun.RAN, whole, running, waiting)
+        return AnswerFacts(
+            TargetRun.NOT_RUN if not_run else TargetRun.RAN,
+            whole,
+            running,
+            waiting,
+            response.header(_LEAVING) == "1",
+            _decode_pause(response.header(_PAUSE)) if status == 503 else 0.0,
+        )
+
+
+def _decode_pause(text: str | None) -> float:
+    """Return a stated pause in seconds, 0 for none or what is no figure."""
+    try:
+        pause_s = float(text or "0")
+    except ValueError:
+        return 0.0
+    return pause_s if 0 < pause_s < math.inf else 0.0
 
 
 def _decode_load(text: str | None) -> tuple[int | None, int | None]:
@@ -176,7 +198,7 @@
     headers = [
         (name, value)
         for name, value in answer.headers
-        if name not in _ONE_HOP and name != _LOAD
+        if name not in _ONE_HOP and name not in _TO_VMS
     ]
     body = answer.body
     framed = any(name == b"content-length" for name, _ in headers)
--- a/src/wigeonford/platform/_settings.py
+++ b/src/wigeonford/platform/_settings.py
@@ -120,6 +120,8 @@
         zones=cfg.zones,
         metrics_address=Address(cfg.ip_address, METRICS_PORT),
         wanted_voters=2 * cfg.fault_tolerance.machines + 1,
+        region=cfg.region,
+        availability_zone=cfg.zone,
         drain_s=cfg.bounds.drain_s,
         grace_s=cfg.bounds.grace_s,
     )
--- a/src/wigeonford/settings/_steering.py
+++ b/src/wigeonford/settings/_steering.py
@@ -37,6 +37,8 @@
     zones: Mapping[str, str]
     metrics_address: Address | None = None
     wanted_voters: int = 5
+    region: str = ""
+    availability_zone: str = ""
     drain_s: float = bounded(0, 600, default=2.5)
     grace_s: float = bounded(0, 600, default=6.0)
 
--- a/src/wigeonford/steer/_attempt.py
+++ b/src/wigeonford/steer/_attempt.py
@@ -33,6 +33,9 @@
 a row take less."""
 HELD_BYTES: Final = 131072
 """Answers up to this size are read whole before any of it is passed on."""
+REFUSAL_BODY_S: Final = 0.1
+"""How long a refusal's body is waited for; another attempt is worth more
+than the connection."""
 BODY_LATE_S: Final = 0.5
 """How long after the deadline an answer that has begun may still end."""
 
@@ -139,7 +142,7 @@
         )
         facts = self._wire.facts(answer)
         if facts.run is not RunState.RAN:
-            await self._finish(conn, answer, attempt)
+            await self._finish(conn, answer)
             wrong = facts.run is RunState.WRONG_TARGET
             outcome = Outcome.WRONG_TARGET if wrong else Outcome.NOT_RUN
             return AttemptResult(outcome, None, facts, f"{answer.status}")
@@ -147,27 +150,32 @@
             conn.close()
             detail = f"status {answer.status} without what a caller needs"
             return AttemptResult(Outcome.BROKEN, None, facts, detail, reused)
-        whole = await self._hold(conn, answer, attempt)
+        until_s = max(attempt.deadline_s, time.monotonic()) + BODY_LATE_S
+        whole = await self._hold(conn, answer, until_s)
         return AttemptResult(Outcome.ANSWERED, whole, facts, reused=reused)
 
-    async def _finish(
-        self, conn: ClientConnection, answer: Response, attempt: Attempt
-    ) -> None:
-        """Read a refusal's body, so that its connection can serve again."""
+    async def _finish(self, conn: ClientConnection, answer: Response) -> None:
+        """Read a refusal's body, so that its connection can serve again.
+
+        One that is long, or slow to come, costs the connection instead.
+        """
+        until_s = time.monotonic() + REFUSAL_BODY_S
         try:
-            await self._hold(conn, answer, attempt)
+            whole = await self._hold(conn, answer, until_s)
         except ExchangeFailed:
             conn.close()
+            return
+        if not isinstance(whole.body, bytes):
+            conn.close()
 
     async def _hold(
-        self, conn: ClientConnection, answer: Response, attempt: Attempt
+        self, conn: ClientConnection, answer: Response, until_s: float
     ) -> Response:
         """Return an answer that is read whole, if it is not too large."""
         body = answer.body
         assert not isinstance(body, bytes), "a connection streams"
         parts: list[bytes] = []
         size = 0
-        until_s = max(attempt.deadline_s, time.monotonic()) + BODY_LATE_S
         try:
             async with asyncio.timeout(until_s - time.monotonic()):
                 async for chunk in body:
--- a/src/wigeonford/steer/_cold.py
+++ b/src/wigeonford/steer/_cold.py
@@ -5,7 +5,7 @@
 entry VMs near it, a few by hash may send to it, each its part of the rate.
 """
 
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Final
 
 from wigeonford.messages.steering import EntryStatus
@@ -87,10 +87,10 @@
         credit, at_s = self._credits.get(target_id, (0.0, 0.0))
         self._credits[target_id] = (credit - 1.0, at_s)
 
-    def forget(self, live: Collection[str]) -> None:
+    def forget(self, gone: Iterable[str]) -> None:
         """Drop the meters of targets that are gone."""
-        for target_id in self._credits.keys() - set(live):
-            del self._credits[target_id]
+        for target_id in gone:
+            self._credits.pop(target_id, None)
 
     def _refill(
         self, target_id: str, rate_per_s: float, now_s: float
--- a/src/wigeonford/steer/_daemon.py
+++ b/src/wigeonford/steer/_daemon.py
@@ -129,11 +129,10 @@
 
     def _take_view(self, view: View) -> None:
         now_s = time.monotonic()
-        live = {said.address for said in view.targets.values()}
-        for record in self._book:
-            if record.announced.address not in live:
-                self._links.forget(record.announced.address)
-        self._book.follow(view.targets, self._cfg.zones, now_s)
+        for address in self._book.follow(
+            view.changed, view.removed, self._cfg.zones, now_s
+        ):
+            self._links.forget(address)
         self._book.follow_evacuations(view.taken_back, view.services, now_s)
         self._front.limits = caller_limits(
             view.deployment, self._cfg.descriptors
--- a/src/wigeonford/steer/_follower.py
+++ b/src/wigeonford/steer/_follower.py
@@ -23,8 +23,15 @@
 
 Connect = Callable[[Address], PeerClient]
 
-WATCH_TIMEOUT_S: Final = 1.6
-"""A watch is held for 0.7 s; the rest covers a slow link and a turn."""
+WATCH_TIMEOUT_S: Final = 2.4
+"""A watch is held for 0.7 to 1.5 s; the rest covers a slow link and a
+turn."""
+ROSTER_SOURCES: Final = 2
+"""Replicas that this VM has rosters of: each hears every entry VM, and one
+may be lost."""
+FAR_FETCH_S: Final = 0.3
+"""How long a replica in another region is not asked for a view that a near
+one is about to have; it hears of a commit with the next heartbeat."""
 FETCH_TIMEOUT_S: Final = 2.0
 """A large deployment over a narrow link."""
 RETRY_S: Final = 0.25
@@ -62,6 +69,7 @@
         self._watchers: dict[str, asyncio.Task[None]] = {}
         self._members: set[str] = set()
         self._in_touch: set[str] = set()
+        self._distances: dict[str, int] = {}
         self._fetching = asyncio.Lock()
         self._wanted = asyncio.Event()
         self._keeper: asyncio.Task[None] | None = None
@@ -165,20 +173,25 @@
             await client.close()
 
     async def _watch_once(self, address: str, client: PeerClient) -> None:
+        epoch, roster_revision = self.roster.known_of(address)
+        wanted = self._wants_roster(address)
         notice = await client.request(
             WatchView(
                 self._builder.revision,
                 self._status(),
-                self.roster.digest_of(address),
+                epoch if wanted else None,
+                roster_revision,
                 self._suspects.to_report(),
             ),
             WATCH_TIMEOUT_S,
         )
         assert isinstance(notice, ViewNotice), "the answer to a watch"
+        self._distances[address] = self._distance(notice)
         if address not in self._in_touch:
             self._in_touch.add(address)
             self._log.emit(Event.CONTROL_REGAINED, control=address)
-        self.roster.take(address, notice, time.monotonic())
+        if wanted:
+            self.roster.take(address, notice.roster, time.monotonic())
         self._suspects.merge(notice.suspicions, time.monotonic())
         members = set(notice.control)
         if members and members != self._members:
@@ -187,6 +200,21 @@
         if notice.revision > self._builder.revision:
             await self._fetch(address, client, notice.revision)
 
+    def _distance(self, notice: ViewNotice) -> int:
+        """Return 0 for a replica of the own zone, 1 of the region, or 2."""
+        own = self._status()
+        if notice.region != own.region:
+            return 2
+        return int(notice.availability_zone != own.availability_zone)
+
+    def _wants_roster(self, address: str) -> bool:
+        """Tell whether a replica is among the nearest in touch."""
+        nearest = sorted(
+            self._in_touch,
+            key=lambda other: (self._distances.get(other, 2), other),
+        )
+        return address in nearest[:ROSTER_SOURCES]
+
     def _note_lost(self, address: str, exc: PeerError) -> None:
         if address in self._in_touch:
             self._in_touch.discard(address)
@@ -202,6 +230,10 @@
         self, address: str, client: PeerClient, revision: int
     ) -> None:
         """Fetch what is new, unless another replica has just given it."""
+        if self._distances[address] > min(
+            self._distances.get(other, 2) for other in self._in_touch
+        ):
+            await asyncio.sleep(FAR_FETCH_S)
         async with self._fetching:
             if revision <= self._builder.revision:
                 return
@@ -221,7 +253,7 @@
             revision=update.revision,
             version=view.deployment.version if view else None,
             before=before.revision if before else 0,
-            targets=len(view.targets) if view else 0,
+            targets=view.targets if view else 0,
             changed=len(update.targets),
             removed=len(update.removed),
             control=address,
--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -79,7 +79,7 @@
         self._admission = Admission(
             view, rates, loans, suspects, log, rng, clock
         )
-        self._learning = Learning(links, suspects, metrics, log, clock)
+        self._learning = Learning(book, links, suspects, metrics, log, clock)
         self._repeat_limits = repeats
         self._metrics = metrics
         self._log = log
@@ -93,7 +93,7 @@
 
     def follow(self, view: View) -> None:
         """Forget what is kept of targets that a new view has not."""
-        self._cold.forget(view.targets)
+        self._cold.forget(view.removed)
 
     async def forward(self, req: SteerRequest) -> Response:
         """Return a target's answer; raise `RequestRefused`."""
--- a/src/wigeonford/steer/_homes.py
+++ b/src/wigeonford/steer/_homes.py
@@ -11,8 +11,15 @@
 """
 
 from collections import Counter, OrderedDict
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import (
+    Collection,
+    Iterable,
+    Iterator,
+    Mapping,
+    Sequence,
+)
 import hashlib
+import heapq
 import math
 from typing import Final
 
@@ -23,6 +30,8 @@
 FEW_VMS: Final = 8
 """Entry VMs of a region up to which each has seen most objects within a few
 seconds; an even division by more of them differs from VM to VM."""
+KEPT_RANKS: Final = 8
+"""Targets kept of each object's order; more are seldom out at once."""
 KEPT_THINGS: Final = 2048
 """Objects that are divided; the target size has some hundreds a service."""
 
@@ -79,9 +88,75 @@
     return Home(first, second)
 
 
-def rank_home(thing: str, target_ids: Iterable[str]) -> Home:
-    """Return an object's home by its order of targets alone."""
-    ranked = _target_order(thing, target_ids)
+class Orders:
+    """Keep the first targets of each object's order in one domain.
+
+    A target that joins or leaves changes an order in place: ranking all
+    targets of a large domain for each object anew takes a VM longer than
+    serving the request.
+    """
+
+    def __init__(self) -> None:
+        self._kept: OrderedDict[str, _Order] = OrderedDict()
+
+    def home_of(
+        self, thing: str, targets: Mapping[str, object], out: Collection[str]
+    ) -> Home | None:
+        """Return an object's home, whatever other objects there are.
+
+        `targets` are all of the domain, by id: the same mapping as long
+        as they are the same. Those in `out` are passed over.
+        """
+        order = self._kept.get(thing)
+        if order is None:
+            order = self._kept[thing] = _Order()
+            if len(self._kept) > KEPT_THINGS:
+                self._kept.popitem(last=False)
+        else:
+            self._kept.move_to_end(thing)
+        order.follow(thing, targets)
+        first = None
+        for name in order.names():
+            if name in out:
+                continue
+            if first is not None:
+                return Home(first, name)
+            first = name
+        return _rank_home(thing, targets.keys() - set(out))
+
+
+class _Order:
+    """Hold the first targets of an object, best first."""
+
+    def __init__(self) -> None:
+        self._targets: Mapping[str, object] = {}
+        self._scored: list[tuple[int, str]] = []
+
+    def names(self) -> Iterator[str]:
+        """Yield the ids, best first."""
+        return (name for _, name in self._scored)
+
+    def follow(self, thing: str, targets: Mapping[str, object]) -> None:
+        """Take over which targets there are now."""
+        if targets is self._targets:
+            return
+        before, self._targets = self._targets, targets
+        added = targets.keys() - before.keys()
+        kept = [item for item in self._scored if item[1] in targets]
+        if len(kept) <= KEPT_RANKS // 2:
+            kept, added = [], set(targets)
+        worst = kept[-1] if kept else None
+        scored = ((rank_score(thing, name), name) for name in added)
+        kept += (item for item in scored if worst is None or item > worst)
+        self._scored = heapq.nlargest(KEPT_RANKS, kept)
+
+
+def _rank_home(thing: str, target_ids: Iterable[str]) -> Home | None:
+    ranked = heapq.nlargest(
+        2, target_ids, key=lambda name: rank_score(thing, name)
+    )
+    if not ranked:
+        return None
     return Home(ranked[0], ranked[1] if len(ranked) > 1 else None)
 
 
@@ -95,18 +170,6 @@
     def __init__(self) -> None:
         self._targets: tuple[str, ...] = ()
         self._homes: dict[str, Home] = {}
-        self._ranked: dict[str, Home] = {}
-
-    def first_of(self, thing: str, targets: tuple[str, ...]) -> Home:
-        """Return an object's home, whatever other objects there are."""
-        if targets != self._targets or len(self._ranked) > KEPT_THINGS:
-            self._targets = targets
-            self._homes = {}
-            self._ranked = {}
-        home = self._ranked.get(thing)
-        if home is None:
-            home = self._ranked[thing] = rank_home(thing, targets)
-        return home
 
     def home_of(
         self, thing: str, things: Mapping[str, None], targets: tuple[str, ...]
@@ -116,7 +179,6 @@
             thing not in self._homes and self._is_outdated(things)
         ):
             self._targets = targets
-            self._ranked = {}
             self._homes = divide(things, targets)
         home = self._homes.get(thing)
         if home is None:
--- a/src/wigeonford/steer/_learning.py
+++ b/src/wigeonford/steer/_learning.py
@@ -10,9 +10,10 @@
 from wigeonford.http import Response
 from wigeonford.metrics import Metrics
 from wigeonford.steer._attempt import AttemptResult, Outcome, TargetLinks
+from wigeonford.steer._request import AnswerFacts
 from wigeonford.steer._route_stats import RouteStats
 from wigeonford.steer._suspects import SuspectBook
-from wigeonford.steer._target_book import TargetRecord
+from wigeonford.steer._target_book import TargetBook, TargetRecord
 from wigeonford.steer._work import Work
 
 FULL_S: Final = 0.1
@@ -33,12 +34,14 @@
 
     def __init__(
         self,
+        book: TargetBook,
         links: TargetLinks,
         suspects: SuspectBook,
         metrics: Metrics,
         log: EventLog,
         clock: Callable[[], float],
     ) -> None:
+        self._book = book
         self._links = links
         self._suspects = suspects
         self._metrics = metrics
@@ -61,8 +64,8 @@
             {"service": work.service, "outcome": result.outcome.value}
         )
         facts = result.facts
-        if facts is not None and facts.running is not None:
-            record.report_load(facts.running, facts.waiting or 0, now_s)
+        if facts is not None:
+            self._learn_facts(record, facts, now_s)
         service = work.view.services.get(record.announced.service)
         cold_s = service.cold_start_s if service else 0.0
         if result.outcome is Outcome.NOT_SENT:
@@ -89,7 +92,7 @@
             failed = True
         record.record_result(failed, now_s)
         if result.outcome is Outcome.NOT_RUN:
-            record.full_until_s = now_s + FULL_S
+            record.pause(FULL_S, now_s)
         if result.outcome is Outcome.BROKEN and not result.reused:
             self._suspects.record(work.print_, record.target_id, now_s)
         if not failed and record.mark_up(now_s, cold_s):
@@ -97,6 +100,26 @@
         if answer is not None and not failed:
             self._learn_duration(work, sent, answer, now_s - sent.began_s)
 
+    def _learn_facts(
+        self, record: TargetRecord, facts: AnswerFacts, now_s: float
+    ) -> None:
+        if facts.running is not None:
+            record.report_load(facts.running, facts.waiting or 0, now_s)
+        if facts.pause_s > 0:
+            record.pause(facts.pause_s, now_s)
+            self._log.emit(
+                Event.TARGET_PAUSED,
+                target=record.target_id,
+                pause_s=round(facts.pause_s, 2),
+            )
+        if facts.is_leaving and not record.is_leaving:
+            self._book.note_leaving(record)
+            self._log.emit(
+                Event.TARGET_LEAVING,
+                target=record.target_id,
+                born_ms=record.announced.born_ms,
+            )
+
     def _learn_duration(
         self,
         work: Work,
--- a/src/wigeonford/steer/_placement.py
+++ b/src/wigeonford/steer/_placement.py
@@ -9,14 +9,17 @@
 wait past its objective is refused rather than make all behind it late.
 """
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Final
 
 import msgspec
 
+from wigeonford.steer._domains import Available, available, Domain, Domains
 from wigeonford.steer._homes import (
     Division,
     FEW_VMS,
+    Home,
+    Orders,
     rank_score,
     Things,
 )
@@ -83,14 +86,23 @@
     role: str
 
 
+class _Service:
+    """Hold what is kept of one service."""
+
+    def __init__(self) -> None:
+        self.things = Things()
+        self.domains = Domains()
+        self.divisions: dict[str, Division] = {}
+        self.orders: dict[str, Orders] = {}
+        self.spills: dict[str, Spill] = {}
+        self.counts: dict[str, int] = {}
+
+
 class Placement:
     """Choose targets, and keep the divisions of objects."""
 
     def __init__(self) -> None:
-        self._things: dict[str, Things] = {}
-        self._divisions: dict[tuple[str, str], Division] = {}
-        self._spills: dict[tuple[str, str], Spill] = {}
-        self._sound: dict[tuple[str, str], int] = {}
+        self._services: dict[str, _Service] = {}
 
     def choose(
         self,
@@ -100,194 +112,192 @@
         may_use_cold: MayUse,
         now_s: float,
     ) -> Choice | None:
-        """Return the target for a request, or None if none has room."""
-        usable = [
-            record
-            for record in records
-            if not record.is_down(now_s)
-            and record.zone not in evacuated
-            and (wish.homes is None or record.region in wish.homes)
-        ]
-        warm = [record for record in usable if not record.is_cold(now_s)]
-        trial = self._trial(usable, wish, may_use_cold, now_s)
+        """Return the target for a request, or None if none has room.
+
+        `records` are all targets of the service: the same sequence as
+        long as they are the same.
+        """
+        kept = self._services.get(wish.service)
+        if kept is None:
+            kept = self._services[wish.service] = _Service()
+        zone_wide = wish.size_bytes >= BULKY_BYTES
+        domains = kept.domains.of(
+            records,
+            zone_wide=zone_wide,
+            homes=wish.homes,
+            evacuated=evacuated,
+        )
+        trial = _trial(domains, wish, may_use_cold, now_s)
         if trial is not None:
             return trial
-        if not warm:
-            return None
-        things = self._things.setdefault(wish.service, Things()).note(
-            wish.thing
+        return _Search(kept, wish, domains, now_s).choose(
+            wish.zone if zone_wide else wish.region
         )
-        return self._choose_warm(warm, wish, things, now_s)
 
-    def _trial(
-        self,
-        usable: Iterable[TargetRecord],
-        wish: Wish,
-        may_use_cold: MayUse,
-        now_s: float,
-    ) -> Choice | None:
-        """Return a cold target that is due for one of its few requests."""
-        for record in usable:
-            if not record.is_cold(now_s) or record.region != wish.region:
+
+def _trial(
+    domains: Mapping[str, Domain],
+    wish: Wish,
+    may_use_cold: MayUse,
+    now_s: float,
+) -> Choice | None:
+    """Return a cold target that is due for one of its few requests."""
+    for domain in domains.values():
+        if domain.region != wish.region:
+            continue
+        for record in domain.records:
+            if now_s >= record.cold_until_s or record.is_down(now_s):
+                continue
+            if record.target_id in wish.tried or record.is_paused(now_s):
                 continue
-            if record.target_id in wish.tried or not may_use_cold(record):
+            if not may_use_cold(record):
                 continue
             if record.load(now_s) < record.announced.slots * FREE_PART:
                 return Choice(record, 0.0, wish.durations.cold_s, "cold")
-        return None
+    return None
 
-    def _choose_warm(
+
+class _Search:
+    """Look for the target of one request among the domains."""
+
+    def __init__(
         self,
-        warm: Sequence[TargetRecord],
+        kept: _Service,
         wish: Wish,
-        things: Mapping[str, None],
+        domains: Mapping[str, Domain],
         now_s: float,
-    ) -> Choice | None:
-        domains = _domains(warm, wish, now_s)
-        own, local = domains[0]
-        if not local:
-            return self._elsewhere(domains[1:], wish, things, now_s)
-        spill = self._spill_of(wish.service, domains, now_s)
-        choice = self._within(own, local, wish, things, now_s)
-        use = _use(local, now_s)
-        leaves = _position(wish.thing) < spill.part
+    ) -> None:
+        self._kept = kept
+        self._wish = wish
+        self._domains = domains
+        self._now_s = now_s
+        self._available: dict[str, Available] = {}
+
+    def choose(self, own: str) -> Choice | None:
+        """Return the choice; `own` names the caller's domain."""
+        if not any(
+            self._look(domain).count for domain in self._domains.values()
+        ):
+            return None
+        things = self._kept.things.note(self._wish.thing)
+        domain = self._domains.get(own)
+        local = self._look(domain) if domain is not None else None
+        if local is None or not local.count:
+            return self._elsewhere(own, things)
+        spill = self._spill_of(local)
+        choice = self._within(local, things)
+        leaves = _position(self._wish.thing) < spill.part
         if not leaves:
-            spill.note(choice is not None, use, now_s)
+            spill.note(choice is not None, local.use, self._now_s)
             return choice
-        spill.note(choice is not None or use < 1.0, use, now_s)
-        return self._elsewhere(domains[1:], wish, things, now_s) or choice
-
-    def _spill_of(
-        self,
-        service: str,
-        domains: Sequence[tuple[str, list[TargetRecord]]],
-        now_s: float,
-    ) -> Spill:
-        domain, local = domains[0]
-        key = (service, domain)
-        spill = self._spills.get(key)
+        has_room = choice is not None or local.use < 1.0
+        spill.note(has_room, local.use, self._now_s)
+        return self._elsewhere(own, things) or choice
+
+    def _look(self, domain: Domain) -> Available:
+        found = self._available.get(domain.name)
+        if found is None:
+            found = available(domain, self._now_s, self._wish.vms)
+            self._available[domain.name] = found
+        return found
+
+    def _spill_of(self, local: Available) -> Spill:
+        name = local.domain.name
+        spill = self._kept.spills.get(name)
         if spill is None:
-            slots = [_slots(records) for _, records in domains]
-            part = first_part(slots[0], sum(slots), len(domains))
-            spill = self._spills[key] = Spill(now_s, part)
-        if len(local) < LOST_PART * self._sound.get(key, 0):
-            spill.free(now_s)
-        self._sound[key] = len(local)
+            slots = [self._look(item).slots for item in self._domains.values()]
+            part = first_part(local.slots, sum(slots), len(slots))
+            spill = self._kept.spills[name] = Spill(self._now_s, part)
+        if local.count < LOST_PART * self._kept.counts.get(name, 0):
+            spill.free(self._now_s)
+        self._kept.counts[name] = local.count
         return spill
 
     def _elsewhere(
-        self,
-        domains: Sequence[tuple[str, list[TargetRecord]]],
-        wish: Wish,
-        things: Mapping[str, None],
-        now_s: float,
+        self, own: str, things: Mapping[str, None]
     ) -> Choice | None:
-        """Return the object's home in another domain that has room."""
-        ranked = sorted(
-            (item for item in domains if item[1]),
-            key=lambda item: rank_score(wish.thing, item[0]),
+        """Return the object's home in another domain that has room.
+
+        Domains of the own region go first.
+        """
+        wish = self._wish
+        others = [
+            domain
+            for domain in self._domains.values()
+            if domain.name != own and self._look(domain).count
+        ]
+        others.sort(
+            key=lambda domain: (
+                domain.region == wish.region,
+                rank_score(wish.thing, domain.name),
+            ),
             reverse=True,
         )
-        # Domains of the own region go first.
-        ranked.sort(key=lambda item: item[1][0].region != wish.region)
-        for name, records in ranked:
-            choice = self._within(name, records, wish, things, now_s)
+        for domain in others:
+            choice = self._within(self._look(domain), things)
             if choice is not None:
                 return choice
         return None
 
+    def _home_of(
+        self, place: Available, things: Mapping[str, None]
+    ) -> Home | None:
+        wish = self._wish
+        domain = place.domain
+        if wish.vms > FEW_VMS:
+            orders = self._kept.orders.setdefault(domain.name, Orders())
+            return orders.home_of(wish.thing, domain.by_id, place.out)
+        division = self._kept.divisions.setdefault(domain.name, Division())
+        names = tuple(sorted(domain.by_id.keys() - place.out))
+        return division.home_of(wish.thing, things, names)
+
     def _within(
-        self,
-        domain: str,
-        records: Sequence[TargetRecord],
-        wish: Wish,
-        things: Mapping[str, None],
-        now_s: float,
+        self, place: Available, things: Mapping[str, None]
     ) -> Choice | None:
         """Return the object's home in a domain, or the one that helps."""
-        by_id = {record.target_id: record for record in records}
-        division = self._divisions.setdefault(
-            (wish.service, domain), Division()
-        )
-        target_ids = tuple(sorted(by_id))
-        if wish.vms <= FEW_VMS:
-            home = division.home_of(wish.thing, things, target_ids)
-        else:
-            home = division.first_of(wish.thing, target_ids)
+        wish = self._wish
+        name = place.domain.name
+        home = self._home_of(place, things)
+        if home is None:
+            return None
         patience_s = wish.patience_s
-        if records[0].region != wish.region:
+        if place.domain.region != wish.region:
             patience_s -= CROSS_REGION_S
-        first = by_id[home.first]
+        warm_s = wish.durations.warm_s
+        first = place.domain.by_id[home.first]
         if first.target_id not in wish.tried:
-            wait_s = _wait_s(first, wish.durations, now_s)
+            wait_s = self._wait_s(first, place.unheard)
             if wait_s is not None and wait_s <= patience_s:
-                work_s = wish.durations.warm_s
-                return Choice(first, wait_s, work_s, f"home in {domain}")
-        second = by_id.get(home.second or "")
+                return Choice(first, wait_s, warm_s, f"home in {name}")
+        second = place.domain.by_id.get(home.second or "")
         if second is None or second.target_id in wish.tried:
             return None
         if wish.thing in second.warm:
-            wait_s = _wait_s(second, wish.durations, now_s)
+            wait_s = self._wait_s(second, place.unheard)
             if wait_s is not None and wait_s <= patience_s:
-                work_s = wish.durations.warm_s
-                return Choice(second, wait_s, work_s, f"second in {domain}")
+                return Choice(second, wait_s, warm_s, f"second in {name}")
             return None
-        free = second.load(now_s) < second.announced.slots * FREE_PART
-        spare = _use(records, now_s) < SPARE_USE
-        if not (free and spare) or now_s < second.full_until_s:
+        load = second.load(self._now_s, place.unheard)
+        free = load < second.announced.slots * FREE_PART
+        spare = place.use < SPARE_USE
+        if not (free and spare) or second.is_paused(self._now_s):
             return None
         return Choice(
-            second, 0.0, wish.durations.cold_s, f"new second in {domain}"
+            second, 0.0, wish.durations.cold_s, f"new second in {name}"
         )
 
+    def _wait_s(self, record: TargetRecord, unheard: float) -> float | None:
+        """Return how long a request would wait, None if refused."""
+        slots = max(1, record.announced.slots)
+        load = record.load(self._now_s, unheard)
+        if load >= slots * (1 + WAIT_SLOTS) or record.is_paused(self._now_s):
+            return None
+        # A target whose slots are full takes up the next as one ends.
+        ahead = max(0.0, load + 1 - slots)
+        warm_s = self._wish.durations.warm_s
+        return ahead * warm_s * max(1.0, record.slowness) / slots
+
 
 def _position(thing: str) -> float:
     """Return where an object stands among those that leave first, 0 to 1."""
     return rank_score(thing, "leaves") / (1 << 64)
-
-
-def _domains(
-    records: Sequence[TargetRecord], wish: Wish, now_s: float
-) -> list[tuple[str, list[TargetRecord]]]:
-    """Return the domains an object has homes in, the own one first.
-
-    Where most of a domain's targets seem slow or failing, it's the load,
-    and all of them stay.
-    """
-    zone_wide = wish.size_bytes >= BULKY_BYTES
-    own = wish.zone if zone_wide else wish.region
-    domains: dict[str, list[TargetRecord]] = {own: []}
-    for record in records:
-        name = record.zone if zone_wide else record.region
-        domains.setdefault(name, []).append(record)
-    return [
-        (name, _mostly_sound(held, now_s)) for name, held in domains.items()
-    ]
-
-
-def _mostly_sound(
-    records: list[TargetRecord], now_s: float
-) -> list[TargetRecord]:
-    sound = [record for record in records if record.is_sound(now_s)]
-    return sound if 2 * len(sound) > len(records) else records
-
-
-def _use(records: Sequence[TargetRecord], now_s: float) -> float:
-    return sum(record.load(now_s) for record in records) / _slots(records)
-
-
-def _slots(records: Sequence[TargetRecord]) -> int:
-    return sum(record.announced.slots for record in records)
-
-
-def _wait_s(
-    record: TargetRecord, durations: Durations, now_s: float
-) -> float | None:
-    """Return how long a request would wait, None if it would be refused."""
-    slots = max(1, record.announced.slots)
-    load = record.load(now_s)
-    if load >= slots * (1 + WAIT_SLOTS) or now_s < record.full_until_s:
-        return None
-    # A target whose slots are full takes up the next as one ends.
-    ahead = max(0.0, load + 1 - slots)
-    return ahead * durations.warm_s * max(1.0, record.slowness) / slots
--- a/src/wigeonford/steer/_request.py
+++ b/src/wigeonford/steer/_request.py
@@ -43,13 +43,17 @@
     """Hold what the head of a target's answer says.
 
     `running` and `waiting` are the target's load, None where not told.
-    `is_whole` says that a success bears what the caller needs of it.
+    `is_whole` says that a success bears what the caller needs of it. The
+    target `is_leaving` says that it is about to end, and with `pause_s`
+    above 0 that it wants nothing from this VM for so long.
     """
 
     run: RunState
     is_whole: bool
     running: int | None = None
     waiting: int | None = None
+    is_leaving: bool = False
+    pause_s: float = 0.0
 
 
 class TargetWire(Protocol):
--- a/src/wigeonford/steer/_retry_after.py
+++ b/src/wigeonford/steer/_retry_after.py
@@ -24,9 +24,12 @@
 ) -> float:
     """Return when the first of some targets will have room again."""
     waits = [
-        max(0.0, record.load(now_s) + 1 - record.announced.slots)
-        * duration_s
-        / max(1, record.announced.slots)
+        max(
+            record.paused_until_s - now_s,
+            max(0.0, record.load(now_s) + 1 - record.announced.slots)
+            * duration_s
+            / max(1, record.announced.slots),
+        )
         for record in records
         if not record.is_down(now_s)
     ]
--- a/src/wigeonford/steer/_target_book.py
+++ b/src/wigeonford/steer/_target_book.py
@@ -30,6 +30,9 @@
 objects forgotten."""
 SLOW_S: Final = 4.0
 """How long a slow target is left out; disruptions last as long."""
+MAX_LEAVING: Final = 4096
+"""Incarnations remembered that said that they leave; more than a fleet of
+the target size has at once."""
 WARM_KEPT: Final = 16
 """Objects remembered for each target; targets remember some more."""
 
@@ -51,7 +54,8 @@
     cold_until_s: float = 0.0
     failures: float = 0.0
     failed_at_s: float = float("-inf")
-    full_until_s: float = 0.0
+    paused_until_s: float = 0.0
+    is_leaving: bool = False
     slowness: float = 1.0
     slow_until_s: float = 0.0
     warm: OrderedDict[str, None] = msgspec.field(default_factory=OrderedDict)
@@ -66,8 +70,13 @@
         """Return the target's availability zone."""
         return self.announced.availability_zone
 
-    def load(self, now_s: float) -> float:
-        """Return how many requests the target is thought to hold."""
+    def load(self, now_s: float, unheard: float = 0.0) -> float:
+        """Return how many requests the target is thought to hold.
+
+        `unheard` are those of other entry VMs, until it has told its load.
+        """
+        if not self.others_at_s:
+            return self.in_flight + unheard
         elapsed_s = now_s - self.others_at_s
         if self.others <= 0.0 or elapsed_s > 8 * OTHERS_HALF_LIFE_S:
             return float(self.in_flight)
@@ -95,6 +104,14 @@
         """Tell whether the target may be home to objects."""
         return not self.is_grey(now_s) and now_s >= self.slow_until_s
 
+    def pause(self, pause_s: float, now_s: float) -> None:
+        """Send nothing for a while, as the target has asked."""
+        self.paused_until_s = max(self.paused_until_s, now_s + pause_s)
+
+    def is_paused(self, now_s: float) -> bool:
+        """Tell whether the target has asked for nothing at present."""
+        return now_s < self.paused_until_s
+
     def mark_down(self, now_s: float, cold_s: float) -> float:
         """Leave the target out for a while; return for how long.
 
@@ -150,13 +167,18 @@
 
 
 class TargetBook:
-    """Keep a record of each target that a view names."""
+    """Keep a record of each target that a view names.
+
+    A change costs what it changes, however many targets there are.
+    """
 
     def __init__(self) -> None:
         self._records: dict[str, TargetRecord] = {}
-        self._by_service: dict[str, tuple[TargetRecord, ...]] = {}
+        self._by_service: dict[str, dict[str, TargetRecord]] = {}
+        self._lists: dict[str, tuple[TargetRecord, ...]] = {}
+        # Incarnations that have said in answers that they leave.
+        self._leaving: dict[str, int] = {}
         self._taken_back: dict[str, int] = {}
-        self.revision = 0
 
     def get(self, target_id: str) -> TargetRecord | None:
         """Return the record of a target."""
@@ -167,39 +189,88 @@
 
     def of_service(self, service: str) -> tuple[TargetRecord, ...]:
         """Return the targets of a service that are not leaving."""
-        return self._by_service.get(service, ())
+        held = self._lists.get(service)
+        if held is None:
+            records = self._by_service.get(service, {})
+            held = self._lists[service] = tuple(records.values())
+        return held
 
     def follow(
         self,
-        targets: Mapping[str, Announcement],
+        changed: Iterable[Announcement],
+        removed: Iterable[str],
         regions: Mapping[str, str],
         now_s: float,
-    ) -> None:
-        """Take over the targets of a new view."""
-        records: dict[str, TargetRecord] = {}
-        for target_id, said in targets.items():
-            held = self._records.get(target_id)
+    ) -> list[str]:
+        """Take over what a view has changed of the targets.
+
+        Return the addresses at which another target, or none, is now.
+        """
+        left: list[str] = []
+        for target_id in removed:
+            record = self._records.pop(target_id, None)
+            if record is not None:
+                self._unlist(record)
+                left.append(record.announced.address)
+        for said in changed:
+            held = self._records.get(said.target_id)
             if held is None or held.announced.born_ms != said.born_ms:
-                region = regions.get(said.availability_zone, "")
-                held = TargetRecord(said, region, now_s)
-                held.cold_until_s = now_s + said.cold_s
-            elif held.announced is not said and held.announced != said:
-                held.announced = said
-                held.cold_until_s = now_s + said.cold_s
-                # It speaks, so that it runs.
-                held.down_until_s = min(held.down_until_s, now_s)
-            records[target_id] = held
-        self._records = records
-        self.revision += 1
-        by_service: dict[str, list[TargetRecord]] = {}
-        for record in records.values():
-            if not record.announced.leaving:
-                by_service.setdefault(record.announced.service, []).append(
-                    record
-                )
-        self._by_service = {
-            service: tuple(held) for service, held in by_service.items()
-        }
+                if held is not None:
+                    self._unlist(held)
+                    left.append(held.announced.address)
+                self._add(said, regions, now_s)
+            elif held.announced != said:
+                self._update(held, said, now_s)
+        return left
+
+    def _add(
+        self,
+        said: Announcement,
+        regions: Mapping[str, str],
+        now_s: float,
+    ) -> None:
+        region = regions.get(said.availability_zone, "")
+        record = TargetRecord(said, region, now_s)
+        record.cold_until_s = now_s + said.cold_s
+        record.is_leaving = self._leaving.get(said.target_id) == said.born_ms
+        self._records[said.target_id] = record
+        self._list(record)
+
+    def _update(
+        self, record: TargetRecord, said: Announcement, now_s: float
+    ) -> None:
+        self._unlist(record)
+        record.announced = said
+        record.cold_until_s = now_s + said.cold_s
+        # It speaks, so that it runs.
+        record.down_until_s = min(record.down_until_s, now_s)
+        self._list(record)
+
+    def note_leaving(self, record: TargetRecord) -> None:
+        """Send a target nothing more, as it has said that it leaves.
+
+        That holds whatever is announced of it, until its next start.
+        """
+        said = record.announced
+        self._leaving[said.target_id] = said.born_ms
+        if len(self._leaving) > MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        record.is_leaving = True
+        self._unlist(record)
+
+    def _list(self, record: TargetRecord) -> None:
+        said = record.announced
+        if not said.leaving and not record.is_leaving:
+            records = self._by_service.setdefault(said.service, {})
+            records[said.target_id] = record
+            self._lists.pop(said.service, None)
+
+    def _unlist(self, record: TargetRecord) -> None:
+        said = record.announced
+        records = self._by_service.get(said.service, {})
+        if records.get(said.target_id) is record:
+            del records[said.target_id]
+            self._lists.pop(said.service, None)
 
     def follow_evacuations(
         self,
--- a/src/wigeonford/steer/_view.py
+++ b/src/wigeonford/steer/_view.py
@@ -14,15 +14,15 @@
     RouteTable,
     Service,
 )
-from wigeonford.messages.steering import (
-    EntryStatus,
-    ViewNotice,
-    ViewUpdate,
-)
+from wigeonford.messages.steering import EntryStatus, RosterChange, ViewUpdate
 
 
 class View(msgspec.Struct, frozen=True):
-    """Hold one revision of what steers requests, ready for look-ups."""
+    """Hold one revision of what steers requests, ready for look-ups.
+
+    `changed` and `removed` are the targets that it changes of the view
+    taken before; `targets` counts them all.
+    """
 
     revision: int
     deployment: Deployment
@@ -31,7 +31,9 @@
     services: Mapping[str, Service]
     evacuated: frozenset[str]
     taken_back: Mapping[str, int]
-    targets: Mapping[str, Announcement]
+    targets: int
+    changed: tuple[Announcement, ...]
+    removed: tuple[str, ...]
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of a request, or None."""
@@ -51,7 +53,10 @@
     _keys: KeyTable | None = None
     _evacuated: frozenset[str] = frozenset()
     _taken_back: dict[str, int] = msgspec.field(default_factory=dict)
-    _targets: dict[str, Announcement] = msgspec.field(default_factory=dict)
+    _services: dict[str, Service] = msgspec.field(default_factory=dict)
+    _targets: set[str] = msgspec.field(default_factory=set)
+    _changed: list[Announcement] = msgspec.field(default_factory=list)
+    _removed: list[str] = msgspec.field(default_factory=list)
 
     def take(self, update: ViewUpdate) -> bool:
         """Take over an update; tell whether it was newer."""
@@ -62,36 +67,48 @@
             self._deployment = update.deployment
             self._routes = RouteTable(update.deployment)
             self._keys = KeyTable(update.deployment)
+            self._services = {
+                item.name: item for item in update.deployment.services
+            }
         if update.evacuated is not None:
             self._evacuated = frozenset(update.evacuated)
         if update.taken_back is not None:
             self._taken_back = update.taken_back
-        targets = dict(self._targets)
-        for target_id in update.removed:
-            targets.pop(target_id, None)
-        for announced in update.targets:
-            targets[announced.target_id] = announced
-        self._targets = targets
+        self._targets.difference_update(update.removed)
+        self._targets.update(said.target_id for said in update.targets)
+        self._changed.extend(update.targets)
+        self._removed.extend(update.removed)
         return True
 
     def build(self) -> View | None:
-        """Return the view, or None before the first deployment."""
+        """Return the view, or None before the first deployment.
+
+        It tells what has changed of the targets since the last one built.
+        """
         if self._deployment is None:
             return None
         assert self._routes is not None, "built with the deployment"
         assert self._keys is not None, "built with the deployment"
+        changed, self._changed = tuple(self._changed), []
+        removed, self._removed = tuple(self._removed), []
         return View(
             self.revision,
             self._deployment,
             self._routes,
             self._keys,
-            {item.name: item for item in self._deployment.services},
+            self._services,
             self._evacuated,
             self._taken_back,
-            self._targets,
+            len(self._targets),
+            changed,
+            removed,
         )
 
 
+UNKNOWN_EPOCH: Final = -1
+"""No run of a replica: its first answer tells the whole roster."""
+MERGED_S: Final = 0.2
+"""How long a merged roster is kept; look-ups come by the hundred a second."""
 ROSTER_KEPT_S: Final = 3.0
 """An entry VM that no control replica lists for so long has stopped."""
 
@@ -104,30 +121,48 @@
     """
 
     def __init__(self) -> None:
-        self._lists: dict[str, tuple[EntryStatus, ...]] = {}
-        self._digests: dict[str, int] = {}
+        self._lists: dict[str, dict[str, EntryStatus]] = {}
+        self._known: dict[str, tuple[int, int]] = {}
         self._heard_at_s: dict[str, float] = {}
+        self._merged: dict[str, EntryStatus] = {}
+        self._merged_until_s = float("-inf")
 
-    def digest_of(self, replica: str) -> int:
-        """Return the digest of the roster last had from a replica."""
-        return self._digests.get(replica, 0)
+    def known_of(self, replica: str) -> tuple[int, int]:
+        """Return epoch and revision of what was had from a replica."""
+        return self._known.get(replica, (UNKNOWN_EPOCH, 0))
 
-    def take(self, replica: str, notice: ViewNotice, now_s: float) -> None:
-        """Take over a replica's roster."""
+    def take(
+        self, replica: str, change: RosterChange | None, now_s: float
+    ) -> None:
+        """Take over what a replica tells; None if that is nothing new."""
         self._heard_at_s[replica] = now_s
-        if notice.roster is not None:
-            self._lists[replica] = notice.roster
-            self._digests[replica] = notice.roster_digest
+        if change is None:
+            return
+        if change.whole:
+            self._lists[replica] = {}
+        entries = self._lists.setdefault(replica, {})
+        for name in change.gone:
+            entries.pop(name, None)
+        for status in change.running:
+            entries[status.name] = status
+        self._known[replica] = (change.epoch, change.revision)
+        self._merged_until_s = float("-inf")
 
     def entries(self, now_s: float) -> dict[str, EntryStatus]:
         """Return the entry VMs that run, by name."""
+        if now_s >= self._merged_until_s:
+            self._merged = self._merge(now_s)
+            self._merged_until_s = now_s + MERGED_S
+        return self._merged
+
+    def _merge(self, now_s: float) -> dict[str, EntryStatus]:
         newest_s = max(self._heard_at_s.values(), default=now_s)
         since_s = min(now_s, newest_s) - ROSTER_KEPT_S
         found: dict[str, EntryStatus] = {}
         for replica, roster in self._lists.items():
             if self._heard_at_s[replica] < since_s:
                 continue
-            for status in roster:
+            for status in roster.values():
                 held = found.get(status.name)
                 # Of two runs of one VM, the one that is not ready is older
                 # or about to stop.
--- a/tests/test_client_answers.py
+++ b/tests/test_client_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from typing import Final
 import unittest
 
 from wigeonford.http import (
@@ -119,3 +120,67 @@
         answer = await conn.exchange("GET", "/", HEAD, b"", is_own)
         await read_body(answer)
         self.assertLessEqual(conn.keep_s, 4.0)
+
+
+ENDLESS: Final = b"x" * 4096
+
+
+class EndlessTest(unittest.IsolatedAsyncioTestCase):
+    """The server sends bytes that are no answer until the client closes."""
+
+    async def connect(
+        self, start: bytes, more: bytes
+    ) -> tuple[ClientConnection, asyncio.Future[int]]:
+        """Return a connection, and what the server could send in all."""
+        sent: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            count = 0
+            try:
+                writer.write(start)
+                while True:
+                    writer.write(more)
+                    count += len(more)
+                    await writer.drain()
+            except OSError:
+                sent.set_result(count)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        conn = await ClientConnection.open(Address("127.0.0.1", port), 5.0)
+        self.addCleanup(conn.close)
+        return conn, sent
+
+    async def check_broken(self, start: bytes, more: bytes) -> None:
+        conn, sent = await self.connect(start, more)
+        async with asyncio.timeout(10.0):
+            with self.assertRaises(ExchangeFailed):
+                await conn.exchange("GET", "/", HEAD, b"", is_own)
+            self.assertFalse(conn.reusable)
+            self.assertLess(await sent, 1 << 25)
+
+    async def test_head_without_end(self) -> None:
+        await self.check_broken(b"", ENDLESS)
+
+    async def test_header_without_end(self) -> None:
+        await self.check_broken(b"HTTP/1.1 200 OK\r\nx-a: ", ENDLESS)
+
+    async def test_interim_answers_without_end(self) -> None:
+        await self.check_broken(b"", b"HTTP/1.1 103 Early Hints\r\n\r\n")
+
+    async def test_stray_answer_without_end(self) -> None:
+        start = b"HTTP/1.1 200 OK\r\nx-id: 1\r\ncontent-length: 9999999999"
+        await self.check_broken(start + b"\r\n\r\n", ENDLESS)
+
+    async def test_chunk_head_without_end(self) -> None:
+        start = b"HTTP/1.1 200 OK\r\nx-id: 2\r\ntransfer-encoding: chunked"
+        conn, sent = await self.connect(start + b"\r\n\r\n", b"1" * 4096)
+        async with asyncio.timeout(10.0):
+            with self.assertRaises(ExchangeFailed):
+                answer = await conn.exchange("GET", "/", HEAD, b"", is_own)
+                await read_body(answer)
+            self.assertLess(await sent, 1 << 25)
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -23,7 +23,7 @@
         if Client.asked == 1:
             raise ValueError("odd bytes")
         await asyncio.sleep(0.01)
-        return ViewNotice(0, (), 0, ())
+        return ViewNotice(0, None, ())
 
     async def close(self) -> None:
         """Return: there is nothing to close."""
--- /dev/null
+++ b/tests/test_roster.py
@@ -0,0 +1,118 @@
+"""Rosters of entry VMs: what a replica tells, and what a VM makes of it."""
+
+from typing import Final
+import unittest
+
+from wigeonford.codec import Codec
+from wigeonford.control._roster import ENTRY_SILENT_S, Roster
+from wigeonford.messages.steering import EntryStatus, RosterChange
+from wigeonford.steer import Roster as MergedRoster
+from wigeonford.steer._view import MERGED_S, UNKNOWN_EPOCH
+
+EPOCH: Final = 7
+VMS: Final = 450
+"""Nodes of the target size."""
+
+
+def status(number: int, *, ready: bool = True, run: str = "a") -> EntryStatus:
+    """Return how an entry VM presents itself."""
+    return EntryStatus(
+        f"front-{number}", run, f"10.0.0.{number}:80", "z", "r", ready
+    )
+
+
+class RosterTest(unittest.TestCase):
+    """A replica tells what is new, and nothing twice."""
+
+    def setUp(self) -> None:
+        self.roster = Roster(EPOCH)
+
+    def names(self, change: RosterChange) -> list[str]:
+        return sorted(item.name for item in change.running)
+
+    def test_a_change_is_told_alone_however_many_run(self) -> None:
+        for number in range(VMS):
+            self.roster.hear(status(number), 0.0)
+        before = self.roster.revision
+        self.assertFalse(self.roster.hear(status(3), 1.0))
+        self.assertEqual(before, self.roster.revision)
+        self.assertTrue(self.roster.hear(status(3, ready=False), 1.0))
+        change = self.roster.changes_since(EPOCH, before)
+        self.assertFalse(change.whole)
+        self.assertEqual(["front-3"], self.names(change))
+
+    def test_silent_ones_leave(self) -> None:
+        self.roster.hear(status(1), 0.0)
+        self.roster.hear(status(2), 0.0)
+        known = self.roster.revision
+        self.roster.hear(status(2), ENTRY_SILENT_S)
+        gone = self.roster.expire(ENTRY_SILENT_S + 0.1)
+        self.assertEqual(["front-1"], [name for name, _ in gone])
+        change = self.roster.changes_since(EPOCH, known)
+        self.assertEqual(("front-1",), change.gone)
+        self.roster.hear(status(1, run="b"), ENTRY_SILENT_S + 0.2)
+        change = self.roster.changes_since(EPOCH, known)
+        self.assertEqual(((), ["front-1"]), (change.gone, self.names(change)))
+
+    def test_another_run_of_a_replica_tells_all(self) -> None:
+        self.roster.hear(status(1), 0.0)
+        change = self.roster.changes_since(UNKNOWN_EPOCH, 99)
+        self.assertTrue(change.whole)
+        self.assertEqual(["front-1"], self.names(change))
+
+    def test_what_was_said_before_does_not_undo_news(self) -> None:
+        """A watch that ends after a VM said it stops changes nothing."""
+        self.roster.hear(status(1), 0.0)
+        self.roster.hear(status(1, ready=False), 0.5)
+        self.roster.refresh(status(1), 0.7)
+        change = self.roster.changes_since(UNKNOWN_EPOCH, 0)
+        self.assertEqual([False], [item.ready for item in change.running])
+
+    def test_start_of_a_fleet_costs_bytes_by_its_size(self) -> None:
+        """Each VM hears of each other one once, not at each start."""
+        codec = Codec("roster")
+        codec.register(1)(RosterChange)
+
+        def bytes_of(vms: int) -> int:
+            roster = Roster(EPOCH)
+            known = [0] * vms
+            told = 0
+            for tick in range(10):
+                for number in range(tick * vms // 10, (tick + 1) * vms // 10):
+                    roster.hear(status(number), tick * 0.1)
+                for number in range(vms):
+                    change = roster.changes_since(EPOCH, known[number])
+                    known[number] = change.revision
+                    told += len(codec.encode(change))
+            return told // vms
+
+        self.assertLess(bytes_of(VMS), 1.5 * VMS / 45 * bytes_of(45))
+
+
+class MergedRosterTest(unittest.TestCase):
+    """A VM runs while a replica in touch lists it."""
+
+    def test_changes_are_merged_by_replica(self) -> None:
+        merged = MergedRoster()
+        whole = RosterChange(EPOCH, 2, True, (status(1), status(2)), ())
+        merged.take("a", whole, 0.0)
+        merged.take("b", RosterChange(9, 1, True, (status(1),), ()), 0.0)
+        self.assertEqual((EPOCH, 2), merged.known_of("a"))
+        self.assertEqual((UNKNOWN_EPOCH, 0), merged.known_of("c"))
+        self.assertEqual({"front-1", "front-2"}, set(merged.entries(0.0)))
+        gone = RosterChange(EPOCH, 4, False, (), ("front-1", "front-2"))
+        merged.take("a", gone, 0.1)
+        self.assertEqual({"front-1"}, set(merged.entries(0.1)))
+
+    def test_what_a_silent_replica_said_is_dropped(self) -> None:
+        merged = MergedRoster()
+        merged.take("a", RosterChange(1, 1, True, (status(1),), ()), 0.0)
+        merged.take("b", RosterChange(2, 1, True, (status(2),), ()), 0.0)
+        merged.take("b", None, 10.0)
+        self.assertEqual({"front-2"}, set(merged.entries(10.0 + MERGED_S)))
+
+    def test_a_replica_that_started_anew_begins_anew(self) -> None:
+        merged = MergedRoster()
+        merged.take("a", RosterChange(1, 5, True, (status(1),), ()), 0.0)
+        merged.take("a", RosterChange(2, 1, True, (status(2),), ()), 0.1)
+        self.assertEqual({"front-2"}, set(merged.entries(0.1)))
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -69,7 +69,7 @@
             raise PeerError(Code.PEER_UNREACHABLE, self.address)
         if isinstance(record, WatchView):
             await asyncio.sleep(0.01)
-            return ViewNotice(1, (), 0, ())
+            return ViewNotice(1, None, ())
         if isinstance(record, FetchView):
             return ViewUpdate(1, make_deployment(), (), {}, (), ())
         return PartsAnswer(1, ())
--- a/tests/test_target_book.py
+++ b/tests/test_target_book.py
@@ -67,7 +67,7 @@
 
     def follow(self, book: TargetBook, **changes: object) -> TargetRecord:
         said = announce(**changes)
-        book.follow({said.target_id: said}, {"south-a": "south"}, 100.0)
+        book.follow((said,), (), {"south-a": "south"}, 100.0)
         record = book.get(said.target_id)
         assert record is not None, "followed"
         return record
@@ -121,7 +121,7 @@
         rates = ColdRates()
         for target_id in ("stays", "goes"):
             self.assertFalse(rates.may_send(target_id, 4.0, 0.0))
-        rates.forget(("stays",))
+        rates.forget(("goes",))
         self.assertTrue(rates.may_send("stays", 4.0, 10.0))
         self.assertFalse(rates.may_send("goes", 4.0, 10.0))
 
--- /dev/null
+++ b/tests/test_target_notices.py
@@ -0,0 +1,154 @@
+"""What targets say of themselves in answers: leaving, or wanting a pause."""
+
+import unittest
+
+from tests.test_deployment import announce
+from tests.test_placement import make_records
+from tests.test_platform_codec import make_request
+from wigeonford.http import Response
+from wigeonford.platform._front import encode_answer, PlatformTargetWire
+from wigeonford.steer._placement import Durations, Placement, Wish
+from wigeonford.steer._target_book import TargetBook, TargetRecord
+
+ZONES = {"south-a": "south"}
+
+
+class NoticeDecodingTest(unittest.TestCase):
+    """The adapter reads both notices, whatever the answer is."""
+
+    def test_leaving_is_read_from_any_answer(self) -> None:
+        wire = PlatformTargetWire()
+        leaving = (b"server-leaving", b"1")
+        for status in (200, 404, 500, 503):
+            facts = wire.facts(Response(status, (leaving,)))
+            self.assertTrue(facts.is_leaving, status)
+        self.assertFalse(wire.facts(Response(200)).is_leaving)
+        other = wire.facts(Response(421, (leaving,)))
+        self.assertFalse(other.is_leaving, "another target said so")
+
+    def test_pause_is_read_from_503_only(self) -> None:
+        wire = PlatformTargetWire()
+        for text, expected in (
+            (b"2", 2.0),
+            (b"0.25", 0.25),
+            (b"soon", 0.0),
+            (b"-1", 0.0),
+            (b"nan", 0.0),
+            (b"inf", 0.0),
+        ):
+            after = (b"retry-after", text)
+            not_run = (b"x-not-executed", b"1")
+            facts = wire.facts(Response(503, (after, not_run)))
+            self.assertEqual(expected, facts.pause_s, text)
+            self.assertEqual(
+                expected, wire.facts(Response(503, (after,))).pause_s
+            )
+        self.assertEqual(
+            0.0, wire.facts(Response(429, ((b"retry-after", b"2"),))).pause_s
+        )
+
+
+class LeavingTest(unittest.TestCase):
+    """A target that says it leaves gets nothing more of this VM."""
+
+    def setUp(self) -> None:
+        self.book = TargetBook()
+        self.follow(sequence=1)
+
+    def follow(self, **changes: object) -> None:
+        said = announce(availability_zone="south-a", **changes)
+        self.said = said
+        self.book.follow((said,), (), ZONES, 1.0)
+
+    def record(self) -> TargetRecord:
+        record = self.book.get(self.said.target_id)
+        assert record is not None, "followed"
+        return record
+
+    def served(self) -> int:
+        return len(self.book.of_service(self.said.service))
+
+    def test_it_is_no_choice_from_then_on(self) -> None:
+        self.assertEqual(1, self.served())
+        self.book.note_leaving(self.record())
+        self.assertEqual(0, self.served())
+
+    def test_later_announcements_of_the_same_start_change_nothing(
+        self,
+    ) -> None:
+        self.book.note_leaving(self.record())
+        self.follow(sequence=2)
+        self.follow(sequence=3, cold_s=1.0)
+        self.assertEqual(0, self.served())
+
+    def test_a_view_that_lost_it_and_has_it_again_changes_nothing(
+        self,
+    ) -> None:
+        self.book.note_leaving(self.record())
+        self.book.follow((), (self.said.target_id,), ZONES, 2.0)
+        self.follow(sequence=2)
+        self.assertEqual(0, self.served())
+
+    def test_its_next_start_is_served(self) -> None:
+        self.book.note_leaving(self.record())
+        self.follow(sequence=1, born_ms=self.said.born_ms + 5000)
+        self.assertEqual(1, self.served())
+
+
+class PauseTest(unittest.TestCase):
+    """A target that asks for a pause gets none of this VM's requests."""
+
+    def setUp(self) -> None:
+        self.records = make_records(2, 4, "south")
+        self.placement = Placement()
+
+    def choose(
+        self, now_s: float, *, may_use_cold: bool = False
+    ) -> str | None:
+        wish = Wish(
+            "reads",
+            "object-1",
+            "south-a",
+            "south",
+            1500.0,
+            Durations(0.264, 0.88),
+            0.3,
+        )
+        choice = self.placement.choose(
+            self.records, wish, frozenset(), lambda _: may_use_cold, now_s
+        )
+        return choice.record.target_id if choice else None
+
+    def test_others_serve_meanwhile(self) -> None:
+        first = self.choose(1.0)
+        record = next(r for r in self.records if r.target_id == first)
+        record.pause(2.0, 1.0)
+        self.assertNotEqual(first, self.choose(1.1))
+        self.assertNotEqual(first, self.choose(2.9))
+        self.assertEqual(first, self.choose(3.01))
+
+    def test_a_shorter_pause_does_not_end_a_longer_one(self) -> None:
+        record = self.records[0]
+        record.pause(2.0, 1.0)
+        record.pause(0.1, 1.5)
+        self.assertTrue(record.is_paused(2.9))
+
+    def test_a_cold_target_rests_too(self) -> None:
+        for record in self.records:
+            record.cold_until_s = 10.0
+            record.pause(2.0, 1.0)
+        self.assertIsNone(self.choose(1.5, may_use_cold=True))
+
+    def test_with_all_paused_nothing_is_sent(self) -> None:
+        for record in self.records:
+            record.pause(2.0, 1.0)
+        self.assertIsNone(self.choose(1.5))
+
+
+class NoticeOfTargetTest(unittest.TestCase):
+    """What a target says of itself to VMs does not reach callers."""
+
+    def test_notice_is_not_passed_on(self) -> None:
+        leaving = (b"server-leaving", b"1")
+        answer = encode_answer(make_request(), Response(200, (leaving,), b""))
+        self.assertIsNone(answer.header(b"server-leaving"))
