Patches to entry VMs; a stop serves the backlog; fewer reports of parts

A stop closed the listener at once: what waited in its backlog, or had been accepted and had no task yet, was reset, the second with an AssertionError in asyncio's log. The listener takes what has reached it first. Two tests, both failing before.

The leader heard a report of each VM each 0.4 s; in large fleets, at most 250 a second in all.

It asks for the same end.

--- a/src/wigeonford/control/_steering.py
+++ b/src/wigeonford/control/_steering.py
@@ -19,12 +19,17 @@
     apply_patch,
     check_deployment,
     Deployment,
+    DeploymentPatch,
+    diff_deployments,
     Evacuations,
     Target,
     TargetTable,
 )
 from wigeonford.errors import Code
 
+MAX_PUBLISHED: Final = 32
+"""Deployments kept to tell entry VMs only what has changed; they lag by a
+few at most."""
 MAX_ORDERS: Final = 4096
 """Accepted orders remembered for resends; the target size has 2,500 a
 day."""
@@ -75,6 +80,9 @@
         self.targets = TargetTable()
         self.holders: set[str] = set()
         self._orders: dict[bytes, None] = {}
+        # By revision; not part of snapshots.
+        self._published: dict[int, Deployment] = {}
+        self._patches: dict[tuple[int, int], DeploymentPatch] = {}
 
     @staticmethod
     def takes(record: Any) -> bool:
@@ -138,6 +146,10 @@
             )
         self.deployment = deployment
         self.deployment_revision = self._advance()
+        self._published[self.deployment_revision] = deployment
+        if len(self._published) > MAX_PUBLISHED:
+            del self._published[next(iter(self._published))]
+        self._patches.clear()
         self._orders[order_id] = None
         if len(self._orders) > MAX_ORDERS:
             del self._orders[next(iter(self._orders))]
@@ -180,6 +192,23 @@
         self.holders.difference_update(record.removed)
         return self._result(Code.OK)
 
+    def patch_since(self, revision: int) -> DeploymentPatch | None:
+        """Return what has changed of the deployment after a revision.
+
+        Return None where this replica does not know any more what was in
+        force then.
+        """
+        known = [at for at in self._published if at <= revision]
+        if not known or self.deployment is None:
+            return None
+        key = (max(known), self.deployment_revision)
+        patch = self._patches.get(key)
+        if patch is None:
+            base = self._published[key[0]]
+            patch = diff_deployments(base, self.deployment)
+            self._patches[key] = patch
+        return patch
+
     def snapshot(self) -> bytes:
         """Return this part of the state as bytes."""
         tables = _SteeringTables(
--- a/src/wigeonford/control/_view_service.py
+++ b/src/wigeonford/control/_view_service.py
@@ -181,11 +181,12 @@
         """Return what came after a revision; all of it after 0."""
         steering = self._replica.state.steering
         evacuated = steering.evacuation_revision > revision
+        published = steering.deployment_revision > revision
+        patch = steering.patch_since(revision) if published else None
+        whole = published and patch is None
         return ViewUpdate(
             steering.revision,
-            steering.deployment
-            if steering.deployment_revision > revision
-            else None,
+            steering.deployment if whole else None,
             tuple(sorted(steering.evacuations.zones)) if evacuated else None,
             dict(steering.evacuations.taken_back) if evacuated else None,
             tuple(
@@ -196,4 +197,5 @@
                 for held in steering.targets.changed_since(revision)
             ),
             tuple(steering.targets.removed_since(revision)),
+            patch,
         )
--- a/src/wigeonford/deployment/__init__.py
+++ b/src/wigeonford/deployment/__init__.py
@@ -3,6 +3,7 @@
 from wigeonford.deployment._changes import (
     apply_patch,
     DeploymentPatch,
+    diff_deployments,
 )
 from wigeonford.deployment._check import check_deployment
 from wigeonford.deployment._evacuation import Evacuations
@@ -29,6 +30,7 @@
     "Applied",
     "apply_patch",
     "check_deployment",
+    "diff_deployments",
     "Deployment",
     "DeploymentPatch",
     "Evacuations",
--- a/src/wigeonford/deployment/_changes.py
+++ b/src/wigeonford/deployment/_changes.py
@@ -15,6 +15,7 @@
 )
 
 T = TypeVar("T")
+N = TypeVar("N", Service, Account, Route)
 
 
 class DeploymentPatch(msgspec.Struct, frozen=True):
@@ -53,6 +54,35 @@
     )
 
 
+def diff_deployments(base: Deployment, new: Deployment) -> DeploymentPatch:
+    """Return the patch that makes of a deployment another one.
+
+    Named items come in another order where some were moved.
+    """
+    return DeploymentPatch(
+        new.version,
+        _changed(base.services, new.services),
+        _changed(base.accounts, new.accounts),
+        tuple(sorted(set(new.hosts) - set(base.hosts))),
+        _changed(base.routes, new.routes),
+        new.limits if new.limits != base.limits else None,
+        _missing(base.services, new.services),
+        _missing(base.accounts, new.accounts),
+        _missing(base.routes, new.routes),
+        tuple(sorted(set(base.hosts) - set(new.hosts))),
+    )
+
+
+def _changed(base: Iterable[N], new: Iterable[N]) -> tuple[N, ...]:
+    held = {item.name: item for item in base}
+    return tuple(item for item in new if held.get(item.name) != item)
+
+
+def _missing(base: Iterable[N], new: Iterable[N]) -> tuple[str, ...]:
+    kept = {item.name for item in new}
+    return tuple(item.name for item in base if item.name not in kept)
+
+
 def _name_of(item: Service | Account | Route) -> str:
     return item.name
 
--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -19,6 +19,8 @@
 from wigeonford.http._reader import WatchedReader
 from wigeonford.settings import Address, CallerLimits
 
+ACCEPT_TURNS: Final = 2
+"""Turns of the event loop from a connection in the backlog to its task."""
 ACCEPTED_S: Final = 0.05
 WRITE_BUFFER_BYTES: Final = 262144
 DISCARD_S: Final = 3.0
@@ -76,7 +78,7 @@
         """
         self.draining = self.closing = True
         if self._server is not None:
-            self._server.close()
+            await _close_listener(self._server)
         if grace_s > 0:
             await self._finish(grace_s)
         left = dict(self._tasks)
@@ -166,3 +168,22 @@
         if len(self._tasks) >= self.limits.connections:
             return True
         return self._by_host[host] >= self.limits.connections_per_address
+
+
+async def _close_listener(server: asyncio.Server) -> None:
+    """Close a listener once what has reached it is accepted.
+
+    The event loop takes a turn to accept connections, and another one to
+    begin with them; closing amid these would drop them without a word.
+    """
+    loop = asyncio.get_running_loop()
+    await _take_turns()
+    for sock in server.sockets:
+        loop.remove_reader(sock.fileno())
+    await _take_turns()
+    server.close()
+
+
+async def _take_turns() -> None:
+    for _ in range(ACCEPT_TURNS):
+        await asyncio.sleep(0)
--- a/src/wigeonford/messages/steering.py
+++ b/src/wigeonford/messages/steering.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from wigeonford.deployment import Announcement, Deployment
+from wigeonford.deployment import Announcement, Deployment, DeploymentPatch
 from wigeonford.peer import message
 
 
@@ -103,7 +103,8 @@
 class ViewUpdate(msgspec.Struct, frozen=True):
     """Answer `FetchView`; None where a part has not changed.
 
-    `cold_s` of an announcement is as of the answer.
+    A changed deployment comes whole, or as a `patch` of the one that was
+    in force at the revision asked about. `cold_s` of an announcement is as of the answer.
     """
 
     revision: int
@@ -112,6 +113,7 @@
     taken_back: dict[str, int] | None
     targets: tuple[Announcement, ...]
     removed: tuple[str, ...]
+    patch: DeploymentPatch | None = None
 
 
 @message(194)
--- a/src/wigeonford/steer/_part_reporter.py
+++ b/src/wigeonford/steer/_part_reporter.py
@@ -26,6 +26,9 @@
 
 REPORT_INTERVAL_S: Final = 0.4
 """Parts that are not used move to others within a second."""
+REPORTS_PER_S: Final = 250.0
+"""What all entry VMs of a large fleet send the leader at most; there, most
+requests borrow from the pool and few parts are held."""
 REPORT_TIMEOUT_S: Final = 1.0
 """Several round trips between regions."""
 
@@ -75,13 +78,16 @@
         while True:
             if self._follower.view is not None:
                 await self._report()
-            await asyncio.sleep(REPORT_INTERVAL_S)
+            entries = len(self._follower.running_entries())
+            await asyncio.sleep(
+                max(REPORT_INTERVAL_S, entries / REPORTS_PER_S)
+            )
 
     async def _report(self) -> None:
         view = self._follower.view
         assert view is not None, "reported on a view"
         accounts = {item.name: item for item in view.deployment.accounts}
-        roster = self._follower.roster.entries(time.monotonic())
+        roster = self._follower.running_entries()
         self._rates.follow(accounts, len(roster))
         await self._send(self._rates.requests(accounts, time.monotonic()))
 
--- a/src/wigeonford/steer/_view.py
+++ b/src/wigeonford/steer/_view.py
@@ -8,6 +8,7 @@
 from wigeonford.deployment import (
     Account,
     Announcement,
+    apply_patch,
     Deployment,
     KeyTable,
     Route,
@@ -64,12 +65,10 @@
             return False
         self.revision = update.revision
         if update.deployment is not None:
-            self._deployment = update.deployment
-            self._routes = RouteTable(update.deployment)
-            self._keys = KeyTable(update.deployment)
-            self._services = {
-                item.name: item for item in update.deployment.services
-            }
+            self._publish(update.deployment)
+        elif update.patch is not None:
+            assert self._deployment is not None, "patched what is held"
+            self._publish(apply_patch(self._deployment, update.patch))
         if update.evacuated is not None:
             self._evacuated = frozenset(update.evacuated)
         if update.taken_back is not None:
@@ -80,6 +79,12 @@
         self._removed.extend(update.removed)
         return True
 
+    def _publish(self, deployment: Deployment) -> None:
+        self._deployment = deployment
+        self._routes = RouteTable(deployment)
+        self._keys = KeyTable(deployment)
+        self._services = {item.name: item for item in deployment.services}
+
     def build(self) -> View | None:
         """Return the view, or None before the first deployment.
 
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -5,6 +5,7 @@
 import io
 import logging
 from pathlib import Path
+import socket
 import tempfile
 import unittest
 
@@ -85,6 +86,39 @@
         self.assertIn(b"200", await reader.read())
         self.assertEqual(await stopping, 0)
 
+    async def test_connections_in_the_backlog_are_served(self) -> None:
+        """Connections that are open when a stop begins bring a request."""
+        self.server.limits = CallerLimits()
+        socks = [
+            socket.create_connection((self.address.host, self.address.port))
+            for _ in range(40)
+        ]
+        for sock in socks:
+            self.addCleanup(sock.close)
+            sock.settimeout(10.0)
+            sock.sendall(GET)
+        self.assertEqual(await self.server.stop(5.0), 0)
+        answers = [sock.recv(65536)[:12] for sock in socks]
+        self.assertEqual([b"HTTP/1.1 200"] * 40, answers)
+
+    async def test_connection_accepted_as_the_listener_closes(self) -> None:
+        """Accepting takes two turns of the loop; a stop may come between."""
+        loop = asyncio.get_running_loop()
+        unhandled: list[dict[str, object]] = []
+        loop.set_exception_handler(lambda _, what: unhandled.append(what))
+        for turns in range(4):
+            server = HttpServer(self.handler, CallerLimits(), EventLog())
+            address = await server.start(Address())
+            sock = socket.create_connection((address.host, address.port))
+            self.addCleanup(sock.close)
+            sock.settimeout(10.0)
+            sock.sendall(GET)
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            self.assertEqual(await server.stop(5.0), 0)
+            self.assertEqual(b"HTTP/1.1 200", sock.recv(65536)[:12], turns)
+        self.assertEqual([], unhandled)
+
     async def test_stop_amid_an_idle_timeout(self) -> None:
         await self.connect()
         while not self.server._tasks:
