A first view waits for most replicas; a lead that may be over lends nothing

A VM that starts anew took the first view that any replica gave, also one that was cut off and lags: what had left or been withdrawn was in use until the next answer. The first view waits up to 1 s for most replicas to have told what they have. A leader that stood still lent tokens of its pool for a moment beside its successor; a lead whose last confirmation is older than 0.6 s is confirmed first (an election takes 0.7 s at least). Tests: test_follower, test_part_handover; both failed first.

--- a/src/wigeonford/control/_part_service.py
+++ b/src/wigeonford/control/_part_service.py
@@ -45,6 +45,9 @@
 """When a silent holder's lease has run out, with room for clocks."""
 SWEEP_INTERVAL_S: Final = 2.0
 """Holders that are gone only matter to the next leader."""
+LEAD_FRESH_S: Final = 0.6
+"""How long after a quorum confirmed a lead nobody else can have it; the
+least time until an election is 0.7 s."""
 _LAST_NUMBER: Final = 1 << 62
 
 
@@ -91,6 +94,10 @@
             # Reading the holders needs all that was agreed before.
             await self._replica.confirm()
             self._begin_term()
+        age_s = self._replica.vouched_age_s()
+        if age_s is None or age_s > LEAD_FRESH_S:
+            # It may have stood still while another was elected.
+            await self._replica.confirm()
         if not self._replica.is_leader or self._term != self._replica.term:
             raise LeaderElsewhere(self._replica.leader)
 
--- a/src/wigeonford/control/_roster.py
+++ b/src/wigeonford/control/_roster.py
@@ -6,8 +6,6 @@
 
 from wigeonford.messages.steering import EntryStatus, RosterChange
 
-ENTRY_SILENT_S: Final = 3.5
-"""Two heartbeats of the largest fleet and a lost connection's renewal."""
 MAX_CHANGES: Final = 4096
 """Changes remembered for VMs that ask for what is new to them; all entry VMs
 of the target size may start or stop a few times meanwhile."""
@@ -60,12 +58,12 @@
         if held is not None and held.status == status:
             held.at_s = now_s
 
-    def expire(self, now_s: float) -> list[tuple[str, float]]:
+    def expire(self, now_s: float, silent_s: float) -> list[tuple[str, float]]:
         """Drop entry VMs that are silent; return names and silences."""
         silent = [
             (name, now_s - held.at_s)
             for name, held in self._heard.items()
-            if now_s - held.at_s > ENTRY_SILENT_S
+            if now_s - held.at_s > silent_s
         ]
         for name, _ in silent:
             del self._heard[name]
--- a/src/wigeonford/control/_view_service.py
+++ b/src/wigeonford/control/_view_service.py
@@ -30,6 +30,10 @@
 a replica no more than some 160 watches a second."""
 MAX_WATCH_S: Final = 1.5
 """Entry VMs take a replica for lost that says nothing for longer."""
+SILENT_WATCHES: Final = 2.0
+"""Watches that an entry VM may miss."""
+RENEWAL_S: Final = 1.1
+"""What a lost connection's renewal takes on top of them."""
 NEWS_TICK_S: Final = 0.05
 """Changes of what steers that come this close together are told at once."""
 ROSTER_TICK_S: Final = 0.25
@@ -100,7 +104,8 @@
     async def _tell_roster(self) -> None:
         while True:
             await asyncio.sleep(ROSTER_TICK_S)
-            for name, silent_s in self._roster.expire(self._clock()):
+            limit_s = SILENT_WATCHES * self._hold_s() + RENEWAL_S
+            for name, silent_s in self._roster.expire(self._clock(), limit_s):
                 self._log.emit(
                     Event.ENTRY_SILENT,
                     entry=name,
@@ -127,8 +132,7 @@
         self._hear(message.status)
         if self._suspicions.merge(message.suspicions, self._clock()):
             self._pending.set()
-        hold_s = max(WATCH_S, WATCH_S_PER_ENTRY * len(self._roster))
-        until_s = self._clock() + min(MAX_WATCH_S, hold_s)
+        until_s = self._clock() + self._hold_s()
         known = self._suspicions.revision
         while not self._has_news(message, known):
             news = self._news
@@ -144,6 +148,12 @@
         self._roster.refresh(message.status, self._clock())
         return self._notice(message)
 
+    def _hold_s(self) -> float:
+        """Return how long a watch is held without news."""
+        return min(
+            MAX_WATCH_S, max(WATCH_S, WATCH_S_PER_ENTRY * len(self._roster))
+        )
+
     def _has_news(self, message: WatchView, known: int) -> bool:
         return (
             self._replica.state.steering.revision > message.revision
--- a/src/wigeonford/messages/steering.py
+++ b/src/wigeonford/messages/steering.py
@@ -104,7 +104,8 @@
     """Answer `FetchView`; None where a part has not changed.
 
     A changed deployment comes whole, or as a `patch` of the one that was
-    in force at the revision asked about. `cold_s` of an announcement is as of the answer.
+    in force at the revision asked about. `cold_s` of an announcement is as
+    of the answer.
     """
 
     revision: int
--- a/src/wigeonford/steer/_follower.py
+++ b/src/wigeonford/steer/_follower.py
@@ -38,6 +38,9 @@
 """Pause after a failed watch, doubled up to `MAX_RETRY_S`."""
 MAX_RETRY_S: Final = 1.0
 """Well within the time in which a regained replica has to be heard."""
+FIRST_VIEW_S: Final = 1.0
+"""How long the first view waits for most replicas to have told what they
+have; several round trips between regions."""
 REPORT_TIMEOUT_S: Final = 0.5
 """A planned stop waits no longer for control to know of it."""
 
@@ -70,6 +73,8 @@
         self._members: set[str] = set()
         self._in_touch: set[str] = set()
         self._distances: dict[str, int] = {}
+        self._told: dict[str, int] = {}
+        self._first_until_s = float("inf")
         self._fetching = asyncio.Lock()
         self._wanted = asyncio.Event()
         self._keeper: asyncio.Task[None] | None = None
@@ -129,6 +134,8 @@
     async def _keep_watchers(self) -> None:
         while True:
             self._drop_ended()
+            if self.view is None:
+                self._publish()
             wanted = set(self.addresses)
             for address in wanted - self._watchers.keys():
                 self._watchers[address] = asyncio.create_task(
@@ -187,6 +194,7 @@
         )
         assert isinstance(notice, ViewNotice), "the answer to a watch"
         self._distances[address] = self._distance(notice)
+        self._told[address] = notice.revision
         if address not in self._in_touch:
             self._in_touch.add(address)
             self._log.emit(Event.CONTROL_REGAINED, control=address)
@@ -199,6 +207,8 @@
             self._wanted.set()
         if notice.revision > self._builder.revision:
             await self._fetch(address, client, notice.revision)
+        if self.view is None:
+            self._publish()
 
     def _distance(self, notice: ViewNotice) -> int:
         """Return 0 for a replica of the own zone, 1 of the region, or 2."""
@@ -244,23 +254,45 @@
             self._take(address, update)
 
     def _take(self, address: str, update: ViewUpdate) -> None:
-        before = self.view
+        before = self._builder.revision
         if not self._builder.take(update):
             return
-        view = self._builder.build()
         self._log.emit(
             Event.VIEW_TAKEN,
             revision=update.revision,
-            version=view.deployment.version if view else None,
-            before=before.revision if before else 0,
-            targets=view.targets if view else 0,
+            version=self._builder.version,
+            before=before,
+            targets=self._builder.targets,
             changed=len(update.targets),
             removed=len(update.removed),
             control=address,
         )
+        self._publish()
+
+    def _publish(self) -> None:
+        """Tell the listeners of the view, the first one once it is sure.
+
+        A replica that was cut off may have answered first, with what others
+        have withdrawn.
+        """
+        if self.view is None and not self._is_sure():
+            return
+        view = self._builder.build()
         if view is None:
             return
         self.view = view
         self.taken_at_s = time.monotonic()
         for listener in self._listeners:
             listener(view)
+
+    def _is_sure(self) -> bool:
+        """Tell whether most replicas have told, and none something newer."""
+        if not self._builder.version:
+            return False
+        now_s = time.monotonic()
+        self._first_until_s = min(self._first_until_s, now_s + FIRST_VIEW_S)
+        if now_s >= self._first_until_s:
+            return True
+        newest = max(self._told.values(), default=0)
+        most = 2 * len(self._told) > len(self._members)
+        return most and newest <= self._builder.revision
--- a/src/wigeonford/steer/_view.py
+++ b/src/wigeonford/steer/_view.py
@@ -59,6 +59,16 @@
     _changed: list[Announcement] = msgspec.field(default_factory=list)
     _removed: list[str] = msgspec.field(default_factory=list)
 
+    @property
+    def version(self) -> int:
+        """Return the deployment's version, 0 before the first."""
+        return self._deployment.version if self._deployment else 0
+
+    @property
+    def targets(self) -> int:
+        """Return how many targets are known."""
+        return len(self._targets)
+
     def take(self, update: ViewUpdate) -> bool:
         """Take over an update; tell whether it was newer."""
         if update.revision <= self.revision:
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -5,8 +5,15 @@
 from typing import Any
 import unittest
 
+from tests.test_deployment import make_deployment
+from wigeonford.errors import Code, PeerError
 from wigeonford.events import EventLog
-from wigeonford.messages.steering import EntryStatus, ViewNotice
+from wigeonford.messages.steering import (
+    EntryStatus,
+    FetchView,
+    ViewNotice,
+    ViewUpdate,
+)
 from wigeonford.peer import PeerClient
 from wigeonford.settings import Address
 from wigeonford.steer import SuspectBook, ViewFollower
@@ -50,3 +57,65 @@
                 await asyncio.sleep(0.05)
         await follower.stop()
         self.assertGreater(Client.asked, 1)
+
+
+class LaggingReplica:
+    """Stand in for links to five replicas; the first one was cut off.
+
+    It answers at once, with what the others have withdrawn since.
+    """
+
+    members = tuple(f"127.0.0.1:{port}" for port in range(1, 6))
+
+    def __init__(self, address: Address, reachable: int) -> None:
+        self._is_stale = address.port == 1
+        self._is_reachable = address.port <= reachable
+
+    async def request(self, record: Any, _timeout_s: float) -> Any:
+        """Answer as a replica of revision 1, or of revision 2."""
+        if not self._is_reachable:
+            raise PeerError(Code.PEER_UNREACHABLE, "cut off")
+        await asyncio.sleep(0.0 if self._is_stale else 0.1)
+        revision = 1 if self._is_stale else 2
+        if isinstance(record, FetchView):
+            deployment = make_deployment(version=revision)
+            return ViewUpdate(revision, deployment, (), {}, (), ())
+        if record.revision >= revision:
+            await asyncio.sleep(0.2)
+        return ViewNotice(revision, None, self.members)
+
+    async def close(self) -> None:
+        """Return: there is nothing to close."""
+
+
+class FirstViewTest(unittest.IsolatedAsyncioTestCase):
+    """A VM that starts anew does not go back to what was withdrawn."""
+
+    async def first_view(self, reachable: int) -> int:
+        """Return the first version that requests are steered by."""
+
+        def connect(address: Address) -> PeerClient:
+            return LaggingReplica(address, reachable)
+
+        follower = ViewFollower(
+            lambda: LaggingReplica.members[:3],
+            lambda: EntryStatus("a", "i", "a:1", "z", "r", True),
+            SuspectBook(),
+            connect,
+            EventLog(),
+            random.Random(1),
+        )
+        versions: list[int] = []
+        follower.on_view(lambda view: versions.append(view.deployment.version))
+        await follower.start()
+        async with asyncio.timeout(20.0):
+            while not versions:
+                await asyncio.sleep(0.01)
+        await follower.stop()
+        return versions[0]
+
+    async def test_a_replica_that_lags_is_not_followed(self) -> None:
+        self.assertEqual(2, await self.first_view(5))
+
+    async def test_what_there_is_serves_where_no_other_answers(self) -> None:
+        self.assertEqual(1, await self.first_view(1))
--- /dev/null
+++ b/tests/test_part_handover.py
@@ -0,0 +1,89 @@
+"""Two replicas that both take themselves for the leader for a moment."""
+
+import unittest
+
+from msgspec.structs import replace
+
+from tests.test_deployment import make_deployment
+from wigeonford.control import PartService, ReplaceDeployment, State
+from wigeonford.control._part_service import LEAD_FRESH_S
+from wigeonford.errors import Code, PeerError
+from wigeonford.events import EventLog
+from wigeonford.messages.steering import (
+    BorrowTokens,
+    PartRequest,
+    PartsReport,
+)
+
+
+class Replica:
+    """Stand in for a replica that leads, as far as it knows."""
+
+    def __init__(self) -> None:
+        self.state = State()
+        self.is_leader = True
+        self.leader = "a"
+        self.term = 3
+        self.age_s: float | None = 0.0
+        self.asked_quorum = 0
+
+    def vouched_age_s(self) -> float | None:
+        """Return how long ago a quorum confirmed the lead."""
+        return self.age_s
+
+    async def confirm(self) -> None:
+        """Fail where the quorum follows another leader by now."""
+        self.asked_quorum += 1
+        if self.age_s is None or self.age_s > LEAD_FRESH_S:
+            raise PeerError(Code.NO_QUORUM, "the lead was lost")
+
+    async def propose(self, _record: object) -> None:
+        """Agree at once."""
+
+
+class HandOverTest(unittest.IsolatedAsyncioTestCase):
+    """A leader that stood still lends nothing that its successor lends."""
+
+    def setUp(self) -> None:
+        self.now_s = 100.0
+        self.replica = Replica()
+        account = replace(
+            make_deployment().accounts[0], rate_per_s=100.0, burst=100.0
+        )
+        deployment = replace(make_deployment(), accounts=(account,))
+        self.account = account.name
+        order = ReplaceDeployment(b"1", 0, deployment)
+        self.replica.state.steering.apply(order)
+        self.service = PartService(
+            self.replica,  # type: ignore[arg-type]
+            EventLog(),
+            lambda: self.now_s,
+        )
+
+    async def lend(self) -> int:
+        answer = await self.service._lend(
+            BorrowTokens("vm", {self.account: 50})
+        )
+        return answer.loans[0].tokens
+
+    async def test_a_fresh_lead_lends(self) -> None:
+        await self.lend()
+        self.now_s += 2.0
+        asked = self.replica.asked_quorum
+        self.assertGreater(await self.lend(), 0)
+        self.assertEqual(asked, self.replica.asked_quorum)
+
+    async def test_a_lead_that_may_be_over_lends_and_grants_nothing(
+        self,
+    ) -> None:
+        await self.lend()
+        for age_s in (LEAD_FRESH_S + 0.1, None):
+            self.now_s += 2.0
+            self.replica.age_s = age_s
+            with self.subTest(age_s), self.assertRaises(PeerError):
+                await self.lend()
+            report = PartsReport(
+                "vm", "i", (PartRequest(self.account, 1, 0.0, 0.5),)
+            )
+            with self.subTest(age_s), self.assertRaises(PeerError):
+                await self.service._answer(report)
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -4,12 +4,13 @@
 import unittest
 
 from wigeonford.codec import Codec
-from wigeonford.control._roster import ENTRY_SILENT_S, Roster
+from wigeonford.control._roster import Roster
 from wigeonford.messages.steering import EntryStatus, RosterChange
 from wigeonford.steer import Roster as MergedRoster
 from wigeonford.steer._view import MERGED_S, UNKNOWN_EPOCH
 
 EPOCH: Final = 7
+SILENT_S: Final = 2.5
 VMS: Final = 450
 """Nodes of the target size."""
 
@@ -45,12 +46,12 @@
         self.roster.hear(status(1), 0.0)
         self.roster.hear(status(2), 0.0)
         known = self.roster.revision
-        self.roster.hear(status(2), ENTRY_SILENT_S)
-        gone = self.roster.expire(ENTRY_SILENT_S + 0.1)
+        self.roster.hear(status(2), SILENT_S)
+        gone = self.roster.expire(SILENT_S + 0.1, SILENT_S)
         self.assertEqual(["front-1"], [name for name, _ in gone])
         change = self.roster.changes_since(EPOCH, known)
         self.assertEqual(("front-1",), change.gone)
-        self.roster.hear(status(1, run="b"), ENTRY_SILENT_S + 0.2)
+        self.roster.hear(status(1, run="b"), SILENT_S + 0.2)
         change = self.roster.changes_since(EPOCH, known)
         self.assertEqual(((), ["front-1"]), (change.gone, self.names(change)))
 
