Loans wait for a new leader; heartbeats say only what is new

Change: replicas tell who leads, with the term, as news; a VM turns to the new leader at once, and loans that wait are asked for again, for a quarter of the caller's time. Without a leader for 3 s callers are refused at once. Pools fill from the begin of a term. A replica that has just started stands for election after half the time; others that hear a leader say so.

They carry only what is new now, and messages are arrays. (Records of targets in the log are arrays too: a log of an earlier build can't be read.)

Work that left a region returns at half the speed at which it leaves, since each object is started anew.

--- a/src/wigeonford/control/_part_service.py
+++ b/src/wigeonford/control/_part_service.py
@@ -125,17 +125,27 @@
     def _lend_of(
         self, account: Account, tokens: int, now_s: float
     ) -> TokenLoan:
+        lent, after_s = self._pool_of(account, now_s).lend(tokens, now_s)
+        return TokenLoan(account.name, lent, after_s)
+
+    def _pool_of(self, account: Account, now_s: float) -> TokenPool:
+        """Return an account's pool, of the size that is right now."""
         pool = self._pools.get(account.name)
         if pool is None:
-            pool = TokenPool(now_s)
-            self._pools[account.name] = pool
+            pool = self._pools[account.name] = TokenPool(now_s)
         grantor = self._grantor(account.name, now_s)
         part = 1.0 - grantor.capacity
         if grantor.knows_all(now_s):
             part = max(0.0, 1.0 - grantor.granted(now_s))
         pool.resize(account.rate_per_s, account.burst, part, now_s)
-        lent, after_s = pool.lend(tokens, now_s)
-        return TokenLoan(account.name, lent, after_s)
+        return pool
+
+    def _fill_pools(self) -> None:
+        """Let tokens gather before they are asked for."""
+        now_s = self._clock()
+        for account in self._accounts().values():
+            if account.rate_per_s > 0:
+                self._pool_of(account, now_s)
 
     async def _answer(self, message: PartsReport) -> PartsAnswer:
         await self._lead()
@@ -165,6 +175,7 @@
         self._log.emit(
             Event.PARTS_TERM_BEGUN, term=term, unheard=sorted(self._unheard)
         )
+        self._fill_pools()
 
     def _note_entry(self, message: PartsReport, now_s: float) -> None:
         known = self._entries.get(message.entry)
@@ -197,6 +208,7 @@
                 self._replica.term
             ):
                 continue
+            self._fill_pools()
             gone = tuple(sorted(self._gone(self._clock())))
             if not gone:
                 continue
--- a/src/wigeonford/control/_raft_node.py
+++ b/src/wigeonford/control/_raft_node.py
@@ -34,6 +34,9 @@
     max_s: float = 2.0
 
 
+FIRST_PART: Final = 0.5
+"""Part of a timeout before a replica that has just started stands: after
+a loss of power nobody leads, and where somebody does, others say so."""
 USUAL_TIMING: Final = ElectionTiming()
 
 
@@ -80,7 +83,7 @@
         self._sends: list[Send | SendSnapshot] = []
         self._applied_position = log.base_position
         self._reported = (self.role, hard.term)
-        self.delay_election(now_s)
+        self.delay_election(now_s, FIRST_PART)
 
     @property
     def name(self) -> str:
@@ -112,10 +115,10 @@
         self.hard = replace(self.hard, **changes)
         self._hard_unsaved = True
 
-    def delay_election(self, now_s: float) -> None:
-        """Draw a new election timeout."""
+    def delay_election(self, now_s: float, part: float = 1.0) -> None:
+        """Draw a new election timeout, or a part of one."""
         timing = self.identity.timing
-        self.election_at_s = now_s + self.rng.uniform(
+        self.election_at_s = now_s + part * self.rng.uniform(
             timing.min_s, timing.max_s
         )
 
--- a/src/wigeonford/control/_roster.py
+++ b/src/wigeonford/control/_roster.py
@@ -49,14 +49,15 @@
         self._gone.pop(status.name, None)
         return True
 
-    def refresh(self, status: EntryStatus, now_s: float) -> None:
-        """Take note that an entry VM still is as it said before.
+    def refresh(self, name: str, now_s: float) -> bool:
+        """Take note that an entry VM is as it said last.
 
-        Where it has said something newer meanwhile, that holds.
+        Return False for one that has said nothing.
         """
-        held = self._heard.get(status.name)
-        if held is not None and held.status == status:
+        held = self._heard.get(name)
+        if held is not None:
             held.at_s = now_s
+        return held is not None
 
     def expire(self, now_s: float, silent_s: float) -> list[tuple[str, float]]:
         """Drop entry VMs that are silent; return names and silences."""
--- a/src/wigeonford/control/_view_service.py
+++ b/src/wigeonford/control/_view_service.py
@@ -16,6 +16,7 @@
 from wigeonford.messages.steering import (
     EntryStatus,
     FetchView,
+    members_digest,
     ReportStatus,
     ViewNotice,
     ViewUpdate,
@@ -129,7 +130,10 @@
         return Done()
 
     async def _watch(self, message: WatchView) -> ViewNotice:
-        self._hear(message.status)
+        if message.status is not None:
+            self._hear(message.status)
+        elif not self._roster.refresh(message.name, self._clock()):
+            return replace(self._notice(message), known=False)
         if self._suspicions.merge(message.suspicions, self._clock()):
             self._pending.set()
         until_s = self._clock() + self._hold_s()
@@ -145,7 +149,7 @@
             except TimeoutError:
                 break
         # The entry VM waited here, so that it runs still.
-        self._roster.refresh(message.status, self._clock())
+        self._roster.refresh(message.name, self._clock())
         return self._notice(message)
 
     def _hold_s(self) -> float:
@@ -158,9 +162,14 @@
         return (
             self._replica.state.steering.revision > message.revision
             or self._has_roster_news(message)
+            or self._leads_since(message.term)
             or self._suspicions.revision > known
         )
 
+    def _leads_since(self, term: int) -> bool:
+        """Tell whether a leader of a later term is known."""
+        return self._replica.leader is not None and self._replica.term > term
+
     def _has_roster_news(self, message: WatchView) -> bool:
         if message.roster_epoch is None:
             return False
@@ -175,13 +184,21 @@
             roster = self._roster.changes_since(
                 message.roster_epoch, message.roster_revision
             )
+        members = self._members()
+        same = members_digest(members) == message.control
+        place = (self._region, self._availability_zone)
         return ViewNotice(
             self._replica.state.steering.revision,
             roster,
-            self._members(),
+            None if same else members,
             self._suspicions.recent(self._clock()),
-            self._region,
-            self._availability_zone,
+            place if message.status is not None else None,
+            leader=(
+                self._replica.leader
+                if self._leads_since(message.term)
+                else None
+            ),
+            term=self._replica.term,
         )
 
     async def _fetch(self, message: FetchView) -> ViewUpdate:
--- a/src/wigeonford/deployment/_targets.py
+++ b/src/wigeonford/deployment/_targets.py
@@ -12,7 +12,7 @@
 fewer."""
 
 
-class Announcement(msgspec.Struct, frozen=True):
+class Announcement(msgspec.Struct, frozen=True, array_like=True):
     """Hold what a target says of itself.
 
     `born_ms` is the Unix time of its start and orders its incarnations;
--- a/src/wigeonford/messages/raft.py
+++ b/src/wigeonford/messages/raft.py
@@ -5,7 +5,7 @@
 from wigeonford.peer import message
 
 
-class EntryRecord(msgspec.Struct, frozen=True):
+class EntryRecord(msgspec.Struct, frozen=True, array_like=True):
     """Carry one log entry; its position follows from its place."""
 
     term: int
@@ -13,7 +13,7 @@
 
 
 @message(20)
-class VoteRequest(msgspec.Struct, frozen=True):
+class VoteRequest(msgspec.Struct, frozen=True, array_like=True):
     """Ask one incarnation of a replica for its vote.
 
     With `pre_vote` set, ask whether it would vote, which binds nobody.
@@ -29,7 +29,7 @@
 
 
 @message(21)
-class VoteReply(msgspec.Struct, frozen=True):
+class VoteReply(msgspec.Struct, frozen=True, array_like=True):
     """Answer `VoteRequest`; `term` is the request's where granted."""
 
     sender: str
@@ -40,7 +40,7 @@
 
 
 @message(22)
-class AppendEntries(msgspec.Struct, frozen=True):
+class AppendEntries(msgspec.Struct, frozen=True, array_like=True):
     """Replicate entries that follow `previous_position`; also a heartbeat.
 
     `sent_at_s` is the leader's clock, given back in the reply. `echo_s` is
@@ -61,7 +61,7 @@
 
 
 @message(23)
-class AppendReply(msgspec.Struct, frozen=True):
+class AppendReply(msgspec.Struct, frozen=True, array_like=True):
     """Answer `AppendEntries` and `InstallSnapshot`.
 
     `position` is where the logs match if accepted; otherwise it is the
@@ -78,7 +78,7 @@
 
 
 @message(24)
-class InstallSnapshot(msgspec.Struct, frozen=True):
+class InstallSnapshot(msgspec.Struct, frozen=True, array_like=True):
     """Replace the state of a follower that is too far behind."""
 
     sender: str
@@ -91,7 +91,7 @@
 
 
 @message(25)
-class BootstrapProbe(msgspec.Struct, frozen=True):
+class BootstrapProbe(msgspec.Struct, frozen=True, array_like=True):
     """Ask whether a replica has an empty data folder."""
 
     sender: str
@@ -99,7 +99,7 @@
 
 
 @message(26)
-class BootstrapReply(msgspec.Struct, frozen=True):
+class BootstrapReply(msgspec.Struct, frozen=True, array_like=True):
     """Answer `BootstrapProbe` to one incarnation of the initiator."""
 
     sender: str
@@ -109,40 +109,40 @@
 
 
 @message(27)
-class SubmitCommand(msgspec.Struct, frozen=True):
+class SubmitCommand(msgspec.Struct, frozen=True, array_like=True):
     """Forward an encoded command to the leader."""
 
     content: bytes
 
 
 @message(28)
-class CommandOutcome(msgspec.Struct, frozen=True):
+class CommandOutcome(msgspec.Struct, frozen=True, array_like=True):
     """Answer `SubmitCommand` with the encoded result."""
 
     content: bytes
 
 
 @message(29)
-class ConfirmRead(msgspec.Struct, frozen=True):
+class ConfirmRead(msgspec.Struct, frozen=True, array_like=True):
     """Ask the leader for a position that is current by a quorum."""
 
 
 @message(30)
-class ReadConfirmed(msgspec.Struct, frozen=True):
+class ReadConfirmed(msgspec.Struct, frozen=True, array_like=True):
     """Answer `ConfirmRead`; reads are current from `position` on."""
 
     position: int
 
 
 @message(31)
-class HeardMembers(msgspec.Struct, frozen=True):
+class HeardMembers(msgspec.Struct, frozen=True, array_like=True):
     """Tell the leader which entry VMs a follower has heard lately."""
 
     names: tuple[str, ...]
 
 
 @message(32)
-class ReplicaChange(msgspec.Struct, frozen=True):
+class ReplicaChange(msgspec.Struct, frozen=True, array_like=True):
     """Add a replica at an address, or remove it; the leader's to do."""
 
     name: str
--- a/src/wigeonford/steer/_admission.py
+++ b/src/wigeonford/steer/_admission.py
@@ -102,7 +102,7 @@
         Return whether it was borrowed.
         """
         after_s = self._rates.admit(account, self._clock())
-        borrows = after_s > 0 and self._rates.in_touch
+        borrows = after_s > 0 and self._rates.expects_leader(self._clock())
         if borrows:
             after_s = await self._loans.borrow(account.name, left_s)
         if after_s > 0:
--- a/src/wigeonford/steer/_follower.py
+++ b/src/wigeonford/steer/_follower.py
@@ -11,6 +11,7 @@
 from wigeonford.messages.steering import (
     EntryStatus,
     FetchView,
+    members_digest,
     ReportStatus,
     ViewNotice,
     ViewUpdate,
@@ -74,6 +75,11 @@
         self._in_touch: set[str] = set()
         self._distances: dict[str, int] = {}
         self._told: dict[str, int] = {}
+        self._told_status: dict[str, EntryStatus] = {}
+        self._members_digest = 0
+        self._leader_term = 0
+        self.leader: str | None = None
+        self.leader_news = asyncio.Event()
         self._first_until_s = float("inf")
         self._fetching = asyncio.Lock()
         self._wanted = asyncio.Event()
@@ -171,6 +177,7 @@
                     await self._watch_once(address, client)
                     pause_s = RETRY_S
                 except PeerError as exc:
+                    self._told_status.pop(address, None)
                     self._note_lost(address, exc)
                     await client.close()
                     await asyncio.sleep(pause_s * self._rng.uniform(0.7, 1.3))
@@ -182,18 +189,28 @@
     async def _watch_once(self, address: str, client: PeerClient) -> None:
         epoch, roster_revision = self.roster.known_of(address)
         wanted = self._wants_roster(address)
+        status = self._status()
+        changed = self._told_status.get(address) != status
         notice = await client.request(
             WatchView(
                 self._builder.revision,
-                self._status(),
+                status.name,
+                status if changed else None,
                 epoch if wanted else None,
                 roster_revision,
+                self._members_digest,
+                self._leader_term,
                 self._suspects.to_report(),
             ),
             WATCH_TIMEOUT_S,
         )
         assert isinstance(notice, ViewNotice), "the answer to a watch"
-        self._distances[address] = self._distance(notice)
+        if notice.known:
+            self._told_status[address] = status
+        else:
+            self._told_status.pop(address, None)
+        if notice.place is not None:
+            self._distances[address] = self._distance(*notice.place)
         self._told[address] = notice.revision
         if address not in self._in_touch:
             self._in_touch.add(address)
@@ -201,21 +218,24 @@
         if wanted:
             self.roster.take(address, notice.roster, time.monotonic())
         self._suspects.merge(notice.suspicions, time.monotonic())
-        members = set(notice.control)
-        if members and members != self._members:
-            self._members = members
+        if notice.leader is not None and notice.term > self._leader_term:
+            self.leader, self._leader_term = notice.leader, notice.term
+            self.leader_news.set()
+        if notice.control:
+            self._members = set(notice.control)
+            self._members_digest = members_digest(notice.control)
             self._wanted.set()
         if notice.revision > self._builder.revision:
             await self._fetch(address, client, notice.revision)
         if self.view is None:
             self._publish()
 
-    def _distance(self, notice: ViewNotice) -> int:
+    def _distance(self, region: str, availability_zone: str) -> int:
         """Return 0 for a replica of the own zone, 1 of the region, or 2."""
         own = self._status()
-        if notice.region != own.region:
+        if region != own.region:
             return 2
-        return int(notice.availability_zone != own.availability_zone)
+        return int(availability_zone != own.availability_zone)
 
     def _wants_roster(self, address: str) -> bool:
         """Tell whether a replica is among the nearest in touch."""
@@ -240,7 +260,7 @@
         self, address: str, client: PeerClient, revision: int
     ) -> None:
         """Fetch what is new, unless another replica has just given it."""
-        if self._distances[address] > min(
+        if self._distances.get(address, 2) > min(
             self._distances.get(other, 2) for other in self._in_touch
         ):
             await asyncio.sleep(FAR_FETCH_S)
--- a/src/wigeonford/steer/_loans.py
+++ b/src/wigeonford/steer/_loans.py
@@ -17,14 +17,18 @@
 FLUSH_S: Final = 0.005
 """Requests that come this close together are asked for at once; far below
 any latency objective."""
-LOAN_TIMEOUT_S: Final = 0.5
-"""Several round trips between regions; a refusal must still be early."""
+LOAN_TIMEOUT_S: Final = 1.5
+"""A round trip between regions behind two uploads on a link of 2 Mbit/s."""
+LOAN_PART: Final = 0.25
+"""Part of a caller's time for which its loan is waited for, also while a
+leader is being elected: few that are refused come back in time."""
+ASK_AGAIN_S: Final = 0.15
+"""Pause after a loan that failed; a round trip between regions."""
 EMPTY_MEMORY_S: Final = 0.2
 """How long an empty pool is not asked again; its tokens come by the
 second."""
-UNKNOWN_AFTER_S: Final = 0.3
-"""What a request waits whose loan did not come; a new leader is found
-within a second."""
+UNKNOWN_AFTER_S: Final = 1.0
+"""When to come back where no loan came; a new leader is found by then."""
 
 Ask = Callable[[Mapping[str, int]], Awaitable[tuple[TokenLoan, ...]]]
 """Ask the leader for tokens by account; raise `PeerError`."""
@@ -58,7 +62,8 @@
             task.add_done_callback(self._tasks.discard)
         self._waiting.setdefault(account, []).append(fut)
         try:
-            async with asyncio.timeout(min(left_s, LOAN_TIMEOUT_S)):
+            wait_s = min(left_s * LOAN_PART, LOAN_TIMEOUT_S)
+            async with asyncio.timeout(wait_s):
                 return await fut
         except TimeoutError:
             return UNKNOWN_AFTER_S
@@ -66,20 +71,21 @@
     async def _flush(self) -> None:
         await asyncio.sleep(FLUSH_S)
         waiting, self._waiting = self._waiting, {}
-        wanted = {account: len(futs) for account, futs in waiting.items()}
-        try:
-            loans = await self._ask(wanted)
-        except PeerError as exc:
-            self._log.emit(
-                Event.LOAN_FAILED, detail=str(exc), accounts=sorted(wanted)
-            )
-            loans = ()
-        by_account = {loan.account: loan for loan in loans}
-        for account, futs in waiting.items():
-            loan = by_account.get(account)
-            if loan is None:
-                loan = TokenLoan(account, 0, UNKNOWN_AFTER_S)
-            self._share_out(loan, futs)
+        while wanted := _count_open(waiting):
+            try:
+                loans = await self._ask(wanted)
+            except PeerError as exc:
+                self._log.emit(
+                    Event.LOAN_FAILED, detail=str(exc), accounts=sorted(wanted)
+                )
+                await asyncio.sleep(ASK_AGAIN_S)
+                continue
+            by_account = {loan.account: loan for loan in loans}
+            for account in wanted:
+                loan = by_account.get(account)
+                if loan is None:
+                    loan = TokenLoan(account, 0, UNKNOWN_AFTER_S)
+                self._share_out(loan, waiting.pop(account))
 
     def _share_out(
         self, loan: TokenLoan, futs: list[asyncio.Future[float]]
@@ -96,3 +102,14 @@
         )
         for fut in open_:
             fut.set_result(after_s)
+
+
+def _count_open(
+    waiting: Mapping[str, list[asyncio.Future[float]]],
+) -> dict[str, int]:
+    """Return how many requests still wait for a token, by account."""
+    counts = {
+        account: sum(not fut.done() for fut in futs)
+        for account, futs in waiting.items()
+    }
+    return {account: count for account, count in counts.items() if count}
--- a/src/wigeonford/steer/_part_reporter.py
+++ b/src/wigeonford/steer/_part_reporter.py
@@ -26,6 +26,8 @@
 
 REPORT_INTERVAL_S: Final = 0.4
 """Parts that are not used move to others within a second."""
+SEARCH_S: Final = 0.15
+"""Pause between looks for a leader; a round trip between regions."""
 REPORTS_PER_S: Final = 250.0
 """What all entry VMs of a large fleet send the leader at most; there, most
 requests borrow from the pool and few parts are held."""
@@ -52,15 +54,20 @@
         self._leader: str | None = None
         self._client: PeerClient | None = None
         self._turns = itertools.count()
-        self._task: asyncio.Task[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Begin to report."""
-        self._task = asyncio.create_task(self._run())
+        self._rates.lost_at_s = time.monotonic()
+        self._tasks = [
+            asyncio.create_task(self._run()),
+            asyncio.create_task(self._follow_leader()),
+        ]
 
     async def stop(self) -> None:
         """Give everything back and stop reporting."""
-        await end_task(self._task)
+        for task in self._tasks:
+            await end_task(task)
         if self._rates.in_touch:
             await self._send(self._rates.give_back(time.monotonic()))
         await self._drop_client()
@@ -78,10 +85,22 @@
         while True:
             if self._follower.view is not None:
                 await self._report()
-            entries = len(self._follower.running_entries())
-            await asyncio.sleep(
-                max(REPORT_INTERVAL_S, entries / REPORTS_PER_S)
-            )
+            await asyncio.sleep(self._pause_s())
+
+    def _pause_s(self) -> float:
+        """Return how long until the next report."""
+        if not self._rates.in_touch:
+            return SEARCH_S
+        entries = len(self._follower.running_entries())
+        return max(REPORT_INTERVAL_S, entries / REPORTS_PER_S)
+
+    async def _follow_leader(self) -> None:
+        """Turn to a new leader at once; what waits for the old one fails."""
+        news = self._follower.leader_news
+        while True:
+            await news.wait()
+            news.clear()
+            await self._drop_client()
 
     async def _report(self) -> None:
         view = self._follower.view
@@ -113,6 +132,7 @@
         if granted == self._rates.in_touch:
             return
         self._rates.in_touch = granted
+        self._rates.lost_at_s = time.monotonic()
         event = Event.PARTS_REGAINED if granted else Event.PARTS_LOST
         self._log.emit(event, detail=detail)
 
@@ -124,6 +144,7 @@
         return answer
 
     def _find_leader(self) -> str:
+        self._leader = self._leader or self._follower.leader
         if self._leader is None:
             # A replica in touch knows the leader; any other may be cut off.
             addresses = (
--- a/src/wigeonford/steer/_rates.py
+++ b/src/wigeonford/steer/_rates.py
@@ -27,6 +27,9 @@
 let a fleet run over by more."""
 BURST_RESERVE: Final = 1.0
 """Least tokens of a full bucket while nothing can be borrowed."""
+LEADER_GAP_S: Final = 3.0
+"""How long control may be without a leader before callers are refused at
+once; an election takes up to 1.7 s, and hearing of it a second."""
 SLACK_USED: Final = 0.8
 """Part of the fleet's slack that the entry VMs add to their bursts."""
 
@@ -58,6 +61,11 @@
         self._meters: dict[str, _Meter] = {}
         self._entries = 1
         self.in_touch = False
+        self.lost_at_s = float("-inf")
+
+    def expects_leader(self, now_s: float) -> bool:
+        """Tell whether a leader lends tokens, or soon will again."""
+        return self.in_touch or now_s - self.lost_at_s < LEADER_GAP_S
 
     def follow(self, accounts: Mapping[str, Account], entries: int) -> None:
         """Take over the accounts and the count of entry VMs."""
--- a/src/wigeonford/steer/_spill.py
+++ b/src/wigeonford/steer/_spill.py
@@ -12,6 +12,9 @@
 SLEW_PER_S: Final = 0.05
 """Change of the part in a second; callers' regions may shift by 0.15 in two
 seconds."""
+RETURN_SLEW_PER_S: Final = 0.025
+"""The same for work that returns: it gains a trip to another region, and
+each object pays with a first touch."""
 FREE_SLEW_PER_S: Final = 0.5
 """The same after many targets were lost at once."""
 FREE_S: Final = 2.0
@@ -63,8 +66,9 @@
         self._count = self._count * kept + 1
         pressure = self._pressed / self._count
         free = now_s < self._free_until_s
-        step = elapsed_s * (FREE_SLEW_PER_S if free else SLEW_PER_S)
         if pressure > PRESSED:
-            self.part = min(1.0, self.part + step)
+            slew_per_s = FREE_SLEW_PER_S if free else SLEW_PER_S
+            self.part = min(1.0, self.part + elapsed_s * slew_per_s)
         elif pressure < RELIEVED and use < BUSY:
-            self.part = max(0.0, self.part - step)
+            slew_per_s = FREE_SLEW_PER_S if free else RETURN_SLEW_PER_S
+            self.part = max(0.0, self.part - elapsed_s * slew_per_s)
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -95,7 +95,9 @@
         """Return the first version that requests are steered by."""
 
         def connect(address: Address) -> PeerClient:
-            return LaggingReplica(address, reachable)
+            return LaggingReplica(  # type: ignore[return-value]
+                address, reachable
+            )
 
         follower = ViewFollower(
             lambda: LaggingReplica.members[:3],
--- a/tests/test_part_handover.py
+++ b/tests/test_part_handover.py
@@ -73,6 +73,14 @@
         self.assertGreater(await self.lend(), 0)
         self.assertEqual(asked, self.replica.asked_quorum)
 
+    async def test_tokens_gather_before_anyone_asks(self) -> None:
+        """Else the first requests of each account are refused."""
+        await self.service._lead()
+        self.now_s += 2.0
+        self.service._fill_pools()
+        self.now_s += 2.0
+        self.assertGreater(await self.lend(), 0)
+
     async def test_a_lead_that_may_be_over_lends_and_grants_nothing(
         self,
     ) -> None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -227,6 +227,17 @@
     return [window[True] / window.total() for window in windows[:-1]]
 
 
+class ReturnTest(unittest.TestCase):
+    """What has left a region returns by and by."""
+
+    def test_return_takes_longer_than_leaving(self) -> None:
+        """Each object that returns is started anew."""
+        spill = Spill(0.0, 0.5)
+        for step in range(200):
+            spill.note(has_room=True, use=0.2, now_s=step * 0.02)
+        self.assertGreater(spill.part, 0.4)
+
+
 class SmallRegionTest(unittest.TestCase):
     """A region with few targets does not change places in a rush."""
 
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -65,7 +65,8 @@
         """A watch that ends after a VM said it stops changes nothing."""
         self.roster.hear(status(1), 0.0)
         self.roster.hear(status(1, ready=False), 0.5)
-        self.roster.refresh(status(1), 0.7)
+        self.assertTrue(self.roster.refresh(status(1).name, 0.7))
+        self.assertFalse(self.roster.refresh(status(2).name, 0.7))
         change = self.roster.changes_since(UNKNOWN_EPOCH, 0)
         self.assertEqual([False], [item.ready for item in change.running])
 
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -113,6 +113,64 @@
         self.assertEqual(set(asked), {"127.0.0.1:3"})
 
 
+class NewLeaderTest(unittest.IsolatedAsyncioTestCase):
+    """A new leader is turned to though the old one never answers."""
+
+    async def test_reports_go_to_the_leader_of_the_latest_term(self) -> None:
+        asked: list[str] = []
+        hung = asyncio.Event()
+
+        class Link:
+            def __init__(self, address: Address) -> None:
+                self.address = str(address)
+                self._closed = asyncio.Event()
+
+            async def request(self, record: Any, _timeout_s: float) -> Any:
+                if isinstance(record, WatchView):
+                    await asyncio.sleep(0.02)
+                    leader, term = "127.0.0.1:1", 1
+                    if hung.is_set():
+                        leader, term = "127.0.0.1:2", 2
+                    return ViewNotice(1, None, (), leader=leader, term=term)
+                if isinstance(record, FetchView):
+                    return ViewUpdate(1, make_deployment(), (), {}, (), ())
+                asked.append(self.address)
+                if self.address.endswith(":1"):
+                    hung.set()
+                    await self._closed.wait()
+                    raise PeerError(Code.PEER_TIMEOUT, self.address)
+                return PartsAnswer(1, ())
+
+            async def close(self) -> None:
+                self._closed.set()
+
+        def status() -> EntryStatus:
+            return EntryStatus("a", "i", "a:1", "z", "r", True)
+
+        def connect(address: Address) -> PeerClient:
+            return Link(address)  # type: ignore[return-value]
+
+        rates = AccountRates("a")
+        follower = ViewFollower(
+            lambda: ("127.0.0.1:1", "127.0.0.1:2"),
+            status,
+            SuspectBook(),
+            connect,
+            EventLog(),
+            random.Random(1),
+        )
+        reporter = PartReporter(follower, rates, status, connect, EventLog())
+        await follower.start()
+        await reporter.start()
+        async with asyncio.timeout(20.0):
+            while not rates.in_touch:
+                await asyncio.sleep(0.01)
+        await reporter.stop()
+        await follower.stop()
+        self.assertEqual("127.0.0.1:1", asked[0])
+        self.assertEqual("127.0.0.1:2", asked[1])
+
+
 class OpenLinkTest(unittest.IsolatedAsyncioTestCase):
     """Open the links between replicas before an election needs them."""
 
