--- a/src/wigeonford/steer/_part_reporter.py
+++ b/src/wigeonford/steer/_part_reporter.py
@@ -100,7 +100,8 @@
         while True:
             await news.wait()
             news.clear()
-            await self._drop_client()
+            if self._leader != self._follower.leader:
+                await self._drop_client()
 
     async def _report(self) -> None:
         view = self._follower.view
