--- a/src/wigeonford/steer/_follower.py
+++ b/src/wigeonford/steer/_follower.py
@@ -11,7 +11,6 @@
 from wigeonford.messages.steering import (
     EntryStatus,
     FetchView,
-    members_digest,
     ReportStatus,
     ViewNotice,
     ViewUpdate,
@@ -19,6 +18,7 @@
 )
 from wigeonford.peer import PeerClient
 from wigeonford.settings import Address, parse_address
+from wigeonford.steer._control_group import ControlGroup
 from wigeonford.steer._suspects import SuspectBook
 from wigeonford.steer._view import Roster, View, ViewBuilder
 
@@ -27,9 +27,6 @@
 WATCH_TIMEOUT_S: Final = 2.4
 """A watch is held for 0.7 to 1.5 s; the rest covers a slow link and a
 turn."""
-ROSTER_SOURCES: Final = 2
-"""Replicas that this VM has rosters of: each hears every entry VM, and one
-may be lost."""
 FAR_FETCH_S: Final = 0.3
 """How long a replica in another region is not asked for a view that a near
 one is about to have; it hears of a commit with the next heartbeat."""
@@ -71,14 +68,7 @@
         self._builder = ViewBuilder()
         self._listeners: list[Callable[[View], None]] = []
         self._watchers: dict[str, asyncio.Task[None]] = {}
-        self._members: set[str] = set()
-        self._in_touch: set[str] = set()
-        self._distances: dict[str, int] = {}
-        self._told: dict[str, int] = {}
-        self._told_status: dict[str, EntryStatus] = {}
-        self._members_digest = 0
-        self._leader_term = 0
-        self.leader: str | None = None
+        self._group = ControlGroup()
         self.leader_news = asyncio.Event()
         self._first_until_s = float("inf")
         self._fetching = asyncio.Lock()
@@ -95,12 +85,17 @@
     @property
     def in_touch(self) -> frozenset[str]:
         """Return the addresses of the replicas in touch."""
-        return frozenset(self._in_touch)
+        return self._group.in_touch
+
+    @property
+    def leader(self) -> str | None:
+        """Return the address of the leader, where one was announced."""
+        return self._group.leader
 
     @property
     def addresses(self) -> tuple[str, ...]:
         """Return the addresses at which control may be found."""
-        return tuple(sorted({*self._members, *self._seeds()}))
+        return tuple(sorted({*self._group.members, *self._seeds()}))
 
     def running_entries(self) -> dict[str, EntryStatus]:
         """Return the entry VMs that run, by name."""
@@ -149,7 +144,7 @@
                 )
             for address in self._watchers.keys() - wanted:
                 self._watchers.pop(address).cancel()
-                self._in_touch.discard(address)
+                self._group.forget(address)
             self._wanted.clear()
             try:
                 async with asyncio.timeout(1.0):
@@ -162,7 +157,7 @@
         for address, task in list(self._watchers.items()):
             if task.done():
                 del self._watchers[address]
-                self._in_touch.discard(address)
+                self._group.lose(address)
                 exc = None if task.cancelled() else task.exception()
                 self._log.emit(
                     Event.TASK_FAILED, control=address, detail=repr(exc)
@@ -177,7 +172,6 @@
                     await self._watch_once(address, client)
                     pause_s = RETRY_S
                 except PeerError as exc:
-                    self._told_status.pop(address, None)
                     self._note_lost(address, exc)
                     await client.close()
                     await asyncio.sleep(pause_s * self._rng.uniform(0.7, 1.3))
@@ -188,71 +182,44 @@
 
     async def _watch_once(self, address: str, client: PeerClient) -> None:
         epoch, roster_revision = self.roster.known_of(address)
-        wanted = self._wants_roster(address)
+        wanted = self._group.wants_roster(address)
         status = self._status()
-        changed = self._told_status.get(address) != status
+        known = self._group.knows_status(address, status)
         notice = await client.request(
             WatchView(
                 self._builder.revision,
                 status.name,
-                status if changed else None,
+                None if known else status,
                 epoch if wanted else None,
                 roster_revision,
-                self._members_digest,
-                self._leader_term,
+                self._group.members_digest,
+                self._group.leader_term,
                 self._suspects.to_report(),
             ),
             WATCH_TIMEOUT_S,
         )
         assert isinstance(notice, ViewNotice), "the answer to a watch"
-        if notice.known:
-            self._told_status[address] = status
-        else:
-            self._told_status.pop(address, None)
-        if notice.place is not None:
-            self._distances[address] = self._distance(*notice.place)
-        self._told[address] = notice.revision
-        if address not in self._in_touch:
-            self._in_touch.add(address)
+        if self._group.take(address, notice, status):
             self._log.emit(Event.CONTROL_REGAINED, control=address)
         if wanted:
             self.roster.take(address, notice.roster, time.monotonic())
         self._suspects.merge(notice.suspicions, time.monotonic())
-        if notice.leader is not None and notice.term > self._leader_term:
-            self.leader, self._leader_term = notice.leader, notice.term
+        if self._group.take_leader(notice):
             self.leader_news.set()
-        if notice.control:
-            self._members = set(notice.control)
-            self._members_digest = members_digest(notice.control)
+        if self._group.take_members(notice):
             self._wanted.set()
         if notice.revision > self._builder.revision:
             await self._fetch(address, client, notice.revision)
         if self.view is None:
             self._publish()
 
-    def _distance(self, region: str, availability_zone: str) -> int:
-        """Return 0 for a replica of the own zone, 1 of the region, or 2."""
-        own = self._status()
-        if region != own.region:
-            return 2
-        return int(availability_zone != own.availability_zone)
-
-    def _wants_roster(self, address: str) -> bool:
-        """Tell whether a replica is among the nearest in touch."""
-        nearest = sorted(
-            self._in_touch,
-            key=lambda other: (self._distances.get(other, 2), other),
-        )
-        return address in nearest[:ROSTER_SOURCES]
-
     def _note_lost(self, address: str, exc: PeerError) -> None:
-        if address in self._in_touch:
-            self._in_touch.discard(address)
+        if self._group.lose(address):
             self._log.emit(
                 Event.CONTROL_LOST,
                 control=address,
                 code=exc.code.number,
-                left=len(self._in_touch),
+                left=len(self._group.in_touch),
                 revision=self._builder.revision,
             )
 
@@ -260,9 +227,7 @@
         self, address: str, client: PeerClient, revision: int
     ) -> None:
         """Fetch what is new, unless another replica has just given it."""
-        if self._distances.get(address, 2) > min(
-            self._distances.get(other, 2) for other in self._in_touch
-        ):
+        if self._group.has_nearer(address):
             await asyncio.sleep(FAR_FETCH_S)
         async with self._fetching:
             if revision <= self._builder.revision:
@@ -313,6 +278,4 @@
         self._first_until_s = min(self._first_until_s, now_s + FIRST_VIEW_S)
         if now_s >= self._first_until_s:
             return True
-        newest = max(self._told.values(), default=0)
-        most = 2 * len(self._told) > len(self._members)
-        return most and newest <= self._builder.revision
+        return self._group.vouches_for(self._builder.revision)
