Gather news for longer in large fleets

Each target that changes wakes five watches of 195 VMs and one fetch each, every 0.05 s while a release runs. News are gathered for 1.5 ms a VM now, 0.3 s at most; fleets up to 33 VMs are as before.

--- a/src/wigeonford/control/_view_service.py
+++ b/src/wigeonford/control/_view_service.py
@@ -37,6 +37,11 @@
 """What a lost connection's renewal takes on top of them."""
 NEWS_TICK_S: Final = 0.05
 """Changes of what steers that come this close together are told at once."""
+NEWS_TICK_S_PER_ENTRY: Final = 0.0015
+"""The same for each entry VM in large fleets, in which each news costs every
+VM some ten messages; a leave binds them within seconds."""
+MAX_NEWS_TICK_S: Final = 0.3
+"""A tenth of the time in which a change has to be in force."""
 ROSTER_TICK_S: Final = 0.25
 """The same for entry VMs that come and go; all of a large fleet may start
 at once, and each would be told of each."""
@@ -98,7 +103,10 @@
     async def _tell_news(self) -> None:
         while True:
             await self._pending.wait()
-            await asyncio.sleep(NEWS_TICK_S)
+            tick_s = max(
+                NEWS_TICK_S, NEWS_TICK_S_PER_ENTRY * len(self._roster)
+            )
+            await asyncio.sleep(min(MAX_NEWS_TICK_S, tick_s))
             self._pending.clear()
             self._wake()
 
@@ -226,3 +234,9 @@
             tuple(steering.targets.removed_since(revision)),
             patch,
         )
+
+
+def news_tick_s(entries: int) -> float:
+    """Return for how long news are gathered in a fleet of some size."""
+    tick_s = max(NEWS_TICK_S, NEWS_TICK_S_PER_ENTRY * entries)
+    return min(MAX_NEWS_TICK_S, tick_s)
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -5,12 +5,19 @@
 
 from wigeonford.codec import Codec
 from wigeonford.control._roster import Roster
+from wigeonford.control._view_service import (
+    MAX_NEWS_TICK_S,
+    NEWS_TICK_S,
+    news_tick_s,
+)
 from wigeonford.messages.steering import EntryStatus, RosterChange
 from wigeonford.steer import Roster as MergedRoster
 from wigeonford.steer._view import MERGED_S, UNKNOWN_EPOCH
 
 EPOCH: Final = 7
 SILENT_S: Final = 2.5
+IN_FORCE_S: Final = 3.0
+"""The users' bound on changes of the large site."""
 VMS: Final = 450
 """Nodes of the target size."""
 
@@ -118,3 +125,17 @@
         merged.take("a", RosterChange(1, 5, True, (status(1),), ()), 0.0)
         merged.take("a", RosterChange(2, 1, True, (status(2),), ()), 0.1)
         self.assertEqual({"front-2"}, set(merged.entries(0.1)))
+
+
+class NewsTickTest(unittest.TestCase):
+    """News that come in a row wake a large fleet's watches few times."""
+
+    def test_wakes_of_a_fleet_are_bounded(self) -> None:
+        """However many VMs there are, and however fast changes come."""
+        self.assertEqual(NEWS_TICK_S, news_tick_s(12))
+        for vms in (12, 70, 195, VMS):
+            wakes_per_s = vms / news_tick_s(vms)
+            self.assertLessEqual(wakes_per_s, VMS / MAX_NEWS_TICK_S)
+
+    def test_news_come_well_before_they_have_to_be_in_force(self) -> None:
+        self.assertLessEqual(news_tick_s(10 * VMS), IN_FORCE_S / 10)
