Tell how long news waited at a VM, and how late an event loop runs

Event 530 has waited_s, from the first notice to the view; event 108 and a histogram tell of a late event loop, in entry and control daemons alike.

--- a/src/wigeonford/_compose_steer_control.py
+++ b/src/wigeonford/_compose_steer_control.py
@@ -6,6 +6,7 @@
 import signal
 
 from wigeonford._compose_shared import metrics_server, OPEN_SECRET, Seeds
+from wigeonford._loop_watch import LoopWatch
 from wigeonford.control import (
     ColdClock,
     ControlDaemon,
@@ -114,7 +115,9 @@
         random.Random(),
         lambda: signal.raise_signal(signal.SIGTERM),
     )
+    metrics = Metrics()
     services: tuple[Service, ...] = (
+        LoopWatch(metrics, log),
         ViewService(
             replica,
             cold,
@@ -129,7 +132,7 @@
         group,
     )
     if cfg.metrics_address is not None:
-        server = metrics_server(Metrics(), log)
+        server = metrics_server(metrics, log)
         services = (*services, MetricsService(server, cfg.metrics_address))
     http = HttpServer(
         build_api(replica, targets, log), CallerLimits(body_bytes=1 << 26), log
--- a/src/wigeonford/_compose_steer_entry.py
+++ b/src/wigeonford/_compose_steer_entry.py
@@ -5,6 +5,7 @@
 import secrets
 
 from wigeonford._compose_shared import metrics_server, OPEN_SECRET, Seeds
+from wigeonford._loop_watch import LoopWatch
 from wigeonford.events import EventLog
 from wigeonford.http import (
     Handler,
@@ -108,5 +109,6 @@
         links,
         tuple(servers),
         front,
+        LoopWatch(metrics, log),
         log,
     )
--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -47,6 +47,9 @@
         106, "left out lines over an event's rate", logging.WARNING
     )
     START_FAILED = _event(107, "the daemon could not start", logging.ERROR)
+    LOOP_LATE = _event(
+        108, "the event loop ran late: no processor time", logging.WARNING
+    )
 
     REQUEST_REFUSED = _event(200, "refused a request")
     REQUEST_ABORTED = _event(
--- a/src/wigeonford/metrics.py
+++ b/src/wigeonford/metrics.py
@@ -42,6 +42,12 @@
             "Revision of the configuration in force",
             registry=self._registry,
         )
+        self.loop_late_s = Histogram(
+            "wigeonford_loop_late_seconds",
+            "How late the event loop runs what is due",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
 
         self.share = Gauge(
             "wigeonford_share_fraction",
--- a/src/wigeonford/steer/_daemon.py
+++ b/src/wigeonford/steer/_daemon.py
@@ -79,12 +79,13 @@
         links: TargetLinks,
         servers: tuple[tuple[HttpServer, Address], ...],
         front: HttpServer,
+        loop_watch: Part,
         log: EventLog,
     ) -> None:
         self._cfg = cfg
         self._readiness = readiness
         self._follower = follower
-        self._parts: tuple[Part, ...] = (follower, reporter)
+        self._parts: tuple[Part, ...] = (follower, reporter, loop_watch)
         self._book = book
         self._links = links
         self._servers = servers
--- a/src/wigeonford/steer/_follower.py
+++ b/src/wigeonford/steer/_follower.py
@@ -71,6 +71,7 @@
         self._group = ControlGroup()
         self.leader_news = asyncio.Event()
         self._first_until_s = float("inf")
+        self._news_since_s: float | None = None
         self._fetching = asyncio.Lock()
         self._wanted = asyncio.Event()
         self._keeper: asyncio.Task[None] | None = None
@@ -209,6 +210,8 @@
         if self._group.take_members(notice):
             self._wanted.set()
         if notice.revision > self._builder.revision:
+            if self._news_since_s is None:
+                self._news_since_s = time.monotonic()
             await self._fetch(address, client, notice.revision)
         if self.view is None:
             self._publish()
@@ -242,6 +245,10 @@
         before = self._builder.revision
         if not self._builder.take(update):
             return
+        waited_s = 0.0
+        if self._news_since_s is not None:
+            waited_s = time.monotonic() - self._news_since_s
+            self._news_since_s = None
         self._log.emit(
             Event.VIEW_TAKEN,
             revision=update.revision,
@@ -251,6 +258,7 @@
             changed=len(update.targets),
             removed=len(update.removed),
             control=address,
+            waited_s=round(waited_s, 3),
         )
         self._publish()
 
