Tests that fail: news held by silent replicas, targets that have left

A target that leaves between the first and the second update of a VM that starts is in its first view. A target that leaves while an attempt waits for its connection still gets the request.

--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -16,7 +16,7 @@
     TargetLinks,
 )
 from wigeonford.steer._request import SteerRequest
-from wigeonford.steer._target_book import TargetRecord
+from wigeonford.steer._target_book import TargetBook, TargetRecord
 
 REFUSAL: Final = (
     b"HTTP/1.1 503 Busy\r\nx-attempt-id: a\r\nx-not-executed: 1\r\n"
@@ -95,3 +95,37 @@
                 async for _ in body:
                     continue
             await closed.wait()
+
+
+class LeavingAttemptTest(unittest.IsolatedAsyncioTestCase):
+    """A target leaves while its attempt waits for a connection."""
+
+    async def test_target_that_leaves_before_the_send_gets_nothing(
+        self,
+    ) -> None:
+        got = asyncio.Event()
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            if await reader.read(1):
+                got.set()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        book = TargetBook()
+        said = announce(address=f"127.0.0.1:{port}")
+        book.follow((said,), (), {}, 1.0)
+        record = book.get(said.target_id)
+        assert record is not None, "followed"
+        links = TargetLinks(PlatformTargetWire())
+        self.addCleanup(links.close)
+        until_s = time.monotonic() + WAIT_S
+        attempt = Attempt(make_request(), record, None, b"", until_s)
+        sending = asyncio.create_task(links.send(attempt))
+        await asyncio.sleep(0)
+        book.follow((), (said.target_id,), {}, 1.1)
+        await sending
+        self.assertFalse(got.is_set())
--- /dev/null
+++ b/tests/test_late_news.py
@@ -0,0 +1,137 @@
+"""News reach an entry VM in time, whatever happens to one replica."""
+
+import asyncio
+import random
+from typing import Any, Final
+import unittest
+
+from tests.test_deployment import announce, make_deployment
+from tests.virtual_time import run_virtual
+from wigeonford.errors import Code, PeerError
+from wigeonford.events import EventLog
+from wigeonford.messages.steering import (
+    EntryStatus,
+    FetchView,
+    ViewNotice,
+    ViewUpdate,
+)
+from wigeonford.peer import PeerClient
+from wigeonford.settings import Address
+from wigeonford.steer import SuspectBook, TargetBook, ViewFollower
+from wigeonford.steer._view import ViewBuilder
+
+IN_FORCE_S: Final = 2.5
+"""The users' shortest bound for a change or a leave."""
+OTHERS_S: Final = 0.7
+"""What an agreement and its notices may take of it."""
+ZONES: Final = {"south-a": "south"}
+
+
+class Group:
+    """Stand in for five replicas, of which some die after their notice."""
+
+    members = tuple(f"127.0.0.1:{port}" for port in range(1, 6))
+
+    def __init__(self, silent: int) -> None:
+        self.silent = silent
+        self.revision = 1
+        self.news = asyncio.Event()
+
+    def publish(self) -> None:
+        """Make one more revision known to all replicas."""
+        self.revision += 1
+        self.news.set()
+        self.news = asyncio.Event()
+
+
+class Link:
+    """Stand in for a link to one replica of a group."""
+
+    def __init__(self, group: Group, address: Address) -> None:
+        self._group = group
+        self._dies = address.port <= group.silent
+        self._rank = address.port
+
+    async def request(self, record: Any, timeout_s: float) -> Any:
+        """Answer a watch or a fetch; the first revision is always told."""
+        group = self._group
+        if isinstance(record, FetchView):
+            if self._dies and record.revision:
+                await asyncio.sleep(timeout_s)
+                raise PeerError(Code.PEER_TIMEOUT, "silent")
+            deployment = make_deployment(version=group.revision)
+            return ViewUpdate(group.revision, deployment, (), {}, (), ())
+        if record.revision >= group.revision:
+            await asyncio.wait(
+                {asyncio.create_task(group.news.wait())}, timeout=0.7
+            )
+            # The silent ones are heard of first.
+            await asyncio.sleep(0.01 * self._rank)
+        return ViewNotice(group.revision, None, group.members)
+
+    async def close(self) -> None:
+        """Return: there is nothing to close."""
+
+
+class SilentReplicaTest(unittest.TestCase):
+    """A replica that dies after its notice does not hold the news."""
+
+    async def news_took_s(self, silent: int) -> float:
+        """Return how long a change took from its notice to the view."""
+        loop = asyncio.get_running_loop()
+        group = Group(silent)
+
+        def connect(address: Address) -> PeerClient:
+            return Link(group, address)  # type: ignore[return-value]
+
+        follower = ViewFollower(
+            lambda: group.members,
+            lambda: EntryStatus("a", "i", "a:1", "z", "r", True),
+            SuspectBook(),
+            connect,
+            EventLog(),
+            random.Random(1),
+        )
+        versions: list[int] = []
+        follower.on_view(lambda view: versions.append(view.deployment.version))
+        await follower.start()
+        async with asyncio.timeout(20.0):
+            while not versions or len(follower.in_touch) < 5:
+                await asyncio.sleep(0.01)
+            began_s = loop.time()
+            group.publish()
+            while versions[-1] < 2:
+                await asyncio.sleep(0.01)
+        took_s = loop.time() - began_s
+        await follower.stop()
+        return took_s
+
+    def test_news_pass_two_replicas_that_die_after_their_notice(
+        self,
+    ) -> None:
+        took_s = run_virtual(self.news_took_s(2))
+        self.assertLess(took_s, IN_FORCE_S - OTHERS_S)
+
+
+class FirstTargetsTest(unittest.TestCase):
+    """What changes before the first view is in it as it was last."""
+
+    def served(self, *updates: ViewUpdate) -> int:
+        """Return how many targets the first view of updates serves."""
+        builder = ViewBuilder()
+        for update in updates:
+            self.assertTrue(builder.take(update))
+        view = builder.build()
+        assert view is not None, "updates bring a deployment"
+        book = TargetBook()
+        book.follow(view.changed, view.removed, ZONES, 1.0)
+        return len(book.of_service("reads"))
+
+    def test_target_that_left_before_the_first_view_is_not_used(self) -> None:
+        said = announce(availability_zone="south-a", service="reads")
+        first = ViewUpdate(1, make_deployment(), (), {}, (said,), ())
+        left = ViewUpdate(2, None, None, None, (), (said.target_id,))
+        again = ViewUpdate(3, None, None, None, (said,), ())
+        self.assertEqual(1, self.served(first))
+        self.assertEqual(0, self.served(first, left))
+        self.assertEqual(1, self.served(first, left, again))
