A first view drops the targets that left before it

Cause: a VM gathers updates until its first view is sure, and kept them as two lists, changed and removed; the target book drops the removed first and then adds the changed, so that a target of the first update that left with the second came back for good. Change: gathered changes are kept by target, and the last word counts. Sought elsewhere: rosters and deployments take each update whole.

--- a/src/wigeonford/steer/_view.py
+++ b/src/wigeonford/steer/_view.py
@@ -22,7 +22,8 @@
     """Hold one revision of what steers requests, ready for look-ups.
 
     `changed` and `removed` are the targets that it changes of the view
-    taken before; `targets` counts them all.
+    taken before, `removed` to be dropped first: a target in both has left
+    and come back. `targets` counts them all.
     """
 
     revision: int
@@ -56,8 +57,8 @@
     _taken_back: dict[str, int] = msgspec.field(default_factory=dict)
     _services: dict[str, Service] = msgspec.field(default_factory=dict)
     _targets: set[str] = msgspec.field(default_factory=set)
-    _changed: list[Announcement] = msgspec.field(default_factory=list)
-    _removed: list[str] = msgspec.field(default_factory=list)
+    _changed: dict[str, Announcement] = msgspec.field(default_factory=dict)
+    _removed: set[str] = msgspec.field(default_factory=set)
 
     @property
     def version(self) -> int:
@@ -83,12 +84,19 @@
             self._evacuated = frozenset(update.evacuated)
         if update.taken_back is not None:
             self._taken_back = update.taken_back
-        self._targets.difference_update(update.removed)
-        self._targets.update(said.target_id for said in update.targets)
-        self._changed.extend(update.targets)
-        self._removed.extend(update.removed)
+        self._take_targets(update)
         return True
 
+    def _take_targets(self, update: ViewUpdate) -> None:
+        """Gather changes until the next build; the last word counts."""
+        for target_id in update.removed:
+            self._targets.discard(target_id)
+            self._changed.pop(target_id, None)
+            self._removed.add(target_id)
+        for said in update.targets:
+            self._targets.add(said.target_id)
+            self._changed[said.target_id] = said
+
     def _publish(self, deployment: Deployment) -> None:
         self._deployment = deployment
         self._routes = RouteTable(deployment)
@@ -104,8 +112,8 @@
             return None
         assert self._routes is not None, "built with the deployment"
         assert self._keys is not None, "built with the deployment"
-        changed, self._changed = tuple(self._changed), []
-        removed, self._removed = tuple(self._removed), []
+        changed, self._changed = tuple(self._changed.values()), {}
+        removed, self._removed = tuple(self._removed), set()
         return View(
             self.revision,
             self._deployment,
