Ask the next replica for news while one does not answer

What callers saw: in the worst case, a change of the deployment or a target's leave came to a VM four seconds after it was told of it. Cause: one lock over the fetch of a view, held for up to 2 s by a replica that had died or gone silent after its notice; with the two replicas that may be lost at once, 4 s, of 2.5 to 3 s in which it has to be in force. A class of fault of its own: many sources, and one that is silent holds the turn of all. Change: replicas are asked in turn, but each is waited for 0.5 s only before the next one is asked too; the first, whole view keeps its 2 s. An update says since when it tells, and a patch of a deployment that was replaced meanwhile is not applied.

--- a/src/wigeonford/steer/_follower.py
+++ b/src/wigeonford/steer/_follower.py
@@ -32,6 +32,10 @@
 one is about to have; it hears of a commit with the next heartbeat."""
 FETCH_TIMEOUT_S: Final = 2.0
 """A large deployment over a narrow link."""
+FETCH_TURN_S: Final = 0.5
+"""How long one replica is waited for before the next one is asked too; a
+patch takes a round trip, and the users' shortest bound leaves time for three
+such waits."""
 RETRY_S: Final = 0.25
 """Pause after a failed watch, doubled up to `MAX_RETRY_S`."""
 MAX_RETRY_S: Final = 1.0
@@ -72,7 +76,8 @@
         self.leader_news = asyncio.Event()
         self._first_until_s = float("inf")
         self._news_since_s: float | None = None
-        self._fetching = asyncio.Lock()
+        self._fetch_queue = asyncio.Lock()
+        self._fetching: asyncio.Task[None] | None = None
         self._wanted = asyncio.Event()
         self._keeper: asyncio.Task[None] | None = None
         self.roster = Roster()
@@ -229,21 +234,35 @@
     async def _fetch(
         self, address: str, client: PeerClient, revision: int
     ) -> None:
-        """Fetch what is new, unless another replica has just given it."""
+        """Fetch what is new, unless another replica has just given it.
+
+        One replica is asked at a time, the next one also where that takes
+        long: it may have died after its notice.
+        """
         if self._group.has_nearer(address):
             await asyncio.sleep(FAR_FETCH_S)
-        async with self._fetching:
+        async with self._fetch_queue:
+            if self._fetching is not None:
+                # A whole view is large, and a fleet that starts asks for
+                # many: to ask for it again would only slow them all.
+                known = self._builder.revision > 0
+                turn_s = FETCH_TURN_S if known else FETCH_TIMEOUT_S
+                await asyncio.wait({self._fetching}, timeout=turn_s)
             if revision <= self._builder.revision:
                 return
-            update = await client.request(
-                FetchView(self._builder.revision), FETCH_TIMEOUT_S
-            )
-            assert isinstance(update, ViewUpdate), "the answer to a fetch"
-            self._take(address, update)
+            fetch = asyncio.create_task(self._fetch_from(address, client))
+            self._fetching = fetch
+        await fetch
+
+    async def _fetch_from(self, address: str, client: PeerClient) -> None:
+        since = self._builder.revision
+        update = await client.request(FetchView(since), FETCH_TIMEOUT_S)
+        assert isinstance(update, ViewUpdate), "the answer to a fetch"
+        self._take(address, update, since)
 
-    def _take(self, address: str, update: ViewUpdate) -> None:
+    def _take(self, address: str, update: ViewUpdate, since: int) -> None:
         before = self._builder.revision
-        if not self._builder.take(update):
+        if not self._builder.take(update, since):
             return
         waited_s = 0.0
         if self._news_since_s is not None:
--- a/src/wigeonford/steer/_view.py
+++ b/src/wigeonford/steer/_view.py
@@ -50,6 +50,7 @@
     """Put a view together from updates; it never goes back."""
 
     revision: int = 0
+    _published_at: int = 0
     _deployment: Deployment | None = None
     _routes: RouteTable | None = None
     _keys: KeyTable | None = None
@@ -70,10 +71,15 @@
         """Return how many targets are known."""
         return len(self._targets)
 
-    def take(self, update: ViewUpdate) -> bool:
-        """Take over an update; tell whether it was newer."""
+    def take(self, update: ViewUpdate, since: int) -> bool:
+        """Take over what came after a revision; tell whether it is newer.
+
+        A patch of a deployment that was replaced meanwhile is not taken.
+        """
         if update.revision <= self.revision:
             return False
+        if update.patch is not None and since < self._published_at:
+            return False
         self.revision = update.revision
         if update.deployment is not None:
             self._publish(update.deployment)
@@ -98,6 +104,7 @@
             self._changed[said.target_id] = said
 
     def _publish(self, deployment: Deployment) -> None:
+        self._published_at = self.revision
         self._deployment = deployment
         self._routes = RouteTable(deployment)
         self._keys = KeyTable(deployment)
--- a/tests/test_late_news.py
+++ b/tests/test_late_news.py
@@ -7,6 +7,7 @@
 
 from tests.test_deployment import announce, make_deployment
 from tests.virtual_time import run_virtual
+from wigeonford.deployment import DeploymentPatch
 from wigeonford.errors import Code, PeerError
 from wigeonford.events import EventLog
 from wigeonford.messages.steering import (
@@ -120,7 +121,7 @@
         """Return how many targets the first view of updates serves."""
         builder = ViewBuilder()
         for update in updates:
-            self.assertTrue(builder.take(update))
+            self.assertTrue(builder.take(update, builder.revision))
         view = builder.build()
         assert view is not None, "updates bring a deployment"
         book = TargetBook()
@@ -135,3 +136,23 @@
         self.assertEqual(1, self.served(first))
         self.assertEqual(0, self.served(first, left))
         self.assertEqual(1, self.served(first, left, again))
+
+
+class LatePatchTest(unittest.TestCase):
+    """A patch is applied to what it was made of, or not at all."""
+
+    def test_patch_of_an_older_deployment_is_not_applied(self) -> None:
+        builder = ViewBuilder()
+        first = make_deployment(version=1)
+        builder.take(ViewUpdate(1, first, (), {}, (), ()), since=0)
+        builder.take(
+            ViewUpdate(3, make_deployment(version=3), None, None, (), ()),
+            since=1,
+        )
+        late = ViewUpdate(
+            4, None, None, None, (), (), DeploymentPatch(version=4)
+        )
+        self.assertFalse(builder.take(late, since=1))
+        self.assertEqual((3, 3), (builder.revision, builder.version))
+        self.assertTrue(builder.take(late, since=3))
+        self.assertEqual((4, 4), (builder.revision, builder.version))
--- a/tests/test_view_patches.py
+++ b/tests/test_view_patches.py
@@ -76,6 +76,11 @@
         self.replica = _Replica()
         self.service = make_service(self.replica)
 
+    def update(self, builder: ViewBuilder) -> None:
+        """Bring a VM's view up to date."""
+        since = builder.revision
+        builder.take(self.service.changes_since(since), since)
+
     def publish(self, deployment: Deployment) -> None:
         steering = self.replica.state.steering
         order = ReplaceDeployment(
@@ -102,11 +107,11 @@
             self.publish(with_accounts(base, rates))
             for builder in builders:
                 if data.draw(st.booleans()):
-                    builder.take(self.service.changes_since(builder.revision))
+                    self.update(builder)
         published = self.replica.state.steering.deployment
         assert published is not None, "published"
         for builder in builders:
-            builder.take(self.service.changes_since(builder.revision))
+            self.update(builder)
             view = builder.build()
             assert view is not None, "has a deployment"
             self.assertEqual(parts(published), parts(view.deployment))
