Send nothing to a target that left while its connection was waited for

What callers saw: at worst a request at a target up to half a second later than the VM knew that the target leaves. Cause: a target is chosen, then a connection waited for (0.5 s at most), then the request sent, and what the VM knows was not asked again in between. Change: the record of a target says whether it takes work at all, and an attempt asks it right before the send; the request then goes to another target, without a mark against the first and without drawing on the budget of repeats. Half a second of 2.5 to 3 s: it narrows the margin and can't be the whole of what the users saw.

--- a/src/wigeonford/steer/_attempt.py
+++ b/src/wigeonford/steer/_attempt.py
@@ -44,15 +44,22 @@
     """Say how far an attempt came.
 
     Of these only `BROKEN` leaves open whether the request has run.
+    `WITHDRAWN` is not sent either, since the target left meanwhile, which
+    says nothing of its soundness.
     """
 
     NOT_SENT = "not-sent"
+    WITHDRAWN = "withdrawn"
     NOT_RUN = "not-run"
     WRONG_TARGET = "wrong-target"
     ANSWERED = "answered"
     BROKEN = "broken"
 
 
+UNSENT: Final = frozenset({Outcome.NOT_SENT, Outcome.WITHDRAWN})
+"""Outcomes that leave the request, its body too, as it was."""
+
+
 class AttemptResult(msgspec.Struct, frozen=True):
     """Hold an attempt's outcome; the answer is there if answered.
 
@@ -111,6 +118,9 @@
             )
         except ConnectFailed as exc:
             return AttemptResult(Outcome.NOT_SENT, detail=str(exc))
+        if not attempt.record.takes_work:
+            conn.close()
+            return AttemptResult(Outcome.WITHDRAWN, detail="it leaves")
         try:
             result = await self._exchange(attempt, conn, reused)
         except ExchangeFailed as exc:
--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -21,6 +21,7 @@
     AttemptResult,
     Outcome,
     TargetLinks,
+    UNSENT,
 )
 from wigeonford.steer._cold import ColdRates, Wardens
 from wigeonford.steer._learning import Learning, Sent
@@ -43,7 +44,7 @@
 RESERVE_USED: Final = 0.4
 """Part of the fleet's slack that the entry VMs' reserves add up to."""
 MAX_UNREACHED: Final = 4
-"""Targets in a row that a request finds unreachable before it is refused."""
+"""Targets that a request finds unreachable or gone before it is refused."""
 LEAST_PATIENCE: Final = 0.25
 """Part of a warm request's duration that any request may wait; estimates
 are no better."""
@@ -274,7 +275,7 @@
         began_s: float,
     ) -> Response | None:
         """Return the answer, None to try again; raise the refusal."""
-        if result.outcome is Outcome.NOT_SENT:
+        if result.outcome in UNSENT:
             work.unreached += 1
         else:
             work.sent += 1
@@ -307,14 +308,14 @@
 
     def _may_repeat(self, work: Work, result: AttemptResult) -> bool:
         """Tell whether another attempt is allowed and worth its budget."""
+        if result.outcome in UNSENT:
+            return work.unreached < MAX_UNREACHED
         if not isinstance(work.body, bytes):
             return False
         if result.outcome is Outcome.BROKEN and not (
             work.route.kind.is_idempotent
         ):
             return False
-        if result.outcome is Outcome.NOT_SENT:
-            return work.unreached < MAX_UNREACHED
         if work.sent >= work.route.attempts:
             return False
         stats = self._learning.stats_of(work.route)
--- a/src/wigeonford/steer/_learning.py
+++ b/src/wigeonford/steer/_learning.py
@@ -66,6 +66,8 @@
         facts = result.facts
         if facts is not None:
             self._learn_facts(record, facts, now_s)
+        if result.outcome is Outcome.WITHDRAWN:
+            return
         service = work.view.services.get(record.announced.service)
         cold_s = service.cold_start_s if service else 0.0
         if result.outcome is Outcome.NOT_SENT:
--- a/src/wigeonford/steer/_target_book.py
+++ b/src/wigeonford/steer/_target_book.py
@@ -41,6 +41,8 @@
     """Hold what is known of one incarnation of a target.
 
     `slowness` is the ratio of its durations to those of its service.
+    `is_leaving` is what it said itself in an answer; `is_over` says that
+    another incarnation, or none, is announced now.
     """
 
     announced: Announcement
@@ -56,6 +58,7 @@
     failed_at_s: float = float("-inf")
     paused_until_s: float = 0.0
     is_leaving: bool = False
+    is_over: bool = False
     slowness: float = 1.0
     slow_until_s: float = 0.0
     warm: OrderedDict[str, None] = msgspec.field(default_factory=OrderedDict)
@@ -70,6 +73,12 @@
         """Return the target's availability zone."""
         return self.announced.availability_zone
 
+    @property
+    def takes_work(self) -> bool:
+        """Tell whether the target may get requests at all."""
+        said = self.announced
+        return not (self.is_over or self.is_leaving or said.leaving)
+
     def load(self, now_s: float, unheard: float = 0.0) -> float:
         """Return how many requests the target is thought to hold.
 
@@ -210,19 +219,23 @@
         for target_id in removed:
             record = self._records.pop(target_id, None)
             if record is not None:
-                self._unlist(record)
-                left.append(record.announced.address)
+                left.append(self._drop(record))
         for said in changed:
             held = self._records.get(said.target_id)
             if held is None or held.announced.born_ms != said.born_ms:
                 if held is not None:
-                    self._unlist(held)
-                    left.append(held.announced.address)
+                    left.append(self._drop(held))
                 self._add(said, regions, now_s)
             elif held.announced != said:
                 self._update(held, said, now_s)
         return left
 
+    def _drop(self, record: TargetRecord) -> str:
+        """Let go of an incarnation that is over; return its address."""
+        record.is_over = True
+        self._unlist(record)
+        return record.announced.address
+
     def _add(
         self,
         said: Announcement,
@@ -259,8 +272,8 @@
         self._unlist(record)
 
     def _list(self, record: TargetRecord) -> None:
-        said = record.announced
-        if not said.leaving and not record.is_leaving:
+        if record.takes_work:
+            said = record.announced
             records = self._by_service.setdefault(said.service, {})
             records[said.target_id] = record
             self._lists.pop(said.service, None)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -127,5 +127,6 @@
         sending = asyncio.create_task(links.send(attempt))
         await asyncio.sleep(0)
         book.follow((), (said.target_id,), {}, 1.1)
-        await sending
+        result = await sending
+        self.assertIs(Outcome.WITHDRAWN, result.outcome)
         self.assertFalse(got.is_set())
