A notice of leaving belongs to the incarnation that is announced

A target that restarts under its id and says at once that it leaves was used again: its notice was kept for the incarnation known when the request left. Change: an answer that comes once another incarnation is announced is taken for that one's. Evidence: test_notice_of_a_start_that_was_just_announced_is_its_own failed before. Open: a notice that overtakes the announcement of its own start.

--- a/src/wigeonford/steer/_target_book.py
+++ b/src/wigeonford/steer/_target_book.py
@@ -262,8 +262,11 @@
     def note_leaving(self, record: TargetRecord) -> None:
         """Send a target nothing more, as it has said that it leaves.
 
-        That holds whatever is announced of it, until its next start.
+        That holds whatever is announced of it, until its next start. An
+        answer that comes once another incarnation is announced is that
+        one's: the one before had ended.
         """
+        record = self._records.get(record.target_id, record)
         said = record.announced
         self._leaving[said.target_id] = said.born_ms
         if len(self._leaving) > MAX_LEAVING:
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -94,6 +94,14 @@
         self.follow(sequence=1, born_ms=self.said.born_ms + 5000)
         self.assertEqual(1, self.served())
 
+    def test_notice_of_a_start_that_was_just_announced_is_its_own(
+        self,
+    ) -> None:
+        before = self.record()
+        self.follow(sequence=1, born_ms=self.said.born_ms + 5000)
+        self.book.note_leaving(before)
+        self.assertEqual(0, self.served())
+
 
 class PauseTest(unittest.TestCase):
     """A target that asks for a pause gets none of this VM's requests."""
