Answer a caller whose body stalls at its route's time limit

Cause: the deadline bounded the wait for a target and its answer, not the wait for the body before it; only the idle time-out of a connection did, and it begins anew with each byte. Evidence: test_stalled_body_is_refused_at_the_routes_time_limit failed before: the request was admitted 60 s of virtual time after it came.

--- a/src/wigeonford/steer/_admission.py
+++ b/src/wigeonford/steer/_admission.py
@@ -1,5 +1,6 @@
 """Admit requests: route, key, rate, body."""
 
+import asyncio
 from collections.abc import AsyncIterator, Callable
 import random
 from typing import Final
@@ -85,7 +86,7 @@
             revision=view.revision,
         )
         if req.has_body:
-            work.body = await _read_body(req.body)
+            work.body = await self._read_in_time(work)
         body = work.body if isinstance(work.body, bytes) else b""
         work.print_ = fingerprint(
             account.name if account else "", req.method, req.target, body
@@ -96,6 +97,17 @@
             )
         return work
 
+    async def _read_in_time(self, work: Work) -> bytes | AsyncIterator[bytes]:
+        """Return a request's body; raise `RequestRefused` at its deadline."""
+        left_s = max(0.0, work.deadline_s - self._clock())
+        try:
+            async with asyncio.timeout(left_s):
+                return await _read_body(work.req.body)
+        except TimeoutError:
+            raise RequestRefused(
+                Code.BODY_TOO_SLOW, "not whole at the deadline"
+            ) from None
+
     async def _spend(self, account: Account, left_s: float) -> bool:
         """Spend a token of an account; raise `RequestRefused`.
 
