The nearest replica brings news with its notice

A class of fault: what has to arrive within a bound pays the queue of bulk traffic once a message. Change: the nearest replica in touch is asked to put the update into its notice; what the others tell waits 0.5 s for that and is then fetched in turn, as before. A watch that waits so is back as soon as the news is there.

--- a/src/wigeonford/control/_view_service.py
+++ b/src/wigeonford/control/_view_service.py
@@ -195,8 +195,12 @@
         members = self._members()
         same = members_digest(members) == message.control
         place = (self._region, self._availability_zone)
+        revision = self._replica.state.steering.revision
+        update = None
+        if message.wants_update and revision > message.revision:
+            update = self.changes_since(message.revision)
         return ViewNotice(
-            self._replica.state.steering.revision,
+            revision,
             roster,
             None if same else members,
             self._suspicions.recent(self._clock()),
@@ -207,6 +211,7 @@
                 else None
             ),
             term=self._replica.term,
+            update=update,
         )
 
     async def _fetch(self, message: FetchView) -> ViewUpdate:
--- a/src/wigeonford/messages/steering.py
+++ b/src/wigeonford/messages/steering.py
@@ -72,6 +72,8 @@
     `roster_epoch` and `roster_revision` go those of the roster last had
     from this replica; the epoch is None where none is wanted. `control`
     is the digest of the replicas known, `term` that of the leader known.
+    With `wants_update` the notice brings what is new; otherwise it says
+    that there is something, to be fetched.
     """
 
     revision: int
@@ -82,27 +84,7 @@
     control: int
     term: int
     suspicions: tuple[Suspicion, ...] = ()
-
-
-@message(191)
-class ViewNotice(msgspec.Struct, frozen=True, array_like=True):
-    """Answer `WatchView` with the revision that can be fetched.
-
-    `roster` is None where it has not changed or is not wanted, `control`
-    where the replicas are as known. `place` is the replica's own region
-    and zone, told to who tells its status. An entry VM that is not `known`
-    has to tell its status again. `leader` is told with its `term` where
-    that is later than the one known.
-    """
-
-    revision: int
-    roster: RosterChange | None
-    control: tuple[str, ...] | None
-    suspicions: tuple[Suspicion, ...] = ()
-    place: tuple[str, str] | None = None
-    known: bool = True
-    leader: str | None = None
-    term: int = 0
+    wants_update: bool = False
 
 
 @message(192)
@@ -114,7 +96,7 @@
 
 @message(193)
 class ViewUpdate(msgspec.Struct, frozen=True, array_like=True):
-    """Answer `FetchView`; None where a part has not changed.
+    """Tell what came after a revision; None where a part has not changed.
 
     A changed deployment comes whole, or as a `patch` of the one that was
     in force at the revision asked about. `cold_s` of an announcement is as
@@ -130,6 +112,28 @@
     patch: DeploymentPatch | None = None
 
 
+@message(191)
+class ViewNotice(msgspec.Struct, frozen=True, array_like=True):
+    """Answer `WatchView` with the revision that can be fetched.
+
+    `roster` is None where it has not changed or is not wanted, `control`
+    where the replicas are as known. `place` is the replica's own region
+    and zone, told to who tells its status. An entry VM that is not `known`
+    has to tell its status again. `leader` is told with its `term` where
+    that is later than the one known.
+    """
+
+    revision: int
+    roster: RosterChange | None
+    control: tuple[str, ...] | None
+    suspicions: tuple[Suspicion, ...] = ()
+    place: tuple[str, str] | None = None
+    known: bool = True
+    leader: str | None = None
+    term: int = 0
+    update: ViewUpdate | None = None
+
+
 @message(194)
 class ReportStatus(msgspec.Struct, frozen=True, array_like=True):
     """Tell at once that an entry VM has become ready, or is not any more."""
--- a/src/wigeonford/steer/_control_group.py
+++ b/src/wigeonford/steer/_control_group.py
@@ -99,18 +99,18 @@
 
     def wants_roster(self, address: str) -> bool:
         """Tell whether a replica is among the nearest in touch."""
-        nearest = sorted(
+        return address in self._nearest()[:ROSTER_SOURCES]
+
+    def is_nearest(self, address: str) -> bool:
+        """Tell whether a replica is the nearest one in touch."""
+        return address in self._nearest()[:1]
+
+    def _nearest(self) -> list[str]:
+        """Return the replicas in touch, the nearest first."""
+        return sorted(
             self.in_touch,
             key=lambda other: (self._of(other).distance, other),
         )
-        return address in nearest[:ROSTER_SOURCES]
-
-    def has_nearer(self, address: str) -> bool:
-        """Tell whether another replica in touch is nearer."""
-        distance = self._of(address).distance
-        return any(
-            self._of(other).distance < distance for other in self.in_touch
-        )
 
     def vouches_for(self, revision: int) -> bool:
         """Tell whether most replicas have told, and none something newer."""
--- a/src/wigeonford/steer/_follower.py
+++ b/src/wigeonford/steer/_follower.py
@@ -1,4 +1,4 @@
-"""Follow control: hear of news from every replica, fetch it from one."""
+"""Follow control: hear of news from every replica, get it from one."""
 
 import asyncio
 from collections.abc import Callable
@@ -20,6 +20,7 @@
 from wigeonford.settings import Address, parse_address
 from wigeonford.steer._control_group import ControlGroup
 from wigeonford.steer._suspects import SuspectBook
+from wigeonford.steer._turns import Turns
 from wigeonford.steer._view import Roster, View, ViewBuilder
 
 Connect = Callable[[Address], PeerClient]
@@ -27,15 +28,16 @@
 WATCH_TIMEOUT_S: Final = 2.4
 """A watch is held for 0.7 to 1.5 s; the rest covers a slow link and a
 turn."""
-FAR_FETCH_S: Final = 0.3
-"""How long a replica in another region is not asked for a view that a near
-one is about to have; it hears of a commit with the next heartbeat."""
+FAR_FETCH_S: Final = 0.5
+"""How long other replicas are not asked for news that the nearest one is
+about to bring: it hears of a commit with the next heartbeat, and its notice
+may wait behind an upload on the VM's link."""
 FETCH_TIMEOUT_S: Final = 2.0
 """A large deployment over a narrow link."""
 FETCH_TURN_S: Final = 0.5
-"""How long one replica is waited for before the next one is asked too; a
-patch takes a round trip, and the users' shortest bound leaves time for three
-such waits."""
+"""How long one replica is waited for before the next one is asked too: it
+may have died after its notice. A patch takes a round trip, and the users'
+shortest bound leaves time for three such waits."""
 RETRY_S: Final = 0.25
 """Pause after a failed watch, doubled up to `MAX_RETRY_S`."""
 MAX_RETRY_S: Final = 1.0
@@ -50,8 +52,10 @@
 class ViewFollower:
     """Watch every control replica and keep the newest view.
 
-    One task a replica; whichever has news first is asked for it. Without
-    control the last view stays in force.
+    One task a replica. The nearest one brings news with its notice, since
+    each message may wait behind uploads on the VM's link; another one that
+    has news sooner is asked for it. Without control the last view stays in
+    force.
     """
 
     def __init__(
@@ -76,8 +80,8 @@
         self.leader_news = asyncio.Event()
         self._first_until_s = float("inf")
         self._news_since_s: float | None = None
-        self._fetch_queue = asyncio.Lock()
-        self._fetching: asyncio.Task[None] | None = None
+        self._turns = Turns()
+        self._taken = asyncio.Event()
         self._wanted = asyncio.Event()
         self._keeper: asyncio.Task[None] | None = None
         self.roster = Roster()
@@ -144,7 +148,7 @@
             if self.view is None:
                 self._publish()
             wanted = set(self.addresses)
-            for address in wanted - self._watchers.keys():
+            for address in sorted(wanted - self._watchers.keys()):
                 self._watchers[address] = asyncio.create_task(
                     self._watch(address)
                 )
@@ -191,9 +195,10 @@
         wanted = self._group.wants_roster(address)
         status = self._status()
         known = self._group.knows_status(address, status)
+        since = self._builder.revision
         notice = await client.request(
             WatchView(
-                self._builder.revision,
+                since,
                 status.name,
                 None if known else status,
                 epoch if wanted else None,
@@ -201,6 +206,8 @@
                 self._group.members_digest,
                 self._group.leader_term,
                 self._suspects.to_report(),
+                # A whole view is left to the one replica that is asked.
+                since > 0 and self._group.is_nearest(address),
             ),
             WATCH_TIMEOUT_S,
         )
@@ -214,9 +221,12 @@
             self.leader_news.set()
         if self._group.take_members(notice):
             self._wanted.set()
+        is_news = notice.revision > self._builder.revision
+        if is_news and self._news_since_s is None:
+            self._news_since_s = time.monotonic()
+        if notice.update is not None:
+            self._take(address, notice.update, since)
         if notice.revision > self._builder.revision:
-            if self._news_since_s is None:
-                self._news_since_s = time.monotonic()
             await self._fetch(address, client, notice.revision)
         if self.view is None:
             self._publish()
@@ -234,25 +244,26 @@
     async def _fetch(
         self, address: str, client: PeerClient, revision: int
     ) -> None:
-        """Fetch what is new, unless another replica has just given it.
+        """Fetch what is new, unless a replica has just given it."""
+        if not self._group.is_nearest(address):
+            await self._wait_for(revision, FAR_FETCH_S)
+        # A whole view is large, and a fleet that starts asks for many: to
+        # ask for it again would only slow them all.
+        known = self._builder.revision > 0
+        await self._turns.ask(
+            lambda: revision > self._builder.revision,
+            lambda: self._fetch_from(address, client),
+            FETCH_TURN_S if known else FETCH_TIMEOUT_S,
+        )
 
-        One replica is asked at a time, the next one also where that takes
-        long: it may have died after its notice.
-        """
-        if self._group.has_nearer(address):
-            await asyncio.sleep(FAR_FETCH_S)
-        async with self._fetch_queue:
-            if self._fetching is not None:
-                # A whole view is large, and a fleet that starts asks for
-                # many: to ask for it again would only slow them all.
-                known = self._builder.revision > 0
-                turn_s = FETCH_TURN_S if known else FETCH_TIMEOUT_S
-                await asyncio.wait({self._fetching}, timeout=turn_s)
-            if revision <= self._builder.revision:
-                return
-            fetch = asyncio.create_task(self._fetch_from(address, client))
-            self._fetching = fetch
-        await fetch
+    async def _wait_for(self, revision: int, timeout_s: float) -> None:
+        """Return once a revision is taken, or after the time-out."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                while revision > self._builder.revision:
+                    await self._taken.wait()
+        except TimeoutError:
+            return
 
     async def _fetch_from(self, address: str, client: PeerClient) -> None:
         since = self._builder.revision
@@ -264,6 +275,8 @@
         before = self._builder.revision
         if not self._builder.take(update, since):
             return
+        self._taken.set()
+        self._taken = asyncio.Event()
         waited_s = 0.0
         if self._news_since_s is not None:
             waited_s = time.monotonic() - self._news_since_s
--- a/tests/test_late_news.py
+++ b/tests/test_late_news.py
@@ -1,11 +1,13 @@
 """News reach an entry VM in time, whatever happens to one replica."""
 
 import asyncio
+from collections.abc import Callable
 import random
 from typing import Any, Final
 import unittest
 
 from tests.test_deployment import announce, make_deployment
+from tests.test_view_patches import make_service, publish, StandInReplica
 from tests.virtual_time import run_virtual
 from wigeonford.deployment import DeploymentPatch
 from wigeonford.errors import Code, PeerError
@@ -25,6 +27,8 @@
 """The users' shortest bound for a change or a leave."""
 OTHERS_S: Final = 0.7
 """What an agreement and its notices may take of it."""
+QUEUED_S: Final = 0.7
+"""How long a message waits; a VM that waits longer counts as slowed."""
 ZONES: Final = {"south-a": "south"}
 
 
@@ -74,6 +78,18 @@
         """Return: there is nothing to close."""
 
 
+def make_follower(connect: Callable[[Address], PeerClient]) -> ViewFollower:
+    """Return an entry VM's follower of five replicas."""
+    return ViewFollower(
+        lambda: Group.members,
+        lambda: EntryStatus("a", "i", "a:1", "z", "r", True),
+        SuspectBook(),
+        connect,
+        EventLog(),
+        random.Random(1),
+    )
+
+
 class SilentReplicaTest(unittest.TestCase):
     """A replica that dies after its notice does not hold the news."""
 
@@ -85,14 +101,7 @@
         def connect(address: Address) -> PeerClient:
             return Link(group, address)  # type: ignore[return-value]
 
-        follower = ViewFollower(
-            lambda: group.members,
-            lambda: EntryStatus("a", "i", "a:1", "z", "r", True),
-            SuspectBook(),
-            connect,
-            EventLog(),
-            random.Random(1),
-        )
+        follower = make_follower(connect)
         versions: list[int] = []
         follower.on_view(lambda view: versions.append(view.deployment.version))
         await follower.start()
@@ -114,6 +123,68 @@
         self.assertLess(took_s, IN_FORCE_S - OTHERS_S)
 
 
+class BusyLink:
+    """Carry messages to a replica behind uploads on the VM's link."""
+
+    def __init__(self, handlers: dict[type[Any], Any]) -> None:
+        self._handlers = handlers
+
+    async def request(self, record: Any, _timeout_s: float) -> Any:
+        """Return the replica's answer, each way late."""
+        await asyncio.sleep(QUEUED_S)
+        answer = await self._handlers[type(record)](record)
+        await asyncio.sleep(QUEUED_S)
+        return answer
+
+    async def close(self) -> None:
+        """Return: there is nothing to close."""
+
+
+class Handlers(dict[type[Any], Any]):
+    """Keep the handlers that a service registers."""
+
+    def handle(self, kind: type[Any], handler: Any) -> None:
+        """Register the handler of one message type."""
+        self[kind] = handler
+
+
+class BusyLinkTest(unittest.TestCase):
+    """News wait behind uploads once, not once a message."""
+
+    async def news_took_s(self) -> float:
+        """Return how long a change takes from the log to the view."""
+        loop = asyncio.get_running_loop()
+        replica = StandInReplica()
+        handlers = Handlers()
+        service = make_service(replica, loop.time)
+        service.attach(handlers)  # type: ignore[arg-type]
+        await service.start()
+        publish(replica, make_deployment(version=1))
+        follower = make_follower(
+            lambda _: BusyLink(handlers)  # type: ignore[arg-type,return-value]
+        )
+        versions: list[int] = []
+        follower.on_view(lambda view: versions.append(view.deployment.version))
+        await follower.start()
+        async with asyncio.timeout(20.0):
+            while not versions:
+                await asyncio.sleep(0.01)
+            # The next watch is at the replica by then.
+            await asyncio.sleep(2 * QUEUED_S)
+            began_s = loop.time()
+            publish(replica, make_deployment(version=2))
+            while versions[-1] < 2:
+                await asyncio.sleep(0.01)
+        took_s = loop.time() - began_s
+        await follower.stop()
+        await service.stop()
+        return took_s
+
+    def test_news_are_in_force_in_time_on_a_link_with_a_queue(self) -> None:
+        took_s = run_virtual(self.news_took_s())
+        self.assertLess(took_s, IN_FORCE_S - OTHERS_S)
+
+
 class FirstTargetsTest(unittest.TestCase):
     """What changes before the first view is in it as it was last."""
 
--- a/tests/test_view_patches.py
+++ b/tests/test_view_patches.py
@@ -1,5 +1,7 @@
 """What a VM holds after patches is what was published."""
 
+from collections.abc import Callable
+import time
 from typing import Final
 import unittest
 
@@ -27,21 +29,46 @@
         self.steering = Steering()
 
 
-class _Replica:
+class StandInReplica:
+    """Hold a state that a test changes."""
+
+    leader: str | None = None
+    term = 0
+
     def __init__(self) -> None:
         self.state = _State()
+        self.applied: list[Callable[[], None]] = []
 
+    def on_applied(self, listener: Callable[[], None]) -> None:
+        """Call a function after each change of the state."""
+        self.applied.append(listener)
 
-def make_service(replica: _Replica) -> ViewService:
+
+def make_service(
+    replica: StandInReplica, clock: Callable[[], float] = time.monotonic
+) -> ViewService:
     """Return the service that tells entry VMs of a state."""
     return ViewService(
         replica,  # type: ignore[arg-type]
         ColdClock(),
         lambda: (),
         EventLog(),
+        clock,
     )
 
 
+def publish(replica: StandInReplica, deployment: Deployment) -> None:
+    """Put a deployment in force at a replica."""
+    steering = replica.state.steering
+    order = ReplaceDeployment(
+        str(deployment.version).encode(), steering.version, deployment
+    )
+    result = steering.apply(order)
+    assert result.code == 0, result.detail
+    for listener in replica.applied:
+        listener()
+
+
 def parts(deployment: Deployment) -> tuple[object, ...]:
     """Return what a deployment says, whatever its order."""
     return (
@@ -73,7 +100,7 @@
     """Patches are told from any revision to any later one."""
 
     def setUp(self) -> None:
-        self.replica = _Replica()
+        self.replica = StandInReplica()
         self.service = make_service(self.replica)
 
     def update(self, builder: ViewBuilder) -> None:
@@ -82,12 +109,7 @@
         builder.take(self.service.changes_since(since), since)
 
     def publish(self, deployment: Deployment) -> None:
-        steering = self.replica.state.steering
-        order = ReplaceDeployment(
-            str(deployment.version).encode(), steering.version, deployment
-        )
-        result = steering.apply(order)
-        assert result.code == 0, result.detail
+        publish(self.replica, deployment)
 
     @settings(max_examples=60, deadline=None)
     @given(
