Tell suspicions once: by revision, from the two nearest replicas

Cause: each watch carried all that a VM suspects, each notice of each of five replicas all that the fleet does, for a minute; and each new one woke every watch. Change: replicas number suspicions; a notice has those after the revision that the VM knows, told by the two replicas that tell it the roster. A VM tells each replica what that one has not been told since it was last lost. Two tests play the spread to another VM and past a replica's restart.

--- a/src/wigeonford/control/_suspicions.py
+++ b/src/wigeonford/control/_suspicions.py
@@ -12,12 +12,13 @@
 
 
 class Suspicions:
-    """Merge reports; `revision` rises with each that is news."""
+    """Merge reports; `revision` rises with those that are news."""
 
     def __init__(self) -> None:
         self.revision = 0
         self._deaths: dict[bytes, set[str]] = {}
         self._until_s: dict[bytes, float] = {}
+        self._changed_at: dict[bytes, int] = {}
 
     def merge(self, reports: Iterable[Suspicion], now_s: float) -> bool:
         """Take reports over; tell whether anything was news."""
@@ -27,6 +28,7 @@
             if not held.issuperset(report.deaths):
                 held.update(report.deaths)
                 self._until_s[report.fingerprint] = now_s + KEPT_S
+                self._changed_at[report.fingerprint] = self.revision + 1
                 news = True
         if news:
             self.revision += 1
@@ -39,11 +41,14 @@
             if until_s <= now_s or over:
                 del self._until_s[fingerprint]
                 del self._deaths[fingerprint]
+                del self._changed_at[fingerprint]
 
-    def recent(self, now_s: float) -> tuple[Suspicion, ...]:
-        """Return what is suspected at present."""
+    def changed_since(
+        self, revision: int, now_s: float
+    ) -> tuple[Suspicion, ...]:
+        """Return what is suspected at present and new after a revision."""
         return tuple(
-            Suspicion(fingerprint, tuple(sorted(deaths)))
-            for fingerprint, deaths in self._deaths.items()
-            if self._until_s[fingerprint] > now_s
+            Suspicion(fingerprint, tuple(sorted(self._deaths[fingerprint])))
+            for fingerprint, changed_at in self._changed_at.items()
+            if changed_at > revision and self._until_s[fingerprint] > now_s
         )
--- a/src/wigeonford/control/_view_service.py
+++ b/src/wigeonford/control/_view_service.py
@@ -18,6 +18,7 @@
     FetchView,
     members_digest,
     ReportStatus,
+    Suspicion,
     ViewNotice,
     ViewUpdate,
     WatchView,
@@ -72,6 +73,7 @@
         self._roster = Roster(epoch)
         self._told_roster = 0
         self._suspicions = Suspicions()
+        self._told_suspicions = 0
         self._news = asyncio.Event()
         self._pending = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
@@ -108,6 +110,7 @@
             )
             await asyncio.sleep(min(MAX_NEWS_TICK_S, tick_s))
             self._pending.clear()
+            self._told_suspicions = self._suspicions.revision
             self._wake()
 
     async def _tell_roster(self) -> None:
@@ -145,8 +148,7 @@
         if self._suspicions.merge(message.suspicions, self._clock()):
             self._pending.set()
         until_s = self._clock() + self._hold_s()
-        known = self._suspicions.revision
-        while not self._has_news(message, known):
+        while not self._has_news(message):
             news = self._news
             left_s = until_s - self._clock()
             if left_s <= 0:
@@ -166,18 +168,29 @@
             MAX_WATCH_S, max(WATCH_S, WATCH_S_PER_ENTRY * len(self._roster))
         )
 
-    def _has_news(self, message: WatchView, known: int) -> bool:
+    def _has_news(self, message: WatchView) -> bool:
         return (
             self._replica.state.steering.revision > message.revision
             or self._has_roster_news(message)
             or self._leads_since(message.term)
-            or self._suspicions.revision > known
+            or self._has_suspicions(message)
         )
 
     def _leads_since(self, term: int) -> bool:
         """Tell whether a leader of a later term is known."""
         return self._replica.leader is not None and self._replica.term > term
 
+    def _has_suspicions(self, message: WatchView) -> bool:
+        """Tell whether an entry VM that wants them lacks suspicions."""
+        if message.roster_epoch is None:
+            return False
+        return self._told_suspicions > self._suspicions_known(message)
+
+    def _suspicions_known(self, message: WatchView) -> int:
+        """Return up to which revision an entry VM knows the suspicions."""
+        same_run = message.roster_epoch == self._roster.epoch
+        return message.suspicion_revision if same_run else 0
+
     def _has_roster_news(self, message: WatchView) -> bool:
         if message.roster_epoch is None:
             return False
@@ -192,6 +205,12 @@
             roster = self._roster.changes_since(
                 message.roster_epoch, message.roster_revision
             )
+        suspicions: tuple[Suspicion, ...] = ()
+        suspicion_revision = 0
+        if message.roster_epoch is not None:
+            known = self._suspicions_known(message)
+            suspicions = self._suspicions.changed_since(known, self._clock())
+            suspicion_revision = self._suspicions.revision
         members = self._members()
         same = members_digest(members) == message.control
         place = (self._region, self._availability_zone)
@@ -203,7 +222,7 @@
             revision,
             roster,
             None if same else members,
-            self._suspicions.recent(self._clock()),
+            suspicions,
             place if message.status is not None else None,
             leader=(
                 self._replica.leader
@@ -211,6 +230,7 @@
                 else None
             ),
             term=self._replica.term,
+            suspicion_revision=suspicion_revision,
             update=update,
         )
 
--- a/src/wigeonford/messages/steering.py
+++ b/src/wigeonford/messages/steering.py
@@ -72,7 +72,9 @@
     `roster_epoch` and `roster_revision` go those of the roster last had
     from this replica; the epoch is None where none is wanted. `control`
     is the digest of the replicas known, `term` that of the leader known.
-    With `wants_update` the notice brings what is new; otherwise it says
+    `suspicions` are those of this VM that the replica was not told yet;
+    `suspicion_revision` is that of the replica's own, in its epoch. With
+    `wants_update` the notice brings what is new; otherwise it says
     that there is something, to be fetched.
     """
 
@@ -84,6 +86,7 @@
     control: int
     term: int
     suspicions: tuple[Suspicion, ...] = ()
+    suspicion_revision: int = 0
     wants_update: bool = False
 
 
@@ -131,6 +134,7 @@
     known: bool = True
     leader: str | None = None
     term: int = 0
+    suspicion_revision: int = 0
     update: ViewUpdate | None = None
 
 
--- a/src/wigeonford/steer/_control_group.py
+++ b/src/wigeonford/steer/_control_group.py
@@ -18,14 +18,18 @@
 
 
 class _Known(msgspec.Struct):
-    """Hold what was heard of a replica, and the status it was told.
+    """Hold what was heard of a replica, and what it was told.
 
     `distance` is 0 in the own zone, 1 in the own region, `FAR` elsewhere.
+    `told_suspicions` is the sequence up to which it knows this VM's own
+    suspicions, `suspicion_revision` up to which this VM knows its.
     """
 
     distance: int = FAR
     revision: int = 0
     told: EntryStatus | None = None
+    told_suspicions: int = 0
+    suspicion_revision: int = 0
     in_touch: bool = False
 
 
@@ -64,6 +68,7 @@
             if region == status.region:
                 held.distance = int(zone != status.availability_zone)
         held.revision = notice.revision
+        held.suspicion_revision = notice.suspicion_revision
         regained = not held.in_touch
         held.in_touch = True
         return regained
@@ -87,6 +92,7 @@
         """Take note that a replica does not answer; tell if that is news."""
         held = self._of(address)
         lost, held.in_touch, held.told = held.in_touch, False, None
+        held.told_suspicions = 0
         return lost
 
     def forget(self, address: str) -> None:
@@ -97,6 +103,15 @@
         """Tell whether a replica was told how this VM stands."""
         return self._of(address).told == status
 
+    def suspicions_of(self, address: str) -> tuple[int, int]:
+        """Return what a replica was told, and up to where its are known."""
+        held = self._of(address)
+        return held.told_suspicions, held.suspicion_revision
+
+    def note_told(self, address: str, sequence: int) -> None:
+        """Take note that a replica knows this VM's own suspicions."""
+        self._of(address).told_suspicions = sequence
+
     def wants_roster(self, address: str) -> bool:
         """Tell whether a replica is among the nearest in touch."""
         return address in self._nearest()[:ROSTER_SOURCES]
--- a/src/wigeonford/steer/_follower.py
+++ b/src/wigeonford/steer/_follower.py
@@ -196,6 +196,8 @@
         status = self._status()
         known = self._group.knows_status(address, status)
         since = self._builder.revision
+        told, suspicion_revision = self._group.suspicions_of(address)
+        sequence = self._suspects.sequence
         notice = await client.request(
             WatchView(
                 since,
@@ -205,7 +207,8 @@
                 roster_revision,
                 self._group.members_digest,
                 self._group.leader_term,
-                self._suspects.to_report(),
+                self._suspects.to_report(told),
+                suspicion_revision,
                 # A whole view is left to the one replica that is asked.
                 since > 0 and self._group.is_nearest(address),
             ),
@@ -214,6 +217,7 @@
         assert isinstance(notice, ViewNotice), "the answer to a watch"
         if self._group.take(address, notice, status):
             self._log.emit(Event.CONTROL_REGAINED, control=address)
+        self._group.note_told(address, sequence)
         if wanted:
             self.roster.take(address, notice.roster, time.monotonic())
         self._suspects.merge(notice.suspicions, time.monotonic())
--- a/src/wigeonford/steer/_suspects.py
+++ b/src/wigeonford/steer/_suspects.py
@@ -21,18 +21,25 @@
 
 
 class SuspectBook:
-    """Count the targets that died under each request, fleet-wide."""
+    """Count the targets that died under each request, fleet-wide.
+
+    `sequence` counts what this VM has recorded itself.
+    """
 
     def __init__(self) -> None:
         self._deaths: dict[bytes, set[str]] = {}
         self._until_s: dict[bytes, float] = {}
         self._own: dict[bytes, set[str]] = {}
+        self._own_at: dict[bytes, int] = {}
+        self.sequence = 0
         self._innocent_until_s: dict[bytes, float] = {}
 
     def record(self, print_: bytes, target: str, now_s: float) -> None:
         """Record that a target broke off amid a request."""
         self._drop_old(now_s)
         self._own.setdefault(print_, set()).add(target)
+        self.sequence += 1
+        self._own_at[print_] = self.sequence
         self._add(print_, (target,), now_s)
 
     def merge(self, reports: Iterable[Suspicion], now_s: float) -> None:
@@ -55,6 +62,7 @@
     def _drop(self, print_: bytes) -> None:
         self._deaths.pop(print_, None)
         self._own.pop(print_, None)
+        self._own_at.pop(print_, None)
         self._until_s.pop(print_, None)
 
     def _drop_old(self, now_s: float) -> None:
@@ -75,9 +83,10 @@
             return False
         return len(self._deaths[print_]) >= CRASHES
 
-    def to_report(self) -> tuple[Suspicion, ...]:
-        """Return what this VM has recorded itself."""
+    def to_report(self, since: int) -> tuple[Suspicion, ...]:
+        """Return what this VM has recorded itself after a `sequence`."""
         return tuple(
-            Suspicion(print_, tuple(sorted(deaths)))
-            for print_, deaths in self._own.items()
+            Suspicion(print_, tuple(sorted(self._own[print_])))
+            for print_, recorded_at in self._own_at.items()
+            if recorded_at > since
         )
--- a/tests/test_target_book.py
+++ b/tests/test_target_book.py
@@ -149,7 +149,7 @@
             book.record(print_, f"t-{number}", 1.0)
         for book in books:
             for other in books:
-                book.merge(other.to_report(), 2.0)
+                book.merge(other.to_report(0), 2.0)
         self.assertTrue(all(book.is_barred(print_, 3.0) for book in books))
         self.assertFalse(books[0].is_barred(print_, 100.0))
 
@@ -158,7 +158,7 @@
         book = SuspectBook()
         for number in range(3):
             book.record(print_, f"t-{number}", 1.0)
-        reports = book.to_report()
+        reports = book.to_report(0)
         book.clear(print_, 2.0)
         book.merge(reports, 2.5)
         self.assertFalse(book.is_barred(print_, 3.0))
--- a/tests/test_view_patches.py
+++ b/tests/test_view_patches.py
@@ -45,7 +45,9 @@
 
 
 def make_service(
-    replica: StandInReplica, clock: Callable[[], float] = time.monotonic
+    replica: StandInReplica,
+    clock: Callable[[], float] = time.monotonic,
+    epoch: int = 0,
 ) -> ViewService:
     """Return the service that tells entry VMs of a state."""
     return ViewService(
@@ -54,6 +56,7 @@
         lambda: (),
         EventLog(),
         clock,
+        epoch=epoch,
     )
 
 
--- /dev/null
+++ b/tests/test_watch_bytes.py
@@ -0,0 +1,146 @@
+"""What entry VMs and control tell each other costs what is new."""
+
+import asyncio
+import random
+from typing import Any, Final
+import unittest
+
+from tests.test_deployment import make_deployment
+from tests.test_late_news import Group, Handlers
+from tests.test_view_patches import make_service, publish, StandInReplica
+from tests.virtual_time import run_virtual
+from wigeonford.control._view_service import ViewService
+from wigeonford.errors import Code, PeerError
+from wigeonford.events import EventLog
+from wigeonford.messages.steering import EntryStatus
+from wigeonford.peer._frames import encode_frame
+from wigeonford.peer._messages import MESSAGES
+from wigeonford.settings import Address
+from wigeonford.steer import SuspectBook, ViewFollower
+from wigeonford.steer._suspects import CRASHES
+
+NODE_BYTES_PER_S: Final = 3000.0
+"""What control may cost a node at the target size."""
+SUSPECTS: Final = 300
+"""Requests whose connections broke within some seconds of a bad day."""
+SETTLED_S: Final = 5.0
+WATCHED_S: Final = 10.0
+
+
+class CountedLink:
+    """Carry messages to a replica, and count their bytes both ways."""
+
+    total = 0
+
+    def __init__(self, handlers: Handlers) -> None:
+        self._handlers = handlers
+
+    async def request(self, record: Any, _timeout_s: float) -> Any:
+        """Return the replica's answer."""
+        if not self._handlers:
+            raise PeerError(Code.PEER_UNREACHABLE, "restarting")
+        answer = await self._handlers[type(record)](record)
+        for message in (record, answer):
+            CountedLink.total += len(
+                encode_frame(1, MESSAGES.to_plain(message))
+            )
+        await asyncio.sleep(0.001)
+        return answer
+
+    async def close(self) -> None:
+        """Return: there is nothing to close."""
+
+
+async def start_service(handlers: Handlers, epoch: int) -> ViewService:
+    """Run a replica's service; it knows one deployment."""
+    replica = StandInReplica()
+    loop = asyncio.get_running_loop()
+    service = make_service(replica, loop.time, epoch)
+    service.attach(handlers)  # type: ignore[arg-type]
+    await service.start()
+    publish(replica, make_deployment(version=1))
+    return service
+
+
+def make_vm(
+    name: str, suspects: SuspectBook, handlers: Handlers
+) -> ViewFollower:
+    """Return what a VM follows five replicas with."""
+
+    def connect(_address: Address) -> Any:
+        return CountedLink(handlers)
+
+    return ViewFollower(
+        lambda: Group.members,
+        lambda: EntryStatus(name, "i", f"{name}:1", "z", "r", True),
+        suspects,
+        connect,
+        EventLog(),
+        random.Random(1),
+    )
+
+
+class WatchBytesTest(unittest.TestCase):
+    """A VM watches five replicas, as in the users' deployments."""
+
+    async def bytes_per_s(self) -> float:
+        """Return what the links carry once all that is known is told."""
+        loop = asyncio.get_running_loop()
+        handlers = Handlers()
+        service = await start_service(handlers, 1)
+        suspects = SuspectBook()
+        follower = make_vm("a", suspects, handlers)
+        await follower.start()
+        for number in range(SUSPECTS):
+            print_ = number.to_bytes(12, "big")
+            suspects.record(print_, f"i-{number:010x}", loop.time())
+        await asyncio.sleep(SETTLED_S)
+        CountedLink.total = 0
+        await asyncio.sleep(WATCHED_S)
+        total = CountedLink.total
+        await follower.stop()
+        await service.stop()
+        return total / WATCHED_S
+
+    def test_suspicions_that_are_known_are_not_told_again(self) -> None:
+        per_s = run_virtual(self.bytes_per_s())
+        self.assertLess(per_s, NODE_BYTES_PER_S)
+
+
+class SuspicionSpreadTest(unittest.TestCase):
+    """What one VM suspects, all do, also past a replica's restart."""
+
+    async def barred_after_s(self, *, restarted: bool) -> list[bool]:
+        """Return whether each of two VMs bars what crashed targets."""
+        loop = asyncio.get_running_loop()
+        handlers = Handlers()
+        service = await start_service(handlers, 1)
+        books = [SuspectBook(), SuspectBook()]
+        vms = [
+            make_vm(name, book, handlers)
+            for name, book in zip("ab", books, strict=True)
+        ]
+        await vms[0].start()
+        for number in range(CRASHES):
+            books[0].record(b"print", f"i-{number}", loop.time())
+            await asyncio.sleep(1.0)
+        if restarted:
+            handlers.clear()
+            await service.stop()
+            await asyncio.sleep(1.0)
+            service = await start_service(handlers, 2)
+        await vms[1].start()
+        await asyncio.sleep(SETTLED_S)
+        barred = [book.is_barred(b"print", loop.time()) for book in books]
+        for vm in vms:
+            await vm.stop()
+        await service.stop()
+        return barred
+
+    def test_another_vm_learns_it(self) -> None:
+        barred = run_virtual(self.barred_after_s(restarted=False))
+        self.assertEqual([True, True], barred)
+
+    def test_a_replica_that_restarts_is_told_again(self) -> None:
+        barred = run_virtual(self.barred_after_s(restarted=True))
+        self.assertEqual([True, True], barred)
