The nearest replica streams news to entry VMs

Cause: a notice takes up to 1.6 s down a VM's link in a peak, and what was agreed right after it waited for the VM's next watch to come up that link, and for its answer to go down again. Change: links carry streams, a message with many replies that ends with its link. The nearest replica streams what comes after a VM's revision; what can't be sent yet adds up in one update. Watches of all replicas go on as heartbeats and as the way round a replica that is silent or behind: what was not streamed within 0.5 s is fetched in turn. Updates name the revision they follow, and one that leaves a gap makes the VM begin its link anew. The update in a notice, and the order of fetches by distance, go away.

--- a/src/wigeonford/control/_view_service.py
+++ b/src/wigeonford/control/_view_service.py
@@ -1,7 +1,7 @@
 """Serve the entry VMs: what steers requests, and who else runs."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 import time
 from typing import Final
 
@@ -16,6 +16,7 @@
 from wigeonford.messages.steering import (
     EntryStatus,
     FetchView,
+    FollowView,
     members_digest,
     ReportStatus,
     Suspicion,
@@ -83,6 +84,7 @@
         server.handle(WatchView, self._watch)
         server.handle(FetchView, self._fetch)
         server.handle(ReportStatus, self._report)
+        server.handle_stream(FollowView, self._follow)
 
     async def start(self) -> None:
         """Begin to notice changes of the state and of the roster."""
@@ -214,12 +216,8 @@
         members = self._members()
         same = members_digest(members) == message.control
         place = (self._region, self._availability_zone)
-        revision = self._replica.state.steering.revision
-        update = None
-        if message.wants_update and revision > message.revision:
-            update = self.changes_since(message.revision)
         return ViewNotice(
-            revision,
+            self._replica.state.steering.revision,
             roster,
             None if same else members,
             suspicions,
@@ -231,9 +229,19 @@
             ),
             term=self._replica.term,
             suspicion_revision=suspicion_revision,
-            update=update,
         )
 
+    async def _follow(self, message: FollowView) -> AsyncIterator[ViewUpdate]:
+        """Yield what changes, gathered; what can't be sent yet adds up."""
+        told = message.revision
+        while True:
+            news = self._news
+            if self._replica.state.steering.revision > told:
+                update = self.changes_since(told)
+                told = update.revision
+                yield update
+            await news.wait()
+
     async def _fetch(self, message: FetchView) -> ViewUpdate:
         return self.changes_since(message.revision)
 
@@ -245,6 +253,7 @@
         patch = steering.patch_since(revision) if published else None
         whole = published and patch is None
         return ViewUpdate(
+            revision,
             steering.revision,
             steering.deployment if whole else None,
             tuple(sorted(steering.evacuations.zones)) if evacuated else None,
--- a/src/wigeonford/messages/steering.py
+++ b/src/wigeonford/messages/steering.py
@@ -73,9 +73,7 @@
     from this replica; the epoch is None where none is wanted. `control`
     is the digest of the replicas known, `term` that of the leader known.
     `suspicions` are those of this VM that the replica was not told yet;
-    `suspicion_revision` is that of the replica's own, in its epoch. With
-    `wants_update` the notice brings what is new; otherwise it says
-    that there is something, to be fetched.
+    `suspicion_revision` is that of the replica's own, in its epoch.
     """
 
     revision: int
@@ -87,7 +85,28 @@
     term: int
     suspicions: tuple[Suspicion, ...] = ()
     suspicion_revision: int = 0
-    wants_update: bool = False
+
+
+@message(191)
+class ViewNotice(msgspec.Struct, frozen=True, array_like=True):
+    """Answer `WatchView` with the revision that can be fetched.
+
+    `roster` is None where it has not changed or is not wanted, `control`
+    where the replicas are as known. `place` is the replica's own region
+    and zone, told to who tells its status. An entry VM that is not `known`
+    has to tell its status again. `leader` is told with its `term` where
+    that is later than the one known.
+    """
+
+    revision: int
+    roster: RosterChange | None
+    control: tuple[str, ...] | None
+    suspicions: tuple[Suspicion, ...] = ()
+    place: tuple[str, str] | None = None
+    known: bool = True
+    leader: str | None = None
+    term: int = 0
+    suspicion_revision: int = 0
 
 
 @message(192)
@@ -97,15 +116,23 @@
     revision: int
 
 
+@message(202)
+class FollowView(msgspec.Struct, frozen=True, array_like=True):
+    """Ask for what changes after a revision, again and again."""
+
+    revision: int
+
+
 @message(193)
 class ViewUpdate(msgspec.Struct, frozen=True, array_like=True):
     """Tell what came after a revision; None where a part has not changed.
 
     A changed deployment comes whole, or as a `patch` of the one that was
-    in force at the revision asked about. `cold_s` of an announcement is as
-    of the answer.
+    in force at the revision `since`. `cold_s` of an announcement is as of
+    the answer.
     """
 
+    since: int
     revision: int
     deployment: Deployment | None
     evacuated: tuple[str, ...] | None
@@ -115,29 +142,6 @@
     patch: DeploymentPatch | None = None
 
 
-@message(191)
-class ViewNotice(msgspec.Struct, frozen=True, array_like=True):
-    """Answer `WatchView` with the revision that can be fetched.
-
-    `roster` is None where it has not changed or is not wanted, `control`
-    where the replicas are as known. `place` is the replica's own region
-    and zone, told to who tells its status. An entry VM that is not `known`
-    has to tell its status again. `leader` is told with its `term` where
-    that is later than the one known.
-    """
-
-    revision: int
-    roster: RosterChange | None
-    control: tuple[str, ...] | None
-    suspicions: tuple[Suspicion, ...] = ()
-    place: tuple[str, str] | None = None
-    known: bool = True
-    leader: str | None = None
-    term: int = 0
-    suspicion_revision: int = 0
-    update: ViewUpdate | None = None
-
-
 @message(194)
 class ReportStatus(msgspec.Struct, frozen=True, array_like=True):
     """Tell at once that an entry VM has become ready, or is not any more."""
--- a/src/wigeonford/peer/_link.py
+++ b/src/wigeonford/peer/_link.py
@@ -1,7 +1,7 @@
 """Links between processes: websockets that carry CBOR messages."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 import hashlib
 import hmac
 import itertools
@@ -26,7 +26,7 @@
     encode_frame,
     MAX_MESSAGE_BYTES,
 )
-from wigeonford.peer._messages import Failure, MESSAGES
+from wigeonford.peer._messages import Done, Failure, MESSAGES
 from wigeonford.settings import Address
 
 OPEN_TIMEOUT_S: Final = 3.0
@@ -39,6 +39,7 @@
 _REFUSED_STATUS: Final = 403
 
 MessageHandler = Callable[[Any], Awaitable[Any]]
+StreamHandler = Callable[[Any], AsyncIterator[Any]]
 
 
 def peer_proof(secret: str, name: str) -> str:
@@ -55,6 +56,7 @@
         self._secret = secret
         self._log = log
         self._handlers: dict[type[Any], MessageHandler] = {}
+        self._streams: dict[type[Any], StreamHandler] = {}
         self._server: Server | None = None
 
     def handle(self, kind: type[Any], handler: MessageHandler) -> None:
@@ -62,6 +64,14 @@
         assert kind not in self._handlers, f"{kind.__name__} handled twice"
         self._handlers[kind] = handler
 
+    def handle_stream(self, kind: type[Any], handler: StreamHandler) -> None:
+        """Register the handler of a message that gets many replies.
+
+        It is cancelled once the link is closed.
+        """
+        assert kind not in self._streams, f"{kind.__name__} handled twice"
+        self._streams[kind] = handler
+
     async def start(
         self, address: Address, context: ssl.SSLContext | None = None
     ) -> Address:
@@ -107,40 +117,65 @@
         return conn.respond(_REFUSED_STATUS, Code.PEER_REFUSED.value.text)
 
     async def _serve(self, conn: ServerConnection) -> None:
+        streams: set[asyncio.Task[Any]] = set()
         async with asyncio.TaskGroup() as group:
             try:
                 async for data in conn:
-                    group.create_task(self._answer(conn, data))
+                    group.create_task(self._answer(conn, data, streams))
             except ConnectionClosed:
                 return
+            finally:
+                for task in streams:
+                    task.cancel()
 
-    async def _answer(self, conn: ServerConnection, data: Any) -> None:
+    async def _answer(
+        self,
+        conn: ServerConnection,
+        data: Any,
+        streams: set[asyncio.Task[Any]],
+    ) -> None:
+        """Send what a message is answered with."""
         try:
             number, plain = decode_frame(data)
-            reply = await self._dispatch(plain)
+            async for reply in self._replies(plain, streams):
+                await conn.send(encode_frame(number, MESSAGES.to_plain(reply)))
         except CodecError as exc:
             self._log.emit(Event.PEER_REFUSED, detail=exc.detail)
             await conn.close(1008, "invalid frame")
-            return
-        content = encode_frame(number, MESSAGES.to_plain(reply))
-        try:
-            await conn.send(content)
         except ConnectionClosed:
             return
 
-    async def _dispatch(self, plain: object) -> Any:
+    async def _replies(
+        self, plain: object, streams: set[asyncio.Task[Any]]
+    ) -> AsyncIterator[Any]:
+        """Yield the replies to a message; a stream ends with `Done`.
+
+        Tasks that stream are added to `streams`.
+        """
         try:
             record = MESSAGES.from_plain(plain)
-            handler = self._handlers.get(type(record))
-            if handler is None:
-                raise CodecError(f"{type(record).__name__} is not served")
-            return await handler(record)
+            stream = self._streams.get(type(record))
+            if stream is None:
+                yield await self._dispatch(record)
+                return
+            task = asyncio.current_task()
+            assert task is not None, "messages are answered in tasks"
+            streams.add(task)
+            async for reply in stream(record):
+                yield reply
+            yield Done()
         except WigeonfordError as exc:
             leader = getattr(exc, "leader", None)
-            return Failure(exc.code.number, exc.detail, leader)
+            yield Failure(exc.code.number, exc.detail, leader)
         except Exception as exc:
             self._log.emit(Event.TASK_FAILED, exc_info=exc)
-            return Failure(Code.INTERNAL.number, type(exc).__name__)
+            yield Failure(Code.INTERNAL.number, type(exc).__name__)
+
+    async def _dispatch(self, record: Any) -> Any:
+        handler = self._handlers.get(type(record))
+        if handler is None:
+            raise CodecError(f"{type(record).__name__} is not served")
+        return await handler(record)
 
 
 _CODES_BY_NUMBER: Final = {code.number: code for code in Code}
@@ -167,6 +202,7 @@
         self._opening = asyncio.Lock()
         self._numbers = itertools.count(1)
         self._waiting: dict[int, asyncio.Future[Any]] = {}
+        self._streams: dict[int, asyncio.Queue[Any]] = {}
 
     @property
     def is_open(self) -> bool:
@@ -204,6 +240,33 @@
             raise failure_error(reply)
         return reply
 
+    async def follow(
+        self, record: Any, timeout_s: float
+    ) -> AsyncIterator[Any]:
+        """Yield the peer's replies as they come; raise `PeerError`.
+
+        The time-out is for the message to leave. A link that goes silent
+        is found by those who wait for answers on it.
+        """
+        conn = await self._connected_within(timeout_s)
+        number = next(self._numbers)
+        replies = self._streams[number] = asyncio.Queue()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await conn.send(
+                    encode_frame(number, MESSAGES.to_plain(record))
+                )
+            while not isinstance(reply := await replies.get(), Done):
+                if isinstance(reply, Failure):
+                    raise failure_error(reply)
+                yield reply
+        except (ConnectionClosed, TimeoutError) as exc:
+            raise PeerError(
+                Code.PEER_TIMEOUT, f"{self.address}: {exc!r}"
+            ) from exc
+        finally:
+            del self._streams[number]
+
     async def close(self) -> None:
         """Close the link; do not wait for a peer that is silent."""
         if self._reader is not None:
@@ -265,12 +328,19 @@
         fut = self._waiting.get(number)
         if fut is not None and not fut.done():
             fut.set_result(reply)
+        replies = self._streams.get(number)
+        if replies is not None:
+            replies.put_nowait(reply)
 
     def _fail_waiting(self) -> None:
         lost = ConnectionClosed(None, None)
         for fut in self._waiting.values():
             if not fut.done():
                 fut.set_exception(lost)
+        for replies in self._streams.values():
+            replies.put_nowait(
+                Failure(Code.PEER_TIMEOUT.number, f"{self.address}: closed")
+            )
 
 
 def _read_failure(fut: asyncio.Future[Any]) -> None:
--- a/src/wigeonford/steer/_follower.py
+++ b/src/wigeonford/steer/_follower.py
@@ -6,11 +6,12 @@
 import time
 from typing import Final
 
-from wigeonford.errors import PeerError
+from wigeonford.errors import Code, PeerError
 from wigeonford.events import Event, EventLog
 from wigeonford.messages.steering import (
     EntryStatus,
     FetchView,
+    FollowView,
     ReportStatus,
     ViewNotice,
     ViewUpdate,
@@ -28,10 +29,13 @@
 WATCH_TIMEOUT_S: Final = 2.4
 """A watch is held for 0.7 to 1.5 s; the rest covers a slow link and a
 turn."""
-FAR_FETCH_S: Final = 0.5
-"""How long other replicas are not asked for news that the nearest one is
-about to bring: it hears of a commit with the next heartbeat, and its notice
-may wait behind an upload on the VM's link."""
+STREAM_CHECK_S: Final = 0.3
+"""Pause between looks whether a replica is the nearest; others that are
+nearer answer their first watch within."""
+STREAM_LATE_S: Final = 0.5
+"""How long replicas are not asked for news that the nearest one is about to
+tell: it hears of a commit with the next heartbeat, and what it tells may wait
+behind an upload on the VM's link."""
 FETCH_TIMEOUT_S: Final = 2.0
 """A large deployment over a narrow link."""
 FETCH_TURN_S: Final = 0.5
@@ -52,10 +56,10 @@
 class ViewFollower:
     """Watch every control replica and keep the newest view.
 
-    One task a replica. The nearest one brings news with its notice, since
-    each message may wait behind uploads on the VM's link; another one that
-    has news sooner is asked for it. Without control the last view stays in
-    force.
+    The nearest replica tells all that is new as it comes, since each
+    message may wait behind uploads on the VM's link. All replicas are
+    watched; one that has news which were not told is asked for them. Without
+    control the last view stays in force.
     """
 
     def __init__(
@@ -81,6 +85,7 @@
         self._first_until_s = float("inf")
         self._news_since_s: float | None = None
         self._turns = Turns()
+        self._streams = 0
         self._taken = asyncio.Event()
         self._wanted = asyncio.Event()
         self._keeper: asyncio.Task[None] | None = None
@@ -174,33 +179,61 @@
                 )
 
     async def _watch(self, address: str) -> None:
-        client = self._connect(parse_address(address))
         pause_s = RETRY_S
-        try:
-            while True:
-                try:
-                    await self._watch_once(address, client)
+        while True:
+            client = self._connect(parse_address(address))
+            try:
+                async with asyncio.TaskGroup() as group:
+                    group.create_task(self._watch_on(address, client))
+                    group.create_task(self._stream_on(address, client))
+            except* PeerError as failed:
+                if self._note_lost(address, failed):
                     pause_s = RETRY_S
-                except PeerError as exc:
-                    self._note_lost(address, exc)
-                    await client.close()
-                    await asyncio.sleep(pause_s * self._rng.uniform(0.7, 1.3))
-                    pause_s = min(2 * pause_s, MAX_RETRY_S)
-                    client = self._connect(parse_address(address))
+            finally:
+                await client.close()
+            await asyncio.sleep(pause_s * self._rng.uniform(0.7, 1.3))
+            pause_s = min(2 * pause_s, MAX_RETRY_S)
+
+    async def _watch_on(self, address: str, client: PeerClient) -> None:
+        while True:
+            await self._watch_once(address, client)
+
+    async def _stream_on(self, address: str, client: PeerClient) -> None:
+        """Take the news of a replica as they come, while it is the nearest.
+
+        A watch on the same link finds out if it goes silent.
+        """
+        while not self._may_stream(address):
+            await asyncio.sleep(STREAM_CHECK_S)
+        self._streams += 1
+        try:
+            request = FollowView(self._builder.revision)
+            async for update in client.follow(request, FETCH_TIMEOUT_S):
+                assert isinstance(update, ViewUpdate), "followed a view"
+                self._take(address, update)
+                if update.revision > self._builder.revision:
+                    # Another replica has told of a part; begin anew.
+                    raise PeerError(Code.MESSAGE_INVALID, "news do not fit")
         finally:
-            await client.close()
+            self._streams -= 1
+
+    def _may_stream(self, address: str) -> bool:
+        """Tell whether to be told all that is new by a replica.
+
+        A first view is fetched, so that a link that fails costs it once.
+        """
+        return self._builder.revision > 0 and self._group.is_nearest(address)
 
     async def _watch_once(self, address: str, client: PeerClient) -> None:
         epoch, roster_revision = self.roster.known_of(address)
         wanted = self._group.wants_roster(address)
         status = self._status()
         known = self._group.knows_status(address, status)
-        since = self._builder.revision
         told, suspicion_revision = self._group.suspicions_of(address)
         sequence = self._suspects.sequence
         notice = await client.request(
             WatchView(
-                since,
+                self._builder.revision,
                 status.name,
                 None if known else status,
                 epoch if wanted else None,
@@ -209,8 +242,6 @@
                 self._group.leader_term,
                 self._suspects.to_report(told),
                 suspicion_revision,
-                # A whole view is left to the one replica that is asked.
-                since > 0 and self._group.is_nearest(address),
             ),
             WATCH_TIMEOUT_S,
         )
@@ -228,29 +259,32 @@
         is_news = notice.revision > self._builder.revision
         if is_news and self._news_since_s is None:
             self._news_since_s = time.monotonic()
-        if notice.update is not None:
-            self._take(address, notice.update, since)
         if notice.revision > self._builder.revision:
             await self._fetch(address, client, notice.revision)
         if self.view is None:
             self._publish()
 
-    def _note_lost(self, address: str, exc: PeerError) -> None:
-        if self._group.lose(address):
-            self._log.emit(
-                Event.CONTROL_LOST,
-                control=address,
-                code=exc.code.number,
-                left=len(self._group.in_touch),
-                revision=self._builder.revision,
-            )
+    def _note_lost(
+        self, address: str, failed: ExceptionGroup[PeerError]
+    ) -> bool:
+        """Take note of a lost replica; tell whether it was in touch."""
+        if not self._group.lose(address):
+            return False
+        self._log.emit(
+            Event.CONTROL_LOST,
+            control=address,
+            detail=str(failed.exceptions[0]),
+            left=len(self._group.in_touch),
+            revision=self._builder.revision,
+        )
+        return True
 
     async def _fetch(
         self, address: str, client: PeerClient, revision: int
     ) -> None:
         """Fetch what is new, unless a replica has just given it."""
-        if not self._group.is_nearest(address):
-            await self._wait_for(revision, FAR_FETCH_S)
+        if self._streams:
+            await self._wait_for(revision, STREAM_LATE_S)
         # A whole view is large, and a fleet that starts asks for many: to
         # ask for it again would only slow them all.
         known = self._builder.revision > 0
@@ -273,11 +307,11 @@
         since = self._builder.revision
         update = await client.request(FetchView(since), FETCH_TIMEOUT_S)
         assert isinstance(update, ViewUpdate), "the answer to a fetch"
-        self._take(address, update, since)
+        self._take(address, update)
 
-    def _take(self, address: str, update: ViewUpdate, since: int) -> None:
+    def _take(self, address: str, update: ViewUpdate) -> None:
         before = self._builder.revision
-        if not self._builder.take(update, since):
+        if not self._builder.take(update):
             return
         self._taken.set()
         self._taken = asyncio.Event()
--- a/src/wigeonford/steer/_view.py
+++ b/src/wigeonford/steer/_view.py
@@ -71,14 +71,15 @@
         """Return how many targets are known."""
         return len(self._targets)
 
-    def take(self, update: ViewUpdate, since: int) -> bool:
-        """Take over what came after a revision; tell whether it is newer.
+    def take(self, update: ViewUpdate) -> bool:
+        """Take over an update; tell whether it is newer, and fits.
 
-        A patch of a deployment that was replaced meanwhile is not taken.
+        One that leaves a gap does not, nor does a patch of a deployment
+        that was replaced meanwhile.
         """
-        if update.revision <= self.revision:
+        if not update.since <= self.revision < update.revision:
             return False
-        if update.patch is not None and since < self._published_at:
+        if update.patch is not None and update.since < self._published_at:
             return False
         self.revision = update.revision
         if update.deployment is not None:
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -1,11 +1,14 @@
 """Watches of control replicas go on whatever ends one of them."""
 
 import asyncio
+from collections.abc import AsyncIterator
 import random
 from typing import Any
 import unittest
 
+from tests.quiet_link import QuietLink
 from tests.test_deployment import make_deployment
+from tests.virtual_time import run_virtual
 from wigeonford.errors import Code, PeerError
 from wigeonford.events import EventLog
 from wigeonford.messages.steering import (
@@ -19,7 +22,7 @@
 from wigeonford.steer import SuspectBook, ViewFollower
 
 
-class Client:
+class Client(QuietLink):
     """Stand in for a link: the first watch raises what nobody expects."""
 
     asked = 0
@@ -59,7 +62,60 @@
         self.assertGreater(Client.asked, 1)
 
 
-class LaggingReplica:
+class GapLink(QuietLink):
+    """Stand in for a link whose news, the first time, leave a gap."""
+
+    opened = 0
+
+    def __init__(self) -> None:
+        GapLink.opened += 1
+
+    async def request(self, record: Any, _timeout_s: float) -> Any:
+        """Tell of one revision, in force already."""
+        if isinstance(record, FetchView):
+            return ViewUpdate(0, 1, make_deployment(), (), {}, (), ())
+        await asyncio.sleep(0.1 if record.revision else 0.0)
+        return ViewNotice(1, None, ())
+
+    async def follow(
+        self, record: Any, _timeout_s: float
+    ) -> AsyncIterator[Any]:
+        """Tell of what comes after a revision that was never told."""
+        since = record.revision + (GapLink.opened == 1)
+        deployment = make_deployment(version=9)
+        yield ViewUpdate(since, 9, deployment, (), {}, (), ())
+        await asyncio.Event().wait()
+
+
+class StreamTest(unittest.TestCase):
+    """News that do not fit are not lost for good."""
+
+    async def last_version(self) -> int:
+        """Return the version in force after some seconds."""
+
+        def connect(_address: Address) -> PeerClient:
+            return GapLink()  # type: ignore[return-value]
+
+        follower = ViewFollower(
+            lambda: ("127.0.0.1:1",),
+            lambda: EntryStatus("a", "i", "a:1", "z", "r", True),
+            SuspectBook(),
+            connect,
+            EventLog(),
+            random.Random(1),
+        )
+        await follower.start()
+        await asyncio.sleep(3.0)
+        await follower.stop()
+        assert follower.view is not None, "told"
+        return follower.view.deployment.version
+
+    def test_a_stream_that_leaves_a_gap_begins_anew(self) -> None:
+        self.assertEqual(9, run_virtual(self.last_version()))
+        self.assertEqual(2, GapLink.opened)
+
+
+class LaggingReplica(QuietLink):
     """Stand in for links to five replicas; the first one was cut off.
 
     It answers at once, with what the others have withdrawn since.
@@ -79,7 +135,7 @@
         revision = 1 if self._is_stale else 2
         if isinstance(record, FetchView):
             deployment = make_deployment(version=revision)
-            return ViewUpdate(revision, deployment, (), {}, (), ())
+            return ViewUpdate(0, revision, deployment, (), {}, (), ())
         if record.revision >= revision:
             await asyncio.sleep(0.2)
         return ViewNotice(revision, None, self.members)
--- a/tests/test_late_news.py
+++ b/tests/test_late_news.py
@@ -1,11 +1,14 @@
 """News reach an entry VM in time, whatever happens to one replica."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 import random
 from typing import Any, Final
 import unittest
 
+from msgspec.structs import replace
+
+from tests.quiet_link import QuietLink
 from tests.test_deployment import announce, make_deployment
 from tests.test_view_patches import make_service, publish, StandInReplica
 from tests.virtual_time import run_virtual
@@ -49,7 +52,7 @@
         self.news = asyncio.Event()
 
 
-class Link:
+class Link(QuietLink):
     """Stand in for a link to one replica of a group."""
 
     def __init__(self, group: Group, address: Address) -> None:
@@ -65,7 +68,10 @@
                 await asyncio.sleep(timeout_s)
                 raise PeerError(Code.PEER_TIMEOUT, "silent")
             deployment = make_deployment(version=group.revision)
-            return ViewUpdate(group.revision, deployment, (), {}, (), ())
+            since = record.revision
+            return ViewUpdate(
+                since, group.revision, deployment, (), {}, (), ()
+            )
         if record.revision >= group.revision:
             await asyncio.wait(
                 {asyncio.create_task(group.news.wait())}, timeout=0.7
@@ -123,7 +129,7 @@
         self.assertLess(took_s, IN_FORCE_S - OTHERS_S)
 
 
-class BusyLink:
+class BusyLink(QuietLink):
     """Carry messages to a replica behind uploads on the VM's link."""
 
     def __init__(self, handlers: dict[type[Any], Any]) -> None:
@@ -136,6 +142,25 @@
         await asyncio.sleep(QUEUED_S)
         return answer
 
+    async def follow(
+        self, record: Any, _timeout_s: float
+    ) -> AsyncIterator[Any]:
+        """Yield what the replica tells, each message late."""
+        loop = asyncio.get_running_loop()
+        sent: asyncio.Queue[tuple[float, Any]] = asyncio.Queue()
+
+        async def send() -> None:
+            await asyncio.sleep(QUEUED_S)
+            async for reply in self._handlers[type(record)](record):
+                sent.put_nowait((loop.time(), reply))
+
+        async with asyncio.TaskGroup() as group:
+            group.create_task(send())
+            while True:
+                at_s, reply = await sent.get()
+                await asyncio.sleep(max(0.0, at_s + QUEUED_S - loop.time()))
+                yield reply
+
     async def close(self) -> None:
         """Return: there is nothing to close."""
 
@@ -147,6 +172,8 @@
         """Register the handler of one message type."""
         self[kind] = handler
 
+    handle_stream = handle
+
 
 class BusyLinkTest(unittest.TestCase):
     """News wait behind uploads once, not once a message."""
@@ -201,7 +228,7 @@
         """Return how many targets the first view of updates serves."""
         builder = ViewBuilder()
         for update in updates:
-            self.assertTrue(builder.take(update, builder.revision))
+            self.assertTrue(builder.take(update))
         view = builder.build()
         assert view is not None, "updates bring a deployment"
         book = TargetBook()
@@ -210,9 +237,9 @@
 
     def test_target_that_left_before_the_first_view_is_not_used(self) -> None:
         said = announce(availability_zone="south-a", service="reads")
-        first = ViewUpdate(1, make_deployment(), (), {}, (said,), ())
-        left = ViewUpdate(2, None, None, None, (), (said.target_id,))
-        again = ViewUpdate(3, None, None, None, (said,), ())
+        first = ViewUpdate(0, 1, make_deployment(), (), {}, (said,), ())
+        left = ViewUpdate(1, 2, None, None, None, (), (said.target_id,))
+        again = ViewUpdate(2, 3, None, None, None, (said,), ())
         self.assertEqual(1, self.served(first))
         self.assertEqual(0, self.served(first, left))
         self.assertEqual(1, self.served(first, left, again))
@@ -224,15 +251,20 @@
     def test_patch_of_an_older_deployment_is_not_applied(self) -> None:
         builder = ViewBuilder()
         first = make_deployment(version=1)
-        builder.take(ViewUpdate(1, first, (), {}, (), ()), since=0)
+        builder.take(ViewUpdate(0, 1, first, (), {}, (), ()))
         builder.take(
-            ViewUpdate(3, make_deployment(version=3), None, None, (), ()),
-            since=1,
+            ViewUpdate(1, 3, make_deployment(version=3), None, None, (), ())
         )
         late = ViewUpdate(
-            4, None, None, None, (), (), DeploymentPatch(version=4)
+            1, 4, None, None, None, (), (), DeploymentPatch(version=4)
         )
-        self.assertFalse(builder.take(late, since=1))
+        self.assertFalse(builder.take(late))
         self.assertEqual((3, 3), (builder.revision, builder.version))
-        self.assertTrue(builder.take(late, since=3))
+        self.assertTrue(builder.take(replace(late, since=3)))
         self.assertEqual((4, 4), (builder.revision, builder.version))
+
+    def test_update_that_leaves_a_gap_is_not_taken(self) -> None:
+        builder = ViewBuilder()
+        builder.take(ViewUpdate(0, 1, make_deployment(), (), {}, (), ()))
+        self.assertFalse(builder.take(ViewUpdate(2, 3, None, (), {}, (), ())))
+        self.assertEqual(1, builder.revision)
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -5,6 +5,7 @@
 from typing import Any
 import unittest
 
+from tests.quiet_link import QuietLink
 from tests.test_deployment import make_deployment
 from wigeonford.bench._fleet import free_address
 from wigeonford.bench._link import LinkState, StandInLink
@@ -54,7 +55,7 @@
         await server.stop()
 
 
-class Replica:
+class Replica(QuietLink):
     """Stand in for the links to one control replica."""
 
     def __init__(self, address: Address, asked: list[str]) -> None:
@@ -71,7 +72,7 @@
             await asyncio.sleep(0.01)
             return ViewNotice(1, None, ())
         if isinstance(record, FetchView):
-            return ViewUpdate(1, make_deployment(), (), {}, (), ())
+            return ViewUpdate(0, 1, make_deployment(), (), {}, (), ())
         return PartsAnswer(1, ())
 
     async def close(self) -> None:
@@ -120,7 +121,7 @@
         asked: list[str] = []
         hung = asyncio.Event()
 
-        class Link:
+        class Link(QuietLink):
             def __init__(self, address: Address) -> None:
                 self.address = str(address)
                 self._closed = asyncio.Event()
@@ -133,7 +134,7 @@
                         leader, term = "127.0.0.1:2", 2
                     return ViewNotice(1, None, (), leader=leader, term=term)
                 if isinstance(record, FetchView):
-                    return ViewUpdate(1, make_deployment(), (), {}, (), ())
+                    return ViewUpdate(0, 1, make_deployment(), (), {}, (), ())
                 asked.append(self.address)
                 if self.address.endswith(":1"):
                     hung.set()
--- a/tests/test_watch_bytes.py
+++ b/tests/test_watch_bytes.py
@@ -5,6 +5,7 @@
 from typing import Any, Final
 import unittest
 
+from tests.quiet_link import QuietLink
 from tests.test_deployment import make_deployment
 from tests.test_late_news import Group, Handlers
 from tests.test_view_patches import make_service, publish, StandInReplica
@@ -27,7 +28,7 @@
 WATCHED_S: Final = 10.0
 
 
-class CountedLink:
+class CountedLink(QuietLink):
     """Carry messages to a replica, and count their bytes both ways."""
 
     total = 0
