--- /dev/null
+++ b/tests/control_links.py
@@ -0,0 +1,46 @@
+"""What stands in for an entry VM's links to control replicas."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+import random
+from typing import Any, cast, Final
+
+from wigeonford.events import EventLog
+from wigeonford.messages.steering import EntryStatus
+from wigeonford.peer import PeerClient
+from wigeonford.settings import Address
+from wigeonford.steer import SuspectBook, ViewFollower
+
+REPLICAS: Final = tuple(f"127.0.0.1:{port}" for port in range(1, 6))
+
+
+class QuietLink:
+    """Tell no news on its own; watches are answered by each stand-in."""
+
+    async def follow(
+        self, _record: Any, _timeout_s: float
+    ) -> AsyncIterator[Any]:
+        """Yield nothing for as long as the link is open."""
+        await asyncio.Event().wait()
+        yield None
+
+    async def close(self) -> None:
+        """Return: there is nothing to close."""
+
+
+def make_follower(
+    connect: Callable[[Address], QuietLink],
+    *,
+    name: str = "a",
+    seeds: tuple[str, ...] = REPLICAS,
+    suspects: SuspectBook | None = None,
+) -> ViewFollower:
+    """Return what an entry VM follows control replicas with."""
+    return ViewFollower(
+        lambda: seeds,
+        lambda: EntryStatus(name, "i", f"{name}:1", "z", "r", True),
+        suspects or SuspectBook(),
+        lambda address: cast(PeerClient, connect(address)),
+        EventLog(),
+        random.Random(1),
+    )
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -2,24 +2,19 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-import random
 from typing import Any
 import unittest
 
-from tests.quiet_link import QuietLink
+from tests.control_links import make_follower, QuietLink, REPLICAS
 from tests.test_deployment import make_deployment
 from tests.virtual_time import run_virtual
 from wigeonford.errors import Code, PeerError
-from wigeonford.events import EventLog
 from wigeonford.messages.steering import (
-    EntryStatus,
     FetchView,
     ViewNotice,
     ViewUpdate,
 )
-from wigeonford.peer import PeerClient
 from wigeonford.settings import Address
-from wigeonford.steer import SuspectBook, ViewFollower
 
 
 class Client(QuietLink):
@@ -43,17 +38,7 @@
     """One error costs one watch."""
 
     async def test_watch_begins_anew_after_an_error(self) -> None:
-        def connect(_address: Address) -> PeerClient:
-            return Client()  # type: ignore[return-value]
-
-        follower = ViewFollower(
-            lambda: ("127.0.0.1:1",),
-            lambda: EntryStatus("a", "i", "a:1", "z", "r", True),
-            SuspectBook(),
-            connect,
-            EventLog(),
-            random.Random(1),
-        )
+        follower = make_follower(lambda _: Client(), seeds=REPLICAS[:1])
         await follower.start()
         async with asyncio.timeout(20.0):
             while not follower.in_touch:
@@ -93,17 +78,7 @@
     async def last_version(self) -> int:
         """Return the version in force after some seconds."""
 
-        def connect(_address: Address) -> PeerClient:
-            return GapLink()  # type: ignore[return-value]
-
-        follower = ViewFollower(
-            lambda: ("127.0.0.1:1",),
-            lambda: EntryStatus("a", "i", "a:1", "z", "r", True),
-            SuspectBook(),
-            connect,
-            EventLog(),
-            random.Random(1),
-        )
+        follower = make_follower(lambda _: GapLink(), seeds=REPLICAS[:1])
         await follower.start()
         await asyncio.sleep(3.0)
         await follower.stop()
@@ -121,8 +96,6 @@
     It answers at once, with what the others have withdrawn since.
     """
 
-    members = tuple(f"127.0.0.1:{port}" for port in range(1, 6))
-
     def __init__(self, address: Address, reachable: int) -> None:
         self._is_stale = address.port == 1
         self._is_reachable = address.port <= reachable
@@ -138,7 +111,7 @@
             return ViewUpdate(0, revision, deployment, (), {}, (), ())
         if record.revision >= revision:
             await asyncio.sleep(0.2)
-        return ViewNotice(revision, None, self.members)
+        return ViewNotice(revision, None, REPLICAS)
 
     async def close(self) -> None:
         """Return: there is nothing to close."""
@@ -150,18 +123,9 @@
     async def first_view(self, reachable: int) -> int:
         """Return the first version that requests are steered by."""
 
-        def connect(address: Address) -> PeerClient:
-            return LaggingReplica(  # type: ignore[return-value]
-                address, reachable
-            )
-
-        follower = ViewFollower(
-            lambda: LaggingReplica.members[:3],
-            lambda: EntryStatus("a", "i", "a:1", "z", "r", True),
-            SuspectBook(),
-            connect,
-            EventLog(),
-            random.Random(1),
+        follower = make_follower(
+            lambda address: LaggingReplica(address, reachable),
+            seeds=REPLICAS[:3],
         )
         versions: list[int] = []
         follower.on_view(lambda view: versions.append(view.deployment.version))
--- a/tests/test_late_news.py
+++ b/tests/test_late_news.py
@@ -1,29 +1,25 @@
 """News reach an entry VM in time, whatever happens to one replica."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
-import random
+from collections.abc import AsyncIterator
 from typing import Any, Final
 import unittest
 
 from msgspec.structs import replace
 
-from tests.quiet_link import QuietLink
+from tests.control_links import make_follower, QuietLink, REPLICAS
 from tests.test_deployment import announce, make_deployment
 from tests.test_view_patches import make_service, publish, StandInReplica
 from tests.virtual_time import run_virtual
 from wigeonford.deployment import DeploymentPatch
 from wigeonford.errors import Code, PeerError
-from wigeonford.events import EventLog
 from wigeonford.messages.steering import (
-    EntryStatus,
     FetchView,
     ViewNotice,
     ViewUpdate,
 )
-from wigeonford.peer import PeerClient
 from wigeonford.settings import Address
-from wigeonford.steer import SuspectBook, TargetBook, ViewFollower
+from wigeonford.steer._target_book import TargetBook
 from wigeonford.steer._view import ViewBuilder
 
 IN_FORCE_S: Final = 2.5
@@ -38,8 +34,6 @@
 class Group:
     """Stand in for five replicas, of which some die after their notice."""
 
-    members = tuple(f"127.0.0.1:{port}" for port in range(1, 6))
-
     def __init__(self, silent: int) -> None:
         self.silent = silent
         self.revision = 1
@@ -78,24 +72,12 @@
             )
             # The silent ones are heard of first.
             await asyncio.sleep(0.01 * self._rank)
-        return ViewNotice(group.revision, None, group.members)
+        return ViewNotice(group.revision, None, REPLICAS)
 
     async def close(self) -> None:
         """Return: there is nothing to close."""
 
 
-def make_follower(connect: Callable[[Address], PeerClient]) -> ViewFollower:
-    """Return an entry VM's follower of five replicas."""
-    return ViewFollower(
-        lambda: Group.members,
-        lambda: EntryStatus("a", "i", "a:1", "z", "r", True),
-        SuspectBook(),
-        connect,
-        EventLog(),
-        random.Random(1),
-    )
-
-
 class SilentReplicaTest(unittest.TestCase):
     """A replica that dies after its notice does not hold the news."""
 
@@ -104,10 +86,7 @@
         loop = asyncio.get_running_loop()
         group = Group(silent)
 
-        def connect(address: Address) -> PeerClient:
-            return Link(group, address)  # type: ignore[return-value]
-
-        follower = make_follower(connect)
+        follower = make_follower(lambda address: Link(group, address))
         versions: list[int] = []
         follower.on_view(lambda view: versions.append(view.deployment.version))
         await follower.start()
@@ -190,9 +169,7 @@
         service.attach(handlers)  # type: ignore[arg-type]
         await service.start()
         publish(replica, make_deployment(version=1))
-        follower = make_follower(
-            lambda _: BusyLink(handlers)  # type: ignore[arg-type,return-value]
-        )
+        follower = make_follower(lambda _: BusyLink(handlers))
         versions: list[int] = []
         follower.on_view(lambda view: versions.append(view.deployment.version))
         await follower.start()
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -5,7 +5,7 @@
 from typing import Any
 import unittest
 
-from tests.quiet_link import QuietLink
+from tests.control_links import QuietLink
 from tests.test_deployment import make_deployment
 from wigeonford.bench._fleet import free_address
 from wigeonford.bench._link import LinkState, StandInLink
--- a/tests/test_watch_bytes.py
+++ b/tests/test_watch_bytes.py
@@ -1,24 +1,19 @@
 """What entry VMs and control tell each other costs what is new."""
 
 import asyncio
-import random
 from typing import Any, Final
 import unittest
 
-from tests.quiet_link import QuietLink
+from tests.control_links import make_follower, QuietLink
 from tests.test_deployment import make_deployment
-from tests.test_late_news import Group, Handlers
+from tests.test_late_news import Handlers
 from tests.test_view_patches import make_service, publish, StandInReplica
 from tests.virtual_time import run_virtual
 from wigeonford.control._view_service import ViewService
 from wigeonford.errors import Code, PeerError
-from wigeonford.events import EventLog
-from wigeonford.messages.steering import EntryStatus
 from wigeonford.peer._frames import encode_frame
 from wigeonford.peer._messages import MESSAGES
-from wigeonford.settings import Address
-from wigeonford.steer import SuspectBook, ViewFollower
-from wigeonford.steer._suspects import CRASHES
+from wigeonford.steer._suspects import CRASHES, SuspectBook
 
 NODE_BYTES_PER_S: Final = 3000.0
 """What control may cost a node at the target size."""
@@ -63,24 +58,6 @@
     return service
 
 
-def make_vm(
-    name: str, suspects: SuspectBook, handlers: Handlers
-) -> ViewFollower:
-    """Return what a VM follows five replicas with."""
-
-    def connect(_address: Address) -> Any:
-        return CountedLink(handlers)
-
-    return ViewFollower(
-        lambda: Group.members,
-        lambda: EntryStatus(name, "i", f"{name}:1", "z", "r", True),
-        suspects,
-        connect,
-        EventLog(),
-        random.Random(1),
-    )
-
-
 class WatchBytesTest(unittest.TestCase):
     """A VM watches five replicas, as in the users' deployments."""
 
@@ -90,7 +67,9 @@
         handlers = Handlers()
         service = await start_service(handlers, 1)
         suspects = SuspectBook()
-        follower = make_vm("a", suspects, handlers)
+        follower = make_follower(
+            lambda _: CountedLink(handlers), suspects=suspects
+        )
         await follower.start()
         for number in range(SUSPECTS):
             print_ = number.to_bytes(12, "big")
@@ -118,7 +97,9 @@
         service = await start_service(handlers, 1)
         books = [SuspectBook(), SuspectBook()]
         vms = [
-            make_vm(name, book, handlers)
+            make_follower(
+                lambda _: CountedLink(handlers), name=name, suspects=book
+            )
             for name, book in zip("ab", books, strict=True)
         ]
         await vms[0].start()
