--- a/src/wigeonford/steer/_follower.py
+++ b/src/wigeonford/steer/_follower.py
@@ -199,9 +199,10 @@
             await self._watch_once(address, client)
 
     async def _stream_on(self, address: str, client: PeerClient) -> None:
-        """Take the news of a replica as they come, while it is the nearest.
+        """Take a replica's news as they come, once it is the nearest.
 
-        A watch on the same link finds out if it goes silent.
+        Servers end no streams: one lasts as long as its link. The watch on
+        the same link finds out if that goes silent.
         """
         while not self._may_stream(address):
             await asyncio.sleep(STREAM_CHECK_S)
@@ -212,7 +213,7 @@
                 assert isinstance(update, ViewUpdate), "followed a view"
                 self._take(address, update)
                 if update.revision > self._builder.revision:
-                    # Another replica has told of a part; begin anew.
+                    # It rests on what another replica has changed since.
                     raise PeerError(Code.MESSAGE_INVALID, "news do not fit")
         finally:
             self._streams -= 1
