--- a/src/wigeonford/control/_view_service.py
+++ b/src/wigeonford/control/_view_service.py
@@ -107,10 +107,7 @@
     async def _tell_news(self) -> None:
         while True:
             await self._pending.wait()
-            tick_s = max(
-                NEWS_TICK_S, NEWS_TICK_S_PER_ENTRY * len(self._roster)
-            )
-            await asyncio.sleep(min(MAX_NEWS_TICK_S, tick_s))
+            await asyncio.sleep(news_tick_s(len(self._roster)))
             self._pending.clear()
             self._told_suspicions = self._suspicions.revision
             self._wake()
