Log the limits that targets state, and count attempts at these targets

Events 325 to 327 say when a VM learns of a limit, of its end and of an unreadable one; event 221 says the limit known when a target is chosen; wigeonford_limited_attempts_total counts the attempts at such targets. No decision changes.

--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -224,6 +224,17 @@
     TARGET_LEAVING = _event(
         324, "a target reported in a response that it drains"
     )
+    TARGET_LIMITED = _event(
+        325, "a target stated or changed a limit of its request rate"
+    )
+    TARGET_UNLIMITED = _event(
+        326, "a target no longer states a limit of its request rate"
+    )
+    TARGET_LIMIT_UNREADABLE = _event(
+        327,
+        "a target stated an unreadable limit; the previous one holds",
+        logging.WARNING,
+    )
     TARGET_SLOW = _event(
         322, "a target is far slower than its peers", logging.WARNING
     )
--- a/src/wigeonford/metrics.py
+++ b/src/wigeonford/metrics.py
@@ -37,6 +37,12 @@
             "Attempts at targets by service and outcome",
             registry=self._registry,
         )
+        self.limited_attempts = Counter(
+            "wigeonford_limited_attempts_total",
+            "Attempts at targets that state a limit of their request rate, "
+            "by service",
+            registry=self._registry,
+        )
         self.revision = Gauge(
             "wigeonford_config_revision",
             "Revision of the configuration in force",
--- a/src/wigeonford/platform/_front.py
+++ b/src/wigeonford/platform/_front.py
@@ -1,6 +1,7 @@
 """The platform's HTTP interface to callers and targets on entry VMs."""
 
 import math
+import re
 import time
 from typing import Final
 from urllib.parse import parse_qs
@@ -44,6 +45,10 @@
 _DRAINING: Final = b"server-leaving"
 # Pause in seconds that a target requests from this VM with status 503.
 _RETRY_AFTER: Final = b"retry-after"
+# Requests per second that a target accepts from all entry VMs together.
+_LIMIT: Final = b"server-limit"
+# At most a billion; a decimal number has no sign, exponent or other digits.
+_LIMIT_VALUE: Final = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 
 _HOP_BY_HOP: Final = frozenset(
     {
@@ -110,6 +115,7 @@
                 and response.header(_REQUEST_ID) is not None
                 and response.header(b"content-encoding") is None
             )
+        limit_per_s, unreadable_limit = _decode_limit(response)
         return ResponseFacts(
             TargetRunState.NOT_RUN if not_run else TargetRunState.RAN,
             is_complete,
@@ -119,6 +125,8 @@
             _decode_retry_after(response.header(_RETRY_AFTER))
             if status == 503
             else 0.0,
+            limit_per_s,
+            unreadable_limit,
         )
 
 
@@ -131,6 +139,19 @@
     return pause_s if 0 < pause_s < math.inf else 0.0
 
 
+def _decode_limit(response: Response) -> tuple[float | None, str | None]:
+    """Return the smallest limit stated, and the text of an unreadable one."""
+    texts = [
+        text.strip()
+        for name, value in response.headers
+        if name == _LIMIT
+        for text in value.decode("latin-1").split(",")
+    ]
+    limits = [float(text) for text in texts if _LIMIT_VALUE.fullmatch(text)]
+    unreadable = (text for text in texts if not _LIMIT_VALUE.fullmatch(text))
+    return min(limits, default=None), next(unreadable, None)
+
+
 def _decode_load(text: str | None) -> tuple[int | None, int | None]:
     parts = (text or "").split(",")
     if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
--- a/src/wigeonford/steer/_attempt_observer.py
+++ b/src/wigeonford/steer/_attempt_observer.py
@@ -18,6 +18,8 @@
 
 FULL_PAUSE_S: Final = 0.1
 """How long a target that rejected a request as full gets no other."""
+UNREADABLE_LIMIT_LOG_INTERVAL_S: Final = 10.0
+"""A target that states an unreadable limit does so in each response."""
 
 
 class SentAttempt(msgspec.Struct, frozen=True):
@@ -48,6 +50,7 @@
         self._log = log
         self._clock = clock
         self._stats: dict[str, RouteStats] = {}
+        self._unreadable_logged_at_s = float("-inf")
 
     def stats_of(self, route: Route) -> RouteStats:
         """Return the averages of a route."""
@@ -65,9 +68,12 @@
         self._metrics.attempts.inc(
             {"service": ctx.service, "outcome": result.outcome.value}
         )
+        if record.limit_per_s is not None:
+            self._metrics.limited_attempts.inc({"service": ctx.service})
         facts = result.facts
         if facts is not None:
             self._record_facts(record, facts, now_s)
+            self._record_limit(record, facts, now_s)
         if result.outcome is Outcome.WITHDRAWN:
             return
         service = ctx.view.services.get(record.announced.service)
@@ -126,6 +132,39 @@
                 born_ms=record.announced.born_ms,
             )
 
+    def _record_limit(
+        self, record: TargetRecord, facts: ResponseFacts, now_s: float
+    ) -> None:
+        """Record the limit that a response states; an unreadable one is none.
+
+        A target without a limit that states an unreadable one stays without.
+        """
+        if facts.unreadable_limit is not None and (
+            now_s - self._unreadable_logged_at_s
+            >= UNREADABLE_LIMIT_LOG_INTERVAL_S
+        ):
+            self._unreadable_logged_at_s = now_s
+            self._log.emit(
+                Event.TARGET_LIMIT_UNREADABLE,
+                target=record.target_id,
+                stated=facts.unreadable_limit[:40],
+            )
+        is_unreadable = facts.unreadable_limit is not None
+        if facts.limit_per_s is None and is_unreadable:
+            return
+        if facts.limit_per_s == record.limit_per_s:
+            return
+        event = Event.TARGET_LIMITED
+        if facts.limit_per_s is None:
+            event = Event.TARGET_UNLIMITED
+        self._log.emit(
+            event,
+            target=record.target_id,
+            limit_per_s=facts.limit_per_s,
+            previous_per_s=record.limit_per_s,
+        )
+        record.limit_per_s = facts.limit_per_s
+
     def _record_duration(
         self,
         ctx: RequestContext,
--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -209,6 +209,7 @@
             wait_s=round(choice.wait_s, 3),
             work_s=round(choice.work_s, 3),
             why=choice.role,
+            limit_per_s=record.limit_per_s,
             revision=ctx.view.revision,
         )
         ctx.is_attempt_running = True
--- a/src/wigeonford/steer/_request.py
+++ b/src/wigeonford/steer/_request.py
@@ -47,7 +47,9 @@
     `is_complete` says whether a successful response has all headers that the
     caller needs. `is_draining` is set by a target that is about to end. With
     `pause_s` above 0, the target requests that this VM send nothing for so
-    long.
+    long. `limit_per_s` is the rate of requests that the target accepts from
+    all entry VMs together, None if it states none. `unreadable_limit` is the
+    text of a limit that could not be decoded.
     """
 
     run: TargetRunState
@@ -56,6 +58,8 @@
     waiting: int | None = None
     is_draining: bool = False
     pause_s: float = 0.0
+    limit_per_s: float | None = None
+    unreadable_limit: str | None = None
 
 
 class TargetWire(Protocol):
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -51,6 +51,32 @@
             wire.parse_facts(Response(429, ((b"retry-after", b"2"),))).pause_s,
         )
 
+    def test_only_a_decimal_number_is_a_limit(self) -> None:
+        wire = PlatformTargetWire()
+        for values, limit_per_s, unreadable in (
+            ((), None, None),
+            ((b"1.5",), 1.5, None),
+            ((b" 20 ",), 20.0, None),
+            ((b"0",), 0.0, None),
+            ((b"3", b"1.5"), 1.5, None),
+            ((b"2.5, 4",), 2.5, None),
+            ((b"2.5, some",), 2.5, "some"),
+            ((b"-1",), None, "-1"),
+            ((b"nan",), None, "nan"),
+            ((b"inf",), None, "inf"),
+            ((b"1e9",), None, "1e9"),
+            ((b"9" * 400,), None, "9" * 400),
+            ((b"\xb2",), None, "\xb2"),
+            ((b",",), None, ""),
+        ):
+            headers = tuple((b"server-limit", value) for value in values)
+            for status in (200, 500, 503):
+                facts = wire.parse_facts(Response(status, headers))
+                self.assertEqual(limit_per_s, facts.limit_per_s, values)
+                self.assertEqual(unreadable, facts.unreadable_limit, values)
+        other = wire.parse_facts(Response(421, ((b"server-limit", b"1"),)))
+        self.assertIsNone(other.limit_per_s, "it is another target's")
+
 
 class LeavingTest(unittest.TestCase):
     """A target that reports draining gets no more requests from this VM."""
