--- a/tests/control_links.py
+++ b/tests/control_links.py
@@ -32,13 +32,15 @@
     connect: Callable[[Address], QuietLink],
     *,
     name: str = "a",
+    status: EntryStatus | None = None,
     seeds: tuple[str, ...] = REPLICAS,
     suspects: SuspectTable | None = None,
 ) -> ViewFollower:
     """Return a follower that connects to stand-ins for replicas."""
+    own_status = status or EntryStatus(name, "i", f"{name}:1", "z", "r", True)
     return ViewFollower(
         lambda: seeds,
-        lambda: EntryStatus(name, "i", f"{name}:1", "z", "r", True),
+        lambda: own_status,
         suspects or SuspectTable(),
         lambda address: cast(PeerClient, connect(address)),
         EventLog(),
