Keep a target's stated limit from callers

Server-Limit says what a target accepts from all entry VMs together; a caller could take it for a limit of its own. Headers of this kind end at the entry VM, as X-Server-Load and Server-Leaving do.

--- a/src/wigeonford/platform/_front.py
+++ b/src/wigeonford/platform/_front.py
@@ -68,7 +68,7 @@
     {_ACCOUNT, _TARGET_ID, _REMAINING_TIME, _KEY}
 )
 # Headers in which targets report their own state to entry VMs.
-_FOR_ENTRY_VMS: Final = frozenset({_LOAD, _DRAINING})
+_FOR_ENTRY_VMS: Final = frozenset({_LOAD, _DRAINING, _LIMIT})
 # Statuses that guarantee that a request has not run and never will.
 _NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -192,11 +192,10 @@
 
 
 class NoticeOfTargetTest(unittest.TestCase):
-    """A target's notice to entry VMs is not passed on to callers."""
+    """A target's notices to entry VMs are not passed on to callers."""
 
-    def test_notice_is_not_passed_on(self) -> None:
-        draining_header = (b"server-leaving", b"1")
-        response = encode_response(
-            make_request(), Response(200, (draining_header,), b"")
-        )
-        self.assertIsNone(response.header(b"server-leaving"))
+    def test_notices_are_not_passed_on(self) -> None:
+        headers = ((b"server-leaving", b"1"), (b"server-limit", b"1.5"))
+        response = encode_response(make_request(), Response(200, headers, b""))
+        for name, _ in headers:
+            self.assertIsNone(response.header(name))
