Use all of a target's limit, and half of a VM's part while it is cut off

The sum of the parts is the limit itself now: the number of senders and the tokens that they save leave room in the bound for one more sender.

--- a/src/wigeonford/_compose_steer_entry.py
+++ b/src/wigeonford/_compose_steer_entry.py
@@ -73,7 +73,11 @@
     metrics = Metrics()
     readiness = Readiness(make_status)
     suspects = SuspectTable()
-    target_limits = TargetLimits(cfg.name, lambda: follower.running_entries())
+    target_limits = TargetLimits(
+        cfg.name,
+        lambda: follower.running_entries(),
+        lambda: bool(follower.connected_replicas),
+    )
     follower = ViewFollower(
         seeds,
         lambda: readiness.status,
--- a/src/wigeonford/steer/_target_limits.py
+++ b/src/wigeonford/steer/_target_limits.py
@@ -29,9 +29,9 @@
 MAX_SAVED_TOKENS: Final = 2.0
 """Tokens that an entry VM saves while no request for the target comes. Those
 of all senders add to the requests of a window."""
-USED_LIMIT_FRACTION: Final = 0.9
-"""Fraction of a limit that is used: while rosters differ, one more entry VM
-may send than intended."""
+CUT_OFF_FRACTION: Final = 0.5
+"""Fraction of its part that an entry VM uses while it reaches no control
+replica: others may have been selected in its place."""
 MIN_LIMIT_PER_S: Final = 0.5
 """Rate at which a target that accepts less is asked whether that still holds;
 only its responses tell."""
@@ -66,13 +66,18 @@
     """Hold the targets' limits, and this VM's part of each rate.
 
     `sequence` counts the reports of this VM; `on_report` is called after
-    each.
+    each. `is_connected` tells whether the roster of `entries` is kept up to
+    date.
     """
 
     def __init__(
-        self, name: str, entries: Callable[[], Mapping[str, EntryStatus]]
+        self,
+        name: str,
+        entries: Callable[[], Mapping[str, EntryStatus]],
+        is_connected: Callable[[], bool] = lambda: True,
     ) -> None:
         self._name = name
+        self._is_connected = is_connected
         self._ranking = SenderRanking(entries)
         self._buckets = TargetBuckets(MAX_SAVED_TOKENS)
         self._states: dict[str, _LimitState] = {}
@@ -223,8 +228,7 @@
         return 1.0 / self._used_rate_per_s(record.target_id)
 
     def _used_rate_per_s(self, target_id: str) -> float:
-        limit_per_s = max(MIN_LIMIT_PER_S, self._limited[target_id])
-        return USED_LIMIT_FRACTION * limit_per_s
+        return max(MIN_LIMIT_PER_S, self._limited[target_id])
 
     def _own_rate_per_s(self, record: TargetRecord, now_s: float) -> float:
         """Return this VM's part of a target's limit, 0 for none."""
@@ -238,7 +242,8 @@
         age_s = now_s - self._states[target_id].limit.observed_at_s
         if rank >= senders + _further_senders(age_s):
             return 0.0
-        return self._used_rate_per_s(target_id) / senders
+        part_per_s = self._used_rate_per_s(target_id) / senders
+        return part_per_s * (1.0 if self._is_connected() else CUT_OFF_FRACTION)
 
 
 def _further_senders(age_s: float) -> int:
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -206,7 +206,9 @@
         self.records = TargetRecords()
         suspects = SuspectTable()
         self.limits = TargetLimits(
-            name, lambda: self.follower.running_entries()
+            name,
+            lambda: self.follower.running_entries(),
+            lambda: bool(self.follower.connected_replicas),
         )
         self.follower = make_follower(
             lambda address: ReplicaLink(self, fleet.handlers_of(address)),
