Ask further entry VMs sooner whether a limit still holds; soak states limits

If the VMs selected for a limited target get no requests for its service, it got nothing and its end was noticed after 12 s or more; VMs of other regions that send there were never asked. Observations are refreshed every 3 s, one more VM sends every 3 s once they are 6 s old, and those of other regions follow unless they are cut off from control.

The soak's targets state a limit now and then, in a plan of their own so that each seed draws the faults that it drew before.

--- a/src/wigeonford/steer/_senders.py
+++ b/src/wigeonford/steer/_senders.py
@@ -21,14 +21,20 @@
 
 
 def rank_senders(
-    record: TargetRecord, entries: Collection[EntryStatus]
+    record: TargetRecord,
+    entries: Collection[EntryStatus],
+    *,
+    far: bool = False,
 ) -> list[str]:
     """Return the entry VMs that may send to a target, the first one first.
 
     They are those of its region that are ready, or else all that are ready.
+    With `far`, they are those that are ready in other regions.
     """
     ready = [status for status in entries if status.is_ready]
     nearby = [status for status in ready if status.region == record.region]
+    if far:
+        nearby = [status for status in ready if status.region != record.region]
     ranked = sorted(
         nearby or ready,
         key=lambda status: (
@@ -51,19 +57,25 @@
         self, entries: Callable[[], Mapping[str, EntryStatus]]
     ) -> None:
         self._entries = entries
-        self._rankings: dict[str, dict[str, int]] = {}
+        self._rankings: dict[tuple[str, bool], dict[str, int]] = {}
         self._until_s = float("-inf")
 
-    def ranks(self, record: TargetRecord, now_s: float) -> Mapping[str, int]:
-        """Return the rank of each entry VM by name, from 0."""
+    def ranks(
+        self, record: TargetRecord, now_s: float, *, far: bool = False
+    ) -> Mapping[str, int]:
+        """Return the rank of each entry VM by name, from 0.
+
+        With `far`, rank those of other regions than the target's.
+        """
         if now_s >= self._until_s:
             self._rankings.clear()
             self._until_s = now_s + SELECTION_CACHE_S
-        ranks = self._rankings.get(record.target_id)
+        key = (record.target_id, far)
+        ranks = self._rankings.get(key)
         if ranks is None:
-            names = rank_senders(record, self._entries().values())
+            names = rank_senders(record, self._entries().values(), far=far)
             ranks = {name: rank for rank, name in enumerate(names)}
-            self._rankings[record.target_id] = ranks
+            self._rankings[key] = ranks
         return ranks
 
 
--- a/src/wigeonford/steer/_target_limits.py
+++ b/src/wigeonford/steer/_target_limits.py
@@ -38,14 +38,14 @@
 IDLE_TOKEN_S: Final = 0.5
 """How long a token waits for a request whose object the target remembers.
 After that it serves any request, so that the target is not left idle."""
-REFRESH_INTERVAL_S: Final = 5.0
+REFRESH_INTERVAL_S: Final = 3.0
 """Interval at which a limit that is still stated is reported again."""
-UNCONFIRMED_S: Final = 12.0
+UNCONFIRMED_S: Final = 6.0
 """Age of the last observation from which further entry VMs send: those
 selected may get no requests for the target's service."""
 WIDENING_INTERVAL_S: Final = 3.0
-"""Interval at which one more entry VM sends then. Each stops once any of them
-has got a response."""
+"""Interval at which one more entry VM sends then, those of other regions last.
+Each stops once any of them has got a response."""
 
 
 class _LimitState(msgspec.Struct):
@@ -234,16 +234,22 @@
         """Return this VM's part of a target's limit, 0 for none."""
         target_id = record.target_id
         ranks = self._ranking.ranks(record, now_s)
-        rank = ranks.get(self._name)
-        if rank is None:
+        if not ranks:
             return 0.0
         wanted = math.ceil(self._limited[target_id] / SENDER_RATE_PER_S)
         senders = min(len(ranks), max(MIN_SENDERS, wanted))
         age_s = now_s - self._states[target_id].limit.observed_at_s
-        if rank >= senders + _further_senders(age_s):
+        further = _further_senders(age_s)
+        is_connected = self._is_connected()
+        rank = ranks.get(self._name)
+        if rank is None and further and is_connected:
+            far_ranks = self._ranking.ranks(record, now_s, far=True)
+            far_rank = far_ranks.get(self._name)
+            rank = None if far_rank is None else len(ranks) + far_rank
+        if rank is None or rank >= senders + further:
             return 0.0
         part_per_s = self._used_rate_per_s(target_id) / senders
-        return part_per_s * (1.0 if self._is_connected() else CUT_OFF_FRACTION)
+        return part_per_s if is_connected else part_per_s * CUT_OFF_FRACTION
 
 
 def _further_senders(age_s: float) -> int:
--- a/tests/soak/_observations.py
+++ b/tests/soak/_observations.py
@@ -17,6 +17,15 @@
 QUOTA_SLACK: Final = 20.0
 """An account's rate limit and its tolerance: a fraction of the limit plus
 `quota_slack` of the settings."""
+LIMIT_WINDOW_S: Final = 4.0
+LIMIT_SPREAD_S: Final = 1.0
+"""Time after its first statement from which the requests at a limited target
+count; the users' rule counts those of VMs that have known it for 0.5 s."""
+CONTACT_WINDOW_S: Final = 4.0
+"""Time after a fault from which entry VMs are in touch again."""
+LIMIT_FACTOR: Final = 1.5
+LIMIT_SLACK: Final = 5.0
+"""How far the requests in a window may exceed a target's limit."""
 NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
 """Statuses that say that a request has not run and never will."""
 
@@ -31,6 +40,16 @@
     at_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class LimitPeriod:
+    """Record from when to when a target stated a limit of its rate."""
+
+    target: str
+    per_s: float
+    began_s: float
+    ended_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Shutdown:
     """Record the graceful shutdown of an entry VM and its exit code."""
@@ -50,6 +69,7 @@
     response. `disturbances` holds the entry VM, start and end of each fault
     that may break requests; -1 means every entry VM. `drain_began_s` maps a
     target to the time at which control acknowledged that it is draining.
+    `interruptions` holds the start and end of each fault of an entry VM.
     """
 
     runs: list[Run] = field(default_factory=list)
@@ -59,6 +79,8 @@
     shutdowns: list[Shutdown] = field(default_factory=list)
     disturbances: list[tuple[int, float, float]] = field(default_factory=list)
     drain_began_s: dict[str, float] = field(default_factory=dict)
+    limits: list[LimitPeriod] = field(default_factory=list)
+    interruptions: list[tuple[float, float]] = field(default_factory=list)
     acknowledged_version: int = 0
     findings: list[str] = field(default_factory=list)
 
@@ -90,6 +112,7 @@
             *self._find_runs_despite_not_run_status(),
             *self._find_runs_after_drain(),
             *self._find_rate_excess(),
+            *self._find_limit_excess(),
             *self._find_failed_shutdowns(),
         ]
 
@@ -130,6 +153,38 @@
                 yield f"{len(window)} runs of an account within 5 s"
                 return
 
+    def _find_limit_excess(self) -> Iterator[str]:
+        """Yield limits that were exceeded in a window without interruption."""
+        for limit in self.limits:
+            max_runs = (
+                LIMIT_FACTOR * limit.per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+            )
+            times_s = [
+                run.at_s
+                for run in self.runs
+                if run.target == limit.target
+                and run.at_s >= limit.began_s + LIMIT_SPREAD_S
+            ]
+            for began_s in times_s:
+                ended_s = began_s + LIMIT_WINDOW_S
+                if ended_s > limit.ended_s or self._was_interrupted(
+                    began_s - CONTACT_WINDOW_S, ended_s
+                ):
+                    continue
+                count = sum(began_s <= at_s < ended_s for at_s in times_s)
+                if count > max_runs:
+                    yield (
+                        f"{count} runs within 4 s on {limit.target}, "
+                        f"which stated {limit.per_s} a second"
+                    )
+                    break
+
+    def _was_interrupted(self, from_s: float, until_s: float) -> bool:
+        return any(
+            began_s <= until_s and ended_s >= from_s
+            for began_s, ended_s in self.interruptions
+        )
+
     def _find_failed_shutdowns(self) -> Iterator[str]:
         ran = {run.attempt for run in self.runs}
         for shutdown in self.shutdowns:
--- a/tests/soak/_plan.py
+++ b/tests/soak/_plan.py
@@ -50,6 +50,11 @@
 POWER_LOSS_FRACTION: Final = 0.08
 CONTROL_FRACTION: Final = 0.3
 TARGET_FRACTION: Final = 0.3
+TARGET_LIMIT: Final = "target-limit"
+"""A target states a limit of its request rate."""
+LIMIT_GAP_RANGE_S: Final = (1.0, 6.0)
+LIMIT_RANGE_S: Final = (3.0, 12.0)
+"""How long a limit lasts; some end before they have to be kept."""
 CATCH_UP_S: Final = 4.0
 """Time for a restarted replica to catch up; until then no other replica may
 fail."""
@@ -90,3 +95,16 @@
             kind = rng.choice(ENTRY_FAULTS)
             yield Fault(at_s, kind, rng.randrange(ENTRIES), length_s)
         at_s += rng.uniform(*GAP_RANGE_S)
+
+
+def draw_limits(seed: int, until_s: float) -> Iterator[Fault]:
+    """Yield the limits that targets state, ordered by time.
+
+    They overlap the faults of `draw_faults`, which don't depend on them.
+    """
+    rng = random.Random(f"limits {seed}")
+    at_s = FAULT_FREE_S
+    while at_s < until_s:
+        length_s = rng.uniform(*LIMIT_RANGE_S)
+        yield Fault(at_s, TARGET_LIMIT, rng.randrange(TARGETS), length_s)
+        at_s += rng.uniform(*LIMIT_GAP_RANGE_S)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,7 +3,13 @@
 import unittest
 
 from tests.soak.__main__ import FAULTS_S, run_seed
-from tests.soak._observations import BURST, Observations, Run, Shutdown
+from tests.soak._observations import (
+    BURST,
+    LimitPeriod,
+    Observations,
+    Run,
+    Shutdown,
+)
 from tests.soak._plan import CONTROL_FAULTS, CONTROL_POWER_LOSS, draw_faults
 
 REGRESSIONS: tuple[int, ...] = (
@@ -90,6 +96,16 @@
             )
         self.assertEqual(1, len(self.observations.find_violations()))
 
+    def test_limit_of_a_target(self) -> None:
+        limit = LimitPeriod("i-1", 1.0, 10.0, 30.0)
+        self.observations.limits.append(limit)
+        for number in range(12):
+            at_s = 20.0 + number * 0.1
+            self.observations.runs.append(Run(str(number), "i-1", "", at_s))
+        self.assertEqual(1, len(self.observations.find_violations()))
+        self.observations.interruptions.append((16.5, 17.0))
+        self.assertEqual([], self.observations.find_violations())
+
     def test_request_cut_by_a_planned_stop(self) -> None:
         self.observations.runs.append(Run("a", "i-1", "big", 1.0))
         self.observations.broken.append(("a", 0, 1.5))
