--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -351,7 +351,10 @@
         rate_per_s: float,
         seconds: float,
     ) -> list[float]:
-        """Return when the VMs send to the target, of requests at random."""
+        """Return when the VMs send to the target, of requests at random.
+
+        What one VM reports reaches all others at once.
+        """
         rng = random.Random(len(vms))
         for vm in vms:
             vm.merge((TargetLimit(self.target_id, 1, limit_per_s, 0),), 0.0)
@@ -362,10 +365,14 @@
             vm = rng.choice(vms)
             if vm.may_send(self.record, now_s, lambda: rng.random() < 0.05):
                 vm.spend(self.target_id)
+                times_s.append(now_s)
+                sequence = vm.sequence
                 vm.record_response(
                     self.target_id, 1, limit_per_s, now_s, now_s
                 )
-                times_s.append(now_s)
+                reports = vm.own_reports_since(sequence, now_s)
+                for other in vms if reports else ():
+                    other.merge(reports, now_s)
         return times_s
 
     def fullest(self, times_s: list[float]) -> int:
