Take test addresses that no outgoing connection uses

Three tests of test_platform_path found their port in use now and then (a third one in a run of the suite today): the port was chosen on 127.0.0.1, and between the choice and the bind an outgoing connection got it as its source. The daemons listen on addresses of their own now, as the benches do; outgoing connections on loopback start from 127.0.0.1.

--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -4,12 +4,12 @@
 from collections.abc import Awaitable, Callable
 import json
 from pathlib import Path
-import socket
 import tempfile
 from typing import Any
 import unittest
 
 from tests.test_platform_codec import ANNOUNCEMENT, CONFIGURATION
+from wigeonford.bench import find_free_address
 from wigeonford.compose import build_steer_control, build_steer_entry
 from wigeonford.control import ControlDaemon
 from wigeonford.events import EventLog
@@ -45,11 +45,15 @@
 WAIT_S = 20.0
 
 
-def free_address() -> Address:
-    """Return a loopback address with a free port."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return Address("127.0.0.1", sock.getsockname()[1])
+def free_addresses(subnet: int, count: int) -> list[Address]:
+    """Return free addresses that no outgoing connection takes.
+
+    Those use ports of 127.0.0.1.
+    """
+    return [
+        find_free_address(f"127.9.{subnet}.{number}")
+        for number in range(1, count + 1)
+    ]
 
 
 async def wait_until(condition: Callable[[], Awaitable[bool]]) -> None:
@@ -99,14 +103,14 @@
         self.log = EventLog()
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        self.peer_addresses = [free_address() for _ in range(5)]
-        self.api_addresses = [free_address() for _ in range(5)]
+        self.peer_addresses = free_addresses(2, 5)
+        self.api_addresses = free_addresses(3, 5)
         self.seeds = tuple(str(address) for address in self.peer_addresses[:3])
         self.controls = [
             self.make_control(Path(folder.name), index) for index in range(5)
         ]
-        self.entry_addresses = [free_address() for _ in range(2)]
-        self.lookup_addresses = [free_address() for _ in range(2)]
+        self.entry_addresses = free_addresses(4, 2)
+        self.lookup_addresses = free_addresses(5, 2)
         self.entries = [self.make_entry(index) for index in range(2)]
         await asyncio.gather(
             *(daemon.start() for daemon in self.controls),
