--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -1,7 +1,7 @@
 """Attempts at targets that send without end, or are removed meanwhile."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 import time
 from typing import Final
 import unittest
@@ -112,12 +112,13 @@
             await closed.wait()
 
 
-class LeavingAttemptTest(unittest.IsolatedAsyncioTestCase):
-    """A target is removed while an attempt waits for a connection."""
+class WithdrawnAttemptTest(unittest.IsolatedAsyncioTestCase):
+    """What is known changes while an attempt waits for a connection."""
 
-    async def test_target_that_leaves_before_the_send_gets_nothing(
-        self,
+    async def check_nothing_is_sent(
+        self, change: Callable[[TargetRecords, set[str]], object]
     ) -> None:
+        """Check an attempt during which records or limited ids change."""
         request_received = asyncio.Event()
 
         async def serve(
@@ -138,10 +139,32 @@
         connections = TargetConnections(PlatformTargetWire())
         self.addCleanup(connections.close)
         deadline_s = time.monotonic() + WAIT_S
-        attempt = Attempt(make_request(), record, None, b"", deadline_s)
+        limited_ids: set[str] = set()
+        attempt = Attempt(
+            make_request(),
+            record,
+            None,
+            b"",
+            deadline_s,
+            lambda: record.target_id not in limited_ids,
+        )
         sending = asyncio.create_task(connections.send(attempt))
         await asyncio.sleep(0)
-        target_records.apply_changes((), (announcement.target_id,), {}, 1.1)
+        change(target_records, limited_ids)
         result = await sending
         self.assertIs(Outcome.WITHDRAWN, result.outcome)
         self.assertFalse(request_received.is_set())
+
+    async def test_target_that_leaves_before_the_send_gets_nothing(
+        self,
+    ) -> None:
+        target_id = make_announcement().target_id
+        await self.check_nothing_is_sent(
+            lambda records, _: records.apply_changes((), (target_id,), {}, 1.1)
+        )
+
+    async def test_target_limited_before_the_send_gets_nothing(self) -> None:
+        target_id = make_announcement().target_id
+        await self.check_nothing_is_sent(
+            lambda _, limited_ids: limited_ids.add(target_id)
+        )
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -39,7 +39,7 @@
     ),
     Mutation(
         "REGION_NOT_OVERLOADED",
-        "policy/_leases.py",
+        "leases/_leases.py",
         "            max(held, amount),\n",
         "            amount,\n",
         ("tests.test_leases", "tests.test_slots"),
@@ -92,9 +92,9 @@
     ),
     Mutation(
         "AT_MOST_ONCE",
-        "control/_proposer.py",
-        "    return count // 2 + 1\n",
-        "    return count // 2\n",
+        "claims/_proposer.py",
+        "    return replica_count // 2 + 1\n",
+        "    return replica_count // 2\n",
         ("tests.test_claim_registers",),
     ),
     Mutation(
@@ -118,6 +118,34 @@
         "        if False:\n",
         ("tests.test_state", "tests.test_config_follower"),
     ),
+    Mutation(
+        "LIMIT_OVER_ALL_VMS",
+        "steer/_target_limits.py",
+        "        part_per_s = self._used_rate_per_s(target_id) / senders\n",
+        "        part_per_s = self._used_rate_per_s(target_id)\n",
+        ("tests.test_target_limits",),
+    ),
+    Mutation(
+        "LIMIT_KEPT_BY_EACH_VM",
+        "steer/_target_limits.py",
+        "        if rank is None or rank >= senders + further:\n",
+        "        if rank is None:\n",
+        ("tests.test_target_limits",),
+    ),
+    Mutation(
+        "LATE_RESPONSE_LIFTS_NO_LIMIT",
+        "steer/_target_limits.py",
+        "if state is not None and is_raised and sent_at_s",
+        "if False and state is not None and is_raised and sent_at_s",
+        ("tests.test_target_limits",),
+    ),
+    Mutation(
+        "LIMIT_KNOWN_TO_ALL_VMS",
+        "control/_limit_service.py",
+        "            if self._limits.revision > sent_revision:\n",
+        "            if False:\n",
+        ("tests.test_target_limits",),
+    ),
 )
 
 
