Ignore reports on a target's earlier start, and bound the limits remembered

A report of another VM that was made before a target's restart was announced limited the new start until the target was asked again, 6 s later at the earliest. And a VM kept the limits of targets that were removed before their report arrived.

--- a/src/wigeonford/steer/_target_limits.py
+++ b/src/wigeonford/steer/_target_limits.py
@@ -17,6 +17,7 @@
 from wigeonford.stated_limits import (
     decode_limit,
     encode_limit,
+    MAX_STATED_LIMITS,
     StatedLimit,
 )
 from wigeonford.steer._senders import SenderRanking, TargetBuckets
@@ -47,6 +48,8 @@
 """Interval at which one more entry VM sends then, those of other regions last.
 Each stops once any of them has got a response."""
 
+_NEVER_S: Final = float("-inf")
+
 
 class _LimitState(msgspec.Struct):
     """Hold a limit as this VM knows it.
@@ -150,7 +153,9 @@
         """Apply an observation; return None if a later one is known."""
         state = self._states.get(limit.target_id)
         if state is None:
-            state = _LimitState(limit, now_s, float("-inf"))
+            if len(self._states) >= MAX_STATED_LIMITS:
+                self._drop(next(iter(self._states)))
+            state = _LimitState(limit, now_s, _NEVER_S)
             self._states[limit.target_id] = state
         elif not limit.supersedes(state.limit):
             return None
@@ -177,13 +182,19 @@
     def apply_targets(
         self, changed: Iterable[Announcement], removed: Iterable[str]
     ) -> None:
-        """Drop the limits of targets that were removed or started again."""
+        """End the limits of targets that were removed or started again.
+
+        Late reports of an earlier start are ignored from then on.
+        """
         for target_id in removed:
             self._drop(target_id)
         for announced in changed:
-            state = self._states.get(announced.target_id)
-            if state is not None and state.limit.born_ms < announced.born_ms:
-                self._drop(announced.target_id)
+            target_id, born_ms = announced.target_id, announced.born_ms
+            state = self._states.get(target_id)
+            if state is not None and state.limit.born_ms < born_ms:
+                self._drop(target_id)
+                unlimited = StatedLimit(target_id, born_ms, None, _NEVER_S)
+                self._apply(unlimited, _NEVER_S)
 
     def _drop(self, target_id: str) -> None:
         self._states.pop(target_id, None)
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -462,9 +462,19 @@
         reborn = make_announcement(target_id=self.target_id, born_ms=2000)
         vm.apply_targets((reborn,), ())
         self.assertNotIn(self.target_id, vm.limited_ids)
+        vm.merge((TargetLimit(self.target_id, 1000, 1.2, 0),), 1.2)
+        self.assertNotIn(self.target_id, vm.limited_ids)
         vm.record_response(self.target_id, 2000, 3.0, 1.5, 2.0)
         vm.merge((TargetLimit(self.target_id, 1000, 1.2, 0),), 3.0)
         self.assertEqual(3.0, vm.limit_per_s(self.target_id))
+        vm.apply_targets((), (self.target_id,))
+        self.assertNotIn(self.target_id, vm.limited_ids)
+
+    def test_vm_remembers_a_bounded_number_of_limits(self) -> None:
+        (vm,) = self.make_vms(1)
+        for number in range(MAX_STATED_LIMITS + 5):
+            vm.merge((TargetLimit(f"t-{number}", 1, 1.0, 0),), 1.0)
+        self.assertEqual(MAX_STATED_LIMITS, len(vm.limited_ids))
 
     def test_limit_that_lasts_is_reported_now_and_then(self) -> None:
         (vm,) = self.make_vms(1)
