--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -6,7 +6,6 @@
 import time
 from typing import Final
 
-from wigeonford.deployment import Account, Route
 from wigeonford.errors import Code, RequestRejected, RunState
 from wigeonford.events import Event, EventLog
 from wigeonford.http import Response
@@ -23,15 +22,13 @@
     UNSENT,
 )
 from wigeonford.steer._attempt_observer import AttemptObserver, SentAttempt
-from wigeonford.steer._cold import ColdRateLimiter, ColdSenders
 from wigeonford.steer._loans import LoanBatcher
-from wigeonford.steer._neighbours import Neighbours
-from wigeonford.steer._placement import Choice, Placement, PlacementRequest
 from wigeonford.steer._rates import AccountRates
 from wigeonford.steer._request import SteerRequest
 from wigeonford.steer._request_context import RequestContext
-from wigeonford.steer._retry_after import capacity_wait_s, retry_after_s
+from wigeonford.steer._retry_after import retry_after_s
 from wigeonford.steer._suspects import SuspectTable
+from wigeonford.steer._target_choice import TargetChooser
 from wigeonford.steer._target_limits import TargetLimits
 from wigeonford.steer._target_records import TargetRecord, TargetRecords
 from wigeonford.steer._view import View
@@ -47,9 +44,6 @@
 up to."""
 MAX_UNREACHED_TARGETS: Final = 4
 """Targets that may be unreachable or removed before a request is rejected."""
-MIN_WAIT_FRACTION: Final = 0.25
-"""Fraction of a warm request's duration that any request may wait for a slot;
-estimates of the wait are no more accurate."""
 
 
 class Forwarder:
@@ -76,11 +70,8 @@
         rng: random.Random,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        self._status = status
         self._view = view
         self._entries = entries
-        self._target_records = target_records
-        self._target_limits = target_limits
         self._target_connections = target_connections
         self._admission = Admission(
             view, rates, loans, suspects, log, rng, clock
@@ -99,16 +90,20 @@
         self._log = log
         self._rng = rng
         self._clock = clock
-        self._neighbours = Neighbours(status, entries, clock)
-        self._placement = Placement()
-        self._cold_rates = ColdRateLimiter()
-        self._cold_senders = ColdSenders(entries)
+        self._chooser = TargetChooser(
+            status,
+            view,
+            entries,
+            target_records,
+            target_limits,
+            self._observer.stats_of,
+            clock,
+        )
         self._retry_budgets: dict[str, AttemptBudget] = {}
 
     def drop_removed_targets(self, view: View) -> None:
         """Drop the state of targets that a new view removed or replaced."""
-        self._cold_rates.remove(view.removed)
-        self._target_limits.apply_targets(view.changed, view.removed)
+        self._chooser.drop_removed_targets(view)
 
     async def forward(self, req: SteerRequest) -> Response:
         """Return a target's response; raise `RequestRejected`."""
@@ -195,7 +190,7 @@
 
     async def _make_attempt(self, ctx: RequestContext) -> Response | None:
         """Make an attempt; return the response, None to try again."""
-        choice = self._choose_target(ctx)
+        choice = self._chooser.choose(ctx)
         if choice is None:
             raise self._build_rejection(ctx)
         record = choice.record
@@ -206,11 +201,7 @@
         sent_attempt = SentAttempt(
             record, began_s, record.load(began_s), was_warm
         )
-        if record.is_cold(began_s):
-            self._cold_rates.spend(record.target_id)
-        limit_per_s = self._target_limits.limit_per_s(record.target_id)
-        if limit_per_s is not None:
-            self._target_limits.spend(record.target_id)
+        limit_per_s = self._chooser.spend_tokens(record)
         self._log.emit(
             Event.REQUEST_PLACED,
             request=ctx.req.request_id,
@@ -236,8 +227,7 @@
                     ctx.deadline_s,
                     lambda: (
                         limit_per_s is not None
-                        or self._target_limits.limit_per_s(record.target_id)
-                        is None
+                        or not self._chooser.is_limited(record)
                     ),
                 )
             )
@@ -247,97 +237,6 @@
         self._observer.record_attempt(ctx, sent_attempt, result)
         return self._handle_result(ctx, record, result, began_s)
 
-    def _choose_target(self, ctx: RequestContext) -> Choice | None:
-        now_s = self._clock()
-        status = self._status()
-        view = self._view() or ctx.view
-        stats = self._observer.stats_of(ctx.route)
-        allowed_regions = _allowed_regions(ctx.route, ctx.account)
-        request = PlacementRequest(
-            ctx.service,
-            ctx.req.object_id or ctx.req.request_id,
-            status.availability_zone,
-            status.region,
-            stats.size_bytes,
-            stats.durations,
-            self._max_wait_s(ctx, now_s),
-            allowed_regions,
-            frozenset(ctx.tried),
-            self._neighbours.count(),
-            self._target_limits.limited_ids,
-        )
-        records = self._target_records.targets_of(ctx.service)
-
-        def may_use_restricted(record: TargetRecord) -> bool:
-            return self._may_use_restricted(
-                ctx,
-                record,
-                now_s,
-                lambda: (
-                    request.object_id in record.warm_objects
-                    or self._placement.is_home(
-                        record, records, request, view.evacuated
-                    )
-                ),
-            )
-
-        choice = self._placement.choose(
-            records, request, view.evacuated, may_use_restricted, now_s
-        )
-        if choice is not None or not request.limited_ids:
-            return choice
-        # No other target has free capacity.
-        return self._placement.choose_restricted(
-            records,
-            request,
-            view.evacuated,
-            lambda record: self._may_use_restricted(
-                ctx, record, now_s, lambda: True
-            ),
-            now_s,
-        )
-
-    def _max_wait_s(self, ctx: RequestContext, now_s: float) -> float:
-        """Return how long a request may wait for a slot.
-
-        A longer wait would exceed the route's latency objective.
-        """
-        stats = self._observer.stats_of(ctx.route)
-        used_s = now_s - ctx.req.arrived_at_s
-        spare_s = ctx.route.objective_s - used_s - stats.warm_s
-        return max(MIN_WAIT_FRACTION * stats.warm_s, spare_s)
-
-    def _may_use_restricted(
-        self,
-        ctx: RequestContext,
-        record: TargetRecord,
-        now_s: float,
-        is_preferred: Callable[[], bool],
-    ) -> bool:
-        """Return whether a cold or limited target may get the request."""
-        if record.is_cold(now_s) and not self._may_use_cold(
-            ctx, record, now_s
-        ):
-            return False
-        if record.target_id not in self._target_limits.limited_ids:
-            return True
-        return self._target_limits.may_send(record, now_s, is_preferred)
-
-    def _may_use_cold(
-        self, ctx: RequestContext, record: TargetRecord, now_s: float
-    ) -> bool:
-        service = ctx.view.services.get(record.announced.service)
-        name = self._status().name
-        if service is None or not self._cold_senders.may_send(
-            name, record, now_s
-        ):
-            return False
-        if service.cold_per_s <= 0:
-            return True
-        return self._cold_rates.may_send(
-            record.target_id, service.cold_per_s, now_s
-        )
-
     def _handle_result(
         self,
         ctx: RequestContext,
@@ -402,23 +301,12 @@
                 ctx.detail,
                 run_state=RunState.UNKNOWN,
             )
-        now_s = self._clock()
-        records = self._target_records.targets_of(ctx.service)
-        limited_ids = self._target_limits.limited_ids
-        wait_s = capacity_wait_s(
-            records,
-            self._observer.stats_of(ctx.route).warm_s,
-            now_s,
-            {
-                record.target_id: self._target_limits.wait_s(record, now_s)
-                for record in (records if limited_ids else ())
-                if record.target_id in limited_ids
-            },
-        )
-        code = Code.NO_CAPACITY if records else Code.NO_TARGET
+        targets = self._chooser.count_targets(ctx)
+        wait_s = self._chooser.capacity_wait_s(ctx)
+        code = Code.NO_CAPACITY if targets else Code.NO_TARGET
         return RequestRejected(
             code,
-            ctx.detail or f"{len(records)} targets accept requests",
+            ctx.detail or f"{targets} targets accept requests",
             retry_after_s=retry_after_s(wait_s, self._rng),
         )
 
@@ -433,15 +321,3 @@
             )
             self._retry_budgets[service] = budget
         return budget
-
-
-def _allowed_regions(
-    route: Route, account: Account | None
-) -> frozenset[str] | None:
-    """Return the regions that route and account both allow; None for any."""
-    regions = [set(route.home_regions)] if route.home_regions else []
-    if account is not None and account.home_regions:
-        regions.append(set(account.home_regions))
-    if not regions:
-        return None
-    return frozenset(set.intersection(*regions))
