Keep limited targets homes unless their limit is far below their capacity

VMs of other regions could not send there at all.

Change: a limited target stays home as long as its limit allows a quarter of what its slots could serve, or if half of the region's targets are as tight. A request for its objects takes a token or goes to the second home. The number of VMs that send follows the limit, and from 5 a second on VMs of other regions have 0.4 of it. All VMs together save two tokens for each request per second of the limit and three more, so that four seconds stay below the bound.

--- a/src/wigeonford/steer/_domains.py
+++ b/src/wigeonford/steer/_domains.py
@@ -115,14 +115,16 @@
     domain: Domain,
     now_s: float,
     vm_count: int,
-    limited_ids: Collection[str] = (),
+    closed_ids: Collection[str] = (),
+    tight_ids: Collection[str] = (),
 ) -> AvailableTargets:
     """Return which targets of a domain may be home to objects now.
 
     `vm_count` is how many entry VMs send to the domain, this one included.
-    `limited_ids` are the targets that state a limit of their request rate.
+    `closed_ids` are the targets to which this VM must not send, `tight_ids`
+    those whose stated limit is far below what they could serve.
 
-    Unreachable, cold and limited targets are excluded. Slow and failing
+    Unreachable, cold and closed targets are excluded. Slow, failing and tight
     targets are excluded too, unless they are at least half of the others: then
     the load is the cause, and none of them is excluded.
     """
@@ -132,12 +134,16 @@
         if (
             now_s < record.down_until_s
             or now_s < record.cold_until_s
-            or record.target_id in limited_ids
+            or record.target_id in closed_ids
         ):
             excluded.append(record)
-        elif now_s < record.slow_until_s or (
-            record.failure_ratio > FAILING_RATIO
-            and now_s - record.failed_at_s < FAILING_S
+        elif (
+            now_s < record.slow_until_s
+            or record.target_id in tight_ids
+            or (
+                record.failure_ratio > FAILING_RATIO
+                and now_s - record.failed_at_s < FAILING_S
+            )
         ):
             unhealthy.append(record)
     warm = len(domain.records) - len(excluded)
--- a/src/wigeonford/steer/_placement.py
+++ b/src/wigeonford/steer/_placement.py
@@ -8,8 +8,10 @@
 there is spare capacity. A request that would wait past its latency objective
 is rejected, so that it doesn't delay those behind it.
 
-A target that states a limit of its request rate is no home. It gets requests
-at that rate, preferably for objects that it still remembers.
+A target that states a limit of its request rate gets a request only for a
+token. With a limit far below what it could serve, it is no home, unless the
+same holds for half of the targets: then it gets requests at its rate,
+preferably for objects that it still remembers.
 """
 
 from collections.abc import (
@@ -59,8 +61,8 @@
 """If fewer of a domain's targets than this fraction are left, objects may move
 to other domains fast."""
 
-RestrictedTargetFilter = Callable[[TargetRecord], bool]
-"""Return whether a cold or limited target may get the request now."""
+TargetFilter = Callable[[TargetRecord], bool]
+"""Return whether a target may get the request now."""
 
 
 class Durations(msgspec.Struct, frozen=True):
@@ -78,6 +80,8 @@
     may serve it, None for any. `tried` are the targets of earlier attempts.
     `vm_count` is how many entry VMs share the region's requests.
     `limited_ids` are the targets that state a limit of their request rate.
+    Of these, `closed_ids` are those to which this VM must not send, and
+    `tight_ids` those that could serve far more than their limit.
     """
 
     service: str
@@ -91,6 +95,8 @@
     tried: frozenset[str] = frozenset()
     vm_count: int = 1
     limited_ids: Collection[str] = ()
+    closed_ids: Collection[str] = ()
+    tight_ids: Collection[str] = ()
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -129,61 +135,53 @@
         records: Sequence[TargetRecord],
         request: PlacementRequest,
         evacuated: frozenset[str],
-        may_use_restricted: RestrictedTargetFilter,
+        may_use_restricted: TargetFilter,
         now_s: float,
+        has_token: TargetFilter = lambda _: True,
     ) -> Choice | None:
         """Return the target for a request, None if none has free capacity.
 
         `records` are all targets of the service. It must be the same sequence
-        as long as the targets are the same. Cold and limited targets that the
-        filter allows are chosen first.
+        as long as the targets are the same. Cold and tight targets that
+        `may_use_restricted` allows are chosen first. `has_token` tells whether
+        a limited target accepts a request now.
         """
-        trial = self.choose_restricted(
-            records, request, evacuated, may_use_restricted, now_s
-        )
-        if trial is not None:
-            return trial
         state = self._state_of(request.service)
         domains = _group(state, records, request, evacuated)
-        return _Search(state, request, domains, now_s).choose(
+        search = _Search(state, request, domains, has_token, now_s)
+        for record in search.find_restricted():
+            if may_use_restricted(record):
+                return _restricted_choice(record, request)
+        return search.choose(
             request.zone if _is_zone_wide(request) else request.region
         )
 
-    def choose_restricted(
+    def choose_limited(
         self,
         records: Sequence[TargetRecord],
         request: PlacementRequest,
         evacuated: frozenset[str],
-        may_use_restricted: RestrictedTargetFilter,
+        has_token: TargetFilter,
         now_s: float,
     ) -> Choice | None:
-        """Return a cold or limited target for a request, None if none may."""
-        state = self._state_of(request.service)
-        domains = _group(state, records, request, evacuated)
-        candidates = _find_restricted(domains, request, now_s)
-        for record in candidates:
-            if may_use_restricted(record):
-                return _restricted_choice(record, request)
-        return None
-
-    def is_home(
-        self,
-        record: TargetRecord,
-        records: Sequence[TargetRecord],
-        request: PlacementRequest,
-        evacuated: frozenset[str],
-    ) -> bool:
-        """Return whether a target would be the object's home without limits.
+        """Return any limited target that accepts a request now, or None.
 
-        Other entry VMs may have made the object warm there.
+        Those of the own region come first.
         """
         state = self._state_of(request.service)
         domains = _group(state, records, request, evacuated)
-        zone_wide = _is_zone_wide(request)
-        domain = domains[record.zone if zone_wide else record.region]
-        rankings = state.rankings.setdefault(domain.name, ObjectRankings())
-        home = rankings.home_of(request.object_id, domain.by_id, ())
-        return home is not None and home.first == record.target_id
+        for is_own_region in (True, False):
+            for domain in domains.values():
+                if (domain.region == request.region) is not is_own_region:
+                    continue
+                for record in domain.records:
+                    if (
+                        record.target_id in request.limited_ids
+                        and _has_free_slots(record, request, now_s)
+                        and has_token(record)
+                    ):
+                        return _restricted_choice(record, request)
+        return None
 
     def _state_of(self, service: str) -> _ServiceState:
         state = self._services.get(service)
@@ -210,33 +208,6 @@
     )
 
 
-def _find_restricted(
-    domains: Mapping[str, Domain], request: PlacementRequest, now_s: float
-) -> Iterator[TargetRecord]:
-    """Yield the cold and limited targets of the region that have free slots.
-
-    Limited targets of other regions follow, as this VM may be the one that
-    sends to them if no entry VM runs near them.
-    """
-    for domain in domains.values():
-        if domain.region != request.region:
-            continue
-        for record in domain.records:
-            is_restricted = (
-                now_s < record.cold_until_s
-                or record.target_id in request.limited_ids
-            )
-            if is_restricted and _has_free_slots(record, request, now_s):
-                yield record
-    for domain in domains.values():
-        if not request.limited_ids or domain.region == request.region:
-            continue
-        for record in domain.records:
-            is_limited = record.target_id in request.limited_ids
-            if is_limited and _has_free_slots(record, request, now_s):
-                yield record
-
-
 def _has_free_slots(
     record: TargetRecord, request: PlacementRequest, now_s: float
 ) -> bool:
@@ -267,14 +238,39 @@
         state: _ServiceState,
         request: PlacementRequest,
         domains: Mapping[str, Domain],
+        has_token: TargetFilter,
         now_s: float,
     ) -> None:
         self._state = state
+        self._has_token = has_token
         self._request = request
         self._domains = domains
         self._now_s = now_s
         self._available: dict[str, AvailableTargets] = {}
 
+    def find_restricted(self) -> Iterator[TargetRecord]:
+        """Yield the region's targets that get requests without being homes.
+
+        These are cold and tight targets that have free slots.
+        """
+        request, now_s = self._request, self._now_s
+        for domain in self._domains.values():
+            if domain.region != request.region:
+                continue
+            excluded_tight_ids: Collection[str] = ()
+            if request.tight_ids:
+                excluded_ids = self._available_in(domain).excluded_ids
+                excluded_tight_ids = excluded_ids.intersection(
+                    request.tight_ids
+                )
+            for record in domain.records:
+                is_restricted = (
+                    now_s < record.cold_until_s
+                    or record.target_id in excluded_tight_ids
+                )
+                if is_restricted and _has_free_slots(record, request, now_s):
+                    yield record
+
     def choose(self, own_domain: str) -> Choice | None:
         """Return the choice; `own_domain` is the domain of the entry VM."""
         if not any(
@@ -306,7 +302,8 @@
                 domain,
                 self._now_s,
                 self._request.vm_count,
-                self._request.limited_ids,
+                self._request.closed_ids,
+                self._request.tight_ids,
             )
             self._available[domain.name] = found
         return found
@@ -392,12 +389,17 @@
             max_wait_s -= CROSS_REGION_RTT_S
         warm_s = request.durations.warm_s
         first = available.domain.by_id[home.first]
-        if first.target_id not in request.tried:
+        is_first_open = self._is_open(first)
+        if first.target_id not in request.tried and is_first_open:
             wait_s = self._wait_s(first, available.unreported_load)
             if wait_s is not None and wait_s <= max_wait_s:
                 return Choice(first, wait_s, warm_s, f"home in {name}")
         second = available.domain.by_id.get(home.second or "")
-        if second is None or second.target_id in request.tried:
+        if (
+            second is None
+            or second.target_id in request.tried
+            or not self._is_open(second)
+        ):
             return None
         if request.object_id in second.warm_objects:
             wait_s = self._wait_s(second, available.unreported_load)
@@ -406,7 +408,10 @@
             return None
         load = second.load(self._now_s, available.unreported_load)
         has_free_slots = load < second.announced.slots * MAX_TARGET_UTILIZATION
-        has_headroom = available.utilization < MAX_DOMAIN_UTILIZATION
+        # A home that has reached its limit leaves no other choice.
+        has_headroom = (
+            available.utilization < MAX_DOMAIN_UTILIZATION or not is_first_open
+        )
         if not (has_free_slots and has_headroom) or second.is_paused(
             self._now_s
         ):
@@ -415,6 +420,11 @@
             second, 0.0, request.durations.cold_s, f"new second in {name}"
         )
 
+    def _is_open(self, record: TargetRecord) -> bool:
+        """Return whether a target's limit, if any, allows the request."""
+        is_limited = record.target_id in self._request.limited_ids
+        return not is_limited or self._has_token(record)
+
     def _wait_s(
         self, record: TargetRecord, unreported_load: float
     ) -> float | None:
--- a/src/wigeonford/steer/_senders.py
+++ b/src/wigeonford/steer/_senders.py
@@ -32,11 +32,12 @@
     With `far`, they are those that are ready in other regions.
     """
     ready = [status for status in entries if status.is_ready]
-    nearby = [status for status in ready if status.region == record.region]
-    if far:
-        nearby = [status for status in ready if status.region != record.region]
+    near = [status for status in ready if status.region == record.region]
+    distant = [status for status in ready if status.region != record.region]
+    if not near:
+        near, distant = distant, []
     ranked = sorted(
-        nearby or ready,
+        distant if far else near,
         key=lambda status: (
             status.availability_zone == record.zone,
             rank_score(record.target_id, status.name),
@@ -94,15 +95,19 @@
     of all senders together stay below the rate in the first second too.
     """
 
-    def __init__(self, max_tokens: float = 1.0) -> None:
-        self._max_tokens = max_tokens
+    def __init__(self) -> None:
         self._buckets: dict[str, _Bucket] = {}
 
     def has_token(
-        self, target_id: str, rate_per_s: float, now_s: float
+        self,
+        target_id: str,
+        rate_per_s: float,
+        now_s: float,
+        max_tokens: float = 1.0,
     ) -> bool:
         """Return whether a request may be sent; `spend` takes the token."""
-        return self._refill(target_id, rate_per_s, now_s).tokens >= 1.0
+        bucket = self._refill(target_id, rate_per_s, now_s, max_tokens)
+        return bucket.tokens >= 1.0
 
     def idle_s(self, target_id: str, now_s: float) -> float:
         """Return for how long a token has been waiting, 0 without one."""
@@ -111,8 +116,11 @@
 
     def wait_s(self, target_id: str, rate_per_s: float, now_s: float) -> float:
         """Return how long until there is a token."""
-        bucket = self._refill(target_id, rate_per_s, now_s)
-        return max(0.0, 1.0 - bucket.tokens) / rate_per_s
+        bucket = self._buckets.get(target_id)
+        if bucket is None:
+            return 1.0 / rate_per_s
+        tokens = bucket.tokens + (now_s - bucket.at_s) * rate_per_s
+        return max(0.0, 1.0 - tokens) / rate_per_s
 
     def spend(self, target_id: str) -> None:
         """Take a token for a request that is sent."""
@@ -128,7 +136,11 @@
             self._buckets.pop(target_id, None)
 
     def _refill(
-        self, target_id: str, rate_per_s: float, now_s: float
+        self,
+        target_id: str,
+        rate_per_s: float,
+        now_s: float,
+        max_tokens: float,
     ) -> _Bucket:
         bucket = self._buckets.get(target_id)
         if bucket is None:
@@ -136,6 +148,6 @@
         tokens = bucket.tokens + (now_s - bucket.at_s) * rate_per_s
         if bucket.tokens < 1.0 <= tokens:
             bucket.ready_since_s = now_s - (tokens - 1.0) / rate_per_s
-        bucket.tokens = min(self._max_tokens, tokens)
+        bucket.tokens = min(max_tokens, tokens)
         bucket.at_s = now_s
         return bucket
--- a/src/wigeonford/steer/_target_choice.py
+++ b/src/wigeonford/steer/_target_choice.py
@@ -101,36 +101,52 @@
             frozenset(ctx.tried),
             self._neighbours.count(),
             self._target_limits.limited_ids,
+            *self._classify_limited(ctx, now_s),
         )
         records = self._target_records.targets_of(ctx.service)
 
-        def may_use_restricted(record: TargetRecord) -> bool:
-            return self._may_use_restricted(
-                ctx,
-                record,
-                now_s,
-                lambda: (
-                    request.object_id in record.warm_objects
-                    or self._placement.is_home(
-                        record, records, request, view.evacuated
-                    )
-                ),
-            )
+        def has_token(record: TargetRecord) -> bool:
+            return self._target_limits.has_token(record, now_s)
 
         choice = self._placement.choose(
-            records, request, view.evacuated, may_use_restricted, now_s
+            records,
+            request,
+            view.evacuated,
+            lambda record: self._may_use_restricted(ctx, record, now_s),
+            now_s,
+            has_token,
         )
         if choice is not None or not request.limited_ids:
             return choice
         # No other target has free capacity.
-        return self._placement.choose_restricted(
-            records,
-            request,
-            view.evacuated,
-            lambda record: self._may_use_restricted(
-                ctx, record, now_s, lambda: True
+        return self._placement.choose_limited(
+            records, request, view.evacuated, has_token, now_s
+        )
+
+    def _classify_limited(
+        self, ctx: RequestContext, now_s: float
+    ) -> tuple[frozenset[str], frozenset[str]]:
+        """Return the ids of the closed and of the tight targets."""
+        limits = self._target_limits
+        if not limits.limited_ids:
+            return frozenset(), frozenset()
+        warm_s = self._stats_of(ctx.route).warm_s
+        limited = [
+            record
+            for record in self._target_records.targets_of(ctx.service)
+            if record.target_id in limits.limited_ids
+        ]
+        return (
+            frozenset(
+                record.target_id
+                for record in limited
+                if not limits.is_sender(record, now_s)
+            ),
+            frozenset(
+                record.target_id
+                for record in limited
+                if limits.is_tight(record, warm_s)
             ),
-            now_s,
         )
 
     def _max_wait_s(self, ctx: RequestContext, now_s: float) -> float:
@@ -144,20 +160,23 @@
         return max(MIN_WAIT_FRACTION * stats.warm_s, spare_s)
 
     def _may_use_restricted(
-        self,
-        ctx: RequestContext,
-        record: TargetRecord,
-        now_s: float,
-        is_preferred: Callable[[], bool],
+        self, ctx: RequestContext, record: TargetRecord, now_s: float
     ) -> bool:
-        """Return whether a cold or limited target may get the request."""
+        """Return whether a cold or tight target may get the request.
+
+        A tight one gets requests for objects that it remembers, and any once
+        a token is idle.
+        """
         if record.is_cold(now_s) and not self._may_use_cold(
             ctx, record, now_s
         ):
             return False
-        if record.target_id not in self._target_limits.limited_ids:
+        if not self.is_limited(record):
             return True
-        return self._target_limits.may_send(record, now_s, is_preferred)
+        return self._target_limits.has_token(record, now_s) and (
+            ctx.req.object_id in record.warm_objects
+            or self._target_limits.is_token_idle(record, now_s)
+        )
 
     def _may_use_cold(
         self, ctx: RequestContext, record: TargetRecord, now_s: float
--- a/src/wigeonford/steer/_target_limits.py
+++ b/src/wigeonford/steer/_target_limits.py
@@ -25,11 +25,25 @@
 
 MIN_SENDERS: Final = 2
 """Entry VMs that send to a limited target at least; one may fail."""
-SENDER_RATE_PER_S: Final = 1.0
-"""Rate of a limit for each entry VM that sends."""
+SENDERS_PER_LIMIT: Final = 2.0
+"""Entry VMs that send, for each request per second of the limit."""
+SAVED_PER_LIMIT: Final = 2.0
+SAVED_TOKENS: Final = 3.0
+"""Tokens that all entry VMs together may save while no request comes:
+`SAVED_PER_LIMIT` for each request per second of the limit, and
+`SAVED_TOKENS`. They add to the requests of a window. Each VM that sends saves
+one at least."""
 MAX_SAVED_TOKENS: Final = 2.0
-"""Tokens that an entry VM saves while no request for the target comes. Those
-of all senders add to the requests of a window."""
+"""Tokens that one entry VM may save."""
+FAR_FRACTION: Final = 0.4
+"""Fraction of a limit for entry VMs of other regions, whose requests come
+while their own region is full."""
+FAR_MIN_LIMIT_PER_S: Final = 5.0
+"""Limit from which they get that fraction. Of a lower one, it is too little to
+be used."""
+TIGHT_UTILIZATION: Final = 0.25
+"""Utilization of a target's slots that its limit has to allow. With a tighter
+one, most requests for the objects at home there would go elsewhere."""
 CUT_OFF_FRACTION: Final = 0.5
 """Fraction of its part that an entry VM uses while it reaches no control
 replica: others may have been selected in its place."""
@@ -65,6 +79,13 @@
     report_sequence: int = 0
 
 
+class _Part(msgspec.Struct, frozen=True):
+    """Hold this VM's part of a limit, and the tokens that it may save."""
+
+    rate_per_s: float
+    max_tokens: float
+
+
 class TargetLimits:
     """Hold the targets' limits, and this VM's part of each rate.
 
@@ -82,7 +103,7 @@
         self._name = name
         self._is_connected = is_connected
         self._ranking = SenderRanking(entries)
-        self._buckets = TargetBuckets(MAX_SAVED_TOKENS)
+        self._buckets = TargetBuckets()
         self._states: dict[str, _LimitState] = {}
         self._limited: dict[str, float] = {}
         self.sequence = 0
@@ -201,27 +222,34 @@
         self._limited.pop(target_id, None)
         self._buckets.remove((target_id,))
 
-    def may_send(
-        self,
-        record: TargetRecord,
-        now_s: float,
-        is_preferred: Callable[[], bool],
-    ) -> bool:
-        """Return whether a request may be sent to a limited target now.
+    def is_tight(self, record: TargetRecord, duration_s: float) -> bool:
+        """Return whether a limit is far below what a target could serve.
 
-        A request that is not preferred may only use a token that has waited
-        for `IDLE_TOKEN_S`. `is_preferred` is called only if there is a token.
+        `duration_s` is how long it takes to serve a request.
         """
-        rate_per_s = self._own_rate_per_s(record, now_s)
-        if rate_per_s <= 0.0:
+        served_per_s = record.announced.slots / max(0.001, duration_s)
+        limit_per_s = self._used_rate_per_s(record.target_id)
+        return limit_per_s < TIGHT_UTILIZATION * served_per_s
+
+    def is_sender(self, record: TargetRecord, now_s: float) -> bool:
+        """Return whether this VM may send to a limited target at all."""
+        return self._own_part(record, now_s).rate_per_s > 0.0
+
+    def has_token(self, record: TargetRecord, now_s: float) -> bool:
+        """Return whether a request may be sent to a limited target now."""
+        part = self._own_part(record, now_s)
+        if part.rate_per_s <= 0.0:
             # A VM that is selected again starts with an empty bucket.
             self._buckets.remove((record.target_id,))
             return False
-        target_id = record.target_id
-        if not self._buckets.has_token(target_id, rate_per_s, now_s):
-            return False
-        is_idle = self._buckets.idle_s(target_id, now_s) >= IDLE_TOKEN_S
-        return is_idle or is_preferred()
+        return self._buckets.has_token(
+            record.target_id, part.rate_per_s, now_s, part.max_tokens
+        )
+
+    def is_token_idle(self, record: TargetRecord, now_s: float) -> bool:
+        """Return whether a token has waited for `IDLE_TOKEN_S`."""
+        idle_s = self._buckets.idle_s(record.target_id, now_s)
+        return idle_s >= IDLE_TOKEN_S
 
     def spend(self, target_id: str) -> None:
         """Take a token for a request that is sent to a limited target."""
@@ -233,7 +261,7 @@
         At another entry VM than this one, a caller finds room after about as
         long as the whole limit takes for one request.
         """
-        rate_per_s = self._own_rate_per_s(record, now_s)
+        rate_per_s = self._own_part(record, now_s).rate_per_s
         if rate_per_s > 0.0:
             return self._buckets.wait_s(record.target_id, rate_per_s, now_s)
         return 1.0 / self._used_rate_per_s(record.target_id)
@@ -241,26 +269,46 @@
     def _used_rate_per_s(self, target_id: str) -> float:
         return max(MIN_LIMIT_PER_S, self._limited[target_id])
 
-    def _own_rate_per_s(self, record: TargetRecord, now_s: float) -> float:
-        """Return this VM's part of a target's limit, 0 for none."""
+    def _own_part(self, record: TargetRecord, now_s: float) -> _Part:
+        """Return this VM's part of a target's limit."""
         target_id = record.target_id
-        ranks = self._ranking.ranks(record, now_s)
-        if not ranks:
-            return 0.0
-        wanted = math.ceil(self._limited[target_id] / SENDER_RATE_PER_S)
-        senders = min(len(ranks), max(MIN_SENDERS, wanted))
-        age_s = now_s - self._states[target_id].limit.observed_at_s
+        limit_per_s = self._used_rate_per_s(target_id)
+        max_saved = SAVED_PER_LIMIT * limit_per_s + SAVED_TOKENS
+        near = self._ranking.ranks(record, now_s)
+        wanted = math.ceil(SENDERS_PER_LIMIT * limit_per_s)
+        near_count = min(len(near), max(MIN_SENDERS, wanted))
+        far: Mapping[str, int] = {}
+        if limit_per_s >= FAR_MIN_LIMIT_PER_S:
+            far = self._ranking.ranks(record, now_s, far=True)
+        far_count = min(len(far), int(max_saved) - near_count)
+        near_per_s = limit_per_s * (1 - FAR_FRACTION if far_count else 1.0)
+        max_tokens = max_saved / max(1, near_count + far_count)
+        rate_per_s = 0.0
+        if self._name in near:
+            age_s = now_s - self._states[target_id].limit.observed_at_s
+            if near[self._name] < near_count + _further_senders(age_s):
+                rate_per_s = near_per_s / near_count
+        elif far.get(self._name, far_count) < far_count:
+            rate_per_s = limit_per_s * FAR_FRACTION / far_count
+        elif near_count and self._may_ask_from_afar(record, now_s):
+            rate_per_s = near_per_s / near_count
+        if not self._is_connected():
+            rate_per_s *= CUT_OFF_FRACTION
+        return _Part(rate_per_s, min(MAX_SAVED_TOKENS, max(1.0, max_tokens)))
+
+    def _may_ask_from_afar(self, record: TargetRecord, now_s: float) -> bool:
+        """Return whether a VM of another region asks if a limit still holds.
+
+        Those of the target's region come first.
+        """
+        age_s = now_s - self._states[record.target_id].limit.observed_at_s
         further = _further_senders(age_s)
-        is_connected = self._is_connected()
-        rank = ranks.get(self._name)
-        if rank is None and further and is_connected:
-            far_ranks = self._ranking.ranks(record, now_s, far=True)
-            far_rank = far_ranks.get(self._name)
-            rank = None if far_rank is None else len(ranks) + far_rank
-        if rank is None or rank >= senders + further:
-            return 0.0
-        part_per_s = self._used_rate_per_s(target_id) / senders
-        return part_per_s if is_connected else part_per_s * CUT_OFF_FRACTION
+        if not further or not self._is_connected():
+            return False
+        near_count = len(self._ranking.ranks(record, now_s))
+        far = self._ranking.ranks(record, now_s, far=True)
+        rank = far.get(self._name)
+        return rank is not None and near_count + rank < further
 
 
 def _further_senders(age_s: float) -> int:
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -121,15 +121,15 @@
     Mutation(
         "LIMIT_OVER_ALL_VMS",
         "steer/_target_limits.py",
-        "        part_per_s = self._used_rate_per_s(target_id) / senders\n",
-        "        part_per_s = self._used_rate_per_s(target_id)\n",
+        "                rate_per_s = near_per_s / near_count\n",
+        "                rate_per_s = near_per_s\n",
         ("tests.test_target_limits",),
     ),
     Mutation(
         "LIMIT_KEPT_BY_EACH_VM",
         "steer/_target_limits.py",
-        "        if rank is None or rank >= senders + further:\n",
-        "        if rank is None:\n",
+        "< near_count + _further_senders(age_s):\n",
+        "< len(near):\n",
         ("tests.test_target_limits",),
     ),
     Mutation(
