Use idle tokens where not all VMs near a limited target may send

With 70 VMs and a limit of 5, the target got 0.67 a second: it stayed the home of its objects, and of the VMs that get their requests few may send.

--- a/src/wigeonford/steer/_target_choice.py
+++ b/src/wigeonford/steer/_target_choice.py
@@ -145,7 +145,7 @@
             frozenset(
                 record.target_id
                 for record in limited
-                if limits.is_tight(record, warm_s)
+                if limits.is_tight(record, warm_s, now_s)
             ),
         )
 
--- a/src/wigeonford/steer/_target_limits.py
+++ b/src/wigeonford/steer/_target_limits.py
@@ -222,14 +222,21 @@
         self._limited.pop(target_id, None)
         self._buckets.remove((target_id,))
 
-    def is_tight(self, record: TargetRecord, duration_s: float) -> bool:
-        """Return whether a limit is far below what a target could serve.
+    def is_tight(
+        self, record: TargetRecord, duration_s: float, now_s: float
+    ) -> bool:
+        """Return whether a limit leaves most requests of objects unserved.
 
-        `duration_s` is how long it takes to serve a request.
+        That is so if the limit is far below what the target could serve, or
+        if not all entry VMs near it may send. `duration_s` is how long it
+        takes to serve a request.
         """
         served_per_s = record.announced.slots / max(0.001, duration_s)
         limit_per_s = self._used_rate_per_s(record.target_id)
-        return limit_per_s < TIGHT_UTILIZATION * served_per_s
+        if limit_per_s < TIGHT_UTILIZATION * served_per_s:
+            return True
+        near = self._ranking.ranks(record, now_s)
+        return _count_near_senders(limit_per_s) < len(near)
 
     def is_sender(self, record: TargetRecord, now_s: float) -> bool:
         """Return whether this VM may send to a limited target at all."""
@@ -275,8 +282,7 @@
         limit_per_s = self._used_rate_per_s(target_id)
         max_saved = SAVED_PER_LIMIT * limit_per_s + SAVED_TOKENS
         near = self._ranking.ranks(record, now_s)
-        wanted = math.ceil(SENDERS_PER_LIMIT * limit_per_s)
-        near_count = min(len(near), max(MIN_SENDERS, wanted))
+        near_count = min(len(near), _count_near_senders(limit_per_s))
         far: Mapping[str, int] = {}
         if limit_per_s >= FAR_MIN_LIMIT_PER_S:
             far = self._ranking.ranks(record, now_s, far=True)
@@ -311,6 +317,11 @@
         return rank is not None and near_count + rank < further
 
 
+def _count_near_senders(limit_per_s: float) -> int:
+    """Return how many entry VMs of a target's region may send."""
+    return max(MIN_SENDERS, math.ceil(SENDERS_PER_LIMIT * limit_per_s))
+
+
 def _further_senders(age_s: float) -> int:
     """Return how many more entry VMs send, by an observation's age."""
     if age_s < UNCONFIRMED_S:
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -144,7 +144,7 @@
         self.in_time = sum(took_s <= OBJECTIVE_S for took_s in durations_s)
 
     def test_limited_target_gets_work_near_its_limit(self) -> None:
-        for vms, limit_per_s in ((6, 1.2), (6, 3.0), (20, 1.2)):
+        for vms, limit_per_s in ((6, 1.2), (6, 3.0), (20, 1.2), (20, 5.0)):
 
             async def limit(
                 fleet: LimitedFleet, limit_per_s: float = limit_per_s
