--- a/src/wigeonford/steer/_target_limits.py
+++ b/src/wigeonford/steer/_target_limits.py
@@ -284,7 +284,7 @@
         near = self._ranking.ranks(record, now_s)
         near_count = min(len(near), _count_near_senders(limit_per_s))
         far: Mapping[str, int] = {}
-        if limit_per_s >= FAR_MIN_LIMIT_PER_S:
+        if near_count == len(near) and limit_per_s >= FAR_MIN_LIMIT_PER_S:
             far = self._ranking.ranks(record, now_s, far=True)
         far_count = min(len(far), int(max_saved) - near_count)
         near_per_s = limit_per_s * (1 - FAR_FRACTION if far_count else 1.0)
