Leave cold targets out where only limited ones have room

A target that is cold and limited was chosen past its cold rate if no other target had room for a request. The new test fails without the check.

--- a/src/wigeonford/steer/_placement.py
+++ b/src/wigeonford/steer/_placement.py
@@ -166,7 +166,7 @@
     ) -> Choice | None:
         """Return any limited target that accepts a request now, or None.
 
-        Those of the own region come first.
+        Those of the own region come first. Cold ones are left out.
         """
         state = self._state_of(request.service)
         domains = _group(state, records, request, evacuated)
@@ -177,6 +177,7 @@
                 for record in domain.records:
                     if (
                         record.target_id in request.limited_ids
+                        and now_s >= record.cold_until_s
                         and _has_free_slots(record, request, now_s)
                         and has_token(record)
                     ):
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -27,6 +27,7 @@
 )
 from wigeonford.steer import TargetLimits
 from wigeonford.steer._domains import Domain, find_available
+from wigeonford.steer._placement import Durations, Placement, PlacementRequest
 from wigeonford.steer._retry_after import capacity_wait_s
 from wigeonford.steer._target_limits import (
     MAX_SAVED_TOKENS,
@@ -542,6 +543,37 @@
         self.assertEqual(0.1, capacity_wait_s(records[:1], 0.3, 1.0, waits_s))
 
 
+class ColdAndLimitedTest(unittest.TestCase):
+    """A target that is cold and limited gets requests within both rates."""
+
+    def test_limited_target_that_is_cold_is_no_last_resort(self) -> None:
+        records = make_records(2, 4, "south")
+        ids = frozenset(record.target_id for record in records)
+        request = PlacementRequest(
+            "reads",
+            "object-1",
+            "south-a",
+            "south",
+            1500.0,
+            Durations(0.264, 0.88),
+            0.3,
+            limited_ids=ids,
+            tight_ids=ids,
+        )
+        placement = Placement()
+        for cold_until_s, is_chosen in ((0.0, True), (5.0, False)):
+            for record in records:
+                record.cold_until_s = cold_until_s
+            limited = placement.choose_limited(
+                records, request, frozenset(), lambda _: True, 1.0
+            )
+            self.assertEqual(is_chosen, limited is not None)
+            choice = placement.choose(
+                records, request, frozenset(), lambda _: False, 1.0
+            )
+            self.assertEqual(is_chosen, choice is not None)
+
+
 class StatedLimitsTest(unittest.TestCase):
     """Replicas and entry VMs keep the latest observation of each target."""
 
