Count why callers' connections end, log requests left without a response

Event 204 names a request whose connection the VM closed unanswered, its reason, its unread bytes and whether the VM was stopping; wigeonford_connection_ends_total and wigeonford_unanswered_requests_total count the reasons. Event 201 names the request too. No logic changes.

--- a/src/wigeonford/_compose_steer_entry.py
+++ b/src/wigeonford/_compose_steer_entry.py
@@ -109,7 +109,13 @@
         rng,
     )
     follower.add_view_listener(forwarder.drop_removed_targets)
-    front_server = HttpServer(build_caller_api(forwarder), CallerLimits(), log)
+    front_server = HttpServer(
+        build_caller_api(forwarder),
+        CallerLimits(),
+        log,
+        wire.find_request_id,
+        metrics.count_connection_end,
+    )
     ready_server = HttpServer(
         build_lookup_api(follower, readiness), CallerLimits(), log
     )
--- a/src/wigeonford/compose.py
+++ b/src/wigeonford/compose.py
@@ -33,6 +33,7 @@
     QuotaClient,
     RegionalDispatcher,
     RegionPeers,
+    REQUEST_ID_HEADER,
     SlotCapacity,
     SlotTable,
     SpreadShape,
@@ -41,7 +42,7 @@
 )
 from wigeonford.events import Event, EventLog
 from wigeonford.fleet import BudgetService, ControlService, OperatorApi
-from wigeonford.http import HttpServer
+from wigeonford.http import find_header, HttpServer
 from wigeonford.invariants import Checks
 from wigeonford.messages.object import Member
 from wigeonford.metrics import Metrics
@@ -223,7 +224,13 @@
         link_leases,
         dispatcher,
         front,
-        HttpServer(front.handle, cfg.limits, log),
+        HttpServer(
+            front.handle,
+            cfg.limits,
+            log,
+            lambda headers: find_header(headers, REQUEST_ID_HEADER) or "",
+            metrics.count_connection_end,
+        ),
         PeerServer(cfg.secrets.peer, log),
         control,
         checks,
--- a/src/wigeonford/entry/__init__.py
+++ b/src/wigeonford/entry/__init__.py
@@ -4,7 +4,7 @@
 from wigeonford.entry._config import ConfigFollower
 from wigeonford.entry._daemon import Announcer, DRAIN_LINGER_S, EntryDaemon
 from wigeonford.entry._decisions import DecisionRing
-from wigeonford.entry._dispatch import Dispatcher
+from wigeonford.entry._dispatch import Dispatcher, REQUEST_ID_HEADER
 from wigeonford.entry._fair_queue import DispatchGate
 from wigeonford.entry._front import Announcement, FrontEnd
 from wigeonford.entry._hop import HopReceiver, SlotCapacity
@@ -73,6 +73,7 @@
     "Ranking",
     "RegionPeers",
     "RegionalDispatcher",
+    "REQUEST_ID_HEADER",
     "SlotCapacity",
     "SlotTable",
     "SpreadShape",
--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -62,6 +62,12 @@
         203, "a handler raised an unexpected error", logging.ERROR
     )
 
+    REQUEST_UNANSWERED = _event(
+        204,
+        "closed a caller's connection without a response to its request",
+        logging.WARNING,
+    )
+
     SHIFT_PAUSED = _event(
         210,
         "paused a traffic shift because its new side performs worse",
--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -7,6 +7,7 @@
     Awaitable,
     Callable,
 )
+from enum import StrEnum
 from typing import Final, Protocol
 
 import h11
@@ -29,6 +30,20 @@
 is stopping."""
 
 Handler = Callable[[Request], Awaitable[Response]]
+FindRequestId = Callable[[Headers], str]
+
+
+class ConnectionEnd(StrEnum):
+    """Say why a caller's connection ended."""
+
+    CALLER_LEFT = "caller-left"
+    IDLE = "idle"
+    RESPONDED = "responded"
+    REJECTED = "rejected"
+    CALLER_STALLED = "caller-stalled"
+    RESPONSE_BROKEN = "response-broken"
+    STOPPED = "stopped"
+    FAILED = "failed"
 
 
 class ResponseBroken(Exception):
@@ -47,6 +62,7 @@
     log: EventLog
     is_draining: bool
     closing: bool
+    find_request_id: FindRequestId
 
     @staticmethod
     def caller_host(writer: asyncio.StreamWriter) -> str:
@@ -69,7 +85,9 @@
             h11.SERVER, max_incomplete_event_size=server.limits.head_bytes
         )
         self._idle_timeout: asyncio.Timeout | None = None
+        self._request: Request | None = None
         self.is_busy = False
+        self.end = ConnectionEnd.CALLER_LEFT
 
     @property
     def _limits(self) -> CallerLimits:
@@ -82,7 +100,7 @@
         method is cancelled, and with it the work on the request.
         """
         while True:
-            request = await self._read_request()
+            self._request = request = await self._read_request()
             if request is None:
                 return
             self._watch_caller(request)
@@ -91,7 +109,9 @@
             finally:
                 self._reader.on_closed = None
             if not self._start_next_cycle():
+                self.end = ConnectionEnd.RESPONDED
                 return
+            self._request = None
             self.is_busy = False
 
     def _watch_caller(self, request: Request) -> None:
@@ -140,6 +160,44 @@
         """Return whether the caller may still be sending a request."""
         return self._http.their_state in (h11.SEND_BODY, h11.ERROR)
 
+    @property
+    def has_caller_left(self) -> bool:
+        """Return whether the caller has closed the connection."""
+        return self._reader.is_closed
+
+    @property
+    def is_response_complete(self) -> bool:
+        """Return whether the last response was written to its end."""
+        return self._http.our_state in (
+            h11.DONE,
+            h11.MUST_CLOSE,
+            h11.CLOSED,
+        )
+
+    @property
+    def unread_bytes(self) -> int:
+        """Return how many received bytes no request has used."""
+        return self._reader.unread_bytes + len(self._http.trailing_data[0])
+
+    @property
+    def is_unanswered(self) -> bool:
+        """Return whether the caller waits for a response.
+
+        Bytes that have not been read may be a whole request.
+        """
+        if self.has_caller_left:
+            return False
+        if self._request is not None:
+            return not self.is_response_complete
+        return self.unread_bytes > 0 and not self.is_response_complete
+
+    @property
+    def request_id(self) -> str:
+        """Return the id of the request that is being served, if any."""
+        if self._request is None:
+            return ""
+        return self._server.find_request_id(self._request.headers)
+
     async def send_error(self, exc: WigeonfordError) -> None:
         """Send an error response that announces the close."""
         response = error_response(exc)
@@ -194,6 +252,7 @@
             async with asyncio.timeout(wait_s) as self._idle_timeout:
                 data = await self._reader.read(READ_BYTES)
         except TimeoutError:
+            self.end = ConnectionEnd.IDLE
             return False
         finally:
             self._idle_timeout = None
--- a/src/wigeonford/http/_reader.py
+++ b/src/wigeonford/http/_reader.py
@@ -15,6 +15,11 @@
         self.on_closed: Callable[[], object] | None = None
         self._unread_bytes = 0
 
+    @property
+    def unread_bytes(self) -> int:
+        """Return how many received bytes have not been read yet."""
+        return self._unread_bytes
+
     @property
     def has_unread_bytes(self) -> bool:
         """Return whether received bytes have not been read yet."""
--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -1,7 +1,8 @@
 """HTTP/1.1 server with one task per connection."""
 
 import asyncio
-from collections import Counter
+import collections
+from collections.abc import Callable
 import ssl
 from typing import Final
 
@@ -12,11 +13,14 @@
 from wigeonford.http._connection import (
     CallerConnection,
     CallerStalled,
+    ConnectionEnd,
+    FindRequestId,
     Handler,
     READ_BYTES,
     ResponseBroken,
 )
 from wigeonford.http._reader import WatchedReader
+from wigeonford.http._types import Headers
 from wigeonford.settings import Address, CallerLimits
 
 ACCEPT_LOOP_ITERATIONS: Final = 2
@@ -27,20 +31,37 @@
 DISCARD_REJECTED_TIMEOUT_S: Final = 0.5
 
 
+def _no_request_id(_headers: Headers) -> str:
+    return ""
+
+
 class HttpServer:
-    """Accept connections and pass each request to a handler."""
+    """Accept connections and pass each request to a handler.
+
+    `count_end` is called when a connection ends, with the reason and whether
+    a caller was left without a response.
+    """
 
     def __init__(
-        self, handler: Handler, limits: CallerLimits, log: EventLog
+        self,
+        handler: Handler,
+        limits: CallerLimits,
+        log: EventLog,
+        find_request_id: FindRequestId = _no_request_id,
+        count_end: Callable[[str, bool], None] = lambda _end, _lost: None,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.log = log
+        self.find_request_id = find_request_id
+        self._count_end = count_end
         self.is_draining = False
         self.closing = False
         self._server: asyncio.Server | None = None
         self._tasks: dict[asyncio.Task[None], CallerConnection] = {}
-        self._connections_by_host: Counter[str] = Counter()
+        self._connections_by_host: collections.Counter[str] = (
+            collections.Counter()
+        )
 
     async def start(
         self, address: Address, context: ssl.SSLContext | None = None
@@ -128,23 +149,45 @@
             if conn.has_unread_request:
                 await conn.discard(DISCARD_TIMEOUT_S)
         except RequestRejected as exc:
+            conn.end = ConnectionEnd.REJECTED
             self.log.emit(Event.REQUEST_REFUSED, code=exc.code.number)
             await self._reject(conn, exc)
-        except (asyncio.CancelledError, ConnectionError, TimeoutError):
-            pass
+        except asyncio.CancelledError:
+            if not conn.has_caller_left:
+                conn.end = ConnectionEnd.STOPPED
+        except (ConnectionError, TimeoutError):
+            conn.end = ConnectionEnd.CALLER_LEFT
+        except BaseException:
+            conn.end = ConnectionEnd.FAILED
+            raise
         finally:
+            self._record_end(conn)
             del self._tasks[task]
             self._connections_by_host[host] -= 1
             if not self._connections_by_host[host]:
                 del self._connections_by_host[host]
             writer.close()
 
+    def _record_end(self, conn: CallerConnection) -> None:
+        """Count why a connection ended; log a caller left without response."""
+        is_unanswered = conn.is_unanswered
+        self._count_end(conn.end.value, is_unanswered)
+        if is_unanswered:
+            self.log.emit(
+                Event.REQUEST_UNANSWERED,
+                request=conn.request_id,
+                reason=conn.end.value,
+                unread_bytes=conn.unread_bytes,
+                stopping=self.closing,
+            )
+
     async def _serve(self, conn: CallerConnection) -> None:
         try:
             await conn.serve()
         except RequestRejected:
             raise
         except CallerStalled:
+            conn.end = ConnectionEnd.CALLER_STALLED
             self.log.emit(
                 Event.CALLER_STALLED, code=Code.CALLER_STALLED.number
             )
@@ -153,7 +196,12 @@
             WigeonfordError,
             h11.LocalProtocolError,
         ) as exc:
-            self.log.emit(Event.REQUEST_ABORTED, detail=str(exc))
+            conn.end = ConnectionEnd.RESPONSE_BROKEN
+            self.log.emit(
+                Event.REQUEST_ABORTED,
+                request=conn.request_id,
+                detail=str(exc),
+            )
 
     async def _reject(
         self, conn: CallerConnection, exc: RequestRejected
--- a/src/wigeonford/metrics.py
+++ b/src/wigeonford/metrics.py
@@ -43,6 +43,17 @@
             "by service",
             registry=self._registry,
         )
+        self.connection_ends = Counter(
+            "wigeonford_connection_ends_total",
+            "Callers' connections that ended, by reason",
+            registry=self._registry,
+        )
+        self.unanswered_requests = Counter(
+            "wigeonford_unanswered_requests_total",
+            "Requests whose connection this VM closed without a response, by "
+            "reason",
+            registry=self._registry,
+        )
         self.revision = Gauge(
             "wigeonford_config_revision",
             "Revision of the configuration in force",
@@ -79,6 +90,12 @@
         labels = {"account": account, "class": request_class}
         self.latency_s.observe(labels, seconds)
 
+    def count_connection_end(self, reason: str, is_unanswered: bool) -> None:
+        """Count a connection that ended, and a request without a response."""
+        self.connection_ends.inc({"reason": reason})
+        if is_unanswered:
+            self.unanswered_requests.inc({"reason": reason})
+
     def count_result(self, account: str, code_number: int) -> None:
         """Count one response by its result code."""
         self.results.inc({"account": account, "code": str(code_number)})
--- a/src/wigeonford/platform/_front.py
+++ b/src/wigeonford/platform/_front.py
@@ -101,6 +101,10 @@
         echoed = find_header(headers, _REQUEST_ID)
         return echoed is None or echoed == req.request_id
 
+    def find_request_id(self, headers: Headers) -> str:
+        """Return the id of a caller's request, empty if it has none."""
+        return find_header(headers, _REQUEST_ID) or ""
+
     def parse_facts(self, response: Response) -> ResponseFacts:
         """Return the facts stated by the head of a response."""
         status = response.status
--- a/src/wigeonford/steer/_request.py
+++ b/src/wigeonford/steer/_request.py
@@ -77,5 +77,8 @@
     def is_response_to(self, req: SteerRequest, headers: Headers) -> bool:
         """Return whether a response belongs to a request."""
 
+    def find_request_id(self, headers: Headers) -> str:
+        """Return the id of a caller's request, empty if it has none."""
+
     def parse_facts(self, response: Response) -> ResponseFacts:
         """Return what the head of a response says."""
--- /dev/null
+++ b/tests/test_connection_ends.py
@@ -0,0 +1,73 @@
+"""Why callers' connections end is counted, and lost requests are logged."""
+
+import asyncio
+from collections import Counter
+import io
+import logging
+import unittest
+
+from wigeonford.events import configure_logging, EventLog
+from wigeonford.http import find_header, Headers, HttpServer, Request, Response
+from wigeonford.settings import Address, CallerLimits
+
+REQUEST = b"GET /%s HTTP/1.1\r\nhost: a\r\nx-id: 7\r\n\r\n"
+
+
+async def _handle(request: Request) -> Response:
+    if request.path == "/hang":
+        await asyncio.sleep(60.0)
+    if request.path == "/invalid":
+        return Response(200, ((b"content-length", b"1"),), b"too long")
+    return Response(200, ((b"content-length", b"2"),), b"ok")
+
+
+def _find_id(headers: Headers) -> str:
+    return find_header(headers, b"x-id") or ""
+
+
+class ConnectionEndsTest(unittest.IsolatedAsyncioTestCase):
+    """Run one server on loopback."""
+
+    async def asyncSetUp(self) -> None:
+        self.logs = io.StringIO()
+        configure_logging(self.logs, logging.INFO)
+        self.ends: Counter[tuple[str, bool]] = Counter()
+        self.server = HttpServer(
+            _handle,
+            CallerLimits(keep_alive_s=0.1),
+            EventLog(),
+            _find_id,
+            lambda reason, lost: self.ends.update([(reason, lost)]),
+        )
+        self.address = await self.server.start(Address())
+        self.addAsyncCleanup(self.server.stop, 0.0)
+
+    async def send(self, path: bytes) -> bytes:
+        """Send one request; return what comes until the connection ends."""
+        reader, writer = await asyncio.open_connection(
+            self.address.host, self.address.port
+        )
+        self.addCleanup(writer.close)
+        writer.write(REQUEST % path)
+        return await reader.read()
+
+    async def test_idle_connection_ends_without_a_lost_request(self) -> None:
+        self.assertIn(b"200", await self.send(b""))
+        self.assertEqual({("idle", False): 1}, self.ends)
+        self.assertNotIn('"number": 204', self.logs.getvalue())
+
+    async def test_request_cut_by_the_server_is_logged_with_its_id(
+        self,
+    ) -> None:
+        sending = asyncio.create_task(self.send(b"hang"))
+        while not any(conn.is_busy for conn in self.server._tasks.values()):
+            await asyncio.sleep(0)
+        await self.server.stop(0.0)
+        await sending
+        self.assertEqual({("stopped", True): 1}, self.ends)
+        self.assertIn('"request": "7"', self.logs.getvalue())
+        self.assertIn('"number": 204', self.logs.getvalue())
+
+    async def test_invalid_response_counts_as_unanswered(self) -> None:
+        await self.send(b"invalid")
+        self.assertEqual({("response-broken", True): 1}, self.ends)
