--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -34,6 +34,10 @@
         """Return the virtual time in seconds."""
         return self._virtual_selector.now_s
 
+    def stall(self, seconds: float) -> None:
+        """Stand still: the clock advances and no callback runs."""
+        self._virtual_selector.now_s += seconds
+
 
 def run_virtual(coroutine: Coroutine[Any, Any, T]) -> T:
     """Run a coroutine on a virtual clock; return its result."""
