Count bytes as in time that arrive before a limit

Callers saw their connection close without an answer, or a 408, for a request that had arrived in time while the process stood still: the timer of the limit and the socket's bytes fell due in one iteration of the event loop, and the timer cancelled the read. The same held for the rest of a head or a body, for the shorter idle time of a stop, and for a response whose caller had read while the process stood still: it was cut off as stalled.

ReadDeadline holds such a limit: once it has passed, the loop polls its sockets again, and reads return what has been received by then, no more. Writes look for progress in the same way. The rate of a body is checked only before a further wait, so a body that has arrived is never too slow.

test_stop_amid_an_idle_timeout reads the timeout inside ReadDeadline now; it checks the same meeting of stop and expiry.

Evidence: of tests.test_caller_ends, the four tests of requests before a limit failed on the code before (b' 200 ' not found in b'' or in b'HTTP/1.1 408'), and so did the new one of a caller that reads amid a stall; all five pass.

--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -14,7 +14,7 @@
 
 from wigeonford.errors import Code, RequestRejected, RunState, WigeonfordError
 from wigeonford.events import Event, EventLog
-from wigeonford.http._reader import WatchedReader
+from wigeonford.http._reader import poll_sockets, ReadDeadline, WatchedReader
 from wigeonford.http._types import (
     error_response,
     find_header,
@@ -84,7 +84,7 @@
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.limits.head_bytes
         )
-        self._idle_timeout: asyncio.Timeout | None = None
+        self._idle_deadline: ReadDeadline | None = None
         self._request: Request | None = None
         self.is_busy = False
         self.end = ConnectionEnd.CALLER_LEFT
@@ -134,11 +134,9 @@
 
     def close_when_idle(self) -> None:
         """Shorten the idle timeout, so that an idle connection closes soon."""
-        # An expired idle timeout can't be rescheduled; it closes the
-        # connection anyway.
-        if self._idle_timeout is not None and not self._idle_timeout.expired():
+        if self._idle_deadline is not None:
             now_s = asyncio.get_running_loop().time()
-            self._idle_timeout.reschedule(now_s + CLOSING_IDLE_S)
+            self._idle_deadline.reschedule(now_s + CLOSING_IDLE_S)
 
     async def discard(self, timeout_s: float) -> None:
         """Read and drop what the caller still sends before the close.
@@ -215,13 +213,12 @@
         return True
 
     async def _next_event(self, timeout_s: float) -> object:
-        deadline_s = asyncio.get_running_loop().time() + timeout_s
+        deadline = _deadline_in(timeout_s)
         while True:
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            async with asyncio.timeout_at(deadline_s):
-                data = await self._reader.read(READ_BYTES)
+            data = await deadline.read(self._reader, READ_BYTES)
             self._http.receive_data(data)
 
     async def _read_request(self) -> Request | None:
@@ -248,14 +245,14 @@
         wait_s = self._limits.keep_alive_s
         if self._server.closing:
             wait_s = CLOSING_IDLE_S
+        self._idle_deadline = _deadline_in(wait_s)
         try:
-            async with asyncio.timeout(wait_s) as self._idle_timeout:
-                data = await self._reader.read(READ_BYTES)
+            data = await self._idle_deadline.read(self._reader, READ_BYTES)
         except TimeoutError:
             self.end = ConnectionEnd.IDLE
             return False
         finally:
-            self._idle_timeout = None
+            self._idle_deadline = None
         self._http.receive_data(data)
         return bool(data)
 
@@ -313,11 +310,15 @@
         size_bytes = 0
         waited_s = 0.0
         while True:
-            started_s = loop.time()
             try:
-                event = await self._next_event(
-                    self._limits.body_idle_timeout_s
-                )
+                event: object = self._http.next_event()
+                if event is h11.NEED_DATA:
+                    self._check_body_rate(size_bytes, waited_s)
+                    started_s = loop.time()
+                    event = await self._next_event(
+                        self._limits.body_idle_timeout_s
+                    )
+                    waited_s += loop.time() - started_s
             except TimeoutError:
                 raise RequestRejected(
                     Code.REQUEST_TIMEOUT, "the request body is incomplete"
@@ -333,8 +334,6 @@
                         Code.BODY_TOO_LARGE,
                         f"over {self._limits.body_bytes} bytes",
                     )
-                waited_s += loop.time() - started_s
-                self._check_body_rate(size_bytes, waited_s)
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 if self._reader.is_closed:
@@ -414,13 +413,24 @@
     async def _write(self, data: bytes | None) -> None:
         if not data:
             return
+        transport = self._writer.transport
         self._writer.write(data)
-        try:
-            async with asyncio.timeout(self._limits.write_timeout_s):
-                await self._writer.drain()
-        except TimeoutError:
-            self._writer.transport.abort()
-            raise CallerStalled from None
+        while True:
+            try:
+                async with asyncio.timeout(self._limits.write_timeout_s):
+                    await self._writer.drain()
+                return
+            except TimeoutError:
+                size_bytes = transport.get_write_buffer_size()
+                await poll_sockets()
+            # The caller may have read while this process stood still.
+            if transport.get_write_buffer_size() >= size_bytes:
+                transport.abort()
+                raise CallerStalled
+
+
+def _deadline_in(timeout_s: float) -> ReadDeadline:
+    return ReadDeadline(asyncio.get_running_loop().time() + timeout_s)
 
 
 def _to_rejection(exc: h11.RemoteProtocolError) -> RequestRejected:
--- a/src/wigeonford/http/_reader.py
+++ b/src/wigeonford/http/_reader.py
@@ -1,8 +1,11 @@
-"""A stream reader that notifies at once when the connection closes."""
+"""A stream reader that notifies of its end, and time limits on its reads."""
 
 import asyncio
 from collections.abc import Callable, Iterable
-from typing import SupportsIndex
+from typing import Final, SupportsIndex
+
+POLL_ITERATIONS: Final = 2
+"""A task may run before the sockets' callbacks of the first iteration."""
 
 
 class WatchedReader(asyncio.StreamReader):
@@ -52,3 +55,51 @@
             self.is_closed = True
             if self.on_closed is not None:
                 self.on_closed()
+
+
+async def poll_sockets() -> None:
+    """Let the event loop read and write what its sockets are ready for."""
+    for _ in range(POLL_ITERATIONS):
+        await asyncio.sleep(0)
+
+
+class ReadDeadline:
+    """A time limit on reads, under which bytes received in time count.
+
+    A process that stands still notices the limit and earlier bytes together,
+    or the limit first. So once the limit has passed, the event loop polls the
+    sockets again, and reads return what has been received by then.
+    """
+
+    def __init__(self, when_s: float) -> None:
+        self._when_s = when_s
+        self._timeout: asyncio.Timeout | None = None
+        self._remaining_bytes: int | None = None
+
+    def reschedule(self, when_s: float) -> None:
+        """Move the limit, unless it has passed."""
+        self._when_s = when_s
+        if self._timeout is not None and not self._timeout.expired():
+            self._timeout.reschedule(when_s)
+
+    async def read(self, reader: WatchedReader, max_bytes: int) -> bytes:
+        """Return bytes, or none at the end; raise `TimeoutError`."""
+        while self._remaining_bytes is None:
+            when_s = self._when_s
+            if asyncio.get_running_loop().time() < when_s:
+                try:
+                    async with asyncio.timeout_at(when_s) as self._timeout:
+                        return await reader.read(max_bytes)
+                except TimeoutError:
+                    pass
+                finally:
+                    self._timeout = None
+            await poll_sockets()
+            if self._when_s <= when_s:
+                self._remaining_bytes = reader.unread_bytes
+        has_ended = reader.at_eof() or reader.exception() is not None
+        if not self._remaining_bytes and not has_ended:
+            raise TimeoutError
+        data = await reader.read(min(max_bytes, self._remaining_bytes) or 1)
+        self._remaining_bytes -= len(data)
+        return data
--- a/tests/test_caller_ends.py
+++ b/tests/test_caller_ends.py
@@ -62,6 +62,10 @@
         except ConnectionResetError:
             return b""
 
+    def receive_ready(self) -> bytes:
+        """Return the bytes in the kernel's buffer."""
+        return self._sock.recv(1 << 20)
+
     async def receive_all(self) -> bytes:
         """Return what arrives until the server closes."""
         return b"".join([data async for data in self._receive_until_end()])
@@ -229,6 +233,23 @@
         self.assertEqual(transport.get_write_buffer_size(), 0)
         self.assertTrue((await receiving).endswith(bytes(BIG_BODY_BYTES)))
 
+    @in_virtual_time
+    async def test_caller_that_reads_amid_a_stall_gets_the_rest(self) -> None:
+        size_bytes = 3 * BIG_BODY_BYTES
+        length = (b"content-length", str(size_bytes).encode())
+        self.response = Response(200, (length,), bytes(size_bytes))
+        caller = await self.start()
+        caller.send(GET)
+        await asyncio.sleep(LIMITS.write_timeout_s - 1.0)
+        received: list[bytes] = []
+        self.loop.call_later(
+            0.1, lambda: received.append(caller.receive_ready())
+        )
+        self.loop.stall(STALL_S)
+        await asyncio.sleep(0)
+        received.append(await caller.receive_all())
+        self.assertTrue(b"".join(received).endswith(bytes(size_bytes)))
+
     @in_virtual_time
     async def test_pipelined_requests_amid_a_drain_are_answered(
         self,
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -137,9 +137,10 @@
         while not self.server._tasks:
             await asyncio.sleep(0)
         conn = next(iter(self.server._tasks.values()))
-        while conn._idle_timeout is None:
+        while conn._idle_deadline is None:
             await asyncio.sleep(0)
-        timeout = conn._idle_timeout
+        timeout = conn._idle_deadline._timeout
+        assert timeout is not None, "the connection waits for a request"
         timeout.reschedule(asyncio.get_running_loop().time() - 1)
         while not timeout.expired():
             await asyncio.sleep(0)
