Let raised limits apply to connections that are open

Callers saw an idle connection close on their next request soon after a change had raised the idle limit: they reuse connections by the limit in force, while the connection kept the one it had become idle under. Limits on the time and size of heads, and on the time of bodies, were kept in the same way.

HttpServer tells its connections of new limits, and a wait for the caller is extended at once; a lowered limit applies from the next wait on, so an idle connection is kept for the largest limit since it became idle. The size of an incomplete head is checked against the limit in force instead of by h11, whose limit is fixed when a connection opens.

--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -8,6 +8,8 @@
     Callable,
 )
 from enum import StrEnum
+from operator import attrgetter
+import sys
 from typing import Final, Protocol
 
 import h11
@@ -54,6 +56,31 @@
     """Report that a caller has stopped reading its response."""
 
 
+class CallerDeadline(ReadDeadline):
+    """A time limit on a caller that rises with the limit in force."""
+
+    def __init__(
+        self, limits: CallerLimits, limit_of: Callable[[CallerLimits], float]
+    ) -> None:
+        self._began_s = asyncio.get_running_loop().time()
+        self._limit_of = limit_of
+        self._timeout_s = limit_of(limits)
+        super().__init__(self._began_s + self._timeout_s)
+
+    def extend(self, limits: CallerLimits) -> None:
+        """Apply limits that came into force; a smaller one has no effect."""
+        timeout_s = self._limit_of(limits)
+        if timeout_s > self._timeout_s:
+            self._timeout_s = timeout_s
+            self.reschedule(self._began_s + timeout_s)
+
+    def expire_in(self, timeout_s: float) -> None:
+        """Expire after `timeout_s`, whatever limits come into force."""
+        self._limit_of = lambda _limits: 0.0
+        now_s = asyncio.get_running_loop().time()
+        self.reschedule(now_s + timeout_s)
+
+
 class ConnectionServer(Protocol):
     """Declare the server attributes that a connection uses."""
 
@@ -81,10 +108,11 @@
         self._reader = reader
         self._writer = writer
         self._server = server
+        # The limit on heads may change, which h11 doesn't support.
         self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=server.limits.head_bytes
+            h11.SERVER, max_incomplete_event_size=sys.maxsize
         )
-        self._idle_deadline: ReadDeadline | None = None
+        self._deadline: CallerDeadline | None = None
         self._request: Request | None = None
         self.is_busy = False
         self.end = ConnectionEnd.CALLER_LEFT
@@ -134,9 +162,13 @@
 
     def close_when_idle(self) -> None:
         """Shorten the idle timeout, so that an idle connection closes soon."""
-        if self._idle_deadline is not None:
-            now_s = asyncio.get_running_loop().time()
-            self._idle_deadline.reschedule(now_s + CLOSING_IDLE_S)
+        if self._deadline is not None and not self.is_busy:
+            self._deadline.expire_in(CLOSING_IDLE_S)
+
+    def apply_limits(self, limits: CallerLimits) -> None:
+        """Extend the wait for the caller if its limit was raised."""
+        if self._deadline is not None:
+            self._deadline.extend(limits)
 
     async def discard(self, timeout_s: float) -> None:
         """Read and drop what the caller still sends before the close.
@@ -212,14 +244,27 @@
         self._http.start_next_cycle()
         return True
 
-    async def _next_event(self, timeout_s: float) -> object:
-        deadline = _deadline_in(timeout_s)
+    async def _next_event(
+        self, limit_of: Callable[[CallerLimits], float]
+    ) -> object:
+        deadline = CallerDeadline(self._limits, limit_of)
         while True:
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            data = await deadline.read(self._reader, READ_BYTES)
-            self._http.receive_data(data)
+            if len(self._http.trailing_data[0]) > self._limits.head_bytes:
+                raise h11.RemoteProtocolError(
+                    "the head or chunk header is too long",
+                    error_status_hint=431,
+                )
+            self._http.receive_data(await self._read_until(deadline))
+
+    async def _read_until(self, deadline: CallerDeadline) -> bytes:
+        self._deadline = deadline
+        try:
+            return await deadline.read(self._reader, READ_BYTES)
+        finally:
+            self._deadline = None
 
     async def _read_request(self) -> Request | None:
         first = not self._http.trailing_data[0]
@@ -227,7 +272,7 @@
             return None
         self.is_busy = True
         try:
-            event = await self._next_event(self._limits.head_timeout_s)
+            event = await self._next_event(attrgetter("head_timeout_s"))
         except TimeoutError:
             raise RequestRejected(
                 Code.REQUEST_TIMEOUT, "the request head is incomplete"
@@ -242,17 +287,14 @@
         return self._make_request(event)
 
     async def _wait_for_first_byte(self) -> bool:
-        wait_s = self._limits.keep_alive_s
+        deadline = CallerDeadline(self._limits, attrgetter("keep_alive_s"))
         if self._server.closing:
-            wait_s = CLOSING_IDLE_S
-        self._idle_deadline = _deadline_in(wait_s)
+            deadline.expire_in(CLOSING_IDLE_S)
         try:
-            data = await self._idle_deadline.read(self._reader, READ_BYTES)
+            data = await self._read_until(deadline)
         except TimeoutError:
             self.end = ConnectionEnd.IDLE
             return False
-        finally:
-            self._idle_deadline = None
         self._http.receive_data(data)
         return bool(data)
 
@@ -316,7 +358,7 @@
                     self._check_body_rate(size_bytes, waited_s)
                     started_s = loop.time()
                     event = await self._next_event(
-                        self._limits.body_idle_timeout_s
+                        attrgetter("body_idle_timeout_s")
                     )
                     waited_s += loop.time() - started_s
             except TimeoutError:
@@ -429,10 +471,6 @@
                 raise CallerStalled
 
 
-def _deadline_in(timeout_s: float) -> ReadDeadline:
-    return ReadDeadline(asyncio.get_running_loop().time() + timeout_s)
-
-
 def _to_rejection(exc: h11.RemoteProtocolError) -> RequestRejected:
     text = str(exc)
     if exc.error_status_hint == 431:
--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -51,7 +51,7 @@
         count_end: Callable[[str, bool], None] = lambda _end, _lost: None,
     ) -> None:
         self.handler = handler
-        self.limits = limits
+        self._limits = limits
         self.log = log
         self.find_request_id = find_request_id
         self._count_end = count_end
@@ -63,6 +63,17 @@
             collections.Counter()
         )
 
+    @property
+    def limits(self) -> CallerLimits:
+        """Return the limits in force."""
+        return self._limits
+
+    @limits.setter
+    def limits(self, limits: CallerLimits) -> None:
+        self._limits = limits
+        for conn in self._tasks.values():
+            conn.apply_limits(limits)
+
     async def start(
         self, address: Address, context: ssl.SSLContext | None = None
     ) -> Address:
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -137,9 +137,9 @@
         while not self.server._tasks:
             await asyncio.sleep(0)
         conn = next(iter(self.server._tasks.values()))
-        while conn._idle_deadline is None:
+        while conn._deadline is None:
             await asyncio.sleep(0)
-        timeout = conn._idle_deadline._timeout
+        timeout = conn._deadline._timeout
         assert timeout is not None, "the connection waits for a request"
         timeout.reschedule(asyncio.get_running_loop().time() - 1)
         while not timeout.expired():
