Hold a stop until responses have left the process

Callers lost the end of a response, or a request that they had sent ahead, when a VM stopped: the task of a connection ended once its response was in the transport's buffer of up to 256 KiB, the stop counted no more connections, and the process ended. With a pipelined request, the first response of a drain announced the close, and the others never came; a close with received bytes unread resets the connection and can take the response along.

A connection's task now ends once the kernel has taken every byte, so the stop waits for it within its grace, and a response that is still in the buffer then counts as cut. The close is announced with the last of the requests that have arrived, and bytes left unread by any response are read before the close.

--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -114,6 +114,7 @@
         )
         self._deadline: CallerDeadline | None = None
         self._request: Request | None = None
+        self._is_closed_by_server = False
         self.is_busy = False
         self.end = ConnectionEnd.CALLER_LEFT
 
@@ -188,12 +189,13 @@
     @property
     def has_unread_request(self) -> bool:
         """Return whether the caller may still be sending a request."""
-        return self._http.their_state in (h11.SEND_BODY, h11.ERROR)
+        is_sending = self._http.their_state in (h11.SEND_BODY, h11.ERROR)
+        return is_sending or self.unread_bytes > 0
 
     @property
     def has_caller_left(self) -> bool:
         """Return whether the caller has closed the connection."""
-        return self._reader.is_closed
+        return self._reader.is_closed and not self._is_closed_by_server
 
     @property
     def is_response_complete(self) -> bool:
@@ -204,6 +206,13 @@
             h11.CLOSED,
         )
 
+    @property
+    def is_unfinished(self) -> bool:
+        """Return whether a request has begun and its response isn't out."""
+        buffered_bytes = self._writer.transport.get_write_buffer_size()
+        is_out = self.is_response_complete and not buffered_bytes
+        return self.is_busy and not is_out
+
     @property
     def unread_bytes(self) -> int:
         """Return how many received bytes no request has used."""
@@ -398,9 +407,9 @@
         body = response.body
         if isinstance(body, bytes) or not request.has_body:
             await self._read_remaining_body(request)
-        close = (
-            self._server.is_draining or self._http.their_state is not h11.DONE
-        )
+        # Further requests that have arrived are answered before the close.
+        is_last = self._server.is_draining and not self.unread_bytes
+        close = is_last or self._http.their_state is not h11.DONE
         await self._send_head(response, close=close)
         if isinstance(body, bytes):
             if body:
@@ -455,12 +464,26 @@
     async def _write(self, data: bytes | None) -> None:
         if not data:
             return
-        transport = self._writer.transport
         self._writer.write(data)
+        await self._wait_until_written(self._writer.drain)
+
+    async def close(self) -> None:
+        """Close once the kernel has taken every byte of the responses."""
+        self._is_closed_by_server = not self._reader.is_closed
+        self._writer.close()
+        await self._wait_until_written(
+            lambda: asyncio.shield(self._writer.wait_closed())
+        )
+
+    async def _wait_until_written(
+        self, wait: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Wait while the caller reads; raise `CallerStalled`."""
+        transport = self._writer.transport
         while True:
             try:
                 async with asyncio.timeout(self._limits.write_timeout_s):
-                    await self._writer.drain()
+                    await wait()
                 return
             except TimeoutError:
                 size_bytes = transport.get_write_buffer_size()
--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -118,7 +118,7 @@
         for task in unfinished:
             task.cancel()
         await asyncio.gather(*unfinished, return_exceptions=True)
-        return sum(conn.is_busy for conn in unfinished.values())
+        return sum(conn.is_unfinished for conn in unfinished.values())
 
     async def _wait_for_connections(self, grace_s: float) -> None:
         """Wait until no connection is open, for `grace_s` seconds at most.
@@ -157,12 +157,16 @@
                     Code.TOO_MANY_CONNECTIONS, host, retry_after_s=1.0
                 )
             await self._serve(conn)
-            if conn.has_unread_request:
-                await conn.discard(DISCARD_TIMEOUT_S)
+            await conn.close()
         except RequestRejected as exc:
             conn.end = ConnectionEnd.REJECTED
             self.log.emit(Event.REQUEST_REFUSED, code=exc.code.number)
             await self._reject(conn, exc)
+        except CallerStalled:
+            conn.end = ConnectionEnd.CALLER_STALLED
+            self.log.emit(
+                Event.CALLER_STALLED, code=Code.CALLER_STALLED.number
+            )
         except asyncio.CancelledError:
             if not conn.has_caller_left:
                 conn.end = ConnectionEnd.STOPPED
@@ -195,13 +199,10 @@
     async def _serve(self, conn: CallerConnection) -> None:
         try:
             await conn.serve()
+            if conn.has_unread_request:
+                await conn.discard(DISCARD_TIMEOUT_S)
         except RequestRejected:
             raise
-        except CallerStalled:
-            conn.end = ConnectionEnd.CALLER_STALLED
-            self.log.emit(
-                Event.CALLER_STALLED, code=Code.CALLER_STALLED.number
-            )
         except (
             ResponseBroken,
             WigeonfordError,
@@ -220,6 +221,7 @@
         try:
             await conn.send_error(exc)
             await conn.discard(DISCARD_REJECTED_TIMEOUT_S)
+            await conn.close()
         except (
             CallerStalled,
             h11.LocalProtocolError,
