Answer requests that a stop cuts or whose response is invalid

An error that a stream raised escaped the connection's task.

Every end of a connection now passes one place that answers if no response has begun: a ready response as it is, 502 with run state unknown if the handler was called (new code 1210), 503 with run state not-run and a Retry-After if it was not. This takes at most 0.2 s. A response with a complete body is encoded before its first byte is written, so an invalid one becomes a 502 instead. Errors that end a response are logged with the request's id. The count of cut requests that a stop returns is as before.

HttpServer.abort stands in for a killed process where stop(0.0) did, and answers nothing.

--- a/src/wigeonford/control/_daemon.py
+++ b/src/wigeonford/control/_daemon.py
@@ -79,7 +79,7 @@
     async def crash(self) -> None:
         """Stop without finishing any work, like a process that is killed."""
         await self._peers.abort()
-        await self._http.stop(0.0)
+        await self._http.abort()
         await self._replica.stop()
         await self._stop_services()
 
--- a/src/wigeonford/entry/_daemon.py
+++ b/src/wigeonford/entry/_daemon.py
@@ -176,7 +176,7 @@
     async def crash(self) -> None:
         """Stop abruptly, as if the process had been killed."""
         self._announcer.leave()
-        await self._http.stop(0.0)
+        await self._http.abort()
         await self._close_connections()
 
     async def _close_connections(self) -> None:
--- a/src/wigeonford/errors.py
+++ b/src/wigeonford/errors.py
@@ -93,6 +93,12 @@
         "the request was in flight when two targets failed",
     )
     RETRY_BUDGET = _info(1209, 503, "the retry budget is spent")
+    CUT_BY_STOP = _info(
+        1210,
+        502,
+        "this VM stopped before the request had ended",
+        RunState.UNKNOWN,
+    )
     CALLER_STALLED = _info(
         1240, 0, "the caller stopped reading its answer", RunState.UNKNOWN
     )
--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import collections
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 import ssl
 from typing import Final
 
@@ -19,7 +19,7 @@
     READ_BYTES,
     ResponseBroken,
 )
-from wigeonford.http._reader import WatchedReader
+from wigeonford.http._reader import poll_sockets, WatchedReader
 from wigeonford.http._types import Headers
 from wigeonford.settings import Address, CallerLimits
 
@@ -29,6 +29,8 @@
 WRITE_BUFFER_BYTES: Final = 262144
 DISCARD_TIMEOUT_S: Final = 3.0
 DISCARD_REJECTED_TIMEOUT_S: Final = 0.5
+CUT_TIMEOUT_S: Final = 0.2
+"""Time in which callers are told of the requests that a stop cuts."""
 
 
 def _no_request_id(_headers: Headers) -> str:
@@ -106,19 +108,38 @@
     async def stop(self, grace_s: float) -> int:
         """Stop listening, then wait `grace_s` seconds for running requests.
 
-        Return how many requests were cut off. An idle connection may still
-        send a request for `CLOSING_IDLE_S`.
+        Return how many requests were cut off; their callers are told so. An
+        idle connection may still send a request for `CLOSING_IDLE_S`.
         """
         self.is_draining = self.closing = True
         if self._server is not None:
             await _close_listener(self._server)
         if grace_s > 0:
             await self._wait_for_connections(grace_s)
+        await poll_sockets()
         unfinished = dict(self._tasks)
+        cut_count = sum(conn.is_unfinished for conn in unfinished.values())
         for task in unfinished:
             task.cancel()
-        await asyncio.gather(*unfinished, return_exceptions=True)
-        return sum(conn.is_unfinished for conn in unfinished.values())
+        if unfinished:
+            await asyncio.wait(unfinished, timeout=CUT_TIMEOUT_S)
+        await self._cancel_connections()
+        return cut_count
+
+    async def abort(self) -> None:
+        """Close every connection without an answer, like a killed process."""
+        self.is_draining = self.closing = True
+        if self._server is not None:
+            await _close_listener(self._server)
+        for conn in self._tasks.values():
+            conn.abort()
+        await self._cancel_connections()
+
+    async def _cancel_connections(self) -> None:
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _wait_for_connections(self, grace_s: float) -> None:
         """Wait until no connection is open, for `grace_s` seconds at most.
@@ -170,6 +191,7 @@
         except asyncio.CancelledError:
             if not conn.has_caller_left:
                 conn.end = ConnectionEnd.STOPPED
+                await self._end_response(conn, conn.answer_cut())
         except (ConnectionError, TimeoutError):
             conn.end = ConnectionEnd.CALLER_LEFT
         except BaseException:
@@ -203,6 +225,8 @@
                 await conn.discard(DISCARD_TIMEOUT_S)
         except RequestRejected:
             raise
+        except (CallerStalled, ConnectionError, TimeoutError):
+            raise
         except (
             ResponseBroken,
             WigeonfordError,
@@ -214,12 +238,29 @@
                 request=conn.request_id,
                 detail=str(exc),
             )
+            await self._reject(
+                conn, RequestRejected(Code.ANSWER_BROKEN, str(exc))
+            )
+        except Exception as exc:
+            conn.end = ConnectionEnd.FAILED
+            self.log.emit(
+                Event.REQUEST_INTERNAL_ERROR,
+                request=conn.request_id,
+                exc_info=exc,
+            )
+            await self._reject(conn, RequestRejected(Code.INTERNAL))
 
     async def _reject(
         self, conn: CallerConnection, exc: RequestRejected
     ) -> None:
+        await self._end_response(conn, conn.send_error(exc))
+
+    async def _end_response(
+        self, conn: CallerConnection, sending: Awaitable[None]
+    ) -> None:
+        """Send a last response, and close once the caller has read it."""
         try:
-            await conn.send_error(exc)
+            await sending
             await conn.discard(DISCARD_REJECTED_TIMEOUT_S)
             await conn.close()
         except (
@@ -227,8 +268,12 @@
             h11.LocalProtocolError,
             ConnectionError,
             TimeoutError,
-        ):
-            return
+        ) as exc:
+            self.log.emit(
+                Event.REQUEST_ABORTED,
+                request=conn.request_id,
+                detail=repr(exc),
+            )
 
     def _is_over_limit(self, host: str) -> bool:
         if len(self._tasks) >= self.limits.connections:
