Take a peer's reply that arrived before its limit

A request to control timed out although its reply had arrived: the process stood still, and the timer of the limit cancelled the wait before a task had read the reply. A VM then tried another replica, and took the message as one that may not have been carried out.

After the limit, PeerClient.request lets the event loop read what has arrived before it gives up.

Evidence: LateReplyTest.test_reply_before_the_limit_is_returned of tests.test_caller_ends failed before (PEER_TIMEOUT) and passes.

--- a/src/wigeonford/peer/_link.py
+++ b/src/wigeonford/peer/_link.py
@@ -35,6 +35,9 @@
 CLOSE_TIMEOUT_S: Final = 0.3
 """Two round trips between distant regions. Waiting longer is useless, since a
 silent peer never answers the closing handshake."""
+READ_ITERATIONS: Final = 32
+"""Event loop iterations to read a reply that has arrived; each reads up to
+256 KiB of it."""
 _PEER_HEADER: Final = "Wigeonford-Peer"
 _PROOF_HEADER: Final = "Wigeonford-Proof"
 _REJECTED_STATUS: Final = 403
@@ -233,16 +236,18 @@
         """
         conn = await self._connect_within(timeout_s)
         request_id = next(self._request_ids)
-        fut: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
+        fut: asyncio.Future[Any] = loop.create_future()
         # If sending fails, nobody awaits the future. Retrieving its exception
         # keeps asyncio from logging it.
         fut.add_done_callback(_retrieve_exception)
         self._pending_replies[request_id] = fut
         frame = encode_frame(request_id, MESSAGES.to_tagged_list(message))
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout_at(deadline_s):
                 await conn.send(frame)
-                reply = await fut
+            reply = await _wait_for_reply(fut, deadline_s - loop.time())
         except (ConnectionClosed, TimeoutError) as exc:
             raise PeerError(
                 Code.PEER_TIMEOUT, f"{self.address}: {exc!r}"
@@ -360,6 +365,20 @@
             )
 
 
+async def _wait_for_reply(fut: asyncio.Future[Any], timeout_s: float) -> Any:
+    """Return a reply that arrives in time; raise `TimeoutError`.
+
+    If this process stood still, a reply may have arrived that no task has
+    read yet.
+    """
+    await asyncio.wait((fut,), timeout=max(0.0, timeout_s))
+    for _ in range(READ_ITERATIONS):
+        if fut.done():
+            return await fut
+        await asyncio.sleep(0)
+    raise TimeoutError
+
+
 def _retrieve_exception(fut: asyncio.Future[Any]) -> None:
     if not fut.cancelled():
         fut.exception()
