Test that a planned stop takes only what it can finish

Two faults, as tests that fail. In virtual time, from callers' sockets to a stand-in for targets: with a grace of 10 s and work of 6.2 s, 18 of 80 requests that came in the first 4 s of a stop ended without an answer, 10 of them sent later than 3 s after the signal; bodies that ended 6.4 s and later after it were still passed on and cut; a retry 3.4 s after it was sent with a grace of 6 s and work of 3.5 s; what was left at the end, sent or not, got no answer. An answer that is ready just before the end is delivered; that test passes.

A stop signal amid the imports of the daemon ended it with -15. One amid a start that waits was only acted on after the start (no end within 10 s).

--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,525 @@
+"""A planned stop takes what it can finish, and answers all that it took."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Coroutine
+import os
+from pathlib import Path
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from typing import Any, cast, Final
+import unittest
+from unittest import mock
+
+from msgspec.structs import replace
+
+from tests.limited_fleet import virtual_clock
+from tests.test_deployment import (
+    make_announcement,
+    make_deployment,
+    make_route,
+)
+from tests.virtual_time import run_virtual
+from wigeonford.daemon import EXIT_DONE, serve_until_signal
+from wigeonford.deployment import RouteKind
+from wigeonford.events import EventLog
+from wigeonford.http import HttpServer, Response
+from wigeonford.messages.steering import EntryStatus, ViewUpdate
+from wigeonford.metrics import Metrics
+from wigeonford.platform._front import CallerApi
+from wigeonford.settings import (
+    Address,
+    CallerLimits,
+    RetryBounds,
+    SteerEntrySettings,
+)
+from wigeonford.steer import (
+    AccountRates,
+    Forwarder,
+    LoanBatcher,
+    Readiness,
+    ResponseFacts,
+    SteerDaemon,
+    SuspectTable,
+    TargetConnections,
+    TargetLimits,
+    TargetRecords,
+    TargetRunState,
+    ViewBuilder,
+)
+from wigeonford.steer._attempt import Attempt, AttemptResult, Outcome
+
+SLOTS: Final = 40
+EXCUSED_S: Final = 3.0
+"""The users excuse long work on requests sent sooner after the signal."""
+NOT_RUN_STATUSES: Final = ("408", "421", "429", "503")
+STATUS: Final = EntryStatus("vm", "i", "vm:1", "south-a", "south", True)
+
+
+class WorkingTargets:
+    """Stand in for targets: work for the time that `next_work_s` returns.
+
+    Each of `outcomes` replaces one result. `sent_at_s` and `sends` tell of
+    requests by the ids that callers gave; `cut` lists those that were broken
+    off, `ran` those that may have run.
+    """
+
+    def __init__(self, next_work_s: Callable[[], float]) -> None:
+        self.next_work_s = next_work_s
+        self.outcomes: list[Outcome] = []
+        self.sent_at_s: dict[str, float] = {}
+        self.sends: Counter[str] = Counter()
+        self.cut: list[str] = []
+        self.ran: set[str] = set()
+
+    def close(self) -> None:
+        """Return: there is nothing to close."""
+
+    async def send(self, attempt: Attempt) -> AttemptResult:
+        """Return the result of an attempt."""
+        request_id = attempt.req.request_id
+        self.sent_at_s[request_id] = asyncio.get_running_loop().time()
+        self.sends[request_id] += 1
+        outcome = self.outcomes.pop(0) if self.outcomes else Outcome.ANSWERED
+        if outcome is not Outcome.NOT_RUN:
+            self.ran.add(request_id)
+        try:
+            await asyncio.sleep(self.next_work_s())
+        except asyncio.CancelledError:
+            self.cut.append(request_id)
+            raise
+        if outcome is not Outcome.ANSWERED:
+            return AttemptResult(outcome)
+        facts = ResponseFacts(TargetRunState.RAN, True)
+        return AttemptResult(Outcome.ANSWERED, Response(200), facts)
+
+
+class StoppingVm:
+    """Run an entry VM's request path from a caller's socket to a target."""
+
+    def __init__(
+        self, grace_s: float, work_s: float, *, timeout_s: float | None = None
+    ) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.rng = random.Random(f"{grace_s} {work_s}")
+        self.targets = WorkingTargets(
+            lambda: work_s * self.rng.lognormvariate(0.0, 0.1)
+        )
+        self.statuses: dict[str, str] = {}
+        self.answered_at_s: dict[str, float] = {}
+        self.heads: dict[str, bytes] = {}
+        self.began_s = 0.0
+        routes = [
+            make_route(
+                kind.name,
+                f"/{kind.name.lower()}/",
+                kind=kind,
+                is_open=True,
+                timeout_s=timeout_s or 3 * work_s,
+                objective_s=work_s,
+            )
+            for kind in RouteKind
+        ]
+        builder = ViewBuilder()
+        targets = tuple(
+            make_announcement(
+                target_id=f"t-{number}",
+                address=f"10.0.0.{number}:80",
+                slots=SLOTS,
+            )
+            for number in range(4)
+        )
+        deployment = replace(make_deployment(*routes), accounts=())
+        builder.apply(ViewUpdate(0, 1, deployment, (), {}, targets, ()))
+        view = builder.build()
+        records = TargetRecords()
+        records.apply_changes(targets, (), {"south-a": "south"}, 0.0)
+        log = EventLog()
+        connections = cast(TargetConnections, self.targets)
+        self.forwarder = Forwarder(
+            lambda: STATUS,
+            lambda: view,
+            lambda: {STATUS.name: STATUS},
+            records,
+            TargetLimits(STATUS.name, dict),
+            AccountRates(STATUS.name),
+            LoanBatcher(mock.AsyncMock(), log, self.loop.time),
+            SuspectTable(),
+            connections,
+            RetryBounds(),
+            Metrics(),
+            log,
+            self.rng,
+            self.loop.time,
+        )
+        self.front = HttpServer(
+            CallerApi(self.forwarder).handle, CallerLimits(), log
+        )
+        self.daemon = self._make_daemon(grace_s, records, connections, log)
+
+    def _make_daemon(
+        self,
+        grace_s: float,
+        records: TargetRecords,
+        connections: TargetConnections,
+        log: EventLog,
+    ) -> SteerDaemon:
+        cfg = SteerEntrySettings(
+            STATUS.name,
+            STATUS.availability_zone,
+            STATUS.region,
+            Address(),
+            Address(),
+            (),
+            {},
+            grace_s=grace_s,
+        )
+        follower, component = mock.AsyncMock(), mock.AsyncMock()
+        follower.add_view_listener = mock.Mock()
+        return SteerDaemon(
+            cfg,
+            Readiness(lambda _: STATUS),
+            follower,
+            component,
+            records,
+            connections,
+            (),
+            self.front,
+            component,
+            log,
+        )
+
+    async def connect(self) -> "Caller":
+        """Return a caller with a new connection."""
+        own, callers = socket.socketpair()
+        own.setblocking(False)
+        await self.loop.connect_accepted_socket(self.front._make_protocol, own)
+        return Caller(self, *await asyncio.open_connection(sock=callers))
+
+    async def call(self, request_id: str, **options: Any) -> None:
+        """Send one request on a new connection, and read the response."""
+        caller = await self.connect()
+        await caller.call(request_id, **options)
+
+    async def learn(self, count: int = 24) -> None:
+        """Serve some requests of each route before the stop."""
+        async with asyncio.TaskGroup() as group:
+            for kind in RouteKind:
+                for number in range(count):
+                    request_id = f"before-{kind.name}-{number}"
+                    group.create_task(self.call(request_id, kind=kind))
+
+    def begin_stop(self) -> asyncio.Task[None]:
+        """Begin the planned stop."""
+        self.began_s = self.loop.time()
+        return asyncio.create_task(self.daemon.stop())
+
+    def late_s(self, at_s: float) -> float:
+        """Return how long after the signal a time is."""
+        return at_s - self.began_s
+
+
+class Caller:
+    """Send requests on one connection; record what comes of each."""
+
+    def __init__(
+        self,
+        vm: StoppingVm,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._vm = vm
+        self._reader = reader
+        self._writer = writer
+
+    async def call(
+        self,
+        request_id: str,
+        *,
+        kind: RouteKind = RouteKind.UNSAFE,
+        left_s: float | None = None,
+        body_after_s: float | None = None,
+    ) -> None:
+        """Send a request; its status is "" if no complete response comes."""
+        lines = [
+            f"POST /{kind.name.lower()}/x HTTP/1.1",
+            "host: old.example",
+            f"x-attempt-id: {request_id}",
+            f"content-length: {0 if body_after_s is None else 4}",
+        ]
+        if left_s is not None:
+            lines.append(f"x-deadline-remaining: {int(left_s * 1000)}")
+        self._vm.statuses[request_id] = ""
+        try:
+            self._writer.write("\r\n".join([*lines, "", ""]).encode())
+            if body_after_s is not None:
+                await asyncio.sleep(body_after_s)
+                self._writer.write(b"body")
+            head = await self._reader.readuntil(b"\r\n\r\n")
+            length = head.lower().partition(b"content-length: ")[2]
+            await self._reader.readexactly(int(length.split()[0]))
+        except (OSError, asyncio.IncompleteReadError):
+            return
+        self._vm.statuses[request_id] = head[9:12].decode()
+        self._vm.heads[request_id] = head.lower()
+        self._vm.answered_at_s[request_id] = self._vm.loop.time()
+
+
+class PlannedStopTest(unittest.TestCase):
+    """Callers send requests to a VM that stops, in virtual time."""
+
+    def run_stop(
+        self, scenario: Callable[[], Coroutine[Any, Any, StoppingVm]]
+    ) -> StoppingVm:
+        """Run a scenario; check what holds for each request of a stop."""
+
+        async def run() -> StoppingVm:
+            with virtual_clock():
+                return await scenario()
+
+        vm = run_virtual(run())
+        unanswered = [
+            name for name, status in vm.statuses.items() if not status
+        ]
+        self.assertEqual([], unanswered, "without an answer")
+        for request_id, status in vm.statuses.items():
+            if status in NOT_RUN_STATUSES:
+                self.assertNotIn(request_id, vm.targets.ran)
+        return vm
+
+    def assert_no_late_one_is_cut(self, vm: StoppingVm) -> None:
+        cut_late_s = [
+            (request_id, round(vm.late_s(sent_at_s), 2))
+            for request_id, sent_at_s in vm.targets.sent_at_s.items()
+            if request_id in vm.targets.cut
+            and vm.late_s(sent_at_s) > EXCUSED_S
+        ]
+        self.assertEqual([], cut_late_s)
+
+    def test_requests_late_in_a_stop_are_not_passed_on_and_cut(self) -> None:
+        for grace_s, work_s in ((10, 6.2), (10, 4.4), (6, 2.0), (6, 0.6)):
+
+            async def scenario(
+                grace_s: float = grace_s, work_s: float = work_s
+            ) -> StoppingVm:
+                vm = StoppingVm(grace_s, work_s)
+                await vm.learn()
+                kept = [await vm.connect() for _ in range(40)]
+                stop = vm.begin_stop()
+                async with asyncio.TaskGroup() as group:
+                    for number in range(40):
+                        if vm.front.closing:
+                            break
+                        name = f"{number * 0.1:.1f} s"
+                        group.create_task(vm.call(f"new, {name}"))
+                        group.create_task(kept[number].call(f"kept, {name}"))
+                        await asyncio.sleep(0.1)
+                await stop
+                return vm
+
+            with self.subTest(grace_s=grace_s, work_s=work_s):
+                vm = self.run_stop(scenario)
+                self.assert_no_late_one_is_cut(vm)
+                refused = [
+                    request_id
+                    for request_id, status in vm.statuses.items()
+                    if status == "503"
+                ]
+                for request_id in refused:
+                    at_s = float(request_id.split()[1])
+                    # What would have ended by half of the grace is taken.
+                    self.assertGreater(at_s + work_s, grace_s / 2, request_id)
+                    head = vm.heads[request_id]
+                    self.assertIn(b"wigeonford-code: 1207", head)
+                    self.assertIn(b"wigeonford-run-state: not-run", head)
+                    self.assertIn(b"connection: close", head)
+                    retry = head.partition(b"retry-after: ")[2].split()[0]
+                    self.assertLessEqual(float(retry), 0.1)
+
+    def test_all_that_a_stop_cannot_finish_are_answered(self) -> None:
+        async def scenario() -> StoppingVm:
+            vm = StoppingVm(6, 20.0)
+            calls = [
+                asyncio.create_task(vm.call(f"sent-{kind.name}", kind=kind))
+                for kind in RouteKind
+            ]
+            upload = vm.call("unsent", body_after_s=30.0)
+            calls.append(asyncio.create_task(upload))
+            await asyncio.sleep(0.1)
+            await vm.begin_stop()
+            await asyncio.wait(calls)
+            return vm
+
+        vm = self.run_stop(scenario)
+        self.assertEqual(
+            {
+                "sent-SAFE": "504",
+                "sent-UNSAFE": "504",
+                "sent-UPLOAD": "504",
+                "unsent": "503",
+            },
+            vm.statuses,
+        )
+
+    def test_an_answer_that_is_ready_at_the_end_is_delivered(self) -> None:
+        async def scenario() -> StoppingVm:
+            vm = StoppingVm(6, 5.0)
+            vm.targets.next_work_s = lambda: 5.39
+            call = asyncio.create_task(vm.call("a"))
+            await asyncio.sleep(0)
+            await vm.begin_stop()
+            await call
+            return vm
+
+        self.assertEqual({"a": "200"}, self.run_stop(scenario).statuses)
+
+    def test_before_anything_is_learned_the_time_limit_decides(self) -> None:
+        async def scenario() -> StoppingVm:
+            vm = StoppingVm(6, 1.0, timeout_s=7.0)
+            stop = vm.begin_stop()
+            await asyncio.sleep(0.5)
+            await vm.call("without a limit")
+            await vm.call("with a limit", left_s=3.0)
+            await stop
+            return vm
+
+        self.assertEqual(
+            {"without a limit": "503", "with a limit": "200"},
+            self.run_stop(scenario).statuses,
+        )
+
+    def test_a_body_that_ends_too_late_in_a_stop_is_refused(self) -> None:
+        async def scenario() -> StoppingVm:
+            vm = StoppingVm(10, 3.0)
+            await vm.learn()
+            kind = RouteKind.UPLOAD
+            calls = [
+                asyncio.create_task(
+                    vm.call(f"{late_s}", kind=kind, body_after_s=late_s)
+                )
+                for late_s in (0.5, 3.0, 6.5, 7.5, 8.5)
+            ]
+            await asyncio.sleep(0.1)
+            await vm.begin_stop()
+            await asyncio.wait(calls)
+            return vm
+
+        vm = self.run_stop(scenario)
+        self.assert_no_late_one_is_cut(vm)
+        self.assertEqual(
+            ["200", "200", "503", "503", "503"],
+            [
+                vm.statuses[late]
+                for late in ("0.5", "3.0", "6.5", "7.5", "8.5")
+            ],
+        )
+
+    def test_a_retry_late_in_a_stop_is_not_sent(self) -> None:
+        for outcome, status in (
+            (Outcome.NOT_RUN, "503"),
+            (Outcome.BROKEN, "502"),
+        ):
+
+            async def scenario(outcome: Outcome = outcome) -> StoppingVm:
+                vm = StoppingVm(6, 3.5)
+                await vm.learn()
+                vm.targets.outcomes = [outcome]
+                call = asyncio.create_task(vm.call("a", kind=RouteKind.SAFE))
+                await asyncio.sleep(0.1)
+                await vm.begin_stop()
+                await call
+                return vm
+
+            with self.subTest(outcome):
+                vm = self.run_stop(scenario)
+                self.assertEqual(status, vm.statuses["a"])
+                self.assertEqual(1, vm.targets.sends["a"])
+
+    def test_each_request_of_a_load_across_a_stop_has_one_outcome(
+        self,
+    ) -> None:
+        for seed in range(3):
+
+            async def scenario(seed: int = seed) -> StoppingVm:
+                rng = random.Random(seed)
+                vm = StoppingVm(rng.choice((6, 10)), rng.uniform(0.3, 4.0))
+                await vm.learn()
+                stop: asyncio.Task[None] | None = None
+                async with asyncio.TaskGroup() as group:
+                    for number in range(120):
+                        if number == 40:
+                            stop = vm.begin_stop()
+                        if vm.front.closing:
+                            break
+                        late_s = rng.choice((None, None, 0.0, 1.5, 4.0))
+                        options: dict[str, Any] = {
+                            "kind": rng.choice(list(RouteKind)),
+                            "left_s": rng.choice((None, None, 2.0, 9.0)),
+                            "body_after_s": late_s,
+                        }
+                        group.create_task(vm.call(f"{number}", **options))
+                        await asyncio.sleep(rng.expovariate(10.0))
+                assert stop is not None, "the stop began"
+                await stop
+                return vm
+
+            with self.subTest(seed=seed):
+                vm = self.run_stop(scenario)
+                self.assert_no_late_one_is_cut(vm)
+
+
+SIGNAL_AMID_IMPORTS: Final = """
+import os, signal, sys
+os.kill(os.getpid(), signal.SIGTERM)
+sys.path.remove(os.path.dirname(__file__))
+del sys.modules["structlog"]
+import structlog
+"""
+"""Stands in for a library, so that a stop signal comes amid the imports."""
+
+
+class StopAmidStartTest(unittest.IsolatedAsyncioTestCase):
+    """A stop signal arrives before a daemon has started."""
+
+    def test_a_stop_amid_the_imports_ends_with_exit_code_0(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        Path(folder.name, "structlog.py").write_text(SIGNAL_AMID_IMPORTS)
+        settings = Path(folder.name, "settings.toml")
+        settings.write_text(
+            'node = "a"\nip_address = "127.0.0.1"\nzone = "z"\n'
+            'region = "r"\ninternal_port_range = [1, 2]\nseeds = []\n'
+            '[listen]\nfront = "127.0.0.1:0"\nready = "127.0.0.1:0"\n'
+            "[bounds]\ngrace_s = 0.1\n"
+        )
+        paths = (folder.name, os.environ.get("PYTHONPATH", ""))
+        result = subprocess.run(
+            [sys.executable, "-m", "wigeonford.platform.daemon", "entry"],
+            env={
+                **os.environ,
+                "PYTHONPATH": os.pathsep.join(paths),
+                "WIGEONFORD_CONFIG": str(settings),
+            },
+            capture_output=True,
+            timeout=60.0,
+        )
+        self.assertEqual(0, result.returncode, result)
+
+    async def test_a_stop_amid_a_start_that_waits_ends_it(self) -> None:
+        class Daemon:
+            """Wait for a configuration that never comes."""
+
+            async def start(self) -> None:
+                os.kill(os.getpid(), signal.SIGTERM)
+                await asyncio.Event().wait()
+
+            async def stop(self) -> None:
+                return
+
+        async with asyncio.timeout(10.0):
+            code = await serve_until_signal(Daemon(), EventLog())
+        self.assertEqual(EXIT_DONE, code)
