End cleanly when a stop signal comes amid the start

The handlers were installed only once all modules were imported and the daemon was built.

A start that is under way is cancelled. The exit code is 0 in each case. What is left is the start of the interpreter itself.

--- a/src/wigeonford/daemon.py
+++ b/src/wigeonford/daemon.py
@@ -4,10 +4,11 @@
 import asyncio
 from collections.abc import Callable
 from pathlib import Path
-import signal
 import sys
 from typing import Final, Protocol, TypeVar
 
+from wigeonford._stop_request import STOP_SIGNALS, StopRequest
+from wigeonford._tasks import cancel_task
 from wigeonford.errors import SettingsError
 from wigeonford.events import configure_logging, Event, EventLog
 from wigeonford.settings import load
@@ -30,25 +31,49 @@
         """Shut down gracefully."""
 
 
-async def serve_until_signal(daemon: Daemon, log: EventLog) -> int:
-    """Run until SIGTERM or SIGINT, then shut down; return the exit code."""
+async def serve_until_signal(
+    daemon: Daemon, log: EventLog, stop_request: StopRequest | None = None
+) -> int:
+    """Run until SIGTERM or SIGINT, then shut down; return the exit code.
+
+    `stop_request` tells of a signal that came before. A signal that comes
+    before the start has ended cancels it: nothing has been served by then.
+    """
     loop = asyncio.get_running_loop()
     stop_requested = asyncio.Event()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
+    for signal_number in STOP_SIGNALS:
         loop.add_signal_handler(signal_number, stop_requested.set)
+    if stop_request is not None and stop_request.is_made:
+        log.emit(Event.STOPPING)
+        log.emit(Event.STOPPED)
+        return EXIT_DONE
     try:
-        await daemon.start()
+        has_started = await _start(daemon, stop_requested)
     except OSError as exc:
         # Most likely another process uses the address.
         log.emit(Event.START_FAILED, detail=str(exc))
         return EXIT_FAILED
     await stop_requested.wait()
     log.emit(Event.STOPPING)
-    await daemon.stop()
+    if has_started:
+        await daemon.stop()
     log.emit(Event.STOPPED)
     return EXIT_DONE
 
 
+async def _start(daemon: Daemon, stop_requested: asyncio.Event) -> bool:
+    """Start a daemon; return whether it did before a stop was requested."""
+    start = asyncio.create_task(daemon.start())
+    stop = asyncio.create_task(stop_requested.wait())
+    await asyncio.wait((start, stop), return_when=asyncio.FIRST_COMPLETED)
+    stop.cancel()
+    if start.done():
+        start.result()
+        return True
+    await cancel_task(start)
+    return False
+
+
 def run(
     program: str,
     description: str,
@@ -56,6 +81,7 @@
     build: Callable[[T, EventLog], Daemon],
 ) -> int:
     """Run a daemon from the command line; return its exit code."""
+    stop_request = StopRequest()
     parser = argparse.ArgumentParser(program, description=description)
     parser.add_argument(
         "--settings", type=Path, required=True, help="settings file (JSONC)"
@@ -70,4 +96,4 @@
             log.emit(Event.SETTINGS_REJECTED, detail=str(fault))
             print(fault, file=sys.stderr)
         return EXIT_USAGE
-    return asyncio.run(serve_until_signal(build(cfg, log), log))
+    return asyncio.run(serve_until_signal(build(cfg, log), log, stop_request))
