Test that a reload signal amid the start ends nothing

The same cause as that of the stop signals: SIGHUP is handled only once the event loop watches the settings file. The test fails with exit code -1.

--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -537,23 +537,32 @@
                 self.assert_refused_truly_and_only_late(vm)
 
 
-SIGNAL_AMID_IMPORTS: Final = """
+SIGNALS_AMID_IMPORTS: Final = """
 import os, signal, sys
-os.kill(os.getpid(), signal.SIGTERM)
+for name in {signals}:
+    os.kill(os.getpid(), getattr(signal, name))
 sys.path.remove(os.path.dirname(__file__))
 del sys.modules["structlog"]
 import structlog
 """
-"""Stands in for a library, so that a stop signal comes amid the imports."""
+"""Stands in for a library, so that signals come amid the imports."""
 
 
 class StopAmidStartTest(unittest.IsolatedAsyncioTestCase):
     """A stop signal arrives before a daemon has started."""
 
     def test_a_stop_amid_the_imports_ends_with_exit_code_0(self) -> None:
+        self.check_signals_amid_imports("SIGTERM", "SIGTERM")
+
+    def test_a_reload_amid_the_imports_ends_nothing(self) -> None:
+        self.check_signals_amid_imports("SIGHUP", "SIGTERM")
+
+    def check_signals_amid_imports(self, *signals: str) -> None:
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        Path(folder.name, "structlog.py").write_text(SIGNAL_AMID_IMPORTS)
+        Path(folder.name, "structlog.py").write_text(
+            SIGNALS_AMID_IMPORTS.format(signals=signals)
+        )
         settings = Path(folder.name, "settings.toml")
         settings.write_text(
             'node = "a"\nip_address = "127.0.0.1"\nzone = "z"\n'
@@ -588,3 +597,24 @@
         async with asyncio.timeout(10.0):
             code = await serve_until_signal(Daemon(), EventLog())
         self.assertEqual(EXIT_DONE, code)
+
+    async def test_more_stop_signals_amid_a_stop_change_nothing(self) -> None:
+        has_ended = False
+
+        class Daemon:
+            """Get a stop signal once it has started, and amid the stop."""
+
+            async def start(self) -> None:
+                asyncio.get_running_loop().call_later(
+                    0.01, os.kill, os.getpid(), signal.SIGTERM
+                )
+
+            async def stop(self) -> None:
+                nonlocal has_ended
+                os.kill(os.getpid(), signal.SIGTERM)
+                await asyncio.sleep(0.01)
+                has_ended = True
+
+        async with asyncio.timeout(10.0):
+            code = await serve_until_signal(Daemon(), EventLog())
+        self.assertEqual((EXIT_DONE, True), (code, has_ended))
