Ignore a reload signal that comes amid the start

SIGHUP before the event loop watched the settings file ended the process by the signal (-1), so a change of the settings right after a restart took a VM away. It is ignored from the first line on until then; nothing is missed, as the file is read and watched afterwards. The test failed before and passes now.

--- a/src/wigeonford/platform/daemon.py
+++ b/src/wigeonford/platform/daemon.py
@@ -1,6 +1,7 @@
 """Run a daemon on the platform: `entry` or `control`."""
 
 import importlib
+import signal
 import sys
 from typing import Final
 
@@ -15,6 +16,8 @@
     Signals are handled before the imports, which take long on a slow VM.
     """
     stop_request = StopRequest()
+    # The settings file is read, and watched for changes, after the imports.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     code: int = importlib.import_module(_RUNNER).run(stop_request)
     return code
 
