--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -275,8 +275,13 @@
 
     def abort(self) -> None:
         """Close at once; drop what the kernel has not taken."""
+        self._mark_closed()
         self._writer.transport.abort()
 
+    def _mark_closed(self) -> None:
+        if not self._reader.is_closed:
+            self._is_closed_by_server = True
+
     def _start_next_cycle(self) -> bool:
         if self._http.our_state is not h11.DONE:
             return False
@@ -514,7 +519,7 @@
 
     async def close(self) -> None:
         """Close once the kernel has taken every byte of the responses."""
-        self._is_closed_by_server = not self._reader.is_closed
+        self._mark_closed()
         self._writer.close()
         await self._wait_until_written(
             lambda: asyncio.shield(self._writer.wait_closed())
