Keep idle connections while a raised idle timeout is on its way

Callers may have seen an idle connection close on their next request beside a change of the idle timeout: a change comes into force within 6 s, and until a VM applies a raised timeout it closes connections by the old one, while callers already go by the new one.

A VM now keeps an idle connection for those 6 s beyond the timeout. Callers reuse a connection for four fifths of a timeout at most, so one that any of them may still use by the old timeout is open when the new one is applied.

Evidence: test_caller_that_learns_first_of_a_raised_idle_limit of tests.test_caller_ends failed before (BrokenPipeError: closed at 15 s; the request came at 18 s) and passes.

--- a/src/wigeonford/steer/_daemon.py
+++ b/src/wigeonford/steer/_daemon.py
@@ -162,6 +162,9 @@
 
 CALLER_DESCRIPTOR_FRACTION: Final = 0.6
 """Fraction of the file descriptors that callers' connections may use."""
+CHANGE_LAG_S: Final = 6.0
+"""Time within which a change is in force everywhere. Callers may go by a
+raised idle timeout before this VM does."""
 
 
 def caller_limits(
@@ -174,7 +177,7 @@
         head_bytes=limits.head_bytes,
         body_bytes=limits.body_bytes,
         head_timeout_s=limits.head_timeout_s,
-        keep_alive_s=limits.idle_timeout_s,
+        keep_alive_s=limits.idle_timeout_s + CHANGE_LAG_S,
         connections=connections,
         connections_per_address=connections,
     )
--- a/tests/test_caller_ends.py
+++ b/tests/test_caller_ends.py
@@ -9,6 +9,7 @@
 from typing import Any
 import unittest
 
+from tests.test_deployment import make_deployment
 from tests.virtual_time import run_virtual, VirtualLoop
 from wigeonford.events import configure_logging, EventLog
 from wigeonford.http import HttpServer, Request, Response
@@ -17,6 +18,7 @@
 from wigeonford.peer._frames import decode_frame, encode_frame
 from wigeonford.peer._messages import MESSAGES
 from wigeonford.settings import Address, CallerLimits
+from wigeonford.steer._daemon import caller_limits
 
 GET = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
 POST = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nok"
@@ -28,6 +30,8 @@
 )
 STALL_S = 20.0
 """Exceeds every limit."""
+MAX_CHANGE_LAG_S = 6.0
+"""Time within which the users expect a change to be in force."""
 BIG_BODY_BYTES = 200_000
 """Fits into the server's write buffer, but not into the kernel's."""
 
@@ -197,6 +201,20 @@
         self.assertEqual(await caller.receive(), b"")
         self.assertAlmostEqual(self.loop.time() - began_s, 1.0, delta=0.1)
 
+    @in_virtual_time
+    async def test_caller_that_learns_first_of_a_raised_idle_limit(
+        self,
+    ) -> None:
+        deployment = make_deployment()
+        idle_timeout_s = deployment.limits.idle_timeout_s
+        caller = await self.start()
+        self.server.limits = caller_limits(deployment, 1000)
+        caller.send(GET)
+        await caller.receive()
+        await asyncio.sleep(idle_timeout_s * 0.8 + MAX_CHANGE_LAG_S)
+        caller.send(GET)
+        self.assertIn(b" 200 ", (await caller.receive())[:20])
+
     @in_virtual_time
     async def test_raised_limits_apply_to_open_connections(self) -> None:
         long_head = GET.replace(b"host", b"x: " + b"a" * 2000 + b"\r\nhost")
