Refuse fewer requests early in a planned stop

The slowest of 64 responses is near the time that one request in 64 exceeds, so 15 % on top of it refused many that would have ended.

--- a/src/wigeonford/steer/_shutdown.py
+++ b/src/wigeonford/steer/_shutdown.py
@@ -16,7 +16,7 @@
 CLOSE_FRACTION: Final = 0.92
 """Fraction of the grace period after which connections close. The rest is left
 for bytes on slow links and for the process to end."""
-SPREAD: Final = 1.15
+SPREAD: Final = 1.05
 """Ratio of the slowest request to expect to the slowest of late."""
 WAY_BACK_S: Final = 0.1
 """From the end of the work to the caller's connection."""
