Test that a planned stop ends in the grace, also after a stall

The stop waits for each part to end, and the one that returns leases waits up to 1 s for control, from 0.92 of the grace on: with 6 s that is past SIGKILL. A second test, which passes: a process that stands still from 5.0 to 5.7 s of a grace of 6 s delivers the answer that is ready and answers the other two requests.

--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -24,7 +24,7 @@
     make_deployment,
     make_route,
 )
-from tests.virtual_time import run_virtual
+from tests.virtual_time import run_virtual, VirtualLoop
 from wigeonford.daemon import EXIT_DONE, serve_until_signal
 from wigeonford.deployment import RouteKind
 from wigeonford.events import EventLog
@@ -122,6 +122,7 @@
         )
         self.grace_s = grace_s
         self.work_s = work_s
+        self.component = mock.AsyncMock()
         self.writers: list[asyncio.StreamWriter] = []
         self.statuses: dict[str, str] = {}
         self.complete_at_s: dict[str, float] = {}
@@ -192,7 +193,7 @@
             {},
             grace_s=grace_s,
         )
-        follower, component = mock.AsyncMock(), mock.AsyncMock()
+        follower, component = mock.AsyncMock(), self.component
         follower.add_view_listener = mock.Mock()
         return SteerDaemon(
             cfg,
@@ -459,6 +460,41 @@
 
         self.assertEqual({"a": "200"}, self.run_stop(scenario).statuses)
 
+    def test_a_process_that_stands_still_past_the_end_answers_all(
+        self,
+    ) -> None:
+        async def scenario() -> StoppingVm:
+            vm = StoppingVm(6, 5.0)
+            works_s = iter((5.1, 9.0))
+            vm.targets.next_work_s = lambda: next(works_s)
+            calls = [
+                asyncio.create_task(vm.call("ready")),
+                asyncio.create_task(vm.call("at work")),
+                asyncio.create_task(vm.call("unsent", body_after_s=30.0)),
+            ]
+            await asyncio.sleep(0.05)
+            stop = vm.begin_stop()
+            await asyncio.sleep(5.0)
+            cast(VirtualLoop, vm.loop).stall(0.7)
+            await stop
+            await asyncio.wait(calls)
+            return vm
+
+        self.assertEqual(
+            {"ready": "200", "at work": "504", "unsent": "503"},
+            self.run_stop(scenario).statuses,
+        )
+
+    def test_a_stop_ends_in_the_grace_though_control_is_silent(self) -> None:
+        async def scenario() -> StoppingVm:
+            vm = StoppingVm(6, 1.0)
+            vm.component.stop = lambda: asyncio.sleep(30.0)
+            await vm.begin_stop()
+            self.assertLess(vm.late_s(vm.loop.time()), vm.grace_s)
+            return vm
+
+        self.run_stop(scenario)
+
     def test_before_anything_is_learned_the_time_limit_decides(self) -> None:
         async def scenario() -> StoppingVm:
             vm = StoppingVm(6, 1.0, timeout_s=7.0)
