--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -24,7 +24,7 @@
     make_deployment,
     make_route,
 )
-from tests.virtual_time import run_virtual
+from tests.virtual_time import run_virtual, VirtualLoop
 from wigeonford.daemon import EXIT_DONE, serve_until_signal
 from wigeonford.deployment import RouteKind
 from wigeonford.events import EventLog
@@ -122,6 +122,7 @@
         )
         self.grace_s = grace_s
         self.work_s = work_s
+        self.component = mock.AsyncMock()
         self.writers: list[asyncio.StreamWriter] = []
         self.statuses: dict[str, str] = {}
         self.complete_at_s: dict[str, float] = {}
@@ -192,7 +193,7 @@
             {},
             grace_s=grace_s,
         )
-        follower, component = mock.AsyncMock(), mock.AsyncMock()
+        follower, component = mock.AsyncMock(), self.component
         follower.add_view_listener = mock.Mock()
         return SteerDaemon(
             cfg,
@@ -324,7 +325,7 @@
         for duration_s in [0.1] * 20 + [0.5] + [0.1] * 20:
             stats.record_response(duration_s)
         self.assertEqual(SPREAD * 0.5, expected_s(stats))
-        self.assertEqual(SPREAD * 0.9, expected_s(stats, 0.6, 0.3))
+        self.assertEqual(SPREAD * (0.6 + 0.3), expected_s(stats, 0.6, 0.3))
         for _ in range(100):
             stats.record_response(0.1)
         self.assertEqual(SPREAD * 0.1, expected_s(stats))
@@ -404,6 +405,24 @@
                 self.assert_no_late_one_is_cut(vm)
                 self.assert_refused_truly_and_only_late(vm)
 
+    def test_few_are_refused_where_work_takes_a_third_of_the_grace(
+        self,
+    ) -> None:
+        async def scenario() -> StoppingVm:
+            vm = StoppingVm(6, 2.0, timeout_s=60.0)
+            await vm.learn(60)
+            stop = vm.begin_stop()
+            async with asyncio.TaskGroup() as group:
+                for number in range(48):
+                    group.create_task(vm.call(f"{number}"))
+                    await asyncio.sleep(0.05)
+            await stop
+            return vm
+
+        vm = self.run_stop(scenario)
+        self.assertLessEqual(list(vm.statuses.values()).count("503"), 4)
+        self.assertEqual([], vm.targets.cut)
+
     def test_all_that_a_stop_cannot_finish_are_answered(self) -> None:
         async def scenario() -> StoppingVm:
             vm = StoppingVm(6, 20.0)
@@ -441,6 +460,41 @@
 
         self.assertEqual({"a": "200"}, self.run_stop(scenario).statuses)
 
+    def test_a_process_that_stands_still_past_the_end_answers_all(
+        self,
+    ) -> None:
+        async def scenario() -> StoppingVm:
+            vm = StoppingVm(6, 5.0)
+            works_s = iter((5.1, 9.0))
+            vm.targets.next_work_s = lambda: next(works_s)
+            calls = [
+                asyncio.create_task(vm.call("ready")),
+                asyncio.create_task(vm.call("at work")),
+                asyncio.create_task(vm.call("unsent", body_after_s=30.0)),
+            ]
+            await asyncio.sleep(0.05)
+            stop = vm.begin_stop()
+            await asyncio.sleep(5.0)
+            cast(VirtualLoop, vm.loop).stall(0.7)
+            await stop
+            await asyncio.wait(calls)
+            return vm
+
+        self.assertEqual(
+            {"ready": "200", "at work": "504", "unsent": "503"},
+            self.run_stop(scenario).statuses,
+        )
+
+    def test_a_stop_ends_in_the_grace_though_control_is_silent(self) -> None:
+        async def scenario() -> StoppingVm:
+            vm = StoppingVm(6, 1.0)
+            vm.component.stop = lambda: asyncio.sleep(30.0)
+            await vm.begin_stop()
+            self.assertLess(vm.late_s(vm.loop.time()), vm.grace_s)
+            return vm
+
+        self.run_stop(scenario)
+
     def test_before_anything_is_learned_the_time_limit_decides(self) -> None:
         async def scenario() -> StoppingVm:
             vm = StoppingVm(6, 1.0, timeout_s=7.0)
