--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -5,6 +5,7 @@
 import json
 from pathlib import Path
 import tempfile
+import time
 from typing import Any
 import unittest
 
@@ -71,6 +72,7 @@
         self.requests: list[Request] = []
         self.faults: list[Response] = []
         self.should_hang = False
+        self.stall_s = 0.0
         self.in_flight = 0
 
     async def handle(self, request: Request) -> Response:
@@ -93,6 +95,7 @@
             return Response(fault.status, (echo, *fault.headers), fault.body)
         signed = (b"x-response-signature", b"signed")
         length = (b"content-length", b"5")
+        time.sleep(self.stall_s)  # noqa: ASYNC251
         return Response(200, (echo, signed, length), b"whole")
 
 
@@ -331,6 +334,13 @@
         self.target.faults = [Response(503)] * 2
         self.assertEqual(502, (await self.call("4", 1)).status)
 
+    async def test_answer_made_before_the_deadline_survives_a_stall(
+        self,
+    ) -> None:
+        await self.publish()
+        self.target.stall_s = 2.7
+        self.assertEqual(200, (await self.call("7", 0)).status)
+
     async def test_work_ends_with_its_caller(self) -> None:
         await self.publish()
         self.target.should_hang = True
