Take a response for a request's own only with proof

Callers could be told "not run, try again" for a request that a target had run or was running, and such a request could run at a second target: a target wrote an earlier refusal once more on a kept connection. A response without an echoed id was accepted on any connection; a copy with the id of a request that a connection carried twice, because its caller used the id again, couldn't be told from the second refusal; and a copy that was cut in its head ran into the request's own answer, so that a 503 with X-Not-Executed had the right id.

Now the wire says whether a response names this request, another one or none. A response that names none, or several, counts only as the first one on a connection. A connection remembers the ids that it carried, ends after 256 exchanges, and is passed over for a request whose id it carried before; a request without an id uses a new one. A head that contains a status line breaks the attempt. In all these cases the attempt is broken: idempotent requests are repeated, others end with run state unknown.

Evidence: of tests.test_response_proof, six tests of ProofTest failed before (NOT_RUN, WRONG_TARGET and ANSWERED instead of BROKEN, 2 != 1 connections, a TimeoutError for a head with two ids) and pass now. is_ours of tests.test_client_answers returns an owner instead of a truth value and rejects the same responses.

--- a/src/wigeonford/http/__init__.py
+++ b/src/wigeonford/http/__init__.py
@@ -6,6 +6,7 @@
     ExchangeFailed,
     fetch,
     read_body,
+    ResponseOwner,
 )
 from wigeonford.http._connection import Handler, ResponseBroken
 from wigeonford.http._pool import ConnectionPool
@@ -33,6 +34,7 @@
     "INTERNAL_PREFIX",
     "RUN_STATE_HEADER",
     "ResponseBroken",
+    "ResponseOwner",
     "ClientConnection",
     "ConnectFailed",
     "ConnectionPool",
--- a/src/wigeonford/http/_client.py
+++ b/src/wigeonford/http/_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
+from enum import Enum
 import re
 import socket
 import ssl
@@ -32,7 +33,21 @@
 reused; the rest covers the transit time of the next request."""
 _KEEP_ALIVE: Final = re.compile(r"timeout=(\d+)")
 
-IsOurs = Callable[[Headers], bool]
+MAX_EXCHANGES: Final = 256
+"""Exchanges on one connection, which bound the request ids it remembers."""
+
+_STATUS_LINE: Final = re.compile(rb"HTTP/\d\.\d \d{3}")
+
+
+class ResponseOwner(Enum):
+    """Say to which request a response states that it belongs."""
+
+    OWN = "own"
+    OTHER = "other"
+    UNSTATED = "unstated"
+
+
+OwnerOf = Callable[[Headers], ResponseOwner]
 
 
 class ConnectFailed(Exception):
@@ -61,6 +76,8 @@
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
         self._send_task: asyncio.Task[None] | None = None
+        self._exchange_count = 0
+        self._request_id_hashes: set[int] = set()
         self.address = address
         self.used_at_s = 0.0
         self.idle_limit_s = float("inf")
@@ -104,12 +121,23 @@
         """Return whether the connection can carry another exchange."""
         return (
             self._http.our_state is h11.IDLE
+            and self._exchange_count < MAX_EXCHANGES
             and not self._reader.at_eof()
             and not self._reader.is_closed
             and not self._reader.has_unread_bytes
             and not self._writer.is_closing()
         )
 
+    def can_carry(self, request_id: str) -> bool:
+        """Return whether a response can be shown to belong to a request.
+
+        The connection must not have carried a request with the same id. A
+        request without one needs a connection of its own.
+        """
+        if not request_id:
+            return not self._exchange_count
+        return hash(request_id) not in self._request_id_hashes
+
     def close(self) -> None:
         """Close immediately; abort an exchange that is running."""
         if self._send_task is not None:
@@ -122,18 +150,22 @@
         target: str,
         headers: Headers,
         body: bytes | AsyncIterator[bytes] = b"",
-        is_ours: IsOurs | None = None,
+        owner_of: OwnerOf | None = None,
+        request_id: str = "",
     ) -> Response:
         """Send a request and return its response with a streaming body.
 
         The response may arrive before the whole request body is sent. With
-        `is_ours`, responses whose headers it rejects are skipped as late
-        responses to earlier requests. Raise `ExchangeFailed` if the
-        exchange breaks; bytes of the request may then have been sent. The
-        response's body raises it if it ends before its stated length.
+        `owner_of`, responses to other requests are skipped as late ones. A
+        response that names no request is accepted only as the first one on a
+        connection. Raise `ExchangeFailed` if the exchange breaks; bytes of
+        the request may then have been sent. The response's body raises it if
+        it ends before its stated length.
         """
         try:
-            return await self._exchange(method, target, headers, body, is_ours)
+            return await self._exchange(
+                method, target, headers, body, owner_of, request_id
+            )
         except BaseException:
             self.close()
             raise
@@ -144,19 +176,25 @@
         target: str,
         headers: Headers,
         body: bytes | AsyncIterator[bytes],
-        is_ours: IsOurs | None,
+        owner_of: OwnerOf | None,
+        request_id: str,
     ) -> Response:
         head = h11.Request(method=method, target=target, headers=list(headers))
+        self._exchange_count += 1
+        self._request_id_hashes.add(hash(request_id))
+        stray_count = 0
         try:
             self._send(head, body)
-            stray_count = 0
             while True:
                 event = await self._next_head()
                 response_headers: Headers = tuple(
                     (bytes(name), bytes(value))
                     for name, value in event.headers
                 )
-                if is_ours is None or is_ours(response_headers):
+                is_first = self._exchange_count == 1 and not stray_count
+                if owner_of is None or self._is_own(
+                    owner_of(response_headers), is_first=is_first
+                ):
                     break
                 stray_count += 1
                 if stray_count > MAX_STRAY_RESPONSES:
@@ -171,6 +209,14 @@
             event.status_code, response_headers, self._stream_body()
         )
 
+    def _is_own(self, owner: ResponseOwner, *, is_first: bool) -> bool:
+        """Return whether a response belongs to the request under way."""
+        if owner is ResponseOwner.UNSTATED and not is_first:
+            raise ExchangeFailed(
+                f"{self.address}: the response may belong to another request"
+            )
+        return owner is not ResponseOwner.OTHER
+
     def _apply_keep_alive(self, headers: Headers) -> None:
         """Apply the idle timeout that the server states in `keep-alive`."""
         match = _KEEP_ALIVE.search(find_header(headers, b"keep-alive") or "")
@@ -203,18 +249,19 @@
             self._reader.set_exception(exc)
 
     async def _next_head(self) -> h11.Response:
-        event = await self._next_event()
-        interim_count = 0
-        while isinstance(event, h11.InformationalResponse):
-            interim_count += 1
-            if interim_count > MAX_INTERIM_RESPONSES:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
+            event = await self._next_event()
+            if not isinstance(event, h11.InformationalResponse | h11.Response):
                 raise ExchangeFailed(
-                    f"{self.address}: too many interim responses"
+                    f"{self.address}: closed without a response"
                 )
-            event = await self._next_event()
-        if not isinstance(event, h11.Response):
-            raise ExchangeFailed(f"{self.address}: closed without a response")
-        return event
+            if _contains_status_line(event):
+                raise ExchangeFailed(
+                    f"{self.address}: a cut head runs into another response"
+                )
+            if isinstance(event, h11.Response):
+                return event
+        raise ExchangeFailed(f"{self.address}: too many interim responses")
 
     async def _skip_stray(
         self, head: h11.Request, body: bytes | AsyncIterator[bytes]
@@ -292,6 +339,17 @@
             self._http.receive_data(await self._reader.read(READ_BYTES))
 
 
+def _contains_status_line(
+    event: h11.InformationalResponse | h11.Response,
+) -> bool:
+    """Return whether a head contains the status line of another response.
+
+    It does if the target broke off in the head and sent the next response.
+    """
+    values = (bytes(value) for _, value in event.headers)
+    return any(map(_STATUS_LINE.search, (bytes(event.reason), *values)))
+
+
 def _set_ack_timeout(sock: socket.socket, ack_timeout_s: float) -> None:
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/src/wigeonford/http/_pool.py
+++ b/src/wigeonford/http/_pool.py
@@ -24,20 +24,27 @@
         address: Address,
         *,
         new_connection: bool = False,
+        request_id: str | None = None,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> tuple[ClientConnection, bool]:
         """Return a connection and whether it was used before.
 
-        With `new_connection`, always open a new one. Raise `ConnectFailed`.
+        With `new_connection`, always open a new one, and with `request_id`
+        where a used one can't show which response belongs to the request.
+        Raise `ConnectFailed`.
         """
         idle = self._idle.get(address)
         now_s = time.monotonic()
         while idle and not new_connection:
             conn = idle.pop()
             idle_s = min(MAX_IDLE_S, conn.idle_limit_s)
-            if conn.is_reusable and now_s - conn.used_at_s < idle_s:
+            if not conn.is_reusable or now_s - conn.used_at_s >= idle_s:
+                conn.close()
+            elif request_id is None or conn.can_carry(request_id):
                 return conn, True
-            conn.close()
+            else:
+                idle.append(conn)
+                break
         conn = await ClientConnection.open(
             address, connect_timeout_s, ack_timeout_s=self._ack_timeout_s
         )
--- a/src/wigeonford/platform/_front.py
+++ b/src/wigeonford/platform/_front.py
@@ -16,6 +16,7 @@
     json_response,
     Request,
     Response,
+    ResponseOwner,
 )
 from wigeonford.messages.steering import EntryStatus
 from wigeonford.steer import (
@@ -93,13 +94,17 @@
             headers.append((_ACCOUNT, account.encode()))
         return tuple(headers)
 
-    def is_response_to(self, req: SteerRequest, headers: Headers) -> bool:
-        """Return whether a response belongs to a request.
+    def find_owner(self, req: SteerRequest, headers: Headers) -> ResponseOwner:
+        """Return whether the id that a response echoes is that of a request.
 
-        A response without an echoed id is accepted.
+        Several ids come from heads that ran into each other.
         """
-        echoed = find_header(headers, _REQUEST_ID)
-        return echoed is None or echoed == req.request_id
+        echoed = {value for name, value in headers if name == _REQUEST_ID}
+        if len(echoed) != 1 or echoed == {b""}:
+            return ResponseOwner.UNSTATED
+        if echoed == {req.request_id.encode("latin-1")}:
+            return ResponseOwner.OWN
+        return ResponseOwner.OTHER
 
     def find_request_id(self, headers: Headers) -> str:
         """Return the id of a caller's request, empty if it has none."""
--- a/src/wigeonford/steer/_attempt.py
+++ b/src/wigeonford/steer/_attempt.py
@@ -13,7 +13,6 @@
     ConnectFailed,
     ConnectionPool,
     ExchangeFailed,
-    Headers,
     Response,
     ResponseBroken,
 )
@@ -126,7 +125,9 @@
         connect_timeout_s = min(CONNECT_TIMEOUT_S, max(0.0, attempt.left_s))
         try:
             conn, reused = await self._pool.acquire(
-                address, connect_timeout_s=connect_timeout_s
+                address,
+                request_id=attempt.req.request_id,
+                connect_timeout_s=connect_timeout_s,
             )
         except ConnectFailed as exc:
             return AttemptResult(Outcome.NOT_SENT, detail=str(exc))
@@ -159,11 +160,13 @@
             max(0.001, attempt.left_s),
         )
 
-        def is_own_response(headers: Headers) -> bool:
-            return self._wire.is_response_to(req, headers)
-
         response = await conn.exchange(
-            req.method, req.target, head, attempt.body, is_own_response
+            req.method,
+            req.target,
+            head,
+            attempt.body,
+            lambda headers: self._wire.find_owner(req, headers),
+            req.request_id,
         )
         facts = self._wire.parse_facts(response)
         if facts.run is not TargetRunState.RAN:
--- a/src/wigeonford/steer/_request.py
+++ b/src/wigeonford/steer/_request.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from wigeonford.http import Headers, Response
+from wigeonford.http import Headers, Response, ResponseOwner
 
 
 class SteerRequest(msgspec.Struct, frozen=True):
@@ -74,8 +74,8 @@
     ) -> Headers:
         """Return the headers of one attempt."""
 
-    def is_response_to(self, req: SteerRequest, headers: Headers) -> bool:
-        """Return whether a response belongs to a request."""
+    def find_owner(self, req: SteerRequest, headers: Headers) -> ResponseOwner:
+        """Return whether the headers of a response name a request."""
 
     def find_request_id(self, headers: Headers) -> str:
         """Return the id of a caller's request, empty if it has none."""
--- a/tests/test_client_answers.py
+++ b/tests/test_client_answers.py
@@ -11,6 +11,7 @@
     find_header,
     Headers,
     read_body,
+    ResponseOwner,
 )
 from wigeonford.settings import Address
 
@@ -21,9 +22,10 @@
 )
 
 
-def is_ours(headers: Headers) -> bool:
+def is_ours(headers: Headers) -> ResponseOwner:
     """Return whether a response carries the request's ID."""
-    return find_header(headers, b"x-id") == "2"
+    is_own = find_header(headers, b"x-id") == "2"
+    return ResponseOwner.OWN if is_own else ResponseOwner.OTHER
 
 
 class AnswersTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_response_proof.py
+++ b/tests/test_response_proof.py
@@ -82,20 +82,28 @@
         self.connections = TargetConnections(self._wire)
         self.connection_count = 0
         self.address = Address()
+        self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self, test: unittest.IsolatedAsyncioTestCase) -> None:
         """Listen until the end of a test."""
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         test.addCleanup(server.close)
-        test.addCleanup(self.connections.close)
+        test.addAsyncCleanup(self._end_connections)
         port = server.sockets[0].getsockname()[1]
         self.address = Address("127.0.0.1", port)
         announcement = make_announcement(address=str(self.address))
         self._record = TargetRecord(announcement, "south", 0.0)
 
+    async def _end_connections(self) -> None:
+        self.connections.close()
+        await asyncio.gather(*self._tasks)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        task = asyncio.current_task()
+        assert task is not None, "connections are served in tasks"
+        self._tasks.append(task)
         script = self._scripts[self.connection_count]
         self.connection_count += 1
         try:
@@ -255,6 +263,7 @@
             b"HTTP/1.1 503 Busy\r\nx-not-executed: 1",
             b"HTTP/1.1 421 Other\r\nretry-after: 0.",
             b"HTTP/1.1 404 Not",
+            b"HTTP/1.1 103 Early Hints\r\nlink: a",
             b"HTTP/1.1 503 Busy\r\nx-attempt-id: a\r\nx-not-executed: 1\r\na:",
         ):
             for parts in ([cut + own], [cut, own]):
