Break an answer without a length off when this side closes

A caller could get the begun part of an answer as a whole one: where a target states no length, the end of its stream ends the answer, and a stream that this side aborts ends in the same way as by a regular close of the target. It happens where sending a request's body fails while the answer arrives.

The connection now knows that it aborted, and the end of its stream breaks the answer. The same was looked for in all other ways to break off: around each delimiter of the head, the chunks and the body, in one piece, byte by byte, by a regular close and by a reset, also with HTTP/1.0 and after an interim response; those tests passed before and after.

Evidence: test_close_by_the_sender_does_not_end_an_unframed_answer failed before (ANSWERED instead of BROKEN) and passes.

--- a/src/wigeonford/http/_client.py
+++ b/src/wigeonford/http/_client.py
@@ -76,6 +76,7 @@
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
         self._send_task: asyncio.Task[None] | None = None
+        self._has_aborted = False
         self._exchange_count = 0
         self._request_id_hashes: set[int] = set()
         self.address = address
@@ -142,6 +143,10 @@
         """Close immediately; abort an exchange that is running."""
         if self._send_task is not None:
             self._send_task.cancel()
+        self._abort()
+
+    def _abort(self) -> None:
+        self._has_aborted = True
         self._writer.transport.abort()
 
     async def exchange(
@@ -244,7 +249,7 @@
             self._writer.write(self._http.send(h11.EndOfMessage()) or b"")
         except (OSError, h11.ProtocolError):
             # The task that reads the response detects the broken connection.
-            self._writer.transport.abort()
+            self._abort()
         except Exception as exc:
             self._reader.set_exception(exc)
 
@@ -336,7 +341,11 @@
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            self._http.receive_data(await self._reader.read(READ_BYTES))
+            data = await self._reader.read(READ_BYTES)
+            if not data and self._has_aborted:
+                # The end of an aborted stream looks like a regular close.
+                raise ExchangeFailed(f"{self.address}: closed by this side")
+            self._http.receive_data(data)
 
 
 def _contains_status_line(
