Split checks of heads and callers' limits from the connection

No change of behaviour; _connection.py had grown beyond a few hundred lines. A test holds that a limit raised amid a stop doesn't hold it up.

--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -16,10 +16,11 @@
 
 from wigeonford.errors import Code, RequestRejected, RunState, WigeonfordError
 from wigeonford.events import Event, EventLog
-from wigeonford.http._reader import poll_sockets, ReadDeadline, WatchedReader
+from wigeonford.http._caller_deadline import CallerDeadline
+from wigeonford.http._head_checks import check_head, to_rejection
+from wigeonford.http._reader import poll_sockets, WatchedReader
 from wigeonford.http._types import (
     error_response,
-    find_header,
     Headers,
     Request,
     Response,
@@ -58,31 +59,6 @@
     """Report that a caller has stopped reading its response."""
 
 
-class CallerDeadline(ReadDeadline):
-    """A time limit on a caller that rises with the limit in force."""
-
-    def __init__(
-        self, limits: CallerLimits, limit_of: Callable[[CallerLimits], float]
-    ) -> None:
-        self._began_s = asyncio.get_running_loop().time()
-        self._limit_of = limit_of
-        self._timeout_s = limit_of(limits)
-        super().__init__(self._began_s + self._timeout_s)
-
-    def extend(self, limits: CallerLimits) -> None:
-        """Apply limits that came into force; a smaller one has no effect."""
-        timeout_s = self._limit_of(limits)
-        if timeout_s > self._timeout_s:
-            self._timeout_s = timeout_s
-            self.reschedule(self._began_s + timeout_s)
-
-    def expire_in(self, timeout_s: float) -> None:
-        """Expire after `timeout_s`, whatever limits come into force."""
-        self._limit_of = lambda _limits: 0.0
-        now_s = asyncio.get_running_loop().time()
-        self.reschedule(now_s + timeout_s)
-
-
 class ConnectionServer(Protocol):
     """Declare the server attributes that a connection uses."""
 
@@ -324,7 +300,7 @@
                 Code.REQUEST_TIMEOUT, "the request head is incomplete"
             ) from None
         except h11.RemoteProtocolError as exc:
-            raise _to_rejection(exc) from exc
+            raise to_rejection(exc) from exc
         if isinstance(event, h11.ConnectionClosed):
             return None
         assert isinstance(event, h11.Request), (
@@ -348,8 +324,7 @@
         headers: Headers = tuple(
             (bytes(name), bytes(value)) for name, value in event.headers
         )
-        self._check_size(event)
-        self._check_framing(headers)
+        check_head(event, headers, self._limits)
         path, _, query = event.target.decode("latin-1").partition("?")
         return Request(
             method=event.method.decode("ascii"),
@@ -360,34 +335,6 @@
             body=self._stream_body(),
         )
 
-    def _check_size(self, event: h11.Request) -> None:
-        """Reject an oversized head that h11 accepts.
-
-        h11 limits a head only while it is incomplete, so one that arrives
-        in a single read passes.
-        """
-        size_bytes = len(event.target) + sum(
-            len(name) + len(value) for name, value in event.headers
-        )
-        if size_bytes > self._limits.head_bytes:
-            raise RequestRejected(Code.HEAD_TOO_LARGE, f"{size_bytes} bytes")
-
-    def _check_framing(self, headers: Headers) -> None:
-        content_length = find_header(headers, b"content-length")
-        transfer_encoding = find_header(headers, b"transfer-encoding")
-        if content_length is not None and transfer_encoding is not None:
-            raise RequestRejected(
-                Code.CONFLICTING_LENGTH,
-                "both content-length and transfer-encoding are set",
-            )
-        if (
-            content_length is not None
-            and int(content_length) > self._limits.body_bytes
-        ):
-            raise RequestRejected(
-                Code.BODY_TOO_LARGE, f"over {self._limits.body_bytes} bytes"
-            )
-
     async def _stream_body(self) -> AsyncIterator[bytes]:
         if self._http.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(
@@ -542,14 +489,3 @@
             if transport.get_write_buffer_size() >= size_bytes:
                 transport.abort()
                 raise CallerStalled
-
-
-def _to_rejection(exc: h11.RemoteProtocolError) -> RequestRejected:
-    text = str(exc)
-    if exc.error_status_hint == 431:
-        return RequestRejected(Code.HEAD_TOO_LARGE, text)
-    if "content-length" in text.lower():
-        return RequestRejected(Code.CONFLICTING_LENGTH, text)
-    if "closed" in text.lower():
-        return RequestRejected(Code.REQUEST_TRUNCATED, text)
-    return RequestRejected(Code.BAD_REQUEST, text)
--- a/tests/test_caller_ends.py
+++ b/tests/test_caller_ends.py
@@ -235,6 +235,17 @@
                 caller.send(request[position:])
                 self.assertIn(b" 200 ", (await caller.receive())[:20])
 
+    @in_virtual_time
+    async def test_raised_idle_limit_does_not_hold_up_a_stop(self) -> None:
+        caller = await self.start()
+        stopping = asyncio.create_task(self.server.stop(60.0))
+        await asyncio.sleep(0.1)
+        self.server.limits = CallerLimits(keep_alive_s=30.0)
+        began_s = self.loop.time()
+        await stopping
+        self.assertLess(self.loop.time() - began_s, 1.0)
+        self.assertEqual(await caller.receive(), b"")
+
     @in_virtual_time
     async def test_stop_waits_for_responses_in_the_write_buffer(
         self,
