--- a/tests/test_caller_ends.py
+++ b/tests/test_caller_ends.py
@@ -13,6 +13,7 @@
 from tests.virtual_time import run_virtual, VirtualLoop
 from wigeonford.events import configure_logging, EventLog
 from wigeonford.http import HttpServer, Request, Response
+from wigeonford.http._reader import ReadDeadline, WatchedReader
 from wigeonford.messages.steering import FetchView, ViewNotice
 from wigeonford.peer import PeerClient
 from wigeonford.peer._frames import decode_frame, encode_frame
@@ -326,6 +327,29 @@
         self.assertIn(b"run-state: not-run", response)
         self.assertIn(b"retry-after: 1", response)
 
+    @in_virtual_time
+    async def test_idle_connection_at_a_stop_gets_no_bytes(self) -> None:
+        caller = await self.start()
+        await self.server.stop(0.0)
+        self.assertEqual(await caller.receive_all(), b"")
+
+    @in_virtual_time
+    async def test_oversized_head_is_rejected_before_it_ends(self) -> None:
+        caller = await self.start()
+        caller.send(GET[:-2] + b"x: " + b"a" * 2000)
+        self.assertIn(b" 431 ", (await caller.receive())[:20])
+        self.assertLess(self.loop.time(), 1.0)
+
+    @in_virtual_time
+    async def test_head_request_gets_no_body(self) -> None:
+        self.response = Response(200, ((b"content-length", b"2"),), b"ok")
+        caller = await self.start()
+        for _ in range(2):
+            caller.send(GET.replace(b"GET", b"HEAD"))
+            response = await caller.receive()
+            self.assertIn(b" 200 ", response[:20])
+            self.assertTrue(response.endswith(b"\r\n\r\n"))
+
     @in_virtual_time
     async def test_request_in_the_buffer_at_a_stop_is_answered(self) -> None:
         caller = await self.start()
@@ -378,6 +402,51 @@
         self.assertEqual(self.loop_errors, [])
 
 
+class ReadDeadlineTest(unittest.TestCase):
+    """Read from one end of a pair of sockets until a deadline."""
+
+    async def start(self) -> None:
+        """Connect a reader."""
+        self.loop = asyncio.get_running_loop()
+        ours, self.peer = socket.socketpair()
+        self.addCleanup(self.peer.close)
+        self.reader = WatchedReader(65536)
+        await self.loop.create_connection(
+            lambda: asyncio.StreamReaderProtocol(self.reader), sock=ours
+        )
+        await asyncio.sleep(0.1)
+
+    @in_virtual_time
+    async def test_bytes_before_a_late_read_count(self) -> None:
+        await self.start()
+        self.peer.sendall(b"ab")
+        deadline = ReadDeadline(self.loop.time() - 1.0)
+        self.assertEqual(await deadline.read(self.reader, 1), b"a")
+        self.peer.sendall(b"c")
+        await asyncio.sleep(0.1)
+        self.assertEqual(await deadline.read(self.reader, 9), b"b")
+        with self.assertRaises(TimeoutError):
+            await deadline.read(self.reader, 9)
+
+    @in_virtual_time
+    async def test_deadline_moved_as_it_expires_is_not_over(self) -> None:
+        await self.start()
+        now_s = self.loop.time()
+        deadline = ReadDeadline(now_s + 1.0)
+        self.loop.call_at(
+            now_s + 1.0, self.loop.call_soon, deadline.reschedule, now_s + 9.0
+        )
+        self.loop.call_at(now_s + 5.0, self.peer.sendall, b"a")
+        self.assertEqual(await deadline.read(self.reader, 9), b"a")
+
+    @in_virtual_time
+    async def test_end_of_a_stream_before_the_limit_is_returned(self) -> None:
+        await self.start()
+        self.peer.close()
+        deadline = ReadDeadline(self.loop.time() - 1.0)
+        self.assertEqual(await deadline.read(self.reader, 9), b"")
+
+
 class LateLoopConnection:
     """Stand in for a link whose replies are read by a loop that runs late."""
 
@@ -395,9 +464,12 @@
         loop.call_soon(loop.stall, STALL_S)
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
-        """Yield the frames that arrive."""
+        """Yield the frames that arrive; each takes some reads."""
         while True:
-            yield await self._frames.get()
+            frame = await self._frames.get()
+            for _ in range(8):
+                await asyncio.sleep(0)
+            yield frame
 
     async def close(self) -> None:
         """Return: there is nothing to close."""
