End a planned stop in the grace though control is silent

A VM in a planned stop could be killed before it had ended, as it waits for control to take its leases back from 0.92 of the grace on, up to 1 s: with a grace of 6 s that goes past SIGKILL. The wait now ends at 0.98 of the grace, with a line in the log (event 104); a lease that isn't given back expires. Event 535 also says how many requests were ended with an answer of this VM.

--- a/src/wigeonford/steer/_daemon.py
+++ b/src/wigeonford/steer/_daemon.py
@@ -125,15 +125,27 @@
             self._front.stop(_until(plan.close_at_s))
         )
         await asyncio.wait((closing,), timeout=_until(plan.finish_by_s))
-        self._forwarder.end_unfinished()
-        self._log.emit(Event.FRONT_CLOSED, cut=await closing)
+        ended_count = self._forwarder.end_unfinished()
+        self._log.emit(
+            Event.FRONT_CLOSED, ended=ended_count, cut=await closing
+        )
         await cancel_task(self._sweeper)
-        for component in self._components:
-            await component.stop()
+        await self._stop_components(_until(plan.end_by_s))
         for server, _ in self._servers:
             await server.stop(0.0)
         self._target_connections.close()
 
+    async def _stop_components(self, timeout_s: float) -> None:
+        """Stop what runs in the background; control may not answer it."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                for component in self._components:
+                    await component.stop()
+        except TimeoutError:
+            self._log.emit(
+                Event.TASK_FAILED, detail="control did not take leases back"
+            )
+
     def _apply_view(self, view: View) -> None:
         now_s = time.monotonic()
         for address in self._target_records.apply_changes(
--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -120,11 +120,15 @@
         self._shutdown = plan
         self._admission.begin_shutdown(plan)
 
-    def end_unfinished(self) -> None:
-        """Answer the requests that are left at the end of a shutdown."""
+    def end_unfinished(self) -> int:
+        """Answer the requests that are left at the end of a shutdown.
+
+        Return how many there are.
+        """
         for limit in self._unfinished:
             if not limit.expired():
                 limit.reschedule(self._clock())
+        return len(self._unfinished)
 
     async def forward(self, req: SteerRequest) -> Response:
         """Return a target's response; raise `RequestRejected`."""
--- a/src/wigeonford/steer/_shutdown.py
+++ b/src/wigeonford/steer/_shutdown.py
@@ -16,6 +16,9 @@
 CLOSE_FRACTION: Final = 0.92
 """Fraction of the grace period after which connections close. The rest is left
 for bytes on slow links and for the process to end."""
+END_FRACTION: Final = 0.98
+"""Fraction of the grace period after which the process ends, even if control
+hasn't taken back what this VM held."""
 SPREAD: Final = 1.05
 """Ratio of the slowest request to expect to the slowest of late."""
 WAY_BACK_S: Final = 0.1
@@ -45,6 +48,11 @@
         """Return when connections close."""
         return self.began_s + self.grace_s * CLOSE_FRACTION
 
+    @property
+    def end_by_s(self) -> float:
+        """Return when the process ends."""
+        return self.began_s + self.grace_s * END_FRACTION
+
     def can_finish(
         self, now_s: float, expected_s: float, deadline_s: float
     ) -> bool:
