Deliver a target's answer that arrived before its time limit

Callers got a 504, or a cut body, for an answer that a target had sent in time: where the process of an entry VM stood still past the deadline, the timer of the limit and the answer's bytes fell due in one iteration of the event loop, and the timer cancelled the attempt. A connection that was made meanwhile was thrown away in the same way, and its target marked as unreachable.

An attempt now limits its own reads with ReadDeadline, which returns what has been received when the limit is noticed, up to a grace for the way back after the deadline. The forwarder has no timer around its attempts any more: it begins none after the deadline, and one that ends at its limit is a 504 as before. A request whose time passes while its connection opens isn't sent. Connecting gives the event loop some iterations after its timeout. The limit of a streamed answer applies to reads from the target alone; it used to cancel the task also while that wrote to the caller. `fetch` uses the same limit.

--- a/src/wigeonford/http/_client.py
+++ b/src/wigeonford/http/_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from enum import Enum
 import re
 import socket
@@ -10,7 +11,7 @@
 
 import h11
 
-from wigeonford.http._reader import WatchedReader
+from wigeonford.http._reader import ReadDeadline, WatchedReader
 from wigeonford.http._types import find_header, Headers, Response
 from wigeonford.settings import Address
 
@@ -28,6 +29,9 @@
 MAX_INTERIM_RESPONSES: Final = 8
 """Interim responses (1xx) before the final one; servers send one or two."""
 
+CONNECT_LOOP_ITERATIONS: Final = 8
+"""Event loop iterations from a writable socket to its transport, and more."""
+
 KEEP_ALIVE_FRACTION: Final = 0.5
 """Fraction of the server's keep-alive timeout for which an idle connection is
 reused; the rest covers the transit time of the next request."""
@@ -58,6 +62,10 @@
     """Report that an exchange failed after sending may have begun."""
 
 
+class ExchangeTimedOut(ExchangeFailed):
+    """Report that a response was not complete at its time limit."""
+
+
 class ClientConnection:
     """Own one connection to a server, for one exchange at a time.
 
@@ -77,6 +85,7 @@
         )
         self._send_task: asyncio.Task[None] | None = None
         self._has_aborted = False
+        self._deadline: ReadDeadline | None = None
         self._exchange_count = 0
         self._request_id_hashes: set[int] = set()
         self.address = address
@@ -102,7 +111,7 @@
         reader = WatchedReader(READ_BYTES)
         protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
         try:
-            async with asyncio.timeout(timeout_s):
+            async with _connect_timeout(timeout_s):
                 transport, _ = await loop.create_connection(
                     lambda: protocol,
                     address.host,
@@ -139,6 +148,13 @@
             return not self._exchange_count
         return hash(request_id) not in self._request_id_hashes
 
+    def limit_reads(self, until_s: float) -> None:
+        """Raise `ExchangeTimedOut` for what arrives after a time.
+
+        The time is on the clock of the event loop.
+        """
+        self._deadline = ReadDeadline(until_s)
+
     def close(self) -> None:
         """Close immediately; abort an exchange that is running."""
         if self._send_task is not None:
@@ -157,6 +173,7 @@
         body: bytes | AsyncIterator[bytes] = b"",
         owner_of: OwnerOf | None = None,
         request_id: str = "",
+        until_s: float | None = None,
     ) -> Response:
         """Send a request and return its response with a streaming body.
 
@@ -165,8 +182,12 @@
         response that names no request is accepted only as the first one on a
         connection. Raise `ExchangeFailed` if the exchange breaks; bytes of
         the request may then have been sent. The response's body raises it if
-        it ends before its stated length.
+        it ends before its stated length. `until_s` limits the arrival of the
+        response as in `limit_reads`.
         """
+        self._deadline = None
+        if until_s is not None:
+            self.limit_reads(until_s)
         try:
             return await self._exchange(
                 method, target, headers, body, owner_of, request_id
@@ -341,12 +362,49 @@
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            data = await self._reader.read(READ_BYTES)
+            data = await self._read()
             if not data and self._has_aborted:
                 # The end of an aborted stream looks like a regular close.
                 raise ExchangeFailed(f"{self.address}: closed by this side")
             self._http.receive_data(data)
 
+    async def _read(self) -> bytes:
+        if self._deadline is None:
+            return await self._reader.read(READ_BYTES)
+        try:
+            return await self._deadline.read(self._reader, READ_BYTES)
+        except TimeoutError as exc:
+            if self._reader.exception() is not None:
+                raise
+            raise ExchangeTimedOut(
+                f"{self.address}: no complete response in time"
+            ) from exc
+
+
+@asynccontextmanager
+async def _connect_timeout(timeout_s: float) -> AsyncIterator[None]:
+    """Raise `TimeoutError` for a connection that is made after a timeout.
+
+    A process that stands still notices both together, so a due timeout lets
+    the event loop finish what its sockets are ready for.
+    """
+    loop = asyncio.get_running_loop()
+    timer: asyncio.Handle
+    async with asyncio.timeout(None) as timeout:
+
+        def expire(iterations: int) -> None:
+            nonlocal timer
+            if iterations:
+                timer = loop.call_soon(expire, iterations - 1)
+            else:
+                timeout.reschedule(loop.time())
+
+        timer = loop.call_later(timeout_s, expire, CONNECT_LOOP_ITERATIONS)
+        try:
+            yield
+        finally:
+            timer.cancel()
+
 
 def _contains_status_line(
     event: h11.InformationalResponse | h11.Response,
@@ -402,14 +460,12 @@
         (b"content-length", str(len(body)).encode()),
         *headers,
     )
+    until_s = asyncio.get_running_loop().time() + timeout_s
     try:
-        async with asyncio.timeout(timeout_s):
-            response = await conn.exchange(method, target, head, body)
-            content = await read_body(response)
-    except TimeoutError as exc:
-        raise ExchangeFailed(
-            f"{address}: no complete response before the timeout"
-        ) from exc
+        response = await conn.exchange(
+            method, target, head, body, until_s=until_s
+        )
+        content = await read_body(response)
     finally:
         conn.close()
     return Response(response.status, response.headers, content)
--- a/src/wigeonford/steer/_attempt.py
+++ b/src/wigeonford/steer/_attempt.py
@@ -13,6 +13,7 @@
     ConnectFailed,
     ConnectionPool,
     ExchangeFailed,
+    ExchangeTimedOut,
     Response,
     ResponseBroken,
 )
@@ -36,8 +37,11 @@
 REJECTION_BODY_TIMEOUT_S: Final = 0.1
 """Timeout for reading the body of a target's rejection. After that the
 connection is closed, because the next attempt matters more than keeping it."""
+RESPONSE_GRACE_S: Final = 0.1
+"""How long after its deadline a request may still get a response: the way back
+from a target in another region."""
 BODY_GRACE_S: Final = 0.5
-"""How long after the deadline a response that has begun may still end."""
+"""How long after the deadline a streamed response may still end."""
 
 
 class Outcome(Enum):
@@ -45,8 +49,8 @@
 
     Only after `BROKEN` it is unknown whether the request has run. After
     `WITHDRAWN` nothing was sent either, because the target began to drain, was
-    removed or stated a limit meanwhile; that doesn't count as a failure of the
-    target.
+    removed or stated a limit meanwhile, or no time was left; that doesn't
+    count as a failure of the target.
     """
 
     NOT_SENT = "not-sent"
@@ -120,7 +124,10 @@
         self._pool.close_idle_to(parse_address(address))
 
     async def send(self, attempt: Attempt) -> AttemptResult:
-        """Return the result of an attempt."""
+        """Return the result of an attempt.
+
+        Raise `TimeoutError` if the time limit passes before the response.
+        """
         address = parse_address(attempt.record.announced.address)
         connect_timeout_s = min(CONNECT_TIMEOUT_S, max(0.0, attempt.left_s))
         try:
@@ -137,8 +144,14 @@
                 Outcome.WITHDRAWN,
                 detail="the target drains, was removed or states a limit",
             )
+        if attempt.left_s <= 0:
+            self._pool.release(conn)
+            return AttemptResult(Outcome.WITHDRAWN, detail="no time is left")
         try:
             result = await self._exchange(attempt, conn, reused)
+        except ExchangeTimedOut as exc:
+            conn.close()
+            raise TimeoutError(str(exc)) from exc
         except ExchangeFailed as exc:
             conn.close()
             return AttemptResult(
@@ -167,6 +180,7 @@
             attempt.body,
             lambda headers: self._wire.find_owner(req, headers),
             req.request_id,
+            _loop_time_s() + attempt.left_s + RESPONSE_GRACE_S,
         )
         facts = self._wire.parse_facts(response)
         if facts.run is not TargetRunState.RAN:
@@ -180,8 +194,10 @@
             conn.close()
             detail = f"status {response.status} without required headers"
             return AttemptResult(Outcome.BROKEN, None, facts, detail, reused)
-        until_s = max(attempt.deadline_s, time.monotonic()) + BODY_GRACE_S
-        received = await self._read_response(conn, response, until_s)
+        stream_until_s = (
+            _loop_time_s() + max(0.0, attempt.left_s) + BODY_GRACE_S
+        )
+        received = await self._read_response(conn, response, stream_until_s)
         return AttemptResult(Outcome.ANSWERED, received, facts, reused=reused)
 
     async def _drain_rejection(
@@ -191,7 +207,8 @@
 
         If the body is large or slow, the connection is closed instead.
         """
-        until_s = time.monotonic() + REJECTION_BODY_TIMEOUT_S
+        until_s = _loop_time_s() + REJECTION_BODY_TIMEOUT_S
+        conn.limit_reads(until_s)
         try:
             received = await self._read_response(conn, response, until_s)
         except ExchangeFailed:
@@ -201,27 +218,20 @@
             conn.close()
 
     async def _read_response(
-        self, conn: ClientConnection, response: Response, until_s: float
+        self, conn: ClientConnection, response: Response, stream_until_s: float
     ) -> Response:
         """Return a response with its body, as bytes if it is small enough."""
         body = response.body
         assert not isinstance(body, bytes), "connections return streams"
         chunks: list[bytes] = []
         size = 0
-        try:
-            async with asyncio.timeout(until_s - time.monotonic()):
-                async for chunk in body:
-                    chunks.append(chunk)
-                    size += len(chunk)
-                    if size > MAX_BUFFERED_RESPONSE_BYTES:
-                        stream = self._stream_response(
-                            conn, chunks, body, until_s
-                        )
-                        return Response(
-                            response.status, response.headers, stream
-                        )
-        except TimeoutError as exc:
-            raise ExchangeFailed("the response did not end in time") from exc
+        async for chunk in body:
+            chunks.append(chunk)
+            size += len(chunk)
+            if size > MAX_BUFFERED_RESPONSE_BYTES:
+                conn.limit_reads(stream_until_s)
+                stream = self._stream_response(conn, chunks, body)
+                return Response(response.status, response.headers, stream)
         self._pool.release(conn)
         return Response(response.status, response.headers, b"".join(chunks))
 
@@ -230,21 +240,23 @@
         conn: ClientConnection,
         buffered: list[bytes],
         body: AsyncIterator[bytes],
-        until_s: float,
     ) -> AsyncIterator[bytes]:
         """Yield a large body; raise `ResponseBroken` if it breaks off."""
         is_complete = False
         try:
             for buffered_chunk in buffered:
                 yield buffered_chunk
-            async with asyncio.timeout(until_s - time.monotonic()):
-                async for chunk in body:
-                    yield chunk
+            async for chunk in body:
+                yield chunk
             is_complete = True
-        except (ExchangeFailed, TimeoutError) as exc:
+        except ExchangeFailed as exc:
             raise ResponseBroken(str(exc)) from exc
         finally:
             if is_complete:
                 self._pool.release(conn)
             else:
                 conn.close()
+
+
+def _loop_time_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -33,9 +33,6 @@
 from wigeonford.steer._target_records import TargetRecord, TargetRecords
 from wigeonford.steer._view import View
 
-RESPONSE_GRACE_S: Final = 0.1
-"""How long after its deadline a request may still get a response: the way back
-from a target in another region."""
 RETRY_RATIO_FRACTION: Final = 0.7
 """Fraction of the fleet's retry ratio that is used, because the bound holds in
 any sliding window."""
@@ -165,12 +162,10 @@
     async def _run_attempts(self, ctx: RequestContext) -> Response:
         self._retry_budget_of(ctx.service).earn()
         try:
-            timeout_s = ctx.deadline_s + RESPONSE_GRACE_S - self._clock()
-            async with asyncio.timeout(max(0.0, timeout_s)):
-                while True:
-                    response = await self._make_attempt(ctx)
-                    if response is not None:
-                        return response
+            while self._clock() < ctx.deadline_s:
+                response = await self._make_attempt(ctx)
+                if response is not None:
+                    return response
         except TimeoutError:
             raise self._build_timeout_error(ctx) from None
         except RequestRejected as exc:
@@ -180,6 +175,7 @@
             raise RequestRejected(
                 exc.code, exc.detail, run_state=RunState.UNKNOWN
             ) from exc
+        raise self._build_timeout_error(ctx)
 
     def _build_timeout_error(self, ctx: RequestContext) -> RequestRejected:
         if ctx.is_attempt_running or ctx.may_have_run:
