Say "not run" for a request whose head can't be sent

A caller got a 500 with an unknown run state, although nothing was sent: h11 rejects a head that HTTP can't express, for example with a client account's name of two lines, and its LocalProtocolError left the attempt as an internal error.

The connection now reports it as RequestInvalid before it sends anything, and the attempt ends as withdrawn, which doesn't count against the target.

--- a/src/wigeonford/http/__init__.py
+++ b/src/wigeonford/http/__init__.py
@@ -7,6 +7,7 @@
     ExchangeTimedOut,
     fetch,
     read_body,
+    RequestInvalid,
     ResponseOwner,
 )
 from wigeonford.http._connection import Handler, ResponseBroken
@@ -45,6 +46,7 @@
     "Headers",
     "HttpServer",
     "Request",
+    "RequestInvalid",
     "Response",
     "result_headers",
     "error_response",
--- a/src/wigeonford/http/_client.py
+++ b/src/wigeonford/http/_client.py
@@ -58,6 +58,10 @@
     """Report that connecting failed; no byte of the request was sent."""
 
 
+class RequestInvalid(Exception):
+    """Report a head that HTTP can't express; no byte of it was sent."""
+
+
 class ExchangeFailed(Exception):
     """Report that an exchange failed after sending may have begun."""
 
@@ -180,10 +184,11 @@
         The response may arrive before the whole request body is sent. With
         `owner_of`, responses to other requests are skipped as late ones. A
         response that names no request is accepted only as the first one on a
-        connection. Raise `ExchangeFailed` if the exchange breaks; bytes of
-        the request may then have been sent. The response's body raises it if
-        it ends before its stated length. `until_s` limits the arrival of the
-        response as in `limit_reads`.
+        connection. Raise `RequestInvalid` if the head can't be sent, and
+        `ExchangeFailed` if the exchange breaks; bytes of the request may then
+        have been sent. The response's body raises it if it ends before its
+        stated length. `until_s` limits the arrival of the response as in
+        `limit_reads`.
         """
         self._deadline = None
         if until_s is not None:
@@ -205,7 +210,12 @@
         owner_of: OwnerOf | None,
         request_id: str,
     ) -> Response:
-        head = h11.Request(method=method, target=target, headers=list(headers))
+        try:
+            head = h11.Request(
+                method=method, target=target, headers=list(headers)
+            )
+        except h11.LocalProtocolError as exc:
+            raise RequestInvalid(str(exc)) from exc
         self._exchange_count += 1
         self._request_id_hashes.add(hash(request_id))
         stray_count = 0
--- a/src/wigeonford/steer/_attempt.py
+++ b/src/wigeonford/steer/_attempt.py
@@ -14,6 +14,7 @@
     ConnectionPool,
     ExchangeFailed,
     ExchangeTimedOut,
+    RequestInvalid,
     Response,
     ResponseBroken,
 )
@@ -49,8 +50,8 @@
 
     Only after `BROKEN` it is unknown whether the request has run. After
     `WITHDRAWN` nothing was sent either, because the target began to drain, was
-    removed or stated a limit meanwhile, or no time was left; that doesn't
-    count as a failure of the target.
+    removed or stated a limit meanwhile, no time was left or the head can't be
+    sent; that doesn't count as a failure of the target.
     """
 
     NOT_SENT = "not-sent"
@@ -149,6 +150,9 @@
             return AttemptResult(Outcome.WITHDRAWN, detail="no time is left")
         try:
             result = await self._exchange(attempt, conn, reused)
+        except RequestInvalid as exc:
+            conn.close()
+            return AttemptResult(Outcome.WITHDRAWN, detail=str(exc))
         except ExchangeTimedOut as exc:
             conn.close()
             raise TimeoutError(str(exc)) from exc
