Ignore numbers in headers that can't be read

Callers got a 500 with an unknown run state instead of the answer of a target that had run the request: a Keep-Alive timeout of some hundred digits, or an X-Server-Load with a superscript digit or with more digits than int() accepts, raised OverflowError or ValueError in the attempt. A remaining time of that kind gave its caller a 500 instead of a 400.

Counts are ASCII digits now, 18 at most, and the timeout has 9 at most. Other values of targets count as missing, those of callers as a bad argument. All other reads of headers in the attempt were looked through; h11 bounds lengths and chunk sizes itself.

--- a/src/wigeonford/http/_client.py
+++ b/src/wigeonford/http/_client.py
@@ -35,7 +35,7 @@
 KEEP_ALIVE_FRACTION: Final = 0.5
 """Fraction of the server's keep-alive timeout for which an idle connection is
 reused; the rest covers the transit time of the next request."""
-_KEEP_ALIVE: Final = re.compile(r"timeout=(\d+)")
+_KEEP_ALIVE: Final = re.compile(r"timeout=(\d{1,9})(?!\d)")
 
 MAX_EXCHANGES: Final = 256
 """Exchanges on one connection, which bound the request ids it remembers."""
--- a/src/wigeonford/platform/_front.py
+++ b/src/wigeonford/platform/_front.py
@@ -50,6 +50,8 @@
 _LIMIT: Final = b"server-limit"
 # At most a billion; a decimal number has no sign, exponent or other digits.
 _LIMIT_VALUE: Final = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?")
+# Larger counts would exceed a float or the digits that int() accepts.
+_COUNT: Final = re.compile(r"[0-9]{1,18}")
 
 _HOP_BY_HOP: Final = frozenset(
     {
@@ -162,8 +164,8 @@
 
 
 def _decode_load(text: str | None) -> tuple[int | None, int | None]:
-    parts = (text or "").split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    parts = [part.strip() for part in (text or "").split(",")]
+    if len(parts) != 3 or not all(map(_COUNT.fullmatch, parts)):
         return None, None
     return int(parts[0]), int(parts[1])
 
@@ -227,7 +229,7 @@
 def _decode_remaining_time(text: str | None) -> float | None:
     if text is None:
         return None
-    if not text.strip().isdigit():
+    if not _COUNT.fullmatch(text.strip()):
         raise RequestRejected(
             Code.BAD_ARGUMENT,
             f"remaining time {text!r} is not a count of milliseconds",
