--- a/src/wigeonford/http/__init__.py
+++ b/src/wigeonford/http/__init__.py
@@ -4,8 +4,10 @@
     ClientConnection,
     ConnectFailed,
     ExchangeFailed,
+    ExchangeTimedOut,
     fetch,
     read_body,
+    RequestInvalid,
     ResponseOwner,
 )
 from wigeonford.http._connection import Handler, ResponseBroken
@@ -39,10 +41,12 @@
     "ConnectFailed",
     "ConnectionPool",
     "ExchangeFailed",
+    "ExchangeTimedOut",
     "Handler",
     "Headers",
     "HttpServer",
     "Request",
+    "RequestInvalid",
     "Response",
     "result_headers",
     "error_response",
