Don't let an idle TLS caller hold up a stop

Since connections are closed within the stop, a stop waited until its grace was over for an idle TLS caller that doesn't confirm the close, as a pooled connection of a caller that reads only when it sends doesn't.

An idle connection whose responses have left the buffer ends at once, as before.

--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -467,7 +467,11 @@
     async def close(self) -> None:
         """Close once the kernel has taken every byte of the responses."""
         self._mark_closed()
+        buffered_bytes = self._writer.transport.get_write_buffer_size()
         self._writer.close()
+        if self.end is ConnectionEnd.IDLE and not buffered_bytes:
+            # An idle TLS peer may not confirm the close.
+            return
         await self._wait_until_written(
             lambda: asyncio.shield(self._writer.wait_closed())
         )
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -41,6 +41,10 @@
     return tls
 
 
+async def _respond(_request: Request) -> Response:
+    return Response(200, ((b"content-length", b"0"),))
+
+
 class TlsTest(unittest.IsolatedAsyncioTestCase):
     """Connect with the fleet's certificate, a foreign one or none."""
 
@@ -53,6 +57,21 @@
             trustme.CA(), Path(folder.name) / "foreign"
         )
 
+    async def test_idle_caller_that_ignores_a_close_holds_up_no_stop(
+        self,
+    ) -> None:
+        server = HttpServer(_respond, CallerLimits(), EventLog())
+        address = await server.start(Address(), server_context(self.fleet_tls))
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port, ssl=client_context(self.fleet_tls)
+        )
+        self.addCleanup(writer.close)
+        writer.write(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        self.assertIn(b" 200 ", await reader.readline())
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        async with asyncio.timeout(20.0):
+            self.assertEqual(await server.stop(60.0), 0)
+
     async def send_message(
         self, tls: Tls | None, secret: str = SECRET
     ) -> object:
@@ -90,10 +109,7 @@
             self.assertEqual(caught.exception.code, Code.PEER_UNREACHABLE)
 
     async def test_http_checks_the_servers_certificate(self) -> None:
-        async def respond(_request: Request) -> Response:
-            return Response(200, ((b"content-length", b"0"),))
-
-        server = HttpServer(respond, CallerLimits(), EventLog())
+        server = HttpServer(_respond, CallerLimits(), EventLog())
         address = await server.start(Address(), server_context(self.fleet_tls))
         self.addAsyncCleanup(server.stop, 0.0)
         response = await fetch(
