--- a/tests/test_caller_ends.py
+++ b/tests/test_caller_ends.py
@@ -316,6 +316,28 @@
         await self.server.stop(1.0)
         self.assertIn(b" 200 ", (await caller.receive_all())[:20])
 
+    @in_virtual_time
+    async def test_answer_of_a_target_at_the_end_of_a_stop(self) -> None:
+        ours, target = socket.socketpair()
+        self.addCleanup(target.close)
+        caller = await self.start()
+        reader, writer = await asyncio.open_connection(sock=ours)
+
+        async def forward(_request: Request) -> Response:
+            await reader.readexactly(2)
+            return self.response
+
+        self.server.handler = forward
+        caller.send(GET)
+        await asyncio.sleep(0.1)
+        stopping = asyncio.create_task(self.server.stop(5.0))
+        await asyncio.sleep(0.1)
+        self.loop.call_later(0.1, target.sendall, b"ok")
+        self.loop.stall(STALL_S)
+        self.assertIn(b" 200 ", (await caller.receive())[:20])
+        self.assertEqual(await stopping, 0)
+        writer.close()
+
     @in_virtual_time
     async def test_unhandled_request_at_a_stop_is_told_not_run(self) -> None:
         caller = await self.start()
