Deny no route or key by a view that control can't confirm

A 401 or 404 ends the caller's tries, while another VM would have served it.

test_new_route_or_key_is_not_denied_by_a_vm_that_lost_control failed with the check left out (NO_ROUTE, KEY_UNKNOWN and KEY_MISSING instead of CONFIG_STALE) and passes.

--- a/src/wigeonford/_compose_steer_entry.py
+++ b/src/wigeonford/_compose_steer_entry.py
@@ -107,6 +107,7 @@
         metrics,
         log,
         rng,
+        is_in_contact=lambda: bool(follower.connected_replicas),
     )
     follower.add_view_listener(forwarder.drop_removed_targets)
     front_server = HttpServer(
--- a/src/wigeonford/steer/_admission.py
+++ b/src/wigeonford/steer/_admission.py
@@ -42,8 +42,10 @@
         log: EventLog,
         rng: random.Random,
         clock: Callable[[], float],
+        is_in_contact: Callable[[], bool] = lambda: True,
     ) -> None:
         self._view = view
+        self._is_in_contact = is_in_contact
         self._rates = rates
         self._loans = loans
         self._suspects = suspects
@@ -85,14 +87,12 @@
         """
         view = self._view()
         if view is None:
-            raise RequestRejected(
-                Code.CONFIG_STALE,
-                "no deployment is known yet",
-                retry_after_s=NO_VIEW_RETRY_AFTER_S,
-            )
+            raise _build_stale_error("no deployment is known yet")
         route = view.find_route(req.host, req.path)
         if route is None:
-            raise RequestRejected(Code.NO_ROUTE, f"{req.host}{req.path}")
+            raise self._build_denial(
+                Code.NO_ROUTE, f"{req.host}{req.path}", view
+            )
         account = self._find_account(req, view, route)
         left_s = route.timeout_s
         if req.time_left_s is not None:
@@ -194,13 +194,30 @@
         if route.is_open or not view.deployment.has_accounts:
             return account
         if account is None:
-            missing = req.key is None
-            raise RequestRejected(
-                Code.KEY_MISSING if missing else Code.KEY_UNKNOWN,
-                f"version {view.deployment.version}",
-            )
+            code = Code.KEY_MISSING if req.key is None else Code.KEY_UNKNOWN
+            raise self._build_denial(code, route.name, view)
         return account
 
+    def _build_denial(
+        self, code: Code, detail: str, view: View
+    ) -> RequestRejected:
+        """Return the error for a request that the deployment doesn't allow.
+
+        Without contact to control, a newer deployment may allow it.
+        """
+        detail = f"{detail}, version {view.deployment.version}"
+        if self._is_in_contact():
+            return RequestRejected(code, detail)
+        return _build_stale_error(
+            f"{code.name} without contact to control: {detail}"
+        )
+
+
+def _build_stale_error(detail: str) -> RequestRejected:
+    return RequestRejected(
+        Code.CONFIG_STALE, detail, retry_after_s=NO_VIEW_RETRY_AFTER_S
+    )
+
 
 def build_draining_error(detail: str) -> RequestRejected:
     """Return the error for a request that was not sent before the stop."""
--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -67,6 +67,7 @@
         log: EventLog,
         rng: random.Random,
         clock: Callable[[], float] = time.monotonic,
+        is_in_contact: Callable[[], bool] = lambda: True,
     ) -> None:
         self._view = view
         self._entries = entries
@@ -89,6 +90,7 @@
             log,
             rng,
             clock,
+            is_in_contact,
         )
         self._retry_bounds = retry_bounds
         self._metrics = metrics
