Take a refusal on a pooled connection for a request that may have run

On the product's own path, a caller could be told "not run" for a request that a target had run: targets there echo no id, so a refusal that a target wrote once more on a pooled connection can't be told from that of the request under way.

Only idempotent requests use pooled connections. Such a refusal now leaves their run state unknown; they are repeated as before, and one that may run more than once still spills over to another region after it. Requests that run at most once always have a new connection, whose refusal counts.

Evidence: test_refusal_on_a_used_connection_is_unknown failed before (NOT_RUN instead of UNKNOWN) and passes; test_dispatch, test_spill, test_hop_states, test_docs and test_demo: 31 passed, 0 failed.

--- a/src/wigeonford/entry/_attempt.py
+++ b/src/wigeonford/entry/_attempt.py
@@ -171,7 +171,7 @@
             ) from exc
         latency = self.latency(outbound.service.name)
         latency.add(time.monotonic() - started_s)
-        _check_head(outbound, response, conn)
+        _check_head(outbound, response, conn, is_pooled=is_pooled)
         return response, conn
 
     def _first_byte_timeout_s(self, outbound: Outbound) -> float:
@@ -228,18 +228,27 @@
 
 
 def _check_head(
-    outbound: Outbound, response: Response, conn: ClientConnection
+    outbound: Outbound,
+    response: Response,
+    conn: ClientConnection,
+    *,
+    is_pooled: bool,
 ) -> None:
     """Raise `AttemptFailure` for a response that can't be passed on.
 
     This is a 503 by which the target says that it did not run the request,
-    or a response whose length can't be verified.
+    or a response whose length can't be verified. On a pooled connection, the
+    503 may be that of an earlier request, and the target may have run this
+    one.
     """
     state = find_header(response.headers, RUN_STATE_HEADER)
     if response.status == 503 and state == RunState.NOT_RUN.value:
         conn.close()
+        attempt_state = (
+            AttemptState.SENT if is_pooled else AttemptState.REFUSED
+        )
         raise AttemptFailure(
-            AttemptState.REFUSED, Code.TARGET_SHED, str(conn.address)
+            attempt_state, Code.TARGET_SHED, str(conn.address)
         )
     if _is_bodiless(outbound, response) or _is_framed(response.headers):
         return
--- a/src/wigeonford/entry/_remote.py
+++ b/src/wigeonford/entry/_remote.py
@@ -108,7 +108,8 @@
     async def forward(self, outbound: Outbound) -> Response:
         """Return the response; raise `RequestRejected`.
 
-        Only a request that is known not to have run is spilled over.
+        Only a request that is known not to have run, or that may run more
+        than once, is spilled over.
         """
         tracked_body: _TrackedBody | None = None
         if not isinstance(outbound.body, bytes):
@@ -150,7 +151,7 @@
         raise RequestRejected(
             rejection.code,
             rejection.detail,
-            run_state=RunState.NOT_RUN,
+            run_state=rejection.run_state,
             retry_after_s=max(wait_s, MIN_RETRY_AFTER_S),
         )
 
@@ -293,9 +294,10 @@
 
 
 def _may_spill(outbound: Outbound, rejection: RequestRejected) -> bool:
+    is_safe = rejection.run_state is RunState.NOT_RUN or outbound.is_retryable
     return (
         outbound.service.spill_over
-        and rejection.run_state is RunState.NOT_RUN
+        and is_safe
         and rejection.code in _SPILL_CODES
         and _remaining_s(outbound) > RETURN_MARGIN_S
     )
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -279,6 +279,22 @@
         self.assertEqual(exc.run_state, RunState.UNKNOWN)
         self.assertIsNone(exc.retry_after_s)
 
+    async def test_refusal_on_a_used_connection_is_unknown(self) -> None:
+        shed = SHED_HEAD + NOT_RUN_HEADER
+        responses = iter((WHOLE_RESPONSE, shed, shed, shed))
+
+        def behave(
+            _target: FakeTarget, _head: bytes, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(next(responses))
+
+        target = await self.add_target(behave)
+        await self.forward("/1")
+        exc = await self.expect_rejection(path="/2")
+        self.assertIs(Code.TARGET_SHED, exc.code)
+        self.assertIs(RunState.UNKNOWN, exc.run_state)
+        self.assertEqual(len(target.heads) - 1, target.connections)
+
     async def test_idempotent_work_goes_elsewhere(self) -> None:
         for behave in (
             reset_connection,
