Stop an entry VM's parts at once, and learn of raised time limits in a stop

The parts stop at the same time now.

The duration to assume for a route before its first response was kept from the route's first request; a change that raised the time limit went unheard, and a stop took what it could not finish. It is that of the route in force now; the test with two time limits could not be put before.

--- a/src/wigeonford/steer/_admission.py
+++ b/src/wigeonford/steer/_admission.py
@@ -74,7 +74,9 @@
         """Raise `RequestRejected` if a request would outlast the shutdown."""
         if self._shutdown is NO_SHUTDOWN:
             return
-        needed_s = expected_s(self._stats_of(route), wait_s, work_s)
+        needed_s = expected_s(
+            self._stats_of(route), route.timeout_s, wait_s, work_s
+        )
         if not self._shutdown.can_finish(self._clock(), needed_s, deadline_s):
             raise build_draining_error(
                 f"a request of {route.name} may take {needed_s:.1f} s"
@@ -159,7 +161,8 @@
 
     def _body_due_s(self, ctx: RequestContext) -> float:
         """Return until when the body must have been read."""
-        needed_s = expected_s(self._stats_of(ctx.route))
+        route = ctx.route
+        needed_s = expected_s(self._stats_of(route), route.timeout_s)
         send_by_s = self._shutdown.send_by_s(needed_s, ctx.deadline_s)
         return min(ctx.deadline_s, send_by_s)
 
--- a/src/wigeonford/steer/_daemon.py
+++ b/src/wigeonford/steer/_daemon.py
@@ -139,8 +139,9 @@
         """Stop what runs in the background; control may not answer it."""
         try:
             async with asyncio.timeout(timeout_s):
-                for component in self._components:
-                    await component.stop()
+                await asyncio.gather(
+                    *(component.stop() for component in self._components)
+                )
         except TimeoutError:
             self._log.emit(
                 Event.TASK_FAILED, detail="control did not take leases back"
--- a/src/wigeonford/steer/_route_stats.py
+++ b/src/wigeonford/steer/_route_stats.py
@@ -32,15 +32,11 @@
 
 
 class RouteStats(msgspec.Struct):
-    """Hold the moving averages of one route, and its latest durations.
-
-    `time_limit_s` is the longest duration to assume before the first response.
-    """
+    """Hold the moving averages of one route, and its latest durations."""
 
     warm_s: float
     cold_s: float
     size_bytes: float
-    time_limit_s: float
     recent_s: deque[float] = msgspec.field(
         default_factory=lambda: deque(maxlen=RECENT_DURATIONS)
     )
@@ -52,7 +48,6 @@
             route.objective_s * INITIAL_WARM_FRACTION,
             route.objective_s * INITIAL_COLD_FRACTION,
             INITIAL_SIZE_BYTES[route.kind],
-            route.timeout_s,
         )
 
     @property
@@ -60,11 +55,13 @@
         """Return the typical durations of requests."""
         return Durations(self.warm_s, self.cold_s)
 
-    @property
-    def slowest_s(self) -> float:
-        """Return the longest usual duration, waits for a slot included."""
+    def slowest_s(self, time_limit_s: float) -> float:
+        """Return the longest usual duration, waits for a slot included.
+
+        Before the first response it is the route's time limit.
+        """
         if not self.recent_s:
-            return self.time_limit_s
+            return time_limit_s
         slowest_s = max(self.recent_s)
         if len(self.recent_s) < FEW_DURATIONS:
             return max(slowest_s, self.cold_s)
--- a/src/wigeonford/steer/_shutdown.py
+++ b/src/wigeonford/steer/_shutdown.py
@@ -75,11 +75,14 @@
 
 
 def expected_s(
-    stats: RouteStats, wait_s: float = 0.0, work_s: float = 0.0
+    stats: RouteStats,
+    time_limit_s: float,
+    wait_s: float = 0.0,
+    work_s: float = 0.0,
 ) -> float:
     """Return how long a request takes if it is among the slowest.
 
-    `wait_s` and `work_s` are the expected wait for a slot of its target and
-    the expected work.
+    `time_limit_s` is the route's. `wait_s` and `work_s` are the expected wait
+    for a slot of its target and the expected work.
     """
-    return SPREAD * max(stats.slowest_s, wait_s + work_s)
+    return SPREAD * max(stats.slowest_s(time_limit_s), wait_s + work_s)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -321,14 +321,19 @@
 
     def test_the_slowest_of_late_counts_not_the_average(self) -> None:
         stats = RouteStats.initial(make_route("r", "/", timeout_s=9.0))
-        self.assertEqual(SPREAD * 9.0, expected_s(stats))
+        for time_limit_s in (9.0, 30.0):
+            self.assertEqual(
+                SPREAD * time_limit_s, expected_s(stats, time_limit_s)
+            )
         for duration_s in [0.1] * 20 + [0.5] + [0.1] * 20:
             stats.record_response(duration_s)
-        self.assertEqual(SPREAD * 0.5, expected_s(stats))
-        self.assertEqual(SPREAD * (0.6 + 0.3), expected_s(stats, 0.6, 0.3))
+        self.assertEqual(SPREAD * 0.5, expected_s(stats, 9.0))
+        self.assertEqual(
+            SPREAD * (0.6 + 0.3), expected_s(stats, 9.0, 0.6, 0.3)
+        )
         for _ in range(100):
             stats.record_response(0.1)
-        self.assertEqual(SPREAD * 0.1, expected_s(stats))
+        self.assertEqual(SPREAD * 0.1, expected_s(stats, 9.0))
 
 
 class PlannedStopTest(unittest.TestCase):
