Reset a cut response that HTTP/1.0 would take for whole; log no error for a caller that leaves

To an HTTP/1.0 caller a response without a length ends with its connection. One that broke off, or was cut by a stop, ended by a regular close and looked whole; now the connection is reset.

test_cut_response_does_not_look_whole_to_http_1_0 and test_caller_that_leaves_amid_its_body_is_no_error failed before (no reset; event 203 found) and pass.

--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -9,6 +9,8 @@
 )
 from enum import StrEnum
 from operator import attrgetter
+import socket
+import struct
 import sys
 from typing import Final, Protocol
 
@@ -34,6 +36,9 @@
 CLOSING_RETRY_AFTER_S: Final = 1.0
 """Another VM takes the request: look-ups no longer name this one."""
 
+_RESET_LINGER: Final = struct.pack("ii", 1, 0)
+"""Lets a close reset the connection."""
+
 Handler = Callable[[Request], Awaitable[Response]]
 FindRequestId = Callable[[Headers], str]
 
@@ -249,6 +254,25 @@
                 )
             )
 
+    @property
+    def must_reset(self) -> bool:
+        """Return whether a regular close would end a cut response as whole.
+
+        To an HTTP/1.0 caller, a response without a length ends with its
+        connection.
+        """
+        if not self._has_response_begun or self.is_response_complete:
+            return False
+        assert self._response is not None, "the response has begun"
+        has_length = self._response.header(b"content-length") is not None
+        return self._http.their_http_version == b"1.0" and not has_length
+
+    def reset(self) -> None:
+        """Close by a reset."""
+        sock = self._writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_LINGER)
+        self.abort()
+
     def abort(self) -> None:
         """Close at once; drop what the kernel has not taken."""
         self._mark_closed()
@@ -435,6 +459,8 @@
         except WigeonfordError as exc:
             return error_response(exc)
         except Exception as exc:
+            if isinstance(exc, ConnectionError) and self._reader.is_closed:
+                raise  # The caller left amid its body.
             self._server.log.emit(Event.REQUEST_INTERNAL_ERROR, exc_info=exc)
             internal = RequestRejected(
                 Code.INTERNAL, "", run_state=RunState.UNKNOWN
--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -259,6 +259,8 @@
         self, conn: CallerConnection, sending: Awaitable[None]
     ) -> None:
         """Send a last response, and close once the caller has read it."""
+        if conn.must_reset:
+            conn.reset()
         try:
             await sending
             await conn.discard(DISCARD_REJECTED_TIMEOUT_S)
--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -150,7 +150,7 @@
             error = _build_shutdown_error(ctx)
             self._record_rejection(req, ctx, error)
             raise error from None
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, ConnectionResetError):
             is_closed_here = self._clock() >= self._shutdown.close_at_s
             self._log.emit(
                 Event.REQUEST_FAILED,
--- a/tests/test_caller_ends.py
+++ b/tests/test_caller_ends.py
@@ -58,6 +58,7 @@
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
         self.send = sock.sendall
+        self.close = sock.close
 
     async def receive(self) -> bytes:
         """Return the next bytes, or none at the end or after a reset."""
@@ -88,13 +89,14 @@
         self.loop_errors: list[dict[str, Any]] = []
         self.response = Response(200, ((b"content-length", b"0"),))
         self.hangs = False
+        self.pause_s = 0.0
         self.reads_body = True
 
     async def handle(self, request: Request) -> Response:
         """Read the body, then respond, or hang after that."""
         if self.reads_body:
             async for _ in request.body:
-                pass
+                await asyncio.sleep(self.pause_s)
         if self.hangs:
             await asyncio.sleep(3600)
         return self.response
@@ -406,6 +408,18 @@
                 self.assertIn(b"run-state: unknown", answer)
                 self.assertEqual(answer.count(b"HTTP/1.1"), 1)
 
+    @in_virtual_time
+    async def test_caller_that_leaves_amid_its_body_is_no_error(self) -> None:
+        logs = io.StringIO()
+        configure_logging(logs, logging.INFO)
+        self.pause_s = 0.1
+        caller = await self.start()
+        caller.send(POST)
+        await asyncio.sleep(0.05)
+        caller.close()
+        await asyncio.sleep(0.3)
+        self.assertNotIn('"number": 203', logs.getvalue())
+
     @in_virtual_time
     async def test_unexpected_error_of_a_stream_is_logged(self) -> None:
         async def body() -> AsyncIterator[bytes]:
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -2,21 +2,35 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 import io
 import logging
 import unittest
 
 from wigeonford.events import configure_logging, EventLog
-from wigeonford.http import find_header, Headers, HttpServer, Request, Response
+from wigeonford.http import (
+    find_header,
+    Headers,
+    HttpServer,
+    Request,
+    Response,
+    ResponseBroken,
+)
 from wigeonford.settings import Address, CallerLimits
 
 REQUEST = b"GET /%s HTTP/1.1\r\nhost: a\r\nx-id: 7\r\n\r\n"
 
 
+async def _cut_body() -> AsyncIterator[bytes]:
+    yield b"begun"
+    raise ResponseBroken("cut")
+
+
 async def _handle(request: Request) -> Response:
     if request.path == "/hang":
         await asyncio.sleep(60.0)
+    if request.path == "/cut":
+        return Response(200, (), _cut_body())
     if request.path == "/invalid":
         return Response(200, ((b"content-length", b"1"),), b"too long")
     return Response(200, ((b"content-length", b"2"),), b"ok")
@@ -86,3 +100,14 @@
     async def test_invalid_response_is_answered_by_an_error(self) -> None:
         self.assertIn(b" 502 ", await self.send(b"invalid"))
         self.assertEqual({("response-broken", False): 1}, self.ends)
+
+    async def test_cut_response_does_not_look_whole_to_http_1_0(
+        self,
+    ) -> None:
+        reader, writer = await asyncio.open_connection(
+            self.address.host, self.address.port
+        )
+        self.addCleanup(writer.close)
+        writer.write(b"GET /cut HTTP/1.0\r\n\r\n")
+        with self.assertRaises(ConnectionResetError):
+            await reader.read()
