Use a token loan that arrives with the time-out

If the process stood still, the reply of the leader and the timer of a request that waits for a token fell due in one iteration of the event loop. The timer cancelled the wait even if the token was lent already: the caller got 429 and the token was lost.

The wait now ends with the result if there is one, or if it can be read within a few iterations, as for the replies on links. A wait that ends without one cancels its future, so that no token is requested or lent for it any more.

tests.test_loans on the code without the fix: FAIL: test_a_loan_that_comes_while_the_process_stands_still_is_used AssertionError: 0.0 != 1.0

--- a/src/wigeonford/_tasks.py
+++ b/src/wigeonford/_tasks.py
@@ -1,6 +1,13 @@
-"""Helpers for background tasks."""
+"""Helpers for background tasks and for results to wait for."""
 
 import asyncio
+from typing import Final, TypeVar
+
+READ_ITERATIONS: Final = 32
+"""Event loop iterations to read a result that has arrived; each reads up to
+256 KiB of it."""
+
+T = TypeVar("T")
 
 
 async def cancel_task(task: asyncio.Task[None] | None) -> None:
@@ -8,3 +15,20 @@
     if task is not None:
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
+
+
+async def wait_for_result(fut: asyncio.Future[T], timeout_s: float) -> T:
+    """Return a result that arrives in time; raise `TimeoutError`.
+
+    If this process stood still, a result may have arrived that no task has
+    read yet. A future that isn't done in the end is cancelled.
+    """
+    try:
+        await asyncio.wait((fut,), timeout=max(0.0, timeout_s))
+        for _ in range(READ_ITERATIONS):
+            if fut.done():
+                return await fut
+            await asyncio.sleep(0)
+        raise TimeoutError
+    finally:
+        fut.cancel()
--- a/src/wigeonford/steer/_loans.py
+++ b/src/wigeonford/steer/_loans.py
@@ -11,6 +11,7 @@
 import time
 from typing import Final
 
+from wigeonford._tasks import wait_for_result
 from wigeonford.errors import PeerError
 from wigeonford.events import Event, EventLog
 from wigeonford.messages.steering import TokenLoan
@@ -65,8 +66,7 @@
         self._waiting.setdefault(account, []).append(fut)
         try:
             timeout_s = min(left_s * LOAN_WAIT_FRACTION, LOAN_TIMEOUT_S)
-            async with asyncio.timeout(timeout_s):
-                return await fut
+            return await wait_for_result(fut, timeout_s)
         except TimeoutError:
             return NO_LOAN_RETRY_AFTER_S
 
--- a/tests/test_loans.py
+++ b/tests/test_loans.py
@@ -5,11 +5,15 @@
 import time
 import unittest
 
+from tests.virtual_time import run_virtual, VirtualLoop
 from wigeonford.errors import Code, PeerError
 from wigeonford.events import EventLog
 from wigeonford.messages.steering import TokenLoan
 from wigeonford.steer import AccountRates, LoanBatcher
-from wigeonford.steer._loans import NO_LOAN_RETRY_AFTER_S
+from wigeonford.steer._loans import (
+    LOAN_TIMEOUT_S,
+    NO_LOAN_RETRY_AFTER_S,
+)
 from wigeonford.steer._rates import LEADER_GAP_S
 
 CALLER_TIME_LEFT_S = 6.0
@@ -75,6 +79,23 @@
         self.assertEqual([0.0, 0.0, 0.3], retry_after_s)
 
 
+class StalledProcessTest(unittest.TestCase):
+    """A process stands still while a loan arrives."""
+
+    def test_a_loan_that_comes_while_the_process_stands_still_is_used(
+        self,
+    ) -> None:
+        async def borrow() -> float:
+            loop = asyncio.get_running_loop()
+            assert isinstance(loop, VirtualLoop)
+            leader = StandInLeader(failure_count=0)
+            batcher = LoanBatcher(leader.request_loans, EventLog(), loop.time)
+            loop.call_later(0.01, loop.stall, LOAN_TIMEOUT_S)
+            return await batcher.borrow("a", CALLER_TIME_LEFT_S)
+
+        self.assertEqual(0.0, run_virtual(borrow()))
+
+
 class ExpectedLeaderTest(unittest.TestCase):
     """Callers are rejected at once if no leader is expected soon."""
 
