Say not-run for requests that no target got yet

An attempt counted as running from the choice of its target on. A request whose connection to the target was still being opened at the end of a planned stop got 504 with an unknown run state, though no byte of it had been sent; callers that must not repeat it gave it up.

The attempt now tells when the first byte may be sent, after the connection is open and the checks have passed. Until then the request gets a true 503 with not-run, streamed uploads too, since a body is only read once the attempt sends.

tests.test_planned_stop on the code without the fix: FAIL: test_what_no_target_got_yet_at_the_end_is_told_as_not_run AssertionError: {'SAFE': '503', 'UNSAFE': '503', 'UPLOAD': '503'} != {'SAFE': '504', 'UNSAFE': '504', 'UPLOAD': '504'}

--- a/src/wigeonford/steer/_attempt.py
+++ b/src/wigeonford/steer/_attempt.py
@@ -84,7 +84,8 @@
     """Describe a request to send; `deadline_s` is on the monotonic clock.
 
     `is_within_limit` returns whether the target's limit allows the request,
-    as known when the connection is open.
+    as known when the connection is open. `on_send` is called before the first
+    byte is sent.
     """
 
     req: SteerRequest
@@ -93,6 +94,7 @@
     body: bytes | AsyncIterator[bytes]
     deadline_s: float
     is_within_limit: Callable[[], bool] = lambda: True
+    on_send: Callable[[], None] = lambda: None
 
     @property
     def is_withdrawn(self) -> bool:
@@ -148,6 +150,7 @@
         if attempt.left_s <= 0:
             self._pool.release(conn)
             return AttemptResult(Outcome.WITHDRAWN, detail="no time is left")
+        attempt.on_send()
         try:
             result = await self._exchange(attempt, conn, reused)
         except RequestInvalid as exc:
--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -258,7 +258,6 @@
             limit_per_s=limit_per_s,
             revision=ctx.view.revision,
         )
-        ctx.is_attempt_running = True
         try:
             result = await self._target_connections.send(
                 Attempt(
@@ -271,6 +270,7 @@
                         limit_per_s is not None
                         or not self._chooser.is_limited(record)
                     ),
+                    ctx.begin_sending,
                 )
             )
         finally:
--- a/src/wigeonford/steer/_request_context.py
+++ b/src/wigeonford/steer/_request_context.py
@@ -14,8 +14,8 @@
 
     `sent` counts the attempts that reached a target, `unreached_count` those
     that did not. `may_have_run` is set when a target may have run the request
-    without a complete response, `is_attempt_running` while an attempt is under
-    way.
+    without a complete response, `is_attempt_running` while a target may have
+    a part of an attempt whose result is unknown.
     """
 
     req: SteerRequest
@@ -33,6 +33,10 @@
     is_attempt_running: bool = False
     detail: str = ""
 
+    def begin_sending(self) -> None:
+        """Note that a target may get the first byte of an attempt now."""
+        self.is_attempt_running = True
+
     @property
     def account_name(self) -> str | None:
         """Return the client account's name, None on an open route."""
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -174,6 +174,7 @@
         await asyncio.sleep(self._vm.connect_s)
         if attempt.is_withdrawn:
             return AttemptResult(Outcome.WITHDRAWN)
+        attempt.on_send()
         await asyncio.sleep(LINK_DELAY_S)
         response = await target.serve(attempt.req.object_id, self._vm.name)
         await asyncio.sleep(LINK_DELAY_S)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -84,8 +84,18 @@
         connections = TargetConnections(PlatformTargetWire())
         self.addCleanup(connections.close)
         deadline_s = time.monotonic() + left_s
-        attempt = Attempt(make_request(), record, None, b"", deadline_s)
-        return await connections.send(attempt), closed
+        began = asyncio.Event()
+        attempt = Attempt(
+            make_request(),
+            record,
+            None,
+            b"",
+            deadline_s,
+            on_send=began.set,
+        )
+        result = await connections.send(attempt)
+        self.assertTrue(began.is_set())
+        return result, closed
 
     async def test_refusal_with_a_body_without_end(self) -> None:
         """The attempt ends at once, not at the caller's deadline."""
@@ -147,6 +157,7 @@
             b"",
             deadline_s,
             lambda: record.target_id not in limited_ids,
+            request_received.set,
         )
         sending = asyncio.create_task(connections.send(attempt))
         await asyncio.sleep(0)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -73,13 +73,15 @@
 class WorkingTargets:
     """Stand in for targets: work for the time that `next_work_s` returns.
 
-    Each of `outcomes` replaces one result. `sent_at_s` and `sends` tell of
-    requests by the ids that callers gave; `cut` lists those that were broken
-    off before their deadline, `ran` those that may have run.
+    The connections to them open after the time in `connect_s`. Each of
+    `outcomes` replaces one result. `sent_at_s` and `sends` tell of requests by
+    the ids that callers gave; `cut` lists those that were broken off before
+    their deadline, `ran` those that may have run.
     """
 
     def __init__(self, next_work_s: Callable[[], float]) -> None:
         self.next_work_s = next_work_s
+        self.connect_s: dict[str, float] = {}
         self.outcomes: list[Outcome] = []
         self.sent_at_s: dict[str, float] = {}
         self.sends: Counter[str] = Counter()
@@ -92,6 +94,8 @@
     async def send(self, attempt: Attempt) -> AttemptResult:
         """Return the result of an attempt."""
         request_id = attempt.req.request_id
+        await asyncio.sleep(self.connect_s.get(request_id, 0.0))
+        attempt.on_send()
         self.sent_at_s[request_id] = asyncio.get_running_loop().time()
         self.sends[request_id] += 1
         outcome = self.outcomes.pop(0) if self.outcomes else Outcome.ANSWERED
@@ -448,6 +452,26 @@
             vm.statuses,
         )
 
+    def test_what_no_target_got_yet_at_the_end_is_told_as_not_run(
+        self,
+    ) -> None:
+        async def scenario() -> StoppingVm:
+            vm = StoppingVm(6, 20.0)
+            vm.targets.connect_s = {kind.name: 30.0 for kind in RouteKind}
+            calls = [
+                asyncio.create_task(vm.call(kind.name, kind=kind))
+                for kind in RouteKind
+            ]
+            await asyncio.sleep(0.1)
+            await vm.begin_stop()
+            await asyncio.wait(calls)
+            return vm
+
+        self.assertEqual(
+            {kind.name: "503" for kind in RouteKind},
+            self.run_stop(scenario).statuses,
+        )
+
     def test_an_answer_that_is_ready_at_the_end_is_delivered(self) -> None:
         async def scenario() -> StoppingVm:
             vm = StoppingVm(6, 5.0)
