Have the soak find whole requests that get no answer

Callers on direct connections tell by the kernel's resets whether a request was read, arrived unread, or crossed the close. They keep connections up to the edge of the idle timeout, which the operator now changes, and send in stops and stalls, also requests with long work. A target of its own repeats refusals and breaks off in the head, before and in the body. Two VMs are stopped in turn, each beside a change and a reload. Each break needs a listed fault that explains it; before, only breaks within undisturbed stops counted.

Seen: after a stall past the idle timeout kept connections close on requests that had arrived (: "arrived before the close and was not read after 1.51 s, idle for 0.81 s, not run"); at the edge of the idle timeout, with no stall, "was read and not answered after 0.02 s, idle for 1.05 s, not run"; stops cut work (: "was read and not answered after 3.95 s, ran, 1.59 s into a stop"); repeated refusals (: "ran 2 times";: "got 503 and ran").

--- a/tests/soak/_observations.py
+++ b/tests/soak/_observations.py
@@ -6,6 +6,9 @@
 import time
 from typing import Final
 
+from tests.soak._breaks import Break, Window
+from tests.soak._requests import IDLE_TIMEOUTS_S
+
 DRAIN_S: Final = 2.5
 IN_FLIGHT_MARGIN_S: Final = 0.2
 """Margin for what is still in flight: a request to a target whose drain period
@@ -26,6 +29,11 @@
 LIMIT_FACTOR: Final = 1.5
 LIMIT_SLACK: Final = 5.0
 """How far the requests in a window may exceed a target's limit."""
+LATE_REQUEST_S: Final = 3.0
+"""A VM that takes a request later than this in its stop has to finish it."""
+WORK_END_S: Final = 5.0
+"""Time from the start of a stop in which the answers of all targets that end
+their work are delivered: five sixths of the grace period."""
 NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
 """Statuses that say that a request has not run and never will."""
 
@@ -60,22 +68,42 @@
     code: int
 
 
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Record a response to a request on a direct connection."""
+
+    status: int
+    entry: int
+    sent_s: float
+    answered_s: float
+    time_limit_s: float
+
+
 @dataclass(slots=True)
 class Observations:
     """Collect observations and find those that contradict a guarantee.
 
     `unsafe` holds the attempts that must run at most once. `broken` holds
-    the attempt, entry VM and time of each exchange that failed without a
-    response. `disturbances` holds the entry VM, start and end of each fault
-    that may break requests; -1 means every entry VM. `drain_began_s` maps a
+    each exchange that ended without a complete response. `kills` and
+    `link_faults` may break exchanges with an entry VM; `absences` last from
+    its stop or kill until it listens again. `target_faults` may break runs.
+    `disturbances` holds the entry VM, start and end of each fault that may
+    fail a planned stop; -1 means every entry VM. `drain_began_s` maps a
     target to the time at which control acknowledged that it is draining.
     `interruptions` holds the start and end of each fault of an entry VM.
+    `finished_s` maps an attempt to the end of its run.
     """
 
     runs: list[Run] = field(default_factory=list)
     statuses: dict[str, int] = field(default_factory=dict)
     unsafe: set[str] = field(default_factory=set)
-    broken: list[tuple[str, int, float]] = field(default_factory=list)
+    broken: list[Break] = field(default_factory=list)
+    answers: dict[str, Answer] = field(default_factory=dict)
+    finished_s: dict[str, float] = field(default_factory=dict)
+    kills: list[Window] = field(default_factory=list)
+    link_faults: list[Window] = field(default_factory=list)
+    absences: list[Window] = field(default_factory=list)
+    target_faults: list[Window] = field(default_factory=list)
     shutdowns: list[Shutdown] = field(default_factory=list)
     disturbances: list[tuple[int, float, float]] = field(default_factory=list)
     drain_began_s: dict[str, float] = field(default_factory=dict)
@@ -114,6 +142,8 @@
             *self._find_rate_excess(),
             *self._find_limit_excess(),
             *self._find_failed_shutdowns(),
+            *self._find_unexplained_breaks(),
+            *self._find_work_cut_by_stops(),
         ]
 
     def _find_repeated_runs(self) -> Iterator[str]:
@@ -192,18 +222,18 @@
                 continue
             if shutdown.code != 0:
                 yield f"entry {shutdown.entry} stopped with {shutdown.code}"
-            for attempt, entry, at_s in self.broken:
+            for brk in self.broken:
                 is_during_shutdown = (
                     shutdown.began_s
-                    <= at_s
+                    <= brk.ended_s
                     <= shutdown.ended_s + IN_FLIGHT_MARGIN_S
                 )
                 if (
-                    entry == shutdown.entry
+                    brk.entry == shutdown.entry
                     and is_during_shutdown
-                    and attempt in ran
+                    and brk.attempt in ran
                 ):
-                    yield f"{attempt} was cut by a planned stop"
+                    yield f"{brk.attempt} was cut by a planned stop"
 
     def _was_disturbed(self, shutdown: Shutdown) -> bool:
         return any(
@@ -212,3 +242,74 @@
             and ended_s >= shutdown.began_s
             for entry, began_s, ended_s in self.disturbances
         )
+
+    def _find_unexplained_breaks(self) -> Iterator[str]:
+        """Yield requests without a response that no fault explains."""
+        ran = {run.attempt for run in self.runs}
+        for brk in self.broken:
+            if brk.explanation(
+                ran=brk.attempt in ran,
+                idle_timeout_s=min(IDLE_TIMEOUTS_S),
+                kills=self.kills,
+                link_faults=self.link_faults,
+                stops=self.absences,
+            ):
+                continue
+            waited_s = brk.ended_s - brk.sent_s
+            yield (
+                f"{brk.attempt} at entry {brk.entry} {brk.ending.value} "
+                f"after {waited_s:.2f} s, idle for {brk.idle_s:.2f} s, "
+                f"{'ran' if brk.attempt in ran else 'not run'}"
+                f"{self._describe_stop(brk.entry, brk.sent_s)}"
+            )
+
+    def _describe_stop(self, entry: int, at_s: float) -> str:
+        for shutdown in self.shutdowns:
+            if entry == shutdown.entry and (
+                shutdown.began_s <= at_s <= shutdown.ended_s
+            ):
+                return f", {at_s - shutdown.began_s:.2f} s into a stop"
+        return ""
+
+    def _find_work_cut_by_stops(self) -> Iterator[str]:
+        """Yield runs that a stop took and whose answers it didn't deliver."""
+        ran_on = collections.defaultdict(list)
+        for run in self.runs:
+            ran_on[run.attempt].append(run)
+        for shutdown in self.shutdowns:
+            if self._was_disturbed(shutdown):
+                continue
+            for attempt, answer in self.answers.items():
+                if (
+                    answer.entry != shutdown.entry
+                    or answer.status == 200
+                    or not ran_on[attempt]
+                    or not (
+                        shutdown.began_s
+                        <= answer.answered_s
+                        <= shutdown.ended_s + IN_FLIGHT_MARGIN_S
+                    )
+                    or answer.answered_s >= answer.sent_s + answer.time_limit_s
+                    or self._broke_off(ran_on[attempt], answer)
+                ):
+                    continue
+                sent_s = answer.sent_s - shutdown.began_s
+                finished_s = self.finished_s.get(attempt, answer.answered_s)
+                if (
+                    sent_s > LATE_REQUEST_S
+                    or finished_s <= shutdown.began_s + WORK_END_S
+                ):
+                    yield (
+                        f"{attempt} ran, sent {sent_s:.2f} s into a stop of "
+                        f"entry {shutdown.entry}, and got {answer.status}"
+                    )
+
+    def _broke_off(self, runs: list[Run], answer: Answer) -> bool:
+        """Return whether a fault of a target may have broken its run."""
+        return any(
+            fault.overlaps(
+                int(run.target.split("-")[1]), run.at_s, answer.answered_s
+            )
+            for run in runs
+            for fault in self.target_faults
+        )
--- a/tests/soak/_plan.py
+++ b/tests/soak/_plan.py
@@ -55,6 +55,14 @@
 LIMIT_GAP_RANGE_S: Final = (1.0, 6.0)
 LIMIT_RANGE_S: Final = (3.0, 12.0)
 """How long a limit lasts; some end before they have to be kept."""
+OVERLAPS: Final = (
+    "target-misbehave",
+    "target-misbehave",
+    "entry-pause",
+    "entry-rolling-stop",
+)
+"""Faults drawn beside the others."""
+OVERLAP_GAP_RANGE_S: Final = (0.5, 3.5)
 CATCH_UP_S: Final = 4.0
 """Time for a restarted replica to catch up; until then no other replica may
 fail."""
@@ -108,3 +116,14 @@
         length_s = rng.uniform(*LIMIT_RANGE_S)
         yield Fault(at_s, TARGET_LIMIT, rng.randrange(TARGETS), length_s)
         at_s += rng.uniform(*LIMIT_GAP_RANGE_S)
+
+
+def draw_overlaps(seed: int, until_s: float) -> Iterator[Fault]:
+    """Yield faults that overlap those of `draw_faults`, ordered by time."""
+    rng = random.Random(f"overlaps {seed}")
+    at_s = FAULT_FREE_S
+    while at_s < until_s:
+        kind = rng.choice(OVERLAPS)
+        on = rng.randrange(ENTRIES) if kind.startswith("entry") else TARGETS
+        yield Fault(at_s, kind, on, rng.uniform(*DURATION_RANGE_S))
+        at_s += rng.uniform(*OVERLAP_GAP_RANGE_S)
--- a/tests/soak/_processes.py
+++ b/tests/soak/_processes.py
@@ -107,6 +107,12 @@
                 },
             )
 
+    def reload(self) -> None:
+        """Change the settings file and have the process reload it."""
+        with self._settings.open("a") as settings:
+            settings.write("# reloaded\n")
+        self.send_signal(signal.SIGHUP)
+
     def send_signal(self, signal_number: signal.Signals) -> None:
         """Send a signal to the process if it is running."""
         if self._proc is not None and self._proc.returncode is None:
--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -9,10 +9,14 @@
 import time
 from typing import Final
 
+from tests.soak._breaks import Window
+from tests.soak._direct_callers import DirectCaller
 from tests.soak._observations import Observations, Shutdown
 from tests.soak._plan import (
     draw_faults,
     draw_limits,
+    draw_overlaps,
+    ENTRIES,
     Fault,
     TARGET_LIMIT,
     TARGETS,
@@ -24,16 +28,15 @@
     Program,
     READY_PORT,
 )
+from tests.soak._requests import HOST, LONG_PATHS, SHORT_PATHS
 from tests.soak._stand_ins import (
     Caller,
     ControlClient,
-    HOST,
     Operator,
     ProxiedServer,
     send_request,
     Target,
 )
-from wigeonford.events import EventLog
 from wigeonford.http import (
     ClientConnection,
     ConnectFailed,
@@ -56,6 +59,13 @@
 TORN_BYTES: Final = 40
 AFTEREFFECT_S: Final = 1.0
 """How long a fault may affect connections after it has ended."""
+DIRECT_CALLERS: Final = 3
+LONG_CALLERS: Final = 2
+"""Callers of each entry VM without a proxy, by the paths they request."""
+LISTEN_TIMEOUT_S: Final = 8.0
+"""Time from the start of a process until it listens."""
+STOP_OFFSET_RANGE_S: Final = (0.0, 0.4)
+"""Time between a stop, and the change and reload beside it."""
 
 Injector = Callable[["Soak", Fault], Awaitable[None]]
 _INJECTORS: Final[dict[str, Injector]] = {}
@@ -72,7 +82,8 @@
 class Soak:
     """Run the daemons, the stand-ins and the faults of one seed."""
 
-    def __init__(self, seed: int, folder: Path) -> None:
+    def __init__(self, seed: int, folder: Path, scale: int = 1) -> None:
+        self._scale = scale
         self.rng = random.Random(f"stand-ins {seed}")
         self.observations = Observations()
         network_prefix = f"127.{20 + seed % 200}"
@@ -87,10 +98,15 @@
         ]
         control = ControlClient(self.apis, self.rng)
         self.operator = Operator(control, self.observations, self.rng)
-        event_log = EventLog()
         self.targets = [
-            Target(number, control, self.observations, self.rng, event_log)
-            for number in range(TARGETS)
+            Target(
+                number,
+                control,
+                self.observations,
+                self.rng,
+                is_proxied=number < TARGETS,
+            )
+            for number in range(TARGETS + 1)
         ]
         self.listed_entries: list[int] = []
         self._tasks: set[asyncio.Task[None]] = set()
@@ -110,6 +126,7 @@
                 for fault in (
                     *draw_faults(seed, faults_s),
                     *draw_limits(seed, faults_s),
+                    *draw_overlaps(seed, faults_s),
                 )
             ]
             await asyncio.gather(*faults)
@@ -144,7 +161,7 @@
             ("stable", CALLERS, CALLER_PAUSE_S),
             ("few", OVER_RATE_CALLERS, OVER_RATE_PAUSE_S),
         ):
-            for _ in range(count):
+            for _ in range(count * self._scale):
                 caller = Caller(
                     self.fronts,
                     lambda: self.listed_entries,
@@ -152,22 +169,83 @@
                     self.rng,
                 )
                 self.spawn(caller.run(key, pause_s))
+        for paths, count in (
+            (SHORT_PATHS, DIRECT_CALLERS),
+            (LONG_PATHS, LONG_CALLERS),
+        ):
+            for number in range(ENTRIES * count * self._scale):
+                entry = number % ENTRIES
+                address = Address(self.entries[entry].host, FRONT_PORT)
+                direct_caller = DirectCaller(
+                    entry, address, paths, self.observations, self.rng
+                )
+                self.spawn(direct_caller.run())
 
     async def _inject_fault(self, fault: Fault) -> None:
         await asyncio.sleep(fault.at_s)
         began_s = time.monotonic()
         await _INJECTORS[fault.kind](self, fault)
         component = fault.kind.split("-")[0]
-        if component == "target" or fault.kind == "entry-reload":
+        ended_s = time.monotonic() + AFTEREFFECT_S
+        window = Window(fault.on, began_s, ended_s)
+        if component == "target":
+            if fault.kind != TARGET_LIMIT:
+                self.observations.target_faults.append(window)
+            return
+        if fault.kind == "entry-reload":
             return
         if component == "entry":
             self.observations.interruptions.append((began_s, time.monotonic()))
-        if fault.kind != "entry-stop":
+        if component == "callers":
+            self.observations.link_faults.append(window)
+        if fault.kind not in ("entry-stop", "entry-rolling-stop"):
             # A control fault can affect requests at every entry VM: -1.
             entry = -1 if component == "control" else fault.on
-            ended_s = time.monotonic() + AFTEREFFECT_S
             self.observations.disturbances.append((entry, began_s, ended_s))
 
+    async def stop_entry(self, entry: int, away_s: float) -> None:
+        """Stop an entry VM gracefully, and start it again."""
+        program = self.entries[entry]
+        began_s = time.monotonic()
+        code = await program.stop()
+        ended_s = time.monotonic()
+        self.observations.shutdowns.append(
+            Shutdown(entry, began_s, ended_s, code)
+        )
+        if code == -signal.SIGKILL:
+            self.observations.kills.append(Window(entry, ended_s, ended_s))
+        await asyncio.sleep(away_s)
+        await program.start()
+        self._record_absence(entry, began_s)
+
+    async def kill_entry(self, entry: int, away_s: float) -> None:
+        """Kill an entry VM, and start it again."""
+        began_s = time.monotonic()
+        await _kill(self.entries[entry], away_s)
+        self.observations.kills.append(
+            Window(entry, began_s, time.monotonic())
+        )
+        self._record_absence(entry, began_s)
+
+    def _record_absence(self, entry: int, began_s: float) -> None:
+        listens_s = time.monotonic() + LISTEN_TIMEOUT_S
+        self.observations.absences.append(Window(entry, began_s, listens_s))
+
+    async def wait_until_ready(self, entry: int) -> None:
+        """Wait until an entry VM says that it is ready."""
+        ready = Address(self.entries[entry].host, READY_PORT)
+        async with asyncio.timeout(RECOVERY_TIMEOUT_S):
+            while True:
+                try:
+                    response = await fetch(
+                        ready, "GET", "/ready", timeout_s=1.0
+                    )
+                except (ConnectFailed, ExchangeFailed):
+                    response = None
+                if response is not None and response.status == 200:
+                    return
+                await asyncio.sleep(0.1)
+
     async def _resolve_periodically(self) -> None:
         while True:
             self.listed_entries = await self._resolve_entries()
@@ -214,7 +292,7 @@
                 try:
                     attempt = f"probe-{self.rng.getrandbits(64):x}"
                     response = await send_request(
-                        conn, attempt, key, safe=True
+                        conn, attempt, key, SHORT_PATHS[0]
                     )
                 finally:
                     conn.close()
@@ -269,17 +347,28 @@
 
 @_injects("entry-stop")
 async def _stop_entry(soak: Soak, fault: Fault) -> None:
-    began_s = time.monotonic()
-    code = await soak.entries[fault.on].stop()
-    shutdown = Shutdown(fault.on, began_s, time.monotonic(), code)
-    soak.observations.shutdowns.append(shutdown)
-    await asyncio.sleep(fault.length_s)
-    await soak.entries[fault.on].start()
+    await soak.stop_entry(fault.on, fault.length_s)
+
+
+@_injects("entry-rolling-stop")
+async def _stop_entries_in_turn(soak: Soak, fault: Fault) -> None:
+    """Stop two VMs in turn, each beside a change and a reload."""
+    for entry in (fault.on, (fault.on + 1) % ENTRIES):
+        try:
+            await soak.wait_until_ready(entry)
+        except TimeoutError:
+            # Another fault keeps it away.
+            continue
+        stop = asyncio.create_task(soak.stop_entry(entry, 0.0))
+        await asyncio.sleep(soak.rng.uniform(*STOP_OFFSET_RANGE_S))
+        soak.entries[entry].reload()
+        await soak.operator.change()
+        await stop
 
 
 @_injects("entry-kill")
 async def _kill_entry(soak: Soak, fault: Fault) -> None:
-    await _kill(soak.entries[fault.on], fault.length_s)
+    await soak.kill_entry(fault.on, fault.length_s)
 
 
 @_injects("control-kill")
@@ -318,7 +407,7 @@
 
 @_injects("entry-reload")
 async def _reload_entry(soak: Soak, fault: Fault) -> None:
-    soak.entries[fault.on].send_signal(signal.SIGHUP)
+    soak.entries[fault.on].reload()
 
 
 @_injects("control-stop")
@@ -389,3 +478,11 @@
 async def _limit_target(soak: Soak, fault: Fault) -> None:
     limit_per_s = soak.rng.choice(LIMITS_PER_S)
     await soak.targets[fault.on].state_limit(limit_per_s, fault.length_s)
+
+
+@_injects("target-misbehave")
+async def _let_target_misbehave(soak: Soak, fault: Fault) -> None:
+    target = soak.targets[fault.on]
+    target.is_misbehaving = True
+    await asyncio.sleep(fault.length_s)
+    target.is_misbehaving = False
--- a/tests/soak/_stand_ins.py
+++ b/tests/soak/_stand_ins.py
@@ -11,6 +11,7 @@
 from typing import Any, Final
 import uuid
 
+from tests.soak._breaks import Break, Ending
 from tests.soak._observations import (
     BURST,
     DRAIN_S,
@@ -19,28 +20,46 @@
     RATE_PER_S,
 )
 from tests.soak._processes import ZONES
+from tests.soak._requests import (
+    BODY,
+    HOST,
+    IDLE_TIMEOUTS_S,
+    make_headers,
+    make_limits,
+    PATHS,
+    RequestPath,
+    SERVICE,
+    SHORT_PATHS,
+)
+from tests.soak._target_server import (
+    make_response,
+    TargetConnection,
+    TargetServer,
+)
 from wigeonford.bench._link import LinkState, StandInLink
-from wigeonford.events import EventLog
 from wigeonford.http import (
     ClientConnection,
     ConnectFailed,
     ExchangeFailed,
     fetch,
-    HttpServer,
     read_body,
-    Request,
     Response,
 )
-from wigeonford.settings import Address, CallerLimits
+from wigeonford.settings import Address
 
-HOST: Final = "soak.example"
-SERVICE: Final = "books"
 HEARTBEAT_S: Final = 0.5
 CALL_TIMEOUT_S: Final = 1.0
-REQUEST_TIMEOUT_S: Final = 4.0
+REQUEST_TIMEOUT_S: Final = 10.0
+"""It exceeds the longest stall and the time limit of a request."""
 REQUESTS_PER_CONNECTION: Final = 8
 """How many requests a caller sends on one connection."""
 FIRST_VERSION: Final = 1
+LIMITS_CHANGE_FRACTION: Final = 0.3
+"""Fraction of the changes that also change the idle timeout."""
+REFUSAL_FRACTION: Final = 0.3
+REPEAT_FRACTION: Final = 0.5
+BREAK_OFF_FRACTION: Final = 0.3
+"""Fractions of what a misbehaving target does; the rest is answered."""
 
 
 class ProxiedServer:
@@ -119,7 +138,10 @@
 
 
 class Target:
-    """Serve requests and send announcements; restart as new incarnations."""
+    """Serve requests and send announcements; restart as new incarnations.
+
+    Resets reach entry VMs only from a target without a proxy.
+    """
 
     def __init__(
         self,
@@ -127,18 +149,20 @@
         control: ControlClient,
         observations: Observations,
         rng: random.Random,
-        log: EventLog,
+        *,
+        is_proxied: bool = True,
     ) -> None:
         self._number = number
+        self._is_proxied = is_proxied
         self._control = control
         self._observations = observations
         self._rng = rng
-        self._log = log
         self._incarnation = 0
         self._sequence = 0
         self._state = "ready"
         self._heartbeat_task: asyncio.Task[None] | None = None
         self.is_unavailable = False
+        self.is_misbehaving = False
         self._limit: str | None = None
 
     async def start(self) -> None:
@@ -148,11 +172,11 @@
         self._started_at_ms = int(time.time() * 1000)
         self._state = "ready"
         self.name = f"i-{self._number}-{self._incarnation}"
-        self._http = HttpServer(self._handle, CallerLimits(), self._log)
-        self.proxy = ProxiedServer(
-            await self._http.start(Address("127.0.0.1", 0))
-        )
+        self._server = TargetServer(self._handle)
+        address = await self._server.start()
+        self.proxy = ProxiedServer(address)
         await self.proxy.start()
+        self._address = self.proxy.address if self._is_proxied else address
         self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
         self.is_unavailable = False
 
@@ -187,7 +211,7 @@
     async def _stop(self) -> None:
         if self._heartbeat_task is not None:
             self._heartbeat_task.cancel()
-        await self._http.stop(0.0)
+        await self._server.stop()
         await self.proxy.link.stop()
 
     async def _send_heartbeats(self) -> None:
@@ -198,7 +222,7 @@
     async def _announce(self) -> bool:
         self._sequence += 1
         announcement = {
-            "address": str(self.proxy.address),
+            "address": str(self._address),
             "born": self._started_at_ms,
             "information": {
                 "service": SERVICE,
@@ -217,23 +241,74 @@
         )
         return response is not None and response.status == 200
 
-    async def _handle(self, request: Request) -> Response:
-        async for _ in request.body:
-            continue
-        attempt = request.header(b"x-attempt-id") or ""
-        echo = (b"x-attempt-id", attempt.encode())
-        if request.header(b"x-expected-instance") != self.name:
-            headers = (echo, (b"x-not-executed", b"1"))
-            return Response(421, (*headers, (b"content-length", b"0")), b"")
-        account = request.header(b"x-tenant") or ""
+    async def _handle(
+        self, path: str, headers: dict[str, str], conn: TargetConnection
+    ) -> bool:
+        attempt = headers.get("x-attempt-id", "")
+        if headers.get("x-expected-instance") != self.name:
+            self._refuse(421, attempt, conn)
+            return True
+        if self.is_misbehaving and self._rng.random() < REFUSAL_FRACTION:
+            self._refuse(self._rng.choice((421, 429, 503)), attempt, conn)
+            return True
+        account = headers.get("x-tenant", "")
         self._observations.record_run(attempt, self.name, account)
-        await asyncio.sleep(self._rng.uniform(0.005, 0.08))
-        body = attempt.encode()
-        head = [echo, (b"x-response-signature", body)]
+        if conn.refusals and self._rng.random() < REPEAT_FRACTION:
+            conn.writer.write(self._rng.choice(conn.refusals).encode())
+        work_range_s = PATHS[path.split("/")[1]].work_range_s
+        await asyncio.sleep(self._rng.uniform(*work_range_s))
+        if self.is_misbehaving and self._rng.random() < BREAK_OFF_FRACTION:
+            self._break_off(attempt, conn)
+            return False
+        if not conn.is_closed:
+            self._observations.finished_s[attempt] = time.monotonic()
+        head = [
+            ("x-attempt-id", attempt),
+            ("x-response-signature", attempt),
+        ]
         if self._limit is not None:
-            head.append((b"server-limit", self._limit.encode()))
-        head.append((b"content-length", str(len(body)).encode()))
-        return Response(200, tuple(head), body)
+            head.append(("server-limit", self._limit))
+        conn.writer.write(make_response(200, head, attempt))
+        return True
+
+    def _refuse(
+        self, status: int, attempt: str, conn: TargetConnection
+    ) -> None:
+        """Refuse a request.
+
+        A misbehaving target may repeat it later, also without the id.
+        """
+        not_run = ("x-not-executed", "1")
+        refusal = make_response(
+            status, [("x-attempt-id", attempt), not_run], ""
+        )
+        if self.is_misbehaving:
+            without_id = make_response(status, [not_run], "")
+            conn.refusals += [refusal.decode(), without_id.decode()]
+        conn.writer.write(refusal)
+
+    def _break_off(self, attempt: str, conn: TargetConnection) -> None:
+        """Write a part of a response and close the connection."""
+        head = [
+            ("x-attempt-id", attempt),
+            ("x-response-signature", attempt),
+        ]
+        response = make_response(200, head, attempt)
+        body_at = len(response) - len(attempt)
+        match self._rng.choice(("head", "between", "body", "no length")):
+            case "head":
+                conn.writer.write(response[: self._rng.randrange(1, body_at)])
+            case "between":
+                conn.writer.write(response[:body_at])
+            case "body":
+                conn.writer.write(response[:-1])
+            case _:
+                part = attempt[: self._rng.randrange(len(attempt))]
+                conn.writer.write(make_response(200, head) + part.encode())
+                conn.reset()
+                return
+        if self._rng.random() < 0.5:
+            conn.reset()
 
 
 class Caller:
@@ -274,9 +349,12 @@
         conn = await ClientConnection.open(
             self._entries[entry].address, CALL_TIMEOUT_S
         )
+        opened_s = previous_s = time.monotonic()
         try:
             for _ in range(REQUESTS_PER_CONNECTION):
-                await self._exchange(conn, entry, key)
+                sent_s = time.monotonic()
+                idle_s, previous_s = sent_s - previous_s, sent_s
+                await self._exchange(conn, entry, key, opened_s, idle_s)
                 if not conn.is_reusable:
                     return
                 await asyncio.sleep(self._rng.expovariate(1 / pause_s))
@@ -284,22 +362,38 @@
             conn.close()
 
     async def _exchange(
-        self, conn: ClientConnection, entry: int, key: str
+        self,
+        conn: ClientConnection,
+        entry: int,
+        key: str,
+        opened_s: float,
+        idle_s: float,
     ) -> None:
         attempt = uuid.UUID(int=self._rng.getrandbits(128)).hex
-        safe = self._rng.random() < 0.5
-        if not safe:
+        path = self._rng.choice(SHORT_PATHS)
+        if not path.is_idempotent:
             self._observations.unsafe.add(attempt)
+        sent_s = time.monotonic()
+        ending = Ending.CLOSED
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_S):
-                response = await send_request(conn, attempt, key, safe=safe)
-        except TimeoutError:
-            raise ExchangeFailed("no response in time") from None
-        except ExchangeFailed:
+                response = await send_request(conn, attempt, key, path)
+        except (ExchangeFailed, TimeoutError) as exc:
+            if isinstance(exc, TimeoutError):
+                ending = Ending.SILENT
             self._observations.broken.append(
-                (attempt, entry, time.monotonic())
+                Break(
+                    attempt,
+                    entry,
+                    opened_s,
+                    sent_s,
+                    time.monotonic(),
+                    ending,
+                    idle_s,
+                    is_proxied=True,
+                )
             )
-            raise
+            raise ExchangeFailed(ending.value) from exc
         body = response.body if isinstance(response.body, bytes) else b""
         signature = response.header(b"x-response-signature")
         self._observations.record_response(
@@ -308,23 +402,12 @@
 
 
 async def send_request(
-    conn: ClientConnection, attempt: str, key: str, *, safe: bool
+    conn: ClientConnection, attempt: str, key: str, path: RequestPath
 ) -> Response:
     """Send one request; return the response with its complete body."""
-    headers = (
-        (b"host", HOST.encode()),
-        (b"x-attempt-id", attempt.encode()),
-        (b"x-key", key.encode()),
-        (b"x-affinity-key", attempt[:1].encode()),
-        (b"x-deadline-remaining", b"3000"),
-    )
-    if safe:
-        response = await conn.exchange("GET", "/safe/x", headers)
-    else:
-        length = ((b"content-length", b"4"),)
-        response = await conn.exchange(
-            "POST", "/unsafe/x", (*headers, *length), b"body"
-        )
+    headers = make_headers(path, attempt, key)
+    method, body = ("GET", b"") if path.is_idempotent else ("POST", BODY)
+    response = await conn.exchange(method, f"/{path.name}/x", headers, body)
     return Response(
         response.status, response.headers, await read_body(response)
     )
@@ -333,7 +416,7 @@
 class Operator:
     """Publish versions of the configuration and read them back.
 
-    Each version replaces a key of one account.
+    Each version replaces a key of one account; some change the idle timeout.
     """
 
     def __init__(
@@ -346,6 +429,7 @@
         self._observations = observations
         self._rng = rng
         self._version = FIRST_VERSION
+        self._changing = asyncio.Lock()
 
     @property
     def key(self) -> str:
@@ -365,11 +449,20 @@
 
     async def change(self) -> None:
         """Publish the next version."""
+        async with self._changing:
+            await self._change()
+
+    async def _change(self) -> None:
         expected_version = f"{self._version:08x}"
         self._version += self._rng.choice((1, 2, 5))
+        upsert: dict[str, Any] = {
+            "tenants": [make_account("big", self.key, 0, 0)]
+        }
+        if self._rng.random() < LIMITS_CHANGE_FRACTION:
+            upsert["limits"] = make_limits(self._rng.choice(IDLE_TIMEOUTS_S))
         body = {
             "version": f"{self._version:08x}",
-            "upsert": {"tenants": [make_account("big", self.key, 0, 0)]},
+            "upsert": upsert,
             "remove": {},
         }
         await self._send_configuration("PATCH", body, expected_version)
@@ -420,22 +513,6 @@
 
 def make_configuration(version: int) -> dict[str, Any]:
     """Return a complete configuration."""
-    paths: list[dict[str, Any]] = [
-        {
-            "name": kind,
-            "path_prefix": f"/{kind}/",
-            "kind": kind,
-            "timeout_s": 3.0,
-            "target_latency_s": 0.5,
-            "priority": 0,
-            "service": SERVICE,
-            "attempts": 2,
-            "anonymous_access": False,
-            "cache_affinity": True,
-            "home_regions": [],
-        }
-        for kind in ("safe", "unsafe")
-    ]
     return {
         "version": f"{version:08x}",
         "services": [
@@ -449,15 +526,15 @@
                 "cold_per_s": 50.0,
             }
         ],
-        "limits": {
-            "max_header_bytes": 16384,
-            "max_body_bytes": 1048576,
-            "header_timeout_s": 3,
-            "idle_timeout_s": 15,
-        },
+        "limits": make_limits(max(IDLE_TIMEOUTS_S)),
         "tenants": [
             make_account("big", f"k{version}", 0, 0),
             make_account("small", "other", RATE_PER_S, BURST),
         ],
-        "hosts": [{"host": HOST, "paths": paths}],
+        "hosts": [
+            {
+                "host": HOST,
+                "paths": [path.as_json() for path in PATHS.values()],
+            }
+        ],
     }
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,9 +1,14 @@
 """The soak: its drawn faults, its checks, and a short run of the daemons."""
 
+import asyncio
+import socket
 import unittest
 
 from tests.soak.__main__ import FAULTS_S, run_seed
+from tests.soak._breaks import Break, Ending, Window
+from tests.soak._direct_callers import exchange, ExchangeBroken
 from tests.soak._observations import (
+    Answer,
     BURST,
     LimitPeriod,
     Observations,
@@ -16,6 +21,13 @@
     # Two overlapping faults on one VM both restarted it, a bug of the soak.
     # The second process exited with a traceback: its address was in use.
     1796368554,
+    # Stalled past the idle timeout, a VM closed kept connections on requests
+    # that had arrived; others arrived together with the end of the timeout.
+    1796416824,
+    # Targets repeated a refusal without an id: unsafe requests ran twice.
+    1796416845,
+    # Stops took work that outlasted their grace period and cut it.
+    1796416946,
 )
 """Seeds that failed once, each with the cause."""
 
@@ -108,13 +120,121 @@
 
     def test_request_cut_by_a_planned_stop(self) -> None:
         self.observations.runs.append(Run("a", "i-1", "big", 1.0))
-        self.observations.broken.append(("a", 0, 1.5))
+        self.observations.broken.append(
+            Break("a", 0, 1.0, 1.0, 1.5, Ending.READ)
+        )
         self.observations.shutdowns.append(Shutdown(0, 1.0, 2.0, 0))
-        self.assertEqual(1, len(self.observations.find_violations()))
+        self.assertIn(
+            "a was cut by a planned stop", self.observations.find_violations()
+        )
         self.observations.disturbances.append((-1, 1.9, 3.0))
+        self.assertNotIn(
+            "a was cut by a planned stop", self.observations.find_violations()
+        )
+
+    def test_request_without_an_answer(self) -> None:
+        for ending, ended_s, idle_s, is_explained in (
+            (Ending.READ, 1.1, 9.0, False),
+            (Ending.SILENT, 1.1, 9.0, False),
+            (Ending.UNREAD, 2.0, 9.0, False),
+            (Ending.UNREAD, 1.1, 9.0, True),
+            (Ending.UNREAD, 1.1, 0.1, False),
+            (Ending.CROSSED, 1.1, 9.0, True),
+            (Ending.CROSSED, 1.1, 0.1, False),
+        ):
+            with self.subTest(ending=ending, ended_s=ended_s, idle_s=idle_s):
+                self.observations.broken = [
+                    Break("a", 0, 0.0, 1.0, ended_s, ending, idle_s)
+                ]
+                findings = self.observations.find_violations()
+                self.assertEqual(is_explained, not findings, findings)
+
+    def test_only_listed_faults_explain_a_break(self) -> None:
+        brk = Break("a", 0, 0.0, 5.0, 6.0, Ending.CLOSED, 0.1, is_proxied=True)
+        self.observations.broken.append(brk)
+        for windows, window, is_explained in (
+            (self.observations.kills, Window(1, 5.0, 6.0), False),
+            (self.observations.kills, Window(0, 7.0, 8.0), False),
+            (self.observations.kills, Window(0, 5.5, 8.0), True),
+            (self.observations.link_faults, Window(0, 1.0, 2.0), True),
+            (self.observations.absences, Window(0, 4.0, 9.0), True),
+            (self.observations.target_faults, Window(0, 4.0, 9.0), False),
+        ):
+            windows.append(window)
+            findings = self.observations.find_violations()
+            self.assertEqual(is_explained, not findings, window)
+            windows.clear()
+        self.observations.record_run("a", "i-1-1", "big")
+        self.observations.absences.append(Window(0, 4.0, 9.0))
+        self.assertEqual(1, len(self.observations.find_violations()))
+
+    def test_run_that_a_stop_broke_off_with_an_answer(self) -> None:
+        self.observations.shutdowns.append(Shutdown(0, 10.0, 16.0, 0))
+        self.observations.runs.append(Run("a", "i-1-1", "big", 13.5))
+        for sent_s, finished_s, is_found in (
+            (13.5, None, True),
+            (12.5, None, False),
+            (12.5, 15.5, False),
+            (12.5, 14.5, True),
+        ):
+            self.observations.finished_s = (
+                {} if finished_s is None else {"a": finished_s}
+            )
+            self.observations.answers["a"] = Answer(504, 0, sent_s, 15.9, 9.0)
+            findings = self.observations.find_violations()
+            self.assertEqual(is_found, bool(findings), (sent_s, finished_s))
+        self.observations.target_faults.append(Window(1, 14.0, 15.0))
         self.assertEqual([], self.observations.find_violations())
 
 
+class DirectExchangeTest(unittest.IsolatedAsyncioTestCase):
+    """Check that a caller learns whether its request was read."""
+
+    async def asyncSetUp(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            self.caller = socket.create_connection(listener.getsockname())
+            self.server, _ = listener.accept()
+        for sock in (self.caller, self.server):
+            sock.setblocking(False)
+            self.addCleanup(sock.close)
+
+    async def _find_ending(self) -> Ending:
+        with self.assertRaises(ExchangeBroken) as raised:
+            await exchange(self.caller, b"GET / HTTP/1.1\r\n\r\n", 5.0)
+        return raised.exception.ending
+
+    async def test_read_and_not_answered(self) -> None:
+        ending = asyncio.create_task(self._find_ending())
+        await self.loop.sock_recv(self.server, 100)
+        self.server.close()
+        self.assertIs(Ending.READ, await ending)
+
+    async def test_closed_on_an_unread_request(self) -> None:
+        ending = asyncio.create_task(self._find_ending())
+        while not ending.done():
+            await asyncio.sleep(0)
+            try:
+                self.server.recv(1, socket.MSG_PEEK)
+            except BlockingIOError:
+                continue
+            self.server.close()
+            break
+        self.assertIs(Ending.UNREAD, await ending)
+
+    async def test_sent_after_the_close(self) -> None:
+        self.server.close()
+        self.assertIs(Ending.CROSSED, await self._find_ending())
+
+    async def test_response_that_breaks_off(self) -> None:
+        ending = asyncio.create_task(self._find_ending())
+        await self.loop.sock_recv(self.server, 100)
+        head = b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n"
+        await self.loop.sock_sendall(self.server, head + b"part")
+        self.server.close()
+        self.assertIs(Ending.TRUNCATED, await ending)
+
+
 class SoakTest(unittest.IsolatedAsyncioTestCase):
     """Run a short seed, and each seed that failed once."""
 
