Judge a late run only where its entry VM was in touch

The users' rule about draining targets counts requests that machines in touch took and sent on; one that stood still in the contact window is not. The check now knows which VM a caller used, and judges all others as before.

--- a/tests/soak/_direct_callers.py
+++ b/tests/soak/_direct_callers.py
@@ -145,6 +145,7 @@
     ) -> bool:
         """Exchange once; return whether the connection stays open."""
         attempt = uuid.UUID(int=self._rng.getrandbits(128)).hex
+        self._observations.sent_to[attempt] = self._entry
         path = self._rng.choice(self._paths)
         if not path.is_idempotent:
             self._observations.unsafe.add(attempt)
--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -196,6 +196,10 @@
             return
         if component == "entry":
             self.observations.interruptions.append((began_s, time.monotonic()))
+        if fault.kind == "entry-pause":
+            self.observations.stalls.append(
+                Window(fault.on, began_s, time.monotonic())
+            )
         if component == "callers":
             self.observations.link_faults.append(window)
         if fault.kind not in ("entry-stop", "entry-rolling-stop"):
--- a/tests/soak/_stand_ins.py
+++ b/tests/soak/_stand_ins.py
@@ -370,6 +370,7 @@
         idle_s: float,
     ) -> None:
         attempt = uuid.UUID(int=self._rng.getrandbits(128)).hex
+        self._observations.sent_to[attempt] = entry
         path = self._rng.choice(SHORT_PATHS)
         if not path.is_idempotent:
             self._observations.unsafe.add(attempt)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -97,8 +97,13 @@
             self.observations.runs.append(
                 Run(f"at {at_s}", "i-1", "big", at_s)
             )
+        self.observations.sent_to["at 13.0"] = 1
+        for entry, ended_s in ((0, 12.9), (1, 8.9)):
+            self.observations.stalls.append(Window(entry, 7.0, ended_s))
         (finding,) = self.observations.find_violations()
         self.assertIn("at 13.0", finding)
+        self.observations.stalls.append(Window(1, 12.0, 12.9))
+        self.assertEqual([], self.observations.find_violations())
 
     def test_rate_of_an_account(self) -> None:
         for number in range(int(BURST) + 60):
