Have the soak's callers send some requests in two parts

They stay within the time limit on heads, which is 1 s now, so that stalls exceed it. A repeated refusal counts as a fault of the target also after its misbehaviour ended: took one for a run that a stop broke off.

--- a/tests/soak/_direct_callers.py
+++ b/tests/soak/_direct_callers.py
@@ -11,7 +11,7 @@
 
 from tests.soak._breaks import Break, Ending, USUAL_IDLE_FRACTION
 from tests.soak._observations import Answer, Observations
-from tests.soak._requests import IDLE_TIMEOUTS_S, make_head, RequestPath
+from tests.soak._requests import IDLE_TIMEOUTS_S, make_request, RequestPath
 from wigeonford.settings import Address
 
 READ_BYTES: Final = 65536
@@ -21,6 +21,9 @@
 RESET_WAIT_S: Final = 0.02
 """Time after the end of a connection in which a reset may follow."""
 SHORT_PAUSE_S: Final = 0.05
+PARTED_FRACTION: Final = 0.2
+PART_PAUSE_S: Final = 0.4
+"""Some requests are sent in two parts, well within the time limit on heads."""
 EDGE_S: Final = 0.02
 """Requests at the edge of the idle timeout miss it by up to this time."""
 
@@ -34,9 +37,11 @@
 
 
 async def exchange(
-    sock: socket.socket, head: bytes, timeout_s: float
+    sock: socket.socket, request: bytes, timeout_s: float
 ) -> tuple[h11.Response, bytes]:
-    """Send a request; return its response, or raise `ExchangeBroken`.
+    """Send a request or its rest; return the response, with its body.
+
+    Raise `ExchangeBroken` if no complete response comes.
 
     The kernel of the other side resets a connection on which bytes arrive
     unread or after the close. A close without a reset means that the process
@@ -50,7 +55,7 @@
     body = b""
     try:
         async with asyncio.timeout(timeout_s):
-            await loop.sock_sendall(sock, head)
+            await loop.sock_sendall(sock, request)
             while True:
                 event = conn.next_event()
                 if isinstance(event, h11.Response):
@@ -124,6 +129,20 @@
                 return
             await asyncio.sleep(self._draw_pause_s())
 
+    async def _send_part(self, sock: socket.socket, request: bytes) -> bytes:
+        """Send a part of some requests and wait; return the rest."""
+        if self._rng.random() > PARTED_FRACTION:
+            return request
+        part_bytes = self._rng.randrange(1, len(request))
+        try:
+            await asyncio.get_running_loop().sock_sendall(
+                sock, request[:part_bytes]
+            )
+        except ConnectionError:
+            raise ExchangeBroken(Ending.CROSSED) from None
+        await asyncio.sleep(self._rng.uniform(0.0, PART_PAUSE_S))
+        return request[part_bytes:]
+
     def _draw_pause_s(self) -> float:
         draw = self._rng.random()
         if draw < 0.3:
@@ -149,10 +168,12 @@
         path = self._rng.choice(self._paths)
         if not path.is_idempotent:
             self._observations.unsafe.add(attempt)
-        head = make_head(path, attempt, "stable")
+        request = make_request(path, attempt, "stable")
         timeout_s = path.time_limit_s + RESPONSE_MARGIN_S
         try:
-            response, body = await exchange(sock, head, timeout_s)
+            rest = await self._send_part(sock, request)
+            sending_s = time.monotonic() - sent_s
+            response, body = await exchange(sock, rest, timeout_s)
         except ExchangeBroken as exc:
             self._observations.broken.append(
                 Break(
@@ -180,6 +201,7 @@
             sent_s,
             time.monotonic(),
             path.time_limit_s,
+            sending_s,
         )
         return headers.get(b"connection") != b"close"
 
--- a/tests/soak/_observations.py
+++ b/tests/soak/_observations.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from tests.soak._breaks import Break, Window
-from tests.soak._requests import IDLE_TIMEOUTS_S
+from tests.soak._requests import HEAD_TIMEOUT_S, IDLE_TIMEOUTS_S
 
 DRAIN_S: Final = 2.5
 IN_FLIGHT_MARGIN_S: Final = 0.2
@@ -34,6 +34,8 @@
 WORK_END_S: Final = 5.0
 """Time from the start of a stop in which the answers of all targets that end
 their work are delivered: five sixths of the grace period."""
+USUAL_SENDING_FRACTION: Final = 0.8
+"""Fraction of the time limit on heads in which requests are sent."""
 NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
 """Statuses that say that a request has not run and never will."""
 
@@ -70,13 +72,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """Record a response to a request on a direct connection."""
+    """Record a response to a request on a direct connection.
+
+    `sending_s` is the time from its first byte to its last one.
+    """
 
     status: int
     entry: int
     sent_s: float
     answered_s: float
     time_limit_s: float
+    sending_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -148,6 +154,7 @@
             *self._find_failed_shutdowns(),
             *self._find_unexplained_breaks(),
             *self._find_work_cut_by_stops(),
+            *self._find_false_timeouts(),
         ]
 
     def _find_repeated_runs(self) -> Iterator[str]:
@@ -318,6 +325,20 @@
                         f"entry {shutdown.entry}, and got {answer.status}"
                     )
 
+    def _find_false_timeouts(self) -> Iterator[str]:
+        """Yield requests that were sent in time and got a 408."""
+        for attempt, answer in self.answers.items():
+            took_s = answer.answered_s - answer.sent_s
+            if (
+                answer.status == 408
+                and answer.sending_s < USUAL_SENDING_FRACTION * HEAD_TIMEOUT_S
+                and took_s < answer.time_limit_s
+            ):
+                yield (
+                    f"{attempt} was sent within {answer.sending_s:.2f} s and "
+                    f"got 408 at entry {answer.entry} after {took_s:.2f} s"
+                )
+
     def _broke_off(self, runs: list[Run], answer: Answer) -> bool:
         """Return whether a fault of a target may have broken its run."""
         return any(
--- a/tests/soak/_requests.py
+++ b/tests/soak/_requests.py
@@ -9,7 +9,7 @@
 SERVICE: Final = "books"
 IDLE_TIMEOUTS_S: Final = (1.0, 2.0, 4.0)
 """Idle timeouts among which the operator changes."""
-HEAD_TIMEOUT_S: Final = 3
+HEAD_TIMEOUT_S: Final = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,7 +76,7 @@
     return (*headers, (b"content-length", str(len(BODY)).encode()))
 
 
-def make_head(path: RequestPath, attempt: str, key: str) -> bytes:
+def make_request(path: RequestPath, attempt: str, key: str) -> bytes:
     """Return a whole request as bytes."""
     method = "GET" if path.is_idempotent else "POST"
     lines = [f"{method} /{path.name}/x HTTP/1.1".encode()]
--- a/tests/soak/_stand_ins.py
+++ b/tests/soak/_stand_ins.py
@@ -11,7 +11,7 @@
 from typing import Any, Final
 import uuid
 
-from tests.soak._breaks import Break, Ending
+from tests.soak._breaks import Break, Ending, Window
 from tests.soak._observations import (
     BURST,
     DRAIN_S,
@@ -255,6 +255,10 @@
         self._observations.record_run(attempt, self.name, account)
         if conn.refusals and self._rng.random() < REPEAT_FRACTION:
             conn.writer.write(self._rng.choice(conn.refusals).encode())
+            now_s = time.monotonic()
+            self._observations.target_faults.append(
+                Window(self._number, now_s, now_s)
+            )
         work_range_s = PATHS[path.split("/")[1]].work_range_s
         await asyncio.sleep(self._rng.uniform(*work_range_s))
         if self.is_misbehaving and self._rng.random() < BREAK_OFF_FRACTION:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -191,6 +191,18 @@
         self.observations.target_faults.append(Window(1, 14.0, 15.0))
         self.assertEqual([], self.observations.find_violations())
 
+    def test_timeout_of_a_request_that_was_sent_in_time(self) -> None:
+        for sending_s, answered_s, is_found in (
+            (0.3, 12.0, True),
+            (0.9, 12.0, False),
+            (0.3, 13.1, False),
+        ):
+            self.observations.answers["a"] = Answer(
+                408, 0, 10.0, answered_s, 3.0, sending_s
+            )
+            findings = self.observations.find_violations()
+            self.assertEqual(is_found, bool(findings), sending_s)
+
 
 class DirectExchangeTest(unittest.IsolatedAsyncioTestCase):
     """Check that a caller learns whether its request was read."""
