--- a/src/wigeonford/http/_client.py
+++ b/src/wigeonford/http/_client.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from enum import Enum
 import re
 import socket
 import ssl
@@ -9,7 +11,7 @@
 
 import h11
 
-from wigeonford.http._reader import WatchedReader
+from wigeonford.http._reader import ReadDeadline, WatchedReader
 from wigeonford.http._types import find_header, Headers, Response
 from wigeonford.settings import Address
 
@@ -27,22 +29,47 @@
 MAX_INTERIM_RESPONSES: Final = 8
 """Interim responses (1xx) before the final one; servers send one or two."""
 
+CONNECT_LOOP_ITERATIONS: Final = 8
+"""Event loop iterations from a writable socket to its transport, and more."""
+
 KEEP_ALIVE_FRACTION: Final = 0.5
 """Fraction of the server's keep-alive timeout for which an idle connection is
 reused; the rest covers the transit time of the next request."""
-_KEEP_ALIVE: Final = re.compile(r"timeout=(\d+)")
+_KEEP_ALIVE: Final = re.compile(r"timeout=(\d{1,9})(?!\d)")
+
+MAX_EXCHANGES: Final = 256
+"""Exchanges on one connection, which bound the request ids it remembers."""
+
+_STATUS_LINE: Final = re.compile(rb"HTTP/\d\.\d \d{3}")
+
+
+class ResponseOwner(Enum):
+    """Say to which request a response states that it belongs."""
+
+    OWN = "own"
+    OTHER = "other"
+    UNSTATED = "unstated"
 
-IsOurs = Callable[[Headers], bool]
+
+OwnerOf = Callable[[Headers], ResponseOwner]
 
 
 class ConnectFailed(Exception):
     """Report that connecting failed; no byte of the request was sent."""
 
 
+class RequestInvalid(Exception):
+    """Report a head that HTTP can't express; no byte of it was sent."""
+
+
 class ExchangeFailed(Exception):
     """Report that an exchange failed after sending may have begun."""
 
 
+class ExchangeTimedOut(ExchangeFailed):
+    """Report that a response was not complete at its time limit."""
+
+
 class ClientConnection:
     """Own one connection to a server, for one exchange at a time.
 
@@ -61,6 +88,10 @@
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
         self._send_task: asyncio.Task[None] | None = None
+        self._has_aborted = False
+        self._deadline: ReadDeadline | None = None
+        self._exchange_count = 0
+        self._request_id_hashes: set[int] = set()
         self.address = address
         self.used_at_s = 0.0
         self.idle_limit_s = float("inf")
@@ -84,7 +115,7 @@
         reader = WatchedReader(READ_BYTES)
         protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
         try:
-            async with asyncio.timeout(timeout_s):
+            async with _connect_timeout(timeout_s):
                 transport, _ = await loop.create_connection(
                     lambda: protocol,
                     address.host,
@@ -104,16 +135,38 @@
         """Return whether the connection can carry another exchange."""
         return (
             self._http.our_state is h11.IDLE
+            and self._exchange_count < MAX_EXCHANGES
             and not self._reader.at_eof()
             and not self._reader.is_closed
             and not self._reader.has_unread_bytes
             and not self._writer.is_closing()
         )
 
+    def can_carry(self, request_id: str) -> bool:
+        """Return whether a response can be shown to belong to a request.
+
+        The connection must not have carried a request with the same id. A
+        request without one needs a connection of its own.
+        """
+        if not request_id:
+            return not self._exchange_count
+        return hash(request_id) not in self._request_id_hashes
+
+    def limit_reads(self, until_s: float) -> None:
+        """Raise `ExchangeTimedOut` for what arrives after a time.
+
+        The time is on the clock of the event loop.
+        """
+        self._deadline = ReadDeadline(until_s)
+
     def close(self) -> None:
         """Close immediately; abort an exchange that is running."""
         if self._send_task is not None:
             self._send_task.cancel()
+        self._abort()
+
+    def _abort(self) -> None:
+        self._has_aborted = True
         self._writer.transport.abort()
 
     async def exchange(
@@ -122,18 +175,28 @@
         target: str,
         headers: Headers,
         body: bytes | AsyncIterator[bytes] = b"",
-        is_ours: IsOurs | None = None,
+        owner_of: OwnerOf | None = None,
+        request_id: str = "",
+        until_s: float | None = None,
     ) -> Response:
         """Send a request and return its response with a streaming body.
 
         The response may arrive before the whole request body is sent. With
-        `is_ours`, responses whose headers it rejects are skipped as late
-        responses to earlier requests. Raise `ExchangeFailed` if the
-        exchange breaks; bytes of the request may then have been sent. The
-        response's body raises it if it ends before its stated length.
+        `owner_of`, responses to other requests are skipped as late ones. A
+        response that names no request is accepted only as the first one on a
+        connection. Raise `RequestInvalid` if the head can't be sent, and
+        `ExchangeFailed` if the exchange breaks; bytes of the request may then
+        have been sent. The response's body raises it if it ends before its
+        stated length. `until_s` limits the arrival of the response as in
+        `limit_reads`.
         """
+        self._deadline = None
+        if until_s is not None:
+            self.limit_reads(until_s)
         try:
-            return await self._exchange(method, target, headers, body, is_ours)
+            return await self._exchange(
+                method, target, headers, body, owner_of, request_id
+            )
         except BaseException:
             self.close()
             raise
@@ -144,19 +207,30 @@
         target: str,
         headers: Headers,
         body: bytes | AsyncIterator[bytes],
-        is_ours: IsOurs | None,
+        owner_of: OwnerOf | None,
+        request_id: str,
     ) -> Response:
-        head = h11.Request(method=method, target=target, headers=list(headers))
+        try:
+            head = h11.Request(
+                method=method, target=target, headers=list(headers)
+            )
+        except h11.LocalProtocolError as exc:
+            raise RequestInvalid(str(exc)) from exc
+        self._exchange_count += 1
+        self._request_id_hashes.add(hash(request_id))
+        stray_count = 0
         try:
             self._send(head, body)
-            stray_count = 0
             while True:
                 event = await self._next_head()
                 response_headers: Headers = tuple(
                     (bytes(name), bytes(value))
                     for name, value in event.headers
                 )
-                if is_ours is None or is_ours(response_headers):
+                is_first = self._exchange_count == 1 and not stray_count
+                if owner_of is None or self._is_own(
+                    owner_of(response_headers), is_first=is_first
+                ):
                     break
                 stray_count += 1
                 if stray_count > MAX_STRAY_RESPONSES:
@@ -171,6 +245,14 @@
             event.status_code, response_headers, self._stream_body()
         )
 
+    def _is_own(self, owner: ResponseOwner, *, is_first: bool) -> bool:
+        """Return whether a response belongs to the request under way."""
+        if owner is ResponseOwner.UNSTATED and not is_first:
+            raise ExchangeFailed(
+                f"{self.address}: the response may belong to another request"
+            )
+        return owner is not ResponseOwner.OTHER
+
     def _apply_keep_alive(self, headers: Headers) -> None:
         """Apply the idle timeout that the server states in `keep-alive`."""
         match = _KEEP_ALIVE.search(find_header(headers, b"keep-alive") or "")
@@ -198,23 +280,24 @@
             self._writer.write(self._http.send(h11.EndOfMessage()) or b"")
         except (OSError, h11.ProtocolError):
             # The task that reads the response detects the broken connection.
-            self._writer.transport.abort()
+            self._abort()
         except Exception as exc:
             self._reader.set_exception(exc)
 
     async def _next_head(self) -> h11.Response:
-        event = await self._next_event()
-        interim_count = 0
-        while isinstance(event, h11.InformationalResponse):
-            interim_count += 1
-            if interim_count > MAX_INTERIM_RESPONSES:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
+            event = await self._next_event()
+            if not isinstance(event, h11.InformationalResponse | h11.Response):
                 raise ExchangeFailed(
-                    f"{self.address}: too many interim responses"
+                    f"{self.address}: closed without a response"
                 )
-            event = await self._next_event()
-        if not isinstance(event, h11.Response):
-            raise ExchangeFailed(f"{self.address}: closed without a response")
-        return event
+            if _contains_status_line(event):
+                raise ExchangeFailed(
+                    f"{self.address}: a cut head runs into another response"
+                )
+            if isinstance(event, h11.Response):
+                return event
+        raise ExchangeFailed(f"{self.address}: too many interim responses")
 
     async def _skip_stray(
         self, head: h11.Request, body: bytes | AsyncIterator[bytes]
@@ -289,7 +372,59 @@
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            self._http.receive_data(await self._reader.read(READ_BYTES))
+            data = await self._read()
+            if not data and self._has_aborted:
+                # The end of an aborted stream looks like a regular close.
+                raise ExchangeFailed(f"{self.address}: closed by this side")
+            self._http.receive_data(data)
+
+    async def _read(self) -> bytes:
+        if self._deadline is None:
+            return await self._reader.read(READ_BYTES)
+        try:
+            return await self._deadline.read(self._reader, READ_BYTES)
+        except TimeoutError as exc:
+            if self._reader.exception() is not None:
+                raise
+            raise ExchangeTimedOut(
+                f"{self.address}: no complete response in time"
+            ) from exc
+
+
+@asynccontextmanager
+async def _connect_timeout(timeout_s: float) -> AsyncIterator[None]:
+    """Raise `TimeoutError` for a connection that is made after a timeout.
+
+    A process that stands still notices both together, so a due timeout lets
+    the event loop finish what its sockets are ready for.
+    """
+    loop = asyncio.get_running_loop()
+    timer: asyncio.Handle
+    async with asyncio.timeout(None) as timeout:
+
+        def expire(iterations: int) -> None:
+            nonlocal timer
+            if iterations:
+                timer = loop.call_soon(expire, iterations - 1)
+            else:
+                timeout.reschedule(loop.time())
+
+        timer = loop.call_later(timeout_s, expire, CONNECT_LOOP_ITERATIONS)
+        try:
+            yield
+        finally:
+            timer.cancel()
+
+
+def _contains_status_line(
+    event: h11.InformationalResponse | h11.Response,
+) -> bool:
+    """Return whether a head contains the status line of another response.
+
+    It does if the target broke off in the head and sent the next response.
+    """
+    values = (bytes(value) for _, value in event.headers)
+    return any(map(_STATUS_LINE.search, (bytes(event.reason), *values)))
 
 
 def _set_ack_timeout(sock: socket.socket, ack_timeout_s: float) -> None:
@@ -335,14 +470,12 @@
         (b"content-length", str(len(body)).encode()),
         *headers,
     )
+    until_s = asyncio.get_running_loop().time() + timeout_s
     try:
-        async with asyncio.timeout(timeout_s):
-            response = await conn.exchange(method, target, head, body)
-            content = await read_body(response)
-    except TimeoutError as exc:
-        raise ExchangeFailed(
-            f"{address}: no complete response before the timeout"
-        ) from exc
+        response = await conn.exchange(
+            method, target, head, body, until_s=until_s
+        )
+        content = await read_body(response)
     finally:
         conn.close()
     return Response(response.status, response.headers, content)
--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -7,16 +7,20 @@
     Awaitable,
     Callable,
 )
+from enum import StrEnum
+from operator import attrgetter
+import sys
 from typing import Final, Protocol
 
 import h11
 
 from wigeonford.errors import Code, RequestRejected, RunState, WigeonfordError
 from wigeonford.events import Event, EventLog
-from wigeonford.http._reader import WatchedReader
+from wigeonford.http._caller_deadline import CallerDeadline
+from wigeonford.http._head_checks import check_head, to_rejection
+from wigeonford.http._reader import poll_sockets, WatchedReader
 from wigeonford.http._types import (
     error_response,
-    find_header,
     Headers,
     Request,
     Response,
@@ -27,8 +31,24 @@
 CLOSING_IDLE_S: Final = 0.25
 """Time in which an idle connection may still send a request once the server
 is stopping."""
+CLOSING_RETRY_AFTER_S: Final = 1.0
+"""Another VM takes the request: look-ups no longer name this one."""
 
 Handler = Callable[[Request], Awaitable[Response]]
+FindRequestId = Callable[[Headers], str]
+
+
+class ConnectionEnd(StrEnum):
+    """Say why a caller's connection ended."""
+
+    CALLER_LEFT = "caller-left"
+    IDLE = "idle"
+    RESPONDED = "responded"
+    REJECTED = "rejected"
+    CALLER_STALLED = "caller-stalled"
+    RESPONSE_BROKEN = "response-broken"
+    STOPPED = "stopped"
+    FAILED = "failed"
 
 
 class ResponseBroken(Exception):
@@ -47,6 +67,7 @@
     log: EventLog
     is_draining: bool
     closing: bool
+    find_request_id: FindRequestId
 
     @staticmethod
     def caller_host(writer: asyncio.StreamWriter) -> str:
@@ -65,11 +86,18 @@
         self._reader = reader
         self._writer = writer
         self._server = server
+        # The limit on heads may change, which h11 doesn't support.
         self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=server.limits.head_bytes
+            h11.SERVER, max_incomplete_event_size=sys.maxsize
         )
-        self._idle_timeout: asyncio.Timeout | None = None
+        self._deadline: CallerDeadline | None = None
+        self._request: Request | None = None
+        self._response: Response | None = None
+        self._has_response_begun = False
+        self._is_handled = False
+        self._is_closed_by_server = False
         self.is_busy = False
+        self.end = ConnectionEnd.CALLER_LEFT
 
     @property
     def _limits(self) -> CallerLimits:
@@ -82,7 +110,7 @@
         method is cancelled, and with it the work on the request.
         """
         while True:
-            request = await self._read_request()
+            self._request = request = await self._read_request()
             if request is None:
                 return
             self._watch_caller(request)
@@ -91,7 +119,10 @@
             finally:
                 self._reader.on_closed = None
             if not self._start_next_cycle():
+                self.end = ConnectionEnd.RESPONDED
                 return
+            self._request = self._response = None
+            self._has_response_begun = self._is_handled = False
             self.is_busy = False
 
     def _watch_caller(self, request: Request) -> None:
@@ -114,11 +145,13 @@
 
     def close_when_idle(self) -> None:
         """Shorten the idle timeout, so that an idle connection closes soon."""
-        # An expired idle timeout can't be rescheduled; it closes the
-        # connection anyway.
-        if self._idle_timeout is not None and not self._idle_timeout.expired():
-            now_s = asyncio.get_running_loop().time()
-            self._idle_timeout.reschedule(now_s + CLOSING_IDLE_S)
+        if self._deadline is not None and not self.is_busy:
+            self._deadline.expire_in(CLOSING_IDLE_S)
+
+    def apply_limits(self, limits: CallerLimits) -> None:
+        """Extend the wait for the caller if its limit was raised."""
+        if self._deadline is not None:
+            self._deadline.extend(limits)
 
     async def discard(self, timeout_s: float) -> None:
         """Read and drop what the caller still sends before the close.
@@ -138,15 +171,92 @@
     @property
     def has_unread_request(self) -> bool:
         """Return whether the caller may still be sending a request."""
-        return self._http.their_state in (h11.SEND_BODY, h11.ERROR)
+        is_sending = self._http.their_state in (h11.SEND_BODY, h11.ERROR)
+        return is_sending or self.unread_bytes > 0
+
+    @property
+    def has_caller_left(self) -> bool:
+        """Return whether the caller has closed the connection."""
+        return self._reader.is_closed and not self._is_closed_by_server
+
+    @property
+    def is_response_complete(self) -> bool:
+        """Return whether the last response was written to its end."""
+        return self._http.our_state in (
+            h11.DONE,
+            h11.MUST_CLOSE,
+            h11.CLOSED,
+        )
+
+    @property
+    def is_unfinished(self) -> bool:
+        """Return whether a request has begun and its response isn't out."""
+        buffered_bytes = self._writer.transport.get_write_buffer_size()
+        is_out = self.is_response_complete and not buffered_bytes
+        return self.is_busy and not is_out
+
+    @property
+    def unread_bytes(self) -> int:
+        """Return how many received bytes no request has used."""
+        return self._reader.unread_bytes + len(self._http.trailing_data[0])
+
+    @property
+    def is_unanswered(self) -> bool:
+        """Return whether the caller waits for a response.
+
+        Bytes that have not been read may be a whole request.
+        """
+        if self.has_caller_left:
+            return False
+        if self._request is not None:
+            return not self.is_response_complete
+        return self.unread_bytes > 0 and not self.is_response_complete
+
+    @property
+    def request_id(self) -> str:
+        """Return the id of the request that is being served, if any."""
+        if self._request is None:
+            return ""
+        return self._server.find_request_id(self._request.headers)
 
     async def send_error(self, exc: WigeonfordError) -> None:
-        """Send an error response that announces the close."""
-        response = error_response(exc)
-        await self._send_head(response, close=True)
-        assert isinstance(response.body, bytes), "errors are not streamed"
-        await self._write(self._http.send(h11.Data(response.body)))
-        await self._write(self._http.send(h11.EndOfMessage()))
+        """Send an error response that announces the close.
+
+        Do nothing if a response has begun.
+        """
+        if self._has_response_begun:
+            return
+        if self._http.our_state is h11.ERROR:
+            # An invalid response was not sent; h11 refuses any other.
+            self._http = h11.Connection(h11.SERVER)
+        await self._send(error_response(exc), close=True)
+
+    async def answer_cut(self) -> None:
+        """Answer a request that is cut off, if no response has begun."""
+        if not self.is_busy and not self.unread_bytes:
+            return
+        if self._has_response_begun or self._writer.is_closing():
+            return
+        response = self._response
+        if response is not None and isinstance(response.body, bytes):
+            await self._send(response, close=True)
+        elif self._is_handled:
+            await self.send_error(RequestRejected(Code.CUT_BY_STOP))
+        else:
+            await self.send_error(
+                RequestRejected(
+                    Code.DRAINING, retry_after_s=CLOSING_RETRY_AFTER_S
+                )
+            )
+
+    def abort(self) -> None:
+        """Close at once; drop what the kernel has not taken."""
+        self._mark_closed()
+        self._writer.transport.abort()
+
+    def _mark_closed(self) -> None:
+        if not self._reader.is_closed:
+            self._is_closed_by_server = True
 
     def _start_next_cycle(self) -> bool:
         if self._http.our_state is not h11.DONE:
@@ -156,15 +266,27 @@
         self._http.start_next_cycle()
         return True
 
-    async def _next_event(self, timeout_s: float) -> object:
-        deadline_s = asyncio.get_running_loop().time() + timeout_s
+    async def _next_event(
+        self, limit_of: Callable[[CallerLimits], float]
+    ) -> object:
+        deadline = CallerDeadline(self._limits, limit_of)
         while True:
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            async with asyncio.timeout_at(deadline_s):
-                data = await self._reader.read(READ_BYTES)
-            self._http.receive_data(data)
+            if len(self._http.trailing_data[0]) > self._limits.head_bytes:
+                raise h11.RemoteProtocolError(
+                    "the head or chunk header is too long",
+                    error_status_hint=431,
+                )
+            self._http.receive_data(await self._read_until(deadline))
+
+    async def _read_until(self, deadline: CallerDeadline) -> bytes:
+        self._deadline = deadline
+        try:
+            return await deadline.read(self._reader, READ_BYTES)
+        finally:
+            self._deadline = None
 
     async def _read_request(self) -> Request | None:
         first = not self._http.trailing_data[0]
@@ -172,13 +294,13 @@
             return None
         self.is_busy = True
         try:
-            event = await self._next_event(self._limits.head_timeout_s)
+            event = await self._next_event(attrgetter("head_timeout_s"))
         except TimeoutError:
             raise RequestRejected(
                 Code.REQUEST_TIMEOUT, "the request head is incomplete"
             ) from None
         except h11.RemoteProtocolError as exc:
-            raise _to_rejection(exc) from exc
+            raise to_rejection(exc) from exc
         if isinstance(event, h11.ConnectionClosed):
             return None
         assert isinstance(event, h11.Request), (
@@ -187,16 +309,14 @@
         return self._make_request(event)
 
     async def _wait_for_first_byte(self) -> bool:
-        wait_s = self._limits.keep_alive_s
+        deadline = CallerDeadline(self._limits, attrgetter("keep_alive_s"))
         if self._server.closing:
-            wait_s = CLOSING_IDLE_S
+            deadline.expire_in(CLOSING_IDLE_S)
         try:
-            async with asyncio.timeout(wait_s) as self._idle_timeout:
-                data = await self._reader.read(READ_BYTES)
+            data = await self._read_until(deadline)
         except TimeoutError:
+            self.end = ConnectionEnd.IDLE
             return False
-        finally:
-            self._idle_timeout = None
         self._http.receive_data(data)
         return bool(data)
 
@@ -204,8 +324,7 @@
         headers: Headers = tuple(
             (bytes(name), bytes(value)) for name, value in event.headers
         )
-        self._check_size(event)
-        self._check_framing(headers)
+        check_head(event, headers, self._limits)
         path, _, query = event.target.decode("latin-1").partition("?")
         return Request(
             method=event.method.decode("ascii"),
@@ -216,34 +335,6 @@
             body=self._stream_body(),
         )
 
-    def _check_size(self, event: h11.Request) -> None:
-        """Reject an oversized head that h11 accepts.
-
-        h11 limits a head only while it is incomplete, so one that arrives
-        in a single read passes.
-        """
-        size_bytes = len(event.target) + sum(
-            len(name) + len(value) for name, value in event.headers
-        )
-        if size_bytes > self._limits.head_bytes:
-            raise RequestRejected(Code.HEAD_TOO_LARGE, f"{size_bytes} bytes")
-
-    def _check_framing(self, headers: Headers) -> None:
-        content_length = find_header(headers, b"content-length")
-        transfer_encoding = find_header(headers, b"transfer-encoding")
-        if content_length is not None and transfer_encoding is not None:
-            raise RequestRejected(
-                Code.CONFLICTING_LENGTH,
-                "both content-length and transfer-encoding are set",
-            )
-        if (
-            content_length is not None
-            and int(content_length) > self._limits.body_bytes
-        ):
-            raise RequestRejected(
-                Code.BODY_TOO_LARGE, f"over {self._limits.body_bytes} bytes"
-            )
-
     async def _stream_body(self) -> AsyncIterator[bytes]:
         if self._http.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(
@@ -254,11 +345,15 @@
         size_bytes = 0
         waited_s = 0.0
         while True:
-            started_s = loop.time()
             try:
-                event = await self._next_event(
-                    self._limits.body_idle_timeout_s
-                )
+                event: object = self._http.next_event()
+                if event is h11.NEED_DATA:
+                    self._check_body_rate(size_bytes, waited_s)
+                    started_s = loop.time()
+                    event = await self._next_event(
+                        attrgetter("body_idle_timeout_s")
+                    )
+                    waited_s += loop.time() - started_s
             except TimeoutError:
                 raise RequestRejected(
                     Code.REQUEST_TIMEOUT, "the request body is incomplete"
@@ -274,8 +369,6 @@
                         Code.BODY_TOO_LARGE,
                         f"over {self._limits.body_bytes} bytes",
                     )
-                waited_s += loop.time() - started_s
-                self._check_body_rate(size_bytes, waited_s)
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 if self._reader.is_closed:
@@ -294,21 +387,39 @@
             raise RequestRejected(Code.BODY_TOO_SLOW, f"{size_bytes} bytes")
 
     async def _respond(self, request: Request) -> None:
-        response = await self._handle(request)
-        body = response.body
-        if isinstance(body, bytes) or not request.has_body:
+        self._is_handled = True
+        self._response = response = await self._handle(request)
+        if isinstance(response.body, bytes) or not request.has_body:
             await self._read_remaining_body(request)
-        close = (
-            self._server.is_draining or self._http.their_state is not h11.DONE
-        )
-        await self._send_head(response, close=close)
+        # Further requests that have arrived are answered before the close.
+        is_last = self._server.is_draining and not self.unread_bytes
+        close = is_last or self._http.their_state is not h11.DONE
+        await self._send(response, close=close)
+
+    async def _send(self, response: Response, *, close: bool) -> None:
+        """Send a response; write nothing if it is invalid."""
+        headers = list(response.headers)
+        if close:
+            headers.append((b"connection", b"close"))
+        head = h11.Response(status_code=response.status, headers=headers)
+        data = self._http.send(head) or b""
+        body = response.body
         if isinstance(body, bytes):
-            if body:
-                await self._write(self._http.send(h11.Data(body)))
-        else:
-            await self._send_stream(body)
+            if body and not self._is_bodiless(response):
+                data += self._http.send(h11.Data(body)) or b""
+            data += self._http.send(h11.EndOfMessage()) or b""
+            self._has_response_begun = True
+            await self._write(data)
+            return
+        self._has_response_begun = True
+        await self._write(data)
+        await self._send_stream(body)
         await self._write(self._http.send(h11.EndOfMessage()))
 
+    def _is_bodiless(self, response: Response) -> bool:
+        method = self._request.method if self._request else ""
+        return method == "HEAD" or response.status in (204, 304)
+
     async def _send_stream(self, body: AsyncIterator[bytes]) -> None:
         """Send chunks; close the stream as soon as the caller stalls."""
         try:
@@ -336,6 +447,8 @@
             return
         if self._http.they_are_waiting_for_100_continue:
             return
+        if self._server.is_draining:  # The connection closes anyway.
+            return
         remaining_bytes = READ_BYTES
         try:
             async for chunk in request.body:
@@ -345,31 +458,34 @@
         except (WigeonfordError, RuntimeError):
             return
 
-    async def _send_head(self, response: Response, *, close: bool) -> None:
-        headers = list(response.headers)
-        if close:
-            headers.append((b"connection", b"close"))
-        head = h11.Response(status_code=response.status, headers=headers)
-        await self._write(self._http.send(head))
-
     async def _write(self, data: bytes | None) -> None:
         if not data:
             return
         self._writer.write(data)
-        try:
-            async with asyncio.timeout(self._limits.write_timeout_s):
-                await self._writer.drain()
-        except TimeoutError:
-            self._writer.transport.abort()
-            raise CallerStalled from None
-
-
-def _to_rejection(exc: h11.RemoteProtocolError) -> RequestRejected:
-    text = str(exc)
-    if exc.error_status_hint == 431:
-        return RequestRejected(Code.HEAD_TOO_LARGE, text)
-    if "content-length" in text.lower():
-        return RequestRejected(Code.CONFLICTING_LENGTH, text)
-    if "closed" in text.lower():
-        return RequestRejected(Code.REQUEST_TRUNCATED, text)
-    return RequestRejected(Code.BAD_REQUEST, text)
+        await self._wait_until_written(self._writer.drain)
+
+    async def close(self) -> None:
+        """Close once the kernel has taken every byte of the responses."""
+        self._mark_closed()
+        self._writer.close()
+        await self._wait_until_written(
+            lambda: asyncio.shield(self._writer.wait_closed())
+        )
+
+    async def _wait_until_written(
+        self, wait: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Wait while the caller reads; raise `CallerStalled`."""
+        transport = self._writer.transport
+        while True:
+            try:
+                async with asyncio.timeout(self._limits.write_timeout_s):
+                    await wait()
+                return
+            except TimeoutError:
+                size_bytes = transport.get_write_buffer_size()
+                await poll_sockets()
+            # The caller may have read while this process stood still.
+            if transport.get_write_buffer_size() >= size_bytes:
+                transport.abort()
+                raise CallerStalled
--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -1,7 +1,8 @@
 """HTTP/1.1 server with one task per connection."""
 
 import asyncio
-from collections import Counter
+import collections
+from collections.abc import Awaitable, Callable
 import ssl
 from typing import Final
 
@@ -12,11 +13,14 @@
 from wigeonford.http._connection import (
     CallerConnection,
     CallerStalled,
+    ConnectionEnd,
+    FindRequestId,
     Handler,
     READ_BYTES,
     ResponseBroken,
 )
-from wigeonford.http._reader import WatchedReader
+from wigeonford.http._reader import poll_sockets, WatchedReader
+from wigeonford.http._types import Headers
 from wigeonford.settings import Address, CallerLimits
 
 ACCEPT_LOOP_ITERATIONS: Final = 2
@@ -25,22 +29,52 @@
 WRITE_BUFFER_BYTES: Final = 262144
 DISCARD_TIMEOUT_S: Final = 3.0
 DISCARD_REJECTED_TIMEOUT_S: Final = 0.5
+CUT_TIMEOUT_S: Final = 0.2
+"""Time in which callers are told of the requests that a stop cuts."""
+
+
+def _no_request_id(_headers: Headers) -> str:
+    return ""
 
 
 class HttpServer:
-    """Accept connections and pass each request to a handler."""
+    """Accept connections and pass each request to a handler.
+
+    `count_end` is called when a connection ends, with the reason and whether
+    a caller was left without a response.
+    """
 
     def __init__(
-        self, handler: Handler, limits: CallerLimits, log: EventLog
+        self,
+        handler: Handler,
+        limits: CallerLimits,
+        log: EventLog,
+        find_request_id: FindRequestId = _no_request_id,
+        count_end: Callable[[str, bool], None] = lambda _end, _lost: None,
     ) -> None:
         self.handler = handler
-        self.limits = limits
+        self._limits = limits
         self.log = log
+        self.find_request_id = find_request_id
+        self._count_end = count_end
         self.is_draining = False
         self.closing = False
         self._server: asyncio.Server | None = None
         self._tasks: dict[asyncio.Task[None], CallerConnection] = {}
-        self._connections_by_host: Counter[str] = Counter()
+        self._connections_by_host: collections.Counter[str] = (
+            collections.Counter()
+        )
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Return the limits in force."""
+        return self._limits
+
+    @limits.setter
+    def limits(self, limits: CallerLimits) -> None:
+        self._limits = limits
+        for conn in self._tasks.values():
+            conn.apply_limits(limits)
 
     async def start(
         self, address: Address, context: ssl.SSLContext | None = None
@@ -74,19 +108,38 @@
     async def stop(self, grace_s: float) -> int:
         """Stop listening, then wait `grace_s` seconds for running requests.
 
-        Return how many requests were cut off. An idle connection may still
-        send a request for `CLOSING_IDLE_S`.
+        Return how many requests were cut off; their callers are told so. An
+        idle connection may still send a request for `CLOSING_IDLE_S`.
         """
         self.is_draining = self.closing = True
         if self._server is not None:
             await _close_listener(self._server)
         if grace_s > 0:
             await self._wait_for_connections(grace_s)
+        await poll_sockets()
         unfinished = dict(self._tasks)
+        cut_count = sum(conn.is_unfinished for conn in unfinished.values())
         for task in unfinished:
             task.cancel()
-        await asyncio.gather(*unfinished, return_exceptions=True)
-        return sum(conn.is_busy for conn in unfinished.values())
+        if unfinished:
+            await asyncio.wait(unfinished, timeout=CUT_TIMEOUT_S)
+        await self._cancel_connections()
+        return cut_count
+
+    async def abort(self) -> None:
+        """Close every connection without an answer, like a killed process."""
+        self.is_draining = self.closing = True
+        if self._server is not None:
+            await _close_listener(self._server)
+        for conn in self._tasks.values():
+            conn.abort()
+        await self._cancel_connections()
+
+    async def _cancel_connections(self) -> None:
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _wait_for_connections(self, grace_s: float) -> None:
         """Wait until no connection is open, for `grace_s` seconds at most.
@@ -125,49 +178,102 @@
                     Code.TOO_MANY_CONNECTIONS, host, retry_after_s=1.0
                 )
             await self._serve(conn)
-            if conn.has_unread_request:
-                await conn.discard(DISCARD_TIMEOUT_S)
+            await conn.close()
         except RequestRejected as exc:
+            conn.end = ConnectionEnd.REJECTED
             self.log.emit(Event.REQUEST_REFUSED, code=exc.code.number)
             await self._reject(conn, exc)
-        except (asyncio.CancelledError, ConnectionError, TimeoutError):
-            pass
+        except CallerStalled:
+            conn.end = ConnectionEnd.CALLER_STALLED
+            self.log.emit(
+                Event.CALLER_STALLED, code=Code.CALLER_STALLED.number
+            )
+        except asyncio.CancelledError:
+            if not conn.has_caller_left:
+                conn.end = ConnectionEnd.STOPPED
+                await self._end_response(conn, conn.answer_cut())
+        except (ConnectionError, TimeoutError):
+            conn.end = ConnectionEnd.CALLER_LEFT
+        except BaseException:
+            conn.end = ConnectionEnd.FAILED
+            raise
         finally:
+            self._record_end(conn)
             del self._tasks[task]
             self._connections_by_host[host] -= 1
             if not self._connections_by_host[host]:
                 del self._connections_by_host[host]
             writer.close()
 
+    def _record_end(self, conn: CallerConnection) -> None:
+        """Count why a connection ended; log a caller left without response."""
+        is_unanswered = conn.is_unanswered
+        self._count_end(conn.end.value, is_unanswered)
+        if is_unanswered:
+            self.log.emit(
+                Event.REQUEST_UNANSWERED,
+                request=conn.request_id,
+                reason=conn.end.value,
+                unread_bytes=conn.unread_bytes,
+                stopping=self.closing,
+            )
+
     async def _serve(self, conn: CallerConnection) -> None:
         try:
             await conn.serve()
+            if conn.has_unread_request:
+                await conn.discard(DISCARD_TIMEOUT_S)
         except RequestRejected:
             raise
-        except CallerStalled:
-            self.log.emit(
-                Event.CALLER_STALLED, code=Code.CALLER_STALLED.number
-            )
+        except (CallerStalled, ConnectionError, TimeoutError):
+            raise
         except (
             ResponseBroken,
             WigeonfordError,
             h11.LocalProtocolError,
         ) as exc:
-            self.log.emit(Event.REQUEST_ABORTED, detail=str(exc))
+            conn.end = ConnectionEnd.RESPONSE_BROKEN
+            self.log.emit(
+                Event.REQUEST_ABORTED,
+                request=conn.request_id,
+                detail=str(exc),
+            )
+            await self._reject(
+                conn, RequestRejected(Code.ANSWER_BROKEN, str(exc))
+            )
+        except Exception as exc:
+            conn.end = ConnectionEnd.FAILED
+            self.log.emit(
+                Event.REQUEST_INTERNAL_ERROR,
+                request=conn.request_id,
+                exc_info=exc,
+            )
+            await self._reject(conn, RequestRejected(Code.INTERNAL))
 
     async def _reject(
         self, conn: CallerConnection, exc: RequestRejected
     ) -> None:
+        await self._end_response(conn, conn.send_error(exc))
+
+    async def _end_response(
+        self, conn: CallerConnection, sending: Awaitable[None]
+    ) -> None:
+        """Send a last response, and close once the caller has read it."""
         try:
-            await conn.send_error(exc)
+            await sending
             await conn.discard(DISCARD_REJECTED_TIMEOUT_S)
+            await conn.close()
         except (
             CallerStalled,
             h11.LocalProtocolError,
             ConnectionError,
             TimeoutError,
-        ):
-            return
+        ) as exc:
+            self.log.emit(
+                Event.REQUEST_ABORTED,
+                request=conn.request_id,
+                detail=repr(exc),
+            )
 
     def _is_over_limit(self, host: str) -> bool:
         if len(self._tasks) >= self.limits.connections:
--- a/src/wigeonford/platform/_front.py
+++ b/src/wigeonford/platform/_front.py
@@ -16,6 +16,7 @@
     json_response,
     Request,
     Response,
+    ResponseOwner,
 )
 from wigeonford.messages.steering import EntryStatus
 from wigeonford.steer import (
@@ -49,6 +50,8 @@
 _LIMIT: Final = b"server-limit"
 # At most a billion; a decimal number has no sign, exponent or other digits.
 _LIMIT_VALUE: Final = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?")
+# Larger counts would exceed a float or the digits that int() accepts.
+_COUNT: Final = re.compile(r"[0-9]{1,18}")
 
 _HOP_BY_HOP: Final = frozenset(
     {
@@ -93,13 +96,21 @@
             headers.append((_ACCOUNT, account.encode()))
         return tuple(headers)
 
-    def is_response_to(self, req: SteerRequest, headers: Headers) -> bool:
-        """Return whether a response belongs to a request.
+    def find_owner(self, req: SteerRequest, headers: Headers) -> ResponseOwner:
+        """Return whether the id that a response echoes is that of a request.
 
-        A response without an echoed id is accepted.
+        Several ids come from heads that ran into each other.
         """
-        echoed = find_header(headers, _REQUEST_ID)
-        return echoed is None or echoed == req.request_id
+        echoed = {value for name, value in headers if name == _REQUEST_ID}
+        if len(echoed) != 1 or echoed == {b""}:
+            return ResponseOwner.UNSTATED
+        if echoed == {req.request_id.encode("latin-1")}:
+            return ResponseOwner.OWN
+        return ResponseOwner.OTHER
+
+    def find_request_id(self, headers: Headers) -> str:
+        """Return the id of a caller's request, empty if it has none."""
+        return find_header(headers, _REQUEST_ID) or ""
 
     def parse_facts(self, response: Response) -> ResponseFacts:
         """Return the facts stated by the head of a response."""
@@ -153,8 +164,8 @@
 
 
 def _decode_load(text: str | None) -> tuple[int | None, int | None]:
-    parts = (text or "").split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    parts = [part.strip() for part in (text or "").split(",")]
+    if len(parts) != 3 or not all(map(_COUNT.fullmatch, parts)):
         return None, None
     return int(parts[0]), int(parts[1])
 
@@ -218,7 +229,7 @@
 def _decode_remaining_time(text: str | None) -> float | None:
     if text is None:
         return None
-    if not text.strip().isdigit():
+    if not _COUNT.fullmatch(text.strip()):
         raise RequestRejected(
             Code.BAD_ARGUMENT,
             f"remaining time {text!r} is not a count of milliseconds",
@@ -228,10 +239,14 @@
 
 def encode_response(request: Request, response: Response) -> Response:
     """Return a target's response in the form sent to the caller."""
+    is_chunked = response.header(b"transfer-encoding") is not None
     headers = [
         (name, value)
         for name, value in response.headers
-        if name not in _HOP_BY_HOP and name not in _FOR_ENTRY_VMS
+        if name not in _HOP_BY_HOP
+        and name not in _FOR_ENTRY_VMS
+        # Chunks override a length.
+        and not (is_chunked and name == b"content-length")
     ]
     body = response.body
     has_length = any(name == b"content-length" for name, _ in headers)
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,674 @@
+"""A planned stop takes what it can finish, and answers all that it took."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Coroutine
+import math
+import os
+from pathlib import Path
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from typing import Any, cast, Final
+import unittest
+from unittest import mock
+
+from msgspec.structs import replace
+
+from tests.limited_fleet import virtual_clock
+from tests.test_deployment import (
+    make_announcement,
+    make_deployment,
+    make_route,
+)
+from tests.virtual_time import run_virtual, VirtualLoop
+from wigeonford.daemon import EXIT_DONE, serve_until_signal
+from wigeonford.deployment import RouteKind
+from wigeonford.events import EventLog
+from wigeonford.http import HttpServer, Response
+from wigeonford.messages.steering import EntryStatus, ViewUpdate
+from wigeonford.metrics import Metrics
+from wigeonford.platform._front import CallerApi
+from wigeonford.settings import (
+    Address,
+    CallerLimits,
+    RetryBounds,
+    SteerEntrySettings,
+)
+from wigeonford.steer import (
+    AccountRates,
+    Forwarder,
+    LoanBatcher,
+    Readiness,
+    ResponseFacts,
+    SteerDaemon,
+    SuspectTable,
+    TargetConnections,
+    TargetLimits,
+    TargetRecords,
+    TargetRunState,
+    ViewBuilder,
+)
+from wigeonford.steer._attempt import Attempt, AttemptResult, Outcome
+from wigeonford.steer._route_stats import RouteStats
+from wigeonford.steer._shutdown import (
+    expected_s,
+    NO_SHUTDOWN,
+    ShutdownPlan,
+    SPREAD,
+)
+
+SLOTS: Final = 40
+SLOW_RATIO: Final = 1.6
+"""Work of slow requests, four deviations above the usual."""
+EXCUSED_S: Final = 3.0
+"""The users excuse long work on requests sent sooner after the signal."""
+NOT_RUN_STATUSES: Final = ("408", "421", "429", "503")
+STATUS: Final = EntryStatus("vm", "i", "vm:1", "south-a", "south", True)
+
+
+class WorkingTargets:
+    """Stand in for targets: work for the time that `next_work_s` returns.
+
+    Each of `outcomes` replaces one result. `sent_at_s` and `sends` tell of
+    requests by the ids that callers gave; `cut` lists those that were broken
+    off before their deadline, `ran` those that may have run.
+    """
+
+    def __init__(self, next_work_s: Callable[[], float]) -> None:
+        self.next_work_s = next_work_s
+        self.outcomes: list[Outcome] = []
+        self.sent_at_s: dict[str, float] = {}
+        self.sends: Counter[str] = Counter()
+        self.cut: list[str] = []
+        self.ran: set[str] = set()
+
+    def close(self) -> None:
+        """Return: there is nothing to close."""
+
+    async def send(self, attempt: Attempt) -> AttemptResult:
+        """Return the result of an attempt."""
+        request_id = attempt.req.request_id
+        self.sent_at_s[request_id] = asyncio.get_running_loop().time()
+        self.sends[request_id] += 1
+        outcome = self.outcomes.pop(0) if self.outcomes else Outcome.ANSWERED
+        if outcome is not Outcome.NOT_RUN:
+            self.ran.add(request_id)
+        try:
+            await asyncio.sleep(self.next_work_s())
+        except asyncio.CancelledError:
+            if attempt.left_s > 0:
+                self.cut.append(request_id)
+            raise
+        if outcome is not Outcome.ANSWERED:
+            return AttemptResult(outcome)
+        facts = ResponseFacts(TargetRunState.RAN, True)
+        return AttemptResult(Outcome.ANSWERED, Response(200), facts)
+
+
+class StoppingVm:
+    """Run an entry VM's request path from a caller's socket to a target."""
+
+    def __init__(
+        self, grace_s: float, work_s: float, *, timeout_s: float | None = None
+    ) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.rng = random.Random(f"{grace_s} {work_s}")
+        self.targets = WorkingTargets(
+            lambda: work_s * self.rng.lognormvariate(0.0, 0.1)
+        )
+        self.grace_s = grace_s
+        self.work_s = work_s
+        self.component = mock.AsyncMock()
+        self.writers: list[asyncio.StreamWriter] = []
+        self.statuses: dict[str, str] = {}
+        self.complete_at_s: dict[str, float] = {}
+        self.heads: dict[str, bytes] = {}
+        self.began_s = 0.0
+        routes = [
+            make_route(
+                kind.name,
+                f"/{kind.name.lower()}/",
+                kind=kind,
+                is_open=True,
+                timeout_s=timeout_s or 3 * work_s,
+                objective_s=work_s,
+            )
+            for kind in RouteKind
+        ]
+        builder = ViewBuilder()
+        targets = tuple(
+            make_announcement(
+                target_id=f"t-{number}",
+                address=f"10.0.0.{number}:80",
+                slots=SLOTS,
+            )
+            for number in range(4)
+        )
+        deployment = replace(make_deployment(*routes), accounts=())
+        builder.apply(ViewUpdate(0, 1, deployment, (), {}, targets, ()))
+        view = builder.build()
+        records = TargetRecords()
+        records.apply_changes(targets, (), {"south-a": "south"}, 0.0)
+        log = EventLog()
+        connections = cast(TargetConnections, self.targets)
+        self.forwarder = Forwarder(
+            lambda: STATUS,
+            lambda: view,
+            lambda: {STATUS.name: STATUS},
+            records,
+            TargetLimits(STATUS.name, dict),
+            AccountRates(STATUS.name),
+            LoanBatcher(mock.AsyncMock(), log, self.loop.time),
+            SuspectTable(),
+            connections,
+            RetryBounds(),
+            Metrics(),
+            log,
+            self.rng,
+            self.loop.time,
+        )
+        self.front = HttpServer(
+            CallerApi(self.forwarder).handle, CallerLimits(), log
+        )
+        self.daemon = self._make_daemon(grace_s, records, connections, log)
+
+    def _make_daemon(
+        self,
+        grace_s: float,
+        records: TargetRecords,
+        connections: TargetConnections,
+        log: EventLog,
+    ) -> SteerDaemon:
+        cfg = SteerEntrySettings(
+            STATUS.name,
+            STATUS.availability_zone,
+            STATUS.region,
+            Address(),
+            Address(),
+            (),
+            {},
+            grace_s=grace_s,
+        )
+        follower, component = mock.AsyncMock(), self.component
+        follower.add_view_listener = mock.Mock()
+        return SteerDaemon(
+            cfg,
+            Readiness(lambda _: STATUS),
+            follower,
+            component,
+            records,
+            connections,
+            (),
+            self.forwarder,
+            self.front,
+            component,
+            log,
+        )
+
+    async def connect(self) -> "Caller":
+        """Return a caller with a new connection."""
+        own, callers = socket.socketpair()
+        own.setblocking(False)
+        await self.loop.connect_accepted_socket(self.front._make_protocol, own)
+        reader, writer = await asyncio.open_connection(sock=callers)
+        self.writers.append(writer)
+        return Caller(self, reader, writer)
+
+    async def call(self, request_id: str, **options: Any) -> None:
+        """Send one request on a new connection, and read the response."""
+        caller = await self.connect()
+        await caller.call(request_id, **options)
+
+    async def learn(self, count: int = 24) -> None:
+        """Serve some requests of each route before the stop."""
+        async with asyncio.TaskGroup() as group:
+            for kind in RouteKind:
+                for number in range(count):
+                    request_id = f"before-{kind.name}-{number}"
+                    group.create_task(self.call(request_id, kind=kind))
+
+    def begin_stop(self) -> asyncio.Task[None]:
+        """Begin the planned stop."""
+        self.began_s = self.loop.time()
+        return asyncio.create_task(self.daemon.stop())
+
+    def late_s(self, at_s: float) -> float:
+        """Return how long after the signal a time is."""
+        return at_s - self.began_s
+
+
+class Caller:
+    """Send requests on one connection; record what comes of each."""
+
+    def __init__(
+        self,
+        vm: StoppingVm,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._vm = vm
+        self._reader = reader
+        self._writer = writer
+
+    async def call(
+        self,
+        request_id: str,
+        *,
+        kind: RouteKind = RouteKind.UNSAFE,
+        left_s: float | None = None,
+        body_after_s: float | None = None,
+    ) -> None:
+        """Send a request; its status is "" if no complete response comes."""
+        lines = [
+            f"POST /{kind.name.lower()}/x HTTP/1.1",
+            "host: old.example",
+            f"x-attempt-id: {request_id}",
+            f"content-length: {0 if body_after_s is None else 4}",
+        ]
+        if left_s is not None:
+            lines.append(f"x-deadline-remaining: {int(left_s * 1000)}")
+        self._vm.statuses[request_id] = ""
+        self._vm.complete_at_s[request_id] = self._vm.loop.time() + (
+            body_after_s or 0.0
+        )
+        try:
+            self._writer.write("\r\n".join([*lines, "", ""]).encode())
+            if body_after_s is not None:
+                self._vm.loop.call_later(
+                    body_after_s, self._writer.write, b"body"
+                )
+            head = await self._reader.readuntil(b"\r\n\r\n")
+            length = head.lower().partition(b"content-length: ")[2]
+            await self._reader.readexactly(int(length.split()[0]))
+        except (OSError, asyncio.IncompleteReadError):
+            return
+        self._vm.statuses[request_id] = head[9:12].decode()
+        self._vm.heads[request_id] = head.lower()
+
+
+class ShutdownPlanTest(unittest.TestCase):
+    """The decision whether a request can still be finished."""
+
+    def test_what_can_be_finished_at_each_moment(self) -> None:
+        far_s = 1000.0
+        for grace_s, late_s, needed_s, deadline_s, can_finish in (
+            (6.0, 0.0, 5.2, far_s, True),
+            (6.0, 0.0, 5.4, far_s, False),
+            (10.0, 0.0, 5.4, far_s, True),
+            (10.0, 3.0, 5.4, far_s, True),
+            (10.0, 3.7, 5.4, far_s, False),
+            (10.0, 3.7, 5.4, 108.8, True),
+            (10.0, 8.8, 0.0, far_s, True),
+            (10.0, 9.1, 0.0, far_s, False),
+            (0.0, 0.0, 0.0, far_s, False),
+        ):
+            with self.subTest((grace_s, late_s, needed_s)):
+                plan = ShutdownPlan(100.0, grace_s)
+                now_s = 100.0 + late_s
+                self.assertIs(
+                    can_finish, plan.can_finish(now_s, needed_s, deadline_s)
+                )
+                due_s = plan.send_by_s(needed_s, deadline_s)
+                self.assertIs(can_finish, now_s <= due_s)
+
+    def test_without_a_stop_all_can_be_finished(self) -> None:
+        self.assertTrue(NO_SHUTDOWN.can_finish(1e9, 600.0, math.inf))
+        self.assertEqual(math.inf, NO_SHUTDOWN.send_by_s(600.0, math.inf))
+
+    def test_the_slowest_of_late_counts_not_the_average(self) -> None:
+        stats = RouteStats.initial(make_route("r", "/", timeout_s=9.0))
+        self.assertEqual(SPREAD * 9.0, expected_s(stats))
+        for duration_s in [0.1] * 20 + [0.5] + [0.1] * 20:
+            stats.record_response(duration_s)
+        self.assertEqual(SPREAD * 0.5, expected_s(stats))
+        self.assertEqual(SPREAD * (0.6 + 0.3), expected_s(stats, 0.6, 0.3))
+        for _ in range(100):
+            stats.record_response(0.1)
+        self.assertEqual(SPREAD * 0.1, expected_s(stats))
+
+
+class PlannedStopTest(unittest.TestCase):
+    """Callers send requests to a VM that stops, in virtual time."""
+
+    def run_stop(
+        self, scenario: Callable[[], Coroutine[Any, Any, StoppingVm]]
+    ) -> StoppingVm:
+        """Run a scenario; check what holds for each request of a stop."""
+
+        async def run() -> StoppingVm:
+            with virtual_clock():
+                vm = await scenario()
+            for writer in vm.writers:
+                writer.close()
+            await asyncio.sleep(0)
+            return vm
+
+        vm = run_virtual(run())
+        unanswered = [
+            name for name, status in vm.statuses.items() if not status
+        ]
+        self.assertEqual([], unanswered, "without an answer")
+        for request_id, status in vm.statuses.items():
+            if status in NOT_RUN_STATUSES:
+                self.assertNotIn(request_id, vm.targets.ran)
+        return vm
+
+    def assert_no_late_one_is_cut(self, vm: StoppingVm) -> None:
+        cut_late_s = [
+            (request_id, round(vm.late_s(sent_at_s), 2))
+            for request_id, sent_at_s in vm.targets.sent_at_s.items()
+            if request_id in vm.targets.cut
+            and vm.late_s(sent_at_s) > EXCUSED_S
+        ]
+        self.assertEqual([], cut_late_s)
+
+    def assert_refused_truly_and_only_late(self, vm: StoppingVm) -> None:
+        for request_id, complete_at_s in vm.complete_at_s.items():
+            if vm.statuses[request_id] != "503":
+                continue
+            ends_s = vm.late_s(complete_at_s) + SLOW_RATIO * vm.work_s
+            self.assertGreater(ends_s, 0.85 * vm.grace_s, request_id)
+            head = vm.heads[request_id]
+            self.assertIn(b"wigeonford-code: 1207", head)
+            self.assertIn(b"wigeonford-run-state: not-run", head)
+            self.assertIn(b"connection: close", head)
+            retry_after = head.partition(b"retry-after: ")[2].split()[0]
+            self.assertLessEqual(float(retry_after), 0.1)
+
+    def test_requests_late_in_a_stop_are_not_passed_on_and_cut(self) -> None:
+        for grace_s, work_s in ((10, 6.2), (10, 4.4), (6, 2.0), (6, 0.6)):
+
+            async def scenario(
+                grace_s: float = grace_s, work_s: float = work_s
+            ) -> StoppingVm:
+                vm = StoppingVm(grace_s, work_s)
+                await vm.learn()
+                kept = [await vm.connect() for _ in range(40)]
+                stop = vm.begin_stop()
+                async with asyncio.TaskGroup() as group:
+                    for number in range(40):
+                        if vm.front.closing:
+                            break
+                        name = f"{number * 0.1:.1f} s"
+                        group.create_task(vm.call(f"new, {name}"))
+                        group.create_task(kept[number].call(f"kept, {name}"))
+                        await asyncio.sleep(0.1)
+                await stop
+                return vm
+
+            with self.subTest(grace_s=grace_s, work_s=work_s):
+                vm = self.run_stop(scenario)
+                self.assert_no_late_one_is_cut(vm)
+                self.assert_refused_truly_and_only_late(vm)
+
+    def test_few_are_refused_where_work_takes_a_third_of_the_grace(
+        self,
+    ) -> None:
+        async def scenario() -> StoppingVm:
+            vm = StoppingVm(6, 2.0, timeout_s=60.0)
+            await vm.learn(60)
+            stop = vm.begin_stop()
+            async with asyncio.TaskGroup() as group:
+                for number in range(48):
+                    group.create_task(vm.call(f"{number}"))
+                    await asyncio.sleep(0.05)
+            await stop
+            return vm
+
+        vm = self.run_stop(scenario)
+        self.assertLessEqual(list(vm.statuses.values()).count("503"), 4)
+        self.assertEqual([], vm.targets.cut)
+
+    def test_all_that_a_stop_cannot_finish_are_answered(self) -> None:
+        async def scenario() -> StoppingVm:
+            vm = StoppingVm(6, 20.0)
+            calls = [
+                asyncio.create_task(vm.call(f"sent-{kind.name}", kind=kind))
+                for kind in RouteKind
+            ]
+            upload = vm.call("unsent", body_after_s=30.0)
+            calls.append(asyncio.create_task(upload))
+            await asyncio.sleep(0.1)
+            await vm.begin_stop()
+            await asyncio.wait(calls)
+            return vm
+
+        vm = self.run_stop(scenario)
+        self.assertEqual(
+            {
+                "sent-SAFE": "504",
+                "sent-UNSAFE": "504",
+                "sent-UPLOAD": "504",
+                "unsent": "503",
+            },
+            vm.statuses,
+        )
+
+    def test_an_answer_that_is_ready_at_the_end_is_delivered(self) -> None:
+        async def scenario() -> StoppingVm:
+            vm = StoppingVm(6, 5.0)
+            vm.targets.next_work_s = lambda: 5.4
+            call = asyncio.create_task(vm.call("a"))
+            await asyncio.sleep(0.05)
+            await vm.begin_stop()
+            await call
+            return vm
+
+        self.assertEqual({"a": "200"}, self.run_stop(scenario).statuses)
+
+    def test_a_process_that_stands_still_past_the_end_answers_all(
+        self,
+    ) -> None:
+        async def scenario() -> StoppingVm:
+            vm = StoppingVm(6, 5.0)
+            works_s = iter((5.1, 9.0))
+            vm.targets.next_work_s = lambda: next(works_s)
+            calls = [
+                asyncio.create_task(vm.call("ready")),
+                asyncio.create_task(vm.call("at work")),
+                asyncio.create_task(vm.call("unsent", body_after_s=30.0)),
+            ]
+            await asyncio.sleep(0.05)
+            stop = vm.begin_stop()
+            await asyncio.sleep(5.0)
+            cast(VirtualLoop, vm.loop).stall(0.7)
+            await stop
+            await asyncio.wait(calls)
+            return vm
+
+        self.assertEqual(
+            {"ready": "200", "at work": "504", "unsent": "503"},
+            self.run_stop(scenario).statuses,
+        )
+
+    def test_a_stop_ends_in_the_grace_though_control_is_silent(self) -> None:
+        async def scenario() -> StoppingVm:
+            vm = StoppingVm(6, 1.0)
+            vm.component.stop = lambda: asyncio.sleep(30.0)
+            await vm.begin_stop()
+            self.assertLess(vm.late_s(vm.loop.time()), vm.grace_s)
+            return vm
+
+        self.run_stop(scenario)
+
+    def test_before_anything_is_learned_the_time_limit_decides(self) -> None:
+        async def scenario() -> StoppingVm:
+            vm = StoppingVm(6, 1.0, timeout_s=7.0)
+            stop = vm.begin_stop()
+            await asyncio.sleep(0.5)
+            await vm.call("without a limit")
+            await vm.call("with a limit", left_s=3.0)
+            await stop
+            return vm
+
+        self.assertEqual(
+            {"without a limit": "503", "with a limit": "200"},
+            self.run_stop(scenario).statuses,
+        )
+
+    def test_a_body_that_ends_too_late_in_a_stop_is_refused(self) -> None:
+        async def scenario() -> StoppingVm:
+            vm = StoppingVm(10, 3.0, timeout_s=30.0)
+            await vm.learn()
+            kind = RouteKind.UPLOAD
+            calls = [
+                asyncio.create_task(
+                    vm.call(f"{late_s}", kind=kind, body_after_s=late_s)
+                )
+                for late_s in (0.5, 3.0, 6.5, 7.5, 8.5)
+            ]
+            await asyncio.sleep(0.1)
+            await vm.begin_stop()
+            await asyncio.wait(calls)
+            return vm
+
+        vm = self.run_stop(scenario)
+        self.assert_no_late_one_is_cut(vm)
+        self.assertEqual(
+            ["200", "200", "503", "503", "503"],
+            [
+                vm.statuses[late]
+                for late in ("0.5", "3.0", "6.5", "7.5", "8.5")
+            ],
+        )
+
+    def test_a_retry_late_in_a_stop_is_not_sent(self) -> None:
+        for outcome, status in (
+            (Outcome.NOT_RUN, "503"),
+            (Outcome.BROKEN, "502"),
+        ):
+
+            async def scenario(outcome: Outcome = outcome) -> StoppingVm:
+                vm = StoppingVm(6, 3.5)
+                await vm.learn()
+                vm.targets.outcomes = [outcome]
+                call = asyncio.create_task(vm.call("a", kind=RouteKind.SAFE))
+                await asyncio.sleep(0.1)
+                await vm.begin_stop()
+                await call
+                return vm
+
+            with self.subTest(outcome):
+                vm = self.run_stop(scenario)
+                self.assertEqual(status, vm.statuses["a"])
+                self.assertEqual(1, vm.targets.sends["a"])
+
+    def test_each_request_of_a_load_across_a_stop_has_one_outcome(
+        self,
+    ) -> None:
+        for seed in range(8):
+
+            async def scenario(seed: int = seed) -> StoppingVm:
+                rng = random.Random(seed)
+                vm = StoppingVm(rng.choice((6, 10)), rng.uniform(0.3, 4.0))
+                await vm.learn()
+                stop: asyncio.Task[None] | None = None
+                async with asyncio.TaskGroup() as group:
+                    for number in range(120):
+                        if number == 40:
+                            stop = vm.begin_stop()
+                        if vm.front.closing:
+                            break
+                        late_s = rng.choice((None, None, 0.0, 1.5, 4.0))
+                        options: dict[str, Any] = {
+                            "kind": rng.choice(list(RouteKind)),
+                            "left_s": rng.choice((None, None, 2.0, 9.0)),
+                            "body_after_s": late_s,
+                        }
+                        group.create_task(vm.call(f"{number}", **options))
+                        await asyncio.sleep(rng.expovariate(10.0))
+                assert stop is not None, "the stop began"
+                await stop
+                return vm
+
+            with self.subTest(seed=seed):
+                vm = self.run_stop(scenario)
+                self.assert_no_late_one_is_cut(vm)
+                self.assert_refused_truly_and_only_late(vm)
+
+
+SIGNALS_AMID_IMPORTS: Final = """
+import os, signal, sys
+for name in {signals}:
+    os.kill(os.getpid(), getattr(signal, name))
+sys.path.remove(os.path.dirname(__file__))
+del sys.modules["structlog"]
+import structlog
+"""
+"""Stands in for a library, so that signals come amid the imports."""
+
+
+class StopAmidStartTest(unittest.IsolatedAsyncioTestCase):
+    """A stop signal arrives before a daemon has started."""
+
+    def test_a_stop_amid_the_imports_ends_with_exit_code_0(self) -> None:
+        self.check_signals_amid_imports("SIGTERM", "SIGTERM")
+
+    def test_a_reload_amid_the_imports_ends_nothing(self) -> None:
+        self.check_signals_amid_imports("SIGHUP", "SIGTERM")
+
+    def check_signals_amid_imports(self, *signals: str) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        Path(folder.name, "structlog.py").write_text(
+            SIGNALS_AMID_IMPORTS.format(signals=signals)
+        )
+        settings = Path(folder.name, "settings.toml")
+        settings.write_text(
+            'node = "a"\nip_address = "127.0.0.1"\nzone = "z"\n'
+            'region = "r"\ninternal_port_range = [1, 2]\nseeds = []\n'
+            '[listen]\nfront = "127.0.0.1:0"\nready = "127.0.0.1:0"\n'
+            "[bounds]\ngrace_s = 0.1\n"
+        )
+        paths = (folder.name, os.environ.get("PYTHONPATH", ""))
+        result = subprocess.run(
+            [sys.executable, "-m", "wigeonford.platform.daemon", "entry"],
+            env={
+                **os.environ,
+                "PYTHONPATH": os.pathsep.join(paths),
+                "WIGEONFORD_CONFIG": str(settings),
+            },
+            capture_output=True,
+            timeout=60.0,
+        )
+        self.assertEqual(0, result.returncode, result)
+
+    async def test_a_stop_amid_a_start_that_waits_ends_it(self) -> None:
+        class Daemon:
+            """Wait for a configuration that never comes."""
+
+            async def start(self) -> None:
+                os.kill(os.getpid(), signal.SIGTERM)
+                await asyncio.Event().wait()
+
+            async def stop(self) -> None:
+                return
+
+        async with asyncio.timeout(10.0):
+            code = await serve_until_signal(Daemon(), EventLog())
+        self.assertEqual(EXIT_DONE, code)
+
+    async def test_more_stop_signals_amid_a_stop_change_nothing(self) -> None:
+        has_ended = False
+
+        class Daemon:
+            """Get a stop signal once it has started, and amid the stop."""
+
+            async def start(self) -> None:
+                asyncio.get_running_loop().call_later(
+                    0.01, os.kill, os.getpid(), signal.SIGTERM
+                )
+
+            async def stop(self) -> None:
+                nonlocal has_ended
+                os.kill(os.getpid(), signal.SIGTERM)
+                await asyncio.sleep(0.01)
+                has_ended = True
+
+        async with asyncio.timeout(10.0):
+            code = await serve_until_signal(Daemon(), EventLog())
+        self.assertEqual((EXIT_DONE, True), (code, has_ended))
