Have the soak find answers that were ready and not delivered

A request whose target has answered well before its time limit must not get a 502 or 504 of the VM, unless a fault of the target explains it. The time limit of short requests is 1.5 s now, so that some stalls exceed it.

--- a/tests/soak/_observations.py
+++ b/tests/soak/_observations.py
@@ -36,6 +36,8 @@
 their work are delivered: five sixths of the grace period."""
 USUAL_SENDING_FRACTION: Final = 0.8
 """Fraction of the time limit on heads in which requests are sent."""
+OWN_FAILURES: Final = frozenset((502, 504))
+"""Statuses of entry VMs for requests that may have run."""
 NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
 """Statuses that say that a request has not run and never will."""
 
@@ -155,6 +157,7 @@
             *self._find_unexplained_breaks(),
             *self._find_work_cut_by_stops(),
             *self._find_false_timeouts(),
+            *self._find_undelivered_answers(),
         ]
 
     def _find_repeated_runs(self) -> Iterator[str]:
@@ -339,6 +342,29 @@
                     f"got 408 at entry {answer.entry} after {took_s:.2f} s"
                 )
 
+    def _find_undelivered_answers(self) -> Iterator[str]:
+        """Yield requests that failed though a target's answer was ready.
+
+        `_find_work_cut_by_stops` judges those that end in a stop.
+        """
+        ran_on = collections.defaultdict(list)
+        for run in self.runs:
+            ran_on[run.attempt].append(run)
+        for attempt, answer in self.answers.items():
+            ended_s = answer.sent_s + answer.time_limit_s
+            finished_s = self.finished_s.get(attempt, ended_s)
+            if (
+                answer.status in OWN_FAILURES
+                and finished_s + IN_FLIGHT_MARGIN_S < ended_s
+                and not self._describe_stop(answer.entry, answer.answered_s)
+                and not self._broke_off(ran_on[attempt], answer)
+            ):
+                yield (
+                    f"{attempt} got {answer.status} at entry {answer.entry} "
+                    f"though its answer was ready "
+                    f"{ended_s - finished_s:.2f} s before its time limit"
+                )
+
     def _broke_off(self, runs: list[Run], answer: Answer) -> bool:
         """Return whether a fault of a target may have broken its run."""
         return any(
--- a/tests/soak/_requests.py
+++ b/tests/soak/_requests.py
@@ -45,11 +45,13 @@
 
 
 SHORT_WORK_S: Final = (0.005, 0.08)
+SHORT_LIMIT_S: Final = 1.5
+"""Some stalls last longer."""
 LONG_WORK_S: Final = (0.5, 5.0)
 """Some requests that are taken in a stop outlast its grace period."""
 SHORT_PATHS: Final = (
-    RequestPath("safe", "safe", 3.0, 3.0, SHORT_WORK_S),
-    RequestPath("unsafe", "unsafe", 3.0, 3.0, SHORT_WORK_S),
+    RequestPath("safe", "safe", 3.0, SHORT_LIMIT_S, SHORT_WORK_S),
+    RequestPath("unsafe", "unsafe", 3.0, SHORT_LIMIT_S, SHORT_WORK_S),
 )
 LONG_PATHS: Final = (
     RequestPath("long-safe", "safe", 10.0, 9.0, LONG_WORK_S),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -203,6 +203,21 @@
             findings = self.observations.find_violations()
             self.assertEqual(is_found, bool(findings), sending_s)
 
+    def test_answer_that_was_ready_and_not_delivered(self) -> None:
+        self.observations.runs.append(Run("a", "i-1-1", "big", 10.1))
+        for status, finished_s, is_found in (
+            (504, 10.2, True),
+            (504, 11.4, False),
+            (200, 10.2, False),
+        ):
+            self.observations.finished_s["a"] = finished_s
+            self.observations.answers["a"] = Answer(status, 0, 10.0, 12.0, 1.5)
+            findings = self.observations.find_violations()
+            self.assertEqual(is_found, bool(findings), findings)
+        self.observations.answers["a"] = Answer(504, 0, 10.0, 12.0, 9.0)
+        self.observations.target_faults.append(Window(1, 10.5, 11.0))
+        self.assertEqual([], self.observations.find_violations())
+
 
 class DirectExchangeTest(unittest.IsolatedAsyncioTestCase):
     """Check that a caller learns whether its request was read."""
