Break each mechanism by which whole requests get their answer

Five mutations: the read of bytes that arrived in time, what a stop takes, the answer to a request that it cuts, the proof of a refusal, and raised limits on open connections.

--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -146,6 +146,41 @@
         "            if False:\n",
         ("tests.test_target_limits",),
     ),
+    Mutation(
+        "REQUEST_IN_TIME_IS_READ",
+        "http/_reader.py",
+        "                self._remaining_bytes = reader.unread_bytes\n",
+        "                self._remaining_bytes = 0\n",
+        ("tests.test_caller_ends",),
+    ),
+    Mutation(
+        "STOP_TAKES_WHAT_IT_FINISHES",
+        "steer/_shutdown.py",
+        "        return ends_at_s + WAY_BACK_S <= self.finish_by_s\n",
+        "        return True\n",
+        ("tests.test_planned_stop",),
+    ),
+    Mutation(
+        "CUT_REQUEST_IS_ANSWERED",
+        "http/_server.py",
+        "                await self._end_response(conn, conn.answer_cut())\n",
+        "",
+        ("tests.test_caller_ends",),
+    ),
+    Mutation(
+        "REFUSAL_IS_PROVEN",
+        "http/_client.py",
+        "if owner is ResponseOwner.UNSTATED and not is_first:",
+        "if False:",
+        ("tests.test_response_proof",),
+    ),
+    Mutation(
+        "RAISED_LIMIT_APPLIES",
+        "http/_server.py",
+        "            conn.apply_limits(limits)\n",
+        "            pass\n",
+        ("tests.test_caller_ends",),
+    ),
 )
 
 
