Learn how long streamed responses take until their end

Callers of a VM in a planned stop got the beginning of a large response and then a closed connection: the time learned of a route ended when the stream began, after 128 KiB, so requests with such responses were taken late in the stop.

--- a/src/wigeonford/steer/_attempt_observer.py
+++ b/src/wigeonford/steer/_attempt_observer.py
@@ -1,6 +1,6 @@
 """Update the statistics of targets and routes after each attempt."""
 
-from collections.abc import Callable
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from typing import Final
 
 import msgspec
@@ -116,6 +116,19 @@
         if response is not None and not failed:
             self._record_duration(ctx, sent, response, now_s - sent.began_s)
 
+    async def time_stream(
+        self, route: Route, body: AsyncIterator[bytes], began_s: float
+    ) -> AsyncIterator[bytes]:
+        """Yield a streamed body; record the time until its end."""
+        try:
+            async for chunk in body:
+                yield chunk
+            took_s = self._clock() - began_s
+            self.stats_of(route).record_response(took_s)
+        finally:
+            if isinstance(body, AsyncGenerator):
+                await body.aclose()
+
     def _record_facts(
         self, record: TargetRecord, facts: ResponseFacts, now_s: float
     ) -> None:
@@ -197,7 +210,8 @@
         if ctx.req.object_id:
             record.record_served(ctx.req.object_id)
         stats = self.stats_of(ctx.route)
-        stats.record_response(took_s)
+        if isinstance(response.body, bytes):
+            stats.record_response(took_s)
         if sent.load > record.announced.slots:
             return
         size = sum(
--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -302,7 +302,7 @@
                 took_s=round(self._clock() - began_s, 3),
                 since_arrival_s=round(self._clock() - ctx.req.arrived_at_s, 3),
             )
-            return result.response
+            return self._time_stream(ctx, result.response, began_s)
         if result.outcome is Outcome.BROKEN:
             ctx.may_have_run = True
         self._log.emit(
@@ -318,6 +318,14 @@
             raise self._build_rejection(ctx)
         return None
 
+    def _time_stream(
+        self, ctx: RequestContext, response: Response, began_s: float
+    ) -> Response:
+        if isinstance(response.body, bytes):
+            return response
+        stream = self._observer.time_stream(ctx.route, response.body, began_s)
+        return Response(response.status, response.headers, stream)
+
     def _may_retry(self, ctx: RequestContext, result: AttemptResult) -> bool:
         """Return whether another attempt is allowed, and spend its budget."""
         if result.outcome in UNSENT:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine
 import math
 import os
 from pathlib import Path
@@ -73,7 +73,8 @@
 class WorkingTargets:
     """Stand in for targets: work for the time that `next_work_s` returns.
 
-    The connections to them open after the time in `connect_s`. Each of
+    The connections to them open after the time in `connect_s`. With
+    `stream_s`, responses are streamed, and their bodies last so long. Each of
     `outcomes` replaces one result. `sent_at_s` and `sends` tell of requests by
     the ids that callers gave; `cut` lists those that were broken off before
     their deadline, `ran` those that may have run.
@@ -82,6 +83,7 @@
     def __init__(self, next_work_s: Callable[[], float]) -> None:
         self.next_work_s = next_work_s
         self.connect_s: dict[str, float] = {}
+        self.stream_s = 0.0
         self.outcomes: list[Outcome] = []
         self.sent_at_s: dict[str, float] = {}
         self.sends: Counter[str] = Counter()
@@ -110,7 +112,16 @@
         if outcome is not Outcome.ANSWERED:
             return AttemptResult(outcome)
         facts = ResponseFacts(TargetRunState.RAN, True)
-        return AttemptResult(Outcome.ANSWERED, Response(200), facts)
+        response = Response(200)
+        if self.stream_s:
+            length = ((b"content-length", b"4"),)
+            response = Response(200, length, self._stream_body())
+        return AttemptResult(Outcome.ANSWERED, response, facts)
+
+    async def _stream_body(self) -> AsyncIterator[bytes]:
+        yield b"bo"
+        await asyncio.sleep(self.stream_s)
+        yield b"dy"
 
 
 class StoppingVm:
@@ -539,6 +550,22 @@
             self.run_stop(scenario).statuses,
         )
 
+    def test_streamed_answers_late_in_a_stop_are_not_cut(self) -> None:
+        async def scenario() -> StoppingVm:
+            vm = StoppingVm(6, 0.2, timeout_s=30.0)
+            vm.targets.stream_s = 4.0
+            await vm.learn()
+            stop = vm.begin_stop()
+            async with asyncio.TaskGroup() as group:
+                for number in range(20):
+                    group.create_task(vm.call(f"{number}"))
+                    await asyncio.sleep(0.1)
+            await stop
+            return vm
+
+        statuses = Counter(self.run_stop(scenario).statuses.values())
+        self.assertGreaterEqual(statuses["503"], 6)
+
     def test_a_body_that_ends_too_late_in_a_stop_is_refused(self) -> None:
         async def scenario() -> StoppingVm:
             vm = StoppingVm(10, 3.0, timeout_s=30.0)
