Take a command's result that is ready at its time limit

An operator could get a 503 for an order that was in force: where a replica stood still, the result and the timer of 5 s fell due together and the result was dropped. Requests to peers, loans and commands wait by one function now.

test_result_in_time_is_not_taken_for_a_lost_quorum failed before (PeerError: NO_QUORUM) and passes.

--- a/src/wigeonford/control/_raft_replica.py
+++ b/src/wigeonford/control/_raft_replica.py
@@ -9,6 +9,7 @@
 import cbor2
 import msgspec
 
+from wigeonford._tasks import wait_for_result
 from wigeonford.control._commands import CommandResult, COMMANDS
 from wigeonford.control._raft import RaftCore
 from wigeonford.control._raft_channel import Channels, Connect
@@ -270,8 +271,7 @@
     async def _await_result(self, fut: asyncio.Future[T]) -> T:
         self._driver.raise_if_failed()
         try:
-            async with asyncio.timeout(REQUEST_TIMEOUT_S):
-                return await fut
+            return await wait_for_result(fut, REQUEST_TIMEOUT_S)
         except TimeoutError as exc:
             raise PeerError(
                 Code.NO_QUORUM, "not confirmed by a quorum in time"
--- a/src/wigeonford/peer/_link.py
+++ b/src/wigeonford/peer/_link.py
@@ -18,6 +18,7 @@
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
 from websockets.http11 import Request, Response
 
+from wigeonford._tasks import wait_for_result
 from wigeonford.codec import CodecError
 from wigeonford.errors import Code, PeerError, WigeonfordError
 from wigeonford.events import Event, EventLog
@@ -35,9 +36,6 @@
 CLOSE_TIMEOUT_S: Final = 0.3
 """Two round trips between distant regions. Waiting longer is useless, since a
 silent peer never answers the closing handshake."""
-READ_ITERATIONS: Final = 32
-"""Event loop iterations to read a reply that has arrived; each reads up to
-256 KiB of it."""
 _PEER_HEADER: Final = "Wigeonford-Peer"
 _PROOF_HEADER: Final = "Wigeonford-Proof"
 _REJECTED_STATUS: Final = 403
@@ -247,7 +245,7 @@
         try:
             async with asyncio.timeout_at(deadline_s):
                 await conn.send(frame)
-            reply = await _wait_for_reply(fut, deadline_s - loop.time())
+            reply = await wait_for_result(fut, deadline_s - loop.time())
         except (ConnectionClosed, TimeoutError) as exc:
             raise PeerError(
                 Code.PEER_TIMEOUT, f"{self.address}: {exc!r}"
@@ -365,20 +363,6 @@
             )
 
 
-async def _wait_for_reply(fut: asyncio.Future[Any], timeout_s: float) -> Any:
-    """Return a reply that arrives in time; raise `TimeoutError`.
-
-    If this process stood still, a reply may have arrived that no task has
-    read yet.
-    """
-    await asyncio.wait((fut,), timeout=max(0.0, timeout_s))
-    for _ in range(READ_ITERATIONS):
-        if fut.done():
-            return await fut
-        await asyncio.sleep(0)
-    raise TimeoutError
-
-
 def _retrieve_exception(fut: asyncio.Future[Any]) -> None:
     if not fut.cancelled():
         fut.exception()
--- a/tests/test_raft_cases.py
+++ b/tests/test_raft_cases.py
@@ -1,9 +1,12 @@
 """Single hard cases of Raft, driven step by step in virtual time."""
 
+import asyncio
 from collections.abc import Callable
 import unittest
+from unittest import mock
 
 from tests.raft_world import World
+from tests.virtual_time import run_virtual, VirtualLoop
 from wigeonford.control._commands import COMMANDS, ExpireMember
 from wigeonford.control._raft import RaftCore
 from wigeonford.control._raft_effects import HardState, Role
@@ -15,6 +18,7 @@
     without_entry,
 )
 from wigeonford.control._raft_node import DEFAULT_TIMING
+from wigeonford.control._raft_replica import RaftReplica, REQUEST_TIMEOUT_S
 from wigeonford.control._store import LogEntry
 from wigeonford.messages.raft import AppendEntries, ReplicaChange
 
@@ -23,6 +27,21 @@
     return COMMANDS.encode(ExpireMember("x" * size, number))
 
 
+class StalledReplicaTest(unittest.TestCase):
+    """A replica stands still while a command is committed."""
+
+    def test_result_in_time_is_not_taken_for_a_lost_quorum(self) -> None:
+        async def await_result() -> int:
+            loop = asyncio.get_running_loop()
+            assert isinstance(loop, VirtualLoop)
+            fut: asyncio.Future[int] = loop.create_future()
+            loop.call_later(0.2, fut.set_result, 7)
+            loop.call_later(0.1, loop.stall, REQUEST_TIMEOUT_S)
+            return await RaftReplica._await_result(mock.Mock(), fut)
+
+        self.assertEqual(7, run_virtual(await_result()))
+
+
 class RaftCasesTest(unittest.TestCase):
     """Set up one hard case in each test."""
 
