Don't blame a stop for responses that a link fault took before it

A link fault between the sending of a request and the beginning of the stop excuses a proxied caller now; one amid the stop doesn't.

--- a/tests/soak/_observations.py
+++ b/tests/soak/_observations.py
@@ -256,9 +256,17 @@
                     brk.entry == shutdown.entry
                     and is_during_shutdown
                     and brk.attempt in ran
+                    and not self._was_lost_before(brk, shutdown.began_s)
                 ):
                     yield f"{brk.attempt} was cut by a planned stop"
 
+    def _was_lost_before(self, brk: Break, stop_began_s: float) -> bool:
+        """Return whether a link fault may have taken the response before."""
+        return brk.is_proxied and any(
+            fault.overlaps(brk.entry, brk.sent_s, stop_began_s)
+            for fault in self.link_faults
+        )
+
     def _was_disturbed(self, shutdown: Shutdown) -> bool:
         return any(
             entry in (shutdown.entry, -1)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,6 +28,9 @@
     1796416845,
     # Stops took work that outlasted their grace period and cut it.
     1796416946,
+    # The check of stops blamed one for responses that a silenced link had
+    # taken before it began.
+    1796419763,
 )
 """Seeds that failed once, each with the cause."""
 
@@ -137,6 +140,18 @@
             "a was cut by a planned stop", self.observations.find_violations()
         )
 
+    def test_response_lost_on_a_link_before_a_stop(self) -> None:
+        self.observations.runs.append(Run("a", "i-1", "big", 1.0))
+        self.observations.broken.append(
+            Break("a", 0, 0.5, 1.0, 4.5, Ending.SILENT, is_proxied=True)
+        )
+        self.observations.shutdowns.append(Shutdown(0, 4.0, 6.0, 0))
+        finding = "a was cut by a planned stop"
+        self.observations.link_faults.append(Window(0, 4.1, 4.3))
+        self.assertIn(finding, self.observations.find_violations())
+        self.observations.link_faults.append(Window(0, 1.1, 1.9))
+        self.assertNotIn(finding, self.observations.find_violations())
+
     def test_request_without_an_answer(self) -> None:
         for ending, ended_s, idle_s, is_explained in (
             (Ending.READ, 1.1, 9.0, False),
