--- a/src/wigeonford/_compose_steer_entry.py
+++ b/src/wigeonford/_compose_steer_entry.py
@@ -69,6 +69,9 @@
         # Safe, as only the system's own processes can reach peer ports.
         return PeerClient(cfg.name, address, DEFAULT_PEER_SECRET, log)
 
+    def is_in_contact() -> bool:
+        return bool(follower.connected_replicas)
+
     rng = random.Random()
     metrics = Metrics()
     readiness = Readiness(make_status)
@@ -76,7 +79,7 @@
     target_limits = TargetLimits(
         cfg.name,
         lambda: follower.running_entries(),
-        lambda: bool(follower.connected_replicas),
+        is_in_contact,
     )
     follower = ViewFollower(
         seeds,
@@ -107,7 +110,7 @@
         metrics,
         log,
         rng,
-        is_in_contact=lambda: bool(follower.connected_replicas),
+        is_in_contact=is_in_contact,
     )
     follower.add_view_listener(forwarder.drop_removed_targets)
     front_server = HttpServer(
--- a/src/wigeonford/http/_client.py
+++ b/src/wigeonford/http/_client.py
@@ -138,7 +138,7 @@
             and self._exchange_count < MAX_EXCHANGES
             and not self._reader.at_eof()
             and not self._reader.is_closed
-            and not self._reader.has_unread_bytes
+            and not self._reader.unread_bytes
             and not self._writer.is_closing()
         )
 
--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -211,11 +211,9 @@
 
         Bytes that have not been read may be a whole request.
         """
-        if self.has_caller_left:
+        if self.has_caller_left or self.is_response_complete:
             return False
-        if self._request is not None:
-            return not self.is_response_complete
-        return self.unread_bytes > 0 and not self.is_response_complete
+        return self._request is not None or self.unread_bytes > 0
 
     @property
     def request_id(self) -> str:
--- a/src/wigeonford/http/_reader.py
+++ b/src/wigeonford/http/_reader.py
@@ -23,11 +23,6 @@
         """Return how many received bytes have not been read yet."""
         return self._unread_bytes
 
-    @property
-    def has_unread_bytes(self) -> bool:
-        """Return whether received bytes have not been read yet."""
-        return self._unread_bytes > 0
-
     def feed_data(self, data: Iterable[SupportsIndex]) -> None:
         """Buffer bytes from the transport."""
         content = bytes(data)
--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -23,8 +23,6 @@
 from wigeonford.http._types import Headers
 from wigeonford.settings import Address, CallerLimits
 
-ACCEPT_LOOP_ITERATIONS: Final = 2
-"""Event loop iterations from a connection in the backlog to its task."""
 ACCEPT_WAIT_S: Final = 0.05
 WRITE_BUFFER_BYTES: Final = 262144
 DISCARD_TIMEOUT_S: Final = 3.0
@@ -223,9 +221,12 @@
             await conn.serve()
             if conn.has_unread_request:
                 await conn.discard(DISCARD_TIMEOUT_S)
-        except RequestRejected:
-            raise
-        except (CallerStalled, ConnectionError, TimeoutError):
+        except (
+            RequestRejected,
+            CallerStalled,
+            ConnectionError,
+            TimeoutError,
+        ):
             raise
         except (
             ResponseBroken,
@@ -293,13 +294,8 @@
     tasks in the next. Closing in between would silently drop them.
     """
     loop = asyncio.get_running_loop()
-    await _run_loop_iterations()
+    await poll_sockets()
     for sock in server.sockets:
         loop.remove_reader(sock.fileno())
-    await _run_loop_iterations()
+    await poll_sockets()
     server.close()
-
-
-async def _run_loop_iterations() -> None:
-    for _ in range(ACCEPT_LOOP_ITERATIONS):
-        await asyncio.sleep(0)
--- a/src/wigeonford/steer/_admission.py
+++ b/src/wigeonford/steer/_admission.py
@@ -161,10 +161,11 @@
 
     def _body_due_s(self, ctx: RequestContext) -> float:
         """Return until when the body must have been read."""
+        if self._shutdown is NO_SHUTDOWN:
+            return ctx.deadline_s
         route = ctx.route
         needed_s = expected_s(self._stats_of(route), route.timeout_s)
-        send_by_s = self._shutdown.send_by_s(needed_s, ctx.deadline_s)
-        return min(ctx.deadline_s, send_by_s)
+        return self._shutdown.send_by_s(needed_s, ctx.deadline_s)
 
     async def _spend_token(self, account: Account, left_s: float) -> bool:
         """Spend an account's token; raise `RequestRejected` for lack of one.
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -246,6 +246,13 @@
                     request_id = f"before-{kind.name}-{number}"
                     group.create_task(self.call(request_id, kind=kind))
 
+    async def call_in_turn(self, count: int, interval_s: float) -> None:
+        """Send requests at an interval; return when all have ended."""
+        async with asyncio.TaskGroup() as group:
+            for number in range(count):
+                group.create_task(self.call(f"{number}"))
+                await asyncio.sleep(interval_s)
+
     def begin_stop(self) -> asyncio.Task[None]:
         """Begin the planned stop."""
         self.began_s = self.loop.time()
@@ -432,10 +439,7 @@
             vm = StoppingVm(6, 2.0, timeout_s=60.0)
             await vm.learn(60)
             stop = vm.begin_stop()
-            async with asyncio.TaskGroup() as group:
-                for number in range(48):
-                    group.create_task(vm.call(f"{number}"))
-                    await asyncio.sleep(0.05)
+            await vm.call_in_turn(48, 0.05)
             await stop
             return vm
 
@@ -556,10 +560,7 @@
             vm.targets.stream_s = 4.0
             await vm.learn()
             stop = vm.begin_stop()
-            async with asyncio.TaskGroup() as group:
-                for number in range(20):
-                    group.create_task(vm.call(f"{number}"))
-                    await asyncio.sleep(0.1)
+            await vm.call_in_turn(20, 0.1)
             await stop
             return vm
 
