Add log events for unusable targets and skipped log entries

Nothing said that an announced target could not be used, nor that a log entry could not be applied: requests ended with an internal error, and a replica with event 511.

--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -108,6 +108,9 @@
     TARGET_REFUSED = _event(
         303, "rejected a target's announcement", logging.WARNING
     )
+    TARGET_UNUSABLE = _event(
+        304, "left out a target that can't be used", logging.WARNING
+    )
 
     TARGET_EJECTED = _event(310, "ejected a failing target", logging.WARNING)
     TARGET_DIED = _event(
@@ -164,6 +167,11 @@
     REPLICA_STOPPED = _event(
         511, "the replica stopped on an internal error", logging.CRITICAL
     )
+    COMMAND_SKIPPED = _event(
+        517,
+        "skipped a log entry that can't be decoded or applied",
+        logging.ERROR,
+    )
     ROLE_CHANGED = _event(512, "the replica's role or term changed")
     SNAPSHOT_INSTALLED = _event(513, "installed the leader's snapshot")
     ROSTER_UPDATE_FAILED = _event(
