Skip a log entry that can't be applied instead of stopping the replica

An entry that can't be decoded or applied ended the task that runs the core, on every replica and again after each restart, since the log keeps it: no change was taken any more. The operators' interface takes one: an object nested some 400 to 900 levels deep is encoded, but the CBOR library decodes 400 levels only.

Such a command is now refused before it is proposed. Only a lack of memory still stops a replica, because others may have applied the entry.

tests.test_skipped_entries: on the code before, decoding the same contents raised in the caller, which is the core's task, and the nested change went on to the store; passes now.

--- a/src/wigeonford/codec.py
+++ b/src/wigeonford/codec.py
@@ -53,7 +53,7 @@
             raise CodecError(f"unknown {self.family} tag {plain[0]!r}")
         try:
             return msgspec.convert(plain[1], cls, builtin_types=(bytes,))
-        except msgspec.ValidationError as exc:
+        except (ValueError, OverflowError, RecursionError) as exc:
             raise CodecError(f"{cls.__name__}: {exc}") from exc
 
     def encode(self, record: Any) -> bytes:
@@ -69,6 +69,12 @@
     """Return the value in `data`; raise `CodecError` if it is not CBOR."""
     try:
         value: object = cbor2.loads(data)
-    except (cbor2.CBORDecodeError, ValueError, RecursionError) as exc:
+    except (
+        cbor2.CBORDecodeError,
+        ValueError,
+        TypeError,
+        OverflowError,
+        RecursionError,
+    ) as exc:
         raise CodecError(f"not CBOR: {exc}") from exc
     return value
--- a/src/wigeonford/control/_commands.py
+++ b/src/wigeonford/control/_commands.py
@@ -74,12 +74,16 @@
 
 
 class CommandResult(msgspec.Struct, frozen=True):
-    """Report the outcome of a command; `code` is a `Code` number."""
+    """Report the outcome of a command; `code` is a `Code` number.
+
+    `is_skipped` is set if the command could not be applied at all.
+    """
 
     code: int
     revision: int
     detail: str = ""
     faults: tuple[str, ...] = msgspec.field(default=())
+    is_skipped: bool = False
 
     @property
     def accepted(self) -> bool:
--- a/src/wigeonford/control/_raft_driver.py
+++ b/src/wigeonford/control/_raft_driver.py
@@ -6,7 +6,7 @@
 from typing import Any, Final
 
 from wigeonford._tasks import cancel_task
-from wigeonford.control._commands import CommandResult, COMMANDS
+from wigeonford.control._commands import CommandResult
 from wigeonford.control._raft import RaftCore
 from wigeonford.control._raft_channel import Channels, PeerChannel
 from wigeonford.control._raft_disk import RaftDisk
@@ -332,7 +332,13 @@
         for entry in effect.entries:
             result = CommandResult(Code.OK.number, self.state.revision)
             if is_state_command(entry.content):
-                result = self.state.apply(COMMANDS.decode(entry.content))
+                result = self.state.apply_entry(entry.content)
+            if result.is_skipped:
+                self._log.emit(
+                    Event.COMMAND_SKIPPED,
+                    position=entry.position,
+                    detail=result.detail,
+                )
             self._applied_position = entry.position
             self._pending.resolve(entry.position, entry.term, result)
         self._notify()
--- a/src/wigeonford/control/_raft_replica.py
+++ b/src/wigeonford/control/_raft_replica.py
@@ -163,6 +163,8 @@
     async def propose(self, record: Any) -> CommandResult:
         """Return the result once a quorum has synced the command."""
         content = COMMANDS.encode(record)
+        # An entry that can't be decoded must not get into the log.
+        COMMANDS.decode(content)
 
         async def forward() -> CommandResult:
             reply = await self.request_from_leader(SubmitCommand(content))
--- a/src/wigeonford/control/_replica.py
+++ b/src/wigeonford/control/_replica.py
@@ -11,6 +11,7 @@
 from wigeonford.control._raft_snapshot import pack_snapshot, unpack_snapshot
 from wigeonford.control._state import State
 from wigeonford.control._store import LogEntry, Snapshot, Store
+from wigeonford.events import Event, EventLog
 from wigeonford.messages.raft import ReplicaChange
 from wigeonford.peer import NotLeaderError
 
@@ -99,8 +100,9 @@
 class SoloReplica:
     """Run as the only replica: its own disk is the quorum."""
 
-    def __init__(self, name: str, store: Store) -> None:
+    def __init__(self, name: str, store: Store, log: EventLog) -> None:
         self._name = name
+        self._log = log
         self._store = store
         self._state = State()
         self._position = 0
@@ -140,7 +142,7 @@
             self._position = snapshot.position
         for entry in self._store.read_log():
             if is_state_command(entry.content):
-                self._state.apply(COMMANDS.decode(entry.content))
+                self._apply(entry)
             self._position = entry.position
 
     async def stop(self) -> None:
@@ -154,9 +156,11 @@
             entry = LogEntry(
                 self._position + 1, SOLO_TERM, COMMANDS.encode(record)
             )
+            # An entry that can't be decoded must not get into the log.
+            COMMANDS.decode(entry.content)
             await asyncio.to_thread(self._store.append, [entry])
             self._position = entry.position
-            result = self._state.apply(record)
+            result = self._apply(entry)
             for listener in self._listeners:
                 listener()
             if self._position % SNAPSHOT_INTERVAL_ENTRIES == 0:
@@ -168,6 +172,16 @@
                 await asyncio.to_thread(self._store.save_snapshot, snapshot)
             return result
 
+    def _apply(self, entry: LogEntry) -> CommandResult:
+        result = self._state.apply_entry(entry.content)
+        if result.is_skipped:
+            self._log.emit(
+                Event.COMMAND_SKIPPED,
+                position=entry.position,
+                detail=result.detail,
+            )
+        return result
+
     async def read_barrier(self) -> None:
         """Return at once: no other replica has to confirm."""
 
--- a/src/wigeonford/control/_state.py
+++ b/src/wigeonford/control/_state.py
@@ -8,6 +8,7 @@
 import msgspec
 from msgspec.structs import replace
 
+from wigeonford.codec import CodecError
 from wigeonford.config_table import ConfigTable
 from wigeonford.control._commands import (
     ApplyChange,
@@ -113,6 +114,26 @@
             return self.steering.apply(record)
         return _APPLIERS[type(record)](self, record)
 
+    def apply_entry(self, content: bytes) -> CommandResult:
+        """Apply the command in a log entry, deterministically.
+
+        One that can't be decoded or applied is skipped: every replica meets
+        it, also after a restart, and would stop at it for ever.
+        """
+        try:
+            return self.apply(COMMANDS.decode(content))
+        except MemoryError:
+            # Other replicas may have the memory to apply it.
+            raise
+        except CodecError as exc:
+            return replace(
+                self._result(Code.MESSAGE_INVALID, exc.detail), is_skipped=True
+            )
+        except Exception as exc:
+            return replace(
+                self._result(Code.INTERNAL, repr(exc)), is_skipped=True
+            )
+
     def _result(self, code: Code, detail: str = "") -> CommandResult:
         return CommandResult(code.number, self.revision, detail)
 
--- /dev/null
+++ b/tests/test_skipped_entries.py
@@ -0,0 +1,57 @@
+"""A log entry that can't be applied doesn't stop the replicas."""
+
+import asyncio
+from typing import Any, cast, Final
+import unittest
+
+from tests.test_deployment import make_announcement
+from wigeonford.control import (
+    AnnounceTargets,
+    ApplyChange,
+    COMMANDS,
+    Edit,
+    SoloReplica,
+    State,
+    Store,
+)
+from wigeonford.errors import Code, WigeonfordError
+from wigeonford.events import EventLog
+
+MAX_CBOR_DEPTH: Final = 400
+"""Depth up to which the CBOR library decodes what it has encoded."""
+
+
+def make_nested_change() -> ApplyChange:
+    """Return a change that can be encoded but not decoded."""
+    nested: Any = "x"
+    for _ in range(MAX_CBOR_DEPTH):
+        nested = [nested]
+    edit = Edit("service", "s", 0, {"name": nested})
+    return ApplyChange("c", "a", 0.0, (edit,))
+
+
+class SkippedEntryTest(unittest.TestCase):
+    """Later entries are applied, and the odd one is reported."""
+
+    def test_entry_that_cannot_be_applied_is_skipped(self) -> None:
+        state = State()
+        for content in (
+            b"",
+            b"\xff",
+            b"\x81" * 1000,
+            COMMANDS.encode(make_nested_change()),
+            COMMANDS.encode(AnnounceTargets(cast(Any, (1, "x", None)))),
+        ):
+            with self.subTest(content[:20]):
+                result = state.apply_entry(content)
+                self.assertTrue(result.is_skipped)
+                self.assertTrue(result.detail)
+        good = AnnounceTargets((make_announcement(),))
+        self.assertFalse(state.apply_entry(COMMANDS.encode(good)).is_skipped)
+        self.assertEqual(1, len(state.steering.targets))
+
+    def test_command_that_cannot_be_decoded_is_not_proposed(self) -> None:
+        replica = SoloReplica("a", cast(Store, None), EventLog())
+        with self.assertRaises(WigeonfordError) as caught:
+            asyncio.run(replica.propose(make_nested_change()))
+        self.assertIs(Code.MESSAGE_INVALID, caught.exception.code)
