Refuse announcements that can't be used, and leave out stored ones

What callers saw: after one announcement with port 99999, or with a number of slots of 400 digits, every request of its service got a 500 at all entry VMs, though a good target was there; also after a restart of the control replicas, whose log keeps the entry. Port 0, 999.0.0.1, digits of other scripts, a line break, numbers beyond 64 bits and a version of 1 MB were accepted as well.

Cause: the decoder tested the address by a pattern and bounded few numbers, and whoever met such a target raised: the arithmetic on slots, the connect, the listeners of a new view. That error ended the request, or the watch of a replica.

check_announcement knows the range of each number, the length of each text and what an address is. The decoder refuses what it finds fault with (400, event 303). Behind it, replicas keep a stored entry, so that revisions stay the same on all replicas and builds, but tell entry VMs that the target left; entry VMs leave out what a replica sends all the same (event 304 in both). An address that can't be reached counts as a failed connect, so the next target is tried. A listener of a view that fails doesn't keep the view from the others, and a patch without a deployment is not applicable instead of ending the watch.

--- a/src/wigeonford/control/_view_service.py
+++ b/src/wigeonford/control/_view_service.py
@@ -12,6 +12,7 @@
 from wigeonford.control._replica import Replica
 from wigeonford.control._roster import Roster
 from wigeonford.control._suspicions import Suspicions
+from wigeonford.deployment import check_announcement, MAX_NAME_CHARS
 from wigeonford.events import Event, EventLog
 from wigeonford.messages.steering import (
     control_digest,
@@ -79,6 +80,7 @@
         self._published_suspicion_revision = 0
         self._update_event = asyncio.Event()
         self._change_event = asyncio.Event()
+        self._unusable_targets: set[tuple[str, int, int]] = set()
         self._tasks: list[asyncio.Task[None]] = []
 
     def attach(self, server: PeerServer) -> None:
@@ -91,6 +93,7 @@
     async def start(self) -> None:
         """Start to publish changes of the state and of the roster."""
         self._replica.on_applied(self._change_event.set)
+        self._change_event.set()
         self._tasks = [
             asyncio.create_task(self._publish_changes()),
             asyncio.create_task(self._publish_roster()),
@@ -111,9 +114,29 @@
             await self._change_event.wait()
             await asyncio.sleep(update_batch_s(len(self._roster)))
             self._change_event.clear()
+            self._log_unusable()
             self._published_suspicion_revision = self._suspicions.revision
             self._wake_watchers()
 
+    def _log_unusable(self) -> None:
+        """Name each target that entry VMs don't get, once."""
+        present: set[tuple[str, int, int]] = set()
+        for target in self._replica.state.steering.targets.unusable():
+            announced = target.announced
+            key = (
+                announced.target_id,
+                announced.born_ms,
+                announced.sequence,
+            )
+            present.add(key)
+            if key not in self._unusable_targets:
+                self._log.emit(
+                    Event.TARGET_UNUSABLE,
+                    target=announced.target_id[:MAX_NAME_CHARS],
+                    detail="; ".join(check_announcement(announced)),
+                )
+        self._unusable_targets = present
+
     async def _publish_roster(self) -> None:
         while True:
             await asyncio.sleep(ROSTER_BATCH_S)
--- a/src/wigeonford/deployment/_targets.py
+++ b/src/wigeonford/deployment/_targets.py
@@ -1,15 +1,30 @@
-"""Table of announced targets, deterministic on control replicas."""
+"""Announcements of targets, and their table.
+
+The table is deterministic on control replicas.
+"""
 
 from collections.abc import Iterable, Iterator
 from enum import StrEnum
+from ipaddress import IPv4Address
 from typing import Final
 
 import msgspec
 from msgspec.structs import replace
 
+from wigeonford.settings import parse_address
+
 MAX_TOMBSTONES: Final = 20000
 """Targets remembered after they left; a fleet of the planned size starts fewer
 in a day."""
+MAX_NAME_CHARS: Final = 200
+"""Longest id, service, zone or software version."""
+MAX_SLOTS: Final = 100_000
+"""Most slots of a target; actual ones have tens. Sums over all targets stay
+far within what a float holds exactly."""
+MAX_COUNT: Final = (1 << 63) - 1
+"""Largest start time in milliseconds, and largest sequence."""
+MAX_COLD_S: Final = 600.0
+"""Longest cold time of a target; actual ones are seconds."""
 
 
 class Announcement(msgspec.Struct, frozen=True, array_like=True):
@@ -60,6 +75,10 @@
     target that left holds its incarnation, so that a late announcement
     doesn't bring it back. An address belongs to the target that was started
     last.
+
+    An entry that can't be used, which an earlier build may have stored, stays
+    in the table, so that revisions are the same on all replicas; readers are
+    told that it left.
     """
 
     def __init__(
@@ -72,6 +91,11 @@
             known.announced.address: known.announced.target_id
             for known in self._targets.values()
         }
+        self._unusable_ids = {
+            known.announced.target_id
+            for known in self._targets.values()
+            if not _is_usable(known.announced)
+        }
         # By target id: the revision at which it left, and its incarnation.
         self._tombstones = {
             name: (revision, born_ms) for name, revision, born_ms in tombstones
@@ -153,6 +177,9 @@
         self._tombstones.pop(received.target_id, None)
         self._targets[received.target_id] = Target(revision, received)
         self._by_address[received.address] = received.target_id
+        self._unusable_ids.discard(received.target_id)
+        if not _is_usable(received):
+            self._unusable_ids.add(received.target_id)
         return True
 
     def remove(self, revision: int, target_id: str) -> bool:
@@ -160,6 +187,7 @@
         known = self._targets.pop(target_id, None)
         if known is None:
             return False
+        self._unusable_ids.discard(target_id)
         address = known.announced.address
         if self._by_address.get(address) == target_id:
             del self._by_address[address]
@@ -169,11 +197,69 @@
         return True
 
     def changed_since(self, revision: int) -> Iterator[Target]:
-        """Yield the targets that changed after a revision."""
-        return (known for known in self if known.revision > revision)
+        """Yield the usable targets that changed after a revision."""
+        return (
+            known
+            for name, known in self._targets.items()
+            if known.revision > revision and name not in self._unusable_ids
+        )
+
+    def unusable(self) -> Iterator[Target]:
+        """Yield the targets that can't be used."""
+        return (self._targets[name] for name in self._unusable_ids)
 
     def removed_since(self, revision: int) -> Iterator[str]:
-        """Yield the ids of targets that left after a revision."""
+        """Yield the ids of targets that left after a revision.
+
+        These include targets that can't be used any more.
+        """
+        for known in self.unusable():
+            if known.revision > revision:
+                yield known.announced.target_id
         for name, (left_revision, _) in self._tombstones.items():
             if left_revision > revision:
                 yield name
+
+
+def check_announcement(announced: Announcement) -> Iterator[str]:
+    """Yield each reason for which a target can't be used."""
+    yield from _check_name("id", announced.target_id, 1)
+    if not announced.target_id.isascii():
+        yield "the id, which is sent in headers, is not ASCII"
+    yield from _check_name("service", announced.service, 1)
+    yield from _check_name("zone", announced.availability_zone, 1)
+    yield from _check_name("version", announced.software, 0)
+    if not is_target_address(announced.address):
+        yield "the address is not an IPv4 address and a port of 1 to 65535"
+    if not 0 <= announced.born_ms <= MAX_COUNT:
+        yield f"the start time is not in the range 0 to {MAX_COUNT}"
+    if not 0 <= announced.sequence <= MAX_COUNT:
+        yield f"the sequence is not in the range 0 to {MAX_COUNT}"
+    if not 1 <= announced.slots <= MAX_SLOTS:
+        yield f"the slots are not in the range 1 to {MAX_SLOTS}"
+    if not 0 <= announced.cold_s <= MAX_COLD_S:
+        yield f"the cold time is not in the range 0 to {MAX_COLD_S:g} s"
+
+
+def is_target_address(text: str) -> bool:
+    """Return whether a text is an IPv4 address and a port, as written out."""
+    try:
+        address = parse_address(text)
+        IPv4Address(address.host)
+    except ValueError:
+        return False
+    return address.port > 0 and str(address) == text
+
+
+def _check_name(field: str, name: str, min_chars: int) -> Iterator[str]:
+    if not min_chars <= len(name) <= MAX_NAME_CHARS:
+        yield (
+            f"the {field} has {len(name)} characters instead of "
+            f"{min_chars} to {MAX_NAME_CHARS}"
+        )
+    elif not name.isprintable():
+        yield f"the {field} has characters that can't be printed"
+
+
+def _is_usable(announced: Announcement) -> bool:
+    return next(check_announcement(announced), None) is None
--- a/src/wigeonford/http/_client.py
+++ b/src/wigeonford/http/_client.py
@@ -123,7 +123,8 @@
                     ssl=context,
                     local_addr=local_address,
                 )
-        except (OSError, TimeoutError) as exc:
+        except (OSError, TimeoutError, ValueError, OverflowError) as exc:
+            # An impossible host or port is not reported as an OSError.
             raise ConnectFailed(f"{address}: {exc!r}") from exc
         if ack_timeout_s is not None:
             _set_ack_timeout(transport.get_extra_info("socket"), ack_timeout_s)
--- a/src/wigeonford/platform/_announcements.py
+++ b/src/wigeonford/platform/_announcements.py
@@ -5,13 +5,20 @@
 
 import msgspec
 
-from wigeonford.deployment import Announcement
+from wigeonford.deployment import (
+    Announcement,
+    check_announcement,
+    MAX_COLD_S,
+    MAX_COUNT,
+    MAX_NAME_CHARS,
+    MAX_SLOTS,
+)
 
-MAX_COLD_S: Final = 600.0
-"""Longest accepted cold time of a target; actual ones are seconds."""
+MAX_CONTENT_BYTES: Final = 16384
+"""Largest announcement; actual ones have some hundred bytes."""
 
-_Count = Annotated[int, msgspec.Meta(ge=0)]
-_Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+_Text = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARS)]
 
 
 class AnnouncementInvalid(Exception):
@@ -25,9 +32,9 @@
     """
 
     service: _Text
-    version: str
+    version: Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
     zone: _Text
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 
 
 class _Status(msgspec.Struct, frozen=True):
@@ -39,9 +46,7 @@
 class _Instance(msgspec.Struct, frozen=True):
     """An announcement; `born` is the start time in Unix milliseconds."""
 
-    address: Annotated[
-        str, msgspec.Meta(pattern=r"^\d+\.\d+\.\d+\.\d+:\d{1,5}$")
-    ]
+    address: _Text
     born: _Count
     information: _Information
     status: _Status
@@ -54,13 +59,15 @@
 
     `zones` holds the names of the known availability zones.
     """
+    if len(content) > MAX_CONTENT_BYTES:
+        raise AnnouncementInvalid(f"more than {MAX_CONTENT_BYTES} bytes")
     try:
         instance = msgspec.json.decode(content, type=_Instance)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
         raise AnnouncementInvalid(str(exc)) from exc
     if instance.information.zone not in zones:
         raise AnnouncementInvalid(f"unknown zone {instance.information.zone}")
-    return Announcement(
+    announced = Announcement(
         target_id,
         instance.born,
         instance.status.sequence,
@@ -72,3 +79,7 @@
         instance.status.state == "draining",
         instance.status.cold_remaining_s,
     )
+    faults = tuple(check_announcement(announced))
+    if faults:
+        raise AnnouncementInvalid("; ".join(faults))
+    return announced
--- a/src/wigeonford/settings/_daemons.py
+++ b/src/wigeonford/settings/_daemons.py
@@ -2,25 +2,34 @@
 
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Final
 
 from wigeonford.invariants import OnBreach
 from wigeonford.settings._decode import bounded
 
+MAX_PORT: Final = 65535
+_MAX_SHOWN_CHARS: Final = 60
+
 
 @dataclass(frozen=True, slots=True)
 class Address:
     """A TCP endpoint by IP address; port 0 selects a free port."""
 
     host: str = "127.0.0.1"
-    port: int = bounded(0, 65535, default=0)
+    port: int = bounded(0, MAX_PORT, default=0)
 
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
 
 
 def parse_address(text: str) -> Address:
-    """Return the endpoint in a text `host:port`."""
+    """Return the endpoint in a text `host:port`; raise `ValueError`."""
     host, _, port = text.rpartition(":")
+    # int() also takes signs, spaces, underscores and other scripts' digits.
+    if not (port.isascii() and port.isdecimal() and len(port) <= 5):
+        raise ValueError(f"{text[:_MAX_SHOWN_CHARS]!r} has no valid port")
+    if not host or not host.isascii() or int(port) > MAX_PORT:
+        raise ValueError(f"{text[:_MAX_SHOWN_CHARS]!r} is not an endpoint")
     return Address(host, int(port))
 
 
--- a/src/wigeonford/steer/_attempt.py
+++ b/src/wigeonford/steer/_attempt.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from wigeonford.deployment import is_target_address
 from wigeonford.http import (
     ClientConnection,
     ConnectFailed,
@@ -124,14 +125,18 @@
 
     def close_idle_to(self, address: str) -> None:
         """Close idle connections to an address that has changed targets."""
-        self._pool.close_idle_to(parse_address(address))
+        if is_target_address(address):
+            self._pool.close_idle_to(parse_address(address))
 
     async def send(self, attempt: Attempt) -> AttemptResult:
         """Return the result of an attempt.
 
         Raise `TimeoutError` if the time limit passes before the response.
         """
-        address = parse_address(attempt.record.announced.address)
+        try:
+            address = parse_address(attempt.record.announced.address)
+        except ValueError as exc:
+            return AttemptResult(Outcome.NOT_SENT, detail=str(exc))
         connect_timeout_s = min(CONNECT_TIMEOUT_S, max(0.0, attempt.left_s))
         try:
             conn, reused = await self._pool.acquire(
--- a/src/wigeonford/steer/_follower.py
+++ b/src/wigeonford/steer/_follower.py
@@ -335,6 +335,13 @@
             return
         self._view_applied.set()
         self._view_applied = asyncio.Event()
+        for target_id, faults in self._builder.take_unusable().items():
+            self._log.emit(
+                Event.TARGET_UNUSABLE,
+                target=target_id,
+                detail=faults,
+                control=address,
+            )
         waited_s = 0.0
         if self._update_noticed_at_s is not None:
             waited_s = time.monotonic() - self._update_noticed_at_s
@@ -366,7 +373,16 @@
         self.view = view
         self.view_applied_at_s = time.monotonic()
         for listener in self._listeners:
-            listener(view)
+            try:
+                listener(view)
+            except Exception as exc:
+                # A view is passed on once; the other listeners need it.
+                self._log.emit(
+                    Event.TASK_FAILED,
+                    revision=view.revision,
+                    detail=repr(exc),
+                    exc_info=exc,
+                )
 
     def _is_confirmed(self) -> bool:
         """Return whether most replicas have replied, and none has newer data.
--- a/src/wigeonford/steer/_view.py
+++ b/src/wigeonford/steer/_view.py
@@ -9,8 +9,10 @@
     Account,
     Announcement,
     apply_patch,
+    check_announcement,
     Deployment,
     KeyTable,
+    MAX_NAME_CHARS,
     Route,
     RouteTable,
     Service,
@@ -61,6 +63,7 @@
     _targets: set[str] = msgspec.field(default_factory=set)
     _changed: dict[str, Announcement] = msgspec.field(default_factory=dict)
     _removed: set[str] = msgspec.field(default_factory=set)
+    _unusable: dict[str, str] = msgspec.field(default_factory=dict)
 
     @property
     def version(self) -> int:
@@ -76,13 +79,13 @@
         """Apply an update; return whether it is newer and was applicable.
 
         An update that leaves a gap in the revisions is not applicable, nor is
-        a patch of a deployment that was replaced meanwhile.
+        a patch of a deployment that was replaced meanwhile or never arrived.
         """
         if not update.since <= self.revision < update.revision:
             return False
-        if (
-            update.patch is not None
-            and update.since < self._deployment_revision
+        if update.patch is not None and (
+            self._deployment is None
+            or update.since < self._deployment_revision
         ):
             return False
         self.revision = update.revision
@@ -101,13 +104,29 @@
     def _apply_targets(self, update: ViewUpdate) -> None:
         """Collect target changes until the next build; the last one counts."""
         for target_id in update.removed:
-            self._targets.discard(target_id)
-            self._changed.pop(target_id, None)
-            self._removed.add(target_id)
+            self._remove(target_id)
         for announced in update.targets:
+            faults = "; ".join(check_announcement(announced))
+            if faults:
+                self._leave_out(announced.target_id, faults)
+                continue
             self._targets.add(announced.target_id)
             self._changed[announced.target_id] = announced
 
+    def _remove(self, target_id: str) -> None:
+        self._targets.discard(target_id)
+        self._changed.pop(target_id, None)
+        self._removed.add(target_id)
+
+    def _leave_out(self, target_id: str, faults: str) -> None:
+        self._remove(target_id)
+        self._unusable[target_id[:MAX_NAME_CHARS]] = faults
+
+    def take_unusable(self) -> dict[str, str]:
+        """Return the faults of targets left out since the last call, by id."""
+        unusable, self._unusable = self._unusable, {}
+        return unusable
+
     def _set_deployment(self, deployment: Deployment) -> None:
         self._deployment_revision = self.revision
         self._deployment = deployment
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -99,18 +99,19 @@
         return Response(200, (echo, signed, length), b"whole")
 
 
-class PathTest(unittest.IsolatedAsyncioTestCase):
-    """Operators, targets and callers use the published protocol."""
+class PathFleet(unittest.IsolatedAsyncioTestCase):
+    """Start a fleet, and speak the published protocol with it."""
 
     async def asyncSetUp(self) -> None:
         self.log = EventLog()
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
         self.peer_addresses = free_addresses(2, 5)
         self.api_addresses = free_addresses(3, 5)
         self.seeds = tuple(str(address) for address in self.peer_addresses[:3])
         self.controls = [
-            self.make_control(Path(folder.name), index) for index in range(5)
+            self.make_control(self.folder, index) for index in range(5)
         ]
         self.entry_addresses = free_addresses(4, 2)
         self.lookup_addresses = free_addresses(5, 2)
@@ -272,6 +273,10 @@
             conn.close()
         return Response(response.status, response.headers, body)
 
+
+class PathTest(PathFleet):
+    """Operators, targets and callers use the published protocol."""
+
     async def test_calm_day(self) -> None:
         await self.publish()
         self.target.requests.clear()
