Leave out odd addresses of seeds, replicas and entry VMs

What was seen: a seed without a valid port, exchanged while an entry VM runs, raised in the task that manages the watches and in the one that reloads the settings; both ended without a log line, so the VM followed no new replica and no later settings. A file that is not UTF-8, nested too deeply or with a number of 5000 digits ended the reload for good, too. An odd address among the replicas raised in each watch, and in the report of a planned stop; one among the entry VMs was handed to callers. The product's own interface took targets with port 0, 99999 or any number of slots.

Cause: parse_address raised where nobody expected it, and the settings file, rosters and lists of replicas were taken as stated.

Now odd seeds, replicas and entry VMs are left out with event 537, a settings file without a usable seed or with numbers out of range is rejected (103) and the present one stays. A link to an endpoint that can't exist is unreachable as any other. A link that ends on an invalid message says so (602). The registry of targets checks what it records, for targets, peers and handovers.

--- a/src/wigeonford/control/_raft_driver.py
+++ b/src/wigeonford/control/_raft_driver.py
@@ -41,7 +41,7 @@
 from wigeonford.events import Event, EventLog
 from wigeonford.messages.raft import InstallSnapshot
 from wigeonford.peer import NotLeaderError
-from wigeonford.settings import Address, parse_address
+from wigeonford.settings import Address, is_address, parse_address
 
 TICK_S: Final = 0.05
 SNAPSHOT_INTERVAL_ENTRIES: Final = 2000
@@ -189,7 +189,7 @@
         entry = find_entry(self.core.log.table, name)
         if entry is not None:
             return Address(entry.host, entry.port)
-        return parse_address(name) if ":" in name else None
+        return parse_address(name) if is_address(name) else None
 
     async def _run(self) -> None:
         try:
--- a/src/wigeonford/entry/_front.py
+++ b/src/wigeonford/entry/_front.py
@@ -14,6 +14,7 @@
 from wigeonford.entry._hop import HOP_HEADER, HopReceiver
 from wigeonford.entry._lookup import LookupBuilder
 from wigeonford.entry._pipeline import Pipeline
+from wigeonford.entry._registry import check_target_announce
 from wigeonford.entry._targets import TargetDirectory
 from wigeonford.errors import Code, RequestRejected
 from wigeonford.http import (
@@ -29,7 +30,6 @@
 from wigeonford.settings import Secrets
 
 SYSTEM_PREFIX: Final = "/.wigeonford/"
-MAX_LEASE_S: Final = 30.0
 MAX_ANNOUNCEMENT_BYTES: Final = 4096
 
 _Endpoint = Callable[["FrontEnd", Request], Awaitable[Response]]
@@ -121,6 +121,9 @@
     async def _announce(self, request: Request) -> Response:
         _require_secret(request, self._secrets.target)
         message = _to_message(await _read_announcement(request))
+        faults = "; ".join(check_target_announce(message))
+        if faults:
+            raise RequestRejected(Code.BAD_ARGUMENT, faults)
         if message.service not in self._config.current.objects.services:
             raise RequestRejected(Code.OBJECT_UNKNOWN, message.service)
         await self._targets.announce(message)
@@ -169,13 +172,10 @@
             raise RequestRejected(Code.BODY_TOO_LARGE)
     try:
         announcement = msgspec.json.decode(content, type=Announcement)
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, ValueError, RecursionError) as exc:
         raise RequestRejected(Code.BAD_ARGUMENT, str(exc)) from exc
-    if announcement.slots < 1 or not 0 < announcement.lease_s <= MAX_LEASE_S:
-        raise RequestRejected(
-            Code.BAD_ARGUMENT,
-            "slots is below 1, or lease_s is not above 0 and at most 30",
-        )
+    if not announcement.lease_s > 0:
+        raise RequestRejected(Code.BAD_ARGUMENT, "lease_s is not above 0")
     return announcement
 
 
--- a/src/wigeonford/entry/_registry.py
+++ b/src/wigeonford/entry/_registry.py
@@ -1,14 +1,24 @@
 """Registry of targets, filled from their own announcements."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass, replace
+import math
 from typing import Final
 
+from wigeonford.deployment import (
+    is_target_address,
+    MAX_COUNT,
+    MAX_NAME_CHARS,
+    MAX_SLOTS,
+)
 from wigeonford.errors import Code, RequestRejected
 from wigeonford.messages.object import TargetAnnounce
 from wigeonford.model import Side
 from wigeonford.settings import Address
 
 TOMBSTONE_S: Final = 60.0
+MAX_LEASE_S: Final = 30.0
+_SIDES: Final = frozenset(side.value for side in Side)
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +43,24 @@
         return str(self.address)
 
 
+def check_target_announce(message: TargetAnnounce) -> Iterator[str]:
+    """Yield each reason for which an announced target can't be used."""
+    if not is_target_address(f"{message.host}:{message.port}"):
+        yield "host and port are not an IPv4 address and a port from 1"
+    if not 1 <= len(message.service) <= MAX_NAME_CHARS:
+        yield f"service has not 1 to {MAX_NAME_CHARS} characters"
+    if message.side not in _SIDES:
+        yield "side is unknown"
+    if not 1 <= message.slots <= MAX_SLOTS:
+        yield f"slots is not in the range 1 to {MAX_SLOTS}"
+    if not 0 <= message.sequence <= MAX_COUNT:
+        yield f"sequence is not in the range 0 to {MAX_COUNT}"
+    if not message.lease_s <= MAX_LEASE_S:
+        yield f"lease_s is above {MAX_LEASE_S:g}"
+    if not math.isfinite(message.load):
+        yield "load is not finite"
+
+
 class TargetRegistry:
     """Store targets until their leases expire, by announcement order.
 
@@ -44,7 +72,13 @@
         self._targets: dict[str, Target] = {}
 
     def announce(self, message: TargetAnnounce, now_s: float) -> Target:
-        """Record an announcement; raise `RequestRejected` if outdated."""
+        """Record an announcement.
+
+        Raise `RequestRejected` if it is outdated or can't be used.
+        """
+        faults = "; ".join(check_target_announce(message))
+        if faults:
+            raise RequestRejected(Code.BAD_ARGUMENT, faults)
         address = Address(message.host, message.port)
         held = self._targets.get(str(address))
         if held is not None and message.sequence <= held.sequence:
--- a/src/wigeonford/entry/_targets.py
+++ b/src/wigeonford/entry/_targets.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable, Iterator
-import contextlib
 import time
 from typing import Final
 
@@ -159,8 +158,13 @@
         if self._peers.owner(target_id) != self._peers.name:
             raise PeerError(Code.NOT_OWNER, self._peers.name)
         now_s = time.monotonic()
-        with contextlib.suppress(RequestRejected):
+        try:
             self._registry.announce(announcement, now_s)
+        except RequestRejected as exc:
+            if exc.code is not Code.ANNOUNCEMENT_STALE:
+                self._log.emit(
+                    Event.TARGET_REFUSED, target=target_id, detail=exc.detail
+                )
         target = self._registry.find(target_id)
         if target is not None and not target.leaving:
             self._grants.adopt_target(
--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -215,6 +215,11 @@
         "no leader renews the quota fractions of rates",
         logging.WARNING,
     )
+    PEER_UNUSABLE = _event(
+        537,
+        "left out a control replica or entry VM whose address can't be used",
+        logging.WARNING,
+    )
     PARTS_REGAINED = _event(534, "a leader grants quota fractions of rates")
     FRONT_CLOSED = _event(535, "stopped listening; no requests are in flight")
     LOAN_FAILED = _event(
--- a/src/wigeonford/peer/_frames.py
+++ b/src/wigeonford/peer/_frames.py
@@ -35,6 +35,8 @@
     )
     if not isinstance(frame, list) or len(frame) != 2:
         raise CodecError("a frame must hold a request id and a message")
+    if type(frame[0]) is not int:
+        raise CodecError("the request id of a frame must be a whole number")
     return frame[0], frame[1]
 
 
--- a/src/wigeonford/peer/_link.py
+++ b/src/wigeonford/peer/_link.py
@@ -15,7 +15,11 @@
     Server,
     ServerConnection,
 )
-from websockets.exceptions import ConnectionClosed, InvalidHandshake
+from websockets.exceptions import (
+    ConnectionClosed,
+    InvalidHandshake,
+    InvalidURI,
+)
 from websockets.http11 import Request, Response
 
 from wigeonford._tasks import wait_for_result
@@ -300,7 +304,15 @@
         try:
             async with asyncio.timeout(timeout_s):
                 return await self._ensure_connected()
-        except (OSError, TimeoutError, InvalidHandshake) as exc:
+        except (
+            OSError,
+            TimeoutError,
+            InvalidHandshake,
+            InvalidURI,
+            ValueError,
+            OverflowError,
+        ) as exc:
+            # An impossible host or port is not reported as an OSError.
             raise PeerError(
                 Code.PEER_UNREACHABLE, f"{self.address}: {exc!r}"
             ) from exc
@@ -332,8 +344,12 @@
         try:
             async for data in conn:
                 self._deliver_reply(data)
-        except (ConnectionClosed, CodecError):
+        except ConnectionClosed:
             pass
+        except CodecError as exc:
+            self._log.emit(
+                Event.PEER_REFUSED, peer=str(self.address), detail=exc.detail
+            )
         finally:
             if self._conn is conn:
                 self._conn = None
--- a/src/wigeonford/platform/_settings.py
+++ b/src/wigeonford/platform/_settings.py
@@ -2,13 +2,15 @@
 
 from pathlib import Path
 import tomllib
-from typing import Any, Final
+from typing import Annotated, Any, Final
 
 import msgspec
 
 from wigeonford.errors import Code, Fault, SettingsError
 from wigeonford.settings import (
     Address,
+    is_address,
+    MAX_PORT,
     parse_address,
     RetryBounds,
     SteerControlSettings,
@@ -22,6 +24,11 @@
 DEFAULT_PATH: Final = "/etc/wigeonford/settings.toml"
 
 
+_Time = Annotated[float, msgspec.Meta(ge=0, le=600)]
+_Slack = Annotated[float, msgspec.Meta(ge=0, le=1e6)]
+_Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
+
+
 class _Listen(msgspec.Struct, frozen=True):
     """Addresses to listen at; each role uses some of them."""
 
@@ -41,11 +48,11 @@
 
 
 class _Bounds(msgspec.Struct, frozen=True):
-    drain_s: float = 2.5
-    grace_s: float = 6.0
-    retry_budget_ratio: float = 0.2
-    budget_slack: float = 50.0
-    quota_slack: float = 0.0
+    drain_s: _Time = 2.5
+    grace_s: _Time = 6.0
+    retry_budget_ratio: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.2
+    budget_slack: _Slack = 50.0
+    quota_slack: _Slack = 0.0
 
 
 class PlatformSettings(msgspec.Struct, frozen=True):
@@ -60,7 +67,7 @@
     ip_address: str
     zone: str
     region: str
-    internal_port_range: tuple[int, int]
+    internal_port_range: tuple[_Port, _Port]
     seeds: tuple[str, ...]
     bootstrap: bool = False
     data_directory: str = ""
@@ -77,30 +84,43 @@
 
     @property
     def peer_seeds(self) -> tuple[str, ...]:
-        """Return the peer addresses of the seeds."""
+        """Return the peer addresses of the usable seeds."""
         return tuple(
             str(Address(parse_address(seed).host, self.peer_port))
             for seed in self.seeds
+            if is_address(seed)
         )
 
+    @property
+    def unusable_seeds(self) -> tuple[str, ...]:
+        """Return the seeds that are not endpoints."""
+        return tuple(seed for seed in self.seeds if not is_address(seed))
+
 
 def read_settings(path: Path) -> PlatformSettings:
     """Return the settings in a file; raise `SettingsError`."""
     try:
         document: Any = tomllib.loads(path.read_text())
-        return msgspec.convert(document, PlatformSettings)
-    except (OSError, tomllib.TOMLDecodeError) as exc:
-        fault = Fault(str(path), repr(exc), "a readable TOML file")
-        raise SettingsError(Code.SETTINGS_UNREADABLE, (fault,)) from exc
+        cfg = msgspec.convert(document, PlatformSettings)
     except msgspec.ValidationError as exc:
         fault = Fault(str(path), str(exc), "valid")
         raise SettingsError(Code.SETTINGS_INVALID, (fault,)) from exc
+    except (OSError, ValueError, RecursionError) as exc:
+        fault = Fault(str(path), repr(exc), "a readable TOML file")
+        raise SettingsError(Code.SETTINGS_UNREADABLE, (fault,)) from exc
+    if cfg.seeds and not cfg.peer_seeds:
+        fault = Fault("seeds", repr(cfg.seeds), "endpoints")
+        raise SettingsError(Code.SETTINGS_INVALID, (fault,))
+    return cfg
 
 
 def _listen_address(text: str | None, name: str) -> Address:
     if text is None:
         fault = Fault(f"listen.{name}", "missing", "an address")
         raise SettingsError(Code.SETTINGS_INVALID, (fault,))
+    if not is_address(text):
+        fault = Fault(f"listen.{name}", repr(text), "an address")
+        raise SettingsError(Code.SETTINGS_INVALID, (fault,))
     return parse_address(text)
 
 
@@ -139,7 +159,9 @@
         seeds=cfg.peer_seeds,
         zones=cfg.zones,
         metrics_address=Address(cfg.ip_address, METRICS_PORT),
-        lookup_address=parse_address(directory) if directory else None,
+        lookup_address=_listen_address(directory, "directory")
+        if directory
+        else None,
         rate_slack=cfg.bounds.quota_slack,
         retry_bounds=RetryBounds(
             cfg.bounds.retry_budget_ratio, cfg.bounds.budget_slack
--- a/src/wigeonford/platform/_settings_file.py
+++ b/src/wigeonford/platform/_settings_file.py
@@ -21,6 +21,7 @@
         self._log = log
         self._content = path.read_bytes()
         self.current = read_settings(path)
+        self._log_unusable_seeds()
 
     def seeds(self) -> tuple[str, ...]:
         """Return the peer addresses of the current seeds."""
@@ -40,6 +41,11 @@
         self._log.emit(
             Event.SETTINGS_RELOADED, seeds=list(self.current.peer_seeds)
         )
+        self._log_unusable_seeds()
+
+    def _log_unusable_seeds(self) -> None:
+        for seed in self.current.unusable_seeds:
+            self._log.emit(Event.PEER_UNUSABLE, address=repr(seed))
 
     async def watch(self) -> None:
         """Reload the file at SIGHUP and every `RELOAD_INTERVAL_S`."""
--- a/src/wigeonford/settings/__init__.py
+++ b/src/wigeonford/settings/__init__.py
@@ -6,6 +6,8 @@
     ControlMember,
     ControlSettings,
     EntrySettings,
+    is_address,
+    MAX_PORT,
     OperatorSettings,
     parse_address,
     Secrets,
@@ -36,6 +38,8 @@
     "decode",
     "load",
     "matching",
+    "is_address",
+    "MAX_PORT",
     "parse_address",
     "read_jsonc",
 ]
--- a/src/wigeonford/settings/_daemons.py
+++ b/src/wigeonford/settings/_daemons.py
@@ -33,6 +33,15 @@
     return Address(host, int(port))
 
 
+def is_address(text: str) -> bool:
+    """Return whether a text is an endpoint `host:port`."""
+    try:
+        parse_address(text)
+    except ValueError:
+        return False
+    return True
+
+
 @dataclass(frozen=True, slots=True)
 class Secrets:
     """Secrets shared by all VMs, each of 16 to 256 characters.
--- a/src/wigeonford/steer/_control_group.py
+++ b/src/wigeonford/steer/_control_group.py
@@ -9,6 +9,7 @@
     EntryStatus,
     ViewNotice,
 )
+from wigeonford.settings import is_address
 
 ROSTER_SOURCES: Final = 2
 """Replicas from which a VM gets rosters. Each receives the status of every
@@ -42,11 +43,17 @@
 
     def __init__(self) -> None:
         self.members: frozenset[str] = frozenset()
+        self._stated_members: frozenset[str] = frozenset()
         self.control_digest = 0
         self.leader: str | None = None
         self.leader_term = 0
         self._states: dict[str, _ReplicaState] = {}
 
+    @property
+    def unusable_members(self) -> frozenset[str]:
+        """Return the stated addresses that are not endpoints."""
+        return self._stated_members - self.members
+
     @property
     def connected(self) -> frozenset[str]:
         """Return the addresses of the connected replicas."""
@@ -83,15 +90,18 @@
         """Apply the leader of a notice; return whether it is a new one."""
         if notice.leader is None or notice.term <= self.leader_term:
             return False
+        if not is_address(notice.leader):
+            return False
         self.leader, self.leader_term = notice.leader, notice.term
         return True
 
     def update_members(self, notice: ViewNotice) -> bool:
         """Apply a notice's replica addresses; return whether they changed."""
-        if not notice.control or set(notice.control) == self.members:
+        if not notice.control or set(notice.control) == self._stated_members:
             return False
-        self.members = frozenset(notice.control)
-        self.control_digest = control_digest(self.members)
+        self._stated_members = frozenset(notice.control)
+        self.control_digest = control_digest(self._stated_members)
+        self.members = frozenset(filter(is_address, self._stated_members))
         return True
 
     def mark_disconnected(self, address: str) -> bool:
--- a/src/wigeonford/steer/_follower.py
+++ b/src/wigeonford/steer/_follower.py
@@ -1,7 +1,7 @@
 """Follow the control replicas: watch all, stream updates from the nearest."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 import random
 import time
 from typing import Final
@@ -271,12 +271,16 @@
             self._log.emit(Event.CONTROL_REGAINED, control=address)
         self._group.record_reported(address, sequence)
         if roster_wanted:
-            self.roster.apply(address, notice.roster, time.monotonic())
+            self._log_unusable(
+                address,
+                self.roster.apply(address, notice.roster, time.monotonic()),
+            )
         self._suspects.merge(notice.suspicions, time.monotonic())
         if self._group.update_leader(notice):
             self.leader_changed.set()
         if self._group.update_members(notice):
             self._members_changed.set()
+            self._log_unusable(address, self._group.unusable_members)
         if notice.revision > self._builder.revision:
             if self._update_noticed_at_s is None:
                 self._update_noticed_at_s = time.monotonic()
@@ -284,6 +288,12 @@
         if self.view is None:
             self._publish_view()
 
+    def _log_unusable(self, address: str, unusable: Iterable[str]) -> None:
+        for stated in unusable:
+            self._log.emit(
+                Event.PEER_UNUSABLE, address=repr(stated), control=address
+            )
+
     def _handle_disconnect(
         self, address: str, exc_group: ExceptionGroup[PeerError]
     ) -> bool:
--- a/src/wigeonford/steer/_view.py
+++ b/src/wigeonford/steer/_view.py
@@ -18,6 +18,7 @@
     Service,
 )
 from wigeonford.messages.steering import EntryStatus, RosterChange, ViewUpdate
+from wigeonford.settings import is_address
 
 
 class View(msgspec.Struct, frozen=True):
@@ -187,20 +188,30 @@
 
     def apply(
         self, replica: str, change: RosterChange | None, now_s: float
-    ) -> None:
-        """Apply a replica's roster change; None if nothing has changed."""
+    ) -> list[str]:
+        """Apply a replica's roster change; None if nothing has changed.
+
+        Return the addresses of entry VMs that are left out because callers
+        can't connect to them.
+        """
         self._received_at_s[replica] = now_s
         if change is None:
-            return
+            return []
         if change.is_full:
             self._rosters[replica] = {}
         entries = self._rosters.setdefault(replica, {})
         for name in change.stopped_names:
             entries.pop(name, None)
+        unusable: list[str] = []
         for status in change.running_entries:
-            entries[status.name] = status
+            if is_address(status.address):
+                entries[status.name] = status
+            else:
+                entries.pop(status.name, None)
+                unusable.append(status.address)
         self._positions[replica] = (change.epoch, change.revision)
         self._merged_until_s = float("-inf")
+        return unusable
 
     def entries(self, now_s: float) -> dict[str, EntryStatus]:
         """Return the entry VMs that run, by name."""
