Bound the numbers that targets, operators and peers state

What was seen: one target that stated a load of 10^17 made its region look full (utilization 10^15 among 50 idle targets), so that the others' requests went elsewhere; a Retry-After of 10^300 paused a target for good. A configuration took numbers of 400 digits and 10^308: sums of weights became infinite, and a number beyond 64 bits can't be encoded again, which fails the operators' GET. A limit or quota fraction of a peer that is no number, infinite or 400 digits long raised, or spread to the sums over all holders. The settings' decoder raised on a whole number that no float holds.

Now the load that a response states counts up to 16 per slot, a pause lasts 600 s at most and is a plain decimal, and documents refuse numbers above 10^12 where they are decoded, not where the log is applied, so that all builds apply old entries alike.

--- a/src/wigeonford/_compose_steer_control.py
+++ b/src/wigeonford/_compose_steer_control.py
@@ -141,7 +141,7 @@
             epoch=secrets.randbits(EPOCH_BITS),
         ),
         targets,
-        LimitService(),
+        LimitService(log=log),
         QuotaService(replica, log),
         group,
     )
--- a/src/wigeonford/control/_limit_service.py
+++ b/src/wigeonford/control/_limit_service.py
@@ -2,9 +2,12 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
+import itertools
 import time
 from typing import Final
 
+from wigeonford.deployment import MAX_NAME_CHARS
+from wigeonford.events import Event, EventLog
 from wigeonford.messages.steering import (
     FollowTargetLimits,
     ReportTargetLimits,
@@ -14,6 +17,7 @@
 from wigeonford.stated_limits import (
     decode_limit,
     encode_limit,
+    is_usable,
     StatedLimits,
 )
 
@@ -29,8 +33,13 @@
     state is in memory: entry VMs report again to a replica that has restarted.
     """
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float] = time.monotonic,
+        log: EventLog | None = None,
+    ) -> None:
         self._clock = clock
+        self._log = log or EventLog()
         self._limits = StatedLimits()
         self._reported = asyncio.Event()
 
@@ -47,9 +56,15 @@
 
     async def _on_report(self, message: ReportTargetLimits) -> Done:
         now_s = self._clock()
+        for stated in itertools.filterfalse(is_usable, message.limits):
+            self._log.emit(
+                Event.TARGET_LIMIT_UNREADABLE,
+                target=stated.target_id[:MAX_NAME_CHARS],
+                stated=repr(stated.per_s),
+            )
         changes = [
             self._limits.merge(decode_limit(limit, now_s), now_s)
-            for limit in message.limits
+            for limit in filter(is_usable, message.limits)
         ]
         if any(changes):
             self._reported.set()
--- a/src/wigeonford/control/_quota_service.py
+++ b/src/wigeonford/control/_quota_service.py
@@ -267,8 +267,8 @@
             LeaseRequest(
                 _holder_id(message.entry_name, message.incarnation),
                 request.number,
-                request.held,
-                request.wanted,
+                _clamp_fraction(request.held),
+                _clamp_fraction(request.wanted),
             ),
             now_s,
         )
@@ -297,5 +297,10 @@
         return grantor
 
 
+def _clamp_fraction(stated: float) -> float:
+    """Return a fraction from 0 to 1; NaN counts as 0."""
+    return min(1.0, max(0.0, stated))
+
+
 def _holder_id(entry_name: str, incarnation: str) -> str:
     return f"{entry_name}/{incarnation}"
--- a/src/wigeonford/platform/_documents.py
+++ b/src/wigeonford/platform/_documents.py
@@ -5,7 +5,7 @@
 
 from collections.abc import Iterable, Iterator
 import re
-from typing import Any, Final, TypeVar
+from typing import Annotated, Any, Final, TypeVar
 
 import msgspec
 
@@ -24,6 +24,13 @@
 
 _VERSION: Final = re.compile(r"[0-9a-fA-F]{1,8}")
 
+MAX_NUMBER: Final = 10**12
+"""Largest amount of any number in a document. Sums of weights and products
+with rates stay finite, and documents can be encoded again."""
+
+_Count = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+_Number = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+
 
 class DocumentInvalid(Exception):
     """Report a configuration document that is invalid or incomplete."""
@@ -31,7 +38,7 @@
 
 class _Split(msgspec.Struct, frozen=True):
     service: str
-    weight: float
+    weight: _Number
 
 
 class _Path(msgspec.Struct, frozen=True, kw_only=True):
@@ -44,10 +51,10 @@
     name: str
     path_prefix: str
     kind: RouteKind
-    timeout_s: float
-    target_latency_s: float
-    attempts: int = 1
-    priority: int = 0
+    timeout_s: _Number
+    target_latency_s: _Number
+    attempts: _Count = 1
+    priority: _Count = 0
     anonymous_access: bool = False
     cache_affinity: bool = False
     home_regions: tuple[str, ...] = ()
@@ -63,11 +70,11 @@
 class _Service(msgspec.Struct, frozen=True):
     name: str
     health_check_path: str = "/health"
-    connection_limit: int = 0
+    connection_limit: _Count = 0
     protocol: str = "h1"
     tls: bool = False
-    cold_start_s: float = 0.0
-    cold_per_s: float = 0.0
+    cold_start_s: _Number = 0.0
+    cold_per_s: _Number = 0.0
 
 
 class _Tenant(msgspec.Struct, frozen=True):
@@ -75,17 +82,17 @@
 
     name: str
     api_keys: tuple[str, ...] = ()
-    priority: int = 0
-    requests_per_s: float = 0.0
-    burst: float = 0.0
+    priority: _Count = 0
+    requests_per_s: _Number = 0.0
+    burst: _Number = 0.0
     home_regions: tuple[str, ...] = ()
 
 
 class _Limits(msgspec.Struct, frozen=True):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
+    max_header_bytes: _Count
+    max_body_bytes: _Count
+    header_timeout_s: _Number
+    idle_timeout_s: _Number
 
 
 class _Configuration(msgspec.Struct, frozen=True):
--- a/src/wigeonford/platform/_front.py
+++ b/src/wigeonford/platform/_front.py
@@ -1,6 +1,5 @@
 """The platform's HTTP interface to callers and targets on entry VMs."""
 
-import math
 import re
 import time
 from typing import Final
@@ -46,10 +45,12 @@
 _DRAINING: Final = b"server-leaving"
 # Pause in seconds that a target requests from this VM with status 503.
 _RETRY_AFTER: Final = b"retry-after"
+MAX_PAUSE_S: Final = 600.0
+"""Longest pause that a target is granted; after it, a request asks again."""
 # Requests per second that a target accepts from all entry VMs together.
 _LIMIT: Final = b"server-limit"
 # At most a billion; a decimal number has no sign, exponent or other digits.
-_LIMIT_VALUE: Final = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?")
+_DECIMAL: Final = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 # Larger counts would exceed a float or the digits that int() accepts.
 _COUNT: Final = re.compile(r"[0-9]{1,18}")
 
@@ -142,12 +143,11 @@
 
 
 def _decode_retry_after(text: str | None) -> float:
-    """Return a pause in seconds; 0 if it is missing or not positive."""
-    try:
-        pause_s = float(text or "0")
-    except ValueError:
+    """Return a pause in seconds, 0 if it is missing or not a number."""
+    stated = (text or "").strip()
+    if not _DECIMAL.fullmatch(stated):
         return 0.0
-    return pause_s if 0 < pause_s < math.inf else 0.0
+    return min(float(stated), MAX_PAUSE_S)
 
 
 def _decode_limit(response: Response) -> tuple[float | None, str | None]:
@@ -158,8 +158,8 @@
         if name == _LIMIT
         for text in value.decode("latin-1").split(",")
     ]
-    limits = [float(text) for text in texts if _LIMIT_VALUE.fullmatch(text)]
-    unreadable = (text for text in texts if not _LIMIT_VALUE.fullmatch(text))
+    limits = [float(text) for text in texts if _DECIMAL.fullmatch(text)]
+    unreadable = (text for text in texts if not _DECIMAL.fullmatch(text))
     return min(limits, default=None), next(unreadable, None)
 
 
--- a/src/wigeonford/settings/_decode.py
+++ b/src/wigeonford/settings/_decode.py
@@ -4,7 +4,9 @@
 import dataclasses
 from dataclasses import dataclass
 from enum import Enum
+import math
 from pathlib import Path
+import sys
 import types
 import typing
 from typing import Any, Final, TypeVar
@@ -14,6 +16,7 @@
 T = TypeVar("T")
 
 _MAX_VALUE_CHARS: Final = 60
+_MAX_FLOAT: Final = int(sys.float_info.max)
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,7 +168,10 @@
         if hint is Path and isinstance(data, str):
             return Path(data)
         if hint is float and type(data) is int:
-            return float(data)
+            data = float(data) if abs(data) <= _MAX_FLOAT else math.inf
+        if isinstance(data, float) and not math.isfinite(data):
+            self.add_fault(path, data, "a finite number")
+            return None
         if type(data) is not hint:
             self.add_fault(path, data, _describe(hint))
             return None
--- a/src/wigeonford/settings/_files.py
+++ b/src/wigeonford/settings/_files.py
@@ -15,7 +15,7 @@
     """Return a file's document; raise `SettingsError` if unreadable."""
     try:
         document: object = jsonc.loads(path.read_text(encoding="utf-8"))
-    except (OSError, ValueError) as exc:
+    except (OSError, ValueError, RecursionError) as exc:
         fault = Fault(str(path), str(exc), "JSON with comments")
         raise SettingsError(Code.SETTINGS_UNREADABLE, (fault,)) from exc
     return document
--- a/src/wigeonford/stated_limits.py
+++ b/src/wigeonford/stated_limits.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from wigeonford.deployment import MAX_COUNT
 from wigeonford.messages.steering import TargetLimit
 
 MAX_STATED_LIMITS: Final = 4096
@@ -19,6 +20,9 @@
 """How long an observation is kept for entry VMs that start. Limits that are
 in force are observed again every few seconds."""
 
+MAX_LIMIT_PER_S: Final = 1e9
+MAX_AGE_MS: Final = 10**12
+
 
 class StatedLimit(msgspec.Struct, frozen=True):
     """Hold what an incarnation of a target last stated.
@@ -49,8 +53,17 @@
     )
 
 
+def is_usable(message: TargetLimit) -> bool:
+    """Return whether the numbers of a message are in their ranges."""
+    return (
+        0 <= message.born_ms <= MAX_COUNT
+        and 0 <= message.age_ms <= MAX_AGE_MS
+        and (message.per_s is None or 0 <= message.per_s <= MAX_LIMIT_PER_S)
+    )
+
+
 def decode_limit(message: TargetLimit, now_s: float) -> StatedLimit:
-    """Return the observation of a message that has just arrived."""
+    """Return the observation of a usable message that has just arrived."""
     return StatedLimit(
         message.target_id,
         message.born_ms,
--- a/src/wigeonford/steer/_limit_exchange.py
+++ b/src/wigeonford/steer/_limit_exchange.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from collections.abc import Callable
+import itertools
 import time
 from typing import Final
 
+from wigeonford.deployment import MAX_NAME_CHARS
 from wigeonford.events import Event, EventLog
 from wigeonford.messages.steering import (
     FollowTargetLimits,
@@ -12,6 +14,7 @@
     TargetLimitsUpdate,
 )
 from wigeonford.peer import PeerClient
+from wigeonford.stated_limits import is_usable
 from wigeonford.steer._target_limits import TargetLimits
 
 EXCHANGE_TIMEOUT_S: Final = 2.4
@@ -63,6 +66,12 @@
             FollowTargetLimits(), EXCHANGE_TIMEOUT_S
         ):
             assert isinstance(update, TargetLimitsUpdate), "stream of limits"
+            for stated in itertools.filterfalse(is_usable, update.limits):
+                self._log.emit(
+                    Event.TARGET_LIMIT_UNREADABLE,
+                    target=stated.target_id[:MAX_NAME_CHARS],
+                    stated=repr(stated.per_s),
+                )
             for limit in self._limits.merge(update.limits, time.monotonic()):
                 self._log.emit(
                     Event.TARGET_LIMIT_TOLD,
--- a/src/wigeonford/steer/_rates.py
+++ b/src/wigeonford/steer/_rates.py
@@ -167,4 +167,5 @@
         """Apply the leader's grant."""
         meter = self._meters.get(grant.account)
         if meter is not None:
-            meter.holder.accept(LeaseGrant(grant.number, grant.fraction))
+            fraction = min(1.0, max(0.0, grant.fraction))
+            meter.holder.accept(LeaseGrant(grant.number, fraction))
--- a/src/wigeonford/steer/_target_limits.py
+++ b/src/wigeonford/steer/_target_limits.py
@@ -17,6 +17,7 @@
 from wigeonford.stated_limits import (
     decode_limit,
     encode_limit,
+    is_usable,
     MAX_STATED_LIMITS,
     StatedLimit,
 )
@@ -159,7 +160,7 @@
     ) -> list[StatedLimit]:
         """Apply what other entry VMs observed; return the changed limits."""
         changed: list[StatedLimit] = []
-        for report in reports:
+        for report in filter(is_usable, reports):
             limit = decode_limit(report, now_s)
             known_per_s = self._limited.get(limit.target_id)
             state = self._apply(limit, now_s)
--- a/src/wigeonford/steer/_target_records.py
+++ b/src/wigeonford/steer/_target_records.py
@@ -17,6 +17,9 @@
 REPORTED_LOAD_HALF_LIFE_S: Final = 1.5
 """Half-life of the reported load that other entry VMs cause; a few times the
 duration of a request."""
+MAX_REPORTED_LOAD_PER_SLOT: Final = 16.0
+"""Reported load that counts, per slot. A queue is a few times as long as the
+slots; more would make the other targets of the domain look busy."""
 FAILURE_SMOOTHING: Final = 0.8
 """Weight of the previous value in the moving average of failures."""
 FAILING_RATIO: Final = 0.35
@@ -103,7 +106,10 @@
 
     def record_load(self, running: int, waiting: int, now_s: float) -> None:
         """Record the load that a response reports."""
-        self.other_load = max(0.0, running + waiting - self.in_flight)
+        self.other_load = min(
+            max(0.0, running + waiting - self.in_flight),
+            MAX_REPORTED_LOAD_PER_SLOT * self.announced.slots,
+        )
         self.load_reported_at_s = now_s
 
     def is_down(self, now_s: float) -> bool:
