--- a/src/wigeonford/steer/_follower.py
+++ b/src/wigeonford/steer/_follower.py
@@ -1,7 +1,7 @@
 """Follow the control replicas: watch all, stream updates from the nearest."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 import random
 import time
 from typing import Final
@@ -271,12 +271,16 @@
             self._log.emit(Event.CONTROL_REGAINED, control=address)
         self._group.record_reported(address, sequence)
         if roster_wanted:
-            self.roster.apply(address, notice.roster, time.monotonic())
+            self._log_unusable(
+                address,
+                self.roster.apply(address, notice.roster, time.monotonic()),
+            )
         self._suspects.merge(notice.suspicions, time.monotonic())
         if self._group.update_leader(notice):
             self.leader_changed.set()
         if self._group.update_members(notice):
             self._members_changed.set()
+            self._log_unusable(address, self._group.unusable_members)
         if notice.revision > self._builder.revision:
             if self._update_noticed_at_s is None:
                 self._update_noticed_at_s = time.monotonic()
@@ -284,6 +288,12 @@
         if self.view is None:
             self._publish_view()
 
+    def _log_unusable(self, address: str, unusable: Iterable[str]) -> None:
+        for stated in unusable:
+            self._log.emit(
+                Event.PEER_UNUSABLE, address=repr(stated), control=address
+            )
+
     def _handle_disconnect(
         self, address: str, exc_group: ExceptionGroup[PeerError]
     ) -> bool:
@@ -335,6 +345,13 @@
             return
         self._view_applied.set()
         self._view_applied = asyncio.Event()
+        for target_id, faults in self._builder.take_unusable().items():
+            self._log.emit(
+                Event.TARGET_UNUSABLE,
+                target=target_id,
+                detail=faults,
+                control=address,
+            )
         waited_s = 0.0
         if self._update_noticed_at_s is not None:
             waited_s = time.monotonic() - self._update_noticed_at_s
@@ -366,7 +383,16 @@
         self.view = view
         self.view_applied_at_s = time.monotonic()
         for listener in self._listeners:
-            listener(view)
+            try:
+                listener(view)
+            except Exception as exc:
+                # A view is passed on once; the other listeners need it.
+                self._log.emit(
+                    Event.TASK_FAILED,
+                    revision=view.revision,
+                    detail=repr(exc),
+                    exc_info=exc,
+                )
 
     def _is_confirmed(self) -> bool:
         """Return whether most replicas have replied, and none has newer data.
--- a/src/wigeonford/steer/_view.py
+++ b/src/wigeonford/steer/_view.py
@@ -9,13 +9,16 @@
     Account,
     Announcement,
     apply_patch,
+    check_announcement,
     Deployment,
     KeyTable,
+    MAX_NAME_CHARS,
     Route,
     RouteTable,
     Service,
 )
 from wigeonford.messages.steering import EntryStatus, RosterChange, ViewUpdate
+from wigeonford.settings import is_address
 
 
 class View(msgspec.Struct, frozen=True):
@@ -61,6 +64,7 @@
     _targets: set[str] = msgspec.field(default_factory=set)
     _changed: dict[str, Announcement] = msgspec.field(default_factory=dict)
     _removed: set[str] = msgspec.field(default_factory=set)
+    _unusable: dict[str, str] = msgspec.field(default_factory=dict)
 
     @property
     def version(self) -> int:
@@ -76,13 +80,13 @@
         """Apply an update; return whether it is newer and was applicable.
 
         An update that leaves a gap in the revisions is not applicable, nor is
-        a patch of a deployment that was replaced meanwhile.
+        a patch of a deployment that was replaced meanwhile or never arrived.
         """
         if not update.since <= self.revision < update.revision:
             return False
-        if (
-            update.patch is not None
-            and update.since < self._deployment_revision
+        if update.patch is not None and (
+            self._deployment is None
+            or update.since < self._deployment_revision
         ):
             return False
         self.revision = update.revision
@@ -101,13 +105,29 @@
     def _apply_targets(self, update: ViewUpdate) -> None:
         """Collect target changes until the next build; the last one counts."""
         for target_id in update.removed:
-            self._targets.discard(target_id)
-            self._changed.pop(target_id, None)
-            self._removed.add(target_id)
+            self._remove(target_id)
         for announced in update.targets:
+            faults = "; ".join(check_announcement(announced))
+            if faults:
+                self._leave_out(announced.target_id, faults)
+                continue
             self._targets.add(announced.target_id)
             self._changed[announced.target_id] = announced
 
+    def _remove(self, target_id: str) -> None:
+        self._targets.discard(target_id)
+        self._changed.pop(target_id, None)
+        self._removed.add(target_id)
+
+    def _leave_out(self, target_id: str, faults: str) -> None:
+        self._remove(target_id)
+        self._unusable[target_id[:MAX_NAME_CHARS]] = faults
+
+    def take_unusable(self) -> dict[str, str]:
+        """Return the faults of targets left out since the last call, by id."""
+        unusable, self._unusable = self._unusable, {}
+        return unusable
+
     def _set_deployment(self, deployment: Deployment) -> None:
         self._deployment_revision = self.revision
         self._deployment = deployment
@@ -168,20 +188,30 @@
 
     def apply(
         self, replica: str, change: RosterChange | None, now_s: float
-    ) -> None:
-        """Apply a replica's roster change; None if nothing has changed."""
+    ) -> list[str]:
+        """Apply a replica's roster change; None if nothing has changed.
+
+        Return the addresses of entry VMs that are left out because callers
+        can't connect to them.
+        """
         self._received_at_s[replica] = now_s
         if change is None:
-            return
+            return []
         if change.is_full:
             self._rosters[replica] = {}
         entries = self._rosters.setdefault(replica, {})
         for name in change.stopped_names:
             entries.pop(name, None)
+        unusable: list[str] = []
         for status in change.running_entries:
-            entries[status.name] = status
+            if is_address(status.address):
+                entries[status.name] = status
+            else:
+                entries.pop(status.name, None)
+                unusable.append(status.address)
         self._positions[replica] = (change.epoch, change.revision)
         self._merged_until_s = float("-inf")
+        return unusable
 
     def entries(self, now_s: float) -> dict[str, EntryStatus]:
         """Return the entry VMs that run, by name."""
