test fails: disks that are full in turn end all changes

Five replicas in virtual time, each disk full for 2 s, one after another. From the third on no change is acknowledged, and no replica takes part again once its disk has room. A replica does not start on a full disk.

--- /dev/null
+++ b/tests/test_full_disk.py
@@ -0,0 +1,349 @@
+"""Replicas whose disks take part of a write and then no more."""
+
+import asyncio
+import errno
+from pathlib import Path
+import random
+import tempfile
+from typing import Any, cast
+import unittest
+from unittest import mock
+
+from tests.virtual_time import run_virtual
+from wigeonford.control import (
+    LogEntry,
+    LogFileStore,
+    RaftReplica,
+    Snapshot,
+    StorageError,
+)
+from wigeonford.control._commands import COMMANDS, ExpireMember
+from wigeonford.control._log_file import write_all
+from wigeonford.control._raft_disk import RaftDisk
+from wigeonford.errors import Code, PeerError, WigeonfordError
+from wigeonford.events import EventLog
+from wigeonford.peer import NotLeaderError, PeerClient, PeerServer
+from wigeonford.settings import (
+    Address,
+    ControlMember,
+    ControlSettings,
+    Secrets,
+)
+
+SECRETS = Secrets("p" * 16, "k" * 16, "o" * 16, "t" * 16)
+NAMES = ("one", "two", "three", "four", "five")
+LINK_DELAY_S = 0.003
+FULL_S = 2.0
+CHANGE_INTERVAL_S = 0.1
+
+
+def entry(position: int, term: int = 1) -> LogEntry:
+    return LogEntry(position, term, b"content-%d" % position)
+
+
+class FullDiskStore(LogFileStore):
+    """Take only `room_bytes` more bytes; None stands for enough."""
+
+    room_bytes: int | None = None
+
+    def write_frame(self, file: int, frame: bytes) -> None:
+        """Write what there is room for, then fail."""
+        if self.room_bytes is None or self.room_bytes >= len(frame):
+            super().write_frame(file, frame)
+            return
+        write_all(file, frame[: self.room_bytes])
+        raise OSError(errno.ENOSPC, "no space left on device")
+
+
+class PartialWriteTest(unittest.TestCase):
+    """Fail a write of the log file at each byte."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def frame_size(self) -> int:
+        store = LogFileStore(self.folder / "size")
+        store.append([entry(2)], None, {"a": b"2"})
+        store.close()
+        return (self.folder / "size" / "control.log").stat().st_size
+
+    def test_a_write_cut_at_any_byte_is_made_again(self) -> None:
+        for room_bytes in range(self.frame_size()):
+            with self.subTest(room_bytes=room_bytes):
+                folder = self.folder / str(room_bytes)
+                store = FullDiskStore(folder)
+                store.append([entry(1)], None, {"a": b"1"})
+                store.room_bytes = room_bytes
+                with self.assertRaises(StorageError):
+                    store.append([entry(2)], None, {"a": b"2"})
+                self.assertEqual(store.read_log(), [entry(1)])
+                self.assertEqual(store.read_meta("a"), b"1")
+                store.room_bytes = None
+                store.append([entry(2, 2)], None, {"a": b"3"})
+                store.append([entry(3, 2)])
+                store.close()
+                again = LogFileStore(folder)
+                self.assertEqual(
+                    again.read_log(), [entry(1), entry(2, 2), entry(3, 2)]
+                )
+                self.assertEqual(again.read_meta("a"), b"3")
+                self.assertEqual(again.dropped_bytes, 0)
+                again.close()
+
+    def test_a_snapshot_cut_at_any_byte_leaves_the_log(self) -> None:
+        for room_bytes in range(60):
+            with self.subTest(room_bytes=room_bytes):
+                folder = self.folder / str(room_bytes)
+                store = FullDiskStore(folder)
+                store.append([entry(1), entry(2)])
+                store.room_bytes = room_bytes
+                with self.assertRaises(StorageError):
+                    store.save_snapshot(Snapshot(1, 1, b"s" * 60))
+                self.assertEqual(
+                    sorted(path.name for path in folder.iterdir()),
+                    ["control.log"],
+                )
+                store.room_bytes = None
+                store.append([entry(3)])
+                store.save_snapshot(Snapshot(2, 1, b"s" * 60))
+                self.assertEqual(store.read_log(), [entry(3)])
+                store.close()
+
+
+class Network:
+    """Deliver messages between replicas of one process."""
+
+    def __init__(self) -> None:
+        self.servers: dict[Address, PeerServer] = {}
+
+    async def deliver(self, address: Address, record: Any) -> Any:
+        """Return the reply of the replica at an address."""
+        await asyncio.sleep(LINK_DELAY_S)
+        server = self.servers.get(address)
+        if server is None:
+            raise PeerError(Code.PEER_UNREACHABLE, "unreachable")
+        try:
+            return await server._handlers[type(record)](record)
+        except NotLeaderError:
+            raise
+        except WigeonfordError as exc:
+            raise PeerError(exc.code, exc.detail) from exc
+
+
+class StandInClient:
+    """Stand in for a client that is connected through the network."""
+
+    def __init__(self, network: Network, address: Address) -> None:
+        self._network = network
+        self._address = address
+
+    async def open(self, _timeout_s: float) -> None:
+        """Return: there is nothing to open."""
+
+    async def close(self) -> None:
+        """Return: there is nothing to close."""
+
+    async def request(self, record: Any, timeout_s: float) -> Any:
+        """Return the reply, or raise as `PeerClient` does."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._network.deliver(self._address, record)
+        except TimeoutError as exc:
+            raise PeerError(Code.PEER_TIMEOUT) from exc
+
+
+class Group:
+    """Run five replicas, each with a disk that can be full."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._network = Network()
+        self._members = tuple(
+            ControlMember(name, "region", Address("h", number))
+            for number, name in enumerate(NAMES, 1)
+        )
+        self.stores: dict[str, FullDiskStore] = {}
+        self.replicas: dict[str, RaftReplica] = {}
+        self.change_count = 0
+        self.acked: list[bytes] = []
+
+    async def start(self, name: str, room_bytes: int | None = None) -> None:
+        """Start a replica with its data folder."""
+        number = NAMES.index(name)
+        address = self._members[number].peer_address
+        cfg = ControlSettings(
+            name, "region", self._folder / name, SECRETS, members=self._members
+        )
+        store = FullDiskStore(cfg.data_folder)
+        store.room_bytes = room_bytes
+        replica = RaftReplica(
+            cfg,
+            store,
+            lambda to: cast(PeerClient, StandInClient(self._network, to)),
+            EventLog(),
+            asyncio.get_running_loop().time,
+        )
+        replica._rng = cast(random.SystemRandom, random.Random(number))
+        server = PeerServer(SECRETS.peer, EventLog())
+        replica.attach(server)
+        await replica.start()
+        self._network.servers[address] = server
+        self.stores[name] = store
+        self.replicas[name] = replica
+
+    async def stop(self, name: str) -> None:
+        """Stop a replica."""
+        address = self._members[NAMES.index(name)].peer_address
+        del self._network.servers[address]
+        await self.replicas.pop(name).stop()
+
+    async def until_led(self, *without: str) -> str:
+        """Return the leader's name once a replica leads."""
+        async with asyncio.timeout(20.0):
+            while True:
+                for name, replica in self.replicas.items():
+                    if replica.is_leader and name not in without:
+                        return name
+                await asyncio.sleep(0.01)
+
+    async def change(self, name: str) -> bool:
+        """Propose a change; return whether it was acknowledged."""
+        self.change_count += 1
+        record = ExpireMember("vm", self.change_count)
+        try:
+            await self.replicas[name].propose(record)
+        except WigeonfordError:
+            return False
+        self.acked.append(COMMANDS.encode(record))
+        return True
+
+    async def change_for(self, seconds: float) -> int:
+        """Make changes at all replicas; return how many were acknowledged."""
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + seconds
+        changes: list[asyncio.Task[bool]] = []
+        while loop.time() < until_s:
+            name = NAMES[len(changes) % len(NAMES)]
+            changes.append(asyncio.create_task(self.change(name)))
+            await asyncio.sleep(CHANGE_INTERVAL_S)
+        return sum(await asyncio.gather(*changes))
+
+    async def until_equal(self) -> list[bytes]:
+        """Return the stored commands once all replicas store the same."""
+        async with asyncio.timeout(20.0):
+            while True:
+                logs = [store.read_log() for store in self.stores.values()]
+                positions = {
+                    replica.describe().commit_position
+                    for replica in self.replicas.values()
+                }
+                if all(log == logs[0] for log in logs) and positions == {
+                    len(logs[0])
+                }:
+                    return [held.content for held in logs[0]]
+                await asyncio.sleep(0.05)
+
+
+async def _run_inline(_self: RaftDisk, function: Any, *args: Any) -> Any:
+    return function(*args)
+
+
+class FullDiskTest(unittest.TestCase):
+    """Run five replicas in virtual time while disks are full."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.group = Group(Path(folder.name))
+        inline = mock.patch.object(RaftDisk, "_call", _run_inline)
+        inline.start()
+        self.addCleanup(inline.stop)
+
+    async def start_all(self) -> str:
+        for name in NAMES:
+            await self.group.start(name)
+        return await self.group.until_led()
+
+    async def stop_all(self) -> None:
+        for name in list(self.group.replicas):
+            await self.group.stop(name)
+
+    async def assert_all_take_part(self) -> None:
+        for name in NAMES:
+            self.assertIsNone(self.group.replicas[name].failure, name)
+            self.assertTrue(await self.group.change(name), name)
+        stored = await self.group.until_equal()
+        for content in self.group.acked:
+            self.assertEqual(stored.count(content), 1, content)
+
+    def test_changes_go_on_while_disks_are_full_in_turn(self) -> None:
+        async def run() -> None:
+            await self.start_all()
+            for name in NAMES:
+                with self.subTest(name=name):
+                    self.group.stores[name].room_bytes = 7
+                    acked_count = await self.group.change_for(FULL_S)
+                    self.group.stores[name].room_bytes = None
+                    self.assertGreater(acked_count, 0)
+            await asyncio.sleep(FULL_S)
+            await self.assert_all_take_part()
+            await self.stop_all()
+
+        run_virtual(run())
+
+    def test_a_full_leader_hands_over_and_passes_changes_on(self) -> None:
+        async def run() -> None:
+            leader = await self.start_all()
+            self.group.stores[leader].room_bytes = 7
+            loop = asyncio.get_running_loop()
+            started_s = loop.time()
+            self.assertTrue(await self.group.change(leader))
+            self.assertLess(loop.time() - started_s, 4.0)
+            other = await self.group.until_led(leader)
+            self.assertNotEqual(other, leader)
+            self.assertFalse(self.group.replicas[leader].is_leader)
+            self.assertTrue(await self.group.change(leader))
+            self.assertIsNotNone(self.group.replicas[leader].failure)
+            self.group.stores[leader].room_bytes = None
+            await asyncio.sleep(FULL_S)
+            await self.assert_all_take_part()
+            await self.stop_all()
+
+        run_virtual(run())
+
+    def test_a_replica_starts_on_a_full_disk(self) -> None:
+        async def run() -> None:
+            await self.start_all()
+            await self.group.change("one")
+            stored = await self.group.until_equal()
+            for name in NAMES:
+                with self.subTest(name=name):
+                    await self.group.stop(name)
+                    await self.group.start(name, room_bytes=0)
+                    self.assertTrue(await self.group.change(name))
+                    self.assertGreaterEqual(
+                        self.group.replicas[name].state.revision, 0
+                    )
+                    self.group.stores[name].room_bytes = None
+                    await asyncio.sleep(FULL_S)
+            self.assertGreater(len(await self.group.until_equal()), 0)
+            self.assertGreater(len(stored), 0)
+            await self.assert_all_take_part()
+            await self.stop_all()
+
+        run_virtual(run())
+
+    def test_an_empty_group_starts_on_full_disks(self) -> None:
+        async def run() -> None:
+            for name in NAMES:
+                await self.group.start(name, room_bytes=0)
+            await asyncio.sleep(FULL_S)
+            for store in self.group.stores.values():
+                store.room_bytes = None
+            await self.group.until_led()
+            await self.assert_all_take_part()
+            await self.stop_all()
+
+        run_virtual(run())
