A full disk no longer ends a control replica

What callers saw: after the disks of three of five replicas had been full, one after another, every change was refused or stayed unanswered, though all disks had room again. On the platform each such replica ended its process, and it ended again when it started on a full disk.

Cause: the log file failed for good after one failed write, and the task that runs the replica ended with it.

Now a failed write leaves known what is stored: the rest of the frame is cut off before the next write. After a failed sync the stored frames are copied to a new file. The core may have advanced in memory before the save failed, so it is built again from what is stored, with the applied position as committed and the time of the last contact with the leader, so that it denies votes as before. Proposals that only it held are certainly not taken and go to the next leader; after a failed sync they stay of unknown outcome. An incarnation is saved by the core before its first message, so that an empty folder on a full disk ends nothing either.

Two faults of the same place, found on the way: frames that a killed process had written but not synced were read as stored at the next start, and a follower could have acknowledged them; they are now synced first.

The model of Raft fills disks at random (test_raft, SafetyTest).

--- a/src/wigeonford/_compose_steer_control.py
+++ b/src/wigeonford/_compose_steer_control.py
@@ -1,6 +1,7 @@
 """Wire a control replica that publishes a deployment."""
 
 from collections.abc import Callable
+from pathlib import Path
 import random
 import secrets
 import signal
@@ -77,6 +78,7 @@
     seeds: SeedsProvider,
     build_api: BuildControlApi,
     log: EventLog,
+    open_store: Callable[[Path], LogFileStore] = LogFileStore,
 ) -> ControlDaemon:
     """Return a control replica that publishes a deployment.
 
@@ -104,7 +106,7 @@
     def connect(address: Address) -> PeerClient:
         return PeerClient(name, address, DEFAULT_PEER_SECRET, log)
 
-    store = LogFileStore(cfg.data_folder)
+    store = open_store(cfg.data_folder)
     if store.dropped_bytes:
         log.emit(Event.LOG_TAIL_DROPPED, bytes=store.dropped_bytes)
     peers = PeerServer(DEFAULT_PEER_SECRET, log)
@@ -129,6 +131,7 @@
         lambda: signal.raise_signal(signal.SIGTERM),
     )
     metrics = Metrics()
+    replica.on_storage_change(metrics.record_storage)
     services: tuple[Service, ...] = (
         LoopWatch(metrics, log),
         ViewService(
--- a/src/wigeonford/bench/_control_cluster.py
+++ b/src/wigeonford/bench/_control_cluster.py
@@ -48,6 +48,12 @@
         os.write(file, torn)
         raise OSError("simulated power failure")
 
+    def cut_file(self, file: int, size: int) -> None:
+        """Cut a file; fail after `cut_power`."""
+        if self._kept_fraction is not None:
+            raise OSError("simulated power failure")
+        super().cut_file(file, size)
+
 
 class ControlCluster:
     """Run the replicas and the entry VMs and inject faults into them."""
--- a/src/wigeonford/compose.py
+++ b/src/wigeonford/compose.py
@@ -72,8 +72,10 @@
     """Return a control replica that is ready to start."""
     log = log.bind(vm=cfg.name)
     peers = PeerServer(cfg.secrets.peer, log)
-    replica = _build_replica(cfg, peers, open_store(cfg.data_folder), log)
     metrics = Metrics()
+    replica = _build_replica(
+        cfg, peers, open_store(cfg.data_folder), metrics, log
+    )
     api = OperatorApi(
         replica, cfg.secrets.operator, cfg.secrets.key_hash, metrics, log
     )
@@ -112,6 +114,7 @@
     cfg: ControlSettings,
     peers: PeerServer,
     store: LogFileStore,
+    metrics: Metrics,
     log: EventLog,
 ) -> Replica:
     if store.dropped_bytes:
@@ -125,6 +128,7 @@
         )
 
     replica = RaftReplica(cfg, store, connect, log)
+    replica.on_storage_change(metrics.record_storage)
     replica.attach(peers)
     return replica
 
--- a/src/wigeonford/control/_group_service.py
+++ b/src/wigeonford/control/_group_service.py
@@ -29,8 +29,8 @@
 class GroupService:
     """Request membership in the group while no leader is known.
 
-    Replicas are named by the address at which their peers reach them. If the
-    storage of this replica fails, `on_failure` is called to end the process.
+    Replicas are named by the address at which their peers reach them. If this
+    replica has stopped for good, `on_failure` is called to end the process.
     """
 
     def __init__(
@@ -84,11 +84,13 @@
             pause_s = JOIN_INTERVAL_S * self._rng.uniform(0.7, 1.3)
             await asyncio.sleep(pause_s)
             now_s = time.monotonic()
-            if self._replica.failure is not None:
-                # What the disk stores is known again only after a restart.
+            if self._replica.has_stopped:
                 self._on_failure()
                 return
-            if self._replica.leader is not None:
+            if self._replica.failure is not None:
+                # A replica that can't store anything joins no group.
+                leader_seen_at_s = now_s
+            elif self._replica.leader is not None:
                 leader_seen_at_s = now_s
             elif now_s - leader_seen_at_s >= LEADER_LOST_AFTER_S:
                 await self._request_membership(self._addresses())
--- a/src/wigeonford/control/_log_file.py
+++ b/src/wigeonford/control/_log_file.py
@@ -1,6 +1,7 @@
 """Append-only log file of one replica, in checksummed frames."""
 
 from collections.abc import Iterable, Iterator, Mapping
+import contextlib
 import os
 from pathlib import Path
 import struct
@@ -10,7 +11,12 @@
 import cbor2
 import msgspec
 
-from wigeonford.control._store import LogEntry, Snapshot, StorageError
+from wigeonford.control._store import (
+    LogEntry,
+    Snapshot,
+    StorageDamagedError,
+    StorageError,
+)
 
 LOG_NAME: Final = "control.log"
 _NEW_NAME: Final = "control.log.new"
@@ -46,75 +52,126 @@
     """Store the log, the snapshot and named values in a single file.
 
     Each frame is synced before the next is written, so that only the last
-    frame can be torn; a bad frame before a good one means corruption. After a
-    failed write or sync the end of the file is unknown, so that all calls
-    fail until the store is reopened.
+    frame can be torn; a bad frame before a good one means corruption.
 
-    `dropped_bytes` is the size of the torn frame that was dropped on opening.
+    After a failed write, the next write first cuts off what was written of
+    the frame. After a failed sync the kernel may report a later sync as done
+    without having written the data, so the stored frames are first copied to
+    a new file.
+
+    `dropped_bytes` is the size of the torn frame that was found on opening.
     """
 
     def __init__(self, folder: Path) -> None:
         self._folder = folder
-        self._failure: str | None = None
+        self._file: int | None = None
+        self._end_offset = 0
+        self._is_closed = False
+        self._has_tail = False
+        self._must_copy = False
+        self._must_sync = True
         self.dropped_bytes = 0
         try:
-            folder.mkdir(parents=True, exist_ok=True)
-            (folder / _NEW_NAME).unlink(missing_ok=True)
-            self._file = self._open()
-            self._drop_torn_tail()
+            self._open_existing()
         except OSError as exc:
             raise StorageError(f"{folder}: {exc}") from exc
+        with contextlib.suppress(StorageError):
+            # A full disk is no reason not to start; it is tried again.
+            self.repair()
+
+    def _open_existing(self) -> None:
+        if not self._path.exists():
+            return
+        (self._folder / _NEW_NAME).unlink(missing_ok=True)
+        self._file = os.open(self._path, os.O_RDWR | os.O_APPEND)
+        data = self._path.read_bytes()
+        self._end_offset = _parse(data).end_offset
+        if _has_frame_after(data, self._end_offset):
+            raise StorageDamagedError(
+                f"{self._path}: corrupt frame at byte {self._end_offset}"
+            )
+        self.dropped_bytes = len(data) - self._end_offset
+        self._has_tail = self.dropped_bytes > 0
 
-    def _open(self) -> int:
-        path = self._folder / LOG_NAME
-        file = os.open(path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
-        self._sync_folder()
-        return file
+    @property
+    def _path(self) -> Path:
+        return self._folder / LOG_NAME
+
+    @property
+    def is_durable(self) -> bool:
+        """Return whether all that can be read survives a power failure."""
+        return not self._must_sync
+
+    def repair(self) -> None:
+        """Make the file end with its last whole frame, durably."""
+        with self._storage_errors():
+            if self._file is None:
+                self._create()
+            elif self._must_copy:
+                self._replace(_encode_content(self._read()))
+            elif self._has_tail or self._must_sync:
+                self._cut_tail(self._file)
+
+    def _create(self) -> None:
+        self._folder.mkdir(parents=True, exist_ok=True)
+        self._file = os.open(
+            self._path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600
+        )
+        self._cut_tail(self._file)
+
+    def _cut_tail(self, file: int) -> None:
+        if self._has_tail:
+            self.cut_file(file, self._end_offset)
+        # A process that was killed may have left frames that aren't synced.
+        self._sync(file)
+        if self._must_sync:
+            self._sync_folder()
+        self._has_tail = self._must_sync = False
+
+    def cut_file(self, file: int, size: int) -> None:
+        """Cut a file to a size; tests override this to inject faults."""
+        os.ftruncate(file, size)
+
+    def _sync(self, file: int, *, data_only: bool = False) -> None:
+        try:
+            self.sync_file(file, data_only=data_only)
+        except OSError:
+            self._must_copy = True
+            raise
 
     def _sync_folder(self) -> None:
         folder = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY)
         try:
-            os.fsync(folder)
+            self._sync(folder)
         finally:
             os.close(folder)
 
-    def _drop_torn_tail(self) -> None:
-        data = self._path.read_bytes()
-        end_offset = self._parse(data).end_offset
-        if _has_frame_after(data, end_offset):
-            raise StorageError(
-                f"{self._path}: corrupt frame at byte {end_offset}"
-            )
-        self.dropped_bytes = len(data) - end_offset
-        if self.dropped_bytes:
-            os.ftruncate(self._file, end_offset)
-            os.fsync(self._file)
-
-    @property
-    def _path(self) -> Path:
-        return self._folder / LOG_NAME
-
-    def _parse(self, data: bytes) -> _FileContent:
-        content = _FileContent()
-        for end_offset, payload in _iterate_frames(data):
-            content.apply_frame(payload)
-            content.end_offset = end_offset
-        return content
+    def check_room(self, size: int) -> None:
+        """Repair the file; raise `StorageError` unless `size` bytes fit."""
+        self.repair()
+        with self._storage_errors():
+            file = self._write_new_file(bytes(size))
+            os.close(file)
+            (self._folder / _NEW_NAME).unlink()
 
-    def _read(self) -> _FileContent:
-        self._raise_if_failed()
+    @contextlib.contextmanager
+    def _storage_errors(self) -> Iterator[None]:
+        if self._is_closed:
+            raise StorageError(f"{self._folder}: closed")
         try:
-            return self._parse(self._path.read_bytes())
+            yield
         except OSError as exc:
-            raise self._record_failure(exc) from exc
-
-    def _raise_if_failed(self) -> None:
-        if self._failure is not None:
-            raise StorageError(self._failure)
+            raise StorageError(f"{self._folder}: {exc}") from exc
 
-    def _record_failure(self, exc: OSError) -> StorageError:
-        self._failure = f"{self._folder}: {exc}"
-        return StorageError(self._failure)
+    def _read(self) -> _FileContent:
+        with self._storage_errors():
+            data = b"" if self._file is None else self._path.read_bytes()
+        content = _parse(data[: self._end_offset])
+        if content.end_offset != self._end_offset:
+            raise StorageDamagedError(
+                f"{self._path}: corrupt frame at byte {content.end_offset}"
+            )
+        return content
 
     def append(
         self,
@@ -126,17 +183,31 @@
 
         Entries after `truncate_after` are dropped first.
         """
-        self._raise_if_failed()
+        self.repair()
+        assert self._file is not None, "the file is created by the repair"
         frame = _encode_frame(None, meta or {}, truncate_after, entries)
-        try:
+        with self._storage_errors():
+            self._has_tail = True
             self.write_frame(self._file, frame)
-        except OSError as exc:
-            raise self._record_failure(exc) from exc
+            try:
+                self._sync(self._file, data_only=True)
+            except OSError as exc:
+                raise StorageError(
+                    f"{self._folder}: {exc}", may_be_stored=True
+                ) from exc
+        self._has_tail = False
+        self._end_offset += len(frame)
 
     def write_frame(self, file: int, frame: bytes) -> None:
-        """Write and sync one frame; tests override this to inject faults."""
+        """Write one frame; tests override this to inject faults."""
         write_all(file, frame)
-        os.fdatasync(file)
+
+    def sync_file(self, file: int, *, data_only: bool) -> None:
+        """Sync a file or a folder; tests override this to inject faults."""
+        if data_only:
+            os.fdatasync(file)
+        else:
+            os.fsync(file)
 
     def read_log(self) -> list[LogEntry]:
         """Return the log entries after the snapshot."""
@@ -154,21 +225,39 @@
             content.truncate(truncate_after)
         later = [e for e in content.entries if e.position > snapshot.position]
         frame = _encode_frame(snapshot, content.meta, None, later)
-        try:
+        with self._storage_errors():
             self._replace(frame)
-        except OSError as exc:
-            raise self._record_failure(exc) from exc
 
     def _replace(self, frame: bytes) -> None:
+        file = self._write_new_file(frame)
+        try:
+            (self._folder / _NEW_NAME).rename(self._path)
+        except OSError:
+            os.close(file)
+            raise
+        if self._file is not None:
+            os.close(self._file)
+        self._file = file
+        self._end_offset = len(frame)
+        self._has_tail = self._must_copy = False
+        # Until the folder is synced, a power failure restores the old file.
+        self._must_sync = True
+        self._sync_folder()
+        self._must_sync = False
+
+    def _write_new_file(self, data: bytes) -> int:
+        """Write and sync the new file; remove it if that fails."""
         new = self._folder / _NEW_NAME
-        file = os.open(new, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
+        flags = os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND
+        file = os.open(new, flags, 0o600)
         try:
-            self.write_frame(file, frame)
-        finally:
+            self.write_frame(file, data)
+            self.sync_file(file, data_only=True)
+        except OSError:
             os.close(file)
-        new.rename(self._path)
-        os.close(self._file)
-        self._file = self._open()
+            new.unlink()
+            raise
+        return file
 
     def read_snapshot(self) -> Snapshot | None:
         """Return the snapshot, or None."""
@@ -184,8 +273,22 @@
 
     def close(self) -> None:
         """Release the data folder."""
-        self._failure = f"{self._folder}: closed"
-        os.close(self._file)
+        self._is_closed = True
+        if self._file is not None:
+            os.close(self._file)
+            self._file = None
+
+
+def _parse(data: bytes) -> _FileContent:
+    content = _FileContent()
+    for end_offset, payload in _iterate_frames(data):
+        content.apply_frame(payload)
+        content.end_offset = end_offset
+    return content
+
+
+def _encode_content(content: _FileContent) -> bytes:
+    return _encode_frame(content.snapshot, content.meta, None, content.entries)
 
 
 def _encode_frame(
--- a/src/wigeonford/control/_raft.py
+++ b/src/wigeonford/control/_raft.py
@@ -4,7 +4,7 @@
 import random
 from typing import Any, Final
 
-from wigeonford.control._raft_bootstrap import Bootstrap
+from wigeonford.control._raft_bootstrap import Bootstrap, new_incarnation
 from wigeonford.control._raft_effects import Effect, HardState, Role
 from wigeonford.control._raft_election import Election
 from wigeonford.control._raft_follower import FollowerRole
@@ -39,21 +39,33 @@
 
     The caller passes in messages, ticks and proposals. After one or several
     of them it performs the effects that `take_effects` returns, in order.
-    If an effect that saves data fails, the caller must stop using this core.
-    All times are seconds of one monotonic clock.
+    If an effect that saves data fails, the caller must replace this core by
+    one that is built from what is stored. All times are seconds of one
+    monotonic clock.
+
+    `hard_state` is None for an empty data folder. Entries up to
+    `applied_position` are known to be committed.
     """
 
     def __init__(
         self,
         identity: Identity,
-        hard_state: HardState,
+        hard_state: HardState | None,
         log: RaftLog,
         rng: random.Random,
         now_s: float,
+        applied_position: int = 0,
     ) -> None:
+        is_new = hard_state is None
+        if hard_state is None:
+            hard_state = HardState(new_incarnation(rng))
         if log.last_term > hard_state.term:
             hard_state = HardState(hard_state.incarnation, log.last_term)
-        self._node = RaftNode(identity, hard_state, log, rng, now_s)
+        self._node = RaftNode(
+            identity, hard_state, log, rng, now_s, applied_position
+        )
+        if is_new:
+            self._node.set_hard_state()
         self._election = Election(self._node)
         self._follower_role = FollowerRole(self._node)
         self._bootstrap = Bootstrap(self._node)
@@ -107,6 +119,11 @@
             return self._leader_role.confirmed_at_s(now_s)
         return self._node.confirmed_at_s
 
+    def keep_leader_contact(self, previous: "RaftCore") -> None:
+        """Deny votes for as long as the core that this one replaces would."""
+        contact_s = previous._node.last_leader_contact_s
+        self._node.last_leader_contact_s = contact_s
+
     def tick(self, now_s: float) -> None:
         """Send due heartbeats, or start an election if the timeout passed."""
         node = self._node
--- a/src/wigeonford/control/_raft_bootstrap.py
+++ b/src/wigeonford/control/_raft_bootstrap.py
@@ -1,5 +1,7 @@
 """Creation of the log when all configured members start empty."""
 
+import random
+
 from wigeonford.control._commands import COMMANDS
 from wigeonford.control._raft_members import (
     ChangeReplicas,
@@ -50,7 +52,7 @@
         node = self._node
         if node.is_empty and node.hard_state.initiator != probe.incarnation:
             if node.hard_state.initiator is not None:
-                node.set_hard_state(incarnation=new_incarnation(node))
+                node.set_hard_state(incarnation=new_incarnation(node.rng))
             node.set_hard_state(initiator=probe.incarnation)
         reply = BootstrapReply(
             node.name,
@@ -90,6 +92,6 @@
         return True
 
 
-def new_incarnation(node: RaftNode) -> str:
+def new_incarnation(rng: random.Random) -> str:
     """Return a random incarnation id."""
-    return f"{node.rng.getrandbits(64):016x}"
+    return f"{rng.getrandbits(64):016x}"
--- a/src/wigeonford/control/_raft_disk.py
+++ b/src/wigeonford/control/_raft_disk.py
@@ -3,13 +3,13 @@
 import asyncio
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-import random
 from typing import Any, Final
 
 import cbor2
 import msgspec
 
 from wigeonford.control._raft_effects import HardState, Save, SaveInstalled
+from wigeonford.control._raft_leader import MAX_BATCH_BYTES
 from wigeonford.control._raft_log import RaftLog
 from wigeonford.control._raft_snapshot import unpack_snapshot
 from wigeonford.control._state import State
@@ -31,13 +31,6 @@
     return msgspec.convert(cbor2.loads(content), HardState)
 
 
-def create_hard_state(store: Store, rng: random.Random) -> HardState:
-    """Store a hard state with a new incarnation in an empty folder."""
-    hard_state = HardState(f"{rng.getrandbits(64):016x}")
-    store.save_meta(HARD_STATE_NAME, encode_hard_state(hard_state))
-    return hard_state
-
-
 def load_log(store: Store) -> tuple[RaftLog, State]:
     """Return the log and the state machine as of the snapshot."""
     snapshot = store.read_snapshot()
@@ -49,6 +42,20 @@
     return log, State.restore(state)
 
 
+class Stored(msgspec.Struct, frozen=True):
+    """Hold what a data folder stores; `hard_state` is None if it is empty."""
+
+    hard_state: HardState | None
+    log: RaftLog
+    state: State
+
+
+def load(store: Store) -> Stored:
+    """Return what a data folder stores."""
+    log, state = load_log(store)
+    return Stored(load_hard_state(store), log, state)
+
+
 class RaftDisk:
     """Perform the effects that save; each call returns once synced."""
 
@@ -85,6 +92,20 @@
         snapshot: Snapshot | None = await self._call(self._store.read_snapshot)
         return snapshot
 
+    @property
+    def is_durable(self) -> bool:
+        """Return whether all that can be read survives a power failure."""
+        return self._store.is_durable
+
+    async def load(self) -> Stored:
+        """Return what the data folder stores."""
+        stored: Stored = await self._call(load, self._store)
+        return stored
+
+    async def check_room(self) -> None:
+        """Raise `StorageError` unless the largest batch can be written."""
+        await self._call(self._store.check_room, MAX_BATCH_BYTES)
+
     async def close(self) -> None:
         """Release the data folder after all earlier calls."""
         await self._call(self._store.close)
--- a/src/wigeonford/control/_raft_node.py
+++ b/src/wigeonford/control/_raft_node.py
@@ -68,6 +68,7 @@
         log: RaftLog,
         rng: random.Random,
         now_s: float,
+        applied_position: int,
     ) -> None:
         self.identity = identity
         self.hard_state = hard_state
@@ -75,7 +76,7 @@
         self.rng = rng
         self.role = Role.FOLLOWER
         self.leader: str | None = None
-        self.commit_position = log.base_position
+        self.commit_position = max(log.base_position, applied_position)
         self.last_leader_contact_s = float("-inf")
         self.confirmed_at_s: float | None = None
         self.started_at_s = now_s
@@ -85,7 +86,7 @@
         self._hard_state_unsaved = False
         self._installed: SaveInstalled | None = None
         self._sends: list[Send | SendSnapshot] = []
-        self._applied_position = log.base_position
+        self._applied_position = self.commit_position
         self._reported_role_and_term = (self.role, hard_state.term)
         self.election_at_s = now_s + rng.uniform(
             FIRST_ELECTION_MIN_S, identity.timing.max_s
--- /dev/null
+++ b/src/wigeonford/control/_raft_outage.py
@@ -0,0 +1,49 @@
+"""What a replica may do while its disk takes no writes."""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+from msgspec.structs import replace
+
+from wigeonford.messages.raft import AppendEntries, InstallSnapshot
+
+LEADER_KNOWN_S: Final = 2.0
+"""Several heartbeats and the maximum election timeout."""
+
+
+class StorageOutage:
+    """Follow the leader without anything that needs to be stored.
+
+    The replica acknowledges what it stores already and learns that stored
+    entries are committed. It does not vote, and it only passes requests on to
+    a leader of a term that it can't store.
+
+    `may_reply` is False if it isn't known what a power failure would leave.
+    """
+
+    def __init__(
+        self, clock: Callable[[], float], *, may_reply: bool = False
+    ) -> None:
+        self._clock = clock
+        self._leader: str | None = None
+        self._heard_at_s = float("-inf")
+        self.may_reply = may_reply
+        self.term = 0
+
+    @property
+    def leader(self) -> str | None:
+        """Return the leader's name; None if none was heard lately."""
+        age_s = self._clock() - self._heard_at_s
+        return self._leader if age_s < LEADER_KNOWN_S else None
+
+    def reduce(self, record: Any, stored_term: int) -> AppendEntries | None:
+        """Return the part of a message to process, or None."""
+        if not isinstance(record, AppendEntries | InstallSnapshot):
+            return None
+        if record.term >= max(stored_term, self.term):
+            self._leader = record.sender
+            self._heard_at_s = self._clock()
+            self.term = record.term
+        if isinstance(record, InstallSnapshot) or record.term != stored_term:
+            return None
+        return replace(record, entries=()) if self.may_reply else None
--- a/src/wigeonford/control/_raft_pending.py
+++ b/src/wigeonford/control/_raft_pending.py
@@ -5,7 +5,8 @@
 
 from wigeonford.control._commands import CommandResult
 from wigeonford.control._raft_inbox import Read
-from wigeonford.errors import Code, PeerError
+from wigeonford.errors import Code, PeerError, WigeonfordError
+from wigeonford.peer import NotLeaderError
 
 
 class PendingRequests:
@@ -70,6 +71,21 @@
         for read in ready:
             _succeed(read.fut, position)
 
+    def reject_after(self, position: int) -> None:
+        """Fail requests whose entries no replica has stored as not taken."""
+        for at in [at for at in self._entries if at > position]:
+            _reject(self._entries.pop(at)[1])
+
+    def reject_reads(self, exc: WigeonfordError) -> None:
+        """Fail unconfirmed reads as not taken, confirmed ones with `exc`."""
+        for read in self._reads:
+            _reject(read.fut)
+        for _, fut in self._applied_waiters:
+            if not fut.done():
+                fut.set_exception(exc)
+        self._reads.clear()
+        self._applied_waiters.clear()
+
     def fail_all(self, code: Code, detail: str) -> None:
         """Fail the requests that wait for entries and reads."""
         futs = [fut for _, fut in self._entries.values()]
@@ -88,3 +104,8 @@
 def _fail(fut: asyncio.Future[Any], code: Code, detail: str) -> None:
     if not fut.done():
         fut.set_exception(PeerError(code, detail))
+
+
+def _reject(fut: asyncio.Future[Any]) -> None:
+    if not fut.done():
+        fut.set_exception(NotLeaderError(None))
--- a/src/wigeonford/control/_raft_replica.py
+++ b/src/wigeonford/control/_raft_replica.py
@@ -13,18 +13,16 @@
 from wigeonford.control._commands import CommandResult, COMMANDS
 from wigeonford.control._raft import RaftCore
 from wigeonford.control._raft_channel import Channels, Connect
-from wigeonford.control._raft_disk import (
-    create_hard_state,
-    load_hard_state,
-    load_log,
-)
+from wigeonford.control._raft_disk import load
 from wigeonford.control._raft_driver import RaftDriver
+from wigeonford.control._raft_effects import HardState
 from wigeonford.control._raft_inbox import (
     Proposal,
     Read,
     Received,
     TableChange,
 )
+from wigeonford.control._raft_log import RaftLog
 from wigeonford.control._raft_members import is_state_command
 from wigeonford.control._raft_node import (
     DEFAULT_TIMING,
@@ -33,7 +31,7 @@
 )
 from wigeonford.control._replica import ReplicaStatus
 from wigeonford.control._state import State
-from wigeonford.control._store import Store
+from wigeonford.control._store import StorageError, Store
 from wigeonford.errors import Code, PeerError, RunState
 from wigeonford.events import EventLog
 from wigeonford.messages.raft import (
@@ -57,6 +55,9 @@
 
 REQUEST_TIMEOUT_S: Final = 5.0
 RETRY_INTERVAL_S: Final = 0.05
+NEW_LEADER_S: Final = 2.0
+"""The maximum election timeout: for how long a replica that can't store
+anything waits for another one to lead."""
 _CORE_MESSAGES: Final = (
     AppendEntries,
     AppendReply,
@@ -137,15 +138,16 @@
 
     async def start(self) -> None:
         """Recover from the store and join the other replicas."""
-        hard_state = load_hard_state(self._store)
-        if hard_state is None:
-            hard_state = create_hard_state(self._store, self._rng)
-        log, state = load_log(self._store)
+        self._driver.start(load(self._store), self._build_core)
+
+    def _build_core(
+        self, hard_state: HardState | None, log: RaftLog, applied_position: int
+    ) -> RaftCore:
         configured = {
             name: (address.host, address.port)
             for name, address in self._members.items()
         }
-        core = RaftCore(
+        return RaftCore(
             Identity(
                 self._name, configured, self._desired_voters, self._timing
             ),
@@ -153,8 +155,8 @@
             log,
             self._rng,
             self._clock(),
+            applied_position,
         )
-        self._driver.start(core, state)
 
     async def stop(self) -> None:
         """Stop participating and release the store."""
@@ -216,9 +218,18 @@
 
     @property
     def failure(self) -> str | None:
-        """Return why the replica stopped participating, or None."""
+        """Return why the replica can't store anything, or None."""
         return self._driver.failure
 
+    @property
+    def has_stopped(self) -> bool:
+        """Return whether the replica takes no part until a restart."""
+        return self._driver.has_stopped
+
+    def on_storage_change(self, listener: Callable[[bool], None]) -> None:
+        """Call a function with whether the disk takes writes."""
+        self._driver.on_storage_change(listener)
+
     def describe(self) -> ReplicaStatus:
         """Return the status of the replica."""
         return self._driver.describe()
@@ -233,9 +244,9 @@
         Repeat that until a leader accepts the request or the timeout passes.
         Only a request that certainly was not accepted is repeated.
         """
-        until_s = self._clock() + REQUEST_TIMEOUT_S
+        started_s = self._clock()
         while True:
-            self._driver.raise_if_failed()
+            self._driver.raise_if_stopped()
             try:
                 if self.is_leader:
                     return await lead()
@@ -245,7 +256,12 @@
                     raise PeerError(Code.NO_QUORUM, exc.detail) from exc
                 if exc.code not in _SAFE_TO_RETRY:
                     raise
-                if self._clock() > until_s:
+                waited_s = self._clock() - started_s
+                if self.failure is not None and (
+                    len(self.members()) == 1 or waited_s > NEW_LEADER_S
+                ):
+                    raise StorageError(self.failure) from exc
+                if waited_s > REQUEST_TIMEOUT_S:
                     raise PeerError(
                         Code.NO_QUORUM,
                         "no leader is known",
@@ -269,7 +285,7 @@
         return await self._await_result(fut)
 
     async def _await_result(self, fut: asyncio.Future[T]) -> T:
-        self._driver.raise_if_failed()
+        self._driver.raise_if_stopped()
         try:
             return await wait_for_result(fut, REQUEST_TIMEOUT_S)
         except TimeoutError as exc:
@@ -278,7 +294,7 @@
             ) from exc
 
     async def _on_core_message(self, record: Any) -> Done:
-        self._driver.raise_if_failed()
+        self._driver.raise_if_stopped()
         self._driver.enqueue(Received(record))
         return Done()
 
--- a/src/wigeonford/control/_store.py
+++ b/src/wigeonford/control/_store.py
@@ -9,10 +9,18 @@
 
 
 class StorageError(WigeonfordError):
-    """Report that the data folder can't be read or written."""
+    """Report that the data folder can't be read or written.
 
-    def __init__(self, detail: str) -> None:
+    `may_be_stored` tells that a restart may find what was to be stored.
+    """
+
+    def __init__(self, detail: str, *, may_be_stored: bool = False) -> None:
         super().__init__(Code.STORAGE_FAILED, detail)
+        self.may_be_stored = may_be_stored
+
+
+class StorageDamagedError(StorageError):
+    """Report that data that were stored can't be read any more."""
 
 
 class LogEntry(msgspec.Struct, frozen=True):
@@ -35,10 +43,17 @@
     """Store a log, a snapshot and named values durably.
 
     Writes are synced before a method returns. Every method may raise
-    `StorageError`; after that, the stored content is unknown until the
-    store is reopened.
+    `StorageError`; after that, reads return what was stored before the call,
+    or after it in the case of a snapshot, and the call may be made again.
     """
 
+    @property
+    def is_durable(self) -> bool:
+        """Return whether all that can be read survives a power failure."""
+
+    def check_room(self, size: int) -> None:
+        """Raise `StorageError` unless `size` bytes can be written."""
+
     def append(
         self,
         entries: Iterable[LogEntry],
--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -154,9 +154,18 @@
     )
     STORAGE_FAILED = _event(
         510,
-        "storage failed; the replica stopped participating",
+        "the disk takes no writes; the replica stores nothing meanwhile",
         logging.CRITICAL,
     )
+    STORAGE_WORKS = _event(517, "the disk takes writes again")
+    STORAGE_DAMAGED = _event(
+        518,
+        "stored data can't be read; the replica stopped participating",
+        logging.CRITICAL,
+    )
+    SNAPSHOT_DELAYED = _event(
+        519, "could not store a snapshot; it is tried again", logging.WARNING
+    )
     STORAGE_SLOW = _event(
         515, "the disk is stalled; the replica waits for it", logging.WARNING
     )
--- a/src/wigeonford/metrics.py
+++ b/src/wigeonford/metrics.py
@@ -59,6 +59,11 @@
             "Revision of the configuration in force",
             registry=self._registry,
         )
+        self.storage_works = Gauge(
+            "wigeonford_storage_works",
+            "1 while the disk takes writes, 0 while it takes none",
+            registry=self._registry,
+        )
         self.loop_late_s = Histogram(
             "wigeonford_loop_late_seconds",
             "How late the event loop runs what is due",
@@ -96,6 +101,10 @@
         if is_unanswered:
             self.unanswered_requests.inc({"reason": reason})
 
+    def record_storage(self, works: bool) -> None:
+        """Record whether the disk takes writes."""
+        self.storage_works.set({}, int(works))
+
     def count_result(self, account: str, code_number: int) -> None:
         """Count one response by its result code."""
         self.results.inc({"account": account, "code": str(code_number)})
--- a/tests/test_full_disk.py
+++ b/tests/test_full_disk.py
@@ -1,6 +1,7 @@
 """Replicas whose disks take part of a write and then no more."""
 
 import asyncio
+from collections.abc import Callable
 import errno
 from pathlib import Path
 import random
@@ -9,6 +10,7 @@
 import unittest
 from unittest import mock
 
+from tests.test_raft import RaftMachine
 from tests.virtual_time import run_virtual
 from wigeonford.control import (
     LogEntry,
@@ -112,6 +114,46 @@
                 store.close()
 
 
+class SafetyTest(unittest.TestCase):
+    """Fill disks at random; the world checks Raft's safety properties."""
+
+    def test_full_disks_among_random_faults(self) -> None:
+        outage_count = 0
+        for seed in range(8):
+            with self.subTest(seed=seed):
+                outage_count += self.run_random_steps(seed, 200)
+        self.assertGreater(outage_count, 100)
+
+    def run_random_steps(self, seed: int, steps: int) -> int:
+        """Apply random steps; return in how many a replica stored nothing."""
+        rng = random.Random(seed)
+        machine = RaftMachine()
+        machine.begin(5, seed)
+        step_functions: list[Callable[[int], None]] = [
+            lambda _: machine.advance(rng.choice([0.04, 0.2, 0.6, 1.5])),
+            lambda _: machine.propose(rng.randint(1, 6)),
+            machine.fill_disk,
+            machine.make_room,
+            machine.make_room,
+            machine.take_snapshot,
+            lambda index: machine.crash_soon(index, rng.randrange(6)),
+            machine.restart,
+            lambda _: machine.crash_leader(),
+            lambda _: machine.heal(rng.choice([0.0, 0.1])),
+            machine.isolate,
+        ]
+        weights = [12, 8, 3, 2, 2, 2, 1, 2, 1, 1, 1]
+        outage_count = 0
+        for step in rng.choices(step_functions, weights, k=steps):
+            step(rng.randrange(5))
+            outage_count += any(
+                node.outage is not None
+                for node in machine.world.nodes.values()
+            )
+        machine.world.settle()
+        return outage_count
+
+
 class Network:
     """Deliver messages between replicas of one process."""
 
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -82,6 +82,14 @@
         self.world.wipe(self.name(index))
         self.world.start(self.name(index))
 
+    @rule(index=INDEXES)
+    def fill_disk(self, index: int) -> None:
+        self.world.set_full(self.name(index), True)
+
+    @rule(index=INDEXES)
+    def make_room(self, index: int) -> None:
+        self.world.set_full(self.name(index), False)
+
     @rule(index=INDEXES)
     def take_snapshot(self, index: int) -> None:
         self.world.take_snapshot(self.name(index))
