Name an order of successors when a leader hands over

The leader knows who stores most and who was heard lately, so it now gives each voter its own delay. The first waits 0.1 s, since the others deny their votes until they know as well.

--- a/src/wigeonford/control/_raft.py
+++ b/src/wigeonford/control/_raft.py
@@ -111,6 +111,12 @@
         """Return each follower's lag in entries; empty unless leading."""
         return self._leader_role.lag() if self.role is Role.LEADER else {}
 
+    def hand_over(self, now_s: float) -> dict[str, HandOver]:
+        """Return a leader's last message to each other voter, by its name."""
+        if self.role is not Role.LEADER:
+            return {}
+        return self._leader_role.hand_over(now_s)
+
     def confirmed_at_s(self, now_s: float) -> float | None:
         """Return when a quorum last confirmed the local commit position.
 
--- a/src/wigeonford/control/_raft_driver.py
+++ b/src/wigeonford/control/_raft_driver.py
@@ -47,7 +47,7 @@
 )
 from wigeonford.errors import Code
 from wigeonford.events import Event, EventLog
-from wigeonford.messages.raft import HandOver, InstallSnapshot
+from wigeonford.messages.raft import InstallSnapshot
 from wigeonford.peer import NotLeaderError
 from wigeonford.settings import Address, parse_address
 
@@ -109,7 +109,7 @@
         self._build_core: BuildCore | None = None
         self._applied_position = 0
         self._next_snapshot_position = 0
-        self._led_term: int | None = None
+        self._was_leader = False
         self._listeners: list[Callable[[], None]] = []
         self._storage_listeners: list[Callable[[bool], None]] = []
         self.state = State()
@@ -265,13 +265,11 @@
     async def _wait_for_storage(self, detail: str) -> None:
         """Follow the leader without storing until the disk takes writes."""
         started_s = self._clock()
-        led_term = self._led_term
+        last_messages = self.core.hand_over(started_s)
         self._begin_outage(detail)
         await self._reload()
-        if led_term is not None:
-            for entry in self.core.log.table:
-                if entry.name != self._name:
-                    self._send_to(entry.name, HandOver(self._name, led_term))
+        for name, message in last_messages.items():
+            self._send_to(name, message)
         while not await self._check_storage():
             continue
         self._failure = None
@@ -287,10 +285,11 @@
         for listener in self._storage_listeners:
             listener(False)
         self._log.emit(Event.STORAGE_FAILED, detail=detail)
-        if self._led_term is not None:
-            role = str(Role.FOLLOWER)
-            self._log.emit(Event.LEADER_LOST, role=role, term=self._led_term)
-            self._led_term = None
+        if self._was_leader:
+            self._was_leader = False
+            self._log.emit(
+                Event.LEADER_LOST, role=str(Role.FOLLOWER), term=self.core.term
+            )
         # The other replicas may still commit entries already sent to them.
         self._pending.reject_reads(StorageError(detail))
         self._pending.fail_all(Code.NO_QUORUM, detail)
@@ -506,9 +505,9 @@
     async def _change_role(self, effect: ChangeRole) -> None:
         is_leader = effect.role is Role.LEADER
         event = Event.LEADER_ELECTED if is_leader else Event.ROLE_CHANGED
-        if self._led_term is not None and not is_leader:
+        if self._was_leader and not is_leader:
             event = Event.LEADER_LOST
-        self._led_term = effect.term if is_leader else None
+        self._was_leader = is_leader
         self._log.emit(event, role=str(effect.role), term=effect.term)
         if not is_leader:
             self._pending.fail_all(
--- a/src/wigeonford/control/_raft_follower.py
+++ b/src/wigeonford/control/_raft_follower.py
@@ -1,7 +1,5 @@
 """The follower role: accept entries and snapshots of the leader."""
 
-from typing import Final
-
 from wigeonford.control._raft_effects import Role, SaveInstalled
 from wigeonford.control._raft_node import RaftNode
 from wigeonford.control._raft_snapshot import unpack_snapshot
@@ -13,10 +11,6 @@
     InstallSnapshot,
 )
 
-MAX_HAND_OVER_DELAY_S: Final = 0.3
-"""Several round trips between regions, so that followers which learn together
-that the leader has stepped down seldom become candidates together."""
-
 
 class FollowerRole:
     """Make the log match the leader's."""
@@ -128,14 +122,13 @@
         self._reply(message, True, message.position, now_s)
 
     def on_hand_over(self, message: HandOver, now_s: float) -> None:
-        """Stand for election soon, since the leader has stepped down."""
+        """Stand for election soon, as the leader has stepped down."""
         node = self._node
         if (node.leader, node.term) != (message.sender, message.term):
             return
         node.leader = None
         node.last_leader_contact_s = float("-inf")
-        delay_s = node.rng.uniform(0.0, MAX_HAND_OVER_DELAY_S)
-        node.election_at_s = now_s + delay_s
+        node.election_at_s = now_s + message.delay_s
 
     def _reply(
         self,
--- a/src/wigeonford/control/_raft_leader.py
+++ b/src/wigeonford/control/_raft_leader.py
@@ -26,11 +26,17 @@
     AppendEntries,
     AppendReply,
     EntryRecord,
+    HandOver,
 )
 
 MAX_BATCH_BYTES = 262144
 REPLACE_SILENT_AFTER_S = 3.0
 """Silence after which a replica may be removed; a restart takes less."""
+FIRST_SUCCESSOR_S = 0.1
+"""Until then the other voters know as well that there is no leader; else they
+would deny their votes."""
+NEXT_SUCCESSOR_S = 0.4
+"""The time of an election between regions."""
 
 
 class LeaderRole:
@@ -320,6 +326,25 @@
                 return with_entry(node.log.table, replace(entry, voter=True))
         return None
 
+    def hand_over(self, now_s: float) -> dict[str, HandOver]:
+        """Return a message for each other voter, by its name.
+
+        Voters that were heard lately and have most of the log stand first.
+        """
+        followers = sorted(
+            (not self._is_alive(progress, now_s), -progress.match_position, n)
+            for n, progress in self._progress.items()
+            if n in {entry.name for entry in voters(self._node.log.table)}
+        )
+        return {
+            name: HandOver(
+                self._node.name,
+                self._node.term,
+                FIRST_SUCCESSOR_S + rank * NEXT_SUCCESSOR_S,
+            )
+            for rank, (_, _, name) in enumerate(followers)
+        }
+
     def lag(self) -> dict[str, int]:
         """Return each follower's lag in entries."""
         last = self._node.log.last_position
--- a/src/wigeonford/messages/raft.py
+++ b/src/wigeonford/messages/raft.py
@@ -156,7 +156,12 @@
 
 @message(33)
 class HandOver(msgspec.Struct, frozen=True, array_like=True):
-    """Tell a follower that the leader of a term has stepped down."""
+    """Tell a follower that the leader of a term has stepped down.
+
+    The follower stands for election after `delay_s` unless it hears of a
+    leader or votes for another one before.
+    """
 
     sender: str
     term: int
+    delay_s: float
--- a/tests/raft_world.py
+++ b/tests/raft_world.py
@@ -34,7 +34,6 @@
 from wigeonford.messages.raft import (
     AppendEntries,
     AppendReply,
-    HandOver,
     InstallSnapshot,
     VoteReply,
     VoteRequest,
@@ -138,10 +137,8 @@
         self.build_core(name, log)
         assert node.core is not None and previous is not None
         node.core.keep_leader_contact(previous)
-        if previous.role is Role.LEADER:
-            for other in self.names:
-                if other != name:
-                    self.send(name, other, HandOver(name, previous.term))
+        for other, message in previous.hand_over(self.now_s).items():
+            self.send(name, other, message)
 
     def set_full(self, name: str, is_full: bool) -> None:
         """Fill a disk, or make room on it."""
