Claims start and go on with a full disk

What callers saw: a control daemon of the product's own path did not start on a full disk, since its register store could not be opened. A replica whose disk was full while it copied the registers of others never voted again: the task that copies ended with the error and nothing began it anew. A rollback that failed would have ended the task that applies requests.

The store is now opened by the first call that finds room, copying is repeated until the registers are complete, and a connection that can't roll back is opened anew. A file that is no database still ends the start.

Tests: test_a_replica_with_a_full_disk_copies_registers_later failed before ("database or disk is full" at the start) and passes now. That a call without room changes nothing held before too and is now checked, as is a group of each daemon whose disks are full at the start and then in turn (DaemonTest).

--- a/src/wigeonford/claims/_claim_service.py
+++ b/src/wigeonford/claims/_claim_service.py
@@ -24,6 +24,7 @@
 )
 from wigeonford.claims._register_store import RegisterStore
 from wigeonford.claims._registers import RegisterRequest
+from wigeonford.control._store import StorageError
 from wigeonford.errors import Code, PeerError, WigeonfordError
 from wigeonford.events import Event, EventLog
 from wigeonford.messages.claim import (
@@ -110,11 +111,19 @@
         """Begin to serve, or first copy registers that were lost."""
         self._spawn(self._apply_batches())
         self._spawn(self._expire_registers())
-        if self._replica_count == 1 or self._store.has_flag(READY_FLAG):
+        if self._replica_count == 1 or self._was_ready():
             self._ready.set()
         else:
             self._spawn(self._rejoin())
 
+    def _was_ready(self) -> bool:
+        """Return whether the store is known to hold all its registers."""
+        try:
+            return self._store.has_flag(READY_FLAG)
+        except StorageError as exc:
+            self._log.emit(Event.TASK_FAILED, detail=str(exc))
+            return False
+
     async def stop(self) -> None:
         """Stop serving and close the store."""
         self._ready.clear()
@@ -318,13 +327,22 @@
     async def _rejoin(self) -> None:
         await asyncio.sleep(REJOIN_WAIT_S)
         copied: set[str] = set()
-        while len(copied) < min(
+        while not self._ready.is_set():
+            try:
+                await self._copy_registers(copied)
+            except StorageError as exc:
+                self._log.emit(Event.TASK_FAILED, detail=str(exc))
+            await asyncio.sleep(REJOIN_RETRY_S)
+
+    async def _copy_registers(self, copied: set[str]) -> None:
+        """Copy from replicas not in `copied`; vote once they suffice."""
+        for name in self._peers.keys() - copied:
+            if await self._copy_from(name):
+                copied.add(name)
+        if len(copied) < min(
             majority_size(self._replica_count), len(self._peers)
         ):
-            for name in self._peers.keys() - copied:
-                if await self._copy_from(name):
-                    copied.add(name)
-            await asyncio.sleep(REJOIN_RETRY_S)
+            return
         await asyncio.to_thread(self._store.set_flag, READY_FLAG)
         self._ready.set()
         self._log.emit(Event.CLAIMS_READY, copied=sorted(copied))
--- a/src/wigeonford/claims/_register_store.py
+++ b/src/wigeonford/claims/_register_store.py
@@ -1,7 +1,7 @@
 """Durable claim registers of one replica, written in batches."""
 
 from collections.abc import Iterable, Iterator
-from contextlib import contextmanager
+import contextlib
 from pathlib import Path
 import sqlite3
 import threading
@@ -15,7 +15,7 @@
     to_copy,
     transition,
 )
-from wigeonford.control._store import StorageError
+from wigeonford.control._store import StorageDamagedError, StorageError
 from wigeonford.messages.claim import (
     RegisterCopy,
     RegisterPage,
@@ -44,39 +44,61 @@
     """
 
     def __init__(self, folder: Path) -> None:
+        self._folder = folder
         self._lock = threading.Lock()
         self._closed = False
+        self._db: sqlite3.Connection | None = None
         try:
-            folder.mkdir(parents=True, exist_ok=True)
-            self._db = sqlite3.connect(
-                folder / DATABASE_NAME,
-                isolation_level=None,
-                check_same_thread=False,
-            )
-            self._db.execute("PRAGMA locking_mode=EXCLUSIVE")
-            self._db.execute("PRAGMA journal_mode=WAL")
-            self._db.execute("PRAGMA synchronous=FULL")
-            self._db.executescript(_SCHEMA)
-        except (OSError, sqlite3.Error) as exc:
-            raise StorageError(f"{folder}: {exc}") from exc
+            self.count()
+        except StorageDamagedError:
+            raise
+        except StorageError:
+            # A full disk is no reason not to start; later calls try again.
+            return
+
+    def _open(self) -> sqlite3.Connection:
+        self._folder.mkdir(parents=True, exist_ok=True)
+        db = sqlite3.connect(
+            self._folder / DATABASE_NAME,
+            isolation_level=None,
+            check_same_thread=False,
+        )
+        try:
+            db.execute("PRAGMA locking_mode=EXCLUSIVE")
+            db.execute("PRAGMA journal_mode=WAL")
+            db.execute("PRAGMA synchronous=FULL")
+            db.executescript(_SCHEMA)
+        except sqlite3.Error:
+            db.close()
+            raise
+        return db
 
     def close(self) -> None:
         """Close the database once the running call has ended."""
         with self._lock:
             self._closed = True
-            self._db.close()
+            if self._db is not None:
+                self._db.close()
 
-    @contextmanager
+    @contextlib.contextmanager
     def _locked_database(self) -> Iterator[sqlite3.Connection]:
-        """Lock the database; roll back and raise `StorageError` on failure."""
+        """Lock the database; roll back and raise `StorageError` on failure.
+
+        Raise `StorageDamagedError` if the file is no database.
+        """
         with self._lock:
             if self._closed:
                 raise StorageError("the register store is closed")
             try:
+                if self._db is None:
+                    self._db = self._open()
                 yield self._db
+            except (OSError, sqlite3.OperationalError) as exc:
+                self._roll_back()
+                raise StorageError(f"{self._folder}: {exc}") from exc
             except sqlite3.Error as exc:
                 self._roll_back()
-                raise StorageError(str(exc)) from exc
+                raise StorageDamagedError(f"{self._folder}: {exc}") from exc
 
     def count(self) -> int:
         """Return how many registers are stored."""
@@ -105,10 +127,10 @@
         with self._locked_database() as db:
             db.execute("BEGIN IMMEDIATE")
             for request in requests:
-                before = self._load(request.key)
+                before = _load(db, request.key)
                 after, reply = transition(before, request)
                 if after != before:
-                    self._save(request.key, after, now_s)
+                    _save(db, request.key, after, now_s)
                 replies.append(reply)
             db.execute("COMMIT")
         return replies
@@ -120,8 +142,8 @@
         with self._locked_database() as db:
             db.execute("BEGIN IMMEDIATE")
             for copy in copies:
-                after = merge_copy(self._load(copy.key), copy)
-                self._save(copy.key, after, now_s)
+                after = merge_copy(_load(db, copy.key), copy)
+                _save(db, copy.key, after, now_s)
             db.execute("COMMIT")
 
     def read_page(self, after: bytes, limit: int) -> RegisterPage:
@@ -145,25 +167,35 @@
             )
         return cursor.rowcount
 
-    def _load(self, key: bytes) -> Register:
-        row = self._db.execute(
-            "SELECT content FROM registers WHERE key = ?", (key,)
-        ).fetchone()
-        return _decode(row[0]) if row else EMPTY_REGISTER
-
-    def _save(self, key: bytes, register: Register, now_s: float) -> None:
-        copy = to_copy(key, register)
-        row = (key, now_s, MESSAGES.encode(RegisterPage((copy,))))
-        # Retention counts from the first write; later writes don't extend it.
-        self._db.execute(
-            "INSERT INTO registers VALUES (?, ?, ?) ON CONFLICT (key) "
-            "DO UPDATE SET content = excluded.content",
-            row,
-        )
-
     def _roll_back(self) -> None:
-        if self._db.in_transaction:
+        """End a transaction; open the database anew if that fails."""
+        if self._db is None or not self._db.in_transaction:
+            return
+        try:
             self._db.execute("ROLLBACK")
+        except sqlite3.Error:
+            self._db.close()
+            self._db = None
+
+
+def _load(db: sqlite3.Connection, key: bytes) -> Register:
+    row = db.execute(
+        "SELECT content FROM registers WHERE key = ?", (key,)
+    ).fetchone()
+    return _decode(row[0]) if row else EMPTY_REGISTER
+
+
+def _save(
+    db: sqlite3.Connection, key: bytes, register: Register, now_s: float
+) -> None:
+    copy = to_copy(key, register)
+    row = (key, now_s, MESSAGES.encode(RegisterPage((copy,))))
+    # Retention counts from the first write; later writes don't extend it.
+    db.execute(
+        "INSERT INTO registers VALUES (?, ?, ?) ON CONFLICT (key) "
+        "DO UPDATE SET content = excluded.content",
+        row,
+    )
 
 
 def _decode(content: bytes) -> Register:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -4,10 +4,12 @@
 from pathlib import Path
 import random
 import shutil
+import sqlite3
 import tempfile
 import unittest
+from unittest import mock
 
-from wigeonford.claims import ClaimService, RegisterStore
+from wigeonford.claims import _claim_service, ClaimService, RegisterStore
 from wigeonford.control import StorageError
 from wigeonford.errors import Code, PeerError
 from wigeonford.events import EventLog
@@ -164,3 +166,46 @@
         await self.stop("three")
         reply = await self.open("one", "a")
         self.assertEqual(reply.code, Code.CLAIM_UNAVAILABLE.number)
+
+    async def test_a_full_disk_fails_only_its_own_calls(self) -> None:
+        store = RegisterStore(self.folder / "full")
+        row = ClaimRow(b"f" * 3000, "a", 0.0, "open")
+        store.apply_requests([RegisterVote(b"first", row)], 0.0)
+        db = store._db
+        assert db is not None, "the store is open"
+        pages = db.execute("PRAGMA page_count").fetchone()[0]
+        db.execute(f"PRAGMA max_page_count = {pages + 1}")
+        votes = [RegisterVote(n.to_bytes(4), row) for n in range(9)]
+        for _ in range(2):
+            with self.assertRaises(StorageError):
+                store.apply_requests(votes, 0.0)
+            self.assertEqual(store.count(), 1)
+        db.execute("PRAGMA max_page_count = 100000")
+        self.assertEqual(len(store.apply_requests(votes, 0.0)), 9)
+        store.close()
+        again = RegisterStore(self.folder / "full")
+        self.assertEqual(again.count(), 10)
+        again.close()
+
+    async def test_a_replica_with_a_full_disk_copies_registers_later(
+        self,
+    ) -> None:
+        first = await self.open("one", "a")
+        await self.stop("three")
+        shutil.rmtree(self.folder / "three")
+        await self.start_server("three", self.addresses["three"])
+        full = sqlite3.OperationalError("database or disk is full")
+        with (
+            mock.patch.object(sqlite3, "connect", side_effect=full),
+            mock.patch.object(_claim_service, "REJOIN_WAIT_S", 0.01),
+            mock.patch.object(_claim_service, "REJOIN_RETRY_S", 0.01),
+        ):
+            await self.start_service("three", is_new=False)
+            await asyncio.sleep(0.3)
+            self.assertFalse(self.services["three"].is_ready)
+        async with asyncio.timeout(20.0):
+            while not self.services["three"].is_ready:
+                await asyncio.sleep(0.05)
+        await self.close("three", "a", first, ran=True)
+        retry = await self.open("three", "b")
+        self.assertEqual(retry.code, Code.REPLAYED.number)
--- a/tests/test_full_disk.py
+++ b/tests/test_full_disk.py
@@ -5,6 +5,7 @@
 import errno
 from pathlib import Path
 import random
+import signal
 import tempfile
 from typing import Any, cast
 import unittest
@@ -12,7 +13,10 @@
 
 from tests.test_raft import RaftMachine
 from tests.virtual_time import run_virtual
+from wigeonford.bench import find_free_address
+from wigeonford.compose import build_control, build_steer_control
 from wigeonford.control import (
+    ControlDaemon,
     LogEntry,
     LogFileStore,
     RaftReplica,
@@ -20,17 +24,20 @@
     StorageError,
 )
 from wigeonford.control._commands import COMMANDS, ExpireMember
+from wigeonford.control._group_service import JOIN_INTERVAL_S
 from wigeonford.control._log_file import write_all
 from wigeonford.control._raft_disk import RaftDisk
 from wigeonford.control._raft_node import DEFAULT_TIMING
 from wigeonford.errors import Code, PeerError, WigeonfordError
 from wigeonford.events import EventLog
 from wigeonford.peer import NotLeaderError, PeerClient, PeerServer
+from wigeonford.platform._control_api import ControlApi
 from wigeonford.settings import (
     Address,
     ControlMember,
     ControlSettings,
     Secrets,
+    SteerControlSettings,
 )
 
 SECRETS = Secrets("p" * 16, "k" * 16, "o" * 16, "t" * 16)
@@ -394,3 +401,105 @@
             await self.stop_all()
 
         run_virtual(run())
+
+
+class DaemonTest(unittest.IsolatedAsyncioTestCase):
+    """Run three control daemons on loopback while their disks are full."""
+
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.stores: dict[str, FullDiskStore] = {}
+        self.addresses = [
+            find_free_address(f"127.9.6.{number}") for number in (1, 2, 3)
+        ]
+        self.daemons: list[ControlDaemon] = []
+        patch = mock.patch.object(signal, "raise_signal")
+        self.raise_signal = patch.start()
+        self.addCleanup(patch.stop)
+
+    async def asyncTearDown(self) -> None:
+        await asyncio.gather(*(daemon.crash() for daemon in self.daemons))
+
+    def open_store(self, folder: Path) -> LogFileStore:
+        """Open a store whose disk is full from the first write on."""
+        store = FullDiskStore(folder)
+        store.room_bytes = 0
+        self.stores[folder.name] = store
+        return store
+
+    def build_own(self, number: int) -> ControlDaemon:
+        cfg = ControlSettings(
+            f"control-{number}",
+            "region",
+            self.folder / str(number),
+            SECRETS,
+            members=tuple(
+                ControlMember(f"control-{other}", "region", address)
+                for other, address in enumerate(self.addresses)
+            ),
+            peer_address=self.addresses[number],
+        )
+        return build_control(cfg, EventLog(), self.open_store)
+
+    def build_platform(self, number: int) -> ControlDaemon:
+        seeds = tuple(map(str, self.addresses))
+        cfg = SteerControlSettings(
+            name=f"core-{number}",
+            peer_address=self.addresses[number],
+            api_address=Address(),
+            data_folder=self.folder / str(number),
+            seeds=seeds,
+            may_bootstrap=True,
+            zones={},
+        )
+        return build_steer_control(
+            cfg,
+            lambda: seeds,
+            lambda replica, targets, log: (
+                ControlApi(replica, targets, {}, log).handle
+            ),
+            EventLog(),
+            self.open_store,
+        )
+
+    async def until_changed(self, daemon: ControlDaemon, number: int) -> None:
+        async with asyncio.timeout(30.0):
+            while True:
+                try:
+                    await daemon.replica.propose(ExpireMember("vm", number))
+                except WigeonfordError:
+                    await asyncio.sleep(0.05)
+                    continue
+                return
+
+    async def run_daemons(self, build: Callable[[int], ControlDaemon]) -> None:
+        self.daemons = [build(number) for number in range(3)]
+        await asyncio.gather(*(daemon.start() for daemon in self.daemons))
+        await asyncio.sleep(2 * JOIN_INTERVAL_S)
+        for store in self.stores.values():
+            store.room_bytes = None
+        await self.until_changed(self.daemons[0], 1)
+        for number, store in enumerate(self.stores.values(), 2):
+            store.room_bytes = 0
+            await self.until_changed(self.daemons[number % 3], number)
+            await asyncio.sleep(2 * JOIN_INTERVAL_S)
+            store.room_bytes = None
+            await self.until_failure_ends()
+        for number, daemon in enumerate(self.daemons, 5):
+            await self.until_changed(daemon, number)
+        self.raise_signal.assert_not_called()
+
+    async def until_failure_ends(self) -> None:
+        async with asyncio.timeout(30.0):
+            while any(
+                daemon.replica.describe().failure for daemon in self.daemons
+            ):
+                await asyncio.sleep(0.05)
+
+    async def test_own_daemons_go_on(self) -> None:
+        await self.run_daemons(self.build_own)
+
+    async def test_platform_daemons_go_on(self) -> None:
+        await self.run_daemons(self.build_platform)
