A stalled disk no longer holds up what comes later

What callers saw: a change that reached a leader while its disk hung waited for the disk, or 5 s, and its outcome was then unknown, though another replica had led since.

Once a save takes longer than 0.5 s the replica now passes on what arrives, as it does without room. Only what is part of the save waits for it. When it has heard of a leader meanwhile, it waits a whole time-out before it stands for election.

test_a_leader_with_a_stalled_disk_passes_changes_on failed before (the change was not acknowledged) and passes now: acknowledged within 2 s of virtual time, with the disk still stalled.

--- a/src/wigeonford/control/_raft.py
+++ b/src/wigeonford/control/_raft.py
@@ -131,6 +131,10 @@
         contact_s = previous._node.last_leader_contact_s
         self._node.last_leader_contact_s = contact_s
 
+    def defer_election(self, now_s: float) -> None:
+        """Restart the election timer, since a leader was heard."""
+        self._node.reset_election_timer(now_s)
+
     def tick(self, now_s: float) -> None:
         """Send due heartbeats, or start an election if the timeout passed."""
         node = self._node
--- a/src/wigeonford/control/_raft_driver.py
+++ b/src/wigeonford/control/_raft_driver.py
@@ -79,8 +79,8 @@
 class RaftDriver:
     """Own the core, the state machine and the store.
 
-    Inputs that are queued together share one sync. While the disk takes no
-    writes, the replica does only what needs none. The core is then built
+    Inputs that are queued together share one sync. While the disk is stalled
+    or takes no writes, the replica does only what needs none. The core is then built
     again from what is stored, since it may already have advanced.
     """
 
@@ -273,7 +273,7 @@
         while not await self._check_storage():
             continue
         self._failure = None
-        self._outage = None
+        self._end_outage()
         for listener in self._storage_listeners:
             listener(True)
         took_s = round(self._clock() - started_s, 2)
@@ -439,6 +439,7 @@
         done, _ = await asyncio.wait({saving}, timeout=SLOW_SYNC_S)
         if not done:
             self._log.emit(Event.STORAGE_SLOW, entries=len(effect.entries))
+            await self._step_until_done(saving)
         try:
             await saving
         except StorageError as exc:
@@ -449,6 +450,20 @@
             took_s = round(self._clock() - started_s, 2)
             self._log.emit(Event.STORAGE_BACK, took_s=took_s)
 
+    async def _step_until_done(self, saving: asyncio.Future[Any]) -> None:
+        """Pass requests on while the disk is stalled."""
+        self._outage = StorageOutage(self._clock)
+        try:
+            while not saving.done():
+                await self._step_without_storage()
+        finally:
+            self._end_outage()
+
+    def _end_outage(self) -> None:
+        if self.leader is not None:
+            self.core.defer_election(self._clock())
+        self._outage = None
+
     @_performs(SaveInstalled)
     async def _install(self, effect: SaveInstalled) -> None:
         await self._disk.save_installed(effect)
--- a/tests/test_full_disk.py
+++ b/tests/test_full_disk.py
@@ -27,6 +27,7 @@
 from wigeonford.control._group_service import JOIN_INTERVAL_S
 from wigeonford.control._log_file import write_all
 from wigeonford.control._raft_disk import RaftDisk
+from wigeonford.control._raft_driver import SLOW_SYNC_S
 from wigeonford.control._raft_node import DEFAULT_TIMING
 from wigeonford.errors import Code, PeerError, WigeonfordError
 from wigeonford.events import EventLog
@@ -55,6 +56,7 @@
     """Take only `room_bytes` more bytes; None stands for enough."""
 
     room_bytes: int | None = None
+    is_stalled = False
 
     def write_frame(self, file: int, frame: bytes) -> None:
         """Write what there is room for, then fail."""
@@ -296,7 +298,9 @@
                 await asyncio.sleep(0.05)
 
 
-async def _run_inline(_self: RaftDisk, function: Any, *args: Any) -> Any:
+async def _run_inline(disk: RaftDisk, function: Any, *args: Any) -> Any:
+    while cast(FullDiskStore, disk._store).is_stalled:
+        await asyncio.sleep(CHANGE_INTERVAL_S)
     return function(*args)
 
 
@@ -367,6 +371,25 @@
 
         run_virtual(run())
 
+    def test_a_leader_with_a_stalled_disk_passes_changes_on(self) -> None:
+        async def run() -> None:
+            leader = await self.start_all()
+            self.group.stores[leader].is_stalled = True
+            stuck = asyncio.create_task(self.group.change(leader))
+            await asyncio.sleep(SLOW_SYNC_S + CHANGE_INTERVAL_S)
+            loop = asyncio.get_running_loop()
+            started_s = loop.time()
+            self.assertTrue(await self.group.change(leader))
+            self.assertLess(loop.time() - started_s, DEFAULT_TIMING.max_s)
+            self.assertTrue(self.group.stores[leader].is_stalled)
+            self.group.stores[leader].is_stalled = False
+            await stuck
+            await asyncio.sleep(FULL_S)
+            await self.assert_all_take_part()
+            await self.stop_all()
+
+        run_virtual(run())
+
     def test_a_replica_starts_on_a_full_disk(self) -> None:
         async def run() -> None:
             await self.start_all()
