--- a/src/wigeonford/control/_raft_follower.py
+++ b/src/wigeonford/control/_raft_follower.py
@@ -7,6 +7,7 @@
 from wigeonford.messages.raft import (
     AppendEntries,
     AppendReply,
+    HandOver,
     InstallSnapshot,
 )
 
@@ -120,6 +121,15 @@
             )
         self._reply(message, True, message.position, now_s)
 
+    def on_hand_over(self, message: HandOver, now_s: float) -> None:
+        """Stand for election soon, as the leader has stepped down."""
+        node = self._node
+        if (node.leader, node.term) != (message.sender, message.term):
+            return
+        node.leader = None
+        node.last_leader_contact_s = float("-inf")
+        node.election_at_s = now_s + message.delay_s
+
     def _reply(
         self,
         message: AppendEntries | InstallSnapshot,
--- a/src/wigeonford/messages/raft.py
+++ b/src/wigeonford/messages/raft.py
@@ -152,3 +152,16 @@
     host: str
     port: int
     remove: bool
+
+
+@message(33)
+class HandOver(msgspec.Struct, frozen=True, array_like=True):
+    """Tell a follower that the leader of a term has stepped down.
+
+    The follower stands for election after `delay_s` unless it hears of a
+    leader or votes for another one before.
+    """
+
+    sender: str
+    term: int
+    delay_s: float
