Log how many idle and unbegun connections a stop closes

Event 205 at the end of a server's stop counts the idle connections that it closed, the requests that it cut and the connections that were accepted and whose task had not begun.

--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -68,6 +68,10 @@
         logging.WARNING,
     )
 
+    CONNECTIONS_CLOSED = _event(
+        205, "closed the last connections of a server that stops"
+    )
+
     SHIFT_PAUSED = _event(
         210,
         "paused a traffic shift because its new side performs worse",
--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 import ssl
 from typing import Final
+import weakref
 
 import h11
 
@@ -58,6 +59,10 @@
         self.is_draining = False
         self.closing = False
         self._server: asyncio.Server | None = None
+        # Of connections whose task has not begun; one whose TLS handshake
+        # fails never begins.
+        self._accepted: weakref.WeakSet[WatchedReader] = weakref.WeakSet()
+        self._idle_closed_count = 0
         self._tasks: dict[asyncio.Task[None], CallerConnection] = {}
         self._connections_by_host: collections.Counter[str] = (
             collections.Counter()
@@ -91,6 +96,7 @@
 
     def _make_protocol(self) -> asyncio.StreamReaderProtocol:
         reader = WatchedReader(READ_BYTES)
+        self._accepted.add(reader)
 
         async def accept(
             _reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -122,6 +128,12 @@
         if unfinished:
             await asyncio.wait(unfinished, timeout=CUT_TIMEOUT_S)
         await self._cancel_connections()
+        self.log.emit(
+            Event.CONNECTIONS_CLOSED,
+            idle=self._idle_closed_count,
+            cut=cut_count,
+            unbegun=len(self._accepted),
+        )
         return cut_count
 
     async def abort(self) -> None:
@@ -167,6 +179,7 @@
         host = self.caller_host(writer)
         conn = CallerConnection(reader, writer, self)
         is_over_limit = self._is_over_limit(host)
+        self._accepted.discard(reader)
         self._tasks[task] = conn
         self._connections_by_host[host] += 1
         writer.transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
@@ -207,6 +220,9 @@
         """Count why a connection ended; log a caller left without response."""
         is_unanswered = conn.is_unanswered
         self._count_end(conn.end.value, is_unanswered)
+        is_open_to_caller = not conn.has_caller_left
+        if self.closing and not conn.is_busy and is_open_to_caller:
+            self._idle_closed_count += 1
         if is_unanswered:
             self.log.emit(
                 Event.REQUEST_UNANSWERED,
