--- a/tests/test_caller_ends.py
+++ b/tests/test_caller_ends.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator, Callable, Coroutine
 from functools import wraps
 import io
+import itertools
 import logging
 import socket
 from typing import Any
@@ -381,6 +382,35 @@
         await self.server.stop(0.0)
         self.assertRegex(await caller.receive_all(), rb"^HTTP/1.1 (200|503) ")
 
+    @in_virtual_time
+    async def test_connection_amid_a_stop_of_a_late_loop_is_answered(
+        self,
+    ) -> None:
+        """Connect, then stand still, in each iteration of a stop."""
+        await self.start()
+        for connect_at, late_by in itertools.product(range(6), range(9)):
+            server = HttpServer(self.handle, LIMITS, EventLog())
+            address = await server.start(Address())
+            client_socket = socket.socket()
+            self.addCleanup(client_socket.close)
+            stopping = asyncio.create_task(server.stop(1.0))
+            for _ in range(connect_at):
+                await asyncio.sleep(0)
+            try:
+                client_socket.connect((address.host, address.port))
+            except ConnectionRefusedError:
+                await stopping
+                continue
+            client_socket.sendall(GET)
+            for _ in range(late_by):
+                await asyncio.sleep(0)
+            self.loop.stall(STALL_S)
+            await stopping
+            with self.subTest(connect_at=connect_at, late_by=late_by):
+                client_socket.settimeout(10.0)
+                response = client_socket.recv(65536)
+                self.assertRegex(response, rb"^HTTP/1.1 (200|503) ")
+
     @in_virtual_time
     async def test_stop_is_not_held_up_by_a_caller_it_cuts(self) -> None:
         self.hangs = True
