Accept what the listen queue holds as a listener closes

Callers saw a connection reset with a whole request unread. A stop took the listener out of the event loop, let the loop run twice and closed it; what connected in between stayed in the listen queue, which the system resets at the close. After the close, tasks of accepted connections got 0.05 s to begin, which a late loop can miss as well.

The listener now stays open until the connections that the stop found have ended. Then the queue is accepted in the same step as the close, and the tasks of all that was accepted begin before anything is cut, counted in iterations of the loop and not by the clock.

--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import collections
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection, Iterator
+import socket
 import ssl
-from typing import Final
+from typing import Any, Final
 import weakref
 
 import h11
@@ -24,7 +25,11 @@
 from wigeonford.http._types import Headers
 from wigeonford.settings import Address, CallerLimits
 
-ACCEPT_WAIT_S: Final = 0.05
+ACCEPT_ITERATIONS: Final = 4
+"""Event loop iterations from the accept of a connection to the first step of
+its task."""
+HANDSHAKE_WAIT_S: Final = 0.05
+"""Time for TLS handshakes that the close of the listener finds under way."""
 WRITE_BUFFER_BYTES: Final = 262144
 DISCARD_TIMEOUT_S: Final = 3.0
 DISCARD_REJECTED_TIMEOUT_S: Final = 0.5
@@ -59,6 +64,7 @@
         self.is_draining = False
         self.closing = False
         self._server: asyncio.Server | None = None
+        self._context: ssl.SSLContext | None = None
         # Of connections whose task has not begun; one whose TLS handshake
         # fails never begins.
         self._accepted: weakref.WeakSet[WatchedReader] = weakref.WeakSet()
@@ -84,6 +90,7 @@
     ) -> Address:
         """Listen; return the address with the port that was bound."""
         loop = asyncio.get_running_loop()
+        self._context = context
         self._server = await loop.create_server(
             self._make_protocol,
             address.host,
@@ -110,16 +117,23 @@
         self.is_draining = True
 
     async def stop(self, grace_s: float) -> int:
-        """Stop listening, then wait `grace_s` seconds for running requests.
+        """Wait `grace_s` seconds for running requests, then stop listening.
 
-        Return how many requests were cut off; their callers are told so. An
-        idle connection may still send a request for `CLOSING_IDLE_S`.
+        Callers that still connect are served or refused: that costs them less
+        than a connection that is refused or reset. Without open connections
+        the wait ends early. An idle connection may still send a request for
+        `CLOSING_IDLE_S`. Return how many requests were cut off; their callers
+        are told so.
         """
         self.is_draining = self.closing = True
-        if self._server is not None:
-            await _close_listener(self._server)
-        if grace_s > 0:
-            await self._wait_for_connections(grace_s)
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + grace_s
+        for conn in self._tasks.values():
+            conn.close_when_idle()
+        # Not for later ones, which may not end as long as callers connect.
+        await _wait_until(list(self._tasks), deadline_s)
+        await self._close_listener()
+        await self._wait_for_connections(deadline_s)
         await poll_sockets()
         unfinished = dict(self._tasks)
         cut_count = sum(conn.is_unfinished for conn in unfinished.values())
@@ -139,8 +153,7 @@
     async def abort(self) -> None:
         """Close every connection without an answer, like a killed process."""
         self.is_draining = self.closing = True
-        if self._server is not None:
-            await _close_listener(self._server)
+        await self._close_listener()
         for conn in self._tasks.values():
             conn.abort()
         await self._cancel_connections()
@@ -151,19 +164,60 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def _wait_for_connections(self, grace_s: float) -> None:
-        """Wait until no connection is open, for `grace_s` seconds at most.
+    async def _wait_for_connections(self, deadline_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        while self._tasks and loop.time() < deadline_s:
+            await _wait_until(list(self._tasks), deadline_s)
+
+    async def _close_listener(self) -> None:
+        """Close the listener; begin all that callers connected before.
 
-        First let connections start that were accepted just before the
-        listener closed.
+        The event loop accepts connections in one iteration and starts their
+        tasks in later ones. The system resets what is still in the listen
+        queue at the close, so that is accepted in the same step.
         """
+        if self._server is None:
+            return
         loop = asyncio.get_running_loop()
-        deadline_s = loop.time() + grace_s
-        await asyncio.sleep(min(grace_s, ACCEPT_WAIT_S))
-        for conn in self._tasks.values():
-            conn.close_when_idle()
-        while self._tasks and (remaining_s := deadline_s - loop.time()) > 0:
-            await asyncio.wait(list(self._tasks), timeout=remaining_s)
+        for sock in self._server.sockets:
+            loop.remove_reader(sock.fileno())
+        # The loop can't set up a connection whose listener is closed.
+        await poll_sockets()
+        handshakes = [
+            asyncio.ensure_future(
+                loop.connect_accepted_socket(
+                    self._make_protocol, conn, ssl=self._context
+                )
+            )
+            for sock in self._server.sockets
+            for conn in self._accept_queued(sock)
+        ]
+        self._server.close()
+        await _wait_until(handshakes, loop.time() + HANDSHAKE_WAIT_S)
+        for _ in range(ACCEPT_ITERATIONS):
+            await asyncio.sleep(0)
+        for handshake in handshakes:
+            handshake.cancel()
+        results = await asyncio.gather(*handshakes, return_exceptions=True)
+        for result in results:
+            if isinstance(result, Exception):
+                self.log.emit(Event.REQUEST_ABORTED, detail=repr(result))
+
+    def _accept_queued(self, sock: socket.socket) -> Iterator[socket.socket]:
+        """Yield the connections in the queue of a listening socket."""
+        with sock.dup() as listener:
+            while True:
+                try:
+                    conn, _ = listener.accept()
+                except BlockingIOError:
+                    return
+                except ConnectionAbortedError:
+                    continue
+                except OSError as exc:
+                    self.log.emit(Event.REQUEST_ABORTED, detail=repr(exc))
+                    return
+                conn.setblocking(False)
+                yield conn
 
     @staticmethod
     def caller_host(writer: asyncio.StreamWriter) -> str:
@@ -303,15 +357,10 @@
         )
 
 
-async def _close_listener(server: asyncio.Server) -> None:
-    """Close a listener after accepting the connections in its backlog.
-
-    The event loop accepts connections in one iteration and starts their
-    tasks in the next. Closing in between would silently drop them.
-    """
-    loop = asyncio.get_running_loop()
-    await poll_sockets()
-    for sock in server.sockets:
-        loop.remove_reader(sock.fileno())
-    await poll_sockets()
-    server.close()
+async def _wait_until(
+    tasks: Collection[asyncio.Future[Any]], until_s: float
+) -> None:
+    """Wait until all tasks have ended, or until a moment of the loop."""
+    remaining_s = until_s - asyncio.get_running_loop().time()
+    if tasks and remaining_s > 0:
+        await asyncio.wait(tasks, timeout=remaining_s)
