Stay open in a stop until callers have left

Callers saw refused connections and resets on idle connections from 0.4 of the grace on: look-ups are cached for 3 s by some, other VMs learn of the stop a little later, and where links are full a request arrives seconds after it was sent, on a connection that the VM had closed as idle. None of these left a line in the logs.

A VM that stops now listens and keeps idle connections until 0.9 of the grace, and answers what comes. It ends before only if no look-up can name it any more and no caller is connected.

tests.test_planned_stop, callers_that_go_by_an_old_look_up: a connection was refused before at a grace of 6 s; each request gets an answer after.

--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -116,6 +116,11 @@
         """Keep serving, but send `connection: close` with each response."""
         self.is_draining = True
 
+    async def wait_until_deserted(self, timeout_s: float) -> None:
+        """Wait until no caller is connected, but go on to serve."""
+        deadline_s = asyncio.get_running_loop().time() + timeout_s
+        await self._wait_for_connections(deadline_s)
+
     async def stop(self, grace_s: float) -> int:
         """Wait `grace_s` seconds for running requests, then stop listening.
 
--- a/src/wigeonford/steer/_daemon.py
+++ b/src/wigeonford/steer/_daemon.py
@@ -120,11 +120,12 @@
         self._forwarder.begin_shutdown(plan)
         self._front.drain()
         await self._follower.report_status()
-        await asyncio.sleep(_until(plan.stop_listening_at_s))
+        await asyncio.sleep(_until(plan.unlisted_at_s))
+        # Where links are full, requests arrive seconds after they were sent.
+        await self._front.wait_until_deserted(_until(plan.finish_by_s))
         closing = asyncio.create_task(
             self._front.stop(_until(plan.close_at_s))
         )
-        await asyncio.wait((closing,), timeout=_until(plan.finish_by_s))
         ended_count = self._forwarder.end_unfinished()
         self._log.emit(
             Event.FRONT_CLOSED, ended=ended_count, cut=await closing
--- a/src/wigeonford/steer/_lookups.py
+++ b/src/wigeonford/steer/_lookups.py
@@ -6,8 +6,9 @@
 from wigeonford.messages.steering import EntryStatus
 
 LOOKUP_TTL_S: Final = 1.0
-"""How long callers cache a look-up. Some cache it three times as long, and a
-graceful shutdown takes six seconds."""
+"""How long callers cache a look-up."""
+MAX_LOOKUP_AGE_S: Final = 3 * LOOKUP_TTL_S
+"""How long the slowest callers cache it; the users say three times as long."""
 MAX_ADDRESSES: Final = 64
 """Callers use at most so many addresses of a look-up."""
 
--- a/src/wigeonford/steer/_shutdown.py
+++ b/src/wigeonford/steer/_shutdown.py
@@ -5,11 +5,11 @@
 
 import msgspec
 
+from wigeonford.steer._lookups import MAX_LOOKUP_AGE_S
 from wigeonford.steer._route_stats import RouteStats
 
-STALE_LOOKUP_FRACTION: Final = 0.4
-"""Fraction of the grace period in which callers may still connect because of a
-cached look-up."""
+NEWS_S: Final = 1.0
+"""Time until no other VM names this one in look-ups."""
 FINISH_FRACTION: Final = 0.9
 """Fraction of the grace period after which the requests that are left get an
 answer, so that it is written before their connections close."""
@@ -34,9 +34,10 @@
     grace_s: float
 
     @property
-    def stop_listening_at_s(self) -> float:
-        """Return when the VM accepts no more connections."""
-        return self.began_s + self.grace_s * STALE_LOOKUP_FRACTION
+    def unlisted_at_s(self) -> float:
+        """Return from when on no caller's look-up names this VM."""
+        unlisted_at_s = self.began_s + NEWS_S + MAX_LOOKUP_AGE_S
+        return min(unlisted_at_s, self.finish_by_s)
 
     @property
     def finish_by_s(self) -> float:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -432,6 +432,32 @@
                 self.assert_no_late_one_is_cut(vm)
                 self.assert_refused_truly_and_only_late(vm)
 
+    def test_callers_that_go_by_an_old_look_up_are_answered(self) -> None:
+        for grace_s in (6, 10):
+
+            async def scenario(grace_s: int = grace_s) -> StoppingVm:
+                vm = StoppingVm(grace_s, 0.2, timeout_s=30.0)
+                await vm.learn()
+                address = await vm.front.start(Address())
+                kept = [await vm.connect() for _ in range(40)]
+                stop = vm.begin_stop()
+                async with asyncio.TaskGroup() as group:
+                    for number in range(40):
+                        reader, writer = await asyncio.open_connection(
+                            address.host, address.port
+                        )
+                        vm.writers.append(writer)
+                        caller = Caller(vm, reader, writer)
+                        late = f"{number * 0.1:.1f} s"
+                        group.create_task(caller.call(f"new, {late}"))
+                        group.create_task(kept[number].call(f"kept, {late}"))
+                        await asyncio.sleep(0.1)
+                await stop
+                return vm
+
+            with self.subTest(grace_s=grace_s):
+                self.run_stop(scenario)
+
     def test_few_are_refused_where_work_takes_a_third_of_the_grace(
         self,
     ) -> None:
