Refuse in a stop what can't be proved to end in time

Callers got a 504 late in a stop while their target was at work. The time that a stop expected of a request was that of the slowest of its route's last 64, which says nothing when targets become slower: a release, cold targets.

- Later than 3 s after the signal a request is taken only if its time limit, or its route's, ends by 0.9 of the grace.
Callers that still come can use a VM that doesn't stop; a refusal costs them a round trip, a cut the whole wait.
- Before that, the past counts only while no request of the route that is at a target takes longer than the slowest of it.
Otherwise the time limit counts.

--- a/src/wigeonford/steer/_admission.py
+++ b/src/wigeonford/steer/_admission.py
@@ -74,10 +74,11 @@
         """Raise `RequestRejected` if a request would outlast the shutdown."""
         if self._shutdown is NO_SHUTDOWN:
             return
+        now_s = self._clock()
         needed_s = expected_s(
-            self._stats_of(route), route.timeout_s, wait_s, work_s
+            self._stats_of(route), route.timeout_s, now_s, wait_s, work_s
         )
-        if not self._shutdown.can_finish(self._clock(), needed_s, deadline_s):
+        if not self._shutdown.can_finish(now_s, needed_s, deadline_s):
             raise build_draining_error(
                 f"a request of {route.name} may take {needed_s:.1f} s"
             )
@@ -164,7 +165,9 @@
         if self._shutdown is NO_SHUTDOWN:
             return ctx.deadline_s
         route = ctx.route
-        needed_s = expected_s(self._stats_of(route), route.timeout_s)
+        needed_s = expected_s(
+            self._stats_of(route), route.timeout_s, self._clock()
+        )
         return self._shutdown.send_by_s(needed_s, ctx.deadline_s)
 
     async def _spend_token(self, account: Account, left_s: float) -> bool:
--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -258,6 +258,8 @@
             limit_per_s=limit_per_s,
             revision=ctx.view.revision,
         )
+        running_since_s = self._observer.stats_of(ctx.route).running_since_s
+        running_since_s[id(ctx)] = began_s
         try:
             result = await self._target_connections.send(
                 Attempt(
@@ -275,6 +277,7 @@
             )
         finally:
             record.in_flight -= 1
+            del running_since_s[id(ctx)]
         ctx.is_attempt_running = False
         self._observer.record_attempt(ctx, sent_attempt, result)
         return self._handle_result(ctx, record, result, began_s)
--- a/src/wigeonford/steer/_route_stats.py
+++ b/src/wigeonford/steer/_route_stats.py
@@ -32,7 +32,11 @@
 
 
 class RouteStats(msgspec.Struct):
-    """Hold the moving averages of one route, and its latest durations."""
+    """Hold the moving averages of one route, and its latest durations.
+
+    `running_since_s` tells when the requests at targets were sent, the oldest
+    first, by any key.
+    """
 
     warm_s: float
     cold_s: float
@@ -40,6 +44,7 @@
     recent_s: deque[float] = msgspec.field(
         default_factory=lambda: deque(maxlen=RECENT_DURATIONS)
     )
+    running_since_s: dict[int, float] = msgspec.field(default_factory=dict)
 
     @classmethod
     def initial(cls, route: Route) -> "RouteStats":
@@ -67,6 +72,10 @@
             return max(slowest_s, self.cold_s)
         return slowest_s
 
+    def oldest_s(self, now_s: float) -> float:
+        """Return for how long the oldest request at a target takes."""
+        return now_s - next(iter(self.running_since_s.values()), now_s)
+
     def record_response(self, duration_s: float) -> None:
         """Record a response to a request that may have waited for a slot."""
         self.recent_s.append(duration_s)
--- a/src/wigeonford/steer/_shutdown.py
+++ b/src/wigeonford/steer/_shutdown.py
@@ -39,6 +39,14 @@
         unlisted_at_s = self.began_s + NEWS_S + MAX_LOOKUP_AGE_S
         return min(unlisted_at_s, self.finish_by_s)
 
+    @property
+    def is_late_from_s(self) -> float:
+        """Return from when on an estimate is no reason to take a request.
+
+        Few callers come so late, and all others know VMs that don't stop.
+        """
+        return self.began_s + MAX_LOOKUP_AGE_S
+
     @property
     def finish_by_s(self) -> float:
         """Return when requests must have ended."""
@@ -61,14 +69,14 @@
 
         It ends at its deadline at the latest.
         """
-        ends_at_s = min(now_s + expected_s, deadline_s)
-        return ends_at_s + WAY_BACK_S <= self.finish_by_s
+        return now_s <= self.send_by_s(expected_s, deadline_s)
 
     def send_by_s(self, expected_s: float, deadline_s: float) -> float:
         """Return until when a request can be sent."""
         if deadline_s + WAY_BACK_S <= self.finish_by_s:
             return deadline_s
-        return self.finish_by_s - WAY_BACK_S - expected_s
+        send_by_s = self.finish_by_s - WAY_BACK_S - expected_s
+        return min(send_by_s, self.is_late_from_s)
 
 
 NO_SHUTDOWN: Final = ShutdownPlan(math.inf, 0.0)
@@ -78,12 +86,18 @@
 def expected_s(
     stats: RouteStats,
     time_limit_s: float,
+    now_s: float,
     wait_s: float = 0.0,
     work_s: float = 0.0,
 ) -> float:
     """Return how long a request takes if it is among the slowest.
 
     `time_limit_s` is the route's. `wait_s` and `work_s` are the expected wait
-    for a slot of its target and the expected work.
+    for a slot of its target and the expected work. While a request already
+    takes longer than the slowest of late, these say nothing: targets have
+    become slower.
     """
-    return SPREAD * max(stats.slowest_s(time_limit_s), wait_s + work_s)
+    slowest_s = SPREAD * max(stats.slowest_s(time_limit_s), wait_s + work_s)
+    if stats.oldest_s(now_s) > slowest_s:
+        return max(slowest_s, time_limit_s)
+    return slowest_s
