Answer callers that connect amid a start that a stop ends

A VM listens before its background tasks have started. A stop signal in between cancelled the start, and the process ended with what had connected unread.

tests.test_planned_stop, callers_amid_a_start_that_a_stop_ends: no answer within 10 s before, an answer after. The cancelled start now closes the listener as a stop does.

--- a/src/wigeonford/steer/_daemon.py
+++ b/src/wigeonford/steer/_daemon.py
@@ -103,8 +103,13 @@
         for server, address in self._servers:
             await server.start(address)
         await self._front.start(self._cfg.address)
-        for component in self._components:
-            await component.start()
+        try:
+            for component in self._components:
+                await component.start()
+        except asyncio.CancelledError:
+            # Callers may have connected.
+            await self._front.stop(0.0)
+            raise
         self._sweeper = asyncio.create_task(self._sweep())
         self._log.emit(
             Event.STARTED,
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -806,6 +806,31 @@
         )
         self.assertEqual(0, result.returncode, result)
 
+    def test_callers_amid_a_start_that_a_stop_ends_are_answered(self) -> None:
+        async def scenario() -> bytes:
+            vm = StoppingVm(6, 0.2)
+            listening = asyncio.Event()
+
+            async def start_component() -> None:
+                listening.set()
+                await asyncio.Event().wait()
+
+            vm.component.start = start_component
+            start = asyncio.create_task(vm.daemon.start())
+            await listening.wait()
+            server = vm.front._server
+            assert server is not None, "the VM listens"
+            with socket.create_connection(
+                server.sockets[0].getsockname()
+            ) as caller:
+                caller.sendall(b"GET /safe/x HTTP/1.1\r\nhost: a\r\n\r\n")
+                start.cancel()
+                await asyncio.wait((start,))
+                caller.settimeout(10.0)
+                return caller.recv(65536)
+
+        self.assertRegex(run_virtual(scenario()), rb"^HTTP/1.1 404 ")
+
     async def test_a_stop_amid_a_start_that_waits_ends_it(self) -> None:
         class Daemon:
             """Wait for a configuration that never comes."""
