--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -193,6 +193,11 @@
             h11.CLOSED,
         )
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether the caller is connected and waits for nothing."""
+        return not (self.is_busy or self.unread_bytes or self.has_caller_left)
+
     @property
     def is_unfinished(self) -> bool:
         """Return whether a request has begun and its response isn't out."""
--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -142,6 +142,7 @@
         await poll_sockets()
         unfinished = dict(self._tasks)
         cut_count = sum(conn.is_unfinished for conn in unfinished.values())
+        idle_count = sum(conn.is_idle for conn in unfinished.values())
         for task in unfinished:
             task.cancel()
         if unfinished:
@@ -149,7 +150,7 @@
         await self._cancel_connections()
         self.log.emit(
             Event.CONNECTIONS_CLOSED,
-            idle=self._idle_closed_count,
+            idle=self._idle_closed_count + idle_count,
             cut=cut_count,
             unbegun=len(self._accepted),
         )
@@ -279,8 +280,7 @@
         """Count why a connection ended; log a caller left without response."""
         is_unanswered = conn.is_unanswered
         self._count_end(conn.end.value, is_unanswered)
-        is_open_to_caller = not conn.has_caller_left
-        if self.closing and not conn.is_busy and is_open_to_caller:
+        if self.closing and conn.end is ConnectionEnd.IDLE:
             self._idle_closed_count += 1
         if is_unanswered:
             self.log.emit(
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -101,23 +101,24 @@
     async def test_idle_connections_that_a_stop_closes_are_counted(
         self,
     ) -> None:
-        self.server.limits = CallerLimits()
-        for _ in range(2):
-            reader, writer = await asyncio.open_connection(
-                self.address.host, self.address.port
-            )
-            self.addCleanup(writer.close)
-            writer.write(REQUEST % b"")
-            await reader.readuntil(b"ok")
         for grace_s in (1.0, 0.0):
-            await self.server.stop(grace_s)
-        lines = [
-            json.loads(line)
-            for line in self.logs.getvalue().splitlines()
-            if '"number": 205' in line
-        ]
-        self.assertEqual([2, 2], [line["idle"] for line in lines])
-        self.assertEqual([0, 0], [line["cut"] for line in lines])
+            with self.subTest(grace_s=grace_s):
+                await self.asyncSetUp()
+                self.server.limits = CallerLimits()
+                for _ in range(2):
+                    reader, writer = await asyncio.open_connection(
+                        self.address.host, self.address.port
+                    )
+                    self.addCleanup(writer.close)
+                    writer.write(REQUEST % b"")
+                    await reader.readuntil(b"ok")
+                await self.server.stop(grace_s)
+                (line,) = (
+                    json.loads(text)
+                    for text in self.logs.getvalue().splitlines()
+                    if '"number": 205' in text
+                )
+                self.assertEqual((2, 0), (line["idle"], line["cut"]))
 
     async def test_invalid_response_is_answered_by_an_error(self) -> None:
         self.assertIn(b" 502 ", await self.send(b"invalid"))
