End a stop once no look-up names the VM and callers are quiet

A VM now ends its stop 4 s after the signal if no request is at work and none has come for 0.5 s. Where links are full requests still come, and the VM stays.

What targets answered while the process stood still is read before requests are ended at 0.9 of the grace; it had depended on the order of two timers.

--- a/src/wigeonford/_tasks.py
+++ b/src/wigeonford/_tasks.py
@@ -17,6 +17,12 @@
         await asyncio.gather(task, return_exceptions=True)
 
 
+async def read_arrived() -> None:
+    """Let tasks read what has arrived while this process stood still."""
+    for _ in range(READ_ITERATIONS):
+        await asyncio.sleep(0)
+
+
 async def wait_for_result(fut: asyncio.Future[T], timeout_s: float) -> T:
     """Return a result that arrives in time; raise `TimeoutError`.
 
--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -72,6 +72,7 @@
     log: EventLog
     is_draining: bool
     closing: bool
+    last_request_at_s: float
     find_request_id: FindRequestId
 
     @staticmethod
@@ -320,6 +321,7 @@
         if first and not await self._wait_for_first_byte():
             return None
         self.is_busy = True
+        self._server.last_request_at_s = asyncio.get_running_loop().time()
         try:
             event = await self._next_event(attrgetter("head_timeout_s"))
         except TimeoutError:
--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Awaitable, Callable, Collection, Iterator
+import math
 import socket
 import ssl
 from typing import Any, Final
@@ -33,6 +34,9 @@
 WRITE_BUFFER_BYTES: Final = 262144
 DISCARD_TIMEOUT_S: Final = 3.0
 DISCARD_REJECTED_TIMEOUT_S: Final = 0.5
+QUIET_S: Final = 0.5
+"""Time without a request after which callers that are connected have gone
+elsewhere; on a full link requests still arrive."""
 CUT_TIMEOUT_S: Final = 0.2
 """Time in which callers are told of the requests that a stop cuts."""
 
@@ -63,6 +67,7 @@
         self._count_end = count_end
         self.is_draining = False
         self.closing = False
+        self.last_request_at_s = -math.inf
         self._server: asyncio.Server | None = None
         self._context: ssl.SSLContext | None = None
         # Of connections whose task has not begun; one whose TLS handshake
@@ -117,9 +122,17 @@
         self.is_draining = True
 
     async def wait_until_deserted(self, timeout_s: float) -> None:
-        """Wait until no caller is connected, but go on to serve."""
-        deadline_s = asyncio.get_running_loop().time() + timeout_s
-        await self._wait_for_connections(deadline_s)
+        """Wait until callers send nothing any more, but go on to serve."""
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
+        while self._tasks and (now_s := loop.time()) < deadline_s:
+            is_quiet = now_s - self.last_request_at_s >= QUIET_S
+            conns = self._tasks.values()
+            if is_quiet and not any(conn.is_unfinished for conn in conns):
+                return
+            await _wait_until(
+                list(self._tasks), min(deadline_s, now_s + QUIET_S)
+            )
 
     async def stop(self, grace_s: float) -> int:
         """Wait `grace_s` seconds for running requests, then stop listening.
--- a/src/wigeonford/steer/_daemon.py
+++ b/src/wigeonford/steer/_daemon.py
@@ -5,7 +5,7 @@
 import time
 from typing import Final, Protocol
 
-from wigeonford._tasks import cancel_task
+from wigeonford._tasks import cancel_task, read_arrived
 from wigeonford.deployment import Deployment
 from wigeonford.events import Event, EventLog
 from wigeonford.http import HttpServer
@@ -128,6 +128,7 @@
         await asyncio.sleep(_until(plan.unlisted_at_s))
         # Where links are full, requests arrive seconds after they were sent.
         await self._front.wait_until_deserted(_until(plan.finish_by_s))
+        await read_arrived()
         closing = asyncio.create_task(
             self._front.stop(_until(plan.close_at_s))
         )
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -537,22 +537,32 @@
             with self.subTest(grace_s=grace_s):
                 self.run_stop(scenario)
 
-    def test_a_stop_without_callers_ends_once_no_look_up_names_it(
+    def test_a_stop_ends_once_no_look_up_names_it_and_callers_are_quiet(
         self,
     ) -> None:
-        async def scenario() -> StoppingVm:
-            vm = StoppingVm(10, 0.2)
-            address = await vm.front.start(Address())
-            stop = vm.begin_stop()
-            await asyncio.sleep(3.5)
-            caller = await vm.connect_to(address)
-            await caller.call("a")
-            vm.writers[-1].close()
-            await stop
-            self.assertLess(vm.late_s(vm.loop.time()), 4.5)
-            return vm
+        for last_at_s, ends_s in ((3.0, 4.0), (3.6, 4.0), (3.9, 4.4)):
 
-        self.run_stop(scenario)
+            async def scenario(
+                last_at_s: float = last_at_s, ends_s: float = ends_s
+            ) -> StoppingVm:
+                vm = StoppingVm(10, 0.2)
+                address = await vm.front.start(Address())
+                kept = [await vm.connect() for _ in range(3)]
+                stop = vm.begin_stop()
+                await asyncio.sleep(last_at_s - 0.1)
+                await kept[0].call("kept")
+                new = await vm.connect_to(address)
+                await new.call("new")
+                for writer in vm.writers[-1], vm.writers[0]:
+                    writer.close()
+                await stop
+                ended_s = vm.late_s(vm.loop.time())
+                self.assertGreater(ended_s, ends_s)
+                self.assertLess(ended_s, ends_s + 1.2)
+                return vm
+
+            with self.subTest(last_at_s=last_at_s):
+                self.run_stop(scenario)
 
     def test_few_are_refused_where_work_takes_a_third_of_the_grace(
         self,
