--- a/src/wigeonford/steer/_daemon.py
+++ b/src/wigeonford/steer/_daemon.py
@@ -5,7 +5,7 @@
 import time
 from typing import Final, Protocol
 
-from wigeonford._tasks import cancel_task
+from wigeonford._tasks import cancel_task, read_arrived
 from wigeonford.deployment import Deployment
 from wigeonford.events import Event, EventLog
 from wigeonford.http import HttpServer
@@ -103,8 +103,13 @@
         for server, address in self._servers:
             await server.start(address)
         await self._front.start(self._cfg.address)
-        for component in self._components:
-            await component.start()
+        try:
+            for component in self._components:
+                await component.start()
+        except asyncio.CancelledError:
+            # Callers may have connected.
+            await self._front.stop(0.0)
+            raise
         self._sweeper = asyncio.create_task(self._sweep())
         self._log.emit(
             Event.STARTED,
@@ -120,11 +125,13 @@
         self._forwarder.begin_shutdown(plan)
         self._front.drain()
         await self._follower.report_status()
-        await asyncio.sleep(_until(plan.stop_listening_at_s))
+        await asyncio.sleep(_until(plan.unlisted_at_s))
+        # Where links are full, requests arrive seconds after they were sent.
+        await self._front.wait_until_deserted(_until(plan.finish_by_s))
+        await read_arrived()
         closing = asyncio.create_task(
             self._front.stop(_until(plan.close_at_s))
         )
-        await asyncio.wait((closing,), timeout=_until(plan.finish_by_s))
         ended_count = self._forwarder.end_unfinished()
         self._log.emit(
             Event.FRONT_CLOSED, ended=ended_count, cut=await closing
--- a/src/wigeonford/steer/_shutdown.py
+++ b/src/wigeonford/steer/_shutdown.py
@@ -5,11 +5,11 @@
 
 import msgspec
 
+from wigeonford.steer._lookups import MAX_LOOKUP_AGE_S
 from wigeonford.steer._route_stats import RouteStats
 
-STALE_LOOKUP_FRACTION: Final = 0.4
-"""Fraction of the grace period in which callers may still connect because of a
-cached look-up."""
+NEWS_S: Final = 1.0
+"""Time until no other VM names this one in look-ups."""
 FINISH_FRACTION: Final = 0.9
 """Fraction of the grace period after which the requests that are left get an
 answer, so that it is written before their connections close."""
@@ -34,9 +34,18 @@
     grace_s: float
 
     @property
-    def stop_listening_at_s(self) -> float:
-        """Return when the VM accepts no more connections."""
-        return self.began_s + self.grace_s * STALE_LOOKUP_FRACTION
+    def unlisted_at_s(self) -> float:
+        """Return from when on no caller's look-up names this VM."""
+        unlisted_at_s = self.began_s + NEWS_S + MAX_LOOKUP_AGE_S
+        return min(unlisted_at_s, self.finish_by_s)
+
+    @property
+    def is_late_from_s(self) -> float:
+        """Return from when on an estimate is no reason to take a request.
+
+        Few callers come so late, and all others know VMs that don't stop.
+        """
+        return self.began_s + MAX_LOOKUP_AGE_S
 
     @property
     def finish_by_s(self) -> float:
@@ -60,14 +69,14 @@
 
         It ends at its deadline at the latest.
         """
-        ends_at_s = min(now_s + expected_s, deadline_s)
-        return ends_at_s + WAY_BACK_S <= self.finish_by_s
+        return now_s <= self.send_by_s(expected_s, deadline_s)
 
     def send_by_s(self, expected_s: float, deadline_s: float) -> float:
         """Return until when a request can be sent."""
         if deadline_s + WAY_BACK_S <= self.finish_by_s:
             return deadline_s
-        return self.finish_by_s - WAY_BACK_S - expected_s
+        send_by_s = self.finish_by_s - WAY_BACK_S - expected_s
+        return min(send_by_s, self.is_late_from_s)
 
 
 NO_SHUTDOWN: Final = ShutdownPlan(math.inf, 0.0)
@@ -77,12 +86,18 @@
 def expected_s(
     stats: RouteStats,
     time_limit_s: float,
+    now_s: float,
     wait_s: float = 0.0,
     work_s: float = 0.0,
 ) -> float:
     """Return how long a request takes if it is among the slowest.
 
     `time_limit_s` is the route's. `wait_s` and `work_s` are the expected wait
-    for a slot of its target and the expected work.
+    for a slot of its target and the expected work. While most requests at
+    targets already take longer than the slowest of late, these say nothing:
+    targets have become slower.
     """
-    return SPREAD * max(stats.slowest_s(time_limit_s), wait_s + work_s)
+    slowest_s = SPREAD * max(stats.slowest_s(time_limit_s), wait_s + work_s)
+    if stats.running_s(now_s) > slowest_s:
+        return max(slowest_s, time_limit_s)
+    return slowest_s
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
 import io
+import json
 import logging
 import unittest
 
@@ -97,6 +98,28 @@
         self.assertEqual({("stopped", False): 1}, self.ends)
         self.assertNotIn('"number": 204', self.logs.getvalue())
 
+    async def test_idle_connections_that_a_stop_closes_are_counted(
+        self,
+    ) -> None:
+        for grace_s in (1.0, 0.0):
+            with self.subTest(grace_s=grace_s):
+                await self.asyncSetUp()
+                self.server.limits = CallerLimits()
+                for _ in range(2):
+                    reader, writer = await asyncio.open_connection(
+                        self.address.host, self.address.port
+                    )
+                    self.addCleanup(writer.close)
+                    writer.write(REQUEST % b"")
+                    await reader.readuntil(b"ok")
+                await self.server.stop(grace_s)
+                (line,) = (
+                    json.loads(text)
+                    for text in self.logs.getvalue().splitlines()
+                    if '"number": 205' in text
+                )
+                self.assertEqual((2, 0), (line["idle"], line["cut"]))
+
     async def test_invalid_response_is_answered_by_an_error(self) -> None:
         self.assertIn(b" 502 ", await self.send(b"invalid"))
         self.assertEqual({("response-broken", False): 1}, self.ends)
