test fails: a response before its body is lost on a slow link

A caller sends 360 kB in pieces, 21.6 s in all, and reads the response after the last one. In each of five cases (a refused and an invalid head, a refusal before and amid the body, an error in place of an invalid response) the VM reset the connection amid the body (BrokenPipeError). Found beside it: a HEAD request whose head is refused gets no byte, since the error's body is not allowed there and the HTTP library refuses to send it.

--- /dev/null
+++ b/tests/test_early_responses.py
@@ -0,0 +1,160 @@
+"""A caller gets the response that comes before its body has arrived."""
+
+import asyncio
+import io
+import logging
+import socket
+import unittest
+
+from tests.test_caller_ends import in_virtual_time
+from wigeonford.errors import Code, RequestRejected
+from wigeonford.events import configure_logging, EventLog
+from wigeonford.http import Handler, HttpServer, Request, Response
+from wigeonford.settings import Address, CallerLimits
+
+BODY_BYTES = 360_000
+PIECE_BYTES = 15_000
+GAP_S = 0.9
+"""Between two pieces; a body takes 21.6 s, as on a full link."""
+LIMITS = CallerLimits(body_bytes=BODY_BYTES)
+MARGIN_S = 1.0
+MAX_READ_ON_S = 30.0
+ENDLESS_BYTES = 1 << 40
+
+
+def _post(length: int) -> bytes:
+    return b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n" % length
+
+
+async def _refuse(_request: Request) -> Response:
+    raise RequestRejected(Code.DRAINING)
+
+
+async def _refuse_amid_body(request: Request) -> Response:
+    async for _ in request.body:
+        raise RequestRejected(Code.DRAINING)
+    raise AssertionError("the body has bytes")
+
+
+async def _respond_invalidly(_request: Request) -> Response:
+    return Response(200, ((b"content-length", b"1"),), b"too long")
+
+
+class SlowUploadTest(unittest.TestCase):
+    """Send a body in pieces; read the response after the last one."""
+
+    def setUp(self) -> None:
+        self.logs = io.StringIO()
+        configure_logging(self.logs, logging.INFO)
+        self.handler: Handler = _refuse
+        self.limits = LIMITS
+
+    async def connect(self) -> socket.socket:
+        """Start a server; return a connected socket."""
+        self.server = HttpServer(self.handler, self.limits, EventLog())
+        address = await self.server.start(Address())
+        sock = socket.create_connection((address.host, address.port))
+        self.addCleanup(sock.close)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return sock
+
+    async def send(
+        self, sock: socket.socket, size_bytes: int, gap_s: float = GAP_S
+    ) -> None:
+        """Send a body in pieces."""
+        loop = asyncio.get_running_loop()
+        for _ in range(0, size_bytes, PIECE_BYTES):
+            await loop.sock_sendall(sock, b"b" * PIECE_BYTES)
+            await asyncio.sleep(gap_s)
+
+    async def upload(self, head: bytes) -> bytes:
+        """Return the start of the response to a whole body."""
+        sock = await self.connect()
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(sock, head)
+        await self.send(sock, BODY_BYTES)
+        response = await loop.sock_recv(sock, 1 << 16)
+        sock.close()
+        await self.server.stop(0.0)
+        return response[:12]
+
+    @in_virtual_time
+    async def test_rejected_head_on_a_slow_link(self) -> None:
+        self.limits = CallerLimits(body_bytes=BODY_BYTES - 1)
+        response = await self.upload(_post(BODY_BYTES))
+        self.assertEqual(b"HTTP/1.1 413", response)
+
+    @in_virtual_time
+    async def test_invalid_head_on_a_slow_link(self) -> None:
+        response = await self.upload(b"POST / HTTP/1.1\r\nhost a\r\n\r\n")
+        self.assertEqual(b"HTTP/1.1 400", response)
+
+    @in_virtual_time
+    async def test_refusal_before_the_body_on_a_slow_link(self) -> None:
+        response = await self.upload(_post(BODY_BYTES))
+        self.assertEqual(b"HTTP/1.1 503", response)
+
+    @in_virtual_time
+    async def test_refusal_amid_the_body_on_a_slow_link(self) -> None:
+        self.handler = _refuse_amid_body
+        response = await self.upload(_post(BODY_BYTES))
+        self.assertEqual(b"HTTP/1.1 503", response)
+
+    @in_virtual_time
+    async def test_error_after_an_invalid_response_on_a_slow_link(
+        self,
+    ) -> None:
+        self.handler = _respond_invalidly
+        response = await self.upload(_post(BODY_BYTES))
+        self.assertEqual(b"HTTP/1.1 502", response)
+
+    @in_virtual_time
+    async def test_stalled_caller_is_not_waited_for_without_end(self) -> None:
+        self.limits = CallerLimits(body_bytes=BODY_BYTES - 1)
+        sock = await self.connect()
+        sock.send(_post(BODY_BYTES))
+        await asyncio.sleep(LIMITS.body_idle_timeout_s + MARGIN_S)
+        self.assertFalse(self.server._tasks)
+        self.assertIn('"number": 205', self.logs.getvalue())
+        await self.server.stop(0.0)
+
+    @in_virtual_time
+    async def test_caller_that_sends_on_is_not_read_without_end(self) -> None:
+        for gap_s in (GAP_S, MARGIN_S / 1000):
+            with self.subTest(gap_s=gap_s):
+                await self.check_endless(gap_s)
+
+    async def check_endless(self, gap_s: float) -> None:
+        """Check that a body without end ends by a reset."""
+        self.limits = CallerLimits(body_bytes=1024)
+        sock = await self.connect()
+        sock.send(_post(ENDLESS_BYTES))
+        began_s = asyncio.get_running_loop().time()
+        with self.assertRaises(ConnectionError):
+            await self.send(sock, ENDLESS_BYTES, gap_s)
+        waited_s = asyncio.get_running_loop().time() - began_s
+        self.assertLess(waited_s, MAX_READ_ON_S + 2 * MARGIN_S)
+        await self.server.stop(0.0)
+
+    @in_virtual_time
+    async def test_caller_that_has_sent_all_is_not_waited_for(self) -> None:
+        self.limits = CallerLimits(body_bytes=PIECE_BYTES - 1)
+        sock = await self.connect()
+        sock.send(_post(PIECE_BYTES) + b"b" * PIECE_BYTES)
+        await asyncio.sleep(MARGIN_S)
+        self.assertIn(b" 413 ", sock.recv(1 << 16)[:20])
+        self.assertFalse(self.server._tasks)
+        self.assertNotIn('"number": 205', self.logs.getvalue())
+        await self.server.stop(0.0)
+
+    @in_virtual_time
+    async def test_rejected_head_of_a_head_request_is_answered(self) -> None:
+        self.limits = CallerLimits(head_bytes=1024)
+        sock = await self.connect()
+        sock.send(b"HEAD /" + b"p" * 1024 + b" HTTP/1.1\r\nhost: a\r\n\r\n")
+        await asyncio.sleep(MARGIN_S)
+        response = sock.recv(1 << 16)
+        self.assertIn(b" 431 ", response[:20])
+        self.assertTrue(response.endswith(b"\r\n\r\n"))
+        await self.server.stop(0.0)
