Read on from a caller that has its response while it makes progress

What callers saw: a refusal or an early response to an upload over a slow link was lost. The VM closed the connection with unread bytes, which resets it, and the caller's system drops the response unread. Cause: the rest of a request was read for 0.5 s after a rejection and 3 s after a response, by the clock. A body takes longer on a full link. Now the rest of a body is read by its framing, within the limits on bodies (bytes, pauses, rate) and for 30 s in all. Where the framing is lost, bytes are read until a pause of 3 s; a caller that has sent all is waited for as before, 0.5 s.

--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -30,6 +30,13 @@
 from wigeonford.settings import CallerLimits
 
 READ_BYTES: Final = 65536
+DISCARD_TIMEOUT_S: Final = 30.0
+"""Time in which a caller with a response may still send its request."""
+DISCARD_BYTES: Final = 1 << 20
+"""Read of a rejected request, also where the limit on bodies is below it."""
+DISCARD_IDLE_TIMEOUT_S: Final = 3.0
+LINGER_S: Final = 0.5
+"""Pause after which a caller is taken to send nothing more."""
 CLOSING_IDLE_S: Final = 0.25
 """Time in which an idle connection may still send a request once the server
 is stopping."""
@@ -101,6 +108,7 @@
         self._has_response_begun = False
         self._is_handled = False
         self._is_closed_by_server = False
+        self._is_framing_lost = False
         self.is_busy = False
         self.end = ConnectionEnd.CALLER_LEFT
 
@@ -158,31 +166,52 @@
         if self._deadline is not None:
             self._deadline.extend(limits)
 
-    async def discard(self, timeout_s: float) -> bool:
+    async def discard(self) -> bool:
         """Read and drop what the caller still sends before the close.
 
         Closing a socket with unread bytes resets the connection, and the
         caller could lose the response. Return whether nothing more is due
         from the caller.
         """
-        is_sending = self.has_unread_request
         if self._writer.can_write_eof():
             self._writer.write_eof()
         try:
-            async with asyncio.timeout(timeout_s):
-                while await self._reader.read(READ_BYTES):
-                    continue
-        except TimeoutError:
-            return not is_sending
+            async with asyncio.timeout(DISCARD_TIMEOUT_S):
+                await self._discard_body()
+                return await self._discard_bytes()
+        except (TimeoutError, RequestRejected):
+            return False
         except ConnectionError:
-            pass
-        return True
+            return True
+
+    async def _discard_body(self) -> None:
+        """Read the rest of a body within the limits on bodies."""
+        if self._http.their_state is h11.SEND_BODY:
+            max_bytes = max(self._limits.body_bytes, DISCARD_BYTES)
+            async for _ in self._stream_body(max_bytes):
+                continue
+
+    async def _discard_bytes(self) -> bool:
+        """Read until the caller closes or pauses."""
+        is_sending = self.has_unread_request
+        idle_timeout_s = DISCARD_IDLE_TIMEOUT_S if is_sending else LINGER_S
+        remaining_bytes = DISCARD_BYTES
+        while remaining_bytes > 0:
+            deadline = CallerDeadline(self._limits, lambda _: idle_timeout_s)
+            try:
+                data = await self._read_until(deadline)
+            except TimeoutError:
+                return not is_sending
+            if not data:
+                return True
+            remaining_bytes -= len(data)
+        return False
 
     @property
     def has_unread_request(self) -> bool:
         """Return whether the caller may still be sending a request."""
         is_sending = self._http.their_state in (h11.SEND_BODY, h11.ERROR)
-        return is_sending or self.unread_bytes > 0
+        return is_sending or self._is_framing_lost or self.unread_bytes > 0
 
     @property
     def has_caller_left(self) -> bool:
@@ -236,6 +265,7 @@
             return
         if self._http.our_state is h11.ERROR:
             # An invalid response was not sent; h11 refuses any other.
+            self._is_framing_lost = self.has_unread_request
             self._http = h11.Connection(h11.SERVER)
         await self._send(error_response(exc), close=True)
 
@@ -362,7 +392,10 @@
             body=self._stream_body(),
         )
 
-    async def _stream_body(self) -> AsyncIterator[bytes]:
+    async def _stream_body(
+        self, max_bytes: int | None = None
+    ) -> AsyncIterator[bytes]:
+        """Yield the body; reject more than `max_bytes` or the limit."""
         if self._http.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(
                 status_code=100, headers=[]
@@ -391,10 +424,10 @@
                 ) from exc
             if isinstance(event, h11.Data):
                 size_bytes += len(event.data)
-                if size_bytes > self._limits.body_bytes:
+                limit_bytes = max_bytes or self._limits.body_bytes
+                if size_bytes > limit_bytes:
                     raise RequestRejected(
-                        Code.BODY_TOO_LARGE,
-                        f"over {self._limits.body_bytes} bytes",
+                        Code.BODY_TOO_LARGE, f"over {limit_bytes} bytes"
                     )
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -25,8 +25,6 @@
 
 ACCEPT_WAIT_S: Final = 0.05
 WRITE_BUFFER_BYTES: Final = 262144
-DISCARD_TIMEOUT_S: Final = 3.0
-DISCARD_REJECTED_TIMEOUT_S: Final = 0.5
 CUT_TIMEOUT_S: Final = 0.2
 """Time in which callers are told of the requests that a stop cuts."""
 
@@ -220,7 +218,7 @@
         try:
             await conn.serve()
             if conn.has_unread_request:
-                await self._discard(conn, DISCARD_TIMEOUT_S)
+                await self._discard(conn)
         except (
             RequestRejected,
             CallerStalled,
@@ -264,7 +262,7 @@
             conn.reset()
         try:
             await sending
-            await self._discard(conn, DISCARD_REJECTED_TIMEOUT_S)
+            await self._discard(conn)
             await conn.close()
         except (
             CallerStalled,
@@ -278,8 +276,8 @@
                 detail=repr(exc),
             )
 
-    async def _discard(self, conn: CallerConnection, timeout_s: float) -> None:
-        if not await conn.discard(timeout_s):
+    async def _discard(self, conn: CallerConnection) -> None:
+        if not await conn.discard():
             self.log.emit(Event.CALLER_STILL_SENDING, request=conn.request_id)
 
     def _is_over_limit(self, host: str) -> bool:
