Answer a HEAD request whose head is refused

What callers saw: a whole HEAD request over the limit on heads got neither a response nor a refusal; event 201 named a protocol error. Cause: a rejected head was not yet the connection's request, so that the error was sent with a body, which a response to HEAD can't have; the HTTP library refused to send it. Evidence: tests.test_early_responses, the case of the HEAD request: no byte before, 431 without a body now.

--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -123,7 +123,7 @@
         method is cancelled, and with it the work on the request.
         """
         while True:
-            self._request = request = await self._read_request()
+            request = await self._read_request()
             if request is None:
                 return
             self._watch_caller(request)
@@ -381,9 +381,8 @@
         headers: Headers = tuple(
             (bytes(name), bytes(value)) for name, value in event.headers
         )
-        check_head(event, headers, self._limits)
         path, _, query = event.target.decode("latin-1").partition("?")
-        return Request(
+        self._request = request = Request(
             method=event.method.decode("ascii"),
             path=path,
             query=query,
@@ -391,6 +390,8 @@
             caller_host=self._server.caller_host(self._writer),
             body=self._stream_body(),
         )
+        check_head(event, headers, self._limits)
+        return request
 
     async def _stream_body(
         self, max_bytes: int | None = None
--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -177,7 +177,11 @@
             await conn.close()
         except RequestRejected as exc:
             conn.end = ConnectionEnd.REJECTED
-            self.log.emit(Event.REQUEST_REFUSED, code=exc.code.number)
+            self.log.emit(
+                Event.REQUEST_REFUSED,
+                request=conn.request_id,
+                code=exc.code.number,
+            )
             await self._reject(conn, exc)
         except CallerStalled:
             conn.end = ConnectionEnd.CALLER_STALLED
