Don't hold a response until a slow body has arrived

What callers saw: a refusal of an upload was written only once the next 64 KiB of the body had arrived or 15 s had passed. The caller kept uploading, its time limit ran out, and the link stayed full with bytes that nobody uses. Cause: the rest of a small body is read before the response, so that the connection stays open, within the limits on bodies only. Keeping such connections as well would need callers that send on after an early response; not all do.

--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -505,7 +505,10 @@
             return error_response(internal)
 
     async def _read_remaining_body(self, request: Request) -> None:
-        """Read the rest of a small body, so that the connection stays open."""
+        """Read the rest of a small body, so that the connection stays open.
+
+        The response waits meanwhile, so a slow body is left to `discard`.
+        """
         if self._http.their_state is not h11.SEND_BODY:
             return
         if self._http.they_are_waiting_for_100_continue:
@@ -514,11 +517,12 @@
             return
         remaining_bytes = READ_BYTES
         try:
-            async for chunk in request.body:
-                remaining_bytes -= len(chunk)
-                if remaining_bytes < 0:
-                    return
-        except (WigeonfordError, RuntimeError):
+            async with asyncio.timeout(LINGER_S):
+                async for chunk in request.body:
+                    remaining_bytes -= len(chunk)
+                    if remaining_bytes < 0:
+                        return
+        except (TimeoutError, WigeonfordError, RuntimeError):
             return
 
     async def _write(self, data: bytes | None) -> None:
--- a/tests/test_early_responses.py
+++ b/tests/test_early_responses.py
@@ -109,6 +109,29 @@
         response = await self.upload(_post(BODY_BYTES))
         self.assertEqual(b"HTTP/1.1 502", response)
 
+    @in_virtual_time
+    async def test_refusal_does_not_wait_for_a_slow_body(self) -> None:
+        for sent in (b"", b"b"):
+            with self.subTest(sent=sent):
+                sock = await self.connect()
+                sock.send(_post(PIECE_BYTES) + sent)
+                await asyncio.sleep(MARGIN_S)
+                self.assertIn(b" 503 ", sock.recv(1 << 16)[:20])
+                await self.server.stop(0.0)
+
+    @in_virtual_time
+    async def test_connection_is_kept_after_an_unread_small_body(
+        self,
+    ) -> None:
+        sock = await self.connect()
+        for _ in range(2):
+            sock.send(_post(PIECE_BYTES) + b"b" * PIECE_BYTES)
+            await asyncio.sleep(MARGIN_S)
+            response = sock.recv(1 << 16)
+            self.assertIn(b" 503 ", response[:20])
+            self.assertNotIn(b"close", response.lower())
+        await self.server.stop(0.0)
+
     @in_virtual_time
     async def test_stalled_caller_is_not_waited_for_without_end(self) -> None:
         self.limits = CallerLimits(body_bytes=BODY_BYTES - 1)
