Keep background tasks of a VM running after an unexpected error

What callers saw: a settings file whose new seeds lack a port, or a single odd value in a reply of control, ended a background task for good and without a log line. The VM no longer followed the deployment or no longer held quota fractions, and refused requests until it was started again. Cause: tasks expected PeerError and nothing else. An error of another kind left the task; a new view that one listener could not use never reached the others; one odd limit ended the watch of each replica that told of it, again and again; one reply that could not be encoded ended all requests of its link.

- An odd settings file is refused as a whole (103); the previous one stays.
- An address that nothing can have counts as unreachable.
A limit that can't be used is left out (327).
- Errors of tasks and callbacks that nobody awaits are logged (104).

--- a/src/wigeonford/_loop_watch.py
+++ b/src/wigeonford/_loop_watch.py
@@ -4,7 +4,7 @@
 import time
 from typing import Final
 
-from wigeonford._tasks import cancel_task
+from wigeonford._tasks import cancel_task, run_supervised
 from wigeonford.events import Event, EventLog
 from wigeonford.metrics import Metrics
 from wigeonford.peer import PeerServer
@@ -29,7 +29,9 @@
 
     async def start(self) -> None:
         """Start measuring."""
-        self._task = asyncio.create_task(self._measure())
+        self._task = asyncio.create_task(
+            run_supervised(self._measure, self._log)
+        )
 
     async def stop(self) -> None:
         """Stop measuring."""
--- a/src/wigeonford/_tasks.py
+++ b/src/wigeonford/_tasks.py
@@ -1,8 +1,13 @@
 """Helpers for background tasks and for results to wait for."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from typing import Final, TypeVar
 
+from wigeonford.events import Event, EventLog
+
+RESTART_DELAY_S: Final = 0.5
+"""Pause after an unexpected error of a background task."""
 READ_ITERATIONS: Final = 32
 """Event loop iterations to read a result that has arrived; each reads up to
 256 KiB of it."""
@@ -10,6 +15,22 @@
 T = TypeVar("T")
 
 
+async def run_supervised(
+    run: Callable[[], Awaitable[None]], log: EventLog
+) -> None:
+    """Run a background task; after an unexpected error, log and repeat it."""
+    while True:
+        try:
+            return await run()
+        except Exception as exc:
+            log.emit(
+                Event.TASK_FAILED,
+                task=getattr(run, "__qualname__", repr(run)),
+                exc_info=exc,
+            )
+        await asyncio.sleep(RESTART_DELAY_S)
+
+
 async def cancel_task(task: asyncio.Task[None] | None) -> None:
     """Cancel a task, if there is one, and wait until it has ended."""
     if task is not None:
--- a/src/wigeonford/control/_group_service.py
+++ b/src/wigeonford/control/_group_service.py
@@ -6,7 +6,7 @@
 import time
 from typing import Final
 
-from wigeonford._tasks import cancel_task
+from wigeonford._tasks import cancel_task, run_supervised
 from wigeonford.control._raft_channel import Connect
 from wigeonford.control._raft_replica import RaftReplica
 from wigeonford.errors import PeerError, WigeonfordError
@@ -60,7 +60,9 @@
 
     async def start(self) -> None:
         """Start to maintain this replica's membership."""
-        self._task = asyncio.create_task(self._maintain_membership())
+        self._task = asyncio.create_task(
+            run_supervised(self._maintain_membership, self._log)
+        )
 
     async def stop(self) -> None:
         """Stop and close the connections."""
--- a/src/wigeonford/daemon.py
+++ b/src/wigeonford/daemon.py
@@ -41,6 +41,13 @@
     before the start has ended cancels it: nothing has been served by then.
     """
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(
+        lambda _, context: log.emit(
+            Event.TASK_FAILED,
+            detail=context["message"],
+            exc_info=context.get("exception"),
+        )
+    )
     stop_requested = asyncio.Event()
     for signal_number in STOP_SIGNALS:
         loop.add_signal_handler(signal_number, stop_requested.set)
--- a/src/wigeonford/peer/_link.py
+++ b/src/wigeonford/peer/_link.py
@@ -15,7 +15,11 @@
     Server,
     ServerConnection,
 )
-from websockets.exceptions import ConnectionClosed, InvalidHandshake
+from websockets.exceptions import (
+    ConnectionClosed,
+    InvalidHandshake,
+    InvalidURI,
+)
 from websockets.http11 import Request, Response
 
 from wigeonford._tasks import wait_for_result
@@ -156,6 +160,9 @@
             await conn.close(1008, "invalid frame")
         except ConnectionClosed:
             return
+        except Exception as exc:
+            # The other messages of this link are handled on.
+            self._log.emit(Event.TASK_FAILED, exc_info=exc)
 
     async def _produce_replies(
         self, plain: object, stream_tasks: set[asyncio.Task[Any]]
@@ -300,7 +307,15 @@
         try:
             async with asyncio.timeout(timeout_s):
                 return await self._ensure_connected()
-        except (OSError, TimeoutError, InvalidHandshake) as exc:
+        except (
+            OSError,
+            TimeoutError,
+            InvalidHandshake,
+            InvalidURI,
+            OverflowError,
+            ValueError,
+        ) as exc:
+            # The last three: nothing can have such an address.
             raise PeerError(
                 Code.PEER_UNREACHABLE, f"{self.address}: {exc!r}"
             ) from exc
@@ -332,8 +347,12 @@
         try:
             async for data in conn:
                 self._deliver_reply(data)
-        except (ConnectionClosed, CodecError):
+        except ConnectionClosed:
             pass
+        except Exception as exc:
+            self._log.emit(
+                Event.PEER_LOST, peer=str(self.address), detail=repr(exc)
+            )
         finally:
             if self._conn is conn:
                 self._conn = None
--- a/src/wigeonford/platform/_settings.py
+++ b/src/wigeonford/platform/_settings.py
@@ -88,13 +88,17 @@
     """Return the settings in a file; raise `SettingsError`."""
     try:
         document: Any = tomllib.loads(path.read_text())
-        return msgspec.convert(document, PlatformSettings)
-    except (OSError, tomllib.TOMLDecodeError) as exc:
+    except (OSError, ValueError, RecursionError) as exc:
         fault = Fault(str(path), repr(exc), "a readable TOML file")
         raise SettingsError(Code.SETTINGS_UNREADABLE, (fault,)) from exc
-    except msgspec.ValidationError as exc:
+    try:
+        settings = msgspec.convert(document, PlatformSettings)
+        for seed in settings.seeds:
+            parse_address(seed)
+    except ValueError as exc:
         fault = Fault(str(path), str(exc), "valid")
         raise SettingsError(Code.SETTINGS_INVALID, (fault,)) from exc
+    return settings
 
 
 def _listen_address(text: str | None, name: str) -> Address:
--- a/src/wigeonford/platform/_settings_file.py
+++ b/src/wigeonford/platform/_settings_file.py
@@ -33,12 +33,13 @@
             if content == self._content:
                 return
             self._content = content
-            self.current = read_settings(self._path)
+            settings = read_settings(self._path)
         except (OSError, SettingsError) as exc:
             self._log.emit(Event.SETTINGS_REJECTED, detail=str(exc))
             return
+        self.current = settings
         self._log.emit(
-            Event.SETTINGS_RELOADED, seeds=list(self.current.peer_seeds)
+            Event.SETTINGS_RELOADED, seeds=list(settings.peer_seeds)
         )
 
     async def watch(self) -> None:
--- a/src/wigeonford/steer/_daemon.py
+++ b/src/wigeonford/steer/_daemon.py
@@ -5,7 +5,7 @@
 import time
 from typing import Final, Protocol
 
-from wigeonford._tasks import cancel_task
+from wigeonford._tasks import cancel_task, run_supervised
 from wigeonford.deployment import Deployment
 from wigeonford.events import Event, EventLog
 from wigeonford.http import HttpServer
@@ -105,7 +105,9 @@
         await self._front.start(self._cfg.address)
         for component in self._components:
             await component.start()
-        self._sweeper = asyncio.create_task(self._sweep())
+        self._sweeper = asyncio.create_task(
+            run_supervised(self._sweep, self._log)
+        )
         self._log.emit(
             Event.STARTED,
             address=str(self._cfg.address),
--- a/src/wigeonford/steer/_follower.py
+++ b/src/wigeonford/steer/_follower.py
@@ -6,6 +6,7 @@
 import time
 from typing import Final
 
+from wigeonford._tasks import run_supervised
 from wigeonford.errors import Code, PeerError
 from wigeonford.events import Event, EventLog
 from wigeonford.messages.steering import (
@@ -123,7 +124,9 @@
 
     async def start(self) -> None:
         """Start watching."""
-        self._manager = asyncio.create_task(self._manage_watchers())
+        self._manager = asyncio.create_task(
+            run_supervised(self._manage_watchers, self._log)
+        )
 
     async def stop(self) -> None:
         """Stop watching."""
@@ -366,7 +369,11 @@
         self.view = view
         self.view_applied_at_s = time.monotonic()
         for listener in self._listeners:
-            listener(view)
+            try:
+                listener(view)
+            except Exception as exc:
+                # The other listeners still get the view.
+                self._log.emit(Event.TASK_FAILED, exc_info=exc)
 
     def _is_confirmed(self) -> bool:
         """Return whether most replicas have replied, and none has newer data.
--- a/src/wigeonford/steer/_limit_exchange.py
+++ b/src/wigeonford/steer/_limit_exchange.py
@@ -9,6 +9,7 @@
 from wigeonford.messages.steering import (
     FollowTargetLimits,
     ReportTargetLimits,
+    TargetLimit,
     TargetLimitsUpdate,
 )
 from wigeonford.peer import PeerClient
@@ -63,10 +64,25 @@
             FollowTargetLimits(), EXCHANGE_TIMEOUT_S
         ):
             assert isinstance(update, TargetLimitsUpdate), "stream of limits"
-            for limit in self._limits.merge(update.limits, time.monotonic()):
-                self._log.emit(
-                    Event.TARGET_LIMIT_TOLD,
-                    target=limit.target_id,
-                    limit_per_s=limit.per_s,
-                    age_s=round(time.monotonic() - limit.observed_at_s, 3),
-                )
+            for report in update.limits:
+                self._merge(report)
+
+    def _merge(self, report: TargetLimit) -> None:
+        """Apply a limit; leave it out if it is invalid."""
+        now_s = time.monotonic()
+        try:
+            changed = self._limits.merge((report,), now_s)
+        except Exception as exc:
+            self._log.emit(
+                Event.TARGET_LIMIT_UNREADABLE,
+                target=report.target_id,
+                exc_info=exc,
+            )
+            return
+        for limit in changed:
+            self._log.emit(
+                Event.TARGET_LIMIT_TOLD,
+                target=limit.target_id,
+                limit_per_s=limit.per_s,
+                age_s=round(now_s - limit.observed_at_s, 3),
+            )
--- a/src/wigeonford/steer/_loans.py
+++ b/src/wigeonford/steer/_loans.py
@@ -76,11 +76,13 @@
         while token_counts := _count_pending(waiting):
             try:
                 loans = await self._request_loans(token_counts)
-            except PeerError as exc:
+            except Exception as exc:
+                # Also an unexpected error leaves requests that still wait.
                 self._log.emit(
                     Event.LOAN_FAILED,
-                    detail=str(exc),
+                    detail=repr(exc),
                     accounts=sorted(token_counts),
+                    exc_info=None if isinstance(exc, PeerError) else exc,
                 )
                 await asyncio.sleep(LOAN_RETRY_DELAY_S)
                 continue
--- a/src/wigeonford/steer/_quota_reporter.py
+++ b/src/wigeonford/steer/_quota_reporter.py
@@ -6,7 +6,7 @@
 import time
 from typing import Final
 
-from wigeonford._tasks import cancel_task
+from wigeonford._tasks import cancel_task, run_supervised
 from wigeonford.errors import Code, PeerError
 from wigeonford.events import Event, EventLog
 from wigeonford.messages.steering import (
@@ -60,8 +60,10 @@
         """Start reporting."""
         self._rates.leader_lost_at_s = time.monotonic()
         self._tasks = [
-            asyncio.create_task(self._run()),
-            asyncio.create_task(self._follow_leader()),
+            asyncio.create_task(run_supervised(self._run, self._log)),
+            asyncio.create_task(
+                run_supervised(self._follow_leader, self._log)
+            ),
         ]
 
     async def stop(self) -> None:
@@ -129,7 +131,9 @@
             self._set_leader_connected(False, str(exc))
             self._leader = exc.leader
             return
-        except PeerError as exc:
+        except Exception as exc:
+            if not isinstance(exc, PeerError):
+                self._log.emit(Event.TASK_FAILED, exc_info=exc)
             await self._drop_client()
             self._set_leader_connected(False, str(exc))
             return
