Read a body by the limit under which its head was taken

What callers saw: an upload that was within the limit when its head was taken got a 413 amid its body once a change lowered the limit; a part may have been passed on by then. A raised limit still applies at once. Evidence: test_body_is_read_though_its_limit_falls_meanwhile failed before (413 instead of 200) and passes.

--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -187,8 +187,7 @@
     async def _discard_body(self) -> None:
         """Read the rest of a body within the limits on bodies."""
         if self._http.their_state is h11.SEND_BODY:
-            max_bytes = max(self._limits.body_bytes, DISCARD_BYTES)
-            async for _ in self._stream_body(max_bytes):
+            async for _ in self._stream_body(DISCARD_BYTES):
                 continue
 
     async def _discard_bytes(self) -> bool:
@@ -388,15 +387,16 @@
             query=query,
             headers=headers,
             caller_host=self._server.caller_host(self._writer),
-            body=self._stream_body(),
+            body=self._stream_body(self._limits.body_bytes),
         )
         check_head(event, headers, self._limits)
         return request
 
-    async def _stream_body(
-        self, max_bytes: int | None = None
-    ) -> AsyncIterator[bytes]:
-        """Yield the body; reject more than `max_bytes` or the limit."""
+    async def _stream_body(self, max_bytes: int) -> AsyncIterator[bytes]:
+        """Yield the body; reject more than `max_bytes` and the limit.
+
+        A limit that was lowered since the head holds for later requests.
+        """
         if self._http.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(
                 status_code=100, headers=[]
@@ -425,7 +425,7 @@
                 ) from exc
             if isinstance(event, h11.Data):
                 size_bytes += len(event.data)
-                limit_bytes = max_bytes or self._limits.body_bytes
+                limit_bytes = max(max_bytes, self._limits.body_bytes)
                 if size_bytes > limit_bytes:
                     raise RequestRejected(
                         Code.BODY_TOO_LARGE, f"over {limit_bytes} bytes"
--- a/tests/test_early_responses.py
+++ b/tests/test_early_responses.py
@@ -30,6 +30,12 @@
     raise RequestRejected(Code.DRAINING)
 
 
+async def _read_body(request: Request) -> Response:
+    async for _ in request.body:
+        continue
+    return Response(200, ((b"content-length", b"0"),))
+
+
 async def _refuse_amid_body(request: Request) -> Response:
     async for _ in request.body:
         raise RequestRejected(Code.DRAINING)
@@ -132,6 +138,21 @@
             self.assertNotIn(b"close", response.lower())
         await self.server.stop(0.0)
 
+    @in_virtual_time
+    async def test_body_is_read_though_its_limit_falls_meanwhile(
+        self,
+    ) -> None:
+        self.handler = _read_body
+        asyncio.get_running_loop().call_later(
+            GAP_S, self.set_limits, CallerLimits(body_bytes=1024)
+        )
+        response = await self.upload(_post(BODY_BYTES))
+        self.assertEqual(b"HTTP/1.1 200", response)
+
+    def set_limits(self, limits: CallerLimits) -> None:
+        """Put limits in force."""
+        self.server.limits = limits
+
     @in_virtual_time
     async def test_stalled_caller_is_not_waited_for_without_end(self) -> None:
         self.limits = CallerLimits(body_bytes=BODY_BYTES - 1)
