--- a/src/wigeonford/cli/_story.py
+++ b/src/wigeonford/cli/_story.py
@@ -20,7 +20,11 @@
 a final event may be in flight for this long."""
 _FINAL_EVENTS: Final = frozenset(
     event.value.number
-    for event in (Event.REQUEST_ANSWERED, Event.REQUEST_FAILED)
+    for event in (
+        Event.REQUEST_ANSWERED,
+        Event.REQUEST_FAILED,
+        Event.REQUEST_REFUSED,
+    )
 )
 _CONTEXT_EVENTS: Final = frozenset(
     event.value.number
--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -494,11 +494,21 @@
         try:
             return await self._server.handler(request)
         except WigeonfordError as exc:
+            self._server.log.emit(
+                Event.REQUEST_REFUSED,
+                request=self.request_id or None,
+                code=exc.code.number,
+                reason=exc.code.name,
+            )
             return error_response(exc)
         except Exception as exc:
             if isinstance(exc, ConnectionError) and self._reader.is_closed:
                 raise  # The caller left amid its body.
-            self._server.log.emit(Event.REQUEST_INTERNAL_ERROR, exc_info=exc)
+            self._server.log.emit(
+                Event.REQUEST_INTERNAL_ERROR,
+                request=self.request_id,
+                exc_info=exc,
+            )
             internal = RequestRejected(
                 Code.INTERNAL, "", run_state=RunState.UNKNOWN
             )
--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -179,14 +179,17 @@
             conn.end = ConnectionEnd.REJECTED
             self.log.emit(
                 Event.REQUEST_REFUSED,
-                request=conn.request_id,
+                request=conn.request_id or None,
                 code=exc.code.number,
+                reason=exc.code.name,
             )
             await self._reject(conn, exc)
         except CallerStalled:
             conn.end = ConnectionEnd.CALLER_STALLED
             self.log.emit(
-                Event.CALLER_STALLED, code=Code.CALLER_STALLED.number
+                Event.CALLER_STALLED,
+                request=conn.request_id or None,
+                code=Code.CALLER_STALLED.number,
             )
         except asyncio.CancelledError:
             if not conn.has_caller_left:
@@ -282,7 +285,9 @@
 
     async def _discard(self, conn: CallerConnection) -> None:
         if not await conn.discard():
-            self.log.emit(Event.CALLER_STILL_SENDING, request=conn.request_id)
+            self.log.emit(
+                Event.CALLER_STILL_SENDING, request=conn.request_id or None
+            )
 
     def _is_over_limit(self, host: str) -> bool:
         if len(self._tasks) >= self.limits.connections:
--- a/src/wigeonford/platform/_front.py
+++ b/src/wigeonford/platform/_front.py
@@ -177,9 +177,10 @@
         self._forwarder = forwarder
 
     async def handle(self, request: Request) -> Response:
-        """Serve one request."""
+        """Serve one request; raise `RequestRejected` for an invalid one."""
+        req = decode_request(request)
         try:
-            response = await self._forwarder.forward(decode_request(request))
+            response = await self._forwarder.forward(req)
         except RequestRejected as exc:
             return encode_rejection(exc)
         return encode_response(request, response)
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -7,6 +7,7 @@
 import logging
 import unittest
 
+from wigeonford.errors import Code, RequestRejected
 from wigeonford.events import configure_logging, EventLog
 from wigeonford.http import (
     find_header,
@@ -27,6 +28,10 @@
 
 
 async def _handle(request: Request) -> Response:
+    if request.path == "/refuse":
+        raise RequestRejected(Code.BAD_ARGUMENT)
+    if request.path == "/fail":
+        raise ValueError("unexpected")
     if request.path == "/hang":
         await asyncio.sleep(60.0)
     if request.path == "/cut":
@@ -91,6 +96,19 @@
         self.assertIn('"request": "7"', self.logs.getvalue())
         self.assertIn('"number": 204', self.logs.getvalue())
 
+    async def test_each_refusal_is_logged_with_the_requests_id(self) -> None:
+        self.server.limits = CallerLimits(keep_alive_s=0.1, head_bytes=1024)
+        for path, number, status in (
+            (b"refuse", 200, b" 400 "),
+            (b"fail", 203, b" 500 "),
+            (b"p" * 1024, 200, b" 431 "),
+        ):
+            with self.subTest(path=path[:9]):
+                self.logs.truncate(0)
+                self.assertIn(status, (await self.send(path))[:20])
+                logged = f'"number": {number}, "request": "7"'
+                self.assertIn(logged, self.logs.getvalue())
+
     async def test_request_that_is_told_of_its_cut_is_not_lost(self) -> None:
         response = await self.cut(lambda: self.server.stop(0.0))
         self.assertIn(b" 502 ", response)
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -103,7 +103,7 @@
     def test_each_kind_of_end(self) -> None:
         placed = [
             make_line("10.0", Event.REQUEST_PLACED, request=name)
-            for name in ("answered", "failed", "mute", "silent")
+            for name in ("answered", "failed", "mute", "refused", "silent")
         ]
         found = self.find_request_ids(
             *placed,
@@ -114,6 +114,9 @@
                 "11.0", Event.REQUEST_FAILED, request="failed", reason="X"
             ),
             make_line("11.0", Event.REQUEST_FAILED, request="mute"),
+            make_line(
+                "11.0", Event.REQUEST_REFUSED, request="refused", reason="X"
+            ),
             make_line("50.0", Event.REQUEST_PLACED, request="under way"),
         )
         self.assertEqual(["mute", "silent"], found)
