Add promises and mutations for early responses, changes and tasks

Three mutations, each run by itself and caught: a body that is not read on, a response that waits for a slow body, an error that ends a task. The whole set was not run. test_refusal_before_a_body_that_pauses is added: without the read by framing it fails.

--- a/tests/test_early_responses.py
+++ b/tests/test_early_responses.py
@@ -15,6 +15,7 @@
 BODY_BYTES = 360_000
 PIECE_BYTES = 15_000
 GAP_S = 0.9
+LONG_PAUSE_S = 10.0
 """Between two pieces; a body takes 21.6 s, as on a full link."""
 LIMITS = CallerLimits(body_bytes=BODY_BYTES)
 MARGIN_S = 1.0
@@ -74,12 +75,14 @@
             await loop.sock_sendall(sock, b"b" * PIECE_BYTES)
             await asyncio.sleep(gap_s)
 
-    async def upload(self, head: bytes) -> bytes:
+    async def upload(
+        self, head: bytes, size_bytes: int = BODY_BYTES, gap_s: float = GAP_S
+    ) -> bytes:
         """Return the start of the response to a whole body."""
         sock = await self.connect()
         loop = asyncio.get_running_loop()
         await loop.sock_sendall(sock, head)
-        await self.send(sock, BODY_BYTES)
+        await self.send(sock, size_bytes, gap_s)
         response = await loop.sock_recv(sock, 1 << 16)
         sock.close()
         await self.server.stop(0.0)
@@ -101,6 +104,13 @@
         response = await self.upload(_post(BODY_BYTES))
         self.assertEqual(b"HTTP/1.1 503", response)
 
+    @in_virtual_time
+    async def test_refusal_before_a_body_that_pauses(self) -> None:
+        size_bytes = 3 * PIECE_BYTES
+        head = _post(size_bytes)
+        response = await self.upload(head, size_bytes, LONG_PAUSE_S)
+        self.assertEqual(b"HTTP/1.1 503", response)
+
     @in_virtual_time
     async def test_refusal_amid_the_body_on_a_slow_link(self) -> None:
         self.handler = _refuse_amid_body
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -181,6 +181,27 @@
         "            pass\n",
         ("tests.test_caller_ends",),
     ),
+    Mutation(
+        "EARLY_RESPONSE_ARRIVES",
+        "http/_connection.py",
+        "                await self._discard_body()\n",
+        "",
+        ("tests.test_early_responses",),
+    ),
+    Mutation(
+        "RESPONSE_WAITS_FOR_NO_BODY",
+        "http/_connection.py",
+        "            async with asyncio.timeout(LINGER_S):\n",
+        "            async with asyncio.timeout(None):\n",
+        ("tests.test_early_responses",),
+    ),
+    Mutation(
+        "ONE_ERROR_ENDS_NO_TASK",
+        "_tasks.py",
+        "        await asyncio.sleep(RESTART_DELAY_S)\n",
+        "            raise\n",
+        ("tests.test_background_tasks",),
+    ),
 )
 
 
