--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -71,6 +71,11 @@
     CONNECTIONS_CLOSED = _event(
         205, "closed the last connections of a server that stops"
     )
+    CALLER_STILL_SENDING = _event(
+        206,
+        "closed the connection of a caller that still sent after its response",
+        logging.WARNING,
+    )
 
     SHIFT_PAUSED = _event(
         210,
--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -30,6 +30,13 @@
 from wigeonford.settings import CallerLimits
 
 READ_BYTES: Final = 65536
+DISCARD_TIMEOUT_S: Final = 30.0
+"""Time in which a caller with a response may still send its request."""
+DISCARD_BYTES: Final = 1 << 20
+"""Read of a rejected request, also where the limit on bodies is below it."""
+DISCARD_IDLE_TIMEOUT_S: Final = 3.0
+LINGER_S: Final = 0.5
+"""Pause after which a caller is taken to send nothing more."""
 CLOSING_IDLE_S: Final = 0.25
 """Time in which an idle connection may still send a request once the server
 is stopping."""
@@ -102,6 +109,7 @@
         self._has_response_begun = False
         self._is_handled = False
         self._is_closed_by_server = False
+        self._is_framing_lost = False
         self.is_busy = False
         self.end = ConnectionEnd.CALLER_LEFT
 
@@ -116,7 +124,7 @@
         method is cancelled, and with it the work on the request.
         """
         while True:
-            self._request = request = await self._read_request()
+            request = await self._read_request()
             if request is None:
                 return
             self._watch_caller(request)
@@ -159,26 +167,51 @@
         if self._deadline is not None:
             self._deadline.extend(limits)
 
-    async def discard(self, timeout_s: float) -> None:
+    async def discard(self) -> bool:
         """Read and drop what the caller still sends before the close.
 
         Closing a socket with unread bytes resets the connection, and the
-        caller could lose the response.
+        caller could lose the response. Return whether nothing more is due
+        from the caller.
         """
         if self._writer.can_write_eof():
             self._writer.write_eof()
         try:
-            async with asyncio.timeout(timeout_s):
-                while await self._reader.read(READ_BYTES):
-                    continue
-        except (TimeoutError, ConnectionError):
-            return
+            async with asyncio.timeout(DISCARD_TIMEOUT_S):
+                await self._discard_body()
+                return await self._discard_bytes()
+        except (TimeoutError, RequestRejected):
+            return False
+        except ConnectionError:
+            return True
+
+    async def _discard_body(self) -> None:
+        """Read the rest of a body within the limits on bodies."""
+        if self._http.their_state is h11.SEND_BODY:
+            async for _ in self._stream_body(DISCARD_BYTES):
+                continue
+
+    async def _discard_bytes(self) -> bool:
+        """Read until the caller closes or pauses."""
+        is_sending = self.has_unread_request
+        idle_timeout_s = DISCARD_IDLE_TIMEOUT_S if is_sending else LINGER_S
+        remaining_bytes = DISCARD_BYTES
+        while remaining_bytes > 0:
+            deadline = CallerDeadline(self._limits, lambda _: idle_timeout_s)
+            try:
+                data = await self._read_until(deadline)
+            except TimeoutError:
+                return not is_sending
+            if not data:
+                return True
+            remaining_bytes -= len(data)
+        return False
 
     @property
     def has_unread_request(self) -> bool:
         """Return whether the caller may still be sending a request."""
         is_sending = self._http.their_state in (h11.SEND_BODY, h11.ERROR)
-        return is_sending or self.unread_bytes > 0
+        return is_sending or self._is_framing_lost or self.unread_bytes > 0
 
     @property
     def has_caller_left(self) -> bool:
@@ -237,6 +270,7 @@
             return
         if self._http.our_state is h11.ERROR:
             # An invalid response was not sent; h11 refuses any other.
+            self._is_framing_lost = self.has_unread_request
             self._http = h11.Connection(h11.SERVER)
         await self._send(error_response(exc), close=True)
 
@@ -353,18 +387,23 @@
         headers: Headers = tuple(
             (bytes(name), bytes(value)) for name, value in event.headers
         )
-        check_head(event, headers, self._limits)
         path, _, query = event.target.decode("latin-1").partition("?")
-        return Request(
+        self._request = request = Request(
             method=event.method.decode("ascii"),
             path=path,
             query=query,
             headers=headers,
             caller_host=self._server.caller_host(self._writer),
-            body=self._stream_body(),
+            body=self._stream_body(self._limits.body_bytes),
         )
+        check_head(event, headers, self._limits)
+        return request
 
-    async def _stream_body(self) -> AsyncIterator[bytes]:
+    async def _stream_body(self, max_bytes: int) -> AsyncIterator[bytes]:
+        """Yield the body; reject more than `max_bytes` and the limit.
+
+        A limit that was lowered since the head holds for later requests.
+        """
         if self._http.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(
                 status_code=100, headers=[]
@@ -393,10 +432,10 @@
                 ) from exc
             if isinstance(event, h11.Data):
                 size_bytes += len(event.data)
-                if size_bytes > self._limits.body_bytes:
+                limit_bytes = max(max_bytes, self._limits.body_bytes)
+                if size_bytes > limit_bytes:
                     raise RequestRejected(
-                        Code.BODY_TOO_LARGE,
-                        f"over {self._limits.body_bytes} bytes",
+                        Code.BODY_TOO_LARGE, f"over {limit_bytes} bytes"
                     )
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
@@ -462,18 +501,31 @@
         try:
             return await self._server.handler(request)
         except WigeonfordError as exc:
+            self._server.log.emit(
+                Event.REQUEST_REFUSED,
+                request=self.request_id or None,
+                code=exc.code.number,
+                reason=exc.code.name,
+            )
             return error_response(exc)
         except Exception as exc:
             if isinstance(exc, ConnectionError) and self._reader.is_closed:
                 raise  # The caller left amid its body.
-            self._server.log.emit(Event.REQUEST_INTERNAL_ERROR, exc_info=exc)
+            self._server.log.emit(
+                Event.REQUEST_INTERNAL_ERROR,
+                request=self.request_id,
+                exc_info=exc,
+            )
             internal = RequestRejected(
                 Code.INTERNAL, "", run_state=RunState.UNKNOWN
             )
             return error_response(internal)
 
     async def _read_remaining_body(self, request: Request) -> None:
-        """Read the rest of a small body, so that the connection stays open."""
+        """Read the rest of a small body, so that the connection stays open.
+
+        The response waits meanwhile, so a slow body is left to `discard`.
+        """
         if self._http.their_state is not h11.SEND_BODY:
             return
         if self._http.they_are_waiting_for_100_continue:
@@ -482,11 +534,12 @@
             return
         remaining_bytes = READ_BYTES
         try:
-            async for chunk in request.body:
-                remaining_bytes -= len(chunk)
-                if remaining_bytes < 0:
-                    return
-        except (WigeonfordError, RuntimeError):
+            async with asyncio.timeout(LINGER_S):
+                async for chunk in request.body:
+                    remaining_bytes -= len(chunk)
+                    if remaining_bytes < 0:
+                        return
+        except (TimeoutError, WigeonfordError, RuntimeError):
             return
 
     async def _write(self, data: bytes | None) -> None:
--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -32,8 +32,6 @@
 HANDSHAKE_WAIT_S: Final = 0.05
 """Time for TLS handshakes that the close of the listener finds under way."""
 WRITE_BUFFER_BYTES: Final = 262144
-DISCARD_TIMEOUT_S: Final = 3.0
-DISCARD_REJECTED_TIMEOUT_S: Final = 0.5
 QUIET_S: Final = 0.5
 """Time without a request after which callers that are connected have gone
 elsewhere; on a full link requests still arrive."""
@@ -265,12 +263,19 @@
             await conn.close()
         except RequestRejected as exc:
             conn.end = ConnectionEnd.REJECTED
-            self.log.emit(Event.REQUEST_REFUSED, code=exc.code.number)
+            self.log.emit(
+                Event.REQUEST_REFUSED,
+                request=conn.request_id or None,
+                code=exc.code.number,
+                reason=exc.code.name,
+            )
             await self._reject(conn, exc)
         except CallerStalled:
             conn.end = ConnectionEnd.CALLER_STALLED
             self.log.emit(
-                Event.CALLER_STALLED, code=Code.CALLER_STALLED.number
+                Event.CALLER_STALLED,
+                request=conn.request_id or None,
+                code=Code.CALLER_STALLED.number,
             )
         except asyncio.CancelledError:
             if not conn.has_caller_left:
@@ -308,7 +313,7 @@
         try:
             await conn.serve()
             if conn.has_unread_request:
-                await conn.discard(DISCARD_TIMEOUT_S)
+                await self._discard(conn)
         except (
             RequestRejected,
             CallerStalled,
@@ -352,7 +357,7 @@
             conn.reset()
         try:
             await sending
-            await conn.discard(DISCARD_REJECTED_TIMEOUT_S)
+            await self._discard(conn)
             await conn.close()
         except (
             CallerStalled,
@@ -366,6 +371,12 @@
                 detail=repr(exc),
             )
 
+    async def _discard(self, conn: CallerConnection) -> None:
+        if not await conn.discard():
+            self.log.emit(
+                Event.CALLER_STILL_SENDING, request=conn.request_id or None
+            )
+
     def _is_over_limit(self, host: str) -> bool:
         if len(self._tasks) >= self.limits.connections:
             return True
--- a/src/wigeonford/peer/_link.py
+++ b/src/wigeonford/peer/_link.py
@@ -160,6 +160,9 @@
             await conn.close(1008, "invalid frame")
         except ConnectionClosed:
             return
+        except Exception as exc:
+            # The other messages of this link are handled on.
+            self._log.emit(Event.TASK_FAILED, exc_info=exc)
 
     async def _produce_replies(
         self, plain: object, stream_tasks: set[asyncio.Task[Any]]
@@ -350,6 +353,10 @@
             self._log.emit(
                 Event.PEER_REFUSED, peer=str(self.address), detail=exc.detail
             )
+        except Exception as exc:
+            self._log.emit(
+                Event.PEER_LOST, peer=str(self.address), detail=repr(exc)
+            )
         finally:
             if self._conn is conn:
                 self._conn = None
--- a/src/wigeonford/steer/_daemon.py
+++ b/src/wigeonford/steer/_daemon.py
@@ -5,7 +5,7 @@
 import time
 from typing import Final, Protocol
 
-from wigeonford._tasks import cancel_task, read_arrived
+from wigeonford._tasks import cancel_task, read_arrived, run_supervised
 from wigeonford.deployment import Deployment
 from wigeonford.events import Event, EventLog
 from wigeonford.http import HttpServer
@@ -110,7 +110,9 @@
             # Callers may have connected.
             await self._front.stop(0.0)
             raise
-        self._sweeper = asyncio.create_task(self._sweep())
+        self._sweeper = asyncio.create_task(
+            run_supervised(self._sweep, self._log)
+        )
         self._log.emit(
             Event.STARTED,
             address=str(self._cfg.address),
