--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,7 +1,9 @@
 """One odd entry among the announcements costs only itself."""
 
 import asyncio
+from collections import Counter
 import json
+import random
 from typing import Any, cast, Final
 import unittest
 
@@ -52,18 +54,18 @@
 ZONES: Final = {"south-a": "south"}
 
 ODD_FIELDS: Final[tuple[dict[str, Any], ...]] = (
-    {"address": "10.0.0.2:0"},
-    {"address": "10.0.0.2:65536"},
-    {"address": "10.0.0.2:99999"},
-    {"address": "10.0.0.2:-1"},
-    {"address": "10.0.0.2:8_0"},
-    {"address": "10.0.0.2:080"},
-    {"address": "10.0.0.2: 80"},
-    {"address": "10.0.0.2:80\n"},
-    {"address": "10.0.0.2:\u0668\u0660"},
-    {"address": "\u0661\u0660.0.0.2:80"},
+    {"address": "127.0.0.2:0"},
+    {"address": "127.0.0.2:65536"},
+    {"address": "127.0.0.2:99999"},
+    {"address": "127.0.0.2:-1"},
+    {"address": "127.0.0.2:8_0"},
+    {"address": "127.0.0.2:080"},
+    {"address": "127.0.0.2: 80"},
+    {"address": "127.0.0.2:80\n"},
+    {"address": "127.0.0.2:\u0668\u0660"},
+    {"address": "\u0661\u0662\u0667.0.0.2:80"},
     {"address": "999.0.0.1:80"},
-    {"address": "10.0.0.02:80"},
+    {"address": "127.0.0.02:80"},
     {"address": "a" * 300 + ".example:80"},
     {"address": "\ud800:80"},
     {"address": ""},
@@ -151,13 +153,13 @@
 
     def test_endpoint_needs_a_plain_port_in_range(self) -> None:
         for text in (
-            "10.0.0.2:65536",
-            "10.0.0.2:\u0668\u0660",
-            "10.0.0.2:8_0",
-            "10.0.0.2:",
+            "127.0.0.2:65536",
+            "127.0.0.2:\u0668\u0660",
+            "127.0.0.2:8_0",
+            "127.0.0.2:",
             ":80",
             "x",
-            "10.0.0.2:" + "9" * 5000,
+            "127.0.0.2:" + "9" * 5000,
             "\ud800:80",
         ):
             with self.subTest(text[:20]), self.assertRaises(ValueError):
@@ -240,14 +242,16 @@
                     state.steering.revision, restored.steering.revision
                 )
         state.apply_entry(
-            entry_of(make_announcement(target_id="t-2", address="10.0.0.2:80"))
+            entry_of(
+                make_announcement(target_id="t-2", address="127.0.0.2:80")
+            )
         )
         reader.follow(state)
         self.assertEqual({"t-1", "t-2"}, reader.target_ids)
 
     def test_target_that_became_odd_is_removed(self) -> None:
         state, reader = make_state(), Reader()
-        second = make_announcement(target_id="t-2", address="10.0.0.2:80")
+        second = make_announcement(target_id="t-2", address="127.0.0.2:80")
         state.apply_entry(entry_of(second))
         reader.follow(state)
         state.apply_entry(entry_of(replace(second, sequence=6, slots=HUGE)))
@@ -487,6 +491,108 @@
 
         await wait_until(is_drained)
 
+    async def test_random_announcements_cost_no_caller(self) -> None:
+        await self.check_random(400, random.Random(37))
+
+    async def check_random(
+        self, count: int, rng: random.Random
+    ) -> Counter[int]:
+        """Send random announcements, and call meanwhile and afterwards.
+
+        Return how often each status was answered.
+        """
+        await self.publish()
+        statuses: Counter[int] = Counter()
+        calls = 0
+        for number in range(count):
+            target_id, content = make_random(rng)
+            response = await fetch(
+                self.api_addresses[number % 5],
+                rng.choice(("PUT", "PUT", "PUT", "PUT", "DELETE")),
+                f"/instances/{target_id}",
+                (),
+                content,
+            )
+            statuses[response.status] += 1
+            if number % 8 == 0:
+                calls += 1
+                called = await self.call(f"f{number}", calls % 2)
+                self.assertEqual(200, called.status, (target_id, content))
+        self.assertNotIn(500, statuses)
+        self.assertGreater(statuses[200], 0)
+        self.assertGreater(statuses[400], 0)
+        await self.check_served("g")
+        return statuses
+
+
+ODD_TEXTS: Final = (
+    "[" * 900 + "]" * 900,
+    "9" * 5000,
+    "1e999",
+    "null",
+    "true",
+    "NaN",
+    '"\\ud800"',
+    '"\\u0000"',
+    "{}",
+    "",
+    json.dumps("x" * 3000),
+)
+"""Values in JSON that fit no field."""
+ODD_NUMBERS: Final = (
+    "9" * 400,
+    str(1 << 63),
+    str(1 << 53),
+    "1e308",
+    "1e-300",
+    "-1",
+    "0",
+    "1.5",
+    '"1"',
+)
+ODD_IDS: Final = ("", "i%00", "%FF", "a/b", "i" * 900, "odd?x=1")
+
+
+def make_random(rng: random.Random) -> tuple[str, bytes]:
+    """Return an id and an announcement that is odd at random places.
+
+    Nothing listens at its address. If it is valid all the same, it names a
+    service that no caller of the test needs.
+    """
+    document = json.loads(json.dumps(ANNOUNCEMENT))
+    document["address"] = f"127.0.0.1:{rng.randint(1, 9)}"
+    document["born"] = rng.randint(1 << 41, 1 << 42)
+    places: list[tuple[dict[str, Any], str]] = [
+        (part, name)
+        for part in (document, document["information"], document["status"])
+        for name in part
+    ]
+    marks: dict[str, str] = {}
+    for part, name in rng.sample(places, rng.choice((0, 1, 1, 2))):
+        odd = rng.choice(ODD_TEXTS)
+        if name == "address" and rng.random() < 0.9:
+            address = rng.choice(ODD_FIELDS).get("address", "127.0.0.1:99999")
+            odd = json.dumps(address)
+        elif type(part[name]) is int and rng.random() < 0.9:
+            odd = rng.choice(ODD_NUMBERS)
+        mark = f"@{len(marks)}@"
+        marks[f'"{mark}"'] = odd
+        part[name] = mark
+    text = json.dumps(document)
+    for mark, odd in marks.items():
+        text = text.replace(mark, odd)
+    content = bytearray(text.encode())
+    if rng.random() < 0.1:
+        content[rng.randrange(len(content))] = rng.randrange(256)
+    target_id = f"odd-{rng.randint(0, 99)}"
+    if rng.random() < 0.1:
+        target_id = rng.choice(ODD_IDS)
+    try:
+        decode_announcement(target_id, bytes(content), {"amman-a"})
+    except AnnouncementInvalid:
+        return target_id, bytes(content)
+    return target_id, bytes(content.replace(b"huvo11a", b"kafi81c"))
+
 
 def replica_of(daemon: ControlDaemon) -> Replica:
     """Return the replica of a daemon."""
--- a/tests/test_skipped_entries.py
+++ b/tests/test_skipped_entries.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Any, cast, Final
 import unittest
+from unittest import mock
 
 from tests.test_deployment import make_announcement
 from wigeonford.control import (
@@ -50,6 +51,18 @@
         self.assertFalse(state.apply_entry(COMMANDS.encode(good)).is_skipped)
         self.assertEqual(1, len(state.steering.targets))
 
+    def test_command_whose_application_raises_is_skipped(self) -> None:
+        state = State()
+        content = COMMANDS.encode(AnnounceTargets((make_announcement(),)))
+        for error in (OverflowError, ValueError, KeyError, AssertionError):
+            with mock.patch.object(State, "apply", side_effect=error("odd")):
+                self.assertTrue(state.apply_entry(content).is_skipped)
+        with (
+            mock.patch.object(State, "apply", side_effect=MemoryError),
+            self.assertRaises(MemoryError),
+        ):
+            state.apply_entry(content)
+
     def test_command_that_cannot_be_decoded_is_not_proposed(self) -> None:
         replica = SoloReplica("a", cast(Store, None), EventLog())
         with self.assertRaises(WigeonfordError) as caught:
