List the promise on odd entries, with four mutations

Each was caught by the tests that it names: tools.mutate ODD_TARGET_IS_LEFT_OUT, ODD_TARGET_OF_A_PEER_IS_LEFT_OUT, ODD_LOG_ENTRY_IS_SKIPPED and ODD_SEED_IS_LEFT_OUT. The third survived at first, as the general handler catches the same error; it breaks the handler that both pass now.

--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -181,6 +181,34 @@
         "            pass\n",
         ("tests.test_caller_ends",),
     ),
+    Mutation(
+        "ODD_TARGET_IS_LEFT_OUT",
+        "deployment/_targets.py",
+        "if known.revision > revision and name not in self._unusable_ids",
+        "if known.revision > revision",
+        ("tests.test_odd_entries",),
+    ),
+    Mutation(
+        "ODD_TARGET_OF_A_PEER_IS_LEFT_OUT",
+        "steer/_view.py",
+        "            if faults:\n",
+        "            if False:\n",
+        ("tests.test_odd_entries",),
+    ),
+    Mutation(
+        "ODD_LOG_ENTRY_IS_SKIPPED",
+        "control/_state.py",
+        "        except MemoryError:\n",
+        "        except (MemoryError, CodecError):\n",
+        ("tests.test_skipped_entries",),
+    ),
+    Mutation(
+        "ODD_SEED_IS_LEFT_OUT",
+        "platform/_settings.py",
+        "            if is_address(seed)\n",
+        "",
+        ("tests.test_odd_peers",),
+    ),
 )
 
 
