Go on reporting rate demand after a peer named an odd leader

A replica's reply that names a leader whose address is not an endpoint ended the task that reports demand, without a log line: the VM never held fractions of rates again. Such a leader is ignored and the next replica is asked.

--- a/src/wigeonford/steer/_quota_reporter.py
+++ b/src/wigeonford/steer/_quota_reporter.py
@@ -19,7 +19,7 @@
     TokenLoanRequest,
 )
 from wigeonford.peer import NotLeaderError, PeerClient
-from wigeonford.settings import parse_address
+from wigeonford.settings import is_address, parse_address
 from wigeonford.steer._follower import Connect, ViewFollower
 from wigeonford.steer._loans import LOAN_TIMEOUT_S
 from wigeonford.steer._rates import AccountRates
@@ -127,7 +127,8 @@
         except NotLeaderError as exc:
             await self._drop_client()
             self._set_leader_connected(False, str(exc))
-            self._leader = exc.leader
+            if exc.leader is not None and is_address(exc.leader):
+                self._leader = exc.leader
             return
         except PeerError as exc:
             await self._drop_client()
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -249,6 +249,17 @@
         reader.follow(state)
         self.assertEqual({"t-1", "t-2"}, reader.target_ids)
 
+    def test_odd_target_expires(self) -> None:
+        state, reader = make_state(), Reader()
+        odd = make_odd(1, {"born_ms": HUGE, "sequence": HUGE})
+        state.apply_entry(entry_of(odd))
+        removal = COMMANDS.encode(RemoveTargets(((odd.target_id, HUGE),)))
+        self.assertFalse(state.apply_entry(removal).is_skipped)
+        self.assertEqual(1, len(state.steering.targets))
+        self.assertEqual([], list(state.steering.targets.unusable()))
+        reader.follow(State.restore(state.snapshot()))
+        self.assertEqual({"t-1"}, reader.target_ids)
+
     def test_target_that_became_odd_is_removed(self) -> None:
         state, reader = make_state(), Reader()
         second = make_announcement(target_id="t-2", address="127.0.0.2:80")
--- a/tests/test_odd_peers.py
+++ b/tests/test_odd_peers.py
@@ -3,7 +3,7 @@
 import asyncio
 from pathlib import Path
 import tempfile
-from typing import Any, Final
+from typing import Any, cast, Final
 import unittest
 
 from msgspec.structs import replace
@@ -24,17 +24,19 @@
 from wigeonford.messages.steering import (
     EntryStatus,
     FetchView,
+    QuotaLeaseReport,
     ReportStatus,
     RosterChange,
     ViewNotice,
     ViewUpdate,
     WatchView,
 )
-from wigeonford.peer import PeerClient
+from wigeonford.peer import NotLeaderError, PeerClient
 from wigeonford.peer._frames import decode_frame, encode_frame
 from wigeonford.platform._settings import read_settings
 from wigeonford.platform._settings_file import SettingsFile
 from wigeonford.settings import Address
+from wigeonford.steer import AccountRates, QuotaReporter
 
 SETTINGS: Final = """
 node = "n"
@@ -103,12 +105,16 @@
 
     def __init__(self, revision: int) -> None:
         self.revision = revision
+        self.report_count = 0
 
     async def request(self, record: Any, _timeout_s: float) -> Any:
         """Reply to an entry VM."""
         await asyncio.sleep(0.1)
         if isinstance(record, FetchView):
             return ViewUpdate(0, 1, make_deployment(), (), {}, (), ())
+        if isinstance(record, QuotaLeaseReport):
+            self.report_count += 1
+            raise NotLeaderError(ODD_ADDRESSES[self.report_count % 8])
         if isinstance(record, ReportStatus):
             raise PeerError(Code.PEER_UNREACHABLE, "test")
         assert isinstance(record, WatchView)
@@ -149,6 +155,28 @@
 
         run_virtual(follow())
 
+    def test_reports_go_on_after_an_odd_leader_was_named(self) -> None:
+        async def report() -> None:
+            replica = OddReplica(1)
+            follower = make_follower(lambda _: replica)
+            reporter = QuotaReporter(
+                follower,
+                AccountRates("a"),
+                lambda: EntryStatus("a", "i", "a:1", "z", "r", True),
+                lambda _: cast(PeerClient, replica),
+                EventLog(),
+            )
+            await follower.start()
+            await reporter.start()
+            await asyncio.sleep(20.0)
+            count = replica.report_count
+            await asyncio.sleep(20.0)
+            self.assertGreater(replica.report_count, count)
+            await reporter.stop()
+            await follower.stop()
+
+        run_virtual(report())
+
 
 class LinkTest(unittest.IsolatedAsyncioTestCase):
     """A peer that can't be reached is reported as such."""
