Begin a background task again when it fails

The tasks that manage watches, report demand, expire targets, publish changes and reload the settings run for a process's whole life, and nobody awaits them: an unexpected error ended one without a log line, and the process stopped following for good. Known errors are still handled where they occur.

The test in tests.test_odd_peers lets the source of seeds raise for 5 s: on the code before, the follower never met the replicas named afterwards.

--- a/src/wigeonford/control/_quota_service.py
+++ b/src/wigeonford/control/_quota_service.py
@@ -16,7 +16,7 @@
 import time
 from typing import Final
 
-from wigeonford._tasks import cancel_task
+from wigeonford._tasks import cancel_task, keep_running
 from wigeonford.control._replica import Replica
 from wigeonford.control._steering_commands import ChangeHolders
 from wigeonford.deployment import Account, Deployment
@@ -86,7 +86,7 @@
 
     async def start(self) -> None:
         """Start to remove holders whose leases have expired."""
-        self._task = asyncio.create_task(self._sweep())
+        self._task = asyncio.create_task(keep_running(self._sweep, self._log))
 
     async def stop(self) -> None:
         """Stop removing holders."""
--- a/src/wigeonford/control/_target_service.py
+++ b/src/wigeonford/control/_target_service.py
@@ -5,7 +5,7 @@
 import time
 from typing import Final
 
-from wigeonford._tasks import cancel_task
+from wigeonford._tasks import cancel_task, keep_running
 from wigeonford.control._cold_clock import ColdClock
 from wigeonford.control._replica import Replica
 from wigeonford.control._steering_commands import (
@@ -56,7 +56,7 @@
 
     async def start(self) -> None:
         """Start to report announced targets and to expire silent ones."""
-        self._task = asyncio.create_task(self._sweep())
+        self._task = asyncio.create_task(keep_running(self._sweep, self._log))
 
     async def stop(self) -> None:
         """Stop reporting and expiring targets."""
--- a/src/wigeonford/control/_view_service.py
+++ b/src/wigeonford/control/_view_service.py
@@ -7,7 +7,7 @@
 
 from msgspec.structs import replace
 
-from wigeonford._tasks import cancel_task
+from wigeonford._tasks import cancel_task, keep_running
 from wigeonford.control._cold_clock import ColdClock
 from wigeonford.control._replica import Replica
 from wigeonford.control._roster import Roster
@@ -95,8 +95,10 @@
         self._replica.on_applied(self._change_event.set)
         self._change_event.set()
         self._tasks = [
-            asyncio.create_task(self._publish_changes()),
-            asyncio.create_task(self._publish_roster()),
+            asyncio.create_task(
+                keep_running(self._publish_changes, self._log)
+            ),
+            asyncio.create_task(keep_running(self._publish_roster, self._log)),
         ]
 
     async def stop(self) -> None:
--- a/src/wigeonford/platform/_runner.py
+++ b/src/wigeonford/platform/_runner.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 from wigeonford._stop_request import StopRequest
+from wigeonford._tasks import keep_running
 from wigeonford.daemon import Daemon, EXIT_USAGE, serve_until_signal
 from wigeonford.errors import SettingsError
 from wigeonford.events import (
@@ -41,7 +42,7 @@
     stop_request: StopRequest,
     log: EventLog,
 ) -> int:
-    watcher = asyncio.create_task(settings_file.watch())
+    watcher = asyncio.create_task(keep_running(settings_file.watch, log))
     try:
         return await serve_until_signal(
             build(settings_file, log), log, stop_request
--- a/src/wigeonford/steer/_follower.py
+++ b/src/wigeonford/steer/_follower.py
@@ -6,6 +6,7 @@
 import time
 from typing import Final
 
+from wigeonford._tasks import keep_running
 from wigeonford.errors import Code, PeerError
 from wigeonford.events import Event, EventLog
 from wigeonford.messages.steering import (
@@ -123,7 +124,9 @@
 
     async def start(self) -> None:
         """Start watching."""
-        self._manager = asyncio.create_task(self._manage_watchers())
+        self._manager = asyncio.create_task(
+            keep_running(self._manage_watchers, self._log)
+        )
 
     async def stop(self) -> None:
         """Stop watching."""
--- a/src/wigeonford/steer/_quota_reporter.py
+++ b/src/wigeonford/steer/_quota_reporter.py
@@ -6,7 +6,7 @@
 import time
 from typing import Final
 
-from wigeonford._tasks import cancel_task
+from wigeonford._tasks import cancel_task, keep_running
 from wigeonford.errors import Code, PeerError
 from wigeonford.events import Event, EventLog
 from wigeonford.messages.steering import (
@@ -60,8 +60,8 @@
         """Start reporting."""
         self._rates.leader_lost_at_s = time.monotonic()
         self._tasks = [
-            asyncio.create_task(self._run()),
-            asyncio.create_task(self._follow_leader()),
+            asyncio.create_task(keep_running(self._run, self._log)),
+            asyncio.create_task(keep_running(self._follow_leader, self._log)),
         ]
 
     async def stop(self) -> None:
--- a/tests/test_odd_peers.py
+++ b/tests/test_odd_peers.py
@@ -177,6 +177,39 @@
 
         run_virtual(report())
 
+    def test_watches_are_managed_on_after_an_error(self) -> None:
+        async def follow() -> None:
+            seeds: list[Any] = [REPLICAS[:1]]
+
+            def read_seeds() -> tuple[str, ...]:
+                if isinstance(seeds[0], Exception):
+                    raise seeds[0]
+                return cast(tuple[str, ...], seeds[0])
+
+            follower = make_follower(lambda _: PlainReplica(1))
+            follower._seeds = read_seeds
+            await follower.start()
+            await asyncio.sleep(5.0)
+            seeds[0] = ValueError("odd")
+            await asyncio.sleep(5.0)
+            seeds[0] = REPLICAS
+            await asyncio.sleep(5.0)
+            self.assertEqual(frozenset(REPLICAS), follower.connected_replicas)
+            await follower.stop()
+
+        run_virtual(follow())
+
+
+class PlainReplica(OddReplica):
+    """Name no other replicas."""
+
+    async def request(self, record: Any, timeout_s: float) -> Any:
+        """Reply to an entry VM."""
+        reply = await super().request(record, timeout_s)
+        if isinstance(reply, ViewNotice):
+            return replace(reply, control=None)
+        return reply
+
 
 class LinkTest(unittest.IsolatedAsyncioTestCase):
     """A peer that can't be reached is reported as such."""
