Refuse targets at addresses that no host has

0.0.0.0 is the entry VM itself, which would send a request to its own listener if the port is its own; multicast and reserved addresses have no connections. They were accepted before and are refused and left out as other odd addresses (three more cases in tests.test_odd_entries). The test over loopback also puts entries into the replicas' log that can't be decoded, and restarts them.

--- a/src/wigeonford/deployment/_targets.py
+++ b/src/wigeonford/deployment/_targets.py
@@ -230,7 +230,7 @@
     yield from _check_name("zone", announced.availability_zone, 1)
     yield from _check_name("version", announced.software, 0)
     if not is_target_address(announced.address):
-        yield "the address is not an IPv4 address and a port of 1 to 65535"
+        yield "the address is not a host's IPv4 address and a port from 1 on"
     if not 0 <= announced.born_ms <= MAX_COUNT:
         yield f"the start time is not in the range 0 to {MAX_COUNT}"
     if not 0 <= announced.sequence <= MAX_COUNT:
@@ -242,13 +242,17 @@
 
 
 def is_target_address(text: str) -> bool:
-    """Return whether a text is an IPv4 address and a port, as written out."""
+    """Return whether a text is a host's IPv4 address and a port."""
     try:
         address = parse_address(text)
         IPv4Address(address.host)
     except ValueError:
         return False
-    return address.port > 0 and str(address) == text
+    # 0 is this VM itself; multicast and reserved addresses begin at 224.
+    first_octet = int(address.host.partition(".")[0])
+    return (
+        address.port > 0 and str(address) == text and 1 <= first_octet <= 223
+    )
 
 
 def _check_name(field: str, name: str, min_chars: int) -> Iterator[str]:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -21,6 +21,7 @@
     ColdClock,
     COMMANDS,
     ControlDaemon,
+    RaftReplica,
     RemoveTargets,
     ReplaceDeployment,
     Replica,
@@ -65,6 +66,9 @@
     {"address": "127.0.0.2:\u0668\u0660"},
     {"address": "\u0661\u0662\u0667.0.0.2:80"},
     {"address": "999.0.0.1:80"},
+    {"address": "0.0.0.0:80"},
+    {"address": "224.0.0.1:80"},
+    {"address": "255.255.255.255:80"},
     {"address": "127.0.0.02:80"},
     {"address": "a" * 300 + ".example:80"},
     {"address": "\ud800:80"},
@@ -488,6 +492,14 @@
             await replica_of(self.controls[number % 5]).propose(
                 AnnounceTargets((replace(odd, **fields),))
             )
+        leader = next(
+            replica
+            for replica in map(replica_of, self.controls)
+            if replica.is_leader
+        )
+        assert isinstance(leader, RaftReplica)
+        for content in (b"\x81" * 1000, b"\xff", b""):
+            self.assertTrue((await leader._propose(content)).is_skipped)
         await self.check_served("b")
         await asyncio.gather(*(node.crash() for node in self.controls))
         self.controls = [
