--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -186,7 +186,7 @@
         511, "the replica stopped on an internal error", logging.CRITICAL
     )
     COMMAND_SKIPPED = _event(
-        517,
+        505,
         "skipped a log entry that can't be decoded or applied",
         logging.ERROR,
     )
--- a/tests/test_early_responses.py
+++ b/tests/test_early_responses.py
@@ -170,7 +170,7 @@
         sock.send(_post(BODY_BYTES))
         await asyncio.sleep(LIMITS.body_idle_timeout_s + MARGIN_S)
         self.assertFalse(self.server._tasks)
-        self.assertIn('"number": 205', self.logs.getvalue())
+        self.assertIn('"number": 206', self.logs.getvalue())
         await self.server.stop(0.0)
 
     @in_virtual_time
@@ -199,7 +199,7 @@
         await asyncio.sleep(MARGIN_S)
         self.assertIn(b" 413 ", sock.recv(1 << 16)[:20])
         self.assertFalse(self.server._tasks)
-        self.assertNotIn('"number": 205', self.logs.getvalue())
+        self.assertNotIn('"number": 206', self.logs.getvalue())
         await self.server.stop(0.0)
 
     @in_virtual_time
