--- a/src/wigeonford/_log_writer.py
+++ b/src/wigeonford/_log_writer.py
@@ -2,6 +2,7 @@
 
 from collections import Counter, deque
 from collections.abc import Callable
+import contextlib
 import sys
 import threading
 import time
@@ -69,7 +70,9 @@
             except (OSError, ValueError) as exc:
                 # The reader has closed the log; this batch is lost.
                 self.dropped += 1
-                sys.stderr.write(f"log: {exc!r}\n")
+                with contextlib.suppress(OSError, ValueError):
+                    # Errors may go where the log went; this thread must last.
+                    sys.stderr.write(f"log: {exc!r}\n")
             with self._lock:
                 self._buffered_size -= len(batch)
                 if not self._lines:
--- a/src/wigeonford/compose.py
+++ b/src/wigeonford/compose.py
@@ -120,7 +120,7 @@
     if store.dropped_bytes:
         log.emit(Event.LOG_TAIL_DROPPED, bytes=store.dropped_bytes)
     if not cfg.members:
-        return SoloReplica(cfg.name, store)
+        return SoloReplica(cfg.name, store, log)
 
     def connect(address: Address) -> PeerClient:
         return PeerClient(
--- a/src/wigeonford/control/_raft_driver.py
+++ b/src/wigeonford/control/_raft_driver.py
@@ -80,8 +80,9 @@
     """Own the core, the state machine and the store.
 
     Inputs that are queued together share one sync. While the disk is stalled
-    or takes no writes, the replica does only what needs none. The core is then built
-    again from what is stored, since it may already have advanced.
+    or takes no writes, the replica does only what needs none. After a failed
+    save the core is built again from what is stored, since it may already
+    have advanced.
     """
 
     def __init__(
--- a/src/wigeonford/control/_replica.py
+++ b/src/wigeonford/control/_replica.py
@@ -10,7 +10,14 @@
 from wigeonford.control._raft_members import is_state_command
 from wigeonford.control._raft_snapshot import pack_snapshot, unpack_snapshot
 from wigeonford.control._state import State
-from wigeonford.control._store import LogEntry, Snapshot, Store
+from wigeonford.control._store import (
+    LogEntry,
+    Snapshot,
+    StorageError,
+    Store,
+)
+from wigeonford.errors import Code, PeerError
+from wigeonford.events import Event, EventLog
 from wigeonford.messages.raft import ReplicaChange
 from wigeonford.peer import NotLeaderError
 
@@ -99,9 +106,10 @@
 class SoloReplica:
     """Run as the only replica: its own disk is the quorum."""
 
-    def __init__(self, name: str, store: Store) -> None:
+    def __init__(self, name: str, store: Store, log: EventLog) -> None:
         self._name = name
         self._store = store
+        self._log = log
         self._state = State()
         self._position = 0
         self._write_lock = asyncio.Lock()
@@ -154,20 +162,30 @@
             entry = LogEntry(
                 self._position + 1, SOLO_TERM, COMMANDS.encode(record)
             )
-            await asyncio.to_thread(self._store.append, [entry])
+            try:
+                await asyncio.to_thread(self._store.append, [entry])
+            except StorageError as exc:
+                self._log.emit(Event.STORAGE_FAILED, detail=exc.detail)
+                if exc.may_be_stored:
+                    raise PeerError(Code.NO_QUORUM, exc.detail) from exc
+                raise
             self._position = entry.position
             result = self._state.apply(record)
             for listener in self._listeners:
                 listener()
             if self._position % SNAPSHOT_INTERVAL_ENTRIES == 0:
-                snapshot = Snapshot(
-                    self._position,
-                    SOLO_TERM,
-                    pack_snapshot((), self._state.snapshot()),
-                )
-                await asyncio.to_thread(self._store.save_snapshot, snapshot)
+                await self._save_snapshot()
             return result
 
+    async def _save_snapshot(self) -> None:
+        content = pack_snapshot((), self._state.snapshot())
+        snapshot = Snapshot(self._position, SOLO_TERM, content)
+        try:
+            await asyncio.to_thread(self._store.save_snapshot, snapshot)
+        except StorageError as exc:
+            # The log holds the state as well.
+            self._log.emit(Event.SNAPSHOT_DELAYED, detail=exc.detail)
+
     async def read_barrier(self) -> None:
         """Return at once: no other replica has to confirm."""
 
--- a/tests/test_full_disk.py
+++ b/tests/test_full_disk.py
@@ -16,11 +16,14 @@
 from wigeonford.bench import find_free_address
 from wigeonford.compose import build_control, build_steer_control
 from wigeonford.control import (
+    _raft_driver,
+    _replica,
     ControlDaemon,
     LogEntry,
     LogFileStore,
     RaftReplica,
     Snapshot,
+    SoloReplica,
     StorageError,
 )
 from wigeonford.control._commands import COMMANDS, ExpireMember
@@ -351,6 +354,29 @@
 
         run_virtual(run())
 
+    def test_a_snapshot_without_room_waits_and_ends_nothing(self) -> None:
+        async def run() -> None:
+            await self.start_all()
+            for store in self.group.stores.values():
+                store.room_bytes = 300
+            for number in range(60):
+                self.assertTrue(await self.group.change(NAMES[number % 5]))
+            for store in self.group.stores.values():
+                self.assertIsNone(store.read_snapshot())
+                store.room_bytes = None
+            for number in range(30):
+                self.assertTrue(await self.group.change(NAMES[number % 5]))
+            await asyncio.sleep(FULL_S)
+            for store in self.group.stores.values():
+                self.assertIsNotNone(store.read_snapshot())
+            await self.stop_all()
+
+        with (
+            mock.patch.object(_raft_driver, "SNAPSHOT_INTERVAL_ENTRIES", 10),
+            mock.patch.object(_raft_driver, "SNAPSHOT_RETRY_ENTRIES", 5),
+        ):
+            run_virtual(run())
+
     def test_a_full_leader_hands_over_and_passes_changes_on(self) -> None:
         async def run() -> None:
             leader = await self.start_all()
@@ -426,6 +452,31 @@
         run_virtual(run())
 
 
+class SoloTest(unittest.IsolatedAsyncioTestCase):
+    """Run a replica without peers while its disk is full."""
+
+    async def test_a_full_disk_refuses_and_snapshots_wait(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        store = FullDiskStore(Path(folder.name))
+        replica = SoloReplica("one", store, EventLog())
+        await replica.start()
+        self.addAsyncCleanup(replica.stop)
+        with mock.patch.object(_replica, "SNAPSHOT_INTERVAL_ENTRIES", 3):
+            for number in range(9):
+                # A snapshot holds more than one entry and has no room.
+                store.room_bytes = 130
+                await replica.propose(ExpireMember("vm", number))
+                store.room_bytes = 0
+                with self.assertRaises(StorageError):
+                    await replica.propose(ExpireMember("other", number))
+        self.assertIsNone(store.read_snapshot())
+        self.assertEqual(
+            [COMMANDS.decode(held.content) for held in store.read_log()],
+            [ExpireMember("vm", number) for number in range(9)],
+        )
+
+
 class DaemonTest(unittest.IsolatedAsyncioTestCase):
     """Run three control daemons on loopback while their disks are full."""
 
--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -1,9 +1,12 @@
 """Writing a log line never blocks, and dropped lines are counted."""
 
+import errno
 import io
+import sys
 import threading
 import time
 import unittest
+from unittest import mock
 
 from wigeonford._log_writer import LogRateLimiter, LogWriter
 
@@ -21,6 +24,18 @@
         return super().write(text)
 
 
+class FullStream(io.StringIO):
+    """Stand in for a log file whose disk is full while `is_full`."""
+
+    is_full = True
+
+    def write(self, text: str) -> int:
+        """Fail while the disk is full."""
+        if self.is_full:
+            raise OSError(errno.ENOSPC, "no space left on device")
+        return super().write(text)
+
+
 class LogWriterTest(unittest.TestCase):
     """Check that a stalled reader of the log does not block the caller."""
 
@@ -46,6 +61,18 @@
         writer.close()
         self.assertEqual(1000, len(stream.getvalue()))
 
+    def test_a_full_disk_costs_lines_and_not_the_thread(self) -> None:
+        stream = FullStream()
+        writer = LogWriter(stream)
+        with mock.patch.object(sys, "stderr", FullStream()):
+            writer.write("lost\n")
+            writer.close()
+        stream.is_full = False
+        writer.write("kept\n")
+        writer.close()
+        self.assertEqual("kept\n", stream.getvalue())
+        self.assertEqual(1, writer.dropped)
+
 
 class LineRatesTest(unittest.TestCase):
     """Check that each event has its own rate limit."""
