--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -181,6 +181,55 @@
         "            pass\n",
         ("tests.test_caller_ends",),
     ),
+    Mutation(
+        "PART_OF_A_FRAME_IS_CUT_OFF",
+        "control/_log_file.py",
+        "        os.ftruncate(file, size)\n",
+        "        pass\n",
+        ("tests.test_full_disk",),
+    ),
+    Mutation(
+        "FAILED_SYNC_IS_NOT_TRUSTED",
+        "control/_log_file.py",
+        "            self._must_copy = True\n",
+        "            pass\n",
+        ("tests.test_control_store",),
+    ),
+    Mutation(
+        "WHAT_IS_READ_IS_SYNCED",
+        "control/_log_file.py",
+        "        self._must_sync = True\n        self.dropped_bytes = 0\n",
+        "        self._must_sync = False\n        self.dropped_bytes = 0\n",
+        ("tests.test_control_store",),
+    ),
+    Mutation(
+        "CORE_HOLDS_WHAT_IS_STORED",
+        "control/_raft_driver.py",
+        "        self._restart_core(stored)\n        self._outage",
+        "        self._outage",
+        ("tests.test_full_disk",),
+    ),
+    Mutation(
+        "NOTHING_UNSTORED_IS_ACKNOWLEDGED",
+        "control/_raft_outage.py",
+        "return replace(record, entries=()) if self.may_reply else None",
+        "return record if self.may_reply else None",
+        ("tests.test_full_disk",),
+    ),
+    Mutation(
+        "FULL_LEADER_HANDS_OVER",
+        "control/_raft_driver.py",
+        "            self._send_to(name, message)\n        while",
+        "            pass\n        while",
+        ("tests.test_full_disk",),
+    ),
+    Mutation(
+        "FULL_DISK_ENDS_NO_PROCESS",
+        "control/_group_service.py",
+        "            if self._replica.has_stopped:\n",
+        "            if self._replica.failure is not None:\n",
+        ("tests.test_group_service", "tests.test_full_disk"),
+    ),
 )
 
 
