Don't have entries sent again to a replica without room

A follower without room answered each heartbeat that entries before it were missing, and the leader sent them all again: in 10 s of virtual time with 101 changes 6672 entries went to it. While it knows that all it stores is committed, it now acknowledges just that, and the leader sends nothing again until there is room.

The reload of what is stored runs beside the messages, so that a disk that hangs while it is full holds up neither the hand-over nor requests.

test_entries_without_room_are_not_sent_again_and_again failed before (6672 entries for a limit of 202) and passes now.

--- a/src/wigeonford/control/_raft_driver.py
+++ b/src/wigeonford/control/_raft_driver.py
@@ -268,7 +268,6 @@
         started_s = self._clock()
         last_messages = self.core.hand_over(started_s)
         self._begin_outage(detail)
-        await self._reload()
         for name, message in last_messages.items():
             self._send_to(name, message)
         while not await self._check_storage():
@@ -295,21 +294,15 @@
         self._pending.reject_reads(StorageError(detail))
         self._pending.fail_all(Code.NO_QUORUM, detail)
 
-    async def _reload(self) -> bool:
-        """Build the core from what is stored; return whether that worked."""
-        assert self._outage is not None, "storage works"
-        try:
-            stored = await self._disk.load()
-        except StorageDamagedError:
-            raise
-        except StorageError as exc:
-            self._failure = exc.detail
-            return False
+    async def _reload(self, outage: StorageOutage) -> None:
+        """Build the core from what is stored, unless that was done."""
+        if outage.may_reply:
+            return
+        stored = await self._disk.load()
         self._restart_core(stored)
-        self._outage.may_reply = (
+        outage.may_reply = (
             self._disk.is_durable and stored.hard_state is not None
         )
-        return True
 
     def _restart_core(self, stored: Stored) -> None:
         if stored.log.last_position < self._applied_position:
@@ -328,7 +321,8 @@
 
     async def _check_storage(self) -> bool:
         """Return whether the disk takes writes, after a pause."""
-        checking = asyncio.create_task(self._write_after_pause())
+        assert self._outage is not None, "storage works"
+        checking = asyncio.create_task(self._write_after_pause(self._outage))
         try:
             while not checking.done():
                 await self._step_without_storage()
@@ -336,17 +330,20 @@
         finally:
             checking.cancel()
 
-    async def _write_after_pause(self) -> bool:
-        await asyncio.sleep(STORAGE_RETRY_S)
+    async def _write_after_pause(self, outage: StorageOutage) -> bool:
         try:
+            await self._reload(outage)
+            await asyncio.sleep(STORAGE_RETRY_S)
             await self._disk.check_room()
+            await self._reload(outage)
         except StorageDamagedError:
             raise
         except StorageError as exc:
             self._failure = exc.detail
+            # The data that can be read may be complete by the next time.
+            await asyncio.sleep(STORAGE_RETRY_S)
             return False
-        assert self._outage is not None, "storage works"
-        return self._outage.may_reply or await self._reload()
+        return True
 
     async def _step_without_storage(self) -> None:
         assert self._outage is not None, "storage works"
@@ -356,7 +353,7 @@
                 if not item.fut.done():
                     item.fut.set_exception(NotLeaderError(self.leader))
                 continue
-            reduced = self._outage.reduce(item.record, self.core.term)
+            reduced = self._outage.reduce(item.record, self.core)
             if reduced is not None:
                 self.core.receive(reduced, now_s)
         if not self._outage.may_reply:
--- a/src/wigeonford/control/_raft_outage.py
+++ b/src/wigeonford/control/_raft_outage.py
@@ -5,6 +5,7 @@
 
 from msgspec.structs import replace
 
+from wigeonford.control._raft import RaftCore
 from wigeonford.messages.raft import AppendEntries, HandOver, InstallSnapshot
 
 LEADER_KNOWN_S: Final = 2.0
@@ -36,16 +37,25 @@
         age_s = self._clock() - self._heard_at_s
         return self._leader if age_s < LEADER_KNOWN_S else None
 
-    def reduce(self, record: Any, stored_term: int) -> AppendEntries | None:
+    def reduce(self, record: Any, core: RaftCore) -> AppendEntries | None:
         """Return the part of a message to process, or None."""
         if isinstance(record, HandOver) and record.sender == self._leader:
             self._leader = None
         if not isinstance(record, AppendEntries | InstallSnapshot):
             return None
-        if record.term >= max(stored_term, self.term):
+        if record.term >= max(core.term, self.term):
             self._leader = record.sender
             self._heard_at_s = self._clock()
             self.term = record.term
-        if isinstance(record, InstallSnapshot) or record.term != stored_term:
+        if (
+            isinstance(record, InstallSnapshot)
+            or record.term != core.term
+            or not self.may_reply
+        ):
             return None
-        return replace(record, entries=()) if self.may_reply else None
+        previous = record.previous_position
+        if previous > core.log.last_position == core.commit_position:
+            # A reply that entries are missing would have them sent again with
+            # each heartbeat.
+            previous = core.commit_position
+        return replace(record, previous_position=previous, entries=())
--- a/tests/raft_world.py
+++ b/tests/raft_world.py
@@ -218,7 +218,7 @@
         if node.core is None:
             return
         if node.outage is not None:
-            record = node.outage.reduce(record, node.core.term)
+            record = node.outage.reduce(record, node.core)
         if record is None:
             return
         node.core.receive(record, self.now_s)
--- a/tests/test_full_disk.py
+++ b/tests/test_full_disk.py
@@ -34,6 +34,7 @@
 from wigeonford.control._raft_node import DEFAULT_TIMING
 from wigeonford.errors import Code, PeerError, WigeonfordError
 from wigeonford.events import EventLog
+from wigeonford.messages.raft import AppendEntries
 from wigeonford.peer import NotLeaderError, PeerClient, PeerServer
 from wigeonford.platform._control_api import ControlApi
 from wigeonford.settings import (
@@ -172,6 +173,7 @@
 
     def __init__(self) -> None:
         self.servers: dict[Address, PeerServer] = {}
+        self.entry_counts: dict[Address, int] = {}
 
     async def deliver(self, address: Address, record: Any) -> Any:
         """Return the reply of the replica at an address."""
@@ -179,6 +181,9 @@
         server = self.servers.get(address)
         if server is None:
             raise PeerError(Code.PEER_UNREACHABLE, "unreachable")
+        if isinstance(record, AppendEntries):
+            count = self.entry_counts.get(address, 0)
+            self.entry_counts[address] = count + len(record.entries)
         try:
             return await server._handlers[type(record)](record)
         except NotLeaderError:
@@ -254,6 +259,11 @@
         del self._network.servers[address]
         await self.replicas.pop(name).stop()
 
+    def entry_count(self, name: str) -> int:
+        """Return how many log entries were sent to a replica."""
+        address = self._members[NAMES.index(name)].peer_address
+        return self._network.entry_counts.get(address, 0)
+
     async def until_led(self, *without: str) -> str:
         """Return the leader's name once a replica leads."""
         async with asyncio.timeout(20.0):
@@ -397,6 +407,23 @@
 
         run_virtual(run())
 
+    def test_entries_without_room_are_not_sent_again_and_again(self) -> None:
+        async def run() -> None:
+            leader = await self.start_all()
+            name = next(name for name in NAMES if name != leader)
+            self.group.stores[name].room_bytes = 7
+            before_count = self.group.entry_count(name)
+            acked_count = await self.group.change_for(5 * FULL_S)
+            sent_count = self.group.entry_count(name) - before_count
+            self.assertGreater(acked_count, 50)
+            self.assertLess(sent_count, 2 * acked_count)
+            self.group.stores[name].room_bytes = None
+            await asyncio.sleep(FULL_S)
+            await self.assert_all_take_part()
+            await self.stop_all()
+
+        run_virtual(run())
+
     def test_a_leader_with_a_stalled_disk_passes_changes_on(self) -> None:
         async def run() -> None:
             leader = await self.start_all()
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -205,22 +205,22 @@
     Mutation(
         "CORE_HOLDS_WHAT_IS_STORED",
         "control/_raft_driver.py",
-        "        self._restart_core(stored)\n        self._outage",
-        "        self._outage",
+        "        self._restart_core(stored)\n        outage",
+        "        outage",
         ("tests.test_full_disk",),
     ),
     Mutation(
         "NOTHING_UNSTORED_IS_ACKNOWLEDGED",
         "control/_raft_outage.py",
-        "return replace(record, entries=()) if self.may_reply else None",
-        "return record if self.may_reply else None",
+        "previous_position=previous, entries=())",
+        "previous_position=previous)",
         ("tests.test_full_disk",),
     ),
     Mutation(
         "FULL_LEADER_HANDS_OVER",
         "control/_raft_driver.py",
         "            self._send_to(name, message)\n        while",
-        "            pass\n        while",
+        "            continue\n        while",
         ("tests.test_full_disk",),
     ),
     Mutation(
