--- a/src/wigeonford/control/_raft_driver.py
+++ b/src/wigeonford/control/_raft_driver.py
@@ -1,7 +1,7 @@
 """The task that feeds inputs to a Raft core and performs its effects."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 import random
 from typing import Any, Final
 
@@ -331,17 +331,20 @@
             checking.cancel()
 
     async def _write_after_pause(self, outage: StorageOutage) -> bool:
+        await self._succeeds(self._reload(outage))
+        await asyncio.sleep(STORAGE_RETRY_S)
+        return await self._succeeds(
+            self._disk.check_room()
+        ) and await self._succeeds(self._reload(outage))
+
+    async def _succeeds(self, call: Coroutine[Any, Any, None]) -> bool:
+        """Return whether a call finds the disk working."""
         try:
-            await self._reload(outage)
-            await asyncio.sleep(STORAGE_RETRY_S)
-            await self._disk.check_room()
-            await self._reload(outage)
+            await call
         except StorageDamagedError:
             raise
         except StorageError as exc:
             self._failure = exc.detail
-            # The data that can be read may be complete by the next time.
-            await asyncio.sleep(STORAGE_RETRY_S)
             return False
         return True
 
