--- a/src/wigeonford/control/_raft_driver.py
+++ b/src/wigeonford/control/_raft_driver.py
@@ -1,7 +1,7 @@
 """The task that feeds inputs to a Raft core and performs its effects."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 import random
 from typing import Any, Final
 
@@ -80,8 +80,9 @@
     """Own the core, the state machine and the store.
 
     Inputs that are queued together share one sync. While the disk is stalled
-    or takes no writes, the replica does only what needs none. The core is
-    then built again from what is stored, since it may already have advanced.
+    or takes no writes, the replica does only what needs none. After a failed
+    save the core is built again from what is stored, since it may already
+    have advanced.
     """
 
     def __init__(
@@ -267,7 +268,6 @@
         started_s = self._clock()
         last_messages = self.core.hand_over(started_s)
         self._begin_outage(detail)
-        await self._reload()
         for name, message in last_messages.items():
             self._send_to(name, message)
         while not await self._check_storage():
@@ -294,21 +294,15 @@
         self._pending.reject_reads(StorageError(detail))
         self._pending.fail_all(Code.NO_QUORUM, detail)
 
-    async def _reload(self) -> bool:
-        """Build the core from what is stored; return whether that worked."""
-        assert self._outage is not None, "storage works"
-        try:
-            stored = await self._disk.load()
-        except StorageDamagedError:
-            raise
-        except StorageError as exc:
-            self._failure = exc.detail
-            return False
+    async def _reload(self, outage: StorageOutage) -> None:
+        """Build the core from what is stored, unless that was done."""
+        if outage.may_reply:
+            return
+        stored = await self._disk.load()
         self._restart_core(stored)
-        self._outage.may_reply = (
+        outage.may_reply = (
             self._disk.is_durable and stored.hard_state is not None
         )
-        return True
 
     def _restart_core(self, stored: Stored) -> None:
         if stored.log.last_position < self._applied_position:
@@ -327,7 +321,8 @@
 
     async def _check_storage(self) -> bool:
         """Return whether the disk takes writes, after a pause."""
-        checking = asyncio.create_task(self._write_after_pause())
+        assert self._outage is not None, "storage works"
+        checking = asyncio.create_task(self._write_after_pause(self._outage))
         try:
             while not checking.done():
                 await self._step_without_storage()
@@ -335,17 +330,23 @@
         finally:
             checking.cancel()
 
-    async def _write_after_pause(self) -> bool:
+    async def _write_after_pause(self, outage: StorageOutage) -> bool:
+        await self._succeeds(self._reload(outage))
         await asyncio.sleep(STORAGE_RETRY_S)
+        return await self._succeeds(
+            self._disk.check_room()
+        ) and await self._succeeds(self._reload(outage))
+
+    async def _succeeds(self, call: Coroutine[Any, Any, None]) -> bool:
+        """Return whether a call finds the disk working."""
         try:
-            await self._disk.check_room()
+            await call
         except StorageDamagedError:
             raise
         except StorageError as exc:
             self._failure = exc.detail
             return False
-        assert self._outage is not None, "storage works"
-        return self._outage.may_reply or await self._reload()
+        return True
 
     async def _step_without_storage(self) -> None:
         assert self._outage is not None, "storage works"
@@ -355,7 +356,7 @@
                 if not item.fut.done():
                     item.fut.set_exception(NotLeaderError(self.leader))
                 continue
-            reduced = self._outage.reduce(item.record, self.core.term)
+            reduced = self._outage.reduce(item.record, self.core)
             if reduced is not None:
                 self.core.receive(reduced, now_s)
         if not self._outage.may_reply:
--- a/tests/test_full_disk.py
+++ b/tests/test_full_disk.py
@@ -16,11 +16,14 @@
 from wigeonford.bench import find_free_address
 from wigeonford.compose import build_control, build_steer_control
 from wigeonford.control import (
+    _raft_driver,
+    _replica,
     ControlDaemon,
     LogEntry,
     LogFileStore,
     RaftReplica,
     Snapshot,
+    SoloReplica,
     StorageError,
 )
 from wigeonford.control._commands import COMMANDS, ExpireMember
@@ -31,6 +34,7 @@
 from wigeonford.control._raft_node import DEFAULT_TIMING
 from wigeonford.errors import Code, PeerError, WigeonfordError
 from wigeonford.events import EventLog
+from wigeonford.messages.raft import AppendEntries
 from wigeonford.peer import NotLeaderError, PeerClient, PeerServer
 from wigeonford.platform._control_api import ControlApi
 from wigeonford.settings import (
@@ -169,6 +173,7 @@
 
     def __init__(self) -> None:
         self.servers: dict[Address, PeerServer] = {}
+        self.entry_counts: dict[Address, int] = {}
 
     async def deliver(self, address: Address, record: Any) -> Any:
         """Return the reply of the replica at an address."""
@@ -176,6 +181,9 @@
         server = self.servers.get(address)
         if server is None:
             raise PeerError(Code.PEER_UNREACHABLE, "unreachable")
+        if isinstance(record, AppendEntries):
+            count = self.entry_counts.get(address, 0)
+            self.entry_counts[address] = count + len(record.entries)
         try:
             return await server._handlers[type(record)](record)
         except NotLeaderError:
@@ -251,6 +259,11 @@
         del self._network.servers[address]
         await self.replicas.pop(name).stop()
 
+    def entry_count(self, name: str) -> int:
+        """Return how many log entries were sent to a replica."""
+        address = self._members[NAMES.index(name)].peer_address
+        return self._network.entry_counts.get(address, 0)
+
     async def until_led(self, *without: str) -> str:
         """Return the leader's name once a replica leads."""
         async with asyncio.timeout(20.0):
@@ -351,6 +364,29 @@
 
         run_virtual(run())
 
+    def test_a_snapshot_without_room_waits_and_ends_nothing(self) -> None:
+        async def run() -> None:
+            await self.start_all()
+            for store in self.group.stores.values():
+                store.room_bytes = 300
+            for number in range(60):
+                self.assertTrue(await self.group.change(NAMES[number % 5]))
+            for store in self.group.stores.values():
+                self.assertIsNone(store.read_snapshot())
+                store.room_bytes = None
+            for number in range(30):
+                self.assertTrue(await self.group.change(NAMES[number % 5]))
+            await asyncio.sleep(FULL_S)
+            for store in self.group.stores.values():
+                self.assertIsNotNone(store.read_snapshot())
+            await self.stop_all()
+
+        with (
+            mock.patch.object(_raft_driver, "SNAPSHOT_INTERVAL_ENTRIES", 10),
+            mock.patch.object(_raft_driver, "SNAPSHOT_RETRY_ENTRIES", 5),
+        ):
+            run_virtual(run())
+
     def test_a_full_leader_hands_over_and_passes_changes_on(self) -> None:
         async def run() -> None:
             leader = await self.start_all()
@@ -371,6 +407,23 @@
 
         run_virtual(run())
 
+    def test_entries_without_room_are_not_sent_again_and_again(self) -> None:
+        async def run() -> None:
+            leader = await self.start_all()
+            name = next(name for name in NAMES if name != leader)
+            self.group.stores[name].room_bytes = 7
+            before_count = self.group.entry_count(name)
+            acked_count = await self.group.change_for(5 * FULL_S)
+            sent_count = self.group.entry_count(name) - before_count
+            self.assertGreater(acked_count, 50)
+            self.assertLess(sent_count, 2 * acked_count)
+            self.group.stores[name].room_bytes = None
+            await asyncio.sleep(FULL_S)
+            await self.assert_all_take_part()
+            await self.stop_all()
+
+        run_virtual(run())
+
     def test_a_leader_with_a_stalled_disk_passes_changes_on(self) -> None:
         async def run() -> None:
             leader = await self.start_all()
@@ -426,6 +479,31 @@
         run_virtual(run())
 
 
+class SoloTest(unittest.IsolatedAsyncioTestCase):
+    """Run a replica without peers while its disk is full."""
+
+    async def test_a_full_disk_refuses_and_snapshots_wait(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        store = FullDiskStore(Path(folder.name))
+        replica = SoloReplica("one", store, EventLog())
+        await replica.start()
+        self.addAsyncCleanup(replica.stop)
+        with mock.patch.object(_replica, "SNAPSHOT_INTERVAL_ENTRIES", 3):
+            for number in range(9):
+                # A snapshot holds more than one entry and has no room.
+                store.room_bytes = 130
+                await replica.propose(ExpireMember("vm", number))
+                store.room_bytes = 0
+                with self.assertRaises(StorageError):
+                    await replica.propose(ExpireMember("other", number))
+        self.assertIsNone(store.read_snapshot())
+        self.assertEqual(
+            [COMMANDS.decode(held.content) for held in store.read_log()],
+            [ExpireMember("vm", number) for number in range(9)],
+        )
+
+
 class DaemonTest(unittest.IsolatedAsyncioTestCase):
     """Run three control daemons on loopback while their disks are full."""
 
