Read nothing more from idle callers once a stop closes them

At the very end of a stop an idle connection was closed for sending, and read for up to 0.5 s: a request that came then was read and not answered.

The connection now closes in the step that finds it idle. tests.test_caller_ends, request_after_a_stop_has_closed_is_not_read: the request was taken before.

--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -275,7 +275,9 @@
         except asyncio.CancelledError:
             if not conn.has_caller_left:
                 conn.end = ConnectionEnd.STOPPED
-                await self._end_response(conn, conn.answer_cut())
+                # What an idle caller sends from now on must not be read.
+                if not conn.is_idle:
+                    await self._end_response(conn, conn.answer_cut())
         except (ConnectionError, TimeoutError):
             conn.end = ConnectionEnd.CALLER_LEFT
         except BaseException:
--- a/tests/test_caller_ends.py
+++ b/tests/test_caller_ends.py
@@ -358,6 +358,15 @@
         await self.server.stop(0.0)
         self.assertEqual(await caller.receive_all(), b"")
 
+    @in_virtual_time
+    async def test_request_after_a_stop_has_closed_is_not_read(self) -> None:
+        caller = await self.start()
+        stopping = asyncio.create_task(self.server.stop(0.1))
+        await asyncio.sleep(0.15)
+        with self.assertRaises(BrokenPipeError):
+            caller.send(GET)
+        await stopping
+
     @in_virtual_time
     async def test_oversized_head_is_rejected_before_it_ends(self) -> None:
         caller = await self.start()
