Close the listener at the begin of a server's last wait again

A VM now stays open to its callers before that wait, so a listener that stays open in it as well only lets in work that may not end before the wait does: on the product's own path new requests could begin up to the end of it. What the listen queue holds at the close is accepted as before.

--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -135,23 +135,19 @@
             )
 
     async def stop(self, grace_s: float) -> int:
-        """Wait `grace_s` seconds for running requests, then stop listening.
+        """Stop listening, then wait `grace_s` seconds for running requests.
 
-        Callers that still connect are served or refused: that costs them less
-        than a connection that is refused or reset. Without open connections
-        the wait ends early. An idle connection may still send a request for
-        `CLOSING_IDLE_S`. Return how many requests were cut off; their callers
-        are told so.
+        Return how many requests were cut off; their callers are told so. An
+        idle connection may still send a request for `CLOSING_IDLE_S`.
         """
         self.is_draining = self.closing = True
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + grace_s
+        await self._close_listener()
         for conn in self._tasks.values():
             conn.close_when_idle()
-        # Not for later ones, which may not end as long as callers connect.
-        await _wait_until(list(self._tasks), deadline_s)
-        await self._close_listener()
-        await self._wait_for_connections(deadline_s)
+        while self._tasks and loop.time() < deadline_s:
+            await _wait_until(list(self._tasks), deadline_s)
         await poll_sockets()
         unfinished = dict(self._tasks)
         cut_count = sum(conn.is_unfinished for conn in unfinished.values())
@@ -183,11 +179,6 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def _wait_for_connections(self, deadline_s: float) -> None:
-        loop = asyncio.get_running_loop()
-        while self._tasks and loop.time() < deadline_s:
-            await _wait_until(list(self._tasks), deadline_s)
-
     async def _close_listener(self) -> None:
         """Close the listener; begin all that callers connected before.
 
