Ignore further signals once a process has stopped

A second SIGTERM or a SIGHUP at the very end of a stop ended the process by the signal (exit code -15 or -1), and what its log had not written yet was lost: the event loop restores the default actions as it closes.

tests.test_planned_stop, signals_after_the_stop_do_not_end_the_process: -15 before, 0 after.

--- a/src/wigeonford/daemon.py
+++ b/src/wigeonford/daemon.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import gc
 from pathlib import Path
+import signal
 import sys
 from typing import Final, Protocol, TypeVar
 
@@ -65,6 +66,23 @@
     return EXIT_DONE
 
 
+async def serve_process(
+    daemon: Daemon, log: EventLog, stop_request: StopRequest
+) -> int:
+    """Do the same for a process that ends then, whatever signals follow.
+
+    The event loop restores their default actions as it closes: these would
+    end the process before its log is written.
+    """
+    try:
+        return await serve_until_signal(daemon, log, stop_request)
+    finally:
+        loop = asyncio.get_running_loop()
+        for signal_number in (*STOP_SIGNALS, signal.SIGHUP):
+            loop.remove_signal_handler(signal_number)
+            signal.signal(signal_number, signal.SIG_IGN)
+
+
 async def _start(daemon: Daemon, stop_requested: asyncio.Event) -> bool:
     """Start a daemon; return whether it did before a stop was requested."""
     start = asyncio.create_task(daemon.start())
@@ -100,4 +118,4 @@
             log.emit(Event.SETTINGS_REJECTED, detail=str(fault))
             print(fault, file=sys.stderr)
         return EXIT_USAGE
-    return asyncio.run(serve_until_signal(build(cfg, log), log, stop_request))
+    return asyncio.run(serve_process(build(cfg, log), log, stop_request))
--- a/src/wigeonford/platform/_runner.py
+++ b/src/wigeonford/platform/_runner.py
@@ -10,7 +10,7 @@
 from typing import Final
 
 from wigeonford._stop_request import StopRequest
-from wigeonford.daemon import Daemon, EXIT_USAGE, serve_until_signal
+from wigeonford.daemon import Daemon, EXIT_USAGE, serve_process
 from wigeonford.errors import SettingsError
 from wigeonford.events import (
     configure_logging,
@@ -43,7 +43,7 @@
 ) -> int:
     watcher = asyncio.create_task(settings_file.watch())
     try:
-        return await serve_until_signal(
+        return await serve_process(
             build(settings_file, log), log, stop_request
         )
     finally:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -791,6 +791,26 @@
 """Stands in for a library, so that signals come amid the imports."""
 
 
+SIGNALS_AFTER_THE_STOP: Final = """
+import asyncio, os, signal, sys
+from wigeonford._stop_request import StopRequest
+from wigeonford.daemon import serve_process
+from wigeonford.events import EventLog
+
+class Daemon:
+    async def start(self):
+        os.kill(os.getpid(), signal.SIGTERM)
+
+    async def stop(self):
+        return
+
+code = asyncio.run(serve_process(Daemon(), EventLog(), StopRequest()))
+for name in ("SIGTERM", "SIGINT", "SIGHUP"):
+    os.kill(os.getpid(), getattr(signal, name))
+sys.exit(code)
+"""
+
+
 class StopAmidStartTest(unittest.IsolatedAsyncioTestCase):
     """A stop signal arrives before a daemon has started."""
 
@@ -826,6 +846,14 @@
         )
         self.assertEqual(0, result.returncode, result)
 
+    def test_signals_after_the_stop_do_not_end_the_process(self) -> None:
+        result = subprocess.run(
+            [sys.executable, "-c", SIGNALS_AFTER_THE_STOP],
+            capture_output=True,
+            timeout=60.0,
+        )
+        self.assertEqual(0, result.returncode, result)
+
     def test_callers_amid_a_start_that_a_stop_ends_are_answered(self) -> None:
         async def scenario() -> bytes:
             vm = StoppingVm(6, 0.2)
