--- a/src/wigeonford/platform/_runner.py
+++ b/src/wigeonford/platform/_runner.py
@@ -11,7 +11,7 @@
 
 from wigeonford._stop_request import StopRequest
 from wigeonford._tasks import run_supervised
-from wigeonford.daemon import Daemon, EXIT_USAGE, serve_until_signal
+from wigeonford.daemon import Daemon, EXIT_USAGE, serve_process
 from wigeonford.errors import SettingsError
 from wigeonford.events import (
     configure_logging,
@@ -44,7 +44,7 @@
 ) -> int:
     watcher = asyncio.create_task(run_supervised(settings_file.watch, log))
     try:
-        return await serve_until_signal(
+        return await serve_process(
             build(settings_file, log), log, stop_request
         )
     finally:
