Let leases and the lead expire while a machine is suspended

A machine's monotonic clock stands still while it is suspended. An entry VM that was suspended for longer than its leases went on admitting requests by them after it woke, while the leader had granted the same fractions to others, and a suspended leader took its confirmation for fresh and lent tokens beside its successor. Rates of accounts bind all VMs, also those out of touch.

Quota leases, the leader's confirmation and Raft's times are on CLOCK_BOOTTIME now. All else stays on the monotonic clock, which is that of the event loop. The virtual clock of tests stands in for both.

--- a/src/wigeonford/_tasks.py
+++ b/src/wigeonford/_tasks.py
@@ -1,7 +1,8 @@
-"""Helpers for background tasks and for results to wait for."""
+"""Helpers for background tasks, results to wait for and times of leases."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
+import time
 from typing import Final, TypeVar
 
 from wigeonford.events import Event, EventLog
@@ -12,9 +13,20 @@
 """Event loop iterations to read a result that has arrived; each reads up to
 256 KiB of it."""
 
+_BOOT_CLOCK: Final = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
 T = TypeVar("T")
 
 
+def boot_time_s() -> float:
+    """Return the time since the machine's start, on which leases expire.
+
+    The monotonic clock stands still while a machine is suspended; meanwhile,
+    what a lease grants is granted to others.
+    """
+    return time.clock_gettime(_BOOT_CLOCK)
+
+
 async def run_supervised(
     run: Callable[[], Awaitable[None]], log: EventLog
 ) -> None:
--- a/src/wigeonford/control/_quota_service.py
+++ b/src/wigeonford/control/_quota_service.py
@@ -13,10 +13,9 @@
 
 import asyncio
 from collections.abc import Callable, Iterator
-import time
 from typing import Final
 
-from wigeonford._tasks import cancel_task, run_supervised
+from wigeonford._tasks import boot_time_s, cancel_task, run_supervised
 from wigeonford.control._replica import Replica
 from wigeonford.control._steering_commands import ChangeHolders
 from wigeonford.deployment import Account, Deployment
@@ -64,7 +63,7 @@
         self,
         replica: Replica,
         log: EventLog,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = boot_time_s,
     ) -> None:
         self._replica = replica
         self._log = log
--- a/src/wigeonford/control/_raft_replica.py
+++ b/src/wigeonford/control/_raft_replica.py
@@ -3,13 +3,12 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 import random
-import time
 from typing import Any, Final, TypeVar
 
 import cbor2
 import msgspec
 
-from wigeonford._tasks import wait_for_result
+from wigeonford._tasks import boot_time_s, wait_for_result
 from wigeonford.control._commands import CommandResult, COMMANDS
 from wigeonford.control._raft import RaftCore
 from wigeonford.control._raft_channel import Channels, Connect
@@ -77,7 +76,7 @@
         store: Store,
         connect: Connect,
         log: EventLog,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = boot_time_s,
         desired_voters: int = 0,
         timing: ElectionTiming = DEFAULT_TIMING,
     ) -> None:
--- a/src/wigeonford/steer/_admission.py
+++ b/src/wigeonford/steer/_admission.py
@@ -5,6 +5,7 @@
 import random
 from typing import Final
 
+from wigeonford._tasks import boot_time_s
 from wigeonford.deployment import Account, Route, Splitter
 from wigeonford.errors import Code, RequestRejected
 from wigeonford.events import Event, EventLog
@@ -43,6 +44,7 @@
         rng: random.Random,
         clock: Callable[[], float],
         is_in_contact: Callable[[], bool] = lambda: True,
+        lease_clock: Callable[[], float] = boot_time_s,
     ) -> None:
         self._view = view
         self._is_in_contact = is_in_contact
@@ -53,6 +55,7 @@
         self._log = log
         self._rng = rng
         self._clock = clock
+        self._lease_clock = lease_clock
         self._splitter = Splitter()
         self._shutdown = NO_SHUTDOWN
         self._body_limits: dict[asyncio.Timeout, RequestContext] = {}
@@ -172,12 +175,15 @@
 
         Return whether the token was borrowed.
         """
-        wait_s = self._rates.admit(account, self._clock())
-        must_borrow = wait_s > 0 and self._rates.expects_leader(self._clock())
+        now_s = self._lease_clock()
+        wait_s = self._rates.admit(account, now_s)
+        must_borrow = wait_s > 0 and self._rates.expects_leader(now_s)
         if must_borrow:
             wait_s = await self._loans.borrow(account.name, left_s)
         if wait_s > 0:
-            fraction = self._rates.quota_fraction(account.name, self._clock())
+            fraction = self._rates.quota_fraction(
+                account.name, self._lease_clock()
+            )
             reason = (
                 "token pool empty"
                 if must_borrow
--- a/src/wigeonford/steer/_quota_reporter.py
+++ b/src/wigeonford/steer/_quota_reporter.py
@@ -3,10 +3,9 @@
 import asyncio
 from collections.abc import Callable, Iterable, Mapping
 import itertools
-import time
 from typing import Final
 
-from wigeonford._tasks import cancel_task, run_supervised
+from wigeonford._tasks import boot_time_s, cancel_task, run_supervised
 from wigeonford.errors import Code, PeerError
 from wigeonford.events import Event, EventLog
 from wigeonford.messages.steering import (
@@ -45,12 +44,14 @@
         status: Callable[[], EntryStatus],
         connect: Connect,
         log: EventLog,
+        clock: Callable[[], float] = boot_time_s,
     ) -> None:
         self._follower = follower
         self._rates = rates
         self._status = status
         self._connect = connect
         self._log = log
+        self._clock = clock
         self._leader: str | None = None
         self._client: PeerClient | None = None
         self._address_counter = itertools.count()
@@ -58,7 +59,7 @@
 
     async def start(self) -> None:
         """Start reporting."""
-        self._rates.leader_lost_at_s = time.monotonic()
+        self._rates.leader_lost_at_s = self._clock()
         self._tasks = [
             asyncio.create_task(run_supervised(self._run, self._log)),
             asyncio.create_task(
@@ -71,7 +72,7 @@
         for task in self._tasks:
             await cancel_task(task)
         if self._rates.leader_connected:
-            await self._send_report(self._rates.release_all(time.monotonic()))
+            await self._send_report(self._rates.release_all(self._clock()))
         await self._drop_client()
 
     async def borrow(
@@ -114,7 +115,7 @@
         entries = self._follower.running_entries()
         self._rates.update_accounts(accounts, len(entries))
         await self._send_report(
-            self._rates.build_requests(accounts, time.monotonic())
+            self._rates.build_requests(accounts, self._clock())
         )
 
     async def _send_report(
@@ -145,7 +146,7 @@
         if is_connected == self._rates.leader_connected:
             return
         self._rates.leader_connected = is_connected
-        self._rates.leader_lost_at_s = time.monotonic()
+        self._rates.leader_lost_at_s = self._clock()
         event = Event.PARTS_REGAINED if is_connected else Event.PARTS_LOST
         self._log.emit(event, detail=detail)
 
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -398,7 +398,10 @@
 
 @contextlib.contextmanager
 def virtual_clock() -> Iterator[Callable[[], float]]:
-    """Let `time.monotonic` return the running loop's virtual time."""
+    """Let the clocks return the running loop's virtual time."""
     loop = asyncio.get_running_loop()
-    with mock.patch("time.monotonic", loop.time):
+    with (
+        mock.patch("time.monotonic", loop.time),
+        mock.patch("time.clock_gettime", lambda _: loop.time()),
+    ):
         yield loop.time
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -202,6 +202,13 @@
         "            raise\n",
         ("tests.test_background_tasks",),
     ),
+    Mutation(
+        "SUSPENDED_VM_KEEPS_NO_LEASE",
+        "steer/_admission.py",
+        "        now_s = self._lease_clock()\n",
+        "        now_s = self._clock()\n",
+        ("tests.test_suspension",),
+    ),
 )
 
 
