--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -181,6 +181,13 @@
         "            pass\n",
         ("tests.test_caller_ends",),
     ),
+    Mutation(
+        "CHANGE_ENDS_NO_REQUEST",
+        "steer/_daemon.py",
+        "limits.idle_timeout_s + CHANGE_LAG_S",
+        "limits.idle_timeout_s",
+        ("tests.test_change_load",),
+    ),
     Mutation(
         "EARLY_RESPONSE_ARRIVES",
         "http/_connection.py",
