Ignore signals that come while the last log lines are written

What was seen: a reload or a second stop signal that came after the event loop had closed ended the process by that signal (up to 1 s, where nobody takes its logs), as if it had crashed. The event loop resets its handlers when it closes. Evidence: tests.test_late_signals failed before (ended by SIGHUP) and passes.

--- a/src/wigeonford/platform/_runner.py
+++ b/src/wigeonford/platform/_runner.py
@@ -6,10 +6,11 @@
 import importlib
 import os
 from pathlib import Path
+import signal
 import sys
 from typing import Final
 
-from wigeonford._stop_request import StopRequest
+from wigeonford._stop_request import STOP_SIGNALS, StopRequest
 from wigeonford.daemon import Daemon, EXIT_USAGE, serve_until_signal
 from wigeonford.errors import SettingsError
 from wigeonford.events import (
@@ -67,5 +68,8 @@
         return EXIT_USAGE
     build = _import_builder(args.role)
     code = asyncio.run(_serve(settings_file, build, stop_request, log))
+    # The event loop has reset the handlers; the last lines may take a while.
+    for signal_number in (*STOP_SIGNALS, signal.SIGHUP):
+        signal.signal(signal_number, signal.SIG_IGN)
     writer.close()
     return code
