--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -209,6 +209,13 @@
         "            pass\n",
         ("tests.test_caller_ends",),
     ),
+    Mutation(
+        "CHANGE_ENDS_NO_REQUEST",
+        "steer/_daemon.py",
+        "limits.idle_timeout_s + CHANGE_LAG_S",
+        "limits.idle_timeout_s",
+        ("tests.test_change_load",),
+    ),
     Mutation(
         "EARLY_RESPONSE_ARRIVES",
         "http/_connection.py",
@@ -307,6 +314,13 @@
         "            if self._replica.failure is not None:\n",
         ("tests.test_group_service", "tests.test_full_disk"),
     ),
+    Mutation(
+        "SUSPENDED_VM_KEEPS_NO_LEASE",
+        "steer/_admission.py",
+        "        now_s = self._lease_clock()\n",
+        "        now_s = self._clock()\n",
+        ("tests.test_suspension",),
+    ),
 )
 
 
