test fails: requests at the end of a stop are read and dropped

A stop cancels idle connections at 0.92 of the grace. Their tasks half-close and read on until 0.2 s later; what arrives meanwhile is dropped without a response and counted as idle. An outright close would reset it unread.

With an idle connection at each of the three other listeners and control silent, the stop ends 6.48 s after the signal at a grace of 6 s.

--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -56,6 +56,7 @@
 from wigeonford.steer._route_stats import RouteStats
 from wigeonford.steer._shutdown import (
     expected_s,
+    FINISH_FRACTION,
     NO_SHUTDOWN,
     ShutdownPlan,
     SPREAD,
@@ -229,11 +230,13 @@
             log,
         )
 
-    async def connect(self) -> "Caller":
-        """Return a caller with a new connection."""
+    async def connect(self, server: HttpServer | None = None) -> "Caller":
+        """Return a caller with a new connection, by default to the front."""
         own, callers = socket.socketpair()
         own.setblocking(False)
-        await self.loop.connect_accepted_socket(self.front._make_protocol, own)
+        await self.loop.connect_accepted_socket(
+            (server or self.front)._make_protocol, own
+        )
         reader, writer = await asyncio.open_connection(sock=callers)
         self.writers.append(writer)
         return Caller(self, reader, writer)
@@ -674,6 +677,64 @@
 
         self.run_stop(scenario)
 
+    def test_a_stop_ends_in_the_grace_though_others_keep_connections(
+        self,
+    ) -> None:
+        """Callers of look-ups, readiness and metrics keep theirs, too."""
+
+        async def scenario() -> StoppingVm:
+            vm = StoppingVm(6, 1.0)
+            vm.component.stop = lambda: asyncio.sleep(30.0)
+            servers = [
+                HttpServer(vm.front.handler, CallerLimits(), EventLog())
+                for _ in range(3)
+            ]
+            vm.daemon._servers = tuple((s, Address()) for s in servers)
+            for server in servers:
+                await vm.connect(server)
+            await vm.begin_stop()
+            self.assertLess(vm.late_s(vm.loop.time()), vm.grace_s)
+            return vm
+
+        self.run_stop(scenario)
+
+    def test_requests_that_cross_the_end_of_a_stop_are_not_dropped(
+        self,
+    ) -> None:
+        """They are answered or reset unread, not read and dropped."""
+
+        async def send(vm: StoppingVm, caller: Caller, at_s: float) -> bytes:
+            await asyncio.sleep(vm.began_s + at_s - vm.loop.time())
+            try:
+                caller._writer.write(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+                await caller._writer.drain()
+                return await caller._reader.read(12)
+            except ConnectionError:
+                return b"reset"
+
+        for grace_s in (6, 10):
+
+            async def scenario(grace_s: int = grace_s) -> StoppingVm:
+                vm = StoppingVm(grace_s, 0.05)
+                stop = vm.begin_stop()
+                steps = range(20)
+                callers = [await vm.connect() for _ in steps]
+                until_s = FINISH_FRACTION * grace_s
+                calls = vm.call_in_turn(int(until_s / 0.2), 0.2)
+                *outcomes, _, _ = await asyncio.gather(
+                    *(
+                        send(vm, caller, until_s + step * 0.02)
+                        for step, caller in zip(steps, callers, strict=True)
+                    ),
+                    calls,
+                    stop,
+                )
+                self.assertNotIn(b"", outcomes)
+                return vm
+
+            with self.subTest(grace_s=grace_s):
+                self.run_stop(scenario)
+
     def test_before_anything_is_learned_the_time_limit_decides(self) -> None:
         async def scenario() -> StoppingVm:
             vm = StoppingVm(6, 1.0, timeout_s=7.0)
