Don't tell a change that others store as not taken

A change at a replica that had led could be told as certainly not taken (NOT_LEADER, state "not run") though another replica and the replica's own disk still held it and could commit it. The replica then proposed it a second time, or its caller was told after 5 s that it hadn't run.

Cause: a save that found no room failed all waiting requests behind the last position that it keeps as not taken. If a newer leader's entries replace some of this replica's, these were stored and sent in an earlier term.

Only entries of the current term behind that position are told so now: this replica alone appends those, it only sends them after their save, and nobody replaces them in that term. The others fail with NO_QUORUM (state "unknown"), as with a disk that has room.

--- a/src/wigeonford/control/_raft_driver.py
+++ b/src/wigeonford/control/_raft_driver.py
@@ -435,6 +435,7 @@
 
     @_performs(Save)
     async def _save(self, effect: Save) -> None:
+        term = self.core.term
         saving = asyncio.ensure_future(self._disk.save(effect))
         started_s = self._clock()
         done, _ = await asyncio.wait({saving}, timeout=SLOW_SYNC_S)
@@ -445,7 +446,7 @@
             await saving
         except StorageError as exc:
             if not exc.may_be_stored and effect.truncate_after is not None:
-                self._pending.reject_after(effect.truncate_after)
+                self._pending.reject_after(effect.truncate_after, term)
             raise
         if not done:
             took_s = round(self._clock() - started_s, 2)
--- a/src/wigeonford/control/_raft_pending.py
+++ b/src/wigeonford/control/_raft_pending.py
@@ -71,9 +71,18 @@
         for read in ready:
             _succeed(read.fut, position)
 
-    def reject_after(self, position: int) -> None:
-        """Fail requests whose entries no replica has stored as not taken."""
-        for at in [at for at in self._entries if at > position]:
+    def reject_after(self, position: int, term: int) -> None:
+        """Fail requests for unsaved entries of the current term as not taken.
+
+        Entries of an earlier term may have been sent in that term, before
+        a newer leader's entries took their places.
+        """
+        unsaved = [
+            at
+            for at, (entry_term, _) in self._entries.items()
+            if at > position and entry_term == term
+        ]
+        for at in unsaved:
             _reject(self._entries.pop(at)[1])
 
     def reject_reads(self, exc: WigeonfordError) -> None:
--- a/tests/test_full_disk.py
+++ b/tests/test_full_disk.py
@@ -31,10 +31,12 @@
 from wigeonford.control._log_file import write_all
 from wigeonford.control._raft_disk import RaftDisk
 from wigeonford.control._raft_driver import SLOW_SYNC_S
+from wigeonford.control._raft_inbox import Proposal, Received
+from wigeonford.control._raft_members import START_TERM
 from wigeonford.control._raft_node import DEFAULT_TIMING
 from wigeonford.errors import Code, PeerError, WigeonfordError
 from wigeonford.events import EventLog
-from wigeonford.messages.raft import AppendEntries
+from wigeonford.messages.raft import AppendEntries, EntryRecord
 from wigeonford.peer import NotLeaderError, PeerClient, PeerServer
 from wigeonford.platform._control_api import ControlApi
 from wigeonford.settings import (
@@ -174,12 +176,15 @@
     def __init__(self) -> None:
         self.servers: dict[Address, PeerServer] = {}
         self.entry_counts: dict[Address, int] = {}
+        self.is_cut: Callable[[Address, Any], bool] = lambda _to, _record: (
+            False
+        )
 
     async def deliver(self, address: Address, record: Any) -> Any:
         """Return the reply of the replica at an address."""
         await asyncio.sleep(LINK_DELAY_S)
         server = self.servers.get(address)
-        if server is None:
+        if server is None or self.is_cut(address, record):
             raise PeerError(Code.PEER_UNREACHABLE, "unreachable")
         if isinstance(record, AppendEntries):
             count = self.entry_counts.get(address, 0)
@@ -264,6 +269,17 @@
         address = self._members[NAMES.index(name)].peer_address
         return self._network.entry_counts.get(address, 0)
 
+    def cut_off(self, name: str, reaching: str) -> None:
+        """Let a replica hear nothing more, and reach only one other."""
+        own, other = (
+            self._members[NAMES.index(each)].peer_address
+            for each in (name, reaching)
+        )
+        self._network.is_cut = lambda to, record: (
+            to == own
+            or (getattr(record, "sender", "") == name and to != other)
+        )
+
     async def until_led(self, *without: str) -> str:
         """Return the leader's name once a replica leads."""
         async with asyncio.timeout(20.0):
@@ -424,6 +440,45 @@
 
         run_virtual(run())
 
+    def test_a_change_that_others_store_is_not_told_as_not_taken(self) -> None:
+        async def run() -> None:
+            leader = await self.start_all()
+            holder, successor = [n for n in NAMES if n != leader][:2]
+            self.group.cut_off(leader, reaching=holder)
+            driver = self.group.replicas[leader]._driver
+            core = driver.core
+            position, term = core.log.last_position, core.term
+            fut = asyncio.get_running_loop().create_future()
+            record = ExpireMember("vm", 99)
+            driver.enqueue(Proposal(COMMANDS.encode(record), fut))
+            await asyncio.sleep(0.1)
+            self.assertGreater(
+                len(self.group.stores[holder].read_log()), position
+            )
+            self.group.stores[leader].room_bytes = 7
+            driver.enqueue(
+                Received(
+                    AppendEntries(
+                        successor,
+                        core.hard_state.incarnation,
+                        term + 1,
+                        position,
+                        core.log.last_term,
+                        (EntryRecord(term + 1, START_TERM),),
+                        position,
+                        1.0,
+                        None,
+                        None,
+                    )
+                )
+            )
+            with self.assertRaises(PeerError) as caught:
+                await fut
+            self.assertIs(Code.NO_QUORUM, caught.exception.code)
+            await self.stop_all()
+
+        run_virtual(run())
+
     def test_a_leader_with_a_stalled_disk_passes_changes_on(self) -> None:
         async def run() -> None:
             leader = await self.start_all()
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -307,6 +307,13 @@
         "            continue\n        while",
         ("tests.test_full_disk",),
     ),
+    Mutation(
+        "WHAT_OTHERS_STORE_IS_NOT_REPEATED",
+        "control/_raft_pending.py",
+        "if at > position and entry_term == term",
+        "if at > position",
+        ("tests.test_full_disk",),
+    ),
     Mutation(
         "FULL_DISK_ENDS_NO_PROCESS",
         "control/_group_service.py",
