Callers that have their response hold no place

What callers saw: 503 (too many connections) while the connections that counted belonged to callers that already had their response.

Cause: since a connection is read on for up to 30 s after an early response, so are malformed requests and connections that were rejected because of the limit. All of them counted against the limit, and nothing bounded those above it. One byte each 0.4 s was enough.

Evidence: four new tests in test_early_responses, committed with the fix. With it they pass.

Why it works: a connection gives its place back as it begins to linger, so only callers that wait for something count. Those that linger may make the total exceed the limit by a tenth; then the oldest are closed, logged as event 206. Where the framing of what follows isn't known, reading on ends once less arrives than the limit on slow bodies allows; a malformed upload on a slow link still gets its response (test_invalid_head_on_a_slow_link, unchanged). A connection over the limit lingers 0.5 s, as before.

--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -111,6 +111,7 @@
         self._is_closed_by_server = False
         self._is_framing_lost = False
         self.is_busy = False
+        self.has_place = True
         self.end = ConnectionEnd.CALLER_LEFT
 
     @property
@@ -176,12 +177,14 @@
         """
         if self._writer.can_write_eof():
             self._writer.write_eof()
+        # No request is read on a connection over the limit.
+        timeout_s = DISCARD_TIMEOUT_S if self.is_busy else LINGER_S
         try:
-            async with asyncio.timeout(DISCARD_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 await self._discard_body()
                 return await self._discard_bytes()
         except (TimeoutError, RequestRejected):
-            return False
+            return not self.is_busy
         except ConnectionError:
             return True
 
@@ -192,11 +195,13 @@
                 continue
 
     async def _discard_bytes(self) -> bool:
-        """Read until the caller closes or pauses."""
+        """Read until the caller closes, pauses or hardly sends."""
         is_sending = self.has_unread_request
         idle_timeout_s = DISCARD_IDLE_TIMEOUT_S if is_sending else LINGER_S
-        remaining_bytes = DISCARD_BYTES
-        while remaining_bytes > 0:
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        size_bytes = 0
+        while size_bytes < DISCARD_BYTES:
             deadline = CallerDeadline(self._limits, lambda _: idle_timeout_s)
             try:
                 data = await self._read_until(deadline)
@@ -204,7 +209,11 @@
                 return not is_sending
             if not data:
                 return True
-            remaining_bytes -= len(data)
+            size_bytes += len(data)
+            waited_s = loop.time() - began_s
+            min_bytes = waited_s * self._limits.body_bytes_per_s
+            if waited_s > LINGER_S and size_bytes < min_bytes:
+                return False
         return False
 
     @property
@@ -254,6 +263,11 @@
             return False
         return self._request is not None or self.unread_bytes > 0
 
+    @property
+    def host(self) -> str:
+        """Return the caller's IP address, or an empty text."""
+        return self._server.caller_host(self._writer)
+
     @property
     def request_id(self) -> str:
         """Return the id of the request that is being served, if any."""
@@ -393,7 +407,7 @@
             path=path,
             query=query,
             headers=headers,
-            caller_host=self._server.caller_host(self._writer),
+            caller_host=self.host,
             body=self._stream_body(self._limits.body_bytes),
         )
         check_head(event, headers, self._limits)
--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Awaitable, Callable, Collection, Iterator
+import itertools
 import math
 import socket
 import ssl
@@ -37,6 +38,9 @@
 elsewhere; on a full link requests still arrive."""
 CUT_TIMEOUT_S: Final = 0.2
 """Time in which callers are told of the requests that a stop cuts."""
+LINGERING_FRACTION: Final = 0.1
+"""Fraction of the limit on connections that may be open above it, by those
+that linger after their last response."""
 
 
 def _no_request_id(_headers: Headers) -> str:
@@ -76,6 +80,9 @@
         self._connections_by_host: collections.Counter[str] = (
             collections.Counter()
         )
+        self._place_count = 0
+        # Oldest first; these hold no place.
+        self._lingering: dict[CallerConnection, None] = {}
 
     @property
     def limits(self) -> CallerLimits:
@@ -238,12 +245,14 @@
     ) -> None:
         task = asyncio.current_task()
         assert task is not None, "connections are served in tasks"
-        host = self.caller_host(writer)
         conn = CallerConnection(reader, writer, self)
+        host = conn.host
         is_over_limit = self._is_over_limit(host)
         self._accepted.discard(reader)
         self._tasks[task] = conn
         self._connections_by_host[host] += 1
+        self._place_count += 1
+        self._close_oldest_lingering()
         writer.transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
         try:
             if is_over_limit:
@@ -282,11 +291,29 @@
         finally:
             self._record_end(conn)
             del self._tasks[task]
-            self._connections_by_host[host] -= 1
-            if not self._connections_by_host[host]:
-                del self._connections_by_host[host]
+            self._free_place(conn)
+            self._lingering.pop(conn, None)
             writer.close()
 
+    def _free_place(self, conn: CallerConnection) -> None:
+        """Count a connection no longer, if it still holds a place."""
+        if not conn.has_place:
+            return
+        conn.has_place = False
+        self._place_count -= 1
+        self._connections_by_host[conn.host] -= 1
+        if not self._connections_by_host[conn.host]:
+            del self._connections_by_host[conn.host]
+
+    def _close_oldest_lingering(self) -> None:
+        """Make room for a connection; those that linger are answered."""
+        limit = self.limits.connections
+        limit += math.ceil(limit * LINGERING_FRACTION)
+        excess = self._place_count + len(self._lingering) - limit
+        for conn in list(itertools.islice(self._lingering, max(0, excess))):
+            del self._lingering[conn]
+            conn.abort()
+
     def _record_end(self, conn: CallerConnection) -> None:
         """Count why a connection ended; log a caller left without response."""
         is_unanswered = conn.is_unanswered
@@ -365,13 +392,17 @@
             )
 
     async def _discard(self, conn: CallerConnection) -> None:
-        if not await conn.discard():
+        if conn.has_place:
+            self._free_place(conn)
+            self._lingering[conn] = None
+        is_whole = await conn.discard()
+        if not is_whole or conn not in self._lingering:
             self.log.emit(
                 Event.CALLER_STILL_SENDING, request=conn.request_id or None
             )
 
     def _is_over_limit(self, host: str) -> bool:
-        if len(self._tasks) >= self.limits.connections:
+        if self._place_count >= self.limits.connections:
             return True
         return (
             self._connections_by_host[host]
--- a/tests/test_early_responses.py
+++ b/tests/test_early_responses.py
@@ -21,6 +21,15 @@
 MARGIN_S = 1.0
 MAX_READ_ON_S = 30.0
 ENDLESS_BYTES = 1 << 40
+INVALID_HEAD = b"POST / HTTP/1.1\r\nhost a\r\n\r\n"
+GET = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+MAX_CONNECTIONS = 10
+MAX_OPEN = 11
+"""With those that linger after their last response."""
+TRICKLE_S = 0.4
+SMALL_BODY_WAIT_S = 0.6
+"""Exceeds the time that a response waits for a small body."""
+MAX_TRICKLE_S = 1.0
 
 
 def _post(length: int) -> bytes:
@@ -96,7 +105,7 @@
 
     @in_virtual_time
     async def test_invalid_head_on_a_slow_link(self) -> None:
-        response = await self.upload(b"POST / HTTP/1.1\r\nhost a\r\n\r\n")
+        response = await self.upload(INVALID_HEAD)
         self.assertEqual(b"HTTP/1.1 400", response)
 
     @in_virtual_time
@@ -212,3 +221,119 @@
         self.assertIn(b" 431 ", response[:20])
         self.assertTrue(response.endswith(b"\r\n\r\n"))
         await self.server.stop(0.0)
+
+
+class LingeringCallersTest(unittest.TestCase):
+    """Callers that have a response send on, beside proper callers."""
+
+    def setUp(self) -> None:
+        self.logs = io.StringIO()
+        configure_logging(self.logs, logging.INFO)
+
+    async def start(self, handler: Handler = _read_body) -> None:
+        """Start a server with a low limit on connections."""
+        limits = CallerLimits(
+            body_bytes=BODY_BYTES,
+            connections=MAX_CONNECTIONS,
+            connections_per_address=MAX_CONNECTIONS,
+        )
+        self.server = HttpServer(handler, limits, EventLog())
+        self.address = await self.server.start(Address())
+
+    async def connect(self, data: bytes) -> socket.socket:
+        """Return a socket that has connected and sent some bytes."""
+        sock = socket.create_connection((self.address.host, self.address.port))
+        self.addCleanup(sock.close)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.send(data)
+        await asyncio.sleep(0.01)
+        return sock
+
+    async def trickle(self, sock: socket.socket) -> float:
+        """Send a byte at a time; return when the server closed."""
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        with self.assertRaises(ConnectionError):
+            while loop.time() - began_s < 2 * MAX_READ_ON_S:
+                await loop.sock_sendall(sock, b"b")
+                await asyncio.sleep(TRICKLE_S)
+        return loop.time() - began_s
+
+    async def check_served(self) -> None:
+        """Check that a proper caller is served."""
+        sock = await self.connect(GET)
+        self.assertIn(b" 200 ", sock.recv(1 << 16)[:20])
+        sock.close()
+
+    @in_virtual_time
+    async def test_callers_that_hardly_send_on_are_not_waited_for(
+        self,
+    ) -> None:
+        await self.start()
+        for head in (INVALID_HEAD, GET + INVALID_HEAD):
+            with self.subTest(head):
+                waited_s = await self.trickle(await self.connect(head))
+                # The first byte after the close is not refused yet.
+                self.assertLess(waited_s, MAX_TRICKLE_S + 2 * TRICKLE_S)
+        await self.server.stop(0.0)
+
+    @in_virtual_time
+    async def test_callers_with_a_response_hold_no_place(self) -> None:
+        async def respond(request: Request) -> Response:
+            if request.method == "GET":
+                return Response(200, ((b"content-length", b"0"),))
+            return await _refuse(request)
+
+        for head, gap_s in (
+            (INVALID_HEAD, MARGIN_S / 100),
+            (_post(BODY_BYTES), SMALL_BODY_WAIT_S),
+        ):
+            with self.subTest(head):
+                await self.start(respond)
+                for _ in range(2 * MAX_CONNECTIONS):
+                    sock = await self.connect(head)
+                    await asyncio.sleep(gap_s)
+                    response = sock.recv(1 << 16)
+                    self.assertNotIn(b"code: 1006", response)
+                    self.assertLessEqual(len(self.server._tasks), MAX_OPEN)
+                await self.check_served()
+                await self.server.stop(0.0)
+
+    @in_virtual_time
+    async def test_the_oldest_that_linger_are_closed_first(self) -> None:
+        await self.start(_refuse)
+        socks = []
+        for _ in range(MAX_OPEN + 3):
+            socks.append(await self.connect(_post(BODY_BYTES)))
+            await asyncio.sleep(SMALL_BODY_WAIT_S)
+        for number, sock in enumerate(socks):
+            with self.subTest(number):
+                is_closed = self.is_closed(sock)
+                self.assertIs(number < 3, is_closed)
+        self.assertEqual(3, self.logs.getvalue().count('"number": 206'))
+        await self.server.stop(0.0)
+
+    def is_closed(self, sock: socket.socket) -> bool:
+        """Return whether the server closed a connection both ways."""
+        self.assertIn(b" 503 ", sock.recv(1 << 16)[:20])
+        try:
+            sock.send(b"b")
+            sock.send(b"b")
+        except ConnectionError:
+            return True
+        return False
+
+    @in_virtual_time
+    async def test_callers_over_the_limit_are_not_waited_for(self) -> None:
+        await self.start()
+        for _ in range(MAX_CONNECTIONS):
+            await self.connect(b"")
+        for data in (b"", GET, _post(BODY_BYTES), INVALID_HEAD):
+            with self.subTest(data):
+                sock = await self.connect(data)
+                self.assertIn(b" 503 ", sock.recv(1 << 16)[:20])
+                waited_s = await self.trickle(sock)
+                self.assertLess(waited_s, MAX_TRICKLE_S + 2 * TRICKLE_S)
+        self.assertEqual(MAX_CONNECTIONS, len(self.server._tasks))
+        await self.server.stop(0.0)
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -230,6 +230,20 @@
         "            async with asyncio.timeout(None):\n",
         ("tests.test_early_responses",),
     ),
+    Mutation(
+        "ANSWERED_CALLERS_HOLD_NO_PLACE",
+        "http/_server.py",
+        "        if conn.has_place:\n",
+        "        if False:\n",
+        ("tests.test_early_responses",),
+    ),
+    Mutation(
+        "TRICKLING_CALLERS_ARE_CLOSED",
+        "http/_connection.py",
+        "size_bytes < min_bytes:\n                return False\n",
+        "size_bytes < min_bytes:\n                continue\n",
+        ("tests.test_early_responses",),
+    ),
     Mutation(
         "ONE_ERROR_ENDS_NO_TASK",
         "_tasks.py",
