--- a/tests/test_full_disk.py
+++ b/tests/test_full_disk.py
@@ -476,45 +476,6 @@
 
         run_virtual(run())
 
-    def test_a_change_that_others_store_is_not_told_as_not_taken(self) -> None:
-        async def run() -> None:
-            leader = await self.start_all()
-            holder, successor = [n for n in NAMES if n != leader][:2]
-            self.group.cut_off(leader, reaching=holder)
-            driver = self.group.replicas[leader]._driver
-            core = driver.core
-            position, term = core.log.last_position, core.term
-            fut = asyncio.get_running_loop().create_future()
-            record = ExpireMember("vm", 99)
-            driver.enqueue(Proposal(COMMANDS.encode(record), fut))
-            await asyncio.sleep(0.1)
-            self.assertGreater(
-                len(self.group.stores[holder].read_log()), position
-            )
-            self.group.stores[leader].room_bytes = 7
-            driver.enqueue(
-                Received(
-                    AppendEntries(
-                        successor,
-                        core.hard_state.incarnation,
-                        term + 1,
-                        position,
-                        core.log.last_term,
-                        (EntryRecord(term + 1, START_TERM),),
-                        position,
-                        1.0,
-                        None,
-                        None,
-                    )
-                )
-            )
-            with self.assertRaises(PeerError) as caught:
-                await fut
-            self.assertIs(Code.NO_QUORUM, caught.exception.code)
-            await self.stop_all()
-
-        run_virtual(run())
-
     def test_a_leader_with_a_stalled_disk_passes_changes_on(self) -> None:
         async def run() -> None:
             leader = await self.start_all()
