Let all messages to a peer share one attempt to open its link

What callers saw: entry VMs and control replicas stayed without a peer that was there and well for many seconds after it had been silent (suspended, rebooted, a full link), the longer the more they had to tell it.

Cause: each message opened the link within its own time limit, behind one lock. The attempt ended with its message, and the next in line had waited as long, so that it had only the gap between two messages left. Where that is less than it takes to connect, no attempt ever ended well.

Now one attempt is shared and ends by OPEN_TIMEOUT_S alone; each message waits for it by its own limit. test_messages_do_not_keep_a_link_from_opening failed before (nothing open 4 s after the silence) and passes now.

--- a/src/wigeonford/peer/_link.py
+++ b/src/wigeonford/peer/_link.py
@@ -219,7 +219,7 @@
         self._context = context
         self._conn: WebSocketClient | None = None
         self._reader_task: asyncio.Task[None] | None = None
-        self._open_lock = asyncio.Lock()
+        self._opening: asyncio.Task[WebSocketClient] | None = None
         self._request_ids = itertools.count(1)
         self._pending_replies: dict[int, asyncio.Future[Any]] = {}
         self._reply_queues: dict[int, asyncio.Queue[Any]] = {}
@@ -292,6 +292,8 @@
 
     async def close(self) -> None:
         """Close the link; wait at most `CLOSE_TIMEOUT_S` for the peer."""
+        if self._opening is not None:
+            self._opening.cancel()
         if self._reader_task is not None:
             self._reader_task.cancel()
         conn, self._conn = self._conn, None
@@ -321,27 +323,49 @@
             ) from exc
 
     async def _ensure_connected(self) -> WebSocketClient:
-        async with self._open_lock:
-            if self._conn is None:
-                scheme = "ws" if self._context is None else "wss"
-                self._conn = await connect(
-                    f"{scheme}://{self.address}/",
-                    ssl=self._context,
-                    additional_headers={
-                        _PEER_HEADER: self._name,
-                        _PROOF_HEADER: peer_proof(self._secret, self._name),
-                    },
-                    max_size=MAX_MESSAGE_BYTES,
-                    compression=None,
-                    proxy=None,
-                    open_timeout=OPEN_TIMEOUT_S,
-                    ping_interval=PING_INTERVAL_S,
-                    ping_timeout=PING_TIMEOUT_S,
-                )
-                self._reader_task = asyncio.create_task(
-                    self._read_replies(self._conn)
-                )
+        """Return the open connection; open one if there is none.
+
+        The attempt to open one is shared and outlasts the time limit of each
+        message. If every message made its own attempt, each would end with
+        its message while the peer is slow, and the link would never open.
+        """
+        if self._conn is not None:
             return self._conn
+        if self._opening is None:
+            self._opening = asyncio.create_task(self._open_connection())
+            self._opening.add_done_callback(self._end_opening)
+        opening = self._opening
+        await asyncio.wait((opening,))
+        if opening.cancelled():
+            raise PeerError(
+                Code.PEER_UNREACHABLE, f"{self.address}: the link was closed"
+            )
+        return opening.result()
+
+    def _end_opening(self, opening: asyncio.Task[WebSocketClient]) -> None:
+        self._opening = None
+        # Those who waited may have given up.
+        _retrieve_exception(opening)
+
+    async def _open_connection(self) -> WebSocketClient:
+        scheme = "ws" if self._context is None else "wss"
+        conn = await connect(
+            f"{scheme}://{self.address}/",
+            ssl=self._context,
+            additional_headers={
+                _PEER_HEADER: self._name,
+                _PROOF_HEADER: peer_proof(self._secret, self._name),
+            },
+            max_size=MAX_MESSAGE_BYTES,
+            compression=None,
+            proxy=None,
+            open_timeout=OPEN_TIMEOUT_S,
+            ping_interval=PING_INTERVAL_S,
+            ping_timeout=PING_TIMEOUT_S,
+        )
+        self._conn = conn
+        self._reader_task = asyncio.create_task(self._read_replies(conn))
+        return conn
 
     async def _read_replies(self, conn: WebSocketClient) -> None:
         try:
--- a/tests/test_peer_reconnect.py
+++ b/tests/test_peer_reconnect.py
@@ -8,7 +8,7 @@
 from unittest import mock
 
 from tests.virtual_time import run_virtual
-from wigeonford.errors import PeerError
+from wigeonford.errors import Code, PeerError
 from wigeonford.events import configure_logging, EventLog
 from wigeonford.peer import PeerClient
 from wigeonford.settings import Address
@@ -71,3 +71,20 @@
             opened_at_s = run_virtual(_open_repeatedly())
         self.assertTrue(opened_at_s, "no message found the link open")
         self.assertLess(opened_at_s[0], SILENCE_S + WATCHED_S)
+
+    def test_messages_that_wait_for_a_link_end_as_it_is_closed(self) -> None:
+        async def close_while_opening() -> None:
+            client = PeerClient("a", Address("127.0.0.1", 1), "s", EventLog())
+            opening = asyncio.create_task(client.open(MESSAGE_TIMEOUT_S))
+            await asyncio.sleep(MESSAGE_GAP_S)
+            await client.close()
+            with self.assertRaises(PeerError) as caught:
+                await opening
+            self.assertIs(Code.PEER_UNREACHABLE, caught.exception.code)
+            self.assertLess(
+                asyncio.get_running_loop().time(), MESSAGE_TIMEOUT_S
+            )
+
+        configure_logging(io.StringIO())
+        with mock.patch("wigeonford.peer._link.connect", _connect):
+            run_virtual(close_while_opening())
