Don't acknowledge an order that was skipped

An evacuation or a withdrawal of a target could be answered with 200 though all replicas had skipped it as one that can't be applied.

Cause: since a log entry that can't be applied is skipped rather than ending the replica, `propose` returns such an entry's result, and only announcements looked at it. `propose` itself now raises, on the leader and where the command was forwarded, so that no order can be taken for applied. The answer is 503, as for announcements.

test_skipped_command_is_not_acknowledged: before, evacuation got 200; and test_command_that_the_leader_skips_is_not_acknowledged: before, nothing was raised. Both pass now, as do test_odd_entries, test_control, test_control_state, test_steering and test_deployment. `run_inline` of test_full_disk, which the second test uses too, is no longer private.

--- a/src/wigeonford/control/_raft_replica.py
+++ b/src/wigeonford/control/_raft_replica.py
@@ -28,7 +28,7 @@
     ElectionTiming,
     Identity,
 )
-from wigeonford.control._replica import ReplicaStatus
+from wigeonford.control._replica import raise_if_skipped, ReplicaStatus
 from wigeonford.control._state import State
 from wigeonford.control._store import StorageError, Store
 from wigeonford.errors import Code, PeerError, RunState
@@ -176,9 +176,11 @@
             )
             return _decode_result(reply.content)
 
-        return await self._run_on_leader(
+        result = await self._run_on_leader(
             lambda: self._propose(content), forward
         )
+        raise_if_skipped(result)
+        return result
 
     async def read_barrier(self) -> None:
         """Return once a quorum has confirmed that the state is current."""
--- a/src/wigeonford/control/_replica.py
+++ b/src/wigeonford/control/_replica.py
@@ -16,7 +16,7 @@
     StorageError,
     Store,
 )
-from wigeonford.errors import Code, PeerError
+from wigeonford.errors import Code, PeerError, WigeonfordError
 from wigeonford.events import Event, EventLog
 from wigeonford.messages.raft import ReplicaChange
 from wigeonford.peer import NotLeaderError
@@ -80,7 +80,8 @@
     async def propose(self, record: Any) -> CommandResult:
         """Return the result once a quorum has synced the command.
 
-        Raise `PeerError` with `NO_QUORUM` if the outcome is unknown.
+        Raise `PeerError` with `NO_QUORUM` if the outcome is unknown, and
+        `WigeonfordError` if the command is skipped, as it can't be applied.
         """
 
     async def read_barrier(self) -> None:
@@ -103,6 +104,12 @@
         """Return the status of the replica."""
 
 
+def raise_if_skipped(result: CommandResult) -> None:
+    """Raise `WigeonfordError` if a command could not be applied at all."""
+    if result.is_skipped:
+        raise WigeonfordError(Code.INTERNAL, result.detail)
+
+
 class SoloReplica:
     """Run as the only replica: its own disk is the quorum."""
 
@@ -177,6 +184,7 @@
                 listener()
             if self._position % SNAPSHOT_INTERVAL_ENTRIES == 0:
                 await self._save_snapshot()
+            raise_if_skipped(result)
             return result
 
     def _apply(self, entry: LogEntry) -> CommandResult:
--- a/src/wigeonford/control/_target_service.py
+++ b/src/wigeonford/control/_target_service.py
@@ -13,7 +13,7 @@
     RemoveTargets,
 )
 from wigeonford.deployment import Announcement, AnnouncementEffect
-from wigeonford.errors import Code, WigeonfordError
+from wigeonford.errors import WigeonfordError
 from wigeonford.events import Event, EventLog
 from wigeonford.messages.steering import ActiveTargets
 from wigeonford.peer import Done, PeerServer
@@ -90,11 +90,7 @@
                 outcome=outcome.value,
             )
         if outcome is AnnouncementEffect.CHANGED:
-            result = await self._replica.propose(
-                AnnounceTargets((announcement,))
-            )
-            if result.is_skipped:
-                raise WigeonfordError(Code.INTERNAL, result.detail)
+            await self._replica.propose(AnnounceTargets((announcement,)))
         if outcome in (AnnouncementEffect.CHANGED, AnnouncementEffect.SAME):
             self._record_announcement(announcement.target_id)
         return outcome
--- a/tests/test_full_disk.py
+++ b/tests/test_full_disk.py
@@ -327,7 +327,8 @@
                 await asyncio.sleep(0.05)
 
 
-async def _run_inline(disk: RaftDisk, function: Any, *args: Any) -> Any:
+async def run_inline(disk: RaftDisk, function: Any, *args: Any) -> Any:
+    """Call a function of the disk without a thread."""
     while cast(FullDiskStore, disk._store).is_stalled:
         await asyncio.sleep(CHANGE_INTERVAL_S)
     return function(*args)
@@ -340,7 +341,7 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.group = Group(Path(folder.name))
-        inline = mock.patch.object(RaftDisk, "_call", _run_inline)
+        inline = mock.patch.object(RaftDisk, "_call", run_inline)
         inline.start()
         self.addCleanup(inline.stop)
 
--- a/tests/test_skipped_entries.py
+++ b/tests/test_skipped_entries.py
@@ -1,22 +1,33 @@
 """A log entry that can't be applied doesn't stop the replicas."""
 
 import asyncio
+from pathlib import Path
+import tempfile
 from typing import Any, cast, Final
 import unittest
 from unittest import mock
 
 from tests.test_deployment import make_announcement
+from tests.test_full_disk import Group, NAMES, run_inline
+from tests.virtual_time import run_virtual
 from wigeonford.control import (
     AnnounceTargets,
     ApplyChange,
+    ColdClock,
     COMMANDS,
     Edit,
+    LogFileStore,
     SoloReplica,
     State,
     Store,
+    TargetService,
 )
+from wigeonford.control._commands import ExpireMember
+from wigeonford.control._raft_disk import RaftDisk
 from wigeonford.errors import Code, WigeonfordError
 from wigeonford.events import EventLog
+from wigeonford.http import Request
+from wigeonford.platform._control_api import ControlApi
 
 MAX_CBOR_DEPTH: Final = 400
 """Depth up to which the CBOR library decodes what it has encoded."""
@@ -68,3 +79,44 @@
         with self.assertRaises(WigeonfordError) as caught:
             asyncio.run(replica.propose(make_nested_change()))
         self.assertIs(Code.MESSAGE_INVALID, caught.exception.code)
+
+    def test_skipped_command_is_not_acknowledged(self) -> None:
+        async def run(folder: Path) -> None:
+            replica = SoloReplica("a", LogFileStore(folder), EventLog())
+            await replica.start()
+            targets = TargetService(replica, ColdClock(), EventLog())
+            api = ControlApi(replica, targets, {"z": "r"}, EventLog())
+            evacuation = Request("POST", "/evacuation/z", "", (), "")
+            withdrawal = Request("DELETE", "/instances/t", "", (), "")
+            odd = mock.patch.object(State, "apply", side_effect=KeyError("x"))
+            for call in (evacuation, withdrawal):
+                with odd:
+                    self.assertEqual(503, (await api.handle(call)).status)
+                self.assertEqual(200, (await api.handle(call)).status)
+            await replica.stop()
+
+        with tempfile.TemporaryDirectory() as folder:
+            asyncio.run(run(Path(folder)))
+
+    def test_command_that_the_leader_skips_is_not_acknowledged(self) -> None:
+        async def run(folder: Path) -> None:
+            group = Group(folder)
+            for name in NAMES:
+                await group.start(name)
+            await group.until_led()
+            self.assertTrue(await group.change(NAMES[0]))
+            with mock.patch.object(State, "apply", side_effect=KeyError("x")):
+                for replica in group.replicas.values():
+                    with self.assertRaises(WigeonfordError) as caught:
+                        await replica.propose(ExpireMember("vm", 0))
+                    self.assertIs(Code.INTERNAL, caught.exception.code)
+            for name in NAMES:
+                self.assertTrue(await group.change(name))
+            for name in NAMES:
+                await group.stop(name)
+
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            mock.patch.object(RaftDisk, "_call", run_inline),
+        ):
+            run_virtual(run(Path(folder)))
