Refuse Raft messages that no replica can have sent

One odd message of a control replica ended another one: event 511, and no part in the group until a restart, after which the next such message ended it again.

Cause: messages of the log were believed whatever they stated. Others were believed: a reply with an infinite sending time confirms a leader for ever, a hand-over with an infinite delay keeps a follower from standing for election.

What depends on the log (the position and time of a reply, a second leader in the term) is checked in the core as the message is processed, before anything changes, and only for messages of the present term, so that late ones are ignored as before. Both are logged as event 506. The two assertions that these checks replace ended the replica.

--- a/src/wigeonford/control/_raft.py
+++ b/src/wigeonford/control/_raft.py
@@ -158,7 +158,11 @@
             node.become_follower(node.term, None, now_s)
 
     def receive(self, record: Any, now_s: float) -> None:
-        """Process a message from another replica."""
+        """Process a message from another replica.
+
+        Raise `PeerError`, and change nothing, if no replica can have sent it
+        in the present term.
+        """
         _HANDLERS[type(record)](self, record, now_s)
 
     @_handles(VoteRequest)
--- a/src/wigeonford/control/_raft_driver.py
+++ b/src/wigeonford/control/_raft_driver.py
@@ -45,7 +45,7 @@
     StorageError,
     Store,
 )
-from wigeonford.errors import Code
+from wigeonford.errors import Code, PeerError
 from wigeonford.events import Event, EventLog
 from wigeonford.messages.raft import InstallSnapshot
 from wigeonford.peer import NotLeaderError
@@ -358,7 +358,7 @@
                 continue
             reduced = self._outage.reduce(item.record, self.core)
             if reduced is not None:
-                self.core.receive(reduced, now_s)
+                self._receive(reduced, now_s)
         if not self._outage.may_reply:
             return
         for effect in self.core.take_effects(now_s):
@@ -394,12 +394,18 @@
 
     def _feed(self, item: Input, now_s: float) -> None:
         if isinstance(item, Received):
-            self.core.receive(item.record, now_s)
+            self._receive(item.record, now_s)
         elif isinstance(item, Read):
             self._feed_read(item, now_s)
         elif isinstance(item, TableChange):
             self._feed_change(item)
 
+    def _receive(self, record: Any, now_s: float) -> None:
+        try:
+            self.core.receive(record, now_s)
+        except PeerError as exc:
+            self._log.emit(Event.RAFT_MESSAGE_REFUSED, detail=exc.detail)
+
     def _feed_read(self, item: Read, now_s: float) -> None:
         if self.core.role is not Role.LEADER:
             self._reject_not_leader(item.fut)
--- a/src/wigeonford/control/_raft_follower.py
+++ b/src/wigeonford/control/_raft_follower.py
@@ -4,6 +4,7 @@
 from wigeonford.control._raft_node import RaftNode
 from wigeonford.control._raft_snapshot import unpack_snapshot
 from wigeonford.control._store import LogEntry
+from wigeonford.errors import Code, PeerError
 from wigeonford.messages.raft import (
     AppendEntries,
     AppendReply,
@@ -42,9 +43,11 @@
             return False
         if message.term < node.term:
             return False
-        assert node.role is not Role.LEADER or message.term > node.term, (
-            "two leaders in one term"
-        )
+        if node.role is Role.LEADER and message.term == node.term:
+            raise PeerError(
+                Code.MESSAGE_INVALID,
+                f"{message.sender} states that it leads this leader's term",
+            )
         node.become_follower(message.term, message.sender, now_s)
         node.last_leader_contact_s = now_s
         node.reset_election_timer(now_s)
--- a/src/wigeonford/control/_raft_leader.py
+++ b/src/wigeonford/control/_raft_leader.py
@@ -3,6 +3,7 @@
 from msgspec.structs import replace
 
 from wigeonford.control._commands import COMMANDS
+from wigeonford.control._raft_checks import check_reply
 from wigeonford.control._raft_effects import Role
 from wigeonford.control._raft_members import (
     as_learner,
@@ -22,6 +23,7 @@
 )
 from wigeonford.control._raft_progress import Progress, SNAPSHOT_TIMEOUT_S
 from wigeonford.control._store import LogEntry
+from wigeonford.errors import Code, PeerError
 from wigeonford.messages.raft import (
     AppendEntries,
     AppendReply,
@@ -218,7 +220,10 @@
         return at_s if at_s > float("-inf") else None
 
     def on_reply(self, reply: AppendReply, now_s: float) -> None:
-        """Update a follower's progress from its reply."""
+        """Update a follower's progress from its reply.
+
+        Raise `PeerError` if the leader sent nothing that it may reply to.
+        """
         node = self._node
         progress = self._progress.get(reply.sender)
         if progress is None:
@@ -226,6 +231,9 @@
         if reply.incarnation != progress.incarnation:
             self._reported_incarnations[reply.sender] = reply.incarnation
             return
+        faults = "; ".join(check_reply(reply, node.log.last_position, now_s))
+        if faults:
+            raise PeerError(Code.MESSAGE_INVALID, f"{reply.sender}: {faults}")
         progress.acked_sent_s = max(progress.acked_sent_s, reply.sent_at_s)
         if progress.replied_at_s is None:
             progress.replied_at_s = reply.replied_at_s
@@ -234,9 +242,6 @@
         if reply.sent_at_s >= progress.acked_sent_s:
             progress.replied_at_s = reply.replied_at_s
         if reply.accepted:
-            assert reply.position <= node.log.last_position, (
-                "a follower acknowledged an entry that was not sent"
-            )
             progress.accept(reply.position)
         else:
             progress.reject(reply.position)
--- a/src/wigeonford/control/_raft_replica.py
+++ b/src/wigeonford/control/_raft_replica.py
@@ -1,7 +1,7 @@
 """A control replica that runs Raft with other replicas."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 import random
 from typing import Any, Final, TypeVar
 
@@ -12,6 +12,10 @@
 from wigeonford.control._commands import CommandResult, COMMANDS
 from wigeonford.control._raft import RaftCore
 from wigeonford.control._raft_channel import Channels, Connect
+from wigeonford.control._raft_checks import (
+    check_raft_message,
+    check_state,
+)
 from wigeonford.control._raft_disk import load
 from wigeonford.control._raft_driver import RaftDriver
 from wigeonford.control._raft_effects import HardState
@@ -32,7 +36,7 @@
 from wigeonford.control._state import State
 from wigeonford.control._store import StorageError, Store
 from wigeonford.errors import Code, PeerError, RunState
-from wigeonford.events import EventLog
+from wigeonford.events import Event, EventLog
 from wigeonford.messages.raft import (
     AppendEntries,
     AppendReply,
@@ -87,6 +91,7 @@
         self._desired_voters = desired_voters
         self._timing = timing
         self._store = store
+        self._log = log
         self._clock = clock
         self._members = {
             member.name: member.peer_address for member in cfg.members
@@ -300,9 +305,19 @@
 
     async def _on_core_message(self, record: Any) -> Done:
         self._driver.raise_if_stopped()
+        faults = "; ".join(self._check_core_message(record))
+        if faults:
+            detail = f"{type(record).__name__}: {faults}"
+            self._log.emit(Event.RAFT_MESSAGE_REFUSED, detail=detail)
+            raise PeerError(Code.MESSAGE_INVALID, detail)
         self._driver.enqueue(Received(record))
         return Done()
 
+    def _check_core_message(self, record: Any) -> Iterator[str]:
+        yield from check_raft_message(self._name, record)
+        if isinstance(record, InstallSnapshot):
+            yield from check_state(record)
+
     async def _on_submit(self, message: SubmitCommand) -> CommandOutcome:
         COMMANDS.decode(message.content)
         if not is_state_command(message.content):
--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -196,6 +196,10 @@
         514, "could not update the roster of entry VMs", logging.WARNING
     )
 
+    RAFT_MESSAGE_REFUSED = _event(
+        506, "refused a control replica's message", logging.WARNING
+    )
+
     ENTRY_HEARD = _event(520, "received an entry VM's first or changed status")
     ENTRY_SILENT = _event(
         521, "an entry VM stopped reporting", logging.WARNING
--- a/tests/raft_world.py
+++ b/tests/raft_world.py
@@ -8,6 +8,7 @@
 import cbor2
 
 from wigeonford.control._raft import RaftCore
+from wigeonford.control._raft_checks import check_raft_message
 from wigeonford.control._raft_effects import (
     Apply,
     ChangeRole,
@@ -217,6 +218,8 @@
         node = self.nodes[name]
         if node.core is None:
             return
+        faults = tuple(check_raft_message(name, record))
+        assert not faults, f"a proper message is refused: {faults}"
         if node.outage is not None:
             record = node.outage.reduce(record, node.core)
         if record is None:
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -314,6 +314,13 @@
         "if at > position",
         ("tests.test_full_disk",),
     ),
+    Mutation(
+        "ODD_RAFT_REPLY_IS_REFUSED",
+        "control/_raft_checks.py",
+        "    if reply.position > last_position:\n",
+        "    if reply.position > MAX_RAFT_COUNT:\n",
+        ("tests.test_odd_raft",),
+    ),
     Mutation(
         "FULL_DISK_ENDS_NO_PROCESS",
         "control/_group_service.py",
