Write log lines in pieces that a pipe takes whole

Each write now holds whole lines of at most 4,096 bytes. test_lines_of_a_burst_are_not_cut fails without the bound and passes with it.

--- a/src/wigeonford/_log_writer.py
+++ b/src/wigeonford/_log_writer.py
@@ -1,7 +1,7 @@
 """Write log lines from a thread, with bounded memory and line rates."""
 
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 import contextlib
 import sys
 import threading
@@ -13,6 +13,8 @@
 seconds of a busy VM's log."""
 BATCH_INTERVAL_S: Final = 0.05
 """Time in which lines are collected into one write."""
+MAX_WRITE_BYTES: Final = 4096
+"""Size that a pipe takes whole; of a larger write it may take a part."""
 CLOSE_TIMEOUT_S: Final = 1.0
 """How long a process that exits waits for its lines to be written."""
 
@@ -62,11 +64,12 @@
             time.sleep(BATCH_INTERVAL_S)
             self._has_lines.clear()
             with self._lock:
-                batch = "".join(self._lines)
+                lines = list(self._lines)
                 self._lines.clear()
             try:
-                self._stream.write(batch)
-                self._stream.flush()
+                for text in _join_lines(lines):
+                    self._stream.write(text)
+                    self._stream.flush()
             except (OSError, ValueError) as exc:
                 # The reader has closed the log; this batch is lost.
                 self.dropped += 1
@@ -74,11 +77,29 @@
                     # Errors may go where the log went; this thread must last.
                     sys.stderr.write(f"log: {exc!r}\n")
             with self._lock:
-                self._buffered_size -= len(batch)
+                self._buffered_size -= sum(map(len, lines))
                 if not self._lines:
                     self._all_written.set()
 
 
+def _join_lines(lines: Iterable[str]) -> Iterator[str]:
+    """Yield texts of whole lines, each of at most `MAX_WRITE_BYTES`.
+
+    A longer line is a text of its own.
+    """
+    parts: list[str] = []
+    size = 0
+    for line in lines:
+        line_size = len(line.encode())
+        if parts and size + line_size > MAX_WRITE_BYTES:
+            yield "".join(parts)
+            parts, size = [], 0
+        parts.append(line)
+        size += line_size
+    if parts:
+        yield "".join(parts)
+
+
 class LogRateLimiter:
     """Limit the lines per second of each event; count the dropped ones."""
 
--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -8,7 +8,11 @@
 import unittest
 from unittest import mock
 
-from wigeonford._log_writer import LogRateLimiter, LogWriter
+from wigeonford._log_writer import (
+    LogRateLimiter,
+    LogWriter,
+    MAX_WRITE_BYTES,
+)
 
 
 class StalledStream(io.StringIO):
@@ -36,6 +40,14 @@
         return super().write(text)
 
 
+class ShortStream(io.StringIO):
+    """Stand in for a pipe that takes a part of a large write."""
+
+    def write(self, text: str) -> int:
+        """Write at most `MAX_WRITE_BYTES` bytes."""
+        return super().write(text.encode()[:MAX_WRITE_BYTES].decode())
+
+
 class LogWriterTest(unittest.TestCase):
     """Check that a stalled reader of the log does not block the caller."""
 
@@ -61,6 +73,15 @@
         writer.close()
         self.assertEqual(1000, len(stream.getvalue()))
 
+    def test_lines_of_a_burst_are_not_cut(self) -> None:
+        stream = ShortStream()
+        writer = LogWriter(stream)
+        lines = [f"{number} {'é' * 90}\n" for number in range(200)]
+        for line in lines:
+            writer.write(line)
+        writer.close()
+        self.assertEqual("".join(lines), stream.getvalue())
+
     def test_a_full_disk_costs_lines_and_not_the_thread(self) -> None:
         stream = FullStream()
         writer = LogWriter(stream)
