Refuse a target whose start time is far in the future

One odd announcement cost another target its place for good. A target of another id that announced the address of a good one with a start time in the far future was accepted and displaced it. The good target's announcements got 409 from then on, also after the odd one had expired. An id that was once announced with such a start time couldn't announce again after a real restart.

Cause: the last started holds an address, and an id's newer incarnation outranks the earlier ones; nothing bounded the start time that an announcement states.

An hour is far more than the differences and steps of clocks, and an incarnation that is known already is never refused for it, so that a clock that is set back costs no target its place.

Not covered: a good target that was displaced by an entry which the log already holds from an earlier build.

--- a/src/wigeonford/control/_target_service.py
+++ b/src/wigeonford/control/_target_service.py
@@ -13,7 +13,7 @@
     RemoveTargets,
 )
 from wigeonford.deployment import Announcement, AnnouncementEffect
-from wigeonford.errors import WigeonfordError
+from wigeonford.errors import Code, RequestRejected, WigeonfordError
 from wigeonford.events import Event, EventLog
 from wigeonford.messages.steering import ActiveTargets
 from wigeonford.peer import Done, PeerServer
@@ -24,6 +24,9 @@
 TARGET_EXPIRY_S: Final = 45.0
 """Thirty missed announcements. Until then, entry VMs detect failed targets by
 the results of requests."""
+MAX_CLOCK_LEAD_S: Final = 3600.0
+"""How far a target's time of day may be ahead. Clocks of VMs differ, and step,
+by seconds."""
 
 
 class TargetService:
@@ -39,11 +42,13 @@
         cold: ColdClock,
         log: EventLog,
         clock: Callable[[], float] = time.monotonic,
+        unix_clock: Callable[[], float] = time.time,
     ) -> None:
         self._replica = replica
         self._cold = cold
         self._log = log
         self._clock = clock
+        self._unix_clock = unix_clock
         self._announced_at_s: dict[str, float] = {}
         self._announced_here: set[str] = set()
         self._led_term = -1
@@ -68,10 +73,16 @@
         """Record an announcement and return its outcome.
 
         A change is committed to the log first; raise `WigeonfordError` if it
-        can't be committed.
+        can't be committed, and `RequestRejected` if the start time can't be
+        true.
         """
         table = self._replica.state.steering.targets
         target = table.get(announcement.target_id)
+        is_known = target is not None and (
+            target.announced.born_ms == announcement.born_ms
+        )
+        if not is_known:
+            self._check_start_time(announcement)
         remaining_cold_s = (
             self._cold.remaining_s(target.announced) if target else 0.0
         )
@@ -95,6 +106,16 @@
             self._record_announcement(announcement.target_id)
         return outcome
 
+    def _check_start_time(self, announcement: Announcement) -> None:
+        # It would outrank all later starts at its address, and of its id.
+        ahead_s = announcement.born_ms / 1000 - self._unix_clock()
+        if ahead_s > MAX_CLOCK_LEAD_S:
+            raise RequestRejected(
+                Code.BAD_ARGUMENT,
+                f"the start time {announcement.born_ms} is more than "
+                f"{MAX_CLOCK_LEAD_S:g} s in the future",
+            )
+
     async def withdraw(self, target_id: str) -> None:
         """Remove a target; return once the removal is committed."""
         self._log.emit(Event.TARGET_LEFT, target=target_id, reason="withdrew")
--- a/src/wigeonford/platform/_control_api.py
+++ b/src/wigeonford/platform/_control_api.py
@@ -15,7 +15,7 @@
     TargetService,
 )
 from wigeonford.deployment import AnnouncementEffect
-from wigeonford.errors import Code, WigeonfordError
+from wigeonford.errors import Code, RequestRejected, WigeonfordError
 from wigeonford.events import Event, EventLog
 from wigeonford.http import json_response, Request, Response
 from wigeonford.platform._announcements import (
@@ -190,12 +190,12 @@
         body = await _read_body(request)
         try:
             announcement = decode_announcement(target_id, body, self._zones)
-        except AnnouncementInvalid as exc:
+            applied = await self._targets.announce(announcement)
+        except (AnnouncementInvalid, RequestRejected) as exc:
             self._log.emit(
                 Event.TARGET_REFUSED, target=target_id, detail=str(exc)
             )
             return _respond(400, str(exc))
-        applied = await self._targets.announce(announcement)
         if applied in (AnnouncementEffect.CHANGED, AnnouncementEffect.SAME):
             return _respond(200, "")
         return _respond(409, applied.value)
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -321,6 +321,13 @@
         "    if reply.position > MAX_RAFT_COUNT:\n",
         ("tests.test_odd_raft",),
     ),
+    Mutation(
+        "FUTURE_START_TIME_IS_REFUSED",
+        "control/_target_service.py",
+        "        if ahead_s > MAX_CLOCK_LEAD_S:\n",
+        "        if ahead_s > 1e30:\n",
+        ("tests.test_start_times",),
+    ),
     Mutation(
         "FULL_DISK_ENDS_NO_PROCESS",
         "control/_group_service.py",
