A stop ends in its grace whatever other callers keep open

What was seen: an entry VM's process ended after its grace, and would be killed, where callers of look-ups, readiness or metrics had a request under way: 6.32 s and 6.48 s of 6 s, 10.40 s of 10 s, in virtual time. Callers' own requests had their answers by then; lost were the exit code and the last log lines.

Cause: these three servers stopped one after another, after all else and without a limit. Each took 0.2 s to tell its callers of the cut.

Evidence: the new test in test_planned_stop (grace 6 and 10 s, control silent or not, five kinds of connections at three servers, a front that is busy to the end), committed with the fix.

Why it works: the servers stop side by side, beside the components and within the same limit. What is left then is aborted, logged as event 207; an answer to a cut request is written at once, so only the wait for a slow caller is lost.

--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -76,6 +76,9 @@
         "closed the connection of a caller that still sent after its response",
         logging.WARNING,
     )
+    CONNECTIONS_ABORTED = _event(
+        207, "ended connections that callers kept to the end of a stop"
+    )
 
     SHIFT_PAUSED = _event(
         210,
--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -95,6 +95,11 @@
         for conn in self._tasks.values():
             conn.apply_limits(limits)
 
+    @property
+    def connection_count(self) -> int:
+        """Return how many connections are open."""
+        return len(self._tasks)
+
     async def start(
         self, address: Address, context: ssl.SSLContext | None = None
     ) -> Address:
--- a/src/wigeonford/steer/_daemon.py
+++ b/src/wigeonford/steer/_daemon.py
@@ -139,9 +139,10 @@
             Event.FRONT_CLOSED, ended=ended_count, cut=await closing
         )
         await cancel_task(self._sweeper)
-        await self._stop_components(_until(plan.end_by_s))
-        for server, _ in self._servers:
-            await server.stop(0.0)
+        timeout_s = _until(plan.end_by_s)
+        await asyncio.gather(
+            self._stop_components(timeout_s), self._stop_servers(timeout_s)
+        )
         self._target_connections.close()
 
     async def _stop_components(self, timeout_s: float) -> None:
@@ -156,6 +157,19 @@
                 Event.TASK_FAILED, detail="control did not take leases back"
             )
 
+    async def _stop_servers(self, timeout_s: float) -> None:
+        """Stop the servers beside the front; their callers may linger."""
+        servers = [server for server, _ in self._servers]
+        try:
+            async with asyncio.timeout(timeout_s):
+                await asyncio.gather(*(server.stop(0.0) for server in servers))
+        except TimeoutError:
+            self._log.emit(
+                Event.CONNECTIONS_ABORTED,
+                count=sum(server.connection_count for server in servers),
+            )
+            await asyncio.gather(*(server.abort() for server in servers))
+
     def _apply_view(self, view: View) -> None:
         now_s = time.monotonic()
         for address in self._target_records.apply_changes(
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import AsyncIterator, Callable, Coroutine
+import itertools
 import math
 import os
 from pathlib import Path
@@ -28,7 +29,7 @@
 from wigeonford.daemon import EXIT_DONE, serve_until_signal
 from wigeonford.deployment import RouteKind
 from wigeonford.events import EventLog
-from wigeonford.http import HttpServer, Response
+from wigeonford.http import Handler, HttpServer, Request, Response
 from wigeonford.messages.steering import EntryStatus, ViewUpdate
 from wigeonford.metrics import Metrics
 from wigeonford.platform._front import CallerApi
@@ -55,6 +56,7 @@
 from wigeonford.steer._attempt import Attempt, AttemptResult, Outcome
 from wigeonford.steer._route_stats import RouteStats
 from wigeonford.steer._shutdown import (
+    END_FRACTION,
     expected_s,
     NO_SHUTDOWN,
     ShutdownPlan,
@@ -64,6 +66,10 @@
 SLOTS: Final = 40
 SLOW_RATIO: Final = 1.6
 """Work of slow requests, four deviations above the usual."""
+MARGIN_S: Final = 0.01
+READ: Final = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+READ_LONG: Final = b"GET /waits HTTP/1.1\r\nhost: a\r\n\r\n"
+UPLOAD: Final = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 99\r\n\r\n"
 EXCUSED_S: Final = 3.0
 """The users excuse long work on requests sent sooner after the signal."""
 NOT_RUN_STATUSES: Final = ("408", "421", "429", "503")
@@ -234,11 +240,18 @@
             log,
         )
 
-    async def connect(self) -> "Caller":
+    def add_server(self, handler: Handler) -> HttpServer:
+        """Return a further server of the VM, such as that of look-ups."""
+        server = HttpServer(handler, CallerLimits(), EventLog())
+        self.daemon._servers += ((server, Address()),)
+        return server
+
+    async def connect(self, server: HttpServer | None = None) -> "Caller":
         """Return a caller with a new connection."""
+        server = server or self.front
         own, callers = socket.socketpair()
         own.setblocking(False)
-        await self.loop.connect_accepted_socket(self.front._make_protocol, own)
+        await self.loop.connect_accepted_socket(server._make_protocol, own)
         reader, writer = await asyncio.open_connection(sock=callers)
         self.writers.append(writer)
         return Caller(self, reader, writer)
@@ -294,6 +307,10 @@
         self._reader = reader
         self._writer = writer
 
+    def send(self, data: bytes) -> None:
+        """Send bytes; read no response."""
+        self._writer.write(data)
+
     async def call(
         self,
         request_id: str,
@@ -679,6 +696,48 @@
 
         self.run_stop(scenario)
 
+    def test_a_stop_ends_in_the_grace_though_others_keep_connections(
+        self,
+    ) -> None:
+        async def respond(request: Request) -> Response:
+            if request.path == "/waits":
+                await asyncio.sleep(60.0)
+            return Response(200, ((b"content-length", b"0"),))
+
+        for grace_s, is_control_silent, data in itertools.product(
+            (6, 10), (False, True), (b"", READ, READ_LONG, UPLOAD, b"G")
+        ):
+
+            async def scenario(
+                grace_s: int = grace_s,
+                is_control_silent: bool = is_control_silent,
+                data: bytes = data,
+            ) -> StoppingVm:
+                vm = StoppingVm(grace_s, 0.2)
+                if is_control_silent:
+                    vm.component.stop = lambda: asyncio.sleep(30.0)
+                servers = [vm.add_server(respond) for _ in range(3)]
+                kept = [await vm.connect(server) for server in servers]
+                upload = await vm.connect()
+                # Keeps the VM serving to the last moment.
+                calls = asyncio.create_task(
+                    vm.call_in_turn(int(4.4 * grace_s), 0.2)
+                )
+                stop = vm.begin_stop()
+                await asyncio.sleep(0.85 * grace_s)
+                upload.send(UPLOAD)
+                for caller in kept:
+                    caller.send(data)
+                await stop
+                ended_s = vm.late_s(vm.loop.time())
+                self.assertLess(ended_s, END_FRACTION * grace_s + MARGIN_S)
+                self.assertFalse(any(server._tasks for server in servers))
+                await calls
+                return vm
+
+            with self.subTest((grace_s, is_control_silent, data)):
+                self.run_stop(scenario)
+
     def test_before_anything_is_learned_the_time_limit_decides(self) -> None:
         async def scenario() -> StoppingVm:
             vm = StoppingVm(6, 1.0, timeout_s=7.0)
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -244,6 +244,13 @@
         "size_bytes < min_bytes:\n                continue\n",
         ("tests.test_early_responses",),
     ),
+    Mutation(
+        "OTHER_SERVERS_STOP_IN_TIME",
+        "steer/_daemon.py",
+        "self._stop_servers(timeout_s)\n",
+        "self._stop_servers(60.0)\n",
+        ("tests.test_planned_stop",),
+    ),
     Mutation(
         "ONE_ERROR_ENDS_NO_TASK",
         "_tasks.py",
