A stop of control doesn't wait for silent peers

What was seen: with one peer that had gone silent, the peer server's stop took 10.01 s in a trial, the WebSocket library's time for a closing handshake. Control stops it before it releases its data folder, so a replica that is told to stop during a partition would be killed at the end of a shorter grace. No acknowledged change is lost by that, but the exit code is.

Cause: only the client side of a link had a time limit for its close.

Why it works: both sides of a link wait for the same time, since a silent peer never answers the closing handshake.

--- a/src/wigeonford/peer/_link.py
+++ b/src/wigeonford/peer/_link.py
@@ -98,6 +98,7 @@
             compression=None,
             ping_interval=PING_INTERVAL_S,
             ping_timeout=PING_TIMEOUT_S,
+            close_timeout=CLOSE_TIMEOUT_S,
         )
         port = next(iter(self._server.sockets)).getsockname()[1]
         return Address(address.host, port)
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -56,6 +56,20 @@
         await link.stop()
         await server.stop()
 
+    async def test_server_stop_does_not_wait_for_the_peer(self) -> None:
+        server = PeerServer(BENCH_SECRETS.peer, EventLog())
+        link = StandInLink(await server.start(Address()), LinkState())
+        client = PeerClient(
+            "a", await link.start(), BENCH_SECRETS.peer, EventLog()
+        )
+        with self.assertRaises(PeerError):
+            await client.request(FetchView(0), 5.0)
+        link.blackhole_open_connections()
+        async with asyncio.timeout(MAX_WAIT_S):
+            await server.stop()
+        await client.close()
+        await link.stop()
+
 
 class ReplicaLink(QuietLink):
     """Stand in for the links to one control replica."""
