--- a/src/wigeonford/platform/_settings.py
+++ b/src/wigeonford/platform/_settings.py
@@ -50,7 +50,7 @@
 class _Bounds(msgspec.Struct, frozen=True):
     drain_s: _Time = 2.5
     grace_s: _Time = 6.0
-    retry_budget_ratio: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.2
+    retry_budget_ratio: _Slack = 0.2
     budget_slack: _Slack = 50.0
     quota_slack: _Slack = 0.0
 
