Check an announcement's ranges, and log a skipped entry, in one place each

The adapter's decoder repeated the ranges and lengths that check_announcement checks right after; it keeps the types alone. The zone is looked up afterwards, so that an overlong one isn't put into the answer. Replicas with and without peers logged a skipped entry each by itself. What is refused, skipped and logged stays; details of a refusal are those of check_announcement.

--- a/src/wigeonford/control/_raft_driver.py
+++ b/src/wigeonford/control/_raft_driver.py
@@ -37,7 +37,11 @@
 from wigeonford.control._raft_outage import StorageOutage
 from wigeonford.control._raft_pending import PendingRequests
 from wigeonford.control._raft_snapshot import pack_snapshot, unpack_snapshot
-from wigeonford.control._replica import ReplicaStatus, ReplicaView
+from wigeonford.control._replica import (
+    apply_entry,
+    ReplicaStatus,
+    ReplicaView,
+)
 from wigeonford.control._state import State
 from wigeonford.control._store import (
     Snapshot,
@@ -515,13 +519,7 @@
         for entry in effect.entries:
             result = CommandResult(Code.OK.number, self.state.revision)
             if is_state_command(entry.content):
-                result = self.state.apply_entry(entry.content)
-            if result.is_skipped:
-                self._log.emit(
-                    Event.COMMAND_SKIPPED,
-                    position=entry.position,
-                    detail=result.detail,
-                )
+                result = apply_entry(self.state, entry, self._log)
             self._applied_position = entry.position
             self._pending.resolve(entry.position, entry.term, result)
         self._notify()
--- a/src/wigeonford/control/_replica.py
+++ b/src/wigeonford/control/_replica.py
@@ -110,6 +110,18 @@
         raise WigeonfordError(Code.INTERNAL, result.detail)
 
 
+def apply_entry(state: State, entry: LogEntry, log: EventLog) -> CommandResult:
+    """Apply the command in a log entry; log one that is skipped."""
+    result = state.apply_entry(entry.content)
+    if result.is_skipped:
+        log.emit(
+            Event.COMMAND_SKIPPED,
+            position=entry.position,
+            detail=result.detail,
+        )
+    return result
+
+
 class SoloReplica:
     """Run as the only replica: its own disk is the quorum."""
 
@@ -155,7 +167,7 @@
             self._position = snapshot.position
         for entry in self._store.read_log():
             if is_state_command(entry.content):
-                self._apply(entry)
+                apply_entry(self._state, entry, self._log)
             self._position = entry.position
 
     async def stop(self) -> None:
@@ -179,7 +191,7 @@
                     raise PeerError(Code.NO_QUORUM, exc.detail) from exc
                 raise
             self._position = entry.position
-            result = self._apply(entry)
+            result = apply_entry(self._state, entry, self._log)
             for listener in self._listeners:
                 listener()
             if self._position % SNAPSHOT_INTERVAL_ENTRIES == 0:
@@ -187,16 +199,6 @@
             raise_if_skipped(result)
             return result
 
-    def _apply(self, entry: LogEntry) -> CommandResult:
-        result = self._state.apply_entry(entry.content)
-        if result.is_skipped:
-            self._log.emit(
-                Event.COMMAND_SKIPPED,
-                position=entry.position,
-                detail=result.detail,
-            )
-        return result
-
     async def _save_snapshot(self) -> None:
         content = pack_snapshot((), self._state.snapshot())
         snapshot = Snapshot(self._position, SOLO_TERM, content)
--- a/src/wigeonford/platform/_announcements.py
+++ b/src/wigeonford/platform/_announcements.py
@@ -1,25 +1,15 @@
 """Decode the platform's announcements of targets."""
 
 from collections.abc import Container
-from typing import Annotated, Final, Literal
+from typing import Final, Literal
 
 import msgspec
 
-from wigeonford.deployment import (
-    Announcement,
-    check_announcement,
-    MAX_COLD_S,
-    MAX_COUNT,
-    MAX_NAME_CHARS,
-    MAX_SLOTS,
-)
+from wigeonford.deployment import Announcement, check_announcement
 
 MAX_CONTENT_BYTES: Final = 16384
 """Largest announcement; actual ones have some hundred bytes."""
 
-_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
-_Text = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARS)]
-
 
 class AnnouncementInvalid(Exception):
     """Report an announcement that describes no usable target."""
@@ -31,23 +21,23 @@
     `version` is the version of the target's software.
     """
 
-    service: _Text
-    version: Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
-    zone: _Text
-    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    service: str
+    version: str
+    zone: str
+    slots: int
 
 
 class _Status(msgspec.Struct, frozen=True):
     state: Literal["ready", "draining"]
-    sequence: _Count
-    cold_remaining_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_S)]
+    sequence: int
+    cold_remaining_s: float
 
 
 class _Instance(msgspec.Struct, frozen=True):
     """An announcement; `born` is the start time in Unix milliseconds."""
 
-    address: _Text
-    born: _Count
+    address: str
+    born: int
     information: _Information
     status: _Status
 
@@ -65,8 +55,6 @@
         instance = msgspec.json.decode(content, type=_Instance)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
         raise AnnouncementInvalid(str(exc)) from exc
-    if instance.information.zone not in zones:
-        raise AnnouncementInvalid(f"unknown zone {instance.information.zone}")
     announced = Announcement(
         target_id,
         instance.born,
@@ -82,4 +70,8 @@
     faults = tuple(check_announcement(announced))
     if faults:
         raise AnnouncementInvalid("; ".join(faults))
+    if announced.availability_zone not in zones:
+        raise AnnouncementInvalid(
+            f"unknown zone {announced.availability_zone}"
+        )
     return announced
