--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -40,35 +40,31 @@
 class SilentLinkTest(unittest.IsolatedAsyncioTestCase):
     """Close a link whose peer no longer responds."""
 
-    async def test_close_does_not_wait_for_the_peer(self) -> None:
-        server = PeerServer(BENCH_SECRETS.peer, EventLog())
-        link = StandInLink(await server.start(Address()), LinkState())
-        client = PeerClient(
-            "a", await link.start(), BENCH_SECRETS.peer, EventLog()
+    async def asyncSetUp(self) -> None:
+        self.server = PeerServer(BENCH_SECRETS.peer, EventLog())
+        self.link = StandInLink(
+            await self.server.start(Address()), LinkState()
+        )
+        self.client = PeerClient(
+            "a", await self.link.start(), BENCH_SECRETS.peer, EventLog()
         )
         with self.assertRaises(PeerError):
-            await client.request(FetchView(0), 5.0)
-        link.blackhole_open_connections()
+            await self.client.request(FetchView(0), 5.0)
+        self.link.blackhole_open_connections()
+
+    async def test_close_does_not_wait_for_the_peer(self) -> None:
         with self.assertRaises(PeerError):
-            await client.request(FetchView(0), 0.1)
+            await self.client.request(FetchView(0), 0.1)
         async with asyncio.timeout(MAX_WAIT_S):
-            await client.close()
-        await link.stop()
-        await server.stop()
+            await self.client.close()
+        await self.link.stop()
+        await self.server.stop()
 
     async def test_server_stop_does_not_wait_for_the_peer(self) -> None:
-        server = PeerServer(BENCH_SECRETS.peer, EventLog())
-        link = StandInLink(await server.start(Address()), LinkState())
-        client = PeerClient(
-            "a", await link.start(), BENCH_SECRETS.peer, EventLog()
-        )
-        with self.assertRaises(PeerError):
-            await client.request(FetchView(0), 5.0)
-        link.blackhole_open_connections()
         async with asyncio.timeout(MAX_WAIT_S):
-            await server.stop()
-        await client.close()
-        await link.stop()
+            await self.server.stop()
+        await self.client.close()
+        await self.link.stop()
 
 
 class ReplicaLink(QuietLink):
