Finish what comes as a stop finds its callers quiet

Callers saw 504 (the target was at work when this VM stopped), with up to 5 s of the grace left: a stop ended all requests at targets in the moment in which it found callers quiet, and not at 0.9 of the grace. What arrived between the two (a connection that was accepted but not begun, or the 32 iterations of the loop in which arrived bytes are read) was passed on to a target and cut at once.

Cause: the end was decided by what the VM had seen when it looked. Now it closes, waits for what has come until 0.9 of the grace, and only then ends what is left. Where nothing has come this takes no longer.

In virtual time a request that arrives at 4.0 s of a stop, with a second left and work of 0.5 s, got 504 with a grace of 6 and of 10 s, and gets 200.

--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -144,20 +144,26 @@
                 list(self._tasks), min(deadline_s, now_s + QUIET_S)
             )
 
-    async def stop(self, grace_s: float) -> int:
-        """Stop listening, then wait `grace_s` seconds for running requests.
+    async def close(self, timeout_s: float) -> None:
+        """Stop listening, then wait `timeout_s` seconds for running requests.
 
-        Return how many requests were cut off; their callers are told so. An
-        idle connection may still send a request for `CLOSING_IDLE_S`.
+        An idle connection may still send a request for `CLOSING_IDLE_S`.
         """
         self.is_draining = self.closing = True
         loop = asyncio.get_running_loop()
-        deadline_s = loop.time() + grace_s
+        deadline_s = loop.time() + timeout_s
         await self._close_listener()
         for conn in self._tasks.values():
             conn.close_when_idle()
         while self._tasks and loop.time() < deadline_s:
             await _wait_until(list(self._tasks), deadline_s)
+
+    async def stop(self, grace_s: float) -> int:
+        """Close, then cut off what still runs after `grace_s` seconds.
+
+        Return how many requests were cut off; their callers are told so.
+        """
+        await self.close(grace_s)
         await poll_sockets()
         unfinished = dict(self._tasks)
         cut_count = sum(conn.is_unfinished for conn in unfinished.values())
--- a/src/wigeonford/steer/_daemon.py
+++ b/src/wigeonford/steer/_daemon.py
@@ -130,6 +130,8 @@
         await asyncio.sleep(_until(plan.unlisted_at_s))
         # Where links are full, requests arrive seconds after they were sent.
         await self._front.wait_until_deserted(_until(plan.finish_by_s))
+        # Callers that seemed quiet may have sent requests meanwhile.
+        await self._front.close(_until(plan.finish_by_s))
         await read_arrived()
         closing = asyncio.create_task(
             self._front.stop(_until(plan.close_at_s))
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -68,6 +68,8 @@
 SLOW_RATIO: Final = 1.6
 """Work of slow requests, four deviations above the usual."""
 MARGIN_S: Final = 0.01
+QUIET_FROM_S: Final = 4.0
+"""When a stop finds no caller that has sent something of late."""
 READ: Final = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
 READ_LONG: Final = b"GET /waits HTTP/1.1\r\nhost: a\r\n\r\n"
 UPLOAD: Final = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 99\r\n\r\n"
@@ -590,6 +592,28 @@
             with self.subTest(last_at_s=last_at_s):
                 self.run_stop(scenario)
 
+    def test_requests_that_come_as_callers_seem_quiet_are_finished(
+        self,
+    ) -> None:
+        for grace_s in (6, 10):
+
+            async def scenario(grace_s: int = grace_s) -> StoppingVm:
+                vm = StoppingVm(grace_s, 0.5)
+                address = await vm.front.start(Address())
+                stop = vm.begin_stop()
+                await asyncio.sleep(QUIET_FROM_S - MARGIN_S)
+                # Both are due once the loop goes on.
+                connecting = asyncio.create_task(vm.connect_to(address))
+                cast(VirtualLoop, vm.loop).stall(2 * MARGIN_S)
+                caller = await connecting
+                await caller.call("a", left_s=1.0)
+                await stop
+                return vm
+
+            with self.subTest(grace_s=grace_s):
+                vm = self.run_stop(scenario)
+                self.assertEqual({"a": "200"}, vm.statuses)
+
     def test_few_are_refused_where_work_takes_a_third_of_the_grace(
         self,
     ) -> None:
