Wait for a target that doesn't read an upload

Callers got 502 about 1.8 s after an upload to a target that had not begun to read it, however much time was left: on connections to targets the kernel's TCP_USER_TIMEOUT of 1.5 s runs also while the target's receive window is closed, though its system acknowledges each probe.

Cause: a time limit took a peer that doesn't read for a broken path.

While a body larger than 32 KiB is sent, the kernel's limit is off and the connection's acknowledgements are watched through TCP_INFO: it breaks if one is due at seven checks in a row, 0.25 s apart, and none has come. So a path that is broken is still noticed after 1.75 s. Other requests keep the kernel's limit; they fit into a receive buffer.

--- a/src/wigeonford/http/_client.py
+++ b/src/wigeonford/http/_client.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from enum import Enum
+import errno
 import re
 import socket
 import ssl
@@ -11,6 +12,7 @@
 
 import h11
 
+from wigeonford.http._ack_watch import AckWatch, read_ack_state
 from wigeonford.http._reader import ReadDeadline, WatchedReader
 from wigeonford.http._types import find_header, Headers, Response
 from wigeonford.settings import Address
@@ -20,6 +22,8 @@
 TCP_KEEPALIVE_INTERVAL_S: Final = 1
 """Idle time before TCP keep-alive probes, and between them; one second is the
 smallest value that sockets accept."""
+WINDOW_BYTES: Final = 32768
+"""Bodies up to this size fit into a server's receive buffer unread."""
 MAX_STRAY_RESPONSES: Final = 2
 """Late responses to earlier requests that an exchange skips at most."""
 
@@ -81,6 +85,7 @@
         reader: WatchedReader,
         writer: asyncio.StreamWriter,
         address: Address,
+        ack_timeout_s: float | None = None,
     ) -> None:
         self._reader = reader
         self._writer = writer
@@ -88,6 +93,8 @@
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
         self._send_task: asyncio.Task[None] | None = None
+        self._ack_timeout_s = ack_timeout_s
+        self._ack_watch: AckWatch | None = None
         self._has_aborted = False
         self._deadline: ReadDeadline | None = None
         self._exchange_count = 0
@@ -107,8 +114,8 @@
     ) -> "ClientConnection":
         """Connect within `timeout_s` seconds, or raise `ConnectFailed`.
 
-        With `ack_timeout_s`, the kernel breaks the connection once sent
-        bytes have been unacknowledged for that long.
+        With `ack_timeout_s`, the connection is broken once sent bytes have
+        been unacknowledged for that long.
         """
         local_address = (local_host, 0) if local_host is not None else None
         loop = asyncio.get_running_loop()
@@ -129,7 +136,7 @@
         if ack_timeout_s is not None:
             _set_ack_timeout(transport.get_extra_info("socket"), ack_timeout_s)
         writer = asyncio.StreamWriter(transport, protocol, reader, loop)
-        return cls(reader, writer, address)
+        return cls(reader, writer, address, ack_timeout_s)
 
     @property
     def is_reusable(self) -> bool:
@@ -164,6 +171,8 @@
         """Close immediately; abort an exchange that is running."""
         if self._send_task is not None:
             self._send_task.cancel()
+        if self._ack_watch is not None:
+            self._ack_watch.stop()
         self._abort()
 
     def _abort(self) -> None:
@@ -265,6 +274,8 @@
     ) -> None:
         """Send a bytes body through the buffer, or start a streaming task."""
         data = self._http.send(head) or b""
+        if not isinstance(body, bytes) or len(body) > WINDOW_BYTES:
+            self._watch_acks()
         if isinstance(body, bytes):
             data += (self._http.send(h11.Data(body)) or b"") if body else b""
             data += self._http.send(h11.EndOfMessage()) or b""
@@ -273,6 +284,34 @@
         self._writer.write(data)
         self._send_task = asyncio.create_task(self._send_stream(body))
 
+    def _watch_acks(self) -> None:
+        """Wait for a server that doesn't read, but not on a broken path.
+
+        The kernel's time limit ends both.
+        """
+        if self._ack_timeout_s is None:
+            return
+        sock = self._writer.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
+        self._ack_watch = AckWatch(
+            lambda: read_ack_state(sock), self._ack_timeout_s, self._break_off
+        )
+        self._ack_watch.start()
+
+    def _break_off(self) -> None:
+        self._reader.set_exception(
+            TimeoutError(errno.ETIMEDOUT, "nothing is acknowledged")
+        )
+        self._abort()
+
+    def _unwatch_acks(self) -> None:
+        if self._ack_watch is None or self._ack_timeout_s is None:
+            return
+        self._ack_watch.stop()
+        self._ack_watch = None
+        sock = self._writer.get_extra_info("socket")
+        _set_ack_timeout(sock, self._ack_timeout_s)
+
     async def _send_stream(self, body: AsyncIterator[bytes]) -> None:
         try:
             async for chunk in body:
@@ -363,7 +402,8 @@
             and self._http.their_state is h11.DONE
             and not self._http.trailing_data[0]
         )
-        if is_complete and is_done:
+        if is_complete and is_done and not self._writer.is_closing():
+            self._unwatch_acks()
             self._http.start_next_cycle()
             return
         self.close()
