Deliver a response that ends the sending of a long body

Callers that still sent an upload of more than 1 MiB when its target answered, refused or broke off got a reset instead of the response: a whole outcome was there, and was lost.

Cause: a body beyond 1 MiB is passed on by a task that reads from the caller's connection. When the exchange ends, that task is cancelled, but ends in the next iteration of the event loop only. Meanwhile the response is written, and the connection's own task reads what the caller still sends: two readers of one stream, for which asyncio raises RuntimeError. It ended the connection with unread bytes, which resets it.

Reads of a caller's connection now take turns, so that the second begins once the first has ended.

--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -104,6 +104,7 @@
             h11.SERVER, max_incomplete_event_size=sys.maxsize
         )
         self._deadline: CallerDeadline | None = None
+        self._reading = asyncio.Lock()
         self._request: Request | None = None
         self._response: Response | None = None
         self._has_response_begun = False
@@ -358,11 +359,14 @@
             self._http.receive_data(await self._read_until(deadline))
 
     async def _read_until(self, deadline: CallerDeadline) -> bytes:
-        self._deadline = deadline
-        try:
-            return await deadline.read(self._reader, READ_BYTES)
-        finally:
-            self._deadline = None
+        # A target that answers early ends the sending of a body, whose read
+        # ends in the next iteration of the event loop only.
+        async with self._reading:
+            self._deadline = deadline
+            try:
+                return await deadline.read(self._reader, READ_BYTES)
+            finally:
+                self._deadline = None
 
     async def _read_request(self) -> Request | None:
         first = not self._http.trailing_data[0]
