Keep the kernel's time limit where the system tells no acknowledgements

Where TCP_INFO is refused, short or empty, an upload on a connection that went silent would have been noticed at its deadline only. The state is read before the kernel's limit is switched off; the limit stays if that fails. Before this commit a state of zeros was believed (the new test failed). Whether the platform's machines tell the state is not known here.

--- a/src/wigeonford/http/_ack_watch.py
+++ b/src/wigeonford/http/_ack_watch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import errno
 import math
 import socket
 import struct
@@ -12,6 +13,7 @@
 CHECK_INTERVAL_S: Final = 0.25
 
 _TCP_INFO: Final = struct.Struct("8B14I")
+_STATE: Final = 0
 _PROBES: Final = 3
 _UNACKED: Final = 12
 _LAST_ACK_MS: Final = 20
@@ -26,9 +28,16 @@
 
 
 def read_ack_state(sock: socket.socket) -> AckState:
-    """Return the state of a TCP connection; raise `OSError`."""
+    """Return the state of a TCP connection.
+
+    Raise `OSError` if it is closed or the system doesn't tell.
+    """
     data = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size)
-    fields = _TCP_INFO.unpack(data)
+    if len(data) < _TCP_INFO.size:
+        raise OSError(errno.ENOPROTOOPT, "the system tells too little")
+    fields = _TCP_INFO.unpack_from(data)
+    if not fields[_STATE]:
+        raise OSError(errno.ENOPROTOOPT, "the system doesn't tell")
     is_due = fields[_UNACKED] > 0 or fields[_PROBES] > 0
     return AckState(is_due, fields[_LAST_ACK_MS] / 1000)
 
--- a/src/wigeonford/http/_client.py
+++ b/src/wigeonford/http/_client.py
@@ -292,6 +292,10 @@
         if self._ack_timeout_s is None:
             return
         sock = self._writer.get_extra_info("socket")
+        try:
+            read_ack_state(sock)
+        except OSError:
+            return  # The kernel's time limit stays.
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
         self._ack_watch = AckWatch(
             lambda: read_ack_state(sock), self._ack_timeout_s, self._break_off
--- a/tests/test_ack_watch.py
+++ b/tests/test_ack_watch.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from typing import Final
 import unittest
+from unittest import mock
 
 from tests.virtual_time import run_virtual
 from wigeonford.http import ClientConnection
@@ -125,6 +126,23 @@
         self.assertIsNone(self.silent_after_s(states))
 
 
+class UnknownStateTest(unittest.TestCase):
+    """The system tells nothing of its connections."""
+
+    def test_system_that_tells_nothing_is_not_believed(self) -> None:
+        for data in (b"", bytes(64), bytes(103), bytes(104)):
+            with self.subTest(len(data)), self.assertRaises(OSError):
+                sock = mock.Mock(getsockopt=mock.Mock(return_value=data))
+                read_ack_state(sock)
+
+    def test_kernels_limit_stays_if_the_system_tells_nothing(self) -> None:
+        sock = mock.Mock(getsockopt=mock.Mock(return_value=bytes(104)))
+        writer = mock.Mock(get_extra_info=lambda _name: sock)
+        conn = ClientConnection(mock.Mock(), writer, Address(), ACK_TIMEOUT_S)
+        conn._watch_acks()
+        sock.setsockopt.assert_not_called()
+
+
 class AckStateTest(unittest.IsolatedAsyncioTestCase):
     """Read the state of a connection from the kernel."""
 
