Send nothing behind a body that its target hasn't read

Callers got 502 or 504 for requests that never reached a target: where a target answers an upload before it has read it, the connection was used again while the rest of the body was in this VM's buffers. The next request waited behind it until the target read on, and after 1.5 s the kernel's time limit broke the connection, which counts as a request that may have run.

Cause: a body of up to 1 MiB counted as sent once it was in the buffer. A connection that has carried more than 32 KiB is now used again only if the server's system has all of it (SIOCOUTQ); what is in the server's own receive buffer can't be told.

--- a/src/wigeonford/http/_ack_watch.py
+++ b/src/wigeonford/http/_ack_watch.py
@@ -3,9 +3,11 @@
 import asyncio
 from collections.abc import Callable
 import errno
+import fcntl
 import math
 import socket
 import struct
+import termios
 from typing import Final
 
 import msgspec
@@ -42,6 +44,12 @@
     return AckState(is_due, fields[_LAST_ACK_MS] / 1000)
 
 
+def has_unacknowledged_bytes(sock: socket.socket) -> bool:
+    """Return whether the peer's system lacks bytes; raise `OSError`."""
+    size = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    return size != bytes(4)
+
+
 class AckWatch:
     """Call `on_silent` once acknowledgements are due for too long.
 
--- a/src/wigeonford/http/_client.py
+++ b/src/wigeonford/http/_client.py
@@ -12,7 +12,11 @@
 
 import h11
 
-from wigeonford.http._ack_watch import AckWatch, read_ack_state
+from wigeonford.http._ack_watch import (
+    AckWatch,
+    has_unacknowledged_bytes,
+    read_ack_state,
+)
 from wigeonford.http._reader import ReadDeadline, WatchedReader
 from wigeonford.http._types import find_header, Headers, Response
 from wigeonford.settings import Address
@@ -95,6 +99,7 @@
         self._send_task: asyncio.Task[None] | None = None
         self._ack_timeout_s = ack_timeout_s
         self._ack_watch: AckWatch | None = None
+        self._has_long_body = False
         self._has_aborted = False
         self._deadline: ReadDeadline | None = None
         self._exchange_count = 0
@@ -274,7 +279,10 @@
     ) -> None:
         """Send a bytes body through the buffer, or start a streaming task."""
         data = self._http.send(head) or b""
-        if not isinstance(body, bytes) or len(body) > WINDOW_BYTES:
+        self._has_long_body = (
+            not isinstance(body, bytes) or len(body) > WINDOW_BYTES
+        )
+        if self._has_long_body:
             self._watch_acks()
         if isinstance(body, bytes):
             data += (self._http.send(h11.Data(body)) or b"") if body else b""
@@ -313,8 +321,9 @@
             return
         self._ack_watch.stop()
         self._ack_watch = None
-        sock = self._writer.get_extra_info("socket")
-        _set_ack_timeout(sock, self._ack_timeout_s)
+        if not self._writer.is_closing():
+            sock = self._writer.get_extra_info("socket")
+            _set_ack_timeout(sock, self._ack_timeout_s)
 
     async def _send_stream(self, body: AsyncIterator[bytes]) -> None:
         try:
@@ -406,12 +415,27 @@
             and self._http.their_state is h11.DONE
             and not self._http.trailing_data[0]
         )
-        if is_complete and is_done and not self._writer.is_closing():
+        # Behind the rest of a body, a next request would wait for a server
+        # that answered before it reads on.
+        if is_complete and is_done and not self._has_unsent_bytes():
             self._unwatch_acks()
             self._http.start_next_cycle()
             return
         self.close()
 
+    def _has_unsent_bytes(self) -> bool:
+        """Return whether the server's system lacks a part of the body."""
+        transport = self._writer.transport
+        if not self._has_long_body or transport.is_closing():
+            return False
+        if transport.get_write_buffer_size():
+            return True
+        sock = self._writer.get_extra_info("socket")
+        try:
+            return has_unacknowledged_bytes(sock)
+        except OSError:
+            return False
+
     async def _next_event(self) -> object:
         while True:
             event = self._http.next_event()
