--- a/src/wigeonford/http/_ack_watch.py
+++ b/src/wigeonford/http/_ack_watch.py
@@ -2,9 +2,12 @@
 
 import asyncio
 from collections.abc import Callable
+import errno
+import fcntl
 import math
 import socket
 import struct
+import termios
 from typing import Final
 
 import msgspec
@@ -12,6 +15,7 @@
 CHECK_INTERVAL_S: Final = 0.25
 
 _TCP_INFO: Final = struct.Struct("8B14I")
+_STATE: Final = 0
 _PROBES: Final = 3
 _UNACKED: Final = 12
 _LAST_ACK_MS: Final = 20
@@ -26,13 +30,26 @@
 
 
 def read_ack_state(sock: socket.socket) -> AckState:
-    """Return the state of a TCP connection; raise `OSError`."""
+    """Return the state of a TCP connection.
+
+    Raise `OSError` if it is closed or the system doesn't tell.
+    """
     data = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size)
-    fields = _TCP_INFO.unpack(data)
+    if len(data) < _TCP_INFO.size:
+        raise OSError(errno.ENOPROTOOPT, "the system tells too little")
+    fields = _TCP_INFO.unpack_from(data)
+    if not fields[_STATE]:
+        raise OSError(errno.ENOPROTOOPT, "the system doesn't tell")
     is_due = fields[_UNACKED] > 0 or fields[_PROBES] > 0
     return AckState(is_due, fields[_LAST_ACK_MS] / 1000)
 
 
+def has_unacknowledged_bytes(sock: socket.socket) -> bool:
+    """Return whether the peer's system lacks bytes; raise `OSError`."""
+    size = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    return size != bytes(4)
+
+
 class AckWatch:
     """Call `on_silent` once acknowledgements are due for too long.
 
