End the watch of a replica whose link breaks as the process stops

What was seen: a stop, or the event loop's teardown, that never ended. The watch of a control replica goes on for good if it is cancelled while one of its tasks fails. The stop of the follower waits for it without a limit (a timeout around gather doesn't end it either), so that an entry VM that gets SIGTERM as a link breaks is killed at the end of its grace, and asyncio.Runner, which cancels each task once, never returns.

Cause: asyncio.TaskGroup raises only the errors of its tasks if it is cancelled while they end; `except* PeerError` then takes the cancellation for a lost link. Task.cancelling() can't tell the two apart in Python 3.11: a group whose tasks fail while it waits for them never calls uncancel().

`_tasks.run_together` replaces the group: asyncio.wait raises a cancellation at each of its steps. `cancel_tasks` cancels tasks again that go on, and can itself be cancelled.

--- a/src/wigeonford/steer/_follower.py
+++ b/src/wigeonford/steer/_follower.py
@@ -6,7 +6,11 @@
 import time
 from typing import Final
 
-from wigeonford._tasks import run_supervised
+from wigeonford._tasks import (
+    cancel_tasks,
+    run_supervised,
+    run_together,
+)
 from wigeonford.errors import Code, PeerError
 from wigeonford.events import Event, EventLog
 from wigeonford.messages.steering import (
@@ -133,9 +137,7 @@
         tasks = list(self._watchers.values())
         if self._manager is not None:
             tasks.append(self._manager)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_tasks(tasks)
 
     async def report_status(self) -> None:
         """Send this VM's status to every replica at once."""
@@ -191,11 +193,12 @@
         while True:
             client = self._connect(parse_address(address))
             try:
-                async with asyncio.TaskGroup() as group:
-                    group.create_task(self._run_watches(address, client))
-                    group.create_task(self._run_stream(address, client))
-                    group.create_task(self._limit_exchange.report(client))
-                    group.create_task(self._follow_limits(address, client))
+                await run_together(
+                    self._run_watches(address, client),
+                    self._run_stream(address, client),
+                    self._limit_exchange.report(client),
+                    self._follow_limits(address, client),
+                )
             except* PeerError as exc_group:
                 if self._handle_disconnect(address, exc_group):
                     pause_s = RETRY_DELAY_S
