Use a token that was lent in time, and name a late loan as late

What callers saw: 429 with code 1200, "over its rate", where the account was far below it: on a busy machine a lent token had arrived before the request's wait ended, but the process noticed the end of the wait first.

Cause: the end of a wait was decided by a timer, and by each arrival, before the sockets were read. Then a further report of demand, due at the same time, voided the reply that had arrived. And any refusal of a VM that holds a share was called 1200, also if the loan was only late.

Now `spend` waits through `_tasks.wait_for_result`; tokens go to those that still wait in order, and a report follows an unanswered one only after what has arrived was read. 1200 needs a statement that the whole budget is out of tokens: the leader says that it is scarce, or has denied a loan since the request came and named no lender, a lender had none, or this VM leases the whole of it. Everything else is 1201. A request whose caller has left waits no longer, and gives back a token that it gets at that moment.

A denial by the leader is still 1200.

--- a/src/wigeonford/entry/_limiter.py
+++ b/src/wigeonford/entry/_limiter.py
@@ -6,6 +6,7 @@
 import time
 from typing import Final, Protocol
 
+from wigeonford._tasks import cancel_tasks, read_arrived, wait_for_result
 from wigeonford.entry._published import EntryConfig
 from wigeonford.entry._quota_client import QuotaClient
 from wigeonford.errors import Code, PeerError, RequestRejected
@@ -19,6 +20,7 @@
     AccountQuota,
     DISPATCH_JITTER_S,
     leased_budget,
+    MAX_WAIT_S,
     QuotaRequest,
     REPORT_INTERVAL_S,
     TokenQueue,
@@ -80,6 +82,7 @@
         self._check_buckets: dict[str, TokenBucket] = {}
         self._check_from_s = 0.0
         self._timers: dict[str, asyncio.TimerHandle] = {}
+        self._reading: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     def attach(self, server: PeerServer) -> None:
@@ -94,10 +97,7 @@
         """Stop the reports and close the connections to peers."""
         for timer in self._timers.values():
             timer.cancel()
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_tasks(self._tasks)
         await self._quota_client.close()
 
     def reconfigure(self, config: EntryConfig) -> None:
@@ -126,14 +126,16 @@
         fut: GrantFuture = asyncio.get_running_loop().create_future()
         result = queue.arrive(fut, now_s, deadline_s)
         self._serve_queue(account)
-        if result is TokenResult.WAITING and await fut:
+        if result is TokenResult.WAITING and await _wait_for_token(
+            queue, fut, min(MAX_WAIT_S, deadline_s - now_s)
+        ):
             result = TokenResult.SPENT
         spent_at_s = time.monotonic()
         self._metrics.token_wait_s.observe(
             {"account": account}, spent_at_s - now_s
         )
         if result is not TokenResult.SPENT:
-            raise self._rejection(queue, spent_at_s)
+            raise self._rejection(queue, now_s, spent_at_s)
         return SpentToken(account, spent_at_s)
 
     async def renew(self, token: SpentToken, deadline_s: float) -> None:
@@ -181,7 +183,7 @@
             _complete(fut, False)
 
     def _rejection(
-        self, queue: TokenQueue[GrantFuture], now_s: float
+        self, queue: TokenQueue[GrantFuture], began_s: float, now_s: float
     ) -> RequestRejected:
         wait_s = queue.retry_after_s(now_s)
         if wait_s == float("inf"):
@@ -189,7 +191,9 @@
                 Code.SHARE_UNAVAILABLE, retry_after_s=UNKNOWN_RETRY_AFTER_S
             )
         wait_s = max(MIN_RETRY_AFTER_S, min(wait_s, MAX_RETRY_AFTER_S))
-        return RequestRejected(Code.RATE_EXCEEDED, retry_after_s=wait_s)
+        is_over_rate = queue.quota.is_exhausted(began_s, now_s)
+        code = Code.RATE_EXCEEDED if is_over_rate else Code.SHARE_UNAVAILABLE
+        return RequestRejected(code, retry_after_s=wait_s)
 
     def _serve_queue(self, account: str) -> None:
         """Serve waiting requests and request a loan if tokens are short.
@@ -203,14 +207,15 @@
         if queue is None:
             return
         now_s = time.monotonic()
-        for fut, spent in queue.serve(now_s):
-            if not _complete(fut, spent) and spent:
+        for fut in queue.grant(now_s):
+            if not _complete(fut, True):
                 queue.quota.put_back(now_s)
-        need = queue.tokens_to_borrow(now_s)
-        if need:
-            request = queue.quota.next_request(now_s, need)
-            self._spawn(self._report_and_borrow({account: request}))
-        next_call_at_s = queue.next_call_at_s(now_s)
+        if not queue.quota.awaits_reply:
+            self._request_loan(account, queue)
+        elif queue.quota.may_request(now_s) and account not in self._reading:
+            self._reading.add(account)
+            self._spawn(self._request_again(account))
+        next_call_at_s = queue.next_grant_at_s(now_s)
         if next_call_at_s != float("inf"):
             loop = asyncio.get_running_loop()
             delay_s = max(0.001, next_call_at_s - now_s)
@@ -218,9 +223,29 @@
                 delay_s, self._serve_queue, account
             )
 
+    def _request_loan(
+        self, account: str, queue: TokenQueue[GrantFuture]
+    ) -> None:
+        """Request a loan if tokens are short."""
+        now_s = time.monotonic()
+        need = queue.tokens_to_borrow(now_s)
+        if need:
+            request = queue.quota.next_request(now_s, need)
+            self._spawn(self._report_and_borrow({account: request}))
+
+    async def _request_again(self, account: str) -> None:
+        """Request a loan once more, unless the reply has arrived by now."""
+        await read_arrived()
+        self._reading.discard(account)
+        queue = self._queues.get(account)
+        if queue is not None:
+            self._request_loan(account, queue)
+
     async def _report_periodically(self) -> None:
         while True:
             await asyncio.sleep(REPORT_INTERVAL_S)
+            # A report voids the reply to the one before.
+            await read_arrived()
             now_s = time.monotonic()
             requests = {
                 account: queue.quota.next_request(now_s)
@@ -285,6 +310,22 @@
         task.add_done_callback(self._tasks.discard)
 
 
+async def _wait_for_token(
+    queue: TokenQueue[GrantFuture], fut: GrantFuture, timeout_s: float
+) -> bool:
+    """Return whether a waiting request gets its token in time."""
+    try:
+        return await wait_for_result(fut, timeout_s)
+    except TimeoutError:
+        return False
+    except asyncio.CancelledError:
+        if fut.done() and not fut.cancelled() and fut.result():
+            queue.quota.put_back(time.monotonic())
+        raise
+    finally:
+        queue.withdraw(fut)
+
+
 def _full_bucket(limit: BucketLimits, now_s: float) -> TokenBucket:
     """Return a full bucket with the account's whole rate and burst."""
     return TokenBucket(limit, now_s - limit.burst / limit.rate_per_s - 1.0)
--- a/src/wigeonford/policy/__init__.py
+++ b/src/wigeonford/policy/__init__.py
@@ -41,7 +41,11 @@
     TargetOffer,
 )
 from wigeonford.policy._spill import admits_remote, SpillWindows
-from wigeonford.policy._token_queue import TokenQueue, TokenResult
+from wigeonford.policy._token_queue import (
+    MAX_WAIT_S,
+    TokenQueue,
+    TokenResult,
+)
 
 __all__ = [
     "AccountQuota",
@@ -54,6 +58,7 @@
     "HEDGE_RESERVE",
     "LatencyWindow",
     "LinkDemand",
+    "MAX_WAIT_S",
     "LinkQuota",
     "LoanGrant",
     "Quarantine",
--- a/src/wigeonford/policy/_account_quota.py
+++ b/src/wigeonford/policy/_account_quota.py
@@ -40,6 +40,8 @@
         self._loan_count = 0
         self._open_loans: dict[str, float] = {}
         self._granted_loans: dict[str, tuple[int, float]] = {}
+        self._asked_need = 0
+        self._denied_at_s = float("-inf")
         self.is_scarce = False
         self.lenders: tuple[str, ...] = ()
 
@@ -92,6 +94,11 @@
         asked_at_s = max(self._asked_at_s.values(), default=float("-inf"))
         return now_s >= asked_at_s + REPLY_TIMEOUT_S
 
+    @property
+    def awaits_reply(self) -> bool:
+        """Return whether a report is unanswered; another one would void it."""
+        return bool(self._asked_at_s)
+
     def is_active(self, now_s: float) -> bool:
         """Return whether a report to the grantor is due."""
         return self.may_request(now_s) and (
@@ -114,6 +121,7 @@
         request = self._lease.next_request(wanted, now_s)
         returned, self._returned_tokens = self._returned_tokens, 0.0
         self._asked_at_s = {request.number: now_s}
+        self._asked_need = need
         self._reported_units = request.held
         return QuotaRequest(
             request.number,
@@ -141,8 +149,22 @@
         self._bucket.borrow(grant.loan, asked_at_s + usable_s)
         self.is_scarce = grant.scarce
         self.lenders = grant.lenders
+        if grant.loan < self._asked_need and not grant.lenders:
+            self._denied_at_s = now_s
         return True
 
+    def is_exhausted(self, since_s: float, now_s: float) -> bool:
+        """Return whether the whole budget has no tokens, as far as is known.
+
+        A loan that was requested since then and has not arrived leaves it
+        unknown.
+        """
+        return (
+            self.is_scarce
+            or self._denied_at_s >= since_s
+            or self.fraction(now_s) >= 1.0
+        )
+
     def lend(self, loan_id: str, tokens: int, now_s: float) -> LoanGrant:
         """Lend spare whole tokens; a retry with the same id lends no more."""
         self._drop_expired(now_s)
@@ -182,6 +204,8 @@
         if asked_at_s is None:
             return
         self._drop_expired(now_s)
+        if grant.tokens < 1:
+            self._denied_at_s = now_s
         usable_s = grant.lifetime_s * (1 - DRIFT_MARGIN)
         self._bucket.borrow(grant.tokens, asked_at_s + usable_s)
 
