A leader whose disk stalls hands over at once

Callers saw changes unanswered while the leader's disk stood still. The event loop and the driver were not blocked (saves run in a thread), and after 0.5 s new requests were passed on, but the leader only fell silent: its followers' time-out had to end the lead, and the change whose entry was being written stayed unanswered until its limit of 5 s and was then told as unknown.

Now each call of the disk that lasts 0.5 s makes the replica one without room: it hands over, refuses reads that it can't serve, reports the failure, tells the metrics, and steps down when the call ends. Entries that were being saved had been sent to nobody. Once a message shows that a later leader has committed an entry of its own term, no later log can hold them, so that their changes are made again at the new leader. For the same reason a change in whose place another entry was committed is now told as not taken.

--- a/src/wigeonford/control/_raft.py
+++ b/src/wigeonford/control/_raft.py
@@ -117,6 +117,12 @@
             return {}
         return self._leader_role.hand_over(now_s)
 
+    def step_down(self, now_s: float) -> None:
+        """Follow whichever replica is elected next in a later term."""
+        node = self._node
+        if node.role is Role.LEADER:
+            node.become_follower(node.term, None, now_s)
+
     def confirmed_at_s(self, now_s: float) -> float | None:
         """Return when a quorum last confirmed the local commit position.
 
@@ -148,14 +154,13 @@
                 self._leader_role.start(now_s)
 
     def _tick_leader(self, now_s: float) -> None:
-        node = self._node
         if self._leader_role.lost_quorum(now_s):
-            node.become_follower(node.term, None, now_s)
+            self.step_down(now_s)
             return
         self._leader_role.tick(now_s)
         if self._leader_role.is_removed():
             self._leader_role.heartbeat(now_s)
-            node.become_follower(node.term, None, now_s)
+            self.step_down(now_s)
 
     def receive(self, record: Any, now_s: float) -> None:
         """Process a message from another replica.
--- a/src/wigeonford/control/_raft_driver.py
+++ b/src/wigeonford/control/_raft_driver.py
@@ -1,9 +1,9 @@
 """The task that feeds inputs to a Raft core and performs its effects."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 import random
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 
 from wigeonford._tasks import cancel_task
 from wigeonford.control._commands import CommandResult
@@ -51,7 +51,7 @@
 )
 from wigeonford.errors import Code, PeerError
 from wigeonford.events import Event, EventLog
-from wigeonford.messages.raft import InstallSnapshot
+from wigeonford.messages.raft import AppendEntries, InstallSnapshot
 from wigeonford.peer import NotLeaderError
 from wigeonford.settings import Address, is_address, parse_address
 
@@ -62,8 +62,10 @@
 STORAGE_RETRY_S: Final = 0.25
 """About a heartbeat interval, so that a follower soon catches up again."""
 SLOW_SYNC_S: Final = 0.5
-"""Far longer than a usual sync. If a leader's sync takes little longer, its
-followers elect another leader."""
+"""Far longer than a usual sync. A replica whose disk takes longer for one call
+counts as one whose disk takes no writes."""
+
+T = TypeVar("T")
 
 BuildCore = Callable[[HardState | None, RaftLog, int], RaftCore]
 """Build a core from the stored data and the position that is applied."""
@@ -110,6 +112,8 @@
         self._pending = PendingRequests()
         self._failure: str | None = None
         self._outage: StorageOutage | None = None
+        self._is_stalled = False
+        self._handed_over_term: int | None = None
         self._has_stopped = False
         self._build_core: BuildCore | None = None
         self._applied_position = 0
@@ -148,6 +152,11 @@
         """Return why this replica can't store anything, or None."""
         return self._failure
 
+    @property
+    def is_stalled(self) -> bool:
+        """Return whether the disk hasn't answered the present call yet."""
+        return self._is_stalled
+
     @property
     def has_stopped(self) -> bool:
         """Return whether this replica takes no part until a restart."""
@@ -207,11 +216,14 @@
 
         Raise `StorageError` if the entry can't be stored at present.
         """
-        if (
-            self._failure is not None
-            and position > self.core.log.last_position
-        ):
-            raise StorageError(self._failure)
+        if self._failure is not None:
+            last_position = (
+                self._applied_position
+                if self._is_stalled
+                else self.core.log.last_position
+            )
+            if position > last_position:
+                raise StorageError(self._failure)
         return self._pending.when_applied(position, self._applied_position)
 
     def channel(self, name: str) -> PeerChannel | None:
@@ -276,18 +288,12 @@
             self._send_to(name, message)
         while not await self._check_storage():
             continue
-        self._failure = None
         self._end_outage()
-        for listener in self._storage_listeners:
-            listener(True)
         took_s = round(self._clock() - started_s, 2)
         self._log.emit(Event.STORAGE_WORKS, took_s=took_s)
 
     def _begin_outage(self, detail: str) -> None:
-        self._failure = detail
-        self._outage = StorageOutage(self._clock)
-        for listener in self._storage_listeners:
-            listener(False)
+        self._fail_storage(detail)
         self._log.emit(Event.STORAGE_FAILED, detail=detail)
         if self._was_leader:
             self._was_leader = False
@@ -295,9 +301,15 @@
                 Event.LEADER_LOST, role=str(Role.FOLLOWER), term=self.core.term
             )
         # The other replicas may still commit entries already sent to them.
-        self._pending.reject_reads(StorageError(detail))
         self._pending.fail_all(Code.NO_QUORUM, detail)
 
+    def _fail_storage(self, detail: str) -> None:
+        self._failure = detail
+        self._outage = StorageOutage(self._clock)
+        for listener in self._storage_listeners:
+            listener(False)
+        self._pending.reject_reads(StorageError(detail))
+
     async def _reload(self, outage: StorageOutage) -> None:
         """Build the core from what is stored, unless that was done."""
         if outage.may_reply:
@@ -446,39 +458,79 @@
     @_performs(Save)
     async def _save(self, effect: Save) -> None:
         term = self.core.term
-        saving = asyncio.ensure_future(self._disk.save(effect))
-        started_s = self._clock()
-        done, _ = await asyncio.wait({saving}, timeout=SLOW_SYNC_S)
-        if not done:
-            self._log.emit(Event.STORAGE_SLOW, entries=len(effect.entries))
-            await self._step_until_done(saving)
         try:
-            await saving
+            await self._call_disk(self._disk.save(effect), effect)
         except StorageError as exc:
             if not exc.may_be_stored and effect.truncate_after is not None:
                 self._pending.reject_after(effect.truncate_after, term)
             raise
-        if not done:
-            took_s = round(self._clock() - started_s, 2)
-            self._log.emit(Event.STORAGE_BACK, took_s=took_s)
 
-    async def _step_until_done(self, saving: asyncio.Future[Any]) -> None:
+    async def _call_disk(
+        self, call: Awaitable[T], save: Save | None = None
+    ) -> T:
+        """Return a call's result; hand the lead over if the disk stalls.
+
+        `save` is what the call saves before it is sent to anyone.
+        """
+        calling = asyncio.ensure_future(call)
+        started_s = self._clock()
+        done, _ = await asyncio.wait({calling}, timeout=SLOW_SYNC_S)
+        if done:
+            return await calling
+        await self._step_until_done(calling, save)
+        took_s = round(self._clock() - started_s, 2)
+        self._log.emit(Event.STORAGE_BACK, took_s=took_s)
+        return await calling
+
+    async def _step_until_done(
+        self, calling: asyncio.Future[Any], save: Save | None
+    ) -> None:
         """Pass requests on while the disk is stalled."""
-        self._outage = StorageOutage(self._clock)
+        last_messages = self.core.hand_over(self._clock())
+        self._is_stalled = True
+        self._fail_storage(f"the disk hasn't responded for {SLOW_SYNC_S} s")
+        self._log.emit(
+            Event.STORAGE_SLOW,
+            entries=0 if save is None else len(save.entries),
+        )
+        if last_messages:
+            self._handed_over_term = self.core.term
+        for name, message in last_messages.items():
+            self._send_to(name, message)
+        assert self._outage is not None, "storage works"
         try:
-            while not saving.done():
+            while not calling.done():
                 await self._step_without_storage()
+                if self._outage.is_overtaken:
+                    self._give_up_entries(save)
         finally:
+            self._is_stalled = False
             self._end_outage()
+        if last_messages:
+            self.core.step_down(self._clock())
+
+    def _give_up_entries(self, save: Save | None) -> None:
+        """Have unsaved proposals made again, and tell of no others' outcome.
+
+        To be called once a later leader has committed an entry.
+        """
+        if save is not None and save.truncate_after is not None:
+            self._pending.reject_after(save.truncate_after, self.core.term)
+        self._pending.fail_all(Code.NO_QUORUM, str(self._failure))
 
     def _end_outage(self) -> None:
         if self.leader is not None:
             self.core.defer_election(self._clock())
+        self._failure = None
         self._outage = None
+        for listener in self._storage_listeners:
+            listener(True)
 
     @_performs(SaveInstalled)
     async def _install(self, effect: SaveInstalled) -> None:
-        await self._disk.save_installed(effect)
+        await self._call_disk(self._disk.save_installed(effect))
+        # The snapshot doesn't tell which of their entries it holds.
+        self._pending.fail_all(Code.NO_QUORUM, "a snapshot was installed")
         _, content = unpack_snapshot(effect.content)
         self.state = State.restore(content)
         self._applied_position = effect.position
@@ -488,7 +540,13 @@
 
     @_performs(Send)
     async def _send(self, effect: Send) -> None:
-        self._send_to(effect.to, effect.record)
+        record = effect.record
+        if (
+            isinstance(record, AppendEntries)
+            and record.term == self._handed_over_term
+        ):
+            return
+        self._send_to(effect.to, record)
 
     def _send_to(self, name: str, record: Any) -> None:
         channel = self.channel(name)
@@ -499,7 +557,7 @@
 
     @_performs(SendSnapshot)
     async def _send_snapshot(self, effect: SendSnapshot) -> None:
-        snapshot = await self._disk.read_snapshot()
+        snapshot = await self._call_disk(self._disk.read_snapshot())
         assert snapshot is not None, (
             "no snapshot is stored for the compacted log"
         )
@@ -536,7 +594,9 @@
             event = Event.LEADER_LOST
         self._was_leader = is_leader
         self._log.emit(event, role=str(effect.role), term=effect.term)
-        if not is_leader:
+        if is_leader and effect.term != self._handed_over_term:
+            self._handed_over_term = None
+        elif not is_leader and self._handed_over_term is None:
             self._pending.fail_all(
                 Code.NO_QUORUM, "this replica is no longer the leader"
             )
@@ -563,7 +623,9 @@
         assert term is not None, "an applied entry is not in the log"
         content = pack_snapshot(log.table_at(position), self.state.snapshot())
         try:
-            await self._disk.save_snapshot(Snapshot(position, term, content))
+            await self._call_disk(
+                self._disk.save_snapshot(Snapshot(position, term, content))
+            )
         except StorageDamagedError:
             raise
         except StorageError as exc:
--- a/src/wigeonford/control/_raft_outage.py
+++ b/src/wigeonford/control/_raft_outage.py
@@ -20,6 +20,8 @@
     a leader of a term that it can't store.
 
     `may_reply` is False if it isn't known what a power failure would leave.
+    `is_overtaken` tells that a later leader has committed an entry: what this
+    replica has sent to nobody will never be committed.
     """
 
     def __init__(
@@ -29,6 +31,7 @@
         self._leader: str | None = None
         self._heard_at_s = float("-inf")
         self.may_reply = may_reply
+        self.is_overtaken = False
         self.term = 0
 
     @property
@@ -47,6 +50,8 @@
             self._leader = record.sender
             self._heard_at_s = self._clock()
             self.term = record.term
+        if record.term > core.term and _has_committed(record):
+            self.is_overtaken = True
         if (
             isinstance(record, InstallSnapshot)
             or record.term != core.term
@@ -59,3 +64,14 @@
             # each heartbeat.
             previous = core.commit_position
         return replace(record, previous_position=previous, entries=())
+
+
+def _has_committed(record: AppendEntries | InstallSnapshot) -> bool:
+    """Return whether the sender has committed an entry of its own term."""
+    if isinstance(record, InstallSnapshot):
+        return record.snapshot_term == record.term
+    terms = (record.previous_term, *(item.term for item in record.entries))
+    return any(
+        term == record.term and position <= record.commit_position
+        for position, term in enumerate(terms, record.previous_position)
+    )
--- a/src/wigeonford/control/_raft_pending.py
+++ b/src/wigeonford/control/_raft_pending.py
@@ -16,11 +16,15 @@
         self._entries: dict[int, tuple[int, asyncio.Future[Any]]] = {}
         self._applied_waiters: list[tuple[int, asyncio.Future[Any]]] = []
         self._reads: list[Read] = []
+        self._applied_term = 0
 
     def add_entry(
         self, position: int, term: int, fut: asyncio.Future[CommandResult]
     ) -> None:
         """Complete the future once this entry has been applied."""
+        earlier = self._entries.get(position)
+        if earlier is not None:
+            _fail(earlier[1], Code.NO_QUORUM, "another entry took its place")
         self._entries[position] = (term, fut)
 
     def add_read(self, read: Read) -> None:
@@ -40,16 +44,12 @@
 
     def resolve(self, position: int, term: int, result: Any) -> None:
         """Complete the requests that wait for a position now applied."""
-        pending = self._entries.pop(position, None)
-        if pending is not None:
-            if pending[0] == term:
-                _succeed(pending[1], result)
-            else:
-                _fail(
-                    pending[1],
-                    Code.NO_QUORUM,
-                    "another entry was committed in its place",
-                )
+        pending = self._entries.get(position)
+        if pending is not None and pending[0] == term:
+            _succeed(self._entries.pop(position)[1], result)
+        if term != self._applied_term:
+            self._applied_term = term
+            self._reject_superseded(position, term)
         reached = [fut for at, fut in self._applied_waiters if at <= position]
         for fut in reached:
             _succeed(fut, None)
@@ -60,6 +60,20 @@
                 if waiter[0] > position
             ]
 
+    def _reject_superseded(self, position: int, term: int) -> None:
+        """Fail requests in whose place others are committed as not taken.
+
+        Terms never decrease in a log, so that no entry of an earlier term can
+        follow the one that is applied.
+        """
+        superseded = [
+            at
+            for at, (entry_term, _) in self._entries.items()
+            if at >= position and entry_term < term
+        ]
+        for at in superseded:
+            _reject(self._entries.pop(at)[1])
+
     def confirm_reads(self, confirmed_at_s: float, position: int) -> None:
         """Complete the reads that began before leadership was confirmed."""
         ready = [
--- a/src/wigeonford/control/_raft_replica.py
+++ b/src/wigeonford/control/_raft_replica.py
@@ -268,7 +268,7 @@
                     raise
                 waited_s = self._clock() - started_s
                 if self.failure is not None and (
-                    len(self.members()) == 1 or waited_s > NEW_LEADER_S
+                    self._is_alone_without_room() or waited_s > NEW_LEADER_S
                 ):
                     raise StorageError(self.failure) from exc
                 if waited_s > REQUEST_TIMEOUT_S:
@@ -279,6 +279,9 @@
                     ) from exc
             await asyncio.sleep(RETRY_INTERVAL_S)
 
+    def _is_alone_without_room(self) -> bool:
+        return len(self.members()) == 1 and not self._driver.is_stalled
+
     async def _propose(self, content: bytes) -> CommandResult:
         fut: asyncio.Future[CommandResult] = _new_future()
         self._driver.enqueue(Proposal(content, fut))
--- a/tests/raft_world.py
+++ b/tests/raft_world.py
@@ -69,8 +69,9 @@
     """Hold one replica: its disk, core, applied state and next crash.
 
     `core` is None while the replica is down. `outage` is set from the first
-    save that fails while `is_full` until there is room again. `crash_in` is
-    the number of effects that the replica still performs before a planned
+    save that fails while `is_full` until there is room again, and while a
+    save stands still: `held_effects` are those from this save on. `crash_in`
+    is the number of effects that the replica still performs before a planned
     crash; None means that no crash is planned.
     """
 
@@ -80,6 +81,8 @@
     position: int = 0
     crash_in: int | None = None
     is_full: bool = False
+    is_stalled: bool = False
+    held_effects: list[Effect] = field(default_factory=list)
     outage: StorageOutage | None = None
 
 
@@ -101,6 +104,7 @@
         self.message_ids = itertools.count()
         self.committed: dict[int, tuple[int, bytes]] = {}
         self.commit_times: list[tuple[float, int]] = []
+        self.given_up: set[LogEntry] = set()
         self.leaders: dict[int, str] = {}
         self.nodes = {name: Node(self._new_disk()) for name in self.names}
         for name in self.names:
@@ -115,6 +119,7 @@
         node.position = log.base_position
         node.crash_in = None
         node.outage = None
+        node.held_effects = []
         self.build_core(name, log)
 
     def build_core(self, name: str, log: RaftLog) -> None:
@@ -145,11 +150,67 @@
         """Fill a disk, or make room on it."""
         node = self.nodes[name]
         node.is_full = is_full
-        if not is_full:
+        if not is_full and not node.held_effects:
             node.outage = None
 
+    def set_stalled(self, name: str, is_stalled: bool) -> None:
+        """Let saves of a disk stand still, or end the one that does."""
+        node = self.nodes[name]
+        node.is_stalled = is_stalled
+        if is_stalled or node.outage is None or not node.held_effects:
+            return
+        effects, node.held_effects = node.held_effects, []
+        node.outage = None
+        assert node.core is not None, "the replica is down"
+        term = node.core.term
+        self.run_effects(
+            name,
+            [
+                effect
+                for effect in effects
+                if not isinstance(effect, Send)
+                or not isinstance(effect.record, AppendEntries)
+                or effect.record.term != term
+            ],
+        )
+        if node.core is not None:
+            node.core.step_down(self.now_s)
+
+    def begin_stall(self, name: str, effects: list[Effect]) -> None:
+        """Hand over, and hold a save and what follows it."""
+        node = self.nodes[name]
+        assert node.core is not None, "the replica is down"
+        # Roles are reported late, but were taken now.
+        for effect in effects:
+            if isinstance(effect, ChangeRole):
+                self.change_role(name, effect)
+        node.held_effects = [
+            e for e in effects if not isinstance(e, ChangeRole)
+        ]
+        node.outage = StorageOutage(lambda: self.now_s)
+        for other, message in node.core.hand_over(self.now_s).items():
+            self.send(name, other, message)
+
+    def give_up_entries(self, node: Node) -> None:
+        """Note the proposals that are told as not taken."""
+        assert node.core is not None, "the replica is down"
+        save = node.held_effects[0]
+        if isinstance(save, Save):
+            self.given_up.update(
+                entry
+                for entry in save.entries
+                if entry.term == node.core.term
+                and node.core.role is Role.LEADER
+            )
+
     def crash(self, name: str) -> None:
-        self.nodes[name].core = None
+        node = self.nodes[name]
+        if node.core is not None and node.held_effects:
+            # The save may have reached the disk.
+            if self.rng.random() < 0.5:
+                self.perform_effect(name, node, node.held_effects[0])
+            node.held_effects = []
+        node.core = None
 
     def wipe(self, name: str) -> None:
         self.crash(name)
@@ -194,7 +255,7 @@
 
     def propose(self, name: str, content: bytes) -> None:
         core = self.nodes[name].core
-        if core is not None:
+        if core is not None and not self.nodes[name].held_effects:
             core.propose([content])
             self.perform_effects(name)
 
@@ -222,6 +283,8 @@
         assert not faults, f"a proper message is refused: {faults}"
         if node.outage is not None:
             record = node.outage.reduce(record, node.core)
+            if node.held_effects and node.outage.is_overtaken:
+                self.give_up_entries(node)
         if record is None:
             return
         node.core.receive(record, self.now_s)
@@ -232,16 +295,26 @@
         """Perform effects in order; those after a planned crash are lost."""
         node = self.nodes[name]
         assert node.core is not None, "the replica is down"
-        for effect in node.core.take_effects(self.now_s):
+        if not node.held_effects:
+            self.run_effects(name, node.core.take_effects(self.now_s))
+
+    def run_effects(self, name: str, effects: list[Effect]) -> None:
+        node = self.nodes[name]
+        for index, effect in enumerate(effects):
             if node.crash_in is not None:
                 node.crash_in -= 1
                 if node.crash_in < 0:
                     self.crash(name)
                     return
-            if node.is_full and isinstance(effect, Save | SaveInstalled):
-                assert node.outage is None, "an outage saves nothing"
-                self.begin_outage(name)
-                return
+            if isinstance(effect, Save | SaveInstalled):
+                if node.is_full:
+                    assert node.outage is None, "an outage saves nothing"
+                    self.begin_outage(name)
+                    return
+                if node.is_stalled:
+                    assert node.outage is None, "a stall saves nothing"
+                    self.begin_stall(name, effects[index:])
+                    return
             self.perform_effect(name, node, effect)
 
     def perform_effect(self, name: str, node: Node, effect: Effect) -> None:
@@ -330,6 +403,9 @@
             assert committed == (entry.term, entry.content), (
                 f"two entries committed at {entry.position}"
             )
+            assert entry not in self.given_up, (
+                f"entry {entry.position} was told as not taken"
+            )
             if is_state_command(entry.content):
                 node.state.append(entry.content)
         max_position = self.commit_times[-1][1] if self.commit_times else 0
@@ -355,6 +431,8 @@
         core = node.core
         if core is None or node.position <= core.log.base_position:
             return
+        if node.held_effects:
+            return
         term = core.log.term_at(node.position)
         assert term is not None, "an applied entry is missing from the log"
         table = core.log.table_at(node.position)
@@ -416,6 +494,7 @@
         for name, node in self.nodes.items():
             node.crash_in = None
             self.set_full(name, False)
+            self.set_stalled(name, False)
             if node.core is None:
                 self.start(name)
         for _ in range(60):
--- a/tests/test_full_disk.py
+++ b/tests/test_full_disk.py
@@ -63,6 +63,7 @@
 
     room_bytes: int | None = None
     is_stalled = False
+    call_takes_s = 0.0
 
     def write_frame(self, file: int, frame: bytes) -> None:
         """Write what there is room for, then fail."""
@@ -329,7 +330,9 @@
 
 async def run_inline(disk: RaftDisk, function: Any, *args: Any) -> Any:
     """Call a function of the disk without a thread."""
-    while cast(FullDiskStore, disk._store).is_stalled:
+    store = cast(FullDiskStore, disk._store)
+    await asyncio.sleep(store.call_takes_s)
+    while store.is_stalled:
         await asyncio.sleep(CHANGE_INTERVAL_S)
     return function(*args)
 
