Keep a slow link to a control replica until another one opens

Cause: a watch without a reply for 2.4 s, or a fetch for 2.0 s, ended the link and with it the stream of news. A replica holds a watch for 0.7 s, so a queue of 0.85 s each way was enough. What the link had yet to bring was dropped, and a new link needs two round trips before its first message; with a queue of more than 0.6 s each way it never opened in its 2.4 s.

Now a link that brings nothing for 2.4 s still counts as out of contact, and another one is opened beside it, but it stays in use until that has opened, or it ends by itself. Any message shows that a link is alive, also one of the stream. A streamed patch of a deployment that a fetch has replaced meanwhile is fetched on the same link instead of ending it.

--- a/src/wigeonford/steer/_follower.py
+++ b/src/wigeonford/steer/_follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from contextlib import AsyncExitStack
 import random
 import time
 from typing import Final
@@ -23,14 +24,17 @@
 from wigeonford.steer._control_group import ControlGroup
 from wigeonford.steer._hedged_queue import HedgedQueue
 from wigeonford.steer._limit_exchange import LimitExchange
+from wigeonford.steer._replica_link import (
+    LATE_S,
+    LINK_TIMEOUT_S,
+    ReplicaLink,
+    RetryPause,
+)
 from wigeonford.steer._suspects import SuspectTable
 from wigeonford.steer._view import Roster, View, ViewBuilder
 
 Connect = Callable[[Address], PeerClient]
 
-WATCH_TIMEOUT_S: Final = 2.4
-"""A replica holds a watch for 0.7 to 1.5 s. The rest covers a slow link and
-the interval at which replicas batch updates."""
 STREAM_CHECK_INTERVAL_S: Final = 0.3
 """Pause between checks whether a replica is the nearest. Replicas that are
 nearer reply to their first watch within this time."""
@@ -38,17 +42,12 @@
 """How long an update that the nearest replica is about to stream is not
 fetched from others. The replica learns of a commit with the leader's next
 heartbeat, and its messages may queue behind an upload on the VM's link."""
-FETCH_TIMEOUT_S: Final = 2.0
+FIRST_FETCH_HEDGE_DELAY_S: Final = 2.0
 """Enough for a large deployment over a narrow link."""
 FETCH_HEDGE_DELAY_S: Final = 0.5
 """How long to wait for one replica before another one is asked as well; it may
 have died after its notice. A patch takes a round trip, and the shortest bound
 for a change to be in force leaves time for three such waits."""
-RETRY_DELAY_S: Final = 0.25
-"""Pause after a failed watch; doubles up to `MAX_RETRY_DELAY_S`."""
-MAX_RETRY_DELAY_S: Final = 1.0
-"""Well within the time in which a replica that is reachable again has to be
-connected."""
 FIRST_VIEW_TIMEOUT_S: Final = 1.0
 """How long the first view waits until most replicas have announced their
 revisions; several round trips between regions."""
@@ -187,28 +186,83 @@
                 )
 
     async def _watch(self, address: str) -> None:
-        pause_s = RETRY_DELAY_S
-        while True:
-            client = self._connect(parse_address(address))
+        pause = RetryPause(self._rng)
+        link: ReplicaLink | None = None
+        try:
+            while True:
+                link = link or await self._open_link(address)
+                if link is not None:
+                    ended = link
+                    try:
+                        await self._use_link(address, ended)
+                    finally:
+                        link = ended.replacement
+                        await ended.client.close()
+                    if ended.has_replied:
+                        pause.reset()
+                if link is None:
+                    await pause.wait()
+        finally:
+            if link is not None:
+                await link.client.close()
+
+    async def _open_link(self, address: str) -> ReplicaLink | None:
+        """Return an open link to a replica, None if it doesn't open."""
+        client = self._connect(parse_address(address))
+        async with AsyncExitStack() as stack:
+            stack.push_async_callback(client.close)
             try:
-                async with asyncio.TaskGroup() as group:
-                    group.create_task(self._run_watches(address, client))
-                    group.create_task(self._run_stream(address, client))
-                    group.create_task(self._limit_exchange.report(client))
-                    group.create_task(self._follow_limits(address, client))
-            except* PeerError as exc_group:
-                if self._handle_disconnect(address, exc_group):
-                    pause_s = RETRY_DELAY_S
-            finally:
-                await client.close()
-            await asyncio.sleep(pause_s * self._rng.uniform(0.7, 1.3))
-            pause_s = min(2 * pause_s, MAX_RETRY_DELAY_S)
-
-    async def _run_watches(self, address: str, client: PeerClient) -> None:
+                await client.open(LATE_S)
+            except PeerError:
+                # That the replica was lost has been logged.
+                return None
+            stack.pop_all()
+        return ReplicaLink(client)
+
+    async def _use_link(self, address: str, link: ReplicaLink) -> None:
+        """Follow a replica until the link ends or has a replacement."""
+        try:
+            async with asyncio.TaskGroup() as group:
+                uses = [
+                    group.create_task(use)
+                    for use in (
+                        self._run_watches(address, link),
+                        self._run_stream(address, link),
+                        self._limit_exchange.report(link.client),
+                        self._follow_limits(address, link.client),
+                    )
+                ]
+                await self._replace_late(address, link)
+                for use in uses:
+                    use.cancel()
+        except* PeerError as exc_group:
+            self._handle_disconnect(address, str(exc_group.exceptions[0]))
+
+    async def _replace_late(self, address: str, link: ReplicaLink) -> None:
+        """Open the replacement of a link while that is late.
+
+        The late one stays in use until then. If it is slow because this VM's
+        own link is full, what it has yet to bring is on its way, and opening
+        another one takes longer.
+        """
+        pause = RetryPause(self._rng)
+        while link.replacement is None:
+            await link.wait_until_late()
+            self._handle_disconnect(address, f"no message for {LATE_S} s")
+            opened = await self._open_link(address)
+            if opened is None:
+                await pause.wait()
+            elif link.is_late:
+                link.replacement = opened
+            else:
+                await opened.client.close()
+                pause.reset()
+
+    async def _run_watches(self, address: str, link: ReplicaLink) -> None:
         while True:
-            await self._watch_once(address, client)
+            await self._watch_once(address, link)
 
-    async def _run_stream(self, address: str, client: PeerClient) -> None:
+    async def _run_stream(self, address: str, link: ReplicaLink) -> None:
         """Apply a replica's updates as they come, once it is the nearest.
 
         Servers don't end streams: one lasts as long as its connection. The
@@ -219,17 +273,20 @@
         self._open_streams += 1
         try:
             request = FollowView(self._builder.revision)
-            async for update in client.stream_replies(
-                request, FETCH_TIMEOUT_S
+            async for update in link.client.stream_replies(
+                request, LINK_TIMEOUT_S
             ):
                 assert isinstance(update, ViewUpdate), "the stream of a view"
-                self._apply_update(address, update)
-                if update.revision > self._builder.revision:
-                    # The update leaves a gap, or patches a deployment that
-                    # another replica's update has replaced.
+                link.note_arrival()
+                if update.since > self._builder.revision:
                     raise PeerError(
-                        Code.MESSAGE_INVALID, "the update is not applicable"
+                        Code.MESSAGE_INVALID, "the update leaves a gap"
                     )
+                self._apply_update(address, update)
+                if update.revision > self._builder.revision:
+                    # It patches a deployment that another replica's update
+                    # has replaced.
+                    await self._fetch_from(address, link)
         finally:
             self._open_streams -= 1
 
@@ -246,7 +303,7 @@
         """
         return self._builder.revision > 0 and self._group.is_nearest(address)
 
-    async def _watch_once(self, address: str, client: PeerClient) -> None:
+    async def _watch_once(self, address: str, link: ReplicaLink) -> None:
         epoch, roster_revision = self.roster.position_of(address)
         roster_wanted = self._group.is_roster_source(address)
         status = self._status()
@@ -255,7 +312,7 @@
             self._group.suspicion_positions(address)
         )
         sequence = self._suspects.sequence
-        notice = await client.request(
+        notice = await link.request(
             WatchView(
                 self._builder.revision,
                 status.name,
@@ -266,8 +323,7 @@
                 self._group.leader_term,
                 self._suspects.own_suspicions_since(reported_sequence),
                 suspicion_revision,
-            ),
-            WATCH_TIMEOUT_S,
+            )
         )
         assert isinstance(notice, ViewNotice), "the reply to a watch"
         if self._group.apply(address, notice, status):
@@ -287,7 +343,7 @@
         if notice.revision > self._builder.revision:
             if self._update_noticed_at_s is None:
                 self._update_noticed_at_s = time.monotonic()
-            await self._fetch(address, client, notice.revision)
+            await self._fetch(address, link, notice.revision)
         if self.view is None:
             self._publish_view()
 
@@ -297,23 +353,20 @@
                 Event.PEER_UNUSABLE, address=repr(stated), control=address
             )
 
-    def _handle_disconnect(
-        self, address: str, exc_group: ExceptionGroup[PeerError]
-    ) -> bool:
-        """Record a lost connection; return whether there was one before."""
+    def _handle_disconnect(self, address: str, detail: str) -> None:
+        """Record that a replica can't be heard, and log it once."""
         if not self._group.mark_disconnected(address):
-            return False
+            return
         self._log.emit(
             Event.CONTROL_LOST,
             control=address,
-            detail=str(exc_group.exceptions[0]),
+            detail=detail,
             left=len(self._group.connected),
             revision=self._builder.revision,
         )
-        return True
 
     async def _fetch(
-        self, address: str, client: PeerClient, revision: int
+        self, address: str, link: ReplicaLink, revision: int
     ) -> None:
         """Fetch an update, unless the stream has just delivered it."""
         if self._open_streams:
@@ -323,8 +376,8 @@
         has_view = self._builder.revision > 0
         await self._fetch_queue.run(
             lambda: revision > self._builder.revision,
-            lambda: self._fetch_from(address, client),
-            FETCH_HEDGE_DELAY_S if has_view else FETCH_TIMEOUT_S,
+            lambda: self._fetch_from(address, link),
+            FETCH_HEDGE_DELAY_S if has_view else FIRST_FETCH_HEDGE_DELAY_S,
         )
 
     async def _wait_for(self, revision: int, timeout_s: float) -> None:
@@ -336,9 +389,9 @@
         except TimeoutError:
             return
 
-    async def _fetch_from(self, address: str, client: PeerClient) -> None:
+    async def _fetch_from(self, address: str, link: ReplicaLink) -> None:
         since = self._builder.revision
-        update = await client.request(FetchView(since), FETCH_TIMEOUT_S)
+        update = await link.request(FetchView(since))
         assert isinstance(update, ViewUpdate), "the reply to a fetch"
         self._apply_update(address, update)
 
--- a/src/wigeonford/steer/_limit_exchange.py
+++ b/src/wigeonford/steer/_limit_exchange.py
@@ -15,10 +15,9 @@
 )
 from wigeonford.peer import PeerClient
 from wigeonford.stated_limits import is_usable
+from wigeonford.steer._replica_link import LINK_TIMEOUT_S
 from wigeonford.steer._target_limits import TargetLimits
 
-EXCHANGE_TIMEOUT_S: Final = 2.4
-"""As for a watch; the link is lost after this time."""
 SOURCE_CHECK_INTERVAL_S: Final = 0.3
 """Pause between checks whether a replica is among the nearest."""
 
@@ -47,7 +46,7 @@
             )
             if reports:
                 await client.request(
-                    ReportTargetLimits(reports), EXCHANGE_TIMEOUT_S
+                    ReportTargetLimits(reports), LINK_TIMEOUT_S
                 )
             sent_sequence = sequence
             if self._limits.sequence == sequence:
@@ -63,7 +62,7 @@
         while not is_source():
             await asyncio.sleep(SOURCE_CHECK_INTERVAL_S)
         async for update in client.stream_replies(
-            FollowTargetLimits(), EXCHANGE_TIMEOUT_S
+            FollowTargetLimits(), LINK_TIMEOUT_S
         ):
             assert isinstance(update, TargetLimitsUpdate), "stream of limits"
             for stated in itertools.filterfalse(is_usable, update.limits):
--- a/tests/control_links.py
+++ b/tests/control_links.py
@@ -22,6 +22,9 @@
 class QuietLink:
     """Stand in for a link without streamed updates; subclasses reply."""
 
+    async def open(self, _timeout_s: float) -> None:
+        """Return: the link is open."""
+
     async def stream_replies(
         self, _record: Any, _timeout_s: float
     ) -> AsyncIterator[Any]:
@@ -34,7 +37,7 @@
 
 
 def make_follower(
-    connect: Callable[[Address], QuietLink],
+    connect: Callable[[Address], QuietLink | PeerClient],
     *,
     name: str = "a",
     status: EntryStatus | None = None,
