Keep the leader of accounts' rates on a full link

On a full link an entry VM lost the leader: it leased and borrowed nothing, so that callers of accounts without a lease of this VM were rejected after 3 s.

Cause: the same as with watches. A report without a reply for 1 s ended the connection, which a queue of 0.5 s each way is enough for. The next one has to open within the same second, in two round trips, so that there was no leader until the queue fell below 0.25 s.

Reports now wait as long as watches. That doesn't keep a VM with a leader that has failed: the watches name the next one, and its term ends the connection. The last report of a stop still waits for 1 s.

--- a/src/wigeonford/steer/_quota_reporter.py
+++ b/src/wigeonford/steer/_quota_reporter.py
@@ -22,6 +22,7 @@
 from wigeonford.steer._follower import Connect, ViewFollower
 from wigeonford.steer._loans import LOAN_TIMEOUT_S
 from wigeonford.steer._rates import AccountRates
+from wigeonford.steer._replica_link import LATE_S
 
 REPORT_INTERVAL_S: Final = 0.4
 """Fractions that are not used move to other VMs within a second."""
@@ -30,8 +31,8 @@
 MAX_REPORTS_PER_S: Final = 250.0
 """Reports that all entry VMs of a large fleet together send to the leader. In
 such a fleet, most requests borrow tokens and few fractions are leased."""
-REPORT_TIMEOUT_S: Final = 1.0
-"""Several round trips between regions."""
+RELEASE_TIMEOUT_S: Final = 1.0
+"""How long a stop waits for the reply to its last report."""
 
 
 class QuotaReporter:
@@ -72,7 +73,9 @@
         for task in self._tasks:
             await cancel_task(task)
         if self._rates.leader_connected:
-            await self._send_report(self._rates.release_all(self._clock()))
+            await self._send_report(
+                self._rates.release_all(self._clock()), RELEASE_TIMEOUT_S
+            )
         await self._drop_client()
 
     async def borrow(
@@ -119,14 +122,14 @@
         )
 
     async def _send_report(
-        self, requests: Iterable[QuotaLeaseRequest]
+        self, requests: Iterable[QuotaLeaseRequest], timeout_s: float = LATE_S
     ) -> None:
         status = self._status()
         report = QuotaLeaseReport(
             status.name, status.incarnation, tuple(requests)
         )
         try:
-            reply = await self._request_grants(report)
+            reply = await self._request_grants(report, timeout_s)
         except NotLeaderError as exc:
             await self._drop_client()
             self._set_leader_connected(False, str(exc))
@@ -152,11 +155,11 @@
         self._log.emit(event, detail=detail)
 
     async def _request_grants(
-        self, report: QuotaLeaseReport
+        self, report: QuotaLeaseReport, timeout_s: float
     ) -> QuotaLeaseReply:
         if self._client is None:
             self._client = self._connect(parse_address(self._find_leader()))
-        reply = await self._client.request(report, REPORT_TIMEOUT_S)
+        reply = await self._client.request(report, timeout_s)
         assert isinstance(reply, QuotaLeaseReply), "the reply to a report"
         return reply
 
--- a/tests/test_narrow_link.py
+++ b/tests/test_narrow_link.py
@@ -1,6 +1,8 @@
 """A VM whose link is full keeps its links to control, and news reach it."""
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, AsyncExitStack
 import io
 from typing import Final
 import unittest
@@ -14,8 +16,13 @@
 from tests.test_view_patches import make_service, publish, StandInReplica
 from tests.virtual_time import run_virtual, VirtualLoop
 from wigeonford.control import LimitService
-from wigeonford.events import configure_logging
-from wigeonford.steer import ViewFollower
+from wigeonford.events import configure_logging, EventLog
+from wigeonford.messages.steering import (
+    EntryStatus,
+    QuotaLeaseReply,
+    QuotaLeaseReport,
+)
+from wigeonford.steer import AccountRates, QuotaReporter, ViewFollower
 from wigeonford.steer._replica_link import LATE_S, ReplicaLink
 
 SETTLE_S: Final = 4.0
@@ -70,6 +77,33 @@
     return observed
 
 
+@asynccontextmanager
+async def running_replicas() -> AsyncIterator[
+    tuple[NarrowLink, StandInReplica]
+]:
+    """Run the services of all replicas, with one state, behind a link."""
+    loop = asyncio.get_running_loop()
+    servers = make_servers()
+    link = NarrowLink(servers)
+    replica = StandInReplica()
+    async with AsyncExitStack() as stack:
+        stack.push_async_callback(link.stop)
+        for server in servers.values():
+            service = make_service(replica, loop.time)
+            service.attach(server)
+            LimitService(loop.time).attach(server)
+            server.handle(QuotaLeaseReport, _grant_nothing)
+            await service.start()
+            stack.push_async_callback(service.stop)
+        publish(replica, make_deployment(version=1))
+        with mock.patch("wigeonford.peer._link.connect", link.connect):
+            yield link, replica
+
+
+async def _grant_nothing(_message: QuotaLeaseReport) -> QuotaLeaseReply:
+    return QuotaLeaseReply(1, ())
+
+
 async def run_vm(
     *,
     queue_s: float = 0.0,
@@ -78,20 +112,8 @@
     gap_s: float = SPARSE_GAP_S,
 ) -> Observed:
     """Return what a VM sees whose link is full, or cut, for a while."""
-    loop = asyncio.get_running_loop()
-    servers = make_servers()
-    link = NarrowLink(servers)
-    replica = StandInReplica()
-    services = []
-    for server in servers.values():
-        service = make_service(replica, loop.time)
-        service.attach(server)
-        LimitService(loop.time).attach(server)
-        await service.start()
-        services.append(service)
-    publish(replica, make_deployment(version=1))
-    follower = make_follower(open_client)
-    with mock.patch("wigeonford.peer._link.connect", link.connect):
+    async with running_replicas() as (link, replica):
+        follower = make_follower(open_client)
         await follower.start()
         await asyncio.sleep(SETTLE_S)
         assert len(follower.connected_replicas) == len(REPLICAS)
@@ -102,12 +124,37 @@
             observed = await observe(link, follower, replica, gap_s)
         await full
         await follower.stop()
-    for service in services:
-        await service.stop()
-    await link.stop()
     return observed
 
 
+async def measure_leaderless_s(queue_s: float) -> float:
+    """Return for how long a VM whose link is full has no leader."""
+    loop = asyncio.get_running_loop()
+    leaderless_s = 0.0
+    async with running_replicas() as (link, _):
+        follower = make_follower(open_client)
+        rates = AccountRates("a")
+        reporter = QuotaReporter(
+            follower,
+            rates,
+            lambda: EntryStatus("a", "i", "a:1", "z", "r", True),
+            open_client,
+            EventLog(),
+            loop.time,
+        )
+        await follower.start()
+        await reporter.start()
+        await asyncio.sleep(SETTLE_S)
+        assert rates.leader_connected, "before the link is full"
+        full = asyncio.create_task(link.fill(queue_s, FULL_S))
+        while not full.done():
+            await asyncio.sleep(TICK_S)
+            leaderless_s += 0.0 if rates.leader_connected else TICK_S
+        await reporter.stop()
+        await follower.stop()
+    return leaderless_s
+
+
 class FullLinkTest(unittest.TestCase):
     """Bulk data queues both ways before what control and the VM send."""
 
@@ -127,6 +174,16 @@
                     self.assertEqual(len(REPLICAS), observed.open_connections)
 
 
+class LeaderTest(unittest.TestCase):
+    """Reports of accounts' rates cross a full link."""
+
+    def test_a_full_link_does_not_cost_the_leader(self) -> None:
+        configure_logging(io.StringIO())
+        for queue_s in (0.3, 0.6, 1.0):
+            with self.subTest(queue_s=queue_s):
+                self.assertEqual(0, run_virtual(measure_leaderless_s(queue_s)))
+
+
 class CutLinkTest(unittest.TestCase):
     """Nothing arrives for a while; then links open again, or carry on."""
 
