Don't log a caller that left amid its body as one that lost a response

Event 206 says that a caller may have lost its response, since its connection was closed while it still sent. The end of their connection was taken for a body that breaks off.

--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -185,7 +185,7 @@
                 await self._discard_body()
                 return await self._discard_bytes()
         except (TimeoutError, RequestRejected):
-            return not self.is_busy
+            return self.has_caller_left or not self.is_busy
         except ConnectionError:
             return True
 
