Count a replica as in contact only while it replies in time

Where only the way out of a VM is full, control doesn't hear the VM, takes it off the roster and gives its parts of targets' limits to the others, while the VM keeps its own. So a late reply again ends the contact after 2.4 s, whatever the stream brings; only the link stays.

--- a/src/wigeonford/steer/_follower.py
+++ b/src/wigeonford/steer/_follower.py
@@ -248,7 +248,7 @@
         pause = RetryPause(self._rng)
         while link.replacement is None:
             await link.wait_until_late()
-            self._handle_disconnect(address, f"no message for {LATE_S} s")
+            self._handle_disconnect(address, f"no reply for {LATE_S} s")
             opened = await self._open_link(address)
             if opened is None:
                 await pause.wait()
@@ -277,7 +277,6 @@
                 request, LINK_TIMEOUT_S
             ):
                 assert isinstance(update, ViewUpdate), "the stream of a view"
-                link.note_arrival()
                 if update.since > self._builder.revision:
                     raise PeerError(
                         Code.MESSAGE_INVALID, "the update leaves a gap"
--- a/src/wigeonford/steer/_replica_link.py
+++ b/src/wigeonford/steer/_replica_link.py
@@ -21,23 +21,20 @@
 
 
 class ReplicaLink:
-    """Exchange messages, and notice when none has arrived for `LATE_S`.
+    """Exchange messages, and notice when a reply takes longer than `LATE_S`.
 
-    Only a link on which a reply is awaited can be late. `replacement` is an
-    open link to use instead of this one.
+    `replacement` is an open link to use instead of this one.
     """
 
     def __init__(self, client: PeerClient) -> None:
         self.client: Final = client
         self.has_replied = False
         self.replacement: ReplicaLink | None = None
-        self._pending_count = 0
-        self._timer: asyncio.TimerHandle | None = None
         self._late = asyncio.Event()
 
     @property
     def is_late(self) -> bool:
-        """Return whether a reply is awaited and nothing has arrived."""
+        """Return whether a reply is late and no other one has come since."""
         return self._late.is_set()
 
     async def wait_until_late(self) -> None:
@@ -51,31 +48,16 @@
 
     async def request(self, message: Any) -> Any:
         """Return the reply; raise `PeerError`."""
-        if not self._pending_count:
-            self._set_quiet_since_now()
-        self._pending_count += 1
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(LATE_S, self._late.set)
         try:
             reply = await self.client.request(message, LINK_TIMEOUT_S)
         finally:
-            self._pending_count -= 1
-            if not self._pending_count and self._timer is not None:
-                self._timer.cancel()
-        self.note_arrival()
+            timer.cancel()
+        self._late.clear()
         self.has_replied = True
         return reply
 
-    def note_arrival(self) -> None:
-        """Record that a message has arrived."""
-        self._late.clear()
-        if self._pending_count:
-            self._set_quiet_since_now()
-
-    def _set_quiet_since_now(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(LATE_S, self._late.set)
-
 
 class RetryPause:
     """Wait between attempts to reach a replica, longer each time."""
