Report a VM's stop on the links that are open

Where a VM's link is full, look-ups named a VM that stops for longer than the second that a stop expects (NEWS_S), so that callers still came to it as it closed.

Cause: the report of the new status opened a new connection to each replica within 0.5 s. That takes two round trips first; with a queue of more than about 0.1 s each way it never got there, and the status came with the next watch. Other replicas' rosters count as well, so that the slowest one decides.

The report now goes on the link that is open, and opens one only where there is none.

Without a queue nothing changes.

--- a/src/wigeonford/steer/_follower.py
+++ b/src/wigeonford/steer/_follower.py
@@ -85,6 +85,7 @@
         self._builder = ViewBuilder()
         self._listeners: list[Callable[[View], None]] = []
         self._watchers: dict[str, asyncio.Task[None]] = {}
+        self._links: dict[str, ReplicaLink] = {}
         self._group = ControlGroup()
         self.leader_changed = asyncio.Event()
         self._first_view_until_s = float("inf")
@@ -140,11 +141,20 @@
         """Send this VM's status to every replica at once."""
         message = ReportStatus(self._status())
         await asyncio.gather(
-            *(self._send(address, message) for address in self.addresses)
+            *(self._report_to(address, message) for address in self.addresses)
         )
 
-    async def _send(self, address: str, message: ReportStatus) -> None:
-        client = self._connect(parse_address(address))
+    async def _report_to(self, address: str, message: ReportStatus) -> None:
+        """Send a status, on the link that is open, if there is one.
+
+        On a full link it takes several times as long to open another one.
+        """
+        link = self._links.get(address)
+        client = (
+            self._connect(parse_address(address))
+            if link is None
+            else link.client
+        )
         try:
             await client.request(message, REPORT_TIMEOUT_S)
         except PeerError as exc:
@@ -152,7 +162,8 @@
                 Event.LEAVE_UNCONFIRMED, control=address, detail=str(exc)
             )
         finally:
-            await client.close()
+            if link is None:
+                await client.close()
 
     async def _manage_watchers(self) -> None:
         while True:
@@ -193,10 +204,12 @@
                 link = link or await self._open_link(address)
                 if link is not None:
                     ended = link
+                    self._links[address] = link
                     try:
                         await self._use_link(address, ended)
                     finally:
                         link = ended.replacement
+                        self._links.pop(address, None)
                         await ended.client.close()
                     if ended.has_replied:
                         pause.reset()
--- a/tests/control_links.py
+++ b/tests/control_links.py
@@ -40,7 +40,7 @@
     connect: Callable[[Address], QuietLink | PeerClient],
     *,
     name: str = "a",
-    status: EntryStatus | None = None,
+    status: EntryStatus | Callable[[], EntryStatus] | None = None,
     seeds: tuple[str, ...] = REPLICAS,
     suspects: SuspectTable | None = None,
     limits: TargetLimits | None = None,
@@ -49,7 +49,7 @@
     own_status = status or EntryStatus(name, "i", f"{name}:1", "z", "r", True)
     return ViewFollower(
         lambda: seeds,
-        lambda: own_status,
+        own_status if callable(own_status) else lambda: own_status,
         suspects or SuspectTable(),
         LimitExchange(limits or TargetLimits(name, dict), EventLog()),
         lambda address: cast(PeerClient, connect(address)),
--- a/tests/test_narrow_link.py
+++ b/tests/test_narrow_link.py
@@ -9,13 +9,14 @@
 from unittest import mock
 
 import msgspec
+from msgspec.structs import replace
 
 from tests.control_links import make_follower, REPLICAS
 from tests.narrow_link import make_servers, NarrowLink, open_client
 from tests.test_deployment import make_deployment
 from tests.test_view_patches import make_service, publish, StandInReplica
 from tests.virtual_time import run_virtual, VirtualLoop
-from wigeonford.control import LimitService
+from wigeonford.control import LimitService, ViewService
 from wigeonford.events import configure_logging, EventLog
 from wigeonford.messages.steering import (
     EntryStatus,
@@ -81,13 +82,14 @@
 
 @asynccontextmanager
 async def running_replicas() -> AsyncIterator[
-    tuple[NarrowLink, StandInReplica]
+    tuple[NarrowLink, StandInReplica, list[ViewService]]
 ]:
     """Run the services of all replicas, with one state, behind a link."""
     loop = asyncio.get_running_loop()
     servers = make_servers()
     link = NarrowLink(servers)
     replica = StandInReplica()
+    services: list[ViewService] = []
     async with AsyncExitStack() as stack:
         stack.push_async_callback(link.stop)
         for server in servers.values():
@@ -97,9 +99,10 @@
             server.handle(QuotaLeaseReport, _grant_nothing)
             await service.start()
             stack.push_async_callback(service.stop)
+            services.append(service)
         publish(replica, make_deployment(version=1))
         with mock.patch("wigeonford.peer._link.connect", link.connect):
-            yield link, replica
+            yield link, replica, services
 
 
 async def _grant_nothing(_message: QuotaLeaseReport) -> QuotaLeaseReply:
@@ -115,7 +118,7 @@
     gap_s: float = SPARSE_GAP_S,
 ) -> Observed:
     """Return what a VM sees whose link is full, or cut, for a while."""
-    async with running_replicas() as (link, replica):
+    async with running_replicas() as (link, replica, _):
         follower = make_follower(open_client)
         await follower.start()
         await asyncio.sleep(SETTLE_S)
@@ -136,7 +139,7 @@
     """Return for how long a VM whose link is full has no leader."""
     loop = asyncio.get_running_loop()
     leaderless_s = 0.0
-    async with running_replicas() as (link, _):
+    async with running_replicas() as (link, _, _):
         follower = make_follower(open_client)
         rates = AccountRates("a")
         reporter = QuotaReporter(
@@ -194,6 +197,45 @@
         self.assertGreater(observed.out_of_contact_s, queue_s - LATE_S)
 
 
+async def measure_leave_s(queue_s: float) -> float:
+    """Return when all replicas know that a VM stops whose link is full."""
+    loop = asyncio.get_running_loop()
+    status = EntryStatus("a", "i", "a:1", "z", "r", True)
+    async with running_replicas() as (link, _, services):
+        follower = make_follower(open_client, status=lambda: status)
+        await follower.start()
+        await asyncio.sleep(SETTLE_S)
+        full = asyncio.create_task(link.fill(queue_s, FULL_S))
+        await asyncio.sleep(FULL_S / 2)
+        status = replace(status, is_ready=False)
+        began_s = loop.time()
+        report = asyncio.create_task(follower.report_status())
+        while any(map(_lists_ready, services)):
+            await asyncio.sleep(TICK_S)
+        took_s = loop.time() - began_s
+        await report
+        await full
+        await follower.stop()
+    return took_s
+
+
+def _lists_ready(service: ViewService) -> bool:
+    change = service._roster.changes_since(-1, 0)
+    return any(status.is_ready for status in change.running_entries)
+
+
+class LeaveTest(unittest.TestCase):
+    """A VM whose link is full tells control that it stops."""
+
+    def test_leave_waits_for_the_queue_once(self) -> None:
+        configure_logging(io.StringIO())
+        for queue_s in (0.0, 0.1, 0.3, 0.5, 0.8):
+            with self.subTest(queue_s=queue_s):
+                self.assertLess(
+                    run_virtual(measure_leave_s(queue_s)), queue_s + 0.1
+                )
+
+
 class LeaderTest(unittest.TestCase):
     """Reports of accounts' rates cross a full link."""
 
