Go on with a stop whatever comes of telling control of it

An unexpected error in the report to control, or a report that doesn't end, ended or held up the stop of an entry VM before it had finished a single request: callers would have been cut without a word, by the end of the process or by the kill after the grace. The same error as the last parts stop ended the process with a traceback.

In virtual time: a report that raises ended the stop at once and one that takes 100 s held it for 100 s, with a grace of 6 s; both now end within it, and the request under way is answered.

--- a/src/wigeonford/steer/_daemon.py
+++ b/src/wigeonford/steer/_daemon.py
@@ -126,7 +126,7 @@
         self._readiness.mark_stopping()
         self._forwarder.begin_shutdown(plan)
         self._front.drain()
-        await self._follower.report_status()
+        await self._report_stop(_until(plan.unlisted_at_s))
         await asyncio.sleep(_until(plan.unlisted_at_s))
         # Where links are full, requests arrive seconds after they were sent.
         await self._front.wait_until_deserted(_until(plan.finish_by_s))
@@ -147,13 +147,29 @@
         )
         self._target_connections.close()
 
+    async def _report_stop(self, timeout_s: float) -> None:
+        """Tell control of the stop, which goes on whatever comes of that."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._follower.report_status()
+        except Exception as exc:
+            self._log.emit(
+                Event.TASK_FAILED,
+                detail="control was not told of the stop",
+                exc_info=exc,
+            )
+
     async def _stop_components(self, timeout_s: float) -> None:
         """Stop what runs in the background; control may not answer it."""
         try:
             async with asyncio.timeout(timeout_s):
-                await asyncio.gather(
-                    *(component.stop() for component in self._components)
+                results = await asyncio.gather(
+                    *(component.stop() for component in self._components),
+                    return_exceptions=True,
                 )
+            for result in results:
+                if isinstance(result, Exception):
+                    self._log.emit(Event.TASK_FAILED, exc_info=result)
         except TimeoutError:
             self._log.emit(
                 Event.TASK_FAILED, detail="control did not take leases back"
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -721,6 +721,44 @@
 
         self.run_stop(scenario)
 
+    def test_a_stop_goes_on_whatever_comes_of_its_report_to_control(
+        self,
+    ) -> None:
+        async def fail() -> None:
+            raise RuntimeError("an odd reply")
+
+        async def hang() -> None:
+            await asyncio.sleep(100.0)
+
+        for report, grace_s in itertools.product((fail, hang), (6, 10)):
+
+            async def scenario(
+                report: Callable[[], Coroutine[Any, Any, None]] = report,
+                grace_s: float = grace_s,
+            ) -> StoppingVm:
+                vm = StoppingVm(grace_s, 0.2)
+                vm.daemon._follower = mock.Mock(report_status=report)
+                call = asyncio.create_task(vm.call("a"))
+                await asyncio.sleep(0.1)
+                await vm.begin_stop()
+                ended_s = vm.late_s(vm.loop.time())
+                self.assertLess(ended_s, END_FRACTION * grace_s + MARGIN_S)
+                await call
+                return vm
+
+            with self.subTest((report.__name__, grace_s)):
+                vm = self.run_stop(scenario)
+                self.assertEqual({"a": "200"}, vm.statuses)
+
+    def test_a_stop_ends_though_a_part_fails_to_stop(self) -> None:
+        async def scenario() -> StoppingVm:
+            vm = StoppingVm(6, 0.2)
+            vm.component.stop = mock.AsyncMock(side_effect=RuntimeError)
+            await vm.begin_stop()
+            return vm
+
+        self.run_stop(scenario)
+
     def test_a_stop_ends_in_the_grace_though_others_keep_connections(
         self,
     ) -> None:
