Leave the kernel's time limit in force until acknowledgements are told

The kernel's limit is now switched off by the first check that shows anything to be due or an acknowledgement to be older than now, which comes 0.25 s after the request.

--- a/src/wigeonford/http/_client.py
+++ b/src/wigeonford/http/_client.py
@@ -295,18 +295,19 @@
     def _watch_acks(self) -> None:
         """Wait for a server that doesn't read, but not on a broken path.
 
-        The kernel's time limit ends both.
+        The kernel's time limit ends both. It stays where the system doesn't
+        tell of acknowledgements.
         """
         if self._ack_timeout_s is None:
             return
         sock = self._writer.get_extra_info("socket")
-        try:
-            read_ack_state(sock)
-        except OSError:
-            return  # The kernel's time limit stays.
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
         self._ack_watch = AckWatch(
-            lambda: read_ack_state(sock), self._ack_timeout_s, self._break_off
+            lambda: read_ack_state(sock),
+            self._ack_timeout_s,
+            lambda: sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0
+            ),
+            self._break_off,
         )
         self._ack_watch.start()
 
