Divide the retry reserve by the roster as it is now

A VM divided the fleet's reserve of retries by the roster that it knew at its first request to a service, for good.

--- a/src/wigeonford/leases/_attempt_budget.py
+++ b/src/wigeonford/leases/_attempt_budget.py
@@ -13,6 +13,11 @@
         self._reserve = reserve
         self._tokens = reserve
 
+    def limit_reserve(self, reserve: float) -> None:
+        """Keep at most so many unspent attempts from now on."""
+        self._reserve = reserve
+        self._tokens = min(self._tokens, reserve)
+
     def earn(self) -> None:
         """Count a request."""
         self._tokens = min(self._reserve, self._tokens + self._fraction)
--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -364,15 +364,17 @@
         )
 
     def _retry_budget_of(self, service: str) -> AttemptBudget:
+        """Return a service's budget, with this VM's part of the reserve."""
+        bounds = self._retry_bounds
+        vm_count = max(1, len(self._entries()))
+        reserve = max(1.0, bounds.slack * RETRY_SLACK_FRACTION / vm_count)
         budget = self._retry_budgets.get(service)
         if budget is None:
-            bounds = self._retry_bounds
-            vm_count = max(1, len(self._entries()))
-            reserve = max(1.0, bounds.slack * RETRY_SLACK_FRACTION / vm_count)
-            budget = AttemptBudget(
-                bounds.ratio * RETRY_RATIO_FRACTION, reserve
+            ratio = bounds.ratio * RETRY_RATIO_FRACTION
+            budget = self._retry_budgets[service] = AttemptBudget(
+                ratio, reserve
             )
-            self._retry_budgets[service] = budget
+        budget.limit_reserve(reserve)
         return budget
 
 
