Test that a replica without its data folder joins again without its votes

The leader answers yes to a join request of a listed name, whatever its incarnation is. That adds nothing: votes and acknowledgements count for the incarnation in the replica table only, requests to another one are ignored, and the reply to a heartbeat that names a new incarnation makes the entry a learner's until it has caught up.

No fault was found. The tests run the replicas in virtual time: one that lost its folder goes from voter to learner to voter with its new incarnation, and a change that only one other replica holds any more survives, as the others can't elect a leader with the vote of the one that lost it. Replicas of the group in tests draw new incarnations at each start.

--- a/src/wigeonford/control/_group_service.py
+++ b/src/wigeonford/control/_group_service.py
@@ -130,7 +130,11 @@
         return True
 
     async def _on_join(self, message: JoinGroup) -> GroupMembers:
-        """Add a replica as a learner if this replica is the leader."""
+        """Add a replica as a learner if this replica is the leader.
+
+        A listed one with another incarnation has lost its data folder. Its
+        replies to heartbeats tell the leader so, which makes it a learner.
+        """
         if not self._replica.is_leader:
             raise NotLeaderError(self._replica.leader)
         members = self.members()
--- a/tests/test_full_disk.py
+++ b/tests/test_full_disk.py
@@ -236,6 +236,7 @@
         )
         self.stores: dict[str, FullDiskStore] = {}
         self.replicas: dict[str, RaftReplica] = {}
+        self._start_counts = dict.fromkeys(NAMES, 0)
         self.change_count = 0
         self.acked: list[bytes] = []
 
@@ -254,7 +255,9 @@
             EventLog(),
             asyncio.get_running_loop().time,
         )
-        replica._rng = cast(random.SystemRandom, random.Random(number))
+        seed = number + len(NAMES) * self._start_counts[name]
+        self._start_counts[name] += 1
+        replica._rng = cast(random.SystemRandom, random.Random(seed))
         server = PeerServer(SECRETS.peer, EventLog())
         replica.attach(server)
         await replica.start()
