--- a/src/wigeonford/control/_log_file.py
+++ b/src/wigeonford/control/_log_file.py
@@ -233,10 +233,12 @@
 
     def _replace(self, frame: bytes) -> None:
         file = self._write_new_file(frame)
+        new = self._folder / _NEW_NAME
         try:
-            (self._folder / _NEW_NAME).rename(self._path)
+            new.rename(self._path)
         except OSError:
             os.close(file)
+            new.unlink()
             raise
         if self._file is not None:
             os.close(self._file)
--- a/tests/test_full_disk.py
+++ b/tests/test_full_disk.py
@@ -34,6 +34,7 @@
 from wigeonford.control._raft_inbox import Proposal, Received
 from wigeonford.control._raft_members import START_TERM
 from wigeonford.control._raft_node import DEFAULT_TIMING
+from wigeonford.control._raft_progress import SNAPSHOT_TIMEOUT_S
 from wigeonford.errors import Code, PeerError, WigeonfordError
 from wigeonford.events import EventLog
 from wigeonford.messages.raft import AppendEntries, EntryRecord
@@ -134,6 +135,31 @@
                 self.assertEqual(store.read_log(), [entry(3)])
                 store.close()
 
+    def test_a_rename_without_room_leaves_the_log(self) -> None:
+        full = OSError(errno.ENOSPC, "no space left on device")
+        folder = self.folder / "rename"
+        store = LogFileStore(folder)
+        store.append([entry(1), entry(2)])
+        with mock.patch.object(Path, "rename", side_effect=full):
+            with self.assertRaises(StorageError):
+                store.save_snapshot(Snapshot(1, 1, b"s"))
+            self.assertEqual(
+                [path.name for path in folder.iterdir()], ["control.log"]
+            )
+            self.assertEqual(store.read_log(), [entry(1), entry(2)])
+            store.append([entry(3)])
+            again = LogFileStore(folder)
+            self.assertFalse(again.is_durable)
+            self.assertEqual(len(again.read_log()), 3)
+            with self.assertRaises(StorageError):
+                again.append([entry(4)])
+        again.append([entry(4)])
+        self.assertTrue(again.is_durable)
+        again.save_snapshot(Snapshot(3, 1, b"s"))
+        self.assertEqual(again.read_log(), [entry(4)])
+        store.close()
+        again.close()
+
 
 class SafetyTest(unittest.TestCase):
     """Fill disks at random; the world checks Raft's safety properties."""
@@ -535,6 +561,38 @@
 
         run_virtual(run())
 
+    def test_a_snapshot_of_the_leader_waits_for_room(self) -> None:
+        async def run() -> None:
+            leader = await self.start_all()
+            name = next(name for name in NAMES if name != leader)
+            await self.group.stop(name)
+            others = [other for other in NAMES if other != name]
+            for number in range(60):
+                self.assertTrue(await self.group.change(others[number % 4]))
+            await self.group.start(name)
+            replica, store = self.group.replicas[name], self.group.stores[name]
+            store.room_bytes = 7
+            await asyncio.sleep(FULL_S)
+            self.assertIsNotNone(replica.failure)
+            self.assertIsNone(store.read_snapshot())
+            self.assertTrue(await self.group.change(name))
+            store.room_bytes = None
+            await asyncio.sleep(FULL_S + SNAPSHOT_TIMEOUT_S)
+            self.assertIsNone(replica.failure)
+            self.assertIsNotNone(store.read_snapshot())
+            await replica.read_barrier()
+            self.assertEqual(
+                replica.describe().commit_position,
+                self.group.replicas[leader].describe().commit_position,
+            )
+            await self.stop_all()
+
+        with (
+            mock.patch.object(_raft_driver, "SNAPSHOT_INTERVAL_ENTRIES", 10),
+            mock.patch.object(_raft_driver, "RETAINED_LOG_ENTRIES", 5),
+        ):
+            run_virtual(run())
+
     def test_an_empty_group_starts_on_full_disks(self) -> None:
         async def run() -> None:
             for name in NAMES:
@@ -659,6 +717,16 @@
             await self.until_failure_ends()
         for number, daemon in enumerate(self.daemons, 5):
             await self.until_changed(daemon, number)
+        for number in range(3):
+            await self.daemons[number].crash()
+            self.daemons[number] = build(number)
+            await self.daemons[number].start()
+            await self.until_changed(self.daemons[number - 1], 8 + number)
+            await asyncio.sleep(2 * JOIN_INTERVAL_S)
+            for store in self.stores.values():
+                store.room_bytes = None
+            await self.until_failure_ends()
+            await self.until_changed(self.daemons[number], 11 + number)
         self.raise_signal.assert_not_called()
 
     async def until_failure_ends(self) -> None:
