--- a/tests/test_full_disk.py
+++ b/tests/test_full_disk.py
@@ -37,7 +37,7 @@
 from wigeonford.control._raft_progress import SNAPSHOT_TIMEOUT_S
 from wigeonford.errors import Code, PeerError, WigeonfordError
 from wigeonford.events import EventLog
-from wigeonford.messages.raft import AppendEntries, EntryRecord
+from wigeonford.messages.raft import AppendEntries, AppendReply, EntryRecord
 from wigeonford.peer import NotLeaderError, PeerClient, PeerServer
 from wigeonford.platform._control_api import ControlApi
 from wigeonford.settings import (
@@ -561,6 +561,30 @@
 
         run_virtual(run())
 
+    def test_what_is_not_copied_yet_is_not_acknowledged(self) -> None:
+        async def run() -> None:
+            leader = await self.start_all()
+            name = next(name for name in NAMES if name != leader)
+            await self.group.stop(name)
+            senders: list[str] = []
+
+            def note(_to: Address, record: Any) -> bool:
+                if isinstance(record, AppendReply):
+                    senders.append(record.sender)
+                return False
+
+            self.group._network.is_cut = note
+            await self.group.start(name, room_bytes=0)
+            await asyncio.sleep(FULL_S)
+            self.assertEqual(len(set(senders)), 3)
+            self.assertNotIn(name, senders)
+            self.group.stores[name].room_bytes = None
+            await asyncio.sleep(FULL_S)
+            self.assertIn(name, senders)
+            await self.stop_all()
+
+        run_virtual(run())
+
     def test_a_snapshot_of_the_leader_waits_for_room(self) -> None:
         async def run() -> None:
             leader = await self.start_all()
--- a/tests/test_stalled_disk.py
+++ b/tests/test_stalled_disk.py
@@ -160,6 +160,30 @@
 
         run_virtual(run())
 
+    def test_a_leader_that_handed_over_leaves_the_lead_to_the_next(
+        self,
+    ) -> None:
+        async def run() -> None:
+            loop = asyncio.get_running_loop()
+            await self.start_all()
+            for step in range(20):
+                leader = await self.group.until_led()
+                with self.subTest(step=step):
+                    self.group.stores[leader].is_stalled = True
+                    started_s = loop.time()
+                    changes = asyncio.gather(
+                        *(self.group.change(name) for name in NAMES)
+                    )
+                    await asyncio.sleep(SLOW_SYNC_S + step * 0.02)
+                    self.group.stores[leader].is_stalled = False
+                    self.assertEqual(await changes, [True] * 5)
+                    self.assertLess(loop.time() - started_s, HANDED_OVER_S)
+                await asyncio.sleep(DEFAULT_TIMING.max_s)
+            await self.assert_all_take_part()
+            await self.stop_all()
+
+        run_virtual(run())
+
     def test_a_leader_hands_over_while_its_snapshot_is_stalled(self) -> None:
         async def run() -> None:
             leader = await self.start_all()
