Test a stalled leader with real threads, on both daemons

A leader's disk that doesn't answer, over loopback and with the store's own thread: the change at that leader is acknowledged while its disk still stands still.

--- a/tests/test_full_disk.py
+++ b/tests/test_full_disk.py
@@ -7,6 +7,7 @@
 import random
 import signal
 import tempfile
+import threading
 from typing import Any, cast
 import unittest
 from unittest import mock
@@ -68,10 +69,13 @@
 
     def __init__(self, folder: Path, room_bytes: int | None = None) -> None:
         self.room_bytes = room_bytes
+        self.responds = threading.Event()
+        self.responds.set()
         super().__init__(folder)
 
     def write_frame(self, file: int, frame: bytes) -> None:
         """Write what there is room for, then fail."""
+        self.responds.wait()
         if self.room_bytes is None or self.room_bytes >= len(frame):
             super().write_frame(file, frame)
             return
@@ -753,6 +757,27 @@
             await self.until_changed(self.daemons[number], 11 + number)
         self.raise_signal.assert_not_called()
 
+    async def run_stalled(self, build: Callable[[int], ControlDaemon]) -> None:
+        self.daemons = [build(number) for number in range(3)]
+        await asyncio.gather(*(daemon.start() for daemon in self.daemons))
+        for store in self.stores.values():
+            self.addCleanup(store.responds.set)
+            store.room_bytes = None
+        for daemon in self.daemons:
+            await self.until_changed(daemon, 1)
+        leader = next(d for d in self.daemons if d.replica.is_leader)
+        store = self.stores[str(self.daemons.index(leader))]
+        store.responds.clear()
+        try:
+            await leader.replica.propose(ExpireMember("vm", 2))
+            self.assertIsNotNone(leader.replica.describe().failure)
+        finally:
+            store.responds.set()
+        await self.until_failure_ends()
+        for daemon in self.daemons:
+            await self.until_changed(daemon, 3)
+        self.raise_signal.assert_not_called()
+
     async def until_failure_ends(self) -> None:
         async with asyncio.timeout(30.0):
             while any(
@@ -765,3 +790,11 @@
 
     async def test_platform_daemons_go_on(self) -> None:
         await self.run_daemons(self.build_platform)
+
+    async def test_own_daemons_go_on_beside_a_stalled_leader(self) -> None:
+        await self.run_stalled(self.build_own)
+
+    async def test_platform_daemons_go_on_beside_a_stalled_leader(
+        self,
+    ) -> None:
+        await self.run_stalled(self.build_platform)
