Don't take a suspended process for a stalled disk

The limit of 0.5 s for a call of the disk also ran while the whole process was suspended. As it woke up, the limit had passed and the store's thread had had no time to end, so that a leader handed over a disk that was fine. The call now gets one tick more after the limit. The test failed before: the leader had handed over.

--- a/src/wigeonford/control/_raft_driver.py
+++ b/src/wigeonford/control/_raft_driver.py
@@ -474,9 +474,11 @@
         """
         calling = asyncio.ensure_future(call)
         started_s = self._clock()
-        done, _ = await asyncio.wait({calling}, timeout=SLOW_SYNC_S)
-        if done:
-            return await calling
+        # Time in which the process was suspended isn't the disk's.
+        for timeout_s in (SLOW_SYNC_S, TICK_S):
+            done, _ = await asyncio.wait({calling}, timeout=timeout_s)
+            if done:
+                return await calling
         await self._step_until_done(calling, save)
         took_s = round(self._clock() - started_s, 2)
         self._log.emit(Event.STORAGE_BACK, took_s=took_s)
--- a/tests/test_stalled_disk.py
+++ b/tests/test_stalled_disk.py
@@ -5,13 +5,13 @@
 from pathlib import Path
 import random
 import tempfile
-from typing import cast
+from typing import Any, cast
 import unittest
 from unittest import mock
 
 from tests.test_full_disk import CHANGE_INTERVAL_S, Group, NAMES, run_inline
 from tests.test_raft import RaftMachine
-from tests.virtual_time import run_virtual
+from tests.virtual_time import run_virtual, VirtualLoop
 from wigeonford.control._raft import RaftCore
 from wigeonford.control._raft_disk import RaftDisk
 from wigeonford.control._raft_driver import SLOW_SYNC_S
@@ -211,6 +211,30 @@
 
         run_virtual(run())
 
+    def test_a_suspended_process_is_not_taken_for_a_stalled_disk(self) -> None:
+        async def call(disk: RaftDisk, function: Any, *args: Any) -> Any:
+            # The thread of the store was suspended as well.
+            for _ in range(2):
+                await asyncio.sleep(0.02)
+            return await run_inline(disk, function, *args)
+
+        async def run() -> None:
+            leader = await self.start_all()
+            works: list[bool] = []
+            self.group.replicas[leader].on_storage_change(works.append)
+            change = asyncio.create_task(self.group.change(leader))
+            await asyncio.sleep(0.01)
+            loop = asyncio.get_running_loop()
+            assert isinstance(loop, VirtualLoop), "the time is virtual"
+            loop.stall(SLOW_SYNC_S + CHANGE_INTERVAL_S)
+            self.assertTrue(await change)
+            self.assertTrue(self.group.replicas[leader].is_leader)
+            self.assertEqual(works, [True])
+            await self.stop_all()
+
+        with mock.patch.object(RaftDisk, "_call", call):
+            run_virtual(run())
+
     def test_changes_go_on_while_disks_stall_in_turn(self) -> None:
         async def run() -> None:
             await self.start_all()
