--- a/tests/test_full_disk.py
+++ b/tests/test_full_disk.py
@@ -7,6 +7,7 @@
 import random
 import signal
 import tempfile
+import threading
 from typing import Any, cast
 import unittest
 from unittest import mock
@@ -34,9 +35,10 @@
 from wigeonford.control._raft_inbox import Proposal, Received
 from wigeonford.control._raft_members import START_TERM
 from wigeonford.control._raft_node import DEFAULT_TIMING
+from wigeonford.control._raft_progress import SNAPSHOT_TIMEOUT_S
 from wigeonford.errors import Code, PeerError, WigeonfordError
 from wigeonford.events import EventLog
-from wigeonford.messages.raft import AppendEntries, EntryRecord
+from wigeonford.messages.raft import AppendEntries, AppendReply, EntryRecord
 from wigeonford.peer import NotLeaderError, PeerClient, PeerServer
 from wigeonford.platform._control_api import ControlApi
 from wigeonford.settings import (
@@ -65,8 +67,15 @@
     is_stalled = False
     call_takes_s = 0.0
 
+    def __init__(self, folder: Path, room_bytes: int | None = None) -> None:
+        self.room_bytes = room_bytes
+        self.responds = threading.Event()
+        self.responds.set()
+        super().__init__(folder)
+
     def write_frame(self, file: int, frame: bytes) -> None:
         """Write what there is room for, then fail."""
+        self.responds.wait()
         if self.room_bytes is None or self.room_bytes >= len(frame):
             super().write_frame(file, frame)
             return
@@ -130,6 +139,31 @@
                 self.assertEqual(store.read_log(), [entry(3)])
                 store.close()
 
+    def test_a_rename_without_room_leaves_the_log(self) -> None:
+        full = OSError(errno.ENOSPC, "no space left on device")
+        folder = self.folder / "rename"
+        store = LogFileStore(folder)
+        store.append([entry(1), entry(2)])
+        with mock.patch.object(Path, "rename", side_effect=full):
+            with self.assertRaises(StorageError):
+                store.save_snapshot(Snapshot(1, 1, b"s"))
+            self.assertEqual(
+                [path.name for path in folder.iterdir()], ["control.log"]
+            )
+            self.assertEqual(store.read_log(), [entry(1), entry(2)])
+            store.append([entry(3)])
+            again = LogFileStore(folder)
+            self.assertFalse(again.is_durable)
+            self.assertEqual(len(again.read_log()), 3)
+            with self.assertRaises(StorageError):
+                again.append([entry(4)])
+        again.append([entry(4)])
+        self.assertTrue(again.is_durable)
+        again.save_snapshot(Snapshot(3, 1, b"s"))
+        self.assertEqual(again.read_log(), [entry(4)])
+        store.close()
+        again.close()
+
 
 class SafetyTest(unittest.TestCase):
     """Fill disks at random; the world checks Raft's safety properties."""
@@ -232,6 +266,7 @@
         )
         self.stores: dict[str, FullDiskStore] = {}
         self.replicas: dict[str, RaftReplica] = {}
+        self._start_counts = dict.fromkeys(NAMES, 0)
         self.change_count = 0
         self.acked: list[bytes] = []
 
@@ -242,8 +277,7 @@
         cfg = ControlSettings(
             name, "region", self._folder / name, SECRETS, members=self._members
         )
-        store = FullDiskStore(cfg.data_folder)
-        store.room_bytes = room_bytes
+        store = FullDiskStore(cfg.data_folder, room_bytes)
         replica = RaftReplica(
             cfg,
             store,
@@ -251,7 +285,9 @@
             EventLog(),
             asyncio.get_running_loop().time,
         )
-        replica._rng = cast(random.SystemRandom, random.Random(number))
+        seed = number + len(NAMES) * self._start_counts[name]
+        self._start_counts[name] += 1
+        replica._rng = cast(random.SystemRandom, random.Random(seed))
         server = PeerServer(SECRETS.peer, EventLog())
         replica.attach(server)
         await replica.start()
@@ -506,21 +542,85 @@
             stored = await self.group.until_equal()
             for name in NAMES:
                 with self.subTest(name=name):
+                    leader = await self.group.until_led()
                     await self.group.stop(name)
                     await self.group.start(name, room_bytes=0)
+                    await asyncio.sleep(FULL_S)
+                    replica = self.group.replicas[name]
+                    if name != leader:
+                        # A new leader's entry would find no room.
+                        await replica.read_barrier()
+                        self.assertEqual(
+                            replica.describe().commit_position, len(stored)
+                        )
                     self.assertTrue(await self.group.change(name))
                     self.assertGreaterEqual(
                         self.group.replicas[name].state.revision, 0
                     )
                     self.group.stores[name].room_bytes = None
                     await asyncio.sleep(FULL_S)
-            self.assertGreater(len(await self.group.until_equal()), 0)
-            self.assertGreater(len(stored), 0)
+                    stored = await self.group.until_equal()
             await self.assert_all_take_part()
             await self.stop_all()
 
         run_virtual(run())
 
+    def test_what_is_not_copied_yet_is_not_acknowledged(self) -> None:
+        async def run() -> None:
+            leader = await self.start_all()
+            name = next(name for name in NAMES if name != leader)
+            await self.group.stop(name)
+            senders: list[str] = []
+
+            def note(_to: Address, record: Any) -> bool:
+                if isinstance(record, AppendReply):
+                    senders.append(record.sender)
+                return False
+
+            self.group._network.is_cut = note
+            await self.group.start(name, room_bytes=0)
+            await asyncio.sleep(FULL_S)
+            self.assertEqual(len(set(senders)), 3)
+            self.assertNotIn(name, senders)
+            self.group.stores[name].room_bytes = None
+            await asyncio.sleep(FULL_S)
+            self.assertIn(name, senders)
+            await self.stop_all()
+
+        run_virtual(run())
+
+    def test_a_snapshot_of_the_leader_waits_for_room(self) -> None:
+        async def run() -> None:
+            leader = await self.start_all()
+            name = next(name for name in NAMES if name != leader)
+            await self.group.stop(name)
+            others = [other for other in NAMES if other != name]
+            for number in range(60):
+                self.assertTrue(await self.group.change(others[number % 4]))
+            await self.group.start(name)
+            replica, store = self.group.replicas[name], self.group.stores[name]
+            store.room_bytes = 7
+            await asyncio.sleep(FULL_S)
+            self.assertIsNotNone(replica.failure)
+            self.assertIsNone(store.read_snapshot())
+            self.assertTrue(await self.group.change(name))
+            store.room_bytes = None
+            await asyncio.sleep(FULL_S + SNAPSHOT_TIMEOUT_S)
+            self.assertIsNone(replica.failure)
+            self.assertIsNotNone(store.read_snapshot())
+            await replica.read_barrier()
+            self.assertEqual(
+                replica.describe().commit_position,
+                self.group.replicas[leader].describe().commit_position,
+            )
+            await self.stop_all()
+
+        with (
+            mock.patch.object(_raft_driver, "SNAPSHOT_INTERVAL_ENTRIES", 10),
+            mock.patch.object(_raft_driver, "RETAINED_LOG_ENTRIES", 5),
+        ):
+            run_virtual(run())
+
     def test_an_empty_group_starts_on_full_disks(self) -> None:
         async def run() -> None:
             for name in NAMES:
@@ -581,8 +681,7 @@
 
     def open_store(self, folder: Path) -> LogFileStore:
         """Open a store whose disk is full from the first write on."""
-        store = FullDiskStore(folder)
-        store.room_bytes = 0
+        store = FullDiskStore(folder, 0)
         self.stores[folder.name] = store
         return store
 
@@ -646,6 +745,37 @@
             await self.until_failure_ends()
         for number, daemon in enumerate(self.daemons, 5):
             await self.until_changed(daemon, number)
+        for number in range(3):
+            await self.daemons[number].crash()
+            self.daemons[number] = build(number)
+            await self.daemons[number].start()
+            await self.until_changed(self.daemons[number - 1], 8 + number)
+            await asyncio.sleep(2 * JOIN_INTERVAL_S)
+            for store in self.stores.values():
+                store.room_bytes = None
+            await self.until_failure_ends()
+            await self.until_changed(self.daemons[number], 11 + number)
+        self.raise_signal.assert_not_called()
+
+    async def run_stalled(self, build: Callable[[int], ControlDaemon]) -> None:
+        self.daemons = [build(number) for number in range(3)]
+        await asyncio.gather(*(daemon.start() for daemon in self.daemons))
+        for store in self.stores.values():
+            self.addCleanup(store.responds.set)
+            store.room_bytes = None
+        for daemon in self.daemons:
+            await self.until_changed(daemon, 1)
+        leader = next(d for d in self.daemons if d.replica.is_leader)
+        store = self.stores[str(self.daemons.index(leader))]
+        store.responds.clear()
+        try:
+            await leader.replica.propose(ExpireMember("vm", 2))
+            self.assertIsNotNone(leader.replica.describe().failure)
+        finally:
+            store.responds.set()
+        await self.until_failure_ends()
+        for daemon in self.daemons:
+            await self.until_changed(daemon, 3)
         self.raise_signal.assert_not_called()
 
     async def until_failure_ends(self) -> None:
@@ -660,3 +790,11 @@
 
     async def test_platform_daemons_go_on(self) -> None:
         await self.run_daemons(self.build_platform)
+
+    async def test_own_daemons_go_on_beside_a_stalled_leader(self) -> None:
+        await self.run_stalled(self.build_own)
+
+    async def test_platform_daemons_go_on_beside_a_stalled_leader(
+        self,
+    ) -> None:
+        await self.run_stalled(self.build_platform)
