Don't blame a caller that left with its response for sending on

Event 206 names a caller whose response the VM's close may have taken.

The test failed before: 206 was logged after a caller closed with its 503 read.

--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -184,7 +184,7 @@
                 await self._discard_body()
                 return await self._discard_bytes()
         except (TimeoutError, RequestRejected):
-            return not self.is_busy
+            return not self.is_busy or self.has_caller_left
         except ConnectionError:
             return True
 
--- a/tests/test_early_responses.py
+++ b/tests/test_early_responses.py
@@ -211,6 +211,18 @@
         self.assertNotIn('"number": 206', self.logs.getvalue())
         await self.server.stop(0.0)
 
+    @in_virtual_time
+    async def test_caller_that_leaves_with_its_response_has_left(self) -> None:
+        sock = await self.connect()
+        sock.send(_post(BODY_BYTES) + b"b" * PIECE_BYTES)
+        await asyncio.sleep(MARGIN_S)
+        self.assertIn(b" 503 ", sock.recv(1 << 16)[:20])
+        sock.close()
+        await asyncio.sleep(MARGIN_S)
+        self.assertFalse(self.server._tasks)
+        self.assertNotIn('"number": 206', self.logs.getvalue())
+        await self.server.stop(0.0)
+
     @in_virtual_time
     async def test_rejected_head_of_a_head_request_is_answered(self) -> None:
         self.limits = CallerLimits(head_bytes=1024)
