Answer claims whose batch ends on an unexpected error

What was seen: none; found while looking for tasks that never end. An error that the register store doesn't expect ended the task that applies batches. From then on each claim of this replica waited for good, and with it its link and the stop of the replica.

Before, the new test timed out after its 5 s.

--- a/src/wigeonford/claims/_claim_service.py
+++ b/src/wigeonford/claims/_claim_service.py
@@ -7,6 +7,7 @@
 import time
 from typing import Any, Final
 
+from wigeonford._tasks import cancel_tasks
 from wigeonford.claims._claim_rounds import (
     close_round,
     make_closing_row,
@@ -127,10 +128,7 @@
     async def stop(self) -> None:
         """Stop serving and close the store."""
         self._ready.clear()
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_tasks(self._tasks)
         # A handler left waiting would keep its link open forever.
         while not self._request_queue.empty():
             _fail_requests(
@@ -304,6 +302,11 @@
                 self._log.emit(Event.TASK_FAILED, detail=str(exc))
                 _fail_requests(batch, exc)
                 continue
+            except Exception as exc:
+                # Later requests are applied; these must not wait for good.
+                self._log.emit(Event.TASK_FAILED, exc_info=exc)
+                _fail_requests(batch, PeerError(Code.INTERNAL, repr(exc)))
+                continue
             for (_, fut), reply in zip(batch, replies, strict=True):
                 if not fut.done():
                     fut.set_result(reply)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -209,3 +209,15 @@
         await self.close("three", "a", first, ran=True)
         retry = await self.open("three", "b")
         self.assertEqual(retry.code, Code.REPLAYED.number)
+
+    async def test_unexpected_error_costs_only_its_batch(self) -> None:
+        service = self.services["one"]
+        row = ClaimRow(b"order", "a", 1.0, "open")
+        with mock.patch.object(
+            service._store, "apply_requests", side_effect=ValueError("odd")
+        ):
+            async with asyncio.timeout(5.0):
+                with self.assertRaises(PeerError):
+                    await service._submit(RegisterVote(b"key", row))
+        async with asyncio.timeout(5.0):
+            await service._submit(RegisterVote(b"key", row))
