Bound a stop of links by the handlers of messages

What was seen: none; found while looking for tasks that never end. After 5.5 s, which is longer than any limit of a handler, the rest are now cancelled and counted in event 104.

--- a/src/wigeonford/peer/_link.py
+++ b/src/wigeonford/peer/_link.py
@@ -22,7 +22,11 @@
 )
 from websockets.http11 import Request, Response
 
-from wigeonford._tasks import wait_for_result
+from wigeonford._tasks import (
+    cancel_tasks,
+    retrieve_exception,
+    wait_for_result,
+)
 from wigeonford.codec import CodecError
 from wigeonford.errors import Code, PeerError, WigeonfordError
 from wigeonford.events import Event, EventLog
@@ -40,6 +44,8 @@
 CLOSE_TIMEOUT_S: Final = 0.3
 """Two round trips between distant regions. Waiting longer is useless, since a
 silent peer never answers the closing handshake."""
+HANDLERS_TIMEOUT_S: Final = 5.5
+"""Exceeds the time limits of handlers that wait for other replicas."""
 _PEER_HEADER: Final = "Wigeonford-Peer"
 _PROOF_HEADER: Final = "Wigeonford-Proof"
 _REJECTED_STATUS: Final = 403
@@ -64,6 +70,7 @@
         self._handlers: dict[type[Any], MessageHandler] = {}
         self._stream_handlers: dict[type[Any], StreamHandler] = {}
         self._server: Server | None = None
+        self._serving: set[asyncio.Task[Any]] = set()
 
     def handle(self, message_type: type[Any], handler: MessageHandler) -> None:
         """Register the handler of one message type."""
@@ -104,9 +111,23 @@
         return Address(address.host, port)
 
     async def stop(self) -> None:
-        """Close the listener and every link."""
-        if self._server is not None:
-            self._server.close()
+        """Close the listener and every link.
+
+        Messages that are not handled within `HANDLERS_TIMEOUT_S` are
+        cancelled; their replies can't be sent any more.
+        """
+        if self._server is None:
+            return
+        self._server.close()
+        try:
+            async with asyncio.timeout(HANDLERS_TIMEOUT_S):
+                await self._server.wait_closed()
+        except TimeoutError:
+            self._log.emit(
+                Event.TASK_FAILED,
+                detail=f"{len(self._serving)} links still handle messages",
+            )
+            await cancel_tasks(self._serving)
             await self._server.wait_closed()
 
     async def abort(self) -> None:
@@ -131,6 +152,10 @@
 
     async def _serve_connection(self, conn: ServerConnection) -> None:
         stream_tasks: set[asyncio.Task[Any]] = set()
+        serving = asyncio.current_task()
+        assert serving is not None, "links are served in tasks"
+        self._serving.add(serving)
+        serving.add_done_callback(self._serving.discard)
         async with asyncio.TaskGroup() as task_group:
             try:
                 async for data in conn:
@@ -247,7 +272,7 @@
         fut: asyncio.Future[Any] = loop.create_future()
         # If sending fails, nobody awaits the future. Retrieving its exception
         # keeps asyncio from logging it.
-        fut.add_done_callback(_retrieve_exception)
+        fut.add_done_callback(retrieve_exception)
         self._pending_replies[request_id] = fut
         frame = encode_frame(request_id, MESSAGES.to_tagged_list(message))
         try:
@@ -346,7 +371,7 @@
     def _end_opening(self, opening: asyncio.Task[WebSocketClient]) -> None:
         self._opening = None
         # Those who waited may have given up.
-        _retrieve_exception(opening)
+        retrieve_exception(opening)
 
     async def _open_connection(self) -> WebSocketClient:
         scheme = "ws" if self._context is None else "wss"
@@ -411,11 +436,6 @@
             )
 
 
-def _retrieve_exception(fut: asyncio.Future[Any]) -> None:
-    if not fut.cancelled():
-        fut.exception()
-
-
 class NotLeaderError(PeerError):
     """Reject a message that only the leader handles; name the leader."""
 
