Use a slot that was free before the wait for it ended

What callers saw: 503, code 1204, although a slot of the target had become free in time: a process that stood still noticed the end of the wait before the response that freed the slot, and gave the slot back unused.

The wait now reads what has arrived once its time is over (`_tasks.wait_for_result`). In the new test the slot is freed 0.05 s before the end of the wait, amid a stall of 0.1 s: refused with 1204 before, used now.

--- a/src/wigeonford/entry/_slots.py
+++ b/src/wigeonford/entry/_slots.py
@@ -9,6 +9,7 @@
 from typing import Final
 import uuid
 
+from wigeonford._tasks import wait_for_result
 from wigeonford.entry._region_peers import RegionPeers
 from wigeonford.entry._targets import TargetDirectory
 from wigeonford.errors import Code, PeerError, RequestRejected
@@ -225,8 +226,7 @@
         wait_limit_s = (deadline_s - time.monotonic()) * MAX_WAIT_FRACTION
         max_wait_s = MAX_WAIT_S if has_usable_target else MAX_WAIT_NO_TARGET_S
         try:
-            async with asyncio.timeout(min(wait_limit_s, max_wait_s)):
-                return await fut
+            return await wait_for_result(fut, min(wait_limit_s, max_wait_s))
         except BaseException as exc:
             if fut.done() and not fut.cancelled():
                 self._holder.release(fut.result().target_id)
