Pass on responses that came before their limit on the product's path

What callers saw: 504 with code 1303 (1244 between regions), run state unknown, though the response had arrived in time: a process that stood still past the limit noticed the limit first.

Both now limit the connection's reads (`ClientConnection.limit_reads`), under which bytes received in time count, as on the platform's path. A stream that is passed on has no limit, as before.

--- a/src/wigeonford/entry/_attempt.py
+++ b/src/wigeonford/entry/_attempt.py
@@ -18,6 +18,7 @@
     ConnectFailed,
     ConnectionPool,
     ExchangeFailed,
+    ExchangeTimedOut,
     find_header,
     Headers,
     Response,
@@ -72,7 +73,9 @@
         """
         try:
             response, conn = await self._exchange(outbound, target_id, fresh)
-            first_chunks, remaining = await self._prefetch(outbound, response)
+            first_chunks, remaining = await self._prefetch(
+                outbound, response, conn
+            )
         except AttemptFailure as exc:
             if exc.code in _STILL_RUNNING_CODES:
                 self._release_after_delay(outbound, release)
@@ -145,18 +148,18 @@
         )
         started_s = time.monotonic()
         try:
-            async with asyncio.timeout(min(max_wait_s, first_byte_timeout_s)):
-                response = await conn.exchange(
-                    outbound.method,
-                    outbound.target,
-                    outbound.headers_for(target_id),
-                    outbound.body,
-                )
+            response = await conn.exchange(
+                outbound.method,
+                outbound.target,
+                outbound.headers_for(target_id),
+                outbound.body,
+                until_s=_loop_time_s() + min(max_wait_s, first_byte_timeout_s),
+            )
         except RequestRejected as exc:
             raise RequestRejected(
                 exc.code, exc.detail, run_state=RunState.UNKNOWN
             ) from exc
-        except TimeoutError as exc:
+        except ExchangeTimedOut as exc:
             if first_byte_timeout_s < max_wait_s:
                 # Assume first that the pooled connection is dead, not the
                 # target.
@@ -181,7 +184,7 @@
         return outbound.service.timeout_s * DEFAULT_FIRST_BYTE_FRACTION
 
     async def _prefetch(
-        self, outbound: Outbound, response: Response
+        self, outbound: Outbound, response: Response, conn: ClientConnection
     ) -> tuple[list[bytes], AsyncIterator[bytes] | None]:
         """Return the first chunks, and the iterator of the remaining body.
 
@@ -192,14 +195,15 @@
         )
         chunks: list[bytes] = []
         size_bytes = 0
+        conn.limit_reads(_loop_time_s() + outbound.remaining_s)
         try:
-            async with asyncio.timeout(outbound.remaining_s):
-                async for chunk in response.body:
-                    chunks.append(chunk)
-                    size_bytes += len(chunk)
-                    if size_bytes >= PREFETCH_BYTES:
-                        return chunks, response.body
-        except TimeoutError as exc:
+            async for chunk in response.body:
+                chunks.append(chunk)
+                size_bytes += len(chunk)
+                if size_bytes >= PREFETCH_BYTES:
+                    conn.limit_reads(None)
+                    return chunks, response.body
+        except ExchangeTimedOut as exc:
             raise AttemptFailure(
                 AttemptState.SENT,
                 Code.ANSWER_TIMEOUT,
@@ -223,6 +227,10 @@
         )
 
 
+def _loop_time_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def _is_bodiless(outbound: Outbound, response: Response) -> bool:
     return outbound.method == "HEAD" or response.status in _NO_BODY_STATUSES
 
--- a/src/wigeonford/entry/_remote.py
+++ b/src/wigeonford/entry/_remote.py
@@ -24,6 +24,7 @@
     ConnectFailed,
     DEADLINE_HEADER,
     ExchangeFailed,
+    ExchangeTimedOut,
     find_header,
     Headers,
     Response,
@@ -229,11 +230,14 @@
     ) -> Response:
         headers = self._headers(conn.address, home_region, outbound)
         try:
-            async with asyncio.timeout(_remaining_s(outbound)):
-                return await conn.exchange(
-                    outbound.method, outbound.target, headers, body
-                )
-        except TimeoutError as exc:
+            return await conn.exchange(
+                outbound.method,
+                outbound.target,
+                headers,
+                body,
+                until_s=_read_until_s(outbound),
+            )
+        except ExchangeTimedOut as exc:
             raise RequestRejected(Code.HOP_TIMEOUT) from exc
         except ExchangeFailed as exc:
             raise RequestRejected(Code.HOP_BROKEN, str(exc)) from exc
@@ -279,17 +283,18 @@
             *clean_response_headers(response.headers),
             *result_headers(Code.FORWARDED, RunState.RAN),
         )
+        conn.limit_reads(None)
         stream = _stream_and_close(conn, response)
         length = response.header(b"content-length")
         if length is None or int(length) > MAX_BUFFERED_RESPONSE_BYTES:
             return Response(response.status, headers, stream)
+        conn.limit_reads(_read_until_s(outbound))
         try:
-            async with asyncio.timeout(_remaining_s(outbound)):
-                body = b"".join([chunk async for chunk in stream])
-        except TimeoutError as exc:
-            raise RequestRejected(Code.HOP_TIMEOUT) from exc
+            body = b"".join([chunk async for chunk in stream])
         except ResponseBroken as exc:
-            raise RequestRejected(Code.HOP_BROKEN, str(exc)) from exc
+            has_timed_out = isinstance(exc.__cause__, ExchangeTimedOut)
+            code = Code.HOP_TIMEOUT if has_timed_out else Code.HOP_BROKEN
+            raise RequestRejected(code, str(exc)) from exc
         return Response(response.status, headers, body)
 
 
@@ -327,6 +332,11 @@
         conn.close()
 
 
+def _read_until_s(outbound: Outbound) -> float:
+    """Return the deadline on the clock of the event loop."""
+    return asyncio.get_running_loop().time() + _remaining_s(outbound)
+
+
 def _remaining_s(outbound: Outbound) -> float:
     return outbound.deadline_s - time.monotonic()
 
--- a/src/wigeonford/http/_client.py
+++ b/src/wigeonford/http/_client.py
@@ -153,12 +153,12 @@
             return not self._exchange_count
         return hash(request_id) not in self._request_id_hashes
 
-    def limit_reads(self, until_s: float) -> None:
+    def limit_reads(self, until_s: float | None) -> None:
         """Raise `ExchangeTimedOut` for what arrives after a time.
 
-        The time is on the clock of the event loop.
+        The time is on the clock of the event loop; None removes the limit.
         """
-        self._deadline = ReadDeadline(until_s)
+        self._deadline = None if until_s is None else ReadDeadline(until_s)
 
     def close(self) -> None:
         """Close immediately; abort an exchange that is running."""
@@ -191,9 +191,7 @@
         stated length. `until_s` limits the arrival of the response as in
         `limit_reads`.
         """
-        self._deadline = None
-        if until_s is not None:
-            self.limit_reads(until_s)
+        self.limit_reads(until_s)
         try:
             return await self._exchange(
                 method, target, headers, body, owner_of, request_id
