Read what has arrived before a request is refused as stale

Cause, in part: after a stall the freshness of the configuration was judged before the reply that confirms it was read, though the reply was there. The lease still counts from when that pull was sent, so that a stall of 4 s and more makes it end as before. In the new test a reply to a pull of 0.5 s lies in the socket at 4.1 s: not fresh before, fresh once it is read.

--- a/src/wigeonford/entry/_config.py
+++ b/src/wigeonford/entry/_config.py
@@ -7,7 +7,7 @@
 from typing import Final
 import zlib
 
-from wigeonford._tasks import cancel_task
+from wigeonford._tasks import cancel_task, read_arrived
 from wigeonford.entry._published import ConfigPublisher, EntryConfig
 from wigeonford.entry._spread import DownstreamMembers, HeartbeatBatch, Parents
 from wigeonford.errors import PeerError, WigeonfordError
@@ -91,6 +91,16 @@
         """Return whether a quorum recently confirmed the revision."""
         return self.confirmed_age_s(now_s) < FRESH_LEASE_S
 
+    async def is_fresh_by_now(self) -> bool:
+        """Return whether the revision is fresh; read what has arrived.
+
+        A process that stood still sees the end of the lease before the reply
+        that extended it.
+        """
+        if not self.is_fresh(time.monotonic()):
+            await read_arrived()
+        return self.is_fresh(time.monotonic())
+
     def confirmed_age_s(self, now_s: float) -> float:
         """Return the time since a quorum last confirmed the revision."""
         if self._confirmed_at_s is None:
--- a/src/wigeonford/entry/_pipeline.py
+++ b/src/wigeonford/entry/_pipeline.py
@@ -86,7 +86,7 @@
         account = _NO_ACCOUNT
         request_class = "none"
         try:
-            admission = self._admit(request)
+            admission = await self._admit(request)
             account = admission.account or _NO_ACCOUNT
             request_class = admission.service.request_class.value
             response = await self._run(request, admission, started_s)
@@ -98,12 +98,12 @@
         self._metrics.observe_request(account, request_class, latency_s)
         return response
 
-    def _admit(self, request: Request) -> Admission:
+    async def _admit(self, request: Request) -> Admission:
         return admit(
             self._config.current,
             request,
             self._hash_secret,
-            is_fresh=self._config.is_fresh(time.monotonic()),
+            is_fresh=await self._config.is_fresh_by_now(),
         )
 
     async def _run(
@@ -175,7 +175,7 @@
         recheck_key(
             self._config.current,
             admitted.admission,
-            is_fresh=self._config.is_fresh(time.monotonic()),
+            is_fresh=await self._config.is_fresh_by_now(),
         )
         outbound = self._build_outbound(admitted)
         self._check_no_key_sent(outbound)
--- a/tests/test_config_follower.py
+++ b/tests/test_config_follower.py
@@ -1,10 +1,14 @@
 """The configuration follower, with stale and inconsistent sources."""
 
+import asyncio
+from collections.abc import Awaitable, Callable
 import io
 import logging
+import socket
 import time
 from typing import Any, cast
 import unittest
+from unittest import mock
 
 from wigeonford.config_table import ConfigTable
 from wigeonford.entry import ConfigFollower, Parents, SpreadShape
@@ -41,9 +45,12 @@
         self.confirmed_age_s: float | None = 0.0
         self.pulled_revisions: list[int] = []
         self.next_update: ConfigUpdate | None = None
+        self.before_reply: Callable[[], Awaitable[None]] | None = None
 
     async def request(self, message: PullConfig, _timeout_s: float) -> Any:
         self.pulled_revisions.append(message.revision)
+        if self.before_reply is not None:
+            await self.before_reply()
         if self.next_update is not None:
             update, self.next_update = self.next_update, None
             return update
@@ -76,6 +83,30 @@
     def is_fresh(self) -> bool:
         return self.follower.is_fresh(time.monotonic())
 
+    async def test_reply_that_arrived_amid_a_stall_counts(self) -> None:
+        await self.follower._pull()
+        ours, theirs = socket.socketpair()
+        self.addCleanup(ours.close)
+        self.addCleanup(theirs.close)
+        ours.setblocking(False)
+        loop = asyncio.get_running_loop()
+
+        async def wait_for_reply() -> None:
+            await loop.sock_recv(ours, 1)
+
+        self.source.before_reply = wait_for_reply
+        now_s = time.monotonic()
+        with mock.patch("time.monotonic") as clock:
+            clock.return_value = now_s + 0.5
+            pulling = asyncio.create_task(self.follower._pull())
+            for _ in range(3):
+                await asyncio.sleep(0)
+            theirs.send(b"+")
+            clock.return_value = now_s + FRESH_LEASE_S + 0.1
+            self.assertFalse(self.is_fresh())
+            self.assertTrue(await self.follower.is_fresh_by_now())
+            self.assertTrue(await pulling)
+
     async def test_an_older_source_changes_nothing(self) -> None:
         self.assertTrue(await self.follower._pull())
         age_before_s = self.follower.confirmed_age_s(0.0)
