Let time limits of stops hold, and cancel again what goes on

Found beside the watch that never ended: a stop under a time limit was held up for good by one task that ignores its cancellation. The stops waited with asyncio.gather, which, when it is cancelled itself, still waits until all its tasks have ended; the timeout around it had no effect, so that the process lasted until SIGKILL.

All stops now use `_tasks.cancel_tasks`, which waits with asyncio.wait.

--- a/src/wigeonford/control/_raft_channel.py
+++ b/src/wigeonford/control/_raft_channel.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
+from wigeonford._tasks import cancel_tasks
 from wigeonford.errors import Code, PeerError
 from wigeonford.peer import PeerClient
 from wigeonford.settings import Address
@@ -75,9 +76,7 @@
 
     async def close(self) -> None:
         """Cancel the messages in flight and close the connection."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await cancel_tasks(self._tasks)
         await self._client.close()
 
 
--- a/src/wigeonford/entry/_daemon.py
+++ b/src/wigeonford/entry/_daemon.py
@@ -4,6 +4,7 @@
 import time
 from typing import Final
 
+from wigeonford._tasks import cancel_task
 from wigeonford.entry._claims import ControlClaims
 from wigeonford.entry._config import ConfigFollower, FRESH_LEASE_S
 from wigeonford.entry._dispatch import Dispatcher
@@ -157,8 +158,7 @@
         await self._targets.hand_over_all()
         if not leave_task.done():
             await asyncio.wait([leave_task], timeout=LEAVE_TIMEOUT_S)
-        leave_task.cancel()
-        await asyncio.gather(leave_task, return_exceptions=True)
+        await cancel_task(leave_task)
         await self._claims.stop()
         await self._close_connections()
         self._checks.require(
--- a/src/wigeonford/entry/_region_peers.py
+++ b/src/wigeonford/entry/_region_peers.py
@@ -4,6 +4,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from wigeonford._tasks import cancel_tasks
 from wigeonford.entry._config import ConfigFollower
 from wigeonford.entry._published import EntryConfig
 from wigeonford.entry._quota_client import PeerClientFactory
@@ -71,10 +72,7 @@
 
     async def stop(self) -> None:
         """Cancel all background tasks and close the connections."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_tasks(self._tasks)
         clients = list(self._clients.values())
         self._clients.clear()
         await asyncio.gather(*(client.close() for _, client in clients))
--- a/src/wigeonford/fleet/_service.py
+++ b/src/wigeonford/fleet/_service.py
@@ -4,6 +4,7 @@
 import time
 from typing import Final
 
+from wigeonford._tasks import cancel_tasks
 from wigeonford.control._commands import (
     ExpireMember,
     RegisterMember,
@@ -54,9 +55,7 @@
         tasks = list(self._registering.values())
         if self._sweeper is not None:
             tasks.append(self._sweeper)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_tasks(tasks)
 
     async def _handle_pull(self, message: PullConfig) -> ConfigUpdate:
         if message.member is not None:
--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -12,6 +12,7 @@
 
 import h11
 
+from wigeonford._tasks import cancel_tasks
 from wigeonford.errors import Code, RequestRejected, WigeonfordError
 from wigeonford.events import Event, EventLog
 from wigeonford.http._connection import (
@@ -184,10 +185,7 @@
         await self._cancel_connections()
 
     async def _cancel_connections(self) -> None:
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_tasks(self._tasks)
 
     async def _close_listener(self) -> None:
         """Close the listener; begin all that callers connected before.
--- a/tests/test_task_ends.py
+++ b/tests/test_task_ends.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+import contextlib
 from functools import partial
 import io
 import socket
@@ -14,13 +15,16 @@
 
 from tests.cancelling import find_survived_steps, StartTask
 from tests.control_links import make_follower, QuietLink, REPLICAS
-from tests.test_caller_ends import GET, LIMITS, POST
+from tests.test_caller_ends import GET, in_virtual_time, LIMITS, POST
 from tests.test_deployment import make_deployment
-from wigeonford._tasks import run_supervised
+from wigeonford._tasks import cancel_tasks, run_supervised
 from wigeonford.errors import Code, PeerError
 from wigeonford.events import configure_logging, EventLog
 from wigeonford.http import HttpServer, Request, Response
-from wigeonford.http._connection import DISCARD_IDLE_TIMEOUT_S
+from wigeonford.http._connection import (
+    CallerConnection,
+    DISCARD_IDLE_TIMEOUT_S,
+)
 from wigeonford.messages.steering import (
     EntryStatus,
     FetchView,
@@ -202,6 +206,41 @@
         link = cast(ServerConnection, _StandInConnection(ends_at_once))
         return asyncio.create_task(server._serve_connection(link))
 
+    @in_virtual_time
+    async def test_task_that_goes_on_is_cancelled_again(self) -> None:
+        task = asyncio.create_task(_go_on(cancellations=1))
+        await asyncio.sleep(0.1)
+        async with asyncio.timeout(WATCHED_S):
+            await cancel_tasks((task,))
+        self.assertTrue(task.done())
+
+    @in_virtual_time
+    async def test_time_limit_of_a_stop_holds_whatever_goes_on(self) -> None:
+        loop = asyncio.get_running_loop()
+        server = HttpServer(_hang, LIMITS, EventLog())
+        task = asyncio.create_task(_go_on(cancellations=20))
+        server._tasks[task] = cast(CallerConnection, None)
+        await asyncio.sleep(0.1)
+        began_s = loop.time()
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(WATCHED_S):
+                await server._cancel_connections()
+        self.assertLessEqual(loop.time() - began_s, WATCHED_S + 0.1)
+        await cancel_tasks((task,))
+
+
+async def _go_on(cancellations: int) -> None:
+    """Ignore some cancellations."""
+    for _ in range(cancellations):
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.Event().wait()
+    await asyncio.Event().wait()
+
+
+async def _hang(_request: Request) -> Response:
+    await asyncio.Event().wait()
+    raise AssertionError("the event is never set")
+
 
 class HandlerEndTest(unittest.IsolatedAsyncioTestCase):
     """Stop a server of links while a message is handled."""
