Read past a limit only briefly where the event loop is slow

A result that arrived in time is read for up to 32 iterations of the event loop after its time limit. With iterations of 0.1 s, a wait of 0.5 s lasted 3.9 s in the new test, and a request was refused that late. After ten iterations, which is the way from a socket through a link to the task that waits, reading now goes on for 0.25 s in all, so that large replies are still read to their end where iterations are short.

Found by running tests.test_dispatch_fleet with a thread that computes in the process; whether callers there ran out of their 10 s for this is not shown.

--- a/src/wigeonford/_tasks.py
+++ b/src/wigeonford/_tasks.py
@@ -14,6 +14,10 @@
 READ_ITERATIONS: Final = 32
 """Event loop iterations to read a result that has arrived; each reads up to
 256 KiB of it."""
+MIN_READ_ITERATIONS: Final = 10
+"""From the socket through a link's reader to the task that waits."""
+READ_LIMIT_S: Final = 0.25
+"""Time after which no more than the fewest iterations are run."""
 
 _BOOT_CLOCK: Final = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 
@@ -100,7 +104,17 @@
 
 async def read_arrived() -> None:
     """Let tasks read what has arrived while this process stood still."""
-    for _ in range(READ_ITERATIONS):
+    await _read_until(lambda: False)
+
+
+async def _read_until(is_done: Callable[[], bool]) -> None:
+    """Run iterations of the event loop, few if each takes long."""
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + READ_LIMIT_S
+    for count in range(READ_ITERATIONS):
+        is_late = count >= MIN_READ_ITERATIONS and loop.time() > until_s
+        if is_late or is_done():
+            return
         await asyncio.sleep(0)
 
 
@@ -112,10 +126,9 @@
     """
     try:
         await asyncio.wait((fut,), timeout=max(0.0, timeout_s))
-        for _ in range(READ_ITERATIONS):
-            if fut.done():
-                return await fut
-            await asyncio.sleep(0)
-        raise TimeoutError
+        await _read_until(fut.done)
+        if not fut.done():
+            raise TimeoutError
+        return await fut
     finally:
         fut.cancel()
--- a/tests/test_task_ends.py
+++ b/tests/test_task_ends.py
@@ -17,7 +17,8 @@
 from tests.control_links import make_follower, QuietLink, REPLICAS
 from tests.test_caller_ends import GET, in_virtual_time, LIMITS, POST
 from tests.test_deployment import make_deployment
-from wigeonford._tasks import cancel_tasks, run_supervised
+from tests.virtual_time import VirtualLoop
+from wigeonford._tasks import cancel_tasks, run_supervised, wait_for_result
 from wigeonford.errors import Code, PeerError
 from wigeonford.events import configure_logging, EventLog
 from wigeonford.http import HttpServer, Request, Response
@@ -228,6 +229,21 @@
         self.assertLessEqual(loop.time() - began_s, WATCHED_S + 0.1)
         await cancel_tasks((task,))
 
+    @in_virtual_time
+    async def test_reading_past_a_limit_ends_on_a_slow_loop(self) -> None:
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, VirtualLoop)
+
+        def work() -> None:
+            loop.stall(0.1)
+            loop.call_soon(work)
+
+        loop.call_soon(work)
+        began_s = loop.time()
+        with self.assertRaises(TimeoutError):
+            await wait_for_result(loop.create_future(), 0.5)
+        self.assertLess(loop.time() - began_s, 2.0)
+
 
 async def _go_on(cancellations: int) -> None:
     """Ignore some cancellations."""
