--- a/tests/test_full_disk.py
+++ b/tests/test_full_disk.py
@@ -373,13 +373,14 @@
     return function(*args)
 
 
-class FullDiskTest(unittest.TestCase):
-    """Run five replicas in virtual time while disks are full."""
+class GroupTestCase(unittest.TestCase):
+    """Run five replicas in virtual time, on disks in a temporary folder."""
 
     def setUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        self.group = Group(Path(folder.name))
+        self.folder = Path(folder.name)
+        self.group = Group(self.folder)
         inline = mock.patch.object(RaftDisk, "_call", run_inline)
         inline.start()
         self.addCleanup(inline.stop)
@@ -405,6 +406,10 @@
         for content in self.group.acked:
             self.assertEqual(stored.count(content), 1, content)
 
+
+class FullDiskTest(GroupTestCase):
+    """Make and refuse changes while disks are full."""
+
     def test_changes_go_on_while_disks_are_full_in_turn(self) -> None:
         async def run() -> None:
             await self.start_all()
--- a/tests/test_lost_folder.py
+++ b/tests/test_lost_folder.py
@@ -2,18 +2,14 @@
 
 import asyncio
 from collections.abc import Callable
-from pathlib import Path
 import random
 import shutil
-import tempfile
 from typing import Any
-import unittest
 from unittest import mock
 
-from tests.test_full_disk import Group, NAMES, run_inline
+from tests.test_full_disk import GroupTestCase, NAMES
 from tests.virtual_time import run_virtual
 from wigeonford.control._group_service import GroupService
-from wigeonford.control._raft_disk import RaftDisk
 from wigeonford.control._raft_node import DEFAULT_TIMING
 from wigeonford.control._replica import ReplicaView
 from wigeonford.events import EventLog
@@ -22,29 +18,8 @@
 ELECTION_S = 3 * DEFAULT_TIMING.max_s
 
 
-class LostFolderTest(unittest.TestCase):
-    """Run five replicas in virtual time and take data folders away."""
-
-    def setUp(self) -> None:
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.folder = Path(folder.name)
-        self.group = Group(self.folder)
-        inline = mock.patch.object(RaftDisk, "_call", run_inline)
-        inline.start()
-        self.addCleanup(inline.stop)
-
-    async def start_all(self) -> str:
-        for name in NAMES:
-            await self.group.start(name)
-        await self.group.until_led()
-        self.assertTrue(await self.group.change(NAMES[0]))
-        await self.group.until_equal()
-        return await self.group.until_led()
-
-    async def stop_all(self) -> None:
-        for name in list(self.group.replicas):
-            await self.group.stop(name)
+class LostFolderTest(GroupTestCase):
+    """Take data folders away from replicas."""
 
     async def lose_folder(self, name: str) -> None:
         """Restart a replica with an empty data folder."""
--- a/tests/test_stalled_disk.py
+++ b/tests/test_stalled_disk.py
@@ -2,14 +2,17 @@
 
 import asyncio
 from collections.abc import Callable
-from pathlib import Path
 import random
-import tempfile
 from typing import Any, cast
 import unittest
 from unittest import mock
 
-from tests.test_full_disk import CHANGE_INTERVAL_S, Group, NAMES, run_inline
+from tests.test_full_disk import (
+    CHANGE_INTERVAL_S,
+    GroupTestCase,
+    NAMES,
+    run_inline,
+)
 from tests.test_raft import RaftMachine
 from tests.virtual_time import run_virtual, VirtualLoop
 from wigeonford.control._raft import RaftCore
@@ -109,37 +112,12 @@
         return len(machine.world.given_up)
 
 
-class StalledDiskTest(unittest.TestCase):
-    """Run five replicas in virtual time while disks stand still."""
-
-    def setUp(self) -> None:
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.group = Group(Path(folder.name))
-        inline = mock.patch.object(RaftDisk, "_call", run_inline)
-        inline.start()
-        self.addCleanup(inline.stop)
-
-    async def start_all(self) -> str:
-        for name in NAMES:
-            await self.group.start(name)
-        await self.group.until_led()
-        self.assertTrue(await self.group.change(NAMES[0]))
-        await self.group.until_equal()
-        return await self.group.until_led()
-
-    async def stop_all(self) -> None:
-        for name in list(self.group.replicas):
-            await self.group.stop(name)
+class StalledDiskTest(GroupTestCase):
+    """Make changes while disks stand still."""
 
     async def assert_all_take_part(self) -> None:
         await asyncio.sleep(DEFAULT_TIMING.max_s)
-        for name in NAMES:
-            self.assertIsNone(self.group.replicas[name].failure, name)
-            self.assertTrue(await self.group.change(name), name)
-        stored = await self.group.until_equal()
-        for content in self.group.acked:
-            self.assertEqual(stored.count(content), 1, content)
+        await super().assert_all_take_part()
 
     def test_a_change_at_a_stalled_leader_is_taken_by_the_next(self) -> None:
         async def run() -> None:
