Begin a kill of the soak's stops when the signal is sent

Traced: the VM's log ends at 47:15.697, where the drawn pause of 2.68 s suspends it over the end of its grace; the soak kills it at 47:18.3, 2 s after that, and the callers' connections are reset then. Such a kill explains a cut, but the soak recorded it once the parent had noticed the end of the process, after the callers had seen it, so that the spans did not overlap. The kill is now recorded from the signal on; the new test failed before. Nothing else is excused.

--- a/tests/soak/_processes.py
+++ b/tests/soak/_processes.py
@@ -6,6 +6,7 @@
 import shutil
 import signal
 import sys
+import time
 from typing import Final
 
 from tests.soak._plan import CONTROLS, ENTRIES
@@ -62,6 +63,7 @@
         self._settings = folder / "settings.toml"
         self._proc: asyncio.subprocess.Process | None = None
         self._starting = asyncio.Lock()
+        self.killed_at_s = float("-inf")
         self.data.mkdir(parents=True)
 
     async def start(self, *, bootstrap: bool = False) -> None:
@@ -136,6 +138,7 @@
             async with asyncio.timeout(grace_s + EXIT_MARGIN_S):
                 return await proc.wait()
         except TimeoutError:
+            self.killed_at_s = time.monotonic()
             proc.kill()
             return await proc.wait()
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,7 +1,10 @@
 """The soak: its drawn faults, its checks, and a short run of the daemons."""
 
 import asyncio
+import signal
 import socket
+import time
+from typing import cast
 import unittest
 
 from tests.soak.__main__ import FAULTS_S, run_seed
@@ -16,6 +19,8 @@
     Shutdown,
 )
 from tests.soak._plan import CONTROL_FAULTS, CONTROL_POWER_LOSS, draw_faults
+from tests.soak._processes import Program
+from tests.soak._soak import Soak
 
 REGRESSIONS: tuple[int, ...] = (
     # Two overlapping faults on one VM both restarted it, a bug of the soak.
@@ -31,6 +36,9 @@
     # The check of stops blamed one for responses that a silenced link had
     # taken before it began.
     1796419763,
+    # Suspended over the end of its stop, a VM was killed; callers saw that
+    # before the soak had recorded it.
+    1796445865,
 )
 """Seeds that failed once, each with the cause."""
 
@@ -282,6 +290,38 @@
         self.assertIs(Ending.TRUNCATED, await ending)
 
 
+class KilledProgram:
+    """Stand in for a process that is killed after its grace period."""
+
+    killed_at_s = 0.0
+
+    async def stop(self) -> int:
+        """Kill the process; its end is noticed after a while."""
+        self.killed_at_s = time.monotonic()
+        await asyncio.sleep(0.05)
+        return -signal.SIGKILL
+
+    async def start(self) -> None:
+        """Do nothing."""
+
+
+class KilledStopTest(unittest.IsolatedAsyncioTestCase):
+    """A process stands still over the end of its stop, and is killed."""
+
+    async def test_what_callers_see_before_the_parent_is_explained(
+        self,
+    ) -> None:
+        soak = Soak.__new__(Soak)
+        soak.observations = Observations()
+        program = KilledProgram()
+        soak.entries = [cast(Program, program)]
+        await soak.stop_entry(0, 0.0)
+        (kill,) = soak.observations.kills
+        seen_at_s = program.killed_at_s + 0.01
+        self.assertTrue(kill.overlaps(0, seen_at_s - 2.0, seen_at_s))
+        self.assertFalse(kill.overlaps(0, 0.0, program.killed_at_s - 0.01))
+
+
 class SoakTest(unittest.IsolatedAsyncioTestCase):
     """Run a short seed, and each seed that failed once."""
 
