Acknowledge nothing in a log file that was replaced

What operators saw: after a second process had opened the data folder of a replica that runs (a start by mistake that ends as its port is taken, or a `replica recover` that is refused), that replica went on to acknowledge changes which were gone after its restart.

Cause: a log file that is found on opening is copied to a new file, also by a process that ends at once. The running replica kept its descriptor of the old file, which no longer had a name; its writes and syncs succeeded.

Evidence: the test failed before, as the write to the replaced file raised nothing; it passes now.

Fix: after its sync, a write checks that its file still has a name. If not, the data folder counts as damaged, so that the replica takes no part until it is restarted. A copy made meanwhile may hold the entry, so its outcome is told as unknown. A rename between that check and the reply, by a process that had read the file before the write, is not noticed.

--- a/src/wigeonford/control/_log_file.py
+++ b/src/wigeonford/control/_log_file.py
@@ -198,9 +198,18 @@
                 raise StorageError(
                     f"{self._folder}: {exc}", may_be_stored=True
                 ) from exc
+            self._check_in_place(self._file)
         self._has_tail = False
         self._end_offset += len(frame)
 
+    def _check_in_place(self, file: int) -> None:
+        if not os.fstat(file).st_nlink:
+            # The copy may hold what has just been written, or not.
+            raise StorageDamagedError(
+                f"{self._path}: another process has replaced the file",
+                may_be_stored=True,
+            )
+
     def write_frame(self, file: int, frame: bytes) -> None:
         """Write one frame; tests override this to inject faults."""
         write_all(file, frame)
--- a/tests/test_control_store.py
+++ b/tests/test_control_store.py
@@ -21,6 +21,7 @@
 )
 from wigeonford.control._commands import COMMANDS, ExpireMember
 from wigeonford.control._raft_members import is_state_command
+from wigeonford.control._store import StorageDamagedError
 from wigeonford.errors import Code, WigeonfordError
 from wigeonford.events import EventLog
 from wigeonford.peer import PeerClient
@@ -189,6 +190,16 @@
         self.assertGreaterEqual(datasync.call_count, 1)
         self.assertGreaterEqual(fsync.call_count, 1)
 
+    def test_what_goes_to_a_file_that_was_replaced_is_not_stored(self) -> None:
+        store = self.open_store()
+        store.append([entry(1)])
+        # Another process copies the log, such as a second start by mistake.
+        LogFileStore(self.folder).close()
+        with self.assertRaises(StorageDamagedError) as caught:
+            store.append([entry(2)])
+        self.assertTrue(caught.exception.may_be_stored)
+        self.assertEqual(self.open_store().read_log(), [entry(1)])
+
 
 class FailedStorageTest(unittest.IsolatedAsyncioTestCase):
     """Run a replica whose disk becomes full."""
