--- a/src/wigeonford/settings/_files.py
+++ b/src/wigeonford/settings/_files.py
@@ -3,8 +3,6 @@
 from pathlib import Path
 from typing import TypeVar
 
-import jsonc
-
 from wigeonford.errors import Code, Fault, SettingsError
 from wigeonford.settings._decode import decode
 
@@ -13,6 +11,9 @@
 
 def read_jsonc(path: Path) -> object:
     """Return a file's document; raise `SettingsError` if unreadable."""
+    # The platform's daemons read no such file and start sooner without it.
+    import jsonc
+
     try:
         document: object = jsonc.loads(path.read_text(encoding="utf-8"))
     except (OSError, ValueError, RecursionError) as exc:
