--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -107,8 +107,12 @@
     Mutation(
         "STOP_CUTS_NOTHING",
         "http/_server.py",
-        "        deadline_s = loop.time() + grace_s\n",
-        "        deadline_s = loop.time()\n",
+        "        loop = asyncio.get_running_loop()\n"
+        "        deadline_s = loop.time() + timeout_s\n"
+        "        await self._close_listener()\n",
+        "        loop = asyncio.get_running_loop()\n"
+        "        deadline_s = loop.time()\n"
+        "        await self._close_listener()\n",
         ("tests.test_drain",),
     ),
     Mutation(
