--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -286,8 +286,8 @@
     Mutation(
         "ONE_ERROR_ENDS_NO_TASK",
         "_tasks.py",
-        "        await asyncio.sleep(RESTART_DELAY_S)\n",
-        "            raise\n",
+        "        if task.cancelling():\n",
+        "            raise\n        if task.cancelling():\n",
         ("tests.test_background_tasks",),
     ),
     Mutation(
