--- a/tests/test_odd_raft.py
+++ b/tests/test_odd_raft.py
@@ -3,17 +3,12 @@
 import asyncio
 from collections.abc import Iterator
 import math
-from pathlib import Path
-import tempfile
 from typing import Any, Final
-import unittest
-from unittest import mock
 
-from tests.test_full_disk import Group, NAMES, run_inline
+from tests.test_full_disk import GroupTestCase, NAMES
 from tests.virtual_time import run_virtual
 from wigeonford.control import COMMANDS, RaftReplica
 from wigeonford.control._raft import RaftCore
-from wigeonford.control._raft_disk import RaftDisk
 from wigeonford.control._raft_members import ChangeReplicas
 from wigeonford.control._raft_snapshot import pack_snapshot
 from wigeonford.errors import Code, PeerError
@@ -132,36 +127,24 @@
         yield self.append()
 
 
-class OddRaftTest(unittest.TestCase):
+class OddRaftTest(GroupTestCase):
     """Send odd messages to each of five replicas in virtual time."""
 
     def test_odd_messages_end_no_replica(self) -> None:
-        async def run(folder: Path) -> None:
-            group = Group(folder)
-            for name in NAMES:
-                await group.start(name)
-            await group.until_led()
-            self.assertTrue(await group.change(NAMES[0]))
-            await group.until_equal()
-            leader = await group.until_led()
+        async def run() -> None:
+            leader = await self.start_all()
             follower = next(name for name in NAMES if name != leader)
+            replicas = self.group.replicas
             for name, other in ((leader, follower), (follower, leader)):
-                await self.send_odd(
-                    group.replicas[name], group.replicas[other]
-                )
+                await self.send_odd(replicas[name], replicas[other])
             await asyncio.sleep(SETTLE_S)
             for name in NAMES:
-                self.assertFalse(group.replicas[name].has_stopped, name)
-                self.assertTrue(await group.change(name), name)
-            await group.until_equal()
-            for name in NAMES:
-                await group.stop(name)
+                self.assertFalse(replicas[name].has_stopped, name)
+                self.assertTrue(await self.group.change(name), name)
+            await self.group.until_equal()
+            await self.stop_all()
 
-        with (
-            tempfile.TemporaryDirectory() as folder,
-            mock.patch.object(RaftDisk, "_call", run_inline),
-        ):
-            run_virtual(run(Path(folder)))
+        run_virtual(run())
 
     async def send_odd(self, to: RaftReplica, other: RaftReplica) -> None:
         core = to._driver.core
--- a/tests/test_skipped_entries.py
+++ b/tests/test_skipped_entries.py
@@ -8,7 +8,7 @@
 from unittest import mock
 
 from tests.test_deployment import make_announcement
-from tests.test_full_disk import Group, NAMES, run_inline
+from tests.test_full_disk import GroupTestCase, NAMES
 from tests.virtual_time import run_virtual
 from wigeonford.control import (
     AnnounceTargets,
@@ -23,7 +23,6 @@
     TargetService,
 )
 from wigeonford.control._commands import ExpireMember
-from wigeonford.control._raft_disk import RaftDisk
 from wigeonford.errors import Code, WigeonfordError
 from wigeonford.events import EventLog
 from wigeonford.http import Request
@@ -98,25 +97,20 @@
         with tempfile.TemporaryDirectory() as folder:
             asyncio.run(run(Path(folder)))
 
+
+class SkippedCommandTest(GroupTestCase):
+    """Propose a command that no replica can apply."""
+
     def test_command_that_the_leader_skips_is_not_acknowledged(self) -> None:
-        async def run(folder: Path) -> None:
-            group = Group(folder)
-            for name in NAMES:
-                await group.start(name)
-            await group.until_led()
-            self.assertTrue(await group.change(NAMES[0]))
+        async def run() -> None:
+            await self.start_all()
             with mock.patch.object(State, "apply", side_effect=KeyError("x")):
-                for replica in group.replicas.values():
+                for replica in self.group.replicas.values():
                     with self.assertRaises(WigeonfordError) as caught:
                         await replica.propose(ExpireMember("vm", 0))
                     self.assertIs(Code.INTERNAL, caught.exception.code)
             for name in NAMES:
-                self.assertTrue(await group.change(name))
-            for name in NAMES:
-                await group.stop(name)
+                self.assertTrue(await self.group.change(name))
+            await self.stop_all()
 
-        with (
-            tempfile.TemporaryDirectory() as folder,
-            mock.patch.object(RaftDisk, "_call", run_inline),
-        ):
-            run_virtual(run(Path(folder)))
+        run_virtual(run())
