Log what is counted against requests that crash targets

Events 329, 330 and 331, the request's fingerprint in 202 and 331, and the targets in the detail of code 1208. No decision is changed.

--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -282,6 +282,17 @@
     TARGET_LIMIT_TOLD = _event(
         328, "another entry VM read a target's limit, or its end"
     )
+    CRASH_COUNTED = _event(
+        329,
+        "counted the end of a target against a request",
+        logging.WARNING,
+    )
+    CRASH_TOLD = _event(
+        330, "other entry VMs counted ends of targets against a request"
+    )
+    ATTEMPT_ABANDONED = _event(
+        331, "gave up an attempt before its result was known"
+    )
     TARGET_SLOW = _event(
         322, "a target is far slower than its peers", logging.WARNING
     )
--- a/src/wigeonford/steer/_admission.py
+++ b/src/wigeonford/steer/_admission.py
@@ -139,7 +139,9 @@
             ctx.request_fingerprint, self._clock()
         ):
             raise RequestRejected(
-                Code.QUARANTINED, "targets failed during this request"
+                Code.QUARANTINED,
+                f"request {ctx.request_fingerprint.hex()}: targets failed: "
+                + ", ".join(self._suspects.deaths_of(ctx.request_fingerprint)),
             )
         return ctx
 
--- a/src/wigeonford/steer/_attempt_observer.py
+++ b/src/wigeonford/steer/_attempt_observer.py
@@ -111,6 +111,13 @@
             self._suspects.record(
                 ctx.request_fingerprint, record.target_id, now_s
             )
+            self._log.emit(
+                Event.CRASH_COUNTED,
+                request=ctx.req.request_id,
+                fingerprint=ctx.request_fingerprint.hex(),
+                target=record.target_id,
+                known=self._suspects.deaths_of(ctx.request_fingerprint),
+            )
         if not failed and record.mark_up(now_s, cold_s):
             self._log.emit(Event.TARGET_BACK, target=record.target_id)
         if response is not None and not failed:
--- a/src/wigeonford/steer/_follower.py
+++ b/src/wigeonford/steer/_follower.py
@@ -346,7 +346,15 @@
                 address,
                 self.roster.apply(address, notice.roster, time.monotonic()),
             )
-        self._suspects.merge(notice.suspicions, time.monotonic())
+        for suspicion in self._suspects.merge(
+            notice.suspicions, time.monotonic()
+        ):
+            self._log.emit(
+                Event.CRASH_TOLD,
+                fingerprint=suspicion.fingerprint.hex(),
+                targets=suspicion.deaths,
+                control=address,
+            )
         if self._group.update_leader(notice):
             self.leader_changed.set()
         if self._group.update_members(notice):
--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -275,6 +275,16 @@
                     ctx.begin_sending,
                 )
             )
+        except BaseException as exc:
+            self._log.emit(
+                Event.ATTEMPT_ABANDONED,
+                request=ctx.req.request_id,
+                fingerprint=ctx.request_fingerprint.hex(),
+                target=record.target_id,
+                detail=type(exc).__name__,
+                took_s=round(self._clock() - began_s, 3),
+            )
+            raise
         finally:
             record.in_flight -= 1
             del running_since_s[id(ctx)]
@@ -311,6 +321,7 @@
         self._log.emit(
             Event.ATTEMPT_FAILED,
             request=ctx.req.request_id,
+            fingerprint=ctx.request_fingerprint.hex(),
             target=record.target_id,
             outcome=result.outcome.value,
             detail=result.detail,
--- a/src/wigeonford/steer/_suspects.py
+++ b/src/wigeonford/steer/_suspects.py
@@ -44,12 +44,26 @@
         self._own_sequences[fingerprint] = self.sequence
         self._add(fingerprint, (target,), now_s)
 
-    def merge(self, suspicions: Iterable[Suspicion], now_s: float) -> None:
-        """Add the deaths that other entry VMs have recorded."""
+    def deaths_of(self, fingerprint: bytes) -> tuple[str, ...]:
+        """Return the targets that died during a request."""
+        return tuple(sorted(self._deaths.get(fingerprint, ())))
+
+    def merge(
+        self, suspicions: Iterable[Suspicion], now_s: float
+    ) -> list[Suspicion]:
+        """Add the deaths that other entry VMs have recorded.
+
+        Return the suspicions that held a new one.
+        """
+        changed: list[Suspicion] = []
         for suspicion in suspicions:
             if self._cleared_until_s.get(suspicion.fingerprint, 0.0) > now_s:
                 continue
+            known = self._deaths.get(suspicion.fingerprint, set())
+            if not known.issuperset(suspicion.deaths):
+                changed.append(suspicion)
             self._add(suspicion.fingerprint, suspicion.deaths, now_s)
+        return changed
 
     def _add(
         self, fingerprint: bytes, deaths: Iterable[str], now_s: float
