--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -235,7 +235,7 @@
             AccountRates(name),
             LoanBatcher(refuse_loans, log, loop.time),
             suspects,
-            cast(TargetConnections, StandInConnections(self, fleet)),
+            fleet.make_connections(self),
             RetryBounds(),
             Metrics(),
             log,
@@ -299,11 +299,11 @@
     ) -> None:
         self._rng = random.Random(seed)
         self._rate_per_s = rate_per_s
-        self._replicas = [StandInReplica() for _ in REPLICA_ADDRESSES]
-        self._handlers = [Handlers() for _ in self._replicas]
+        self.replicas = [StandInReplica() for _ in REPLICA_ADDRESSES]
+        self._handlers = [Handlers() for _ in self.replicas]
         self._services: list[ViewService] = []
         self._numbers = itertools.count()
-        self._requests: set[asyncio.Task[None]] = set()
+        self.requests: set[asyncio.Task[None]] = set()
         self.targets = {
             f"t-{number}": StandInTarget(
                 make_announcement(
@@ -320,6 +320,10 @@
             for number in range(vm_count)
         ]
 
+    def make_connections(self, vm: StandInVm) -> TargetConnections:
+        """Return the connections of an entry VM to the targets."""
+        return cast(TargetConnections, StandInConnections(vm, self))
+
     def handlers_of(self, address: Address) -> Handlers:
         """Return the message handlers of the replica at an address."""
         return self._handlers[REPLICA_ADDRESSES.index(str(address))]
@@ -332,7 +336,7 @@
         announcements = tuple(
             target.announcement for target in self.targets.values()
         )
-        for number, replica in enumerate(self._replicas):
+        for number, replica in enumerate(self.replicas):
             service = make_service(replica, loop.time, number + 1)
             service.attach(self._handlers[number])  # type: ignore[arg-type]
             limits = LimitService(loop.time)
@@ -353,7 +357,7 @@
 
     async def stop(self) -> None:
         """Stop everything, requests in flight included."""
-        for task in self._requests:
+        for task in self.requests:
             task.cancel()
         for vm in self.vms:
             await vm.follower.stop()
@@ -385,8 +389,8 @@
             task = asyncio.create_task(
                 vm.request(next(self._numbers), object_id)
             )
-            self._requests.add(task)
-            task.add_done_callback(self._requests.discard)
+            self.requests.add(task)
+            task.add_done_callback(self.requests.discard)
 
     def outcomes(self) -> Counter[str]:
         """Return the outcomes of all requests until now."""
