Count each crash of a target against all requests in flight there

Cause: a crash was counted only by the attempt that it broke, and only on a new connection. Attempts on used connections, those that callers had left, and responses that broke off amid a streamed body counted nothing; a target that came back under its id counted once; uploads of one path had one fingerprint. Reports waited for the next watch, and a replica that restarted was not told what other VMs had seen.

Change: entry VMs keep which requests are in flight at a target, or were given up less than 2 s ago. A broken attempt asks the target for a connection; one that accepts none has crashed, and the crash counts against all of these. A complete response clears a request on all VMs. After one crash a request is tried by one VM at a time, after more it waits 2 s, 8 s, 32 s and so on. Crashes that a request with three of them explains count against no other. Observations go to all replicas at once and are streamed from there, as targets' limits are; on a new link a VM tells all that it knows. The product's own path has the same table in place of its own.

--- a/src/wigeonford/_compose_steer_control.py
+++ b/src/wigeonford/_compose_steer_control.py
@@ -23,6 +23,7 @@
     RaftReplica,
     Replica,
     Service,
+    SuspectService,
     TargetService,
     ViewService,
 )
@@ -145,6 +146,7 @@
         ),
         targets,
         LimitService(log=log),
+        SuspectService(),
         QuotaService(replica, log),
         group,
     )
--- a/src/wigeonford/_compose_steer_entry.py
+++ b/src/wigeonford/_compose_steer_entry.py
@@ -31,13 +31,14 @@
     QuotaReporter,
     Readiness,
     SteerDaemon,
-    SuspectTable,
+    SuspectExchange,
     TargetConnections,
     TargetLimits,
     TargetRecords,
     TargetWire,
     ViewFollower,
 )
+from wigeonford.suspects import SuspectTable
 
 BuildCallerApi = Callable[[Forwarder], Handler]
 BuildLookupApi = Callable[[ViewFollower, Readiness], Handler]
@@ -75,7 +76,7 @@
     rng = random.Random()
     metrics = Metrics()
     readiness = Readiness(make_status)
-    suspects = SuspectTable()
+    suspects = SuspectTable(cfg.name)
     target_limits = TargetLimits(
         cfg.name,
         lambda: follower.running_entries(),
@@ -84,8 +85,7 @@
     follower = ViewFollower(
         seeds,
         lambda: readiness.status,
-        suspects,
-        LimitExchange(target_limits, log),
+        (LimitExchange(target_limits, log), SuspectExchange(suspects, log)),
         make_peer_client,
         log,
         rng,
--- a/src/wigeonford/control/__init__.py
+++ b/src/wigeonford/control/__init__.py
@@ -35,6 +35,7 @@
     StorageError,
     Store,
 )
+from wigeonford.control._suspect_service import SuspectService
 from wigeonford.control._target_service import TargetService
 from wigeonford.control._view_service import ViewService
 
@@ -51,6 +52,7 @@
     "GroupService",
     "IssueKey",
     "LimitService",
+    "SuspectService",
     "LogEntry",
     "LogFileStore",
     "QuotaService",
--- a/src/wigeonford/control/_limit_service.py
+++ b/src/wigeonford/control/_limit_service.py
@@ -1,11 +1,10 @@
 """The service that passes on the limits that targets state."""
 
-import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 import itertools
 import time
-from typing import Final
 
+from wigeonford.control._relay_service import RelayService
 from wigeonford.deployment import MAX_NAME_CHARS
 from wigeonford.events import Event, EventLog
 from wigeonford.messages.steering import (
@@ -13,7 +12,6 @@
     ReportTargetLimits,
     TargetLimitsUpdate,
 )
-from wigeonford.peer import Done, PeerServer
 from wigeonford.stated_limits import (
     decode_limit,
     encode_limit,
@@ -21,42 +19,32 @@
     StatedLimits,
 )
 
-LIMIT_BATCH_S: Final = 0.05
-"""Reports within this time are sent together; when a target states a limit,
-several entry VMs read it at about the same time."""
 
+class LimitService(RelayService):
+    """Pass on limits from the entry VMs that read them to all others."""
 
-class LimitService:
-    """Pass on limits from the entry VMs that read them to all others.
-
-    Each entry VM reports to every replica, so replicas exchange nothing. The
-    state is in memory: entry VMs report again to a replica that has restarted.
-    """
+    report_type = ReportTargetLimits
+    follow_type = FollowTargetLimits
 
     def __init__(
         self,
         clock: Callable[[], float] = time.monotonic,
         log: EventLog | None = None,
     ) -> None:
+        super().__init__()
         self._clock = clock
         self._log = log or EventLog()
         self._limits = StatedLimits()
-        self._reported = asyncio.Event()
-
-    def attach(self, server: PeerServer) -> None:
-        """Register the message handlers."""
-        server.handle(ReportTargetLimits, self._on_report)
-        server.handle_stream(FollowTargetLimits, self._on_follow)
 
-    async def start(self) -> None:
-        """Return: the service runs nothing by itself."""
+    @property
+    def revision(self) -> int:
+        """Return how many observations were the latest of a target."""
+        return self._limits.revision
 
-    async def stop(self) -> None:
-        """Return: streams end with their links."""
-
-    async def _on_report(self, message: ReportTargetLimits) -> Done:
+    def merge(self, report: ReportTargetLimits) -> bool:
+        """Merge limits; return whether any of them is the latest."""
         now_s = self._clock()
-        for stated in itertools.filterfalse(is_usable, message.limits):
+        for stated in itertools.filterfalse(is_usable, report.limits):
             self._log.emit(
                 Event.TARGET_LIMIT_UNREADABLE,
                 target=stated.target_id[:MAX_NAME_CHARS],
@@ -64,32 +52,16 @@
             )
         changes = [
             self._limits.merge(decode_limit(limit, now_s), now_s)
-            for limit in filter(is_usable, message.limits)
+            for limit in filter(is_usable, report.limits)
         ]
-        if any(changes):
-            self._reported.set()
-            self._reported = asyncio.Event()
-        return Done()
-
-    async def _on_follow(
-        self, _message: FollowTargetLimits
-    ) -> AsyncIterator[TargetLimitsUpdate]:
-        """Yield what is known, then what is reported."""
-        sent_revision = 0
-        while True:
-            reported = self._reported
-            if self._limits.revision > sent_revision:
-                update = self._changes_since(sent_revision)
-                sent_revision = self._limits.revision
-                yield update
-            await reported.wait()
-            await asyncio.sleep(LIMIT_BATCH_S)
+        return any(changes)
 
-    def _changes_since(self, revision: int) -> TargetLimitsUpdate:
+    def build_update(self, since: int) -> TargetLimitsUpdate:
+        """Return the limits observed after a revision."""
         now_s = self._clock()
         return TargetLimitsUpdate(
             tuple(
                 encode_limit(limit, now_s)
-                for limit in self._limits.changed_since(revision)
+                for limit in self._limits.changed_since(since)
             )
         )
--- a/src/wigeonford/control/_view_service.py
+++ b/src/wigeonford/control/_view_service.py
@@ -11,7 +11,6 @@
 from wigeonford.control._cold_clock import ColdClock
 from wigeonford.control._replica import Replica
 from wigeonford.control._roster import Roster
-from wigeonford.control._suspicions import Suspicions
 from wigeonford.deployment import check_announcement, MAX_NAME_CHARS
 from wigeonford.events import Event, EventLog
 from wigeonford.messages.steering import (
@@ -20,7 +19,6 @@
     FetchView,
     FollowView,
     ReportStatus,
-    Suspicion,
     ViewNotice,
     ViewUpdate,
     WatchView,
@@ -76,8 +74,6 @@
         self._availability_zone = availability_zone
         self._roster = Roster(epoch)
         self._published_roster_revision = 0
-        self._suspicions = Suspicions()
-        self._published_suspicion_revision = 0
         self._update_event = asyncio.Event()
         self._change_event = asyncio.Event()
         self._unusable_targets: set[tuple[str, int, int]] = set()
@@ -119,7 +115,6 @@
             await asyncio.sleep(update_batch_s(len(self._roster)))
             self._change_event.clear()
             self._log_unusable()
-            self._published_suspicion_revision = self._suspicions.revision
             self._wake_watchers()
 
     def _log_unusable(self) -> None:
@@ -175,8 +170,6 @@
             self._record_status(message.status)
         elif not self._roster.refresh(message.name, self._clock()):
             return replace(self._build_notice(message), is_known=False)
-        if self._suspicions.merge(message.suspicions, self._clock()):
-            self._change_event.set()
         until_s = self._clock() + self._watch_timeout_s()
         while not self._has_updates(message):
             update_event = self._update_event
@@ -206,27 +199,12 @@
             self._replica.state.steering.revision > message.revision
             or self._has_roster_updates(message)
             or self._has_newer_leader(message.term)
-            or self._has_new_suspicions(message)
         )
 
     def _has_newer_leader(self, term: int) -> bool:
         """Return whether a leader of a term after `term` is known."""
         return self._replica.leader is not None and self._replica.term > term
 
-    def _has_new_suspicions(self, message: WatchView) -> bool:
-        """Return whether an entry VM lacks suspicions that it requests."""
-        if message.roster_epoch is None:
-            return False
-        return (
-            self._published_suspicion_revision
-            > self._known_suspicion_revision(message)
-        )
-
-    def _known_suspicion_revision(self, message: WatchView) -> int:
-        """Return the revision of the suspicions that an entry VM has."""
-        same_run = message.roster_epoch == self._roster.epoch
-        return message.suspicion_revision if same_run else 0
-
     def _has_roster_updates(self, message: WatchView) -> bool:
         if message.roster_epoch is None:
             return False
@@ -243,12 +221,6 @@
             roster = self._roster.changes_since(
                 message.roster_epoch, message.roster_revision
             )
-        suspicions: tuple[Suspicion, ...] = ()
-        suspicion_revision = 0
-        if message.roster_epoch is not None:
-            known = self._known_suspicion_revision(message)
-            suspicions = self._suspicions.changed_since(known, self._clock())
-            suspicion_revision = self._suspicions.revision
         members = self._members()
         same = control_digest(members) == message.control
         location = (self._region, self._availability_zone)
@@ -256,7 +228,6 @@
             self._replica.state.steering.revision,
             roster,
             None if same else members,
-            suspicions,
             location if message.status is not None else None,
             leader=(
                 self._replica.leader
@@ -264,7 +235,6 @@
                 else None
             ),
             term=self._replica.term,
-            suspicion_revision=suspicion_revision,
         )
 
     async def _on_follow(
--- a/src/wigeonford/entry/_dispatch.py
+++ b/src/wigeonford/entry/_dispatch.py
@@ -173,6 +173,8 @@
         side = Side.OLD if progress.outbound.share is not None else None
         if self._slots.has_waiters(service, side):
             return False
+        if self._poison_requests.is_suspected(progress.fingerprint):
+            return False
         return self._hedges.spend()
 
     async def _attempt(self, progress: _RequestProgress) -> Response:
@@ -191,13 +193,11 @@
         )
         progress.tried.add(target_id)
         progress.decision.add("attempt", target=target_id, side=side)
-        self._poison_requests.add_in_flight(target_id, progress.fingerprint)
+        flight = self._poison_requests.begin(target_id, progress.fingerprint)
         started_s = time.monotonic()
 
         def release() -> None:
-            self._poison_requests.remove_in_flight(
-                target_id, progress.fingerprint
-            )
+            self._poison_requests.end(flight)
             self._slots.release(outbound.service.name, side, offer)
 
         fresh, progress.fresh = progress.fresh, False
--- a/src/wigeonford/entry/_outbound.py
+++ b/src/wigeonford/entry/_outbound.py
@@ -14,7 +14,7 @@
     Headers,
 )
 from wigeonford.model import RequestClass, Service, Share
-from wigeonford.policy import request_fingerprint
+from wigeonford.suspects import request_fingerprint
 
 RETRY_AFTER_S: Final = 1.0
 _IDEMPOTENCY_HEADER: Final = b"idempotency-key"
--- a/src/wigeonford/entry/_suspects.py
+++ b/src/wigeonford/entry/_suspects.py
@@ -1,7 +1,6 @@
 """Poison requests: those in flight at targets when these crash."""
 
 import asyncio
-from collections import Counter
 import contextlib
 import time
 from typing import Final
@@ -10,15 +9,16 @@
 from wigeonford.errors import Code, RequestRejected, RunState
 from wigeonford.events import Event, EventLog
 from wigeonford.http import ClientConnection, ConnectFailed
-from wigeonford.messages.slot import SuspectCleared, TargetCrash
+from wigeonford.messages.steering import ReportSuspects
 from wigeonford.peer import Done, PeerServer
-from wigeonford.policy import Quarantine
 from wigeonford.settings import parse_address
+from wigeonford.suspects import Flight, SuspectTable
 
 PROBE_TIMEOUT_S: Final = 0.2
 BROADCAST_TIMEOUT_S: Final = 1.0
-RETRY_AFTER_S: Final = 30.0
-MAX_REPORTED_SUSPECTS: Final = 64
+SAME_CRASH_S: Final = 1.0
+"""Time within which crashes at one address are the same one: targets take
+longer to start again."""
 
 
 class PoisonRequests:
@@ -27,47 +27,50 @@
     def __init__(self, peers: RegionPeers, log: EventLog) -> None:
         self._peers = peers
         self._log = log
-        self._quarantine = Quarantine()
-        self._in_flight: dict[str, Counter[bytes]] = {}
+        self._suspects = SuspectTable(peers.name)
+        self._suspects.on_report = self._broadcast
+        self._sent_sequence = 0
         self._probes: dict[str, asyncio.Task[bool]] = {}
 
     def attach(self, server: PeerServer) -> None:
-        """Register the message handlers."""
-        server.handle(TargetCrash, self._receive_death)
-        server.handle(SuspectCleared, self._receive_cleared)
+        """Register the message handler."""
+        server.handle(ReportSuspects, self._receive)
 
     def require_allowed(self, fingerprint: bytes, *, sent: bool) -> None:
         """Raise `RequestRejected` for a request in quarantine.
 
         `sent` says that a target may have received an earlier attempt.
         """
-        if self._quarantine.is_quarantined(fingerprint, time.monotonic()):
+        now_s = time.monotonic()
+        standing = self._suspects.standing(fingerprint, now_s)
+        if standing.wait_s > 0:
             self._log.emit(
-                Event.REQUEST_QUARANTINED, fingerprint=fingerprint.hex()
+                Event.REQUEST_QUARANTINED,
+                fingerprint=fingerprint.hex(),
+                crashes=standing.describe_crashes(now_s),
             )
             raise RequestRejected(
                 Code.QUARANTINED,
                 run_state=RunState.UNKNOWN if sent else RunState.NOT_RUN,
-                retry_after_s=None if sent else RETRY_AFTER_S,
+                retry_after_s=None if sent else standing.wait_s,
             )
 
-    def add_in_flight(self, target_id: str, fingerprint: bytes) -> None:
-        """Record that a request is in flight at a target."""
-        self._in_flight.setdefault(target_id, Counter())[fingerprint] += 1
+    def is_suspected(self, fingerprint: bytes) -> bool:
+        """Return whether a target crashed during a request."""
+        standing = self._suspects.standing(fingerprint, time.monotonic())
+        return bool(standing.crashes)
+
+    def begin(self, target_id: str, fingerprint: bytes) -> Flight:
+        """Record that a request is sent to a target."""
+        return self._suspects.begin(target_id, fingerprint, time.monotonic())
 
-    def remove_in_flight(self, target_id: str, fingerprint: bytes) -> None:
+    def end(self, flight: Flight) -> None:
         """Record that a target has finished a request."""
-        in_flight = self._in_flight[target_id]
-        in_flight[fingerprint] -= 1
-        if not in_flight[fingerprint]:
-            del in_flight[fingerprint]
-        if not in_flight:
-            del self._in_flight[target_id]
+        self._suspects.end(flight, time.monotonic())
 
     def clear(self, fingerprint: bytes) -> None:
         """Clear a request, because a target completed its response."""
-        if self._quarantine.clear(fingerprint):
-            self._broadcast(SuspectCleared(fingerprint))
+        self._suspects.clear_request(fingerprint, time.monotonic())
 
     async def check_crashed(self, target_id: str, fingerprint: bytes) -> bool:
         """Return whether a target whose response broke off has crashed.
@@ -77,47 +80,53 @@
         """
         probe = self._probes.get(target_id)
         if probe is None:
-            suspects = {*self._in_flight.get(target_id, ()), fingerprint}
-            probe = asyncio.create_task(self._probe(target_id, suspects))
+            probe = asyncio.create_task(self._probe(target_id, fingerprint))
             self._probes[target_id] = probe
             probe.add_done_callback(
                 lambda _: self._probes.pop(target_id, None)
             )
         with contextlib.suppress(asyncio.CancelledError):
-            return await asyncio.shield(probe)
+            crashed = await asyncio.shield(probe)
+            if crashed:
+                self._record_crash(target_id, fingerprint)
+            return crashed
         raise asyncio.CancelledError
 
-    async def _probe(self, target_id: str, suspects: set[bytes]) -> bool:
+    async def _probe(self, target_id: str, fingerprint: bytes) -> bool:
         try:
             conn = await ClientConnection.open(
                 parse_address(target_id), PROBE_TIMEOUT_S
             )
         except ConnectFailed:
-            self._record_crash(target_id, suspects)
+            self._record_crash(target_id, fingerprint)
             return True
         conn.close()
         return False
 
-    def _record_crash(self, target_id: str, suspects: set[bytes]) -> None:
+    def _record_crash(self, target_id: str, fingerprint: bytes) -> None:
         now_s = time.monotonic()
-        self._quarantine.record_crash(target_id, suspects, now_s)
-        self._log.emit(
-            Event.TARGET_DIED, target=target_id, suspects=len(suspects)
+        crash = self._suspects.record_crash(
+            target_id, now_s - SAME_CRASH_S, now_s, frozenset({fingerprint})
         )
-        reported = tuple(sorted(suspects)[:MAX_REPORTED_SUSPECTS])
-        self._broadcast(TargetCrash(target_id, reported))
+        if crash is not None:
+            self._log.emit(
+                Event.TARGET_DIED,
+                target=target_id,
+                suspects=len(crash.fingerprints),
+            )
 
-    def _broadcast(self, record: TargetCrash | SuspectCleared) -> None:
+    def _broadcast(self) -> None:
+        sequence = self._suspects.sequence
+        records = self._suspects.own_records_since(
+            self._sent_sequence, time.monotonic()
+        )
+        self._sent_sequence = sequence
         for name in self._peers.names:
             if name != self._peers.name:
-                self._peers.send(name, record, BROADCAST_TIMEOUT_S)
-
-    async def _receive_death(self, record: TargetCrash) -> Done:
-        self._quarantine.record_crash(
-            record.target_id, record.fingerprints, time.monotonic()
-        )
-        return Done()
+                self._peers.send(
+                    name, ReportSuspects(records), BROADCAST_TIMEOUT_S
+                )
 
-    async def _receive_cleared(self, record: SuspectCleared) -> Done:
-        self._quarantine.clear(record.fingerprint)
+    async def _receive(self, report: ReportSuspects) -> Done:
+        self._suspects.merge(report.records, time.monotonic())
         return Done()
--- a/src/wigeonford/http/_client.py
+++ b/src/wigeonford/http/_client.py
@@ -8,6 +8,7 @@
 import re
 import socket
 import ssl
+import time
 from typing import Final
 
 import h11
@@ -105,6 +106,7 @@
         self._exchange_count = 0
         self._request_id_hashes: set[int] = set()
         self.address = address
+        self.opened_at_s = time.monotonic()
         self.used_at_s = 0.0
         self.idle_limit_s = float("inf")
 
@@ -165,6 +167,21 @@
             return not self._exchange_count
         return hash(request_id) not in self._request_id_hashes
 
+    async def wait_for_end(self, timeout_s: float) -> bool:
+        """Return whether the server ends an idle connection in time."""
+        ended = asyncio.Event()
+        if self._reader.is_closed:
+            return True
+        self._reader.on_closed = ended.set
+        try:
+            async with asyncio.timeout(timeout_s):
+                await ended.wait()
+        except TimeoutError:
+            return False
+        finally:
+            self._reader.on_closed = None
+        return True
+
     def limit_reads(self, until_s: float | None) -> None:
         """Raise `ExchangeTimedOut` for what arrives after a time.
 
--- a/src/wigeonford/messages/slot.py
+++ b/src/wigeonford/messages/slot.py
@@ -32,24 +32,6 @@
     sequence: int
 
 
-@message(64)
-class TargetCrash(msgspec.Struct, frozen=True):
-    """Report the requests that were in flight when a target failed."""
-
-    target_id: str
-    fingerprints: tuple[bytes, ...]
-
-
-@message(65)
-class SuspectCleared(msgspec.Struct, frozen=True):
-    """Report that a suspected request got a complete response.
-
-    The request is no longer suspected of crashing targets.
-    """
-
-    fingerprint: bytes
-
-
 @message(66)
 class TargetHandover(msgspec.Struct, frozen=True):
     """Make another entry VM the owner of a target and of its slot grants."""
--- a/src/wigeonford/messages/steering.py
+++ b/src/wigeonford/messages/steering.py
@@ -1,6 +1,7 @@
 """Messages between entry VMs and control about the routing state."""
 
 from collections.abc import Iterable
+from enum import Enum
 import zlib
 
 import msgspec
@@ -23,13 +24,6 @@
     is_ready: bool
 
 
-class Suspicion(msgspec.Struct, frozen=True, array_like=True):
-    """Report which incarnations of targets failed while running a request."""
-
-    fingerprint: bytes
-    deaths: tuple[str, ...]
-
-
 class QuotaLeaseRequest(msgspec.Struct, frozen=True, array_like=True):
     """Ask for a fraction of an account's rate, 0 to 1.
 
@@ -72,9 +66,6 @@
     `roster_epoch` and `roster_revision` are those of the last roster from
     this replica; the epoch is None if no roster is wanted. `control` is the
     digest of the known replicas, and `term` the term of the known leader.
-    `suspicions` are those of this VM that it has not yet sent to the
-    replica. `suspicion_revision` is the last revision received of the
-    replica's own suspicions, in its epoch.
     """
 
     revision: int
@@ -84,8 +75,6 @@
     roster_revision: int
     control: int
     term: int
-    suspicions: tuple[Suspicion, ...] = ()
-    suspicion_revision: int = 0
 
 
 @message(191)
@@ -102,12 +91,10 @@
     revision: int
     roster: RosterChange | None
     control: tuple[str, ...] | None
-    suspicions: tuple[Suspicion, ...] = ()
     location: tuple[str, str] | None = None
     is_known: bool = True
     leader: str | None = None
     term: int = 0
-    suspicion_revision: int = 0
 
 
 @message(192)
@@ -177,6 +164,48 @@
     limits: tuple[TargetLimit, ...]
 
 
+class SuspectKind(Enum):
+    """Say what an entry VM observed of a request."""
+
+    CRASH = "crash"
+    CLEARANCE = "clearance"
+    TRIAL = "trial"
+
+
+class SuspectRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Report an observation of requests, which `fingerprints` name.
+
+    `name` is that of a target's crash, or of the entry VM that makes a trial.
+    `age_ms` is how long ago it was made, since clocks of VMs differ;
+    `left_ms` is how much longer a trial may last, 0 if it has ended.
+    """
+
+    kind: SuspectKind
+    name: str
+    fingerprints: tuple[bytes, ...]
+    age_ms: int
+    left_ms: int = 0
+
+
+@message(206)
+class ReportSuspects(msgspec.Struct, frozen=True, array_like=True):
+    """Report what an entry VM observed of requests that crash targets."""
+
+    records: tuple[SuspectRecord, ...]
+
+
+@message(207)
+class FollowSuspects(msgspec.Struct, frozen=True, array_like=True):
+    """Ask for a stream of what entry VMs report of such requests."""
+
+
+@message(208)
+class SuspectsUpdate(msgspec.Struct, frozen=True, array_like=True):
+    """Report what is known of such requests, or was reported since."""
+
+    records: tuple[SuspectRecord, ...]
+
+
 @message(194)
 class ReportStatus(msgspec.Struct, frozen=True, array_like=True):
     """Report at once that an entry VM became ready or is no longer ready."""
--- a/src/wigeonford/metrics.py
+++ b/src/wigeonford/metrics.py
@@ -43,6 +43,11 @@
             "by service",
             registry=self._registry,
         )
+        self.target_crashes = Counter(
+            "wigeonford_target_crashes_total",
+            "Crashes of targets under this VM's requests, by service",
+            registry=self._registry,
+        )
         self.connection_ends = Counter(
             "wigeonford_connection_ends_total",
             "Callers' connections that ended, by reason",
--- a/src/wigeonford/policy/__init__.py
+++ b/src/wigeonford/policy/__init__.py
@@ -16,7 +16,6 @@
 from wigeonford.policy._fair_queue import FairQueue
 from wigeonford.policy._links import LinkDemand, LinkQuota
 from wigeonford.policy._ownership import owner_of
-from wigeonford.policy._quarantine import Quarantine, request_fingerprint
 from wigeonford.policy._quota_bucket import QuotaBucket
 from wigeonford.policy._retry import (
     HEDGE_FRACTION,
@@ -61,7 +60,6 @@
     "MAX_WAIT_S",
     "LinkQuota",
     "LoanGrant",
-    "Quarantine",
     "REPORT_INTERVAL_S",
     "RETRY_FRACTION",
     "RETRY_RESERVE",
@@ -89,6 +87,5 @@
     "divide_slots",
     "leased_budget",
     "owner_of",
-    "request_fingerprint",
     "slot_pool",
 ]
--- a/src/wigeonford/steer/__init__.py
+++ b/src/wigeonford/steer/__init__.py
@@ -15,7 +15,7 @@
     TargetRunState,
     TargetWire,
 )
-from wigeonford.steer._suspects import SuspectTable
+from wigeonford.steer._suspect_exchange import SuspectExchange
 from wigeonford.steer._target_limits import TargetLimits
 from wigeonford.steer._target_records import TargetRecords
 from wigeonford.steer._view import Roster, View, ViewBuilder
@@ -33,7 +33,7 @@
     "TargetRunState",
     "SteerDaemon",
     "SteerRequest",
-    "SuspectTable",
+    "SuspectExchange",
     "TargetLimits",
     "TargetRecords",
     "TargetConnections",
--- a/src/wigeonford/steer/_admission.py
+++ b/src/wigeonford/steer/_admission.py
@@ -1,4 +1,4 @@
-"""Admit requests: check route, key, rate and quarantine, read the body."""
+"""Admit requests: check route, key and rate, read the body."""
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
@@ -21,8 +21,8 @@
     NO_SHUTDOWN,
     ShutdownPlan,
 )
-from wigeonford.steer._suspects import fingerprint_request, SuspectTable
 from wigeonford.steer._view import View
+from wigeonford.suspects import request_fingerprint
 
 MAX_BUFFERED_BODY_BYTES: Final = 1 << 20
 """Bodies up to this size are buffered, so that a request can be retried."""
@@ -38,7 +38,6 @@
         view: Callable[[], View | None],
         rates: AccountRates,
         loans: LoanBatcher,
-        suspects: SuspectTable,
         stats_of: Callable[[Route], RouteStats],
         log: EventLog,
         rng: random.Random,
@@ -50,7 +49,6 @@
         self._is_in_contact = is_in_contact
         self._rates = rates
         self._loans = loans
-        self._suspects = suspects
         self._stats_of = stats_of
         self._log = log
         self._rng = rng
@@ -129,26 +127,24 @@
             version=view.deployment.version,
             revision=view.revision,
         )
+        buffered = b""
         if req.has_body:
-            ctx.body = await self._read_body_in_time(ctx)
-        body = ctx.body if isinstance(ctx.body, bytes) else b""
-        ctx.request_fingerprint = fingerprint_request(
-            account.name if account else "", req.method, req.target, body
+            ctx.body, buffered = await self._read_body_in_time(ctx)
+        ctx.request_fingerprint = request_fingerprint(
+            account.name if account else "",
+            req.method,
+            f"{req.host}{req.target}",
+            buffered,
         )
-        if self._suspects.is_quarantined(
-            ctx.request_fingerprint, self._clock()
-        ):
-            raise RequestRejected(
-                Code.QUARANTINED,
-                f"request {ctx.request_fingerprint.hex()}: targets failed: "
-                + ", ".join(self._suspects.deaths_of(ctx.request_fingerprint)),
-            )
         return ctx
 
     async def _read_body_in_time(
         self, ctx: RequestContext
-    ) -> bytes | AsyncIterator[bytes]:
-        """Return a request's body; raise `RequestRejected` at its deadline."""
+    ) -> tuple[bytes | AsyncIterator[bytes], bytes]:
+        """Return a request's body, and its beginning.
+
+        Raise `RequestRejected` at the request's deadline.
+        """
         try:
             async with asyncio.timeout_at(self._body_due_s(ctx)) as limit:
                 self._body_limits[limit] = ctx
@@ -243,16 +239,21 @@
 
 async def _read_body(
     body: AsyncIterator[bytes],
-) -> bytes | AsyncIterator[bytes]:
-    """Return a body as bytes, or as a stream if it is too large to buffer."""
+) -> tuple[bytes | AsyncIterator[bytes], bytes]:
+    """Return a body, as a stream if it is too large to buffer.
+
+    Return its first `MAX_BUFFERED_BODY_BYTES` too, however it was cut.
+    """
     chunks: list[bytes] = []
     size = 0
     async for chunk in body:
         chunks.append(chunk)
         size += len(chunk)
         if size > MAX_BUFFERED_BODY_BYTES:
-            return _chain_chunks(chunks, body)
-    return b"".join(chunks)
+            beginning = b"".join(chunks)[:MAX_BUFFERED_BODY_BYTES]
+            return _chain_chunks(chunks, body), beginning
+    whole = b"".join(chunks)
+    return whole, whole
 
 
 async def _chain_chunks(
--- a/src/wigeonford/steer/_attempt.py
+++ b/src/wigeonford/steer/_attempt.py
@@ -30,6 +30,9 @@
 
 CONNECT_TIMEOUT_S: Final = 0.5
 """Four round trips between regions; a handshake takes one."""
+PROBE_TIMEOUT_S: Final = 0.25
+"""Timeout for connecting to a target that may have crashed; two round trips
+between regions. The next attempt waits for it."""
 UNACKED_TIMEOUT_S: Final = 1.5
 """Bytes that stay unacknowledged for longer mean that the path is broken;
 three packet losses in a row take less."""
@@ -70,8 +73,8 @@
 class AttemptResult(msgspec.Struct, frozen=True):
     """Hold an attempt's outcome; `response` is set if it is `ANSWERED`.
 
-    `reused` means that the connection had served an earlier request. Its loss
-    says little about the target.
+    `reused` means that the connection had served an earlier request, and
+    `opened_at_s` is when it was opened.
     """
 
     outcome: Outcome
@@ -79,6 +82,7 @@
     facts: ResponseFacts | None = None
     detail: str = ""
     reused: bool = False
+    opened_at_s: float = 0.0
 
 
 class Attempt(msgspec.Struct, frozen=True):
@@ -128,6 +132,38 @@
         if is_target_address(address):
             self._pool.close_idle_to(parse_address(address))
 
+    async def accepts_connections(self, record: TargetRecord) -> bool:
+        """Return whether a target accepts a connection, and keep that."""
+        try:
+            conn, _ = await self._pool.acquire(
+                parse_address(record.announced.address),
+                new_connection=True,
+                connect_timeout_s=PROBE_TIMEOUT_S,
+            )
+        except (ConnectFailed, ValueError):
+            return False
+        self._pool.release(conn)
+        return True
+
+    async def wait_for_end(
+        self, record: TargetRecord, timeout_s: float
+    ) -> bool:
+        """Return whether a target ends a connection that carries nothing.
+
+        A target that accepts none counts as having ended it.
+        """
+        try:
+            conn, _ = await self._pool.acquire(
+                parse_address(record.announced.address),
+                connect_timeout_s=PROBE_TIMEOUT_S,
+            )
+        except (ConnectFailed, ValueError):
+            return True
+        try:
+            return await conn.wait_for_end(timeout_s)
+        finally:
+            self._pool.release(conn)
+
     async def send(self, attempt: Attempt) -> AttemptResult:
         """Return the result of an attempt.
 
@@ -167,7 +203,10 @@
         except ExchangeFailed as exc:
             conn.close()
             return AttemptResult(
-                Outcome.BROKEN, detail=str(exc), reused=reused
+                Outcome.BROKEN,
+                detail=str(exc),
+                reused=reused,
+                opened_at_s=conn.opened_at_s,
             )
         except BaseException:
             conn.close()
@@ -205,7 +244,9 @@
         if not facts.is_complete:
             conn.close()
             detail = f"status {response.status} without required headers"
-            return AttemptResult(Outcome.BROKEN, None, facts, detail, reused)
+            return AttemptResult(
+                Outcome.BROKEN, None, facts, detail, reused, conn.opened_at_s
+            )
         stream_until_s = (
             _loop_time_s() + max(0.0, attempt.left_s) + BODY_GRACE_S
         )
--- a/src/wigeonford/steer/_attempt_observer.py
+++ b/src/wigeonford/steer/_attempt_observer.py
@@ -13,7 +13,6 @@
 from wigeonford.steer._request import ResponseFacts, TargetRunState
 from wigeonford.steer._request_context import RequestContext
 from wigeonford.steer._route_stats import RouteStats
-from wigeonford.steer._suspects import SuspectTable
 from wigeonford.steer._target_limits import TargetLimits
 from wigeonford.steer._target_records import TargetRecord, TargetRecords
 
@@ -41,7 +40,6 @@
         target_records: TargetRecords,
         target_limits: TargetLimits,
         target_connections: TargetConnections,
-        suspects: SuspectTable,
         metrics: Metrics,
         log: EventLog,
         clock: Callable[[], float],
@@ -49,7 +47,6 @@
         self._target_records = target_records
         self._target_limits = target_limits
         self._target_connections = target_connections
-        self._suspects = suspects
         self._metrics = metrics
         self._log = log
         self._clock = clock
@@ -107,17 +104,6 @@
         record.record_result(failed, now_s)
         if result.outcome is Outcome.NOT_RUN:
             record.pause(FULL_PAUSE_S, now_s)
-        if result.outcome is Outcome.BROKEN and not result.reused:
-            self._suspects.record(
-                ctx.request_fingerprint, record.target_id, now_s
-            )
-            self._log.emit(
-                Event.CRASH_COUNTED,
-                request=ctx.req.request_id,
-                fingerprint=ctx.request_fingerprint.hex(),
-                target=record.target_id,
-                known=self._suspects.deaths_of(ctx.request_fingerprint),
-            )
         if not failed and record.mark_up(now_s, cold_s):
             self._log.emit(Event.TARGET_BACK, target=record.target_id)
         if response is not None and not failed:
@@ -213,7 +199,6 @@
         took_s: float,
     ) -> None:
         record = sent.record
-        self._suspects.clear(ctx.request_fingerprint, self._clock())
         if ctx.req.object_id:
             record.record_served(ctx.req.object_id)
         stats = self.stats_of(ctx.route)
--- a/src/wigeonford/steer/_control_group.py
+++ b/src/wigeonford/steer/_control_group.py
@@ -25,16 +25,11 @@
     `distance` is 0 in the own zone, 1 in the own region, `REMOTE_DISTANCE`
     elsewhere. `revision` is the one that the replica last announced.
     `reported_status` is this VM's status as the replica knows it.
-    `reported_sequence` is the sequence up to which the replica has this VM's
-    own suspicions, `suspicion_revision` the revision up to which this VM has
-    the replica's.
     """
 
     distance: int = REMOTE_DISTANCE
     revision: int = 0
     reported_status: EntryStatus | None = None
-    reported_sequence: int = 0
-    suspicion_revision: int = 0
     is_connected: bool = False
 
 
@@ -81,7 +76,6 @@
             if region == status.region:
                 state.distance = int(zone != status.availability_zone)
         state.revision = notice.revision
-        state.suspicion_revision = notice.suspicion_revision
         was_disconnected = not state.is_connected
         state.is_connected = True
         return was_disconnected
@@ -112,7 +106,6 @@
             False,
             None,
         )
-        state.reported_sequence = 0
         return was_connected
 
     def remove(self, address: str) -> None:
@@ -123,20 +116,6 @@
         """Return whether a replica knows this VM's present status."""
         return self._state_of(address).reported_status == status
 
-    def suspicion_positions(self, address: str) -> tuple[int, int]:
-        """Return up to where suspicions were sent and received.
-
-        The first number is the sequence up to which the replica has this VM's
-        own suspicions, the second the revision up to which this VM has the
-        replica's.
-        """
-        state = self._state_of(address)
-        return state.reported_sequence, state.suspicion_revision
-
-    def record_reported(self, address: str, sequence: int) -> None:
-        """Record up to where a replica has this VM's own suspicions."""
-        self._state_of(address).reported_sequence = sequence
-
     def is_roster_source(self, address: str) -> bool:
         """Return whether a replica is among the nearest connected ones."""
         return address in self._nearest()[:ROSTER_SOURCES]
--- a/src/wigeonford/steer/_daemon.py
+++ b/src/wigeonford/steer/_daemon.py
@@ -145,6 +145,7 @@
         await asyncio.gather(
             self._stop_components(timeout_s), self._stop_servers(timeout_s)
         )
+        await self._forwarder.close()
         self._target_connections.close()
 
     async def _report_stop(self, timeout_s: float) -> None:
--- a/src/wigeonford/steer/_follower.py
+++ b/src/wigeonford/steer/_follower.py
@@ -27,7 +27,6 @@
 from wigeonford.settings import Address, parse_address
 from wigeonford.steer._control_group import ControlGroup
 from wigeonford.steer._hedged_queue import HedgedQueue
-from wigeonford.steer._limit_exchange import LimitExchange
 from wigeonford.steer._replica_link import (
     LATE_S,
     LINK_TIMEOUT_S,
@@ -35,7 +34,7 @@
     ReplicaLink,
     RetryPause,
 )
-from wigeonford.steer._suspects import SuspectTable
+from wigeonford.steer._report_exchange import ReportExchange
 from wigeonford.steer._view import Roster, View, ViewBuilder
 
 Connect = Callable[[Address], PeerClient]
@@ -74,16 +73,14 @@
         self,
         seeds: Callable[[], tuple[str, ...]],
         status: Callable[[], EntryStatus],
-        suspects: SuspectTable,
-        limit_exchange: LimitExchange,
+        exchanges: Iterable[ReportExchange],
         connect: Connect,
         log: EventLog,
         rng: random.Random,
     ) -> None:
         self._seeds = seeds
         self._status = status
-        self._suspects = suspects
-        self._limit_exchange = limit_exchange
+        self._exchanges = tuple(exchanges)
         self._connect = connect
         self._log = log
         self._rng = rng
@@ -241,9 +238,18 @@
             await run_together(
                 self._run_watches(address, link),
                 self._run_stream(address, link),
-                self._limit_exchange.report(link.client),
-                self._follow_limits(address, link.client),
                 self._replace_late(address, link),
+                *(
+                    exchange.report(link.client)
+                    for exchange in self._exchanges
+                ),
+                *(
+                    exchange.follow(
+                        link.client,
+                        lambda: self._group.is_roster_source(address),
+                    )
+                    for exchange in self._exchanges
+                ),
             )
         except* LinkReplaced:
             pass
@@ -302,11 +308,6 @@
         finally:
             self._open_streams -= 1
 
-    async def _follow_limits(self, address: str, client: PeerClient) -> None:
-        await self._limit_exchange.follow(
-            client, lambda: self._group.is_roster_source(address)
-        )
-
     def _should_stream(self, address: str) -> bool:
         """Return whether to stream all updates from a replica.
 
@@ -320,10 +321,6 @@
         roster_wanted = self._group.is_roster_source(address)
         status = self._status()
         status_known = self._group.knows_status(address, status)
-        reported_sequence, suspicion_revision = (
-            self._group.suspicion_positions(address)
-        )
-        sequence = self._suspects.sequence
         notice = await link.request(
             WatchView(
                 self._builder.revision,
@@ -333,28 +330,16 @@
                 roster_revision,
                 self._group.control_digest,
                 self._group.leader_term,
-                self._suspects.own_suspicions_since(reported_sequence),
-                suspicion_revision,
             )
         )
         assert isinstance(notice, ViewNotice), "the reply to a watch"
         if self._group.apply(address, notice, status):
             self._log.emit(Event.CONTROL_REGAINED, control=address)
-        self._group.record_reported(address, sequence)
         if roster_wanted:
             self._log_unusable(
                 address,
                 self.roster.apply(address, notice.roster, time.monotonic()),
             )
-        for suspicion in self._suspects.merge(
-            notice.suspicions, time.monotonic()
-        ):
-            self._log.emit(
-                Event.CRASH_TOLD,
-                fingerprint=suspicion.fingerprint.hex(),
-                targets=suspicion.deaths,
-                control=address,
-            )
         if self._group.update_leader(notice):
             self.leader_changed.set()
         if self._group.update_members(notice):
--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -22,17 +22,18 @@
     UNSENT,
 )
 from wigeonford.steer._attempt_observer import AttemptObserver, SentAttempt
+from wigeonford.steer._crash_watch import CrashWatch
 from wigeonford.steer._loans import LoanBatcher
 from wigeonford.steer._rates import AccountRates
 from wigeonford.steer._request import SteerRequest
 from wigeonford.steer._request_context import RequestContext
 from wigeonford.steer._retry_after import retry_after_s
 from wigeonford.steer._shutdown import NO_SHUTDOWN, ShutdownPlan
-from wigeonford.steer._suspects import SuspectTable
 from wigeonford.steer._target_choice import TargetChooser
 from wigeonford.steer._target_limits import TargetLimits
 from wigeonford.steer._target_records import TargetRecord, TargetRecords
 from wigeonford.steer._view import View
+from wigeonford.suspects import SuspectTable
 
 RETRY_RATIO_FRACTION: Final = 0.7
 """Fraction of the fleet's retry ratio that is used, because the bound holds in
@@ -76,16 +77,17 @@
             target_records,
             target_limits,
             target_connections,
-            suspects,
             metrics,
             log,
             clock,
         )
+        self._crash_watch = CrashWatch(
+            suspects, target_connections, metrics, log, clock
+        )
         self._admission = Admission(
             view,
             rates,
             loans,
-            suspects,
             self._observer.stats_of,
             log,
             rng,
@@ -129,6 +131,10 @@
                 limit.reschedule(self._clock())
         return len(self._unfinished)
 
+    async def close(self) -> None:
+        """End the background tasks."""
+        await self._crash_watch.close()
+
     async def forward(self, req: SteerRequest) -> Response:
         """Return a target's response; raise `RequestRejected`."""
         began_s = self._clock()
@@ -224,6 +230,7 @@
 
     async def _make_attempt(self, ctx: RequestContext) -> Response | None:
         """Make an attempt; return the response, None to try again."""
+        self._require_untainted(ctx)
         choice = self._chooser.choose(ctx)
         if choice is None:
             raise self._build_rejection(ctx)
@@ -260,6 +267,7 @@
         )
         running_since_s = self._observer.stats_of(ctx.route).running_since_s
         running_since_s[id(ctx)] = began_s
+        flight = self._crash_watch.begin(record, ctx.request_fingerprint)
         try:
             result = await self._target_connections.send(
                 Attempt(
@@ -276,6 +284,7 @@
                 )
             )
         except BaseException as exc:
+            self._crash_watch.abandon(flight, record)
             self._log.emit(
                 Event.ATTEMPT_ABANDONED,
                 request=ctx.req.request_id,
@@ -290,7 +299,33 @@
             del running_since_s[id(ctx)]
         ctx.is_attempt_running = False
         self._observer.record_attempt(ctx, sent_attempt, result)
-        return self._handle_result(ctx, record, result, began_s)
+        ctx.may_have_run |= result.outcome is Outcome.BROKEN
+        await self._crash_watch.settle(flight, record, result)
+        response = self._handle_result(ctx, record, result, began_s)
+        if response is None or isinstance(response.body, bytes):
+            return response
+        stream = self._crash_watch.watch_stream(
+            flight,
+            record,
+            response.status,
+            self._observer.time_stream(ctx.route, response.body, began_s),
+        )
+        return Response(response.status, response.headers, stream)
+
+    def _require_untainted(self, ctx: RequestContext) -> None:
+        """Raise `RequestRejected` for a request that crashed targets."""
+        standing = self._crash_watch.standing(ctx.request_fingerprint)
+        if standing.wait_s <= 0:
+            return
+        crashes = standing.describe_crashes(self._clock())
+        detail = f"request {ctx.request_fingerprint.hex()}: {crashes}"
+        if ctx.may_have_run:
+            raise RequestRejected(
+                Code.ANSWER_BROKEN, detail, run_state=RunState.UNKNOWN
+            )
+        raise RequestRejected(
+            Code.QUARANTINED, detail, retry_after_s=standing.wait_s
+        )
 
     def _handle_result(
         self,
@@ -315,9 +350,7 @@
                 took_s=round(self._clock() - began_s, 3),
                 since_arrival_s=round(self._clock() - ctx.req.arrived_at_s, 3),
             )
-            return self._time_stream(ctx, result.response, began_s)
-        if result.outcome is Outcome.BROKEN:
-            ctx.may_have_run = True
+            return result.response
         self._log.emit(
             Event.ATTEMPT_FAILED,
             request=ctx.req.request_id,
@@ -332,14 +365,6 @@
             raise self._build_rejection(ctx)
         return None
 
-    def _time_stream(
-        self, ctx: RequestContext, response: Response, began_s: float
-    ) -> Response:
-        if isinstance(response.body, bytes):
-            return response
-        stream = self._observer.time_stream(ctx.route, response.body, began_s)
-        return Response(response.status, response.headers, stream)
-
     def _may_retry(self, ctx: RequestContext, result: AttemptResult) -> bool:
         """Return whether another attempt is allowed, and spend its budget."""
         if result.outcome in UNSENT:
--- a/src/wigeonford/steer/_target_records.py
+++ b/src/wigeonford/steer/_target_records.py
@@ -79,6 +79,11 @@
         """Return the target's id."""
         return self.announced.target_id
 
+    @property
+    def incarnation(self) -> str:
+        """Return the name of the target's process, which no other has."""
+        return f"{self.announced.target_id}/{self.announced.born_ms}"
+
     @property
     def zone(self) -> str:
         """Return the target's availability zone."""
--- a/tests/control_links.py
+++ b/tests/control_links.py
@@ -11,10 +11,11 @@
 from wigeonford.settings import Address
 from wigeonford.steer import (
     LimitExchange,
-    SuspectTable,
+    SuspectExchange,
     TargetLimits,
     ViewFollower,
 )
+from wigeonford.suspects import SuspectTable
 
 REPLICAS: Final = tuple(f"127.0.0.1:{port}" for port in range(1, 6))
 
@@ -50,8 +51,10 @@
     return ViewFollower(
         lambda: seeds,
         own_status if callable(own_status) else lambda: own_status,
-        suspects or SuspectTable(),
-        LimitExchange(limits or TargetLimits(name, dict), EventLog()),
+        (
+            LimitExchange(limits or TargetLimits(name, dict), EventLog()),
+            SuspectExchange(suspects or SuspectTable(name), EventLog()),
+        ),
         lambda address: cast(PeerClient, connect(address)),
         EventLog(),
         random.Random(1),
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -16,7 +16,7 @@
 from tests.test_deployment import make_announcement, make_deployment
 from tests.test_late_news import Handlers
 from tests.test_view_patches import make_service, publish, StandInReplica
-from wigeonford.control._limit_service import LimitService
+from wigeonford.control import LimitService, SuspectService
 from wigeonford.control._steering_commands import AnnounceTargets
 from wigeonford.control._view_service import ViewService
 from wigeonford.deployment import Announcement
@@ -32,7 +32,6 @@
     Forwarder,
     LoanBatcher,
     SteerRequest,
-    SuspectTable,
     TargetConnections,
     TargetLimits,
     TargetRecords,
@@ -40,6 +39,8 @@
     View,
 )
 from wigeonford.steer._attempt import Attempt, AttemptResult, Outcome
+from wigeonford.steer._target_records import TargetRecord
+from wigeonford.suspects import SuspectTable
 
 REPLICA_ADDRESSES: Final = tuple(f"127.0.0.1:{port}" for port in (1, 2, 3))
 LINK_DELAY_S: Final = 0.02
@@ -167,6 +168,17 @@
     def close_idle_to(self, _address: str) -> None:
         """Return: there is nothing to close."""
 
+    async def accepts_connections(self, _record: TargetRecord) -> bool:
+        """Return that the targets run."""
+        return True
+
+    async def wait_for_end(
+        self, _record: TargetRecord, timeout_s: float
+    ) -> bool:
+        """Return that the targets keep connections open."""
+        await asyncio.sleep(timeout_s)
+        return False
+
     async def send(self, attempt: Attempt) -> AttemptResult:
         """Return the result of an attempt."""
         loop = asyncio.get_running_loop()
@@ -208,7 +220,7 @@
         region = zone.partition("-")[0]
         status = EntryStatus(name, "i", f"{name}:1", zone, region, True)
         self.records = TargetRecords()
-        suspects = SuspectTable()
+        suspects = SuspectTable(name)
         self.limits = TargetLimits(
             name,
             lambda: self.follower.running_entries(),
@@ -341,6 +353,8 @@
             service.attach(self._handlers[number])  # type: ignore[arg-type]
             limits = LimitService(loop.time)
             limits.attach(self._handlers[number])  # type: ignore[arg-type]
+            suspects = SuspectService(loop.time)
+            suspects.attach(self._handlers[number])  # type: ignore[arg-type]
             await service.start()
             self._services.append(service)
             replica.state.steering.apply(AnnounceTargets(announcements))
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -46,7 +46,6 @@
     Readiness,
     ResponseFacts,
     SteerDaemon,
-    SuspectTable,
     TargetConnections,
     TargetLimits,
     TargetRecords,
@@ -63,6 +62,7 @@
     ShutdownPlan,
     SPREAD,
 )
+from wigeonford.suspects import SuspectTable
 
 SLOTS: Final = 40
 SLOW_RATIO: Final = 1.6
--- a/tests/test_policy_attempts.py
+++ b/tests/test_policy_attempts.py
@@ -1,4 +1,4 @@
-"""Retry budgets, ejection, quarantine and shifts, in virtual time."""
+"""Retry budgets, ejection and shifts, in virtual time."""
 
 import random
 import unittest
@@ -11,8 +11,6 @@
 from wigeonford.policy import (
     LatencyWindow,
     OutlierEjector,
-    Quarantine,
-    request_fingerprint,
     ShiftCounter,
 )
 
@@ -127,19 +125,3 @@
         self.assertEqual(ejector.ejected(TARGETS, 3.5), {"t1"})
         ejector.record_success("t1")
         self.assertEqual(ejector.ejected(TARGETS, 3.5), set())
-
-    def test_poison_is_barred_and_bystanders_are_not(self) -> None:
-        poison = request_fingerprint("a", "GET", "/poison", b"")
-        bystander = request_fingerprint("a", "GET", "/ab", b"")
-        self.assertNotEqual(
-            bystander, request_fingerprint("a", "GET", "/a", b"b")
-        )
-        quarantine = Quarantine()
-        quarantine.record_crash("t1", {poison, bystander}, 0.0)
-        quarantine.record_crash("t1", {poison, bystander}, 0.1)
-        self.assertFalse(quarantine.is_quarantined(poison, 0.2))
-        self.assertTrue(quarantine.clear(bystander))
-        quarantine.record_crash("t2", {poison, bystander}, 1.0)
-        self.assertTrue(quarantine.is_quarantined(poison, 1.1))
-        self.assertFalse(quarantine.is_quarantined(bystander, 1.1))
-        self.assertFalse(quarantine.is_quarantined(poison, 62.0))
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -28,10 +28,11 @@
     AccountRates,
     LimitExchange,
     QuotaReporter,
-    SuspectTable,
+    SuspectExchange,
     TargetLimits,
     ViewFollower,
 )
+from wigeonford.suspects import SuspectTable
 
 MAX_WAIT_S = 5.0
 """Half of the websockets library's timeout of a closing handshake."""
@@ -106,8 +107,10 @@
         follower = ViewFollower(
             lambda: tuple(f"127.0.0.1:{port}" for port in range(1, 6)),
             status,
-            SuspectTable(),
-            LimitExchange(TargetLimits("a", dict), EventLog()),
+            (
+                LimitExchange(TargetLimits("a", dict), EventLog()),
+                SuspectExchange(SuspectTable("a"), EventLog()),
+            ),
             connect,
             EventLog(),
             random.Random(1),
@@ -168,8 +171,10 @@
         follower = ViewFollower(
             lambda: ("127.0.0.1:1", "127.0.0.1:2"),
             status,
-            SuspectTable(),
-            LimitExchange(TargetLimits("a", dict), EventLog()),
+            (
+                LimitExchange(TargetLimits("a", dict), EventLog()),
+                SuspectExchange(SuspectTable("a"), EventLog()),
+            ),
             connect,
             EventLog(),
             random.Random(1),
--- a/tests/test_slow_bodies.py
+++ b/tests/test_slow_bodies.py
@@ -17,7 +17,6 @@
 from wigeonford.messages.steering import ViewUpdate
 from wigeonford.steer._admission import Admission
 from wigeonford.steer._route_stats import RouteStats
-from wigeonford.steer._suspects import SuspectTable
 from wigeonford.steer._view import ViewBuilder
 
 ROUTE_TIME_LIMIT_S: Final = 2.5
@@ -48,7 +47,6 @@
             lambda: view,
             mock.Mock(),
             mock.Mock(),
-            SuspectTable(),
             RouteStats.initial,
             EventLog(),
             random.Random(1),
--- a/tests/test_stale_view.py
+++ b/tests/test_stale_view.py
@@ -15,7 +15,6 @@
 from wigeonford.steer import (
     AccountRates,
     LoanBatcher,
-    SuspectTable,
     ViewBuilder,
 )
 from wigeonford.steer._admission import Admission
@@ -35,7 +34,6 @@
             lambda: view,
             AccountRates("vm"),
             LoanBatcher(mock.AsyncMock(), EventLog()),
-            SuspectTable(),
             RouteStats.initial,
             EventLog(),
             random.Random(1),
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -32,7 +32,6 @@
     AccountRates,
     LoanBatcher,
     QuotaReporter,
-    SuspectTable,
 )
 from wigeonford.steer._admission import Admission
 from wigeonford.steer._route_stats import RouteStats
@@ -93,7 +92,6 @@
                 lambda: follower.view,
                 rates,
                 loans,
-                SuspectTable(),
                 RouteStats.initial,
                 EventLog(),
                 random.Random(1),
--- a/tests/test_target_book.py
+++ b/tests/test_target_book.py
@@ -12,7 +12,6 @@
     VMS_PER_COLD_TARGET,
 )
 from wigeonford.steer._senders import SELECTION_CACHE_S
-from wigeonford.steer._suspects import fingerprint_request, SuspectTable
 from wigeonford.steer._target_records import TargetRecord, TargetRecords
 
 SERVICE = Service("ledger", "/health", 300, "h1", False, 3.0, 7.4)
@@ -146,38 +145,3 @@
         )
         self.assertLessEqual(max_per_s, 3.7 * 1.5)
         self.assertGreater(len(sent_times_s), 8)
-
-
-class SuspectTableTest(unittest.TestCase):
-    """Only a request during which three targets crashed is rejected."""
-
-    def test_third_death_bars_it_everywhere(self) -> None:
-        fingerprint = fingerprint_request("farm", "POST", "/a", b"body")
-        tables = [SuspectTable(), SuspectTable()]
-        for number, table in enumerate((*tables, tables[0])):
-            table.record(fingerprint, f"t-{number}", 1.0)
-        for table in tables:
-            for other in tables:
-                table.merge(other.own_suspicions_since(0), 2.0)
-        self.assertTrue(
-            all(table.is_quarantined(fingerprint, 3.0) for table in tables)
-        )
-        self.assertFalse(tables[0].is_quarantined(fingerprint, 100.0))
-
-    def test_answered_request_is_cleared(self) -> None:
-        fingerprint = fingerprint_request("farm", "GET", "/a", b"")
-        table = SuspectTable()
-        for number in range(3):
-            table.record(fingerprint, f"t-{number}", 1.0)
-        reports = table.own_suspicions_since(0)
-        table.clear(fingerprint, 2.0)
-        table.merge(reports, 2.5)
-        self.assertFalse(table.is_quarantined(fingerprint, 3.0))
-
-    def test_body_and_caller_tell_requests_apart(self) -> None:
-        fingerprints = {
-            fingerprint_request(account, "POST", "/a", body)
-            for account in ("farm", "cafe")
-            for body in (b"1", b"2")
-        }
-        self.assertEqual(4, len(fingerprints))
