Check a target of the product's own path whose caller has left

A request that a caller left before the target crashed was never counted: 4 of 5 targets crashed under 4 requests in LeavingCallerTest, now 2.

The target is asked for a connection 0.5 s later. Attempts whose end was missed are dropped after the longest time limit, so that the table can't grow.

--- a/src/wigeonford/entry/_dispatch.py
+++ b/src/wigeonford/entry/_dispatch.py
@@ -210,6 +210,7 @@
             raise
         except BaseException:
             progress.sent = True
+            self._poison_requests.check_later(target_id, progress.fingerprint)
             raise
         self._record_success(progress, side, target_id, response, started_s)
         return response
--- a/src/wigeonford/entry/_suspects.py
+++ b/src/wigeonford/entry/_suspects.py
@@ -19,6 +19,8 @@
 SAME_CRASH_S: Final = 1.0
 """Time within which crashes at one address are the same one: targets take
 longer to start again."""
+LATE_CHECK_DELAY_S: Final = 0.5
+"""Time after which a target is checked whose caller has left."""
 
 
 class PoisonRequests:
@@ -31,6 +33,7 @@
         self._suspects.on_report = self._broadcast
         self._sent_sequence = 0
         self._probes: dict[str, asyncio.Task[bool]] = {}
+        self._late_checks: set[str] = set()
 
     def attach(self, server: PeerServer) -> None:
         """Register the message handler."""
@@ -92,6 +95,19 @@
             return crashed
         raise asyncio.CancelledError
 
+    def check_later(self, target_id: str, fingerprint: bytes) -> None:
+        """Check a target that may go on with a request given up here."""
+        if target_id not in self._late_checks:
+            self._late_checks.add(target_id)
+            self._peers.spawn(self._check_late(target_id, fingerprint))
+
+    async def _check_late(self, target_id: str, fingerprint: bytes) -> None:
+        try:
+            await asyncio.sleep(LATE_CHECK_DELAY_S)
+            await self.check_crashed(target_id, fingerprint)
+        finally:
+            self._late_checks.discard(target_id)
+
     async def _probe(self, target_id: str, fingerprint: bytes) -> bool:
         try:
             conn = await ClientConnection.open(
--- a/src/wigeonford/suspects/_table.py
+++ b/src/wigeonford/suspects/_table.py
@@ -27,6 +27,10 @@
 ABANDONED_S: Final = 2.0
 """How long a target may still run a request whose connection was closed
 before its result."""
+MAX_FLIGHT_S: Final = 600.0
+"""Longest time limit of a route; an attempt whose end was missed is dropped
+after it."""
+SWEEP_INTERVAL_S: Final = 1.0
 MAX_OWN_OBSERVATIONS: Final = 1024
 """Observations kept for replicas that have not got them; they are sent within
 a second."""
@@ -56,6 +60,7 @@
         self._name = name
         self._quarantine = Quarantine()
         self._flights: dict[str, list[Flight]] = {}
+        self._sweep_due_s = float("-inf")
         self._own: deque[tuple[int, Observation]] = deque(
             maxlen=MAX_OWN_OBSERVATIONS
         )
@@ -70,15 +75,25 @@
         self, incarnation: str, fingerprint: bytes, now_s: float
     ) -> Flight:
         """Record an attempt; one of a suspected request is a trial."""
+        if now_s >= self._sweep_due_s:
+            self._sweep_due_s = now_s + SWEEP_INTERVAL_S
+            self._drop_ended(now_s)
         flight = Flight(incarnation, fingerprint, now_s)
-        flights = self._flights.setdefault(incarnation, [])
-        flights[:] = [other for other in flights if _is_current(other, now_s)]
-        flights.append(flight)
+        self._flights.setdefault(incarnation, []).append(flight)
         if self.standing(fingerprint, now_s).crashes:
             until_s = now_s + TRIAL_S
             self._observe(Trial(fingerprint, self._name, until_s), now_s)
         return flight
 
+    def _drop_ended(self, now_s: float) -> None:
+        """Drop the attempts that no target can be running any more."""
+        for incarnation, flights in list(self._flights.items()):
+            flights[:] = [
+                flight for flight in flights if _is_current(flight, now_s)
+            ]
+            if not flights:
+                del self._flights[incarnation]
+
     def end(self, flight: Flight, now_s: float) -> None:
         """Record that an attempt ended without a crash or a response."""
         self._remove(flight)
@@ -205,4 +220,8 @@
 
 
 def _is_current(flight: Flight, now_s: float) -> bool:
-    return now_s - flight.abandoned_at_s < ABANDONED_S
+    """Return whether a target may be running an attempt."""
+    return (
+        now_s - flight.abandoned_at_s < ABANDONED_S
+        and now_s - flight.began_s < MAX_FLIGHT_S
+    )
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -443,6 +443,28 @@
         self.assertTrue(first.heads or second.heads)
 
 
+class LeavingCallerTest(DispatchCase):
+    """Quarantine a request whose callers leave before each crash."""
+
+    async def test_two_targets_fail_at_most(self) -> None:
+        async def behave(
+            target: FakeTarget, head: bytes, writer: asyncio.StreamWriter
+        ) -> None:
+            if b"/poison" in head:
+                asyncio.get_running_loop().call_later(0.04, target.crash)
+                await asyncio.sleep(9)
+            writer.write(WHOLE_RESPONSE)
+
+        targets = [await self.add_target(behave) for _ in range(5)]
+        for _ in range(4):
+            with contextlib.suppress(TimeoutError, RequestRejected):
+                async with asyncio.timeout(0.03):
+                    await self.forward("/poison")
+            await asyncio.sleep(0.7)
+        serving_count = sum(target.server.is_serving() for target in targets)
+        self.assertGreaterEqual(serving_count, 3)
+
+
 class PoisonTest(DispatchCase):
     """Quarantine a request before it crashes a third target."""
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -197,6 +197,18 @@
         standing = self.tables[0].standing(b"print", 1.2 + ABANDONED_S)
         self.assertEqual((), standing.crashes)
 
+    def test_attempts_that_never_end_are_dropped(self) -> None:
+        table = self.tables[0]
+        for number in range(100):
+            flight = table.begin(f"t-{number}/1", b"print", 1.0)
+            if number % 2:
+                table.abandon(flight, 1.0)
+        table.begin("t/1", b"print", 601.0)
+        self.assertFalse(
+            any(table.has_flights(f"t-{n}/1", 601.0) for n in range(100))
+        )
+        self.assertEqual(1, len(table._flights))
+
     def test_records_with_impossible_values_are_left_out(self) -> None:
         records = [
             SuspectRecord(SuspectKind.CRASH, "t", (b"p",), -1),
