--- a/src/wigeonford/steer/_crash_watch.py
+++ b/src/wigeonford/steer/_crash_watch.py
@@ -128,6 +128,17 @@
             )
 
     async def _watch(self, record: TargetRecord) -> None:
+        try:
+            await self._watch_connection(record)
+        except Exception as exc:
+            self._log.emit(
+                Event.TASK_FAILED,
+                target=record.target_id,
+                detail=repr(exc),
+                exc_info=exc,
+            )
+
+    async def _watch_connection(self, record: TargetRecord) -> None:
         """Watch a connection while given-up attempts may be running."""
         incarnation = record.incarnation
         while self._suspects.has_abandoned(incarnation, self._clock()):
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -157,13 +157,8 @@
         return sum(from_s <= at_s < until_s for at_s, _ in self.arrivals)
 
 
-class StandInConnections:
-    """Pass attempts on to stand-ins for targets."""
-
-    def __init__(self, vm: "StandInVm", fleet: "LimitedFleet") -> None:
-        self._vm = vm
-        self._fleet = fleet
-        self._wire = PlatformTargetWire()
+class SteadyConnections:
+    """Stand in for connections to targets that don't crash."""
 
     def close_idle_to(self, _address: str) -> None:
         """Return: there is nothing to close."""
@@ -179,6 +174,15 @@
         await asyncio.sleep(timeout_s)
         return False
 
+
+class StandInConnections(SteadyConnections):
+    """Pass attempts on to stand-ins for targets."""
+
+    def __init__(self, vm: "StandInVm", fleet: "LimitedFleet") -> None:
+        self._vm = vm
+        self._fleet = fleet
+        self._wire = PlatformTargetWire()
+
     async def send(self, attempt: Attempt) -> AttemptResult:
         """Return the result of an attempt."""
         loop = asyncio.get_running_loop()
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -19,7 +19,7 @@
 
 from msgspec.structs import replace
 
-from tests.limited_fleet import virtual_clock
+from tests.limited_fleet import SteadyConnections, virtual_clock
 from tests.test_deployment import (
     make_announcement,
     make_deployment,
@@ -79,7 +79,7 @@
 STATUS: Final = EntryStatus("vm", "i", "vm:1", "south-a", "south", True)
 
 
-class WorkingTargets:
+class WorkingTargets(SteadyConnections):
     """Stand in for targets: work for the time that `next_work_s` returns.
 
     The connections to them open after the time in `connect_s`. With
@@ -102,9 +102,6 @@
     def close(self) -> None:
         """Return: there is nothing to close."""
 
-    def close_idle_to(self, _address: str) -> None:
-        """Return: there is nothing to close."""
-
     async def send(self, attempt: Attempt) -> AttemptResult:
         """Return the result of an attempt."""
         request_id = attempt.req.request_id
