--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -52,7 +52,9 @@
     The request comes `count` times, each `gap_s`. `crash` is how the target
     ends: "close" resets all connections, "body" does so amid a response,
     "silent" leaves them open without another byte. With `returns_as_before`
-    it is back under its id and address.
+    it is back under its id and address. `path_count` is how many paths the
+    other requests have, None for one each; they take `work_s`. Targets crash
+    `crash_delay_s` after the request's work began.
     """
 
     gap_s: float = 0.35
@@ -62,6 +64,9 @@
     returns_as_before: bool = False
     is_upload: bool = False
     caller_leaves: bool = False
+    path_count: int | None = None
+    work_s: float = WORK_S
+    crash_delay_s: float = CRASH_DELAY_S
     vm_count: int = 6
     target_count: int = 12
 
@@ -166,7 +171,7 @@
             if path == b"/a/crash":
                 await self._crash_amid(fields, writer)
                 return False
-            await asyncio.sleep(WORK_S)
+            await asyncio.sleep(self._fleet.case.work_s)
         await self._hang_if_down()
         writer.write(self._head(fields, 2) + b"ok")
         return self._fleet.case.keeps_connections
@@ -189,7 +194,7 @@
     ) -> None:
         if self._fleet.case.crash == "body":
             writer.write(self._head(fields, 1000) + b"part")
-        await asyncio.sleep(CRASH_DELAY_S)
+        await asyncio.sleep(self._fleet.case.crash_delay_s)
         if self.is_down:
             return
         self.is_down = True
@@ -349,7 +354,8 @@
         for number in itertools.count():
             gap_s = self._rng.expovariate(self._rate_per_s)
             await asyncio.sleep(gap_s)
-            self._send(self._rng.choice(self.vms), f"x{number}")
+            path = number % (self.case.path_count or number + 1)
+            self._send(self._rng.choice(self.vms), f"x{path}")
 
 
 async def _stream(body: bytes) -> AsyncIterator[bytes]:
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -224,7 +224,7 @@
         region = zone.partition("-")[0]
         status = EntryStatus(name, "i", f"{name}:1", zone, region, True)
         self.records = TargetRecords()
-        suspects = SuspectTable(name)
+        self.suspects = SuspectTable(name)
         self.limits = TargetLimits(
             name,
             lambda: self.follower.running_entries(),
@@ -234,7 +234,7 @@
             lambda address: ReplicaLink(self, fleet.handlers_of(address)),
             status=status,
             seeds=REPLICA_ADDRESSES,
-            suspects=suspects,
+            suspects=self.suspects,
             limits=self.limits,
         )
         rng = random.Random(name)
@@ -250,7 +250,7 @@
             self.limits,
             AccountRates(name),
             LoanBatcher(refuse_loans, log, loop.time),
-            suspects,
+            self.suspects,
             fleet.make_connections(self),
             RetryBounds(),
             Metrics(),
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -1,13 +1,20 @@
 """A request that crashes its targets is kept from most of them."""
 
+import asyncio
+import itertools
 import unittest
 
-from tests.crash_fleet import CrashCase, play
+from tests.crash_fleet import CrashCase, CrashReport, play
+from tests.limited_fleet import LimitedFleet, virtual_clock
+from tests.virtual_time import run_virtual
+from wigeonford.settings import RetryBounds
 
 MAX_LATE_ARRIVALS = 3
 MAX_CRASHES = 6
 MIN_SERVED_SHARE = 0.98
 MAX_SUSPECTED_S = 2.0
+MAX_SPREAD_S = 0.3
+"""Less than the pace at which callers repeat a request."""
 
 
 class CrashingRequestTest(unittest.TestCase):
@@ -22,10 +29,17 @@
                 self.assertLessEqual(report.late_arrivals, MAX_LATE_ARRIVALS)
                 self.assertLessEqual(len(report.crashes), MAX_CRASHES)
                 self.assertGreaterEqual(report.served_share, MIN_SERVED_SHARE)
+                self.assertLessEqual(report.repeats, self.max_repeats(report))
                 self.assertLessEqual(
                     max(report.suspected_s, default=0.0), MAX_SUSPECTED_S
                 )
 
+    def max_repeats(self, report: CrashReport) -> float:
+        """Return how many repeats the fleet's retry bounds allow."""
+        bounds = RetryBounds()
+        requests = report.innocents.total() + len(report.arrivals)
+        return bounds.ratio * requests + bounds.slack
+
     def test_crash_on_a_new_connection(self) -> None:
         self.check(CrashCase(keeps_connections=False))
 
@@ -56,8 +70,66 @@
     def test_caller_that_leaves_at_a_slow_pace(self) -> None:
         self.check(CrashCase(caller_leaves=True, gap_s=1.0, count=15))
 
+    def test_crash_in_the_middle_of_the_work(self) -> None:
+        self.check(CrashCase(crash_delay_s=0.5))
+
+    def test_loaded_targets(self) -> None:
+        self.check(CrashCase(work_s=0.6, crash_delay_s=0.3))
+
+    def test_popular_paths_stay_open(self) -> None:
+        self.check(CrashCase(path_count=3))
+        self.check(CrashCase(path_count=3, crash="body"))
+
+    def test_request_that_comes_for_a_minute(self) -> None:
+        self.check(CrashCase(gap_s=0.6, count=110), seeds=(1,))
+
+    def test_each_combination_of_crash_and_caller(self) -> None:
+        for values in itertools.product((True, False), repeat=5):
+            keeps, returns, is_upload, leaves, is_amid_body = values
+            case = CrashCase(
+                gap_s=1.5,
+                count=8,
+                crash="body" if is_amid_body else "close",
+                keeps_connections=keeps,
+                returns_as_before=returns,
+                is_upload=is_upload,
+                caller_leaves=leaves,
+            )
+            with self.subTest(case=case):
+                self.check(case, seeds=(7,))
+
     def test_large_fleet(self) -> None:
         self.check(CrashCase(vm_count=70), seeds=(1,))
 
     def test_large_fleet_at_a_slow_pace(self) -> None:
         self.check(CrashCase(vm_count=70, gap_s=1.5, count=12), seeds=(1,))
+
+
+class SpreadTest(unittest.TestCase):
+    """All entry VMs know of a crash within a fraction of the window."""
+
+    async def measure_spread_s(self, vm_count: int) -> float:
+        """Return the time until the last VM rejects a request."""
+        loop = asyncio.get_running_loop()
+        with virtual_clock():
+            fleet = LimitedFleet(vm_count, 12, 1.0, 1)
+            await fleet.start()
+            for number in range(2):
+                table = fleet.vms[number].suspects
+                table.begin(f"t-{number}/1", b"print", loop.time())
+                table.record_crash(f"t-{number}/1", loop.time(), loop.time())
+            began_s = loop.time()
+            while not all(
+                vm.suspects.standing(b"print", loop.time()).wait_s > 0
+                for vm in fleet.vms
+            ):
+                await asyncio.sleep(0.005)
+            spread_s = loop.time() - began_s
+            await fleet.stop()
+            return spread_s
+
+    def test_fleets_of_any_size_know_of_crashes_at_once(self) -> None:
+        for vm_count in (12, 70, 450):
+            with self.subTest(vm_count=vm_count):
+                spread_s = run_virtual(self.measure_spread_s(vm_count))
+                self.assertLess(spread_s, MAX_SPREAD_S)
