Close a streamed response's connection as its caller leaves

The inner generator was left to the garbage collector, which ends the target's work later. test_body_is_closed_as_its_caller_leaves failed before.

--- a/src/wigeonford/steer/_crash_watch.py
+++ b/src/wigeonford/steer/_crash_watch.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from typing import Final
 
 from wigeonford._tasks import cancel_tasks
@@ -112,6 +112,9 @@
         except BaseException:
             self.abandon(flight, record)
             raise
+        finally:
+            if isinstance(body, AsyncGenerator):
+                await body.aclose()
         self._settle_answered(flight, status)
 
     def abandon(self, flight: Flight, record: TargetRecord) -> None:
