Keep the places of a notice's fields for entry VMs of earlier builds

What callers saw: nothing yet. Without the suspicions, the fields behind them had moved, so that a VM of an earlier build would have lost control replicas of this one while a fleet is updated. EarlierBuildTest.

--- a/src/wigeonford/control/_view_service.py
+++ b/src/wigeonford/control/_view_service.py
@@ -228,7 +228,7 @@
             self._replica.state.steering.revision,
             roster,
             None if same else members,
-            location if message.status is not None else None,
+            location=location if message.status is not None else None,
             leader=(
                 self._replica.leader
                 if self._has_newer_leader(message.term)
--- a/src/wigeonford/messages/steering.py
+++ b/src/wigeonford/messages/steering.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from enum import Enum
+from typing import Any
 import zlib
 
 import msgspec
@@ -85,12 +86,14 @@
     entry VM knows all replicas. `location` is the replica's own region and
     zone; it is sent if the request had a status. Without `is_known`, the
     entry VM must send its status again. `leader` is sent if its `term` is
-    later than the known one.
+    later than the known one. `reserved` keeps the fields behind it where
+    earlier builds read them.
     """
 
     revision: int
     roster: RosterChange | None
     control: tuple[str, ...] | None
+    reserved: tuple[Any, ...] = ()
     location: tuple[str, str] | None = None
     is_known: bool = True
     leader: str | None = None
--- a/tests/test_watch_bytes.py
+++ b/tests/test_watch_bytes.py
@@ -6,6 +6,8 @@
 from typing import Any, Final, TypeVar
 import unittest
 
+import msgspec
+
 from tests.control_links import make_follower, QuietLink
 from tests.limited_fleet import virtual_clock
 from tests.test_deployment import make_deployment
@@ -15,6 +17,7 @@
 from wigeonford.control._suspect_service import SuspectService
 from wigeonford.control._view_service import ViewService
 from wigeonford.errors import Code, PeerError
+from wigeonford.messages.steering import ViewNotice, WatchView
 from wigeonford.peer._frames import encode_frame
 from wigeonford.peer._messages import MESSAGES
 from wigeonford.steer import ViewFollower
@@ -204,3 +207,21 @@
             )
         )
         self.assertEqual([True, True], quarantined)
+
+
+class EarlierBuildTest(unittest.TestCase):
+    """Watches of the build before suspicions had a stream of their own."""
+
+    def test_notice_is_read_in_both_directions(self) -> None:
+        sent = [7, None, None, [[b"print", ["i-1"]]], ["r", "z"]]
+        notice = msgspec.convert([*sent, True, "a:1", 3, 9], ViewNotice)
+        self.assertEqual(("r", "z"), notice.location)
+        self.assertEqual(("a:1", 3), (notice.leader, notice.term))
+        fields = msgspec.to_builtins(
+            ViewNotice(7, None, None, location=("r", "z"), term=3)
+        )
+        self.assertEqual([7, None, None, (), ("r", "z")], fields[:5])
+
+    def test_watch_is_read(self) -> None:
+        sent = [7, "vm", None, 1, 2, 3, 4, [[b"print", ["i-1"]]], 9]
+        self.assertEqual(4, msgspec.convert(sent, WatchView).term)
