Send crashes with many requests in parts, and pause between watches

The record of a crash that several VMs had seen could name more than 64 requests, which its readers leave out, so that in a large fleet the others never heard of it. A target that ends each connection at once, as one does that is at its limit of connections, was asked for the next one without a pause for 2 s. Found by reading; test_crash_that_many_vms_saw_reaches_all and test_target_that_ends_each_connection_is_not_flooded failed before.

--- a/src/wigeonford/steer/_crash_watch.py
+++ b/src/wigeonford/steer/_crash_watch.py
@@ -22,6 +22,9 @@
 from wigeonford.suspects import ABANDONED_S, Flight, Standing, SuspectTable
 
 SERVER_ERROR: Final = 500
+WATCH_PAUSE_S: Final = 0.5
+"""Pause before a target that ended a watched connection gets another one; it
+may accept no more than it has."""
 
 
 class CrashWatch:
@@ -151,6 +154,8 @@
             )
             if ended and not await self._probe(record):
                 self._record_crash(record, opened_at_s)
+            elif ended:
+                await asyncio.sleep(WATCH_PAUSE_S)
 
     async def _probe(self, record: TargetRecord) -> bool:
         """Return whether a target accepts connections.
--- a/src/wigeonford/suspects/_records.py
+++ b/src/wigeonford/suspects/_records.py
@@ -21,28 +21,38 @@
 def encode_observations(
     observations: Iterable[Observation], now_s: float
 ) -> tuple[SuspectRecord, ...]:
-    """Return the messages of observations; they hold ages, not times."""
-    return tuple(_encode(observation, now_s) for observation in observations)
+    """Return the messages of observations; they hold ages, not times.
+
+    A crash that several VMs saw may take more than one.
+    """
+    return tuple(
+        record
+        for observation in observations
+        for record in _encode(observation, now_s)
+    )
 
 
-def _encode(observation: Observation, now_s: float) -> SuspectRecord:
+def _encode(observation: Observation, now_s: float) -> Iterator[SuspectRecord]:
     match observation:
         case Crash(name, at_s, fingerprints):
-            return SuspectRecord(
-                SuspectKind.CRASH,
-                name,
-                tuple(sorted(fingerprints)),
-                _to_ms(now_s - at_s),
-            )
+            ordered = sorted(fingerprints)
+            for start in range(0, len(ordered), MAX_FINGERPRINTS_PER_CRASH):
+                part = ordered[start : start + MAX_FINGERPRINTS_PER_CRASH]
+                yield SuspectRecord(
+                    SuspectKind.CRASH,
+                    name,
+                    tuple(part),
+                    _to_ms(now_s - at_s),
+                )
         case Clearance(fingerprint, at_s):
-            return SuspectRecord(
+            yield SuspectRecord(
                 SuspectKind.CLEARANCE,
                 "",
                 (fingerprint,),
                 _to_ms(now_s - at_s),
             )
         case Trial(fingerprint, vm, until_s):
-            return SuspectRecord(
+            yield SuspectRecord(
                 SuspectKind.TRIAL,
                 vm,
                 (fingerprint,),
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -16,7 +16,7 @@
 from wigeonford.steer._attempt import AttemptResult, Outcome
 from wigeonford.steer._crash_watch import CrashWatch
 from wigeonford.steer._target_records import TargetRecord
-from wigeonford.suspects import SuspectTable
+from wigeonford.suspects import ABANDONED_S, SuspectTable
 
 
 class EndingConnections(SteadyConnections):
@@ -119,6 +119,21 @@
         for number in range(5):
             self.assertEqual(1, self.count_crashes(b"%d" % number))
 
+    def test_target_that_ends_each_connection_is_not_flooded(self) -> None:
+        async def give_up() -> None:
+            watch = self.make_watch()
+            flight = watch.begin(self.record, b"print")
+            watch.abandon(flight, self.record)
+            await asyncio.sleep(2 * ABANDONED_S)
+
+        async def wait_for_end(*_args: object) -> bool:
+            return True
+
+        self.connections.wait_for_end = wait_for_end  # type: ignore
+        run_virtual(give_up())
+        self.assertLess(self.connections.probe_count, 6)
+        self.assertEqual(0, self.count_crashes(b"print"))
+
     def test_error_of_a_watch_is_logged(self) -> None:
         async def fail() -> None:
             with virtual_clock():
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -224,6 +224,16 @@
         assert isinstance(trial, Trial), "a trial was encoded"
         self.assertLess(trial.until_s, 2.0)
 
+    def test_crash_that_many_vms_saw_reaches_all(self) -> None:
+        prints = frozenset(b"%d" % number for number in range(150))
+        quarantine = Quarantine()
+        for seen in decode_records(
+            encode_observations([Crash("t/1", 1.0, prints)], 1.0), 1.0
+        ):
+            quarantine.add(seen, 1.0)
+        for print_ in prints:
+            self.assertEqual(1, len(quarantine.standing(print_, 1.0).crashes))
+
     def test_observations_survive_the_wire(self) -> None:
         seen: list[Observation] = [
             Crash("t/1", 1.0, frozenset({b"a", b"b"})),
