--- a/src/wigeonford/steer/__init__.py
+++ b/src/wigeonford/steer/__init__.py
@@ -4,18 +4,17 @@
 from wigeonford.steer._daemon import Readiness, SteerDaemon
 from wigeonford.steer._follower import ViewFollower
 from wigeonford.steer._forwarder import Forwarder
-from wigeonford.steer._limit_exchange import LimitExchange
 from wigeonford.steer._loans import LoanBatcher
 from wigeonford.steer._lookups import LOOKUP_TTL_S, select_entries
 from wigeonford.steer._quota_reporter import QuotaReporter
 from wigeonford.steer._rates import AccountRates
+from wigeonford.steer._report_exchange import LimitExchange, SuspectExchange
 from wigeonford.steer._request import (
     ResponseFacts,
     SteerRequest,
     TargetRunState,
     TargetWire,
 )
-from wigeonford.steer._suspect_exchange import SuspectExchange
 from wigeonford.steer._target_limits import TargetLimits
 from wigeonford.steer._target_records import TargetRecords
 from wigeonford.steer._view import Roster, View, ViewBuilder
--- a/src/wigeonford/suspects/_quarantine.py
+++ b/src/wigeonford/suspects.py
@@ -1,21 +1,32 @@
-"""Quarantine of requests that crash the targets which run them: pure.
-
-A crash of a target counts against each request that was in flight there, and
-a complete response clears a request of all earlier crashes. A request with one
-crash may be tried by one VM at a time. After more, it is rejected for a pause
-that grows with each crash, and tried once then: an innocent one is cleared
-within seconds, and a guilty one crashes few more targets.
-
-VMs exchange these observations, and those that hold the same ones decide
-alike. Times are on the clock of the process that holds the observations.
+"""Requests that crash the targets which run them: pure.
+
+A VM sees only how its own attempts end, so it keeps which requests are in
+flight at each target, or were given up a moment ago. A crash of a target
+counts against all of these, and a complete response clears a request of all
+earlier crashes. VMs exchange these observations, and those that hold the same
+ones decide alike. Times are on the clock of the process that holds them.
+
+A request with one crash may be tried by one VM at a time. After more, it is
+rejected for a pause that grows with each crash, and tried once then: an
+innocent one is cleared within seconds, and a guilty one crashes few more
+targets.
 """
 
-from collections.abc import Collection, Iterable, Iterator, Mapping
+from collections import deque
+from collections.abc import (
+    Callable,
+    Collection,
+    Iterable,
+    Iterator,
+    Mapping,
+)
 import hashlib
 from typing import Final
 
 import msgspec
 
+from wigeonford.messages.steering import SuspectKind, SuspectRecord
+
 CRASHES_TO_QUARANTINE: Final = 2
 """Crashes after which a request waits before it is tried again."""
 CRASHES_TO_EXPLAIN: Final = 3
@@ -40,6 +51,19 @@
 first: a caller that makes many suspects must not free a request that crashed
 several targets."""
 EXPIRY_INTERVAL_S: Final = 1.0
+ABANDONED_S: Final = 2.0
+"""How long a target may still run a request whose connection was closed
+before its result."""
+MAX_FLIGHT_S: Final = 600.0
+"""Longest time limit of a route; an attempt whose end was missed is dropped
+after it."""
+SWEEP_INTERVAL_S: Final = 1.0
+MAX_OWN_OBSERVATIONS: Final = 1024
+"""Observations kept for replicas that have not got them; they are sent within
+a second."""
+MAX_AGE_MS: Final = 10**9
+MAX_NAME_CHARS: Final = 300
+MAX_FINGERPRINT_BYTES: Final = 32
 
 _NEVER_S: Final = float("-inf")
 
@@ -389,3 +413,277 @@
             ):
                 changed.append(suspect.trial)
         return changed
+
+
+def encode_observations(
+    observations: Iterable[Observation], now_s: float
+) -> tuple[SuspectRecord, ...]:
+    """Return the messages of observations; they hold ages, not times.
+
+    A crash that several VMs saw may take more than one.
+    """
+    return tuple(
+        record
+        for observation in observations
+        for record in _encode(observation, now_s)
+    )
+
+
+def _encode(observation: Observation, now_s: float) -> Iterator[SuspectRecord]:
+    match observation:
+        case Crash(name, at_s, fingerprints):
+            ordered = sorted(fingerprints)
+            for start in range(0, len(ordered), MAX_FINGERPRINTS_PER_CRASH):
+                part = ordered[start : start + MAX_FINGERPRINTS_PER_CRASH]
+                yield SuspectRecord(
+                    SuspectKind.CRASH,
+                    name,
+                    tuple(part),
+                    _to_ms(now_s - at_s),
+                )
+        case Clearance(fingerprint, at_s):
+            yield SuspectRecord(
+                SuspectKind.CLEARANCE,
+                "",
+                (fingerprint,),
+                _to_ms(now_s - at_s),
+            )
+        case Trial(fingerprint, vm, until_s):
+            yield SuspectRecord(
+                SuspectKind.TRIAL,
+                vm,
+                (fingerprint,),
+                0,
+                _to_ms(until_s - now_s),
+            )
+
+
+def _to_ms(seconds: float) -> int:
+    return round(min(MAX_AGE_MS, max(0.0, seconds * 1000)))
+
+
+def decode_records(
+    records: Iterable[SuspectRecord], now_s: float
+) -> Iterator[Observation]:
+    """Yield the observations of messages that have just arrived.
+
+    Messages with values that no VM can have sent are left out.
+    """
+    for record in records:
+        if not _is_usable(record):
+            continue
+        at_s = now_s - record.age_ms / 1000
+        match record.kind:
+            case SuspectKind.CRASH:
+                yield Crash(record.name, at_s, frozenset(record.fingerprints))
+            case SuspectKind.CLEARANCE:
+                yield Clearance(record.fingerprints[0], at_s)
+            case SuspectKind.TRIAL:
+                left_s = min(TRIAL_S, record.left_ms / 1000)
+                yield Trial(
+                    record.fingerprints[0], record.name, now_s + left_s
+                )
+
+
+def _is_usable(record: SuspectRecord) -> bool:
+    return (
+        0 <= record.age_ms <= MAX_AGE_MS
+        and 0 <= record.left_ms <= MAX_AGE_MS
+        and len(record.name) <= MAX_NAME_CHARS
+        and 0 < len(record.fingerprints) <= MAX_FINGERPRINTS_PER_CRASH
+        and all(
+            0 < len(fingerprint) <= MAX_FINGERPRINT_BYTES
+            for fingerprint in record.fingerprints
+        )
+    )
+
+
+class Flight(msgspec.Struct, eq=False):
+    """Hold an attempt that a target may be running.
+
+    `incarnation` names the target's process, `abandoned_at_s` is when the
+    attempt was given up, infinite before.
+    """
+
+    incarnation: str
+    fingerprint: bytes
+    began_s: float
+    abandoned_at_s: float = float("inf")
+
+
+class SuspectTable:
+    """Keep this VM's attempts in flight, and the fleet's observations.
+
+    `sequence` counts this VM's own observations; `on_report` is called after
+    each.
+    """
+
+    def __init__(self, name: str = "") -> None:
+        self._name = name
+        self._quarantine = Quarantine()
+        self._flights: dict[str, list[Flight]] = {}
+        self._sweep_due_s = float("-inf")
+        self._own: deque[tuple[int, Observation]] = deque(
+            maxlen=MAX_OWN_OBSERVATIONS
+        )
+        self.sequence = 0
+        self.on_report: Callable[[], None] = lambda: None
+
+    def standing(self, fingerprint: bytes, now_s: float) -> Standing:
+        """Return what counts against a request."""
+        return self._quarantine.standing(fingerprint, now_s)
+
+    def begin(
+        self, incarnation: str, fingerprint: bytes, now_s: float
+    ) -> Flight:
+        """Record an attempt; one of a suspected request is a trial."""
+        if now_s >= self._sweep_due_s:
+            self._sweep_due_s = now_s + SWEEP_INTERVAL_S
+            self._drop_ended(now_s)
+        flight = Flight(incarnation, fingerprint, now_s)
+        self._flights.setdefault(incarnation, []).append(flight)
+        if self.standing(fingerprint, now_s).crashes:
+            until_s = now_s + TRIAL_S
+            self._observe(Trial(fingerprint, self._name, until_s), now_s)
+        return flight
+
+    def _drop_ended(self, now_s: float) -> None:
+        """Drop the attempts that no target can be running any more."""
+        for incarnation, flights in list(self._flights.items()):
+            flights[:] = [
+                flight for flight in flights if _is_current(flight, now_s)
+            ]
+            if not flights:
+                del self._flights[incarnation]
+
+    def end(self, flight: Flight, now_s: float) -> None:
+        """Record that an attempt ended without a crash or a response."""
+        self._remove(flight)
+        self._observe(Trial(flight.fingerprint, self._name, now_s), now_s)
+
+    def clear(self, flight: Flight, now_s: float) -> None:
+        """Record that an attempt got a complete response."""
+        self._remove(flight)
+        self.clear_request(flight.fingerprint, now_s)
+
+    def clear_request(self, fingerprint: bytes, now_s: float) -> None:
+        """Record that a request got a complete response."""
+        if self.standing(fingerprint, now_s).crashes:
+            self._observe(Clearance(fingerprint, now_s), now_s)
+
+    def abandon(self, flight: Flight, now_s: float) -> None:
+        """Record that an attempt was given up; the target may go on."""
+        flight.abandoned_at_s = now_s
+
+    def _remove(self, flight: Flight) -> None:
+        flights = self._flights.get(flight.incarnation, [])
+        if flight in flights:
+            flights.remove(flight)
+        if not flights:
+            self._flights.pop(flight.incarnation, None)
+
+    def has_flights(self, incarnation: str, now_s: float) -> bool:
+        """Return whether a target may be running attempts of this VM."""
+        return any(
+            _is_current(flight, now_s)
+            for flight in self._flights.get(incarnation, ())
+        )
+
+    def has_abandoned(self, incarnation: str, now_s: float) -> bool:
+        """Return whether a target may be running attempts given up here."""
+        return any(
+            flight.abandoned_at_s <= now_s and _is_current(flight, now_s)
+            for flight in self._flights.get(incarnation, ())
+        )
+
+    def record_crash(
+        self,
+        incarnation: str,
+        opened_at_s: float,
+        now_s: float,
+        ended: frozenset[bytes] = frozenset(),
+    ) -> Crash | None:
+        """Count a target's crash against the requests in flight there.
+
+        `opened_at_s` is when the connection was opened that showed it, and
+        `ended` are requests whose attempts it has just ended. Return None if
+        the crash counts against no request that wasn't known.
+        """
+        flights = [
+            flight
+            for flight in self._flights.pop(incarnation, ())
+            if _is_current(flight, now_s)
+        ]
+        room = MAX_FINGERPRINTS_PER_CRASH - len(ended)
+        fingerprints = ended | {
+            flight.fingerprint for flight in flights[-room:]
+        }
+        name = self._quarantine.name_crash(incarnation, opened_at_s)
+        crash = Crash(name, now_s, fingerprints)
+        if not fingerprints or not self._observe(crash, now_s):
+            return None
+        return crash
+
+    def merge(
+        self, records: Iterable[SuspectRecord], now_s: float
+    ) -> list[Crash]:
+        """Add what other VMs observed; return the crashes that were new.
+
+        Requests that this VM had given up at a crashed target count too: no
+        connection of its own shows their end.
+        """
+        told: list[Crash] = []
+        for observation in decode_records(records, now_s):
+            is_new = self._quarantine.add(observation, now_s)
+            if is_new and isinstance(observation, Crash):
+                told.append(observation)
+                self._join(observation, now_s)
+        return told
+
+    def _join(self, crash: Crash, now_s: float) -> None:
+        """Count a crash against the requests given up at the target."""
+        incarnation, _, _ = crash.name.partition("+")
+        joined = frozenset(
+            flight.fingerprint
+            for flight in self._flights.get(incarnation, ())
+            if flight.abandoned_at_s <= now_s and _is_current(flight, now_s)
+        )
+        if joined:
+            self._observe(Crash(crash.name, crash.at_s, joined), now_s)
+
+    def _observe(self, observation: Observation, now_s: float) -> bool:
+        if not self._quarantine.add(observation, now_s):
+            return False
+        self.sequence += 1
+        self._own.append((self.sequence, observation))
+        self.on_report()
+        return True
+
+    def records_since(
+        self, sequence: int, now_s: float
+    ) -> tuple[SuspectRecord, ...]:
+        """Return this VM's observations after a sequence.
+
+        From 0, return those of other VMs too: the replica may have restarted.
+        """
+        if not sequence:
+            return encode_observations(
+                self._quarantine.changed_since(0), now_s
+            )
+        return self.own_records_since(sequence, now_s)
+
+    def own_records_since(
+        self, sequence: int, now_s: float
+    ) -> tuple[SuspectRecord, ...]:
+        """Return this VM's own observations after a sequence."""
+        return encode_observations(
+            (seen for number, seen in self._own if number > sequence), now_s
+        )
+
+
+def _is_current(flight: Flight, now_s: float) -> bool:
+    """Return whether a target may be running an attempt."""
+    return (
+        now_s - flight.abandoned_at_s < ABANDONED_S
+        and now_s - flight.began_s < MAX_FLIGHT_S
+    )
--- a/tests/test_late_news.py
+++ b/tests/test_late_news.py
@@ -11,7 +11,7 @@
 from tests.test_deployment import make_announcement, make_deployment
 from tests.test_view_patches import make_service, publish, StandInReplica
 from tests.virtual_time import run_virtual
-from wigeonford.control import LimitService
+from wigeonford.control import LimitService, SuspectService
 from wigeonford.deployment import DeploymentPatch
 from wigeonford.errors import Code, PeerError
 from wigeonford.messages.steering import (
@@ -175,6 +175,7 @@
         service = make_service(replica, loop.time)
         service.attach(handlers)  # type: ignore[arg-type]
         LimitService(loop.time).attach(handlers)  # type: ignore[arg-type]
+        SuspectService(loop.time).attach(handlers)  # type: ignore[arg-type]
         await service.start()
         publish(replica, make_deployment(version=1))
         follower = make_follower(lambda _: BusyLink(handlers))
--- a/tests/test_narrow_link.py
+++ b/tests/test_narrow_link.py
@@ -16,7 +16,7 @@
 from tests.test_deployment import make_deployment
 from tests.test_view_patches import make_service, publish, StandInReplica
 from tests.virtual_time import run_virtual, VirtualLoop
-from wigeonford.control import LimitService, ViewService
+from wigeonford.control import LimitService, SuspectService, ViewService
 from wigeonford.events import configure_logging, EventLog
 from wigeonford.messages.steering import (
     EntryStatus,
@@ -96,6 +96,7 @@
             service = make_service(replica, loop.time)
             service.attach(server)
             LimitService(loop.time).attach(server)
+            SuspectService(loop.time).attach(server)
             server.handle(QuotaLeaseReport, _grant_nothing)
             await service.start()
             stack.push_async_callback(service.stop)
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -12,13 +12,14 @@
     Crash,
     decode_records,
     encode_observations,
+    MAX_SUSPECTS,
     Observation,
+    pause_s,
     Quarantine,
     request_fingerprint,
     SuspectTable,
     Trial,
 )
-from wigeonford.suspects._quarantine import MAX_SUSPECTS, pause_s
 
 CONTACT_WINDOW_S = 4.0
 MAX_LATE_CRASHES = 3
