Suspect no request that was given up before it was sent

What callers saw: nothing yet; it came with the watch of given-up attempts. A caller that left while its target was being connected left an attempt behind that counted as one the target might run. test_caller_that_leaves_while_its_target_is_connected failed before.

--- a/src/wigeonford/steer/_crash_watch.py
+++ b/src/wigeonford/steer/_crash_watch.py
@@ -60,6 +60,10 @@
             record.incarnation, fingerprint, self._clock()
         )
 
+    def withdraw(self, flight: Flight) -> None:
+        """Record that an attempt ended before anything was sent."""
+        self._suspects.end(flight, self._clock())
+
     async def settle(
         self, flight: Flight, record: TargetRecord, result: AttemptResult
     ) -> None:
--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -284,7 +284,10 @@
                 )
             )
         except BaseException as exc:
-            self._crash_watch.abandon(flight, record)
+            if ctx.is_attempt_running:
+                self._crash_watch.abandon(flight, record)
+            else:
+                self._crash_watch.withdraw(flight)
             self._log.emit(
                 Event.ATTEMPT_ABANDONED,
                 request=ctx.req.request_id,
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -105,6 +105,35 @@
         self.check(CrashCase(vm_count=70, gap_s=1.5, count=12), seeds=(1,))
 
 
+class UnsentTest(unittest.TestCase):
+    """A request that was not sent is not suspected."""
+
+    async def leave_while_connecting(self) -> int:
+        """Return how many crashes count against the request afterwards."""
+        loop = asyncio.get_running_loop()
+        with virtual_clock():
+            fleet = LimitedFleet(1, 1, 1.0, 1)
+            await fleet.start()
+            (vm,) = fleet.vms
+            vm.connect_s = 1.0
+            task = asyncio.create_task(vm.request(1, "object-1"))
+            await asyncio.sleep(0.5)
+            task.cancel()
+            await asyncio.sleep(0.1)
+            (record,) = vm.records
+            flight = vm.suspects.begin(record.incarnation, b"x", loop.time())
+            vm.suspects.record_crash(
+                record.incarnation, loop.time(), loop.time()
+            )
+            records = vm.suspects.records_since(0, loop.time())
+            await fleet.stop()
+            self.assertEqual(b"x", flight.fingerprint)
+            return max(len(record.fingerprints) for record in records)
+
+    def test_caller_that_leaves_while_its_target_is_connected(self) -> None:
+        self.assertEqual(1, run_virtual(self.leave_while_connecting()))
+
+
 class SpreadTest(unittest.TestCase):
     """All entry VMs know of a crash within a fraction of the window."""
 
