Split the names of crashes in one place, whatever targets' ids hold

The name was taken apart in four places at the first plus sign, which an id may hold: with one target "t/1+y" and another "t", naming the second's crash raised ValueError in the request's path. test_ids_of_targets_may_hold_any_sign failed before. A list of the rejected requests that nothing called is gone.

--- a/src/wigeonford/suspects.py
+++ b/src/wigeonford/suspects.py
@@ -89,6 +89,17 @@
     return min(MAX_PAUSE_S, FIRST_PAUSE_S * PAUSE_GROWTH**exponent)
 
 
+def _split_crash_name(name: str) -> tuple[str, int]:
+    """Return a crash's incarnation and its number there, from 0.
+
+    Targets choose their ids, so one may hold the sign before the number.
+    """
+    incarnation, _, number = name.rpartition("+")
+    if incarnation and number.isdecimal():
+        return incarnation, int(number)
+    return name, 0
+
+
 class Crash(msgspec.Struct, frozen=True):
     """Name a crash of a target, and the requests in flight there."""
 
@@ -188,13 +199,6 @@
             until_s = max(until_s, suspect.trial.until_s)
         return Standing(suspect.counted, max(0.0, until_s - now_s))
 
-    def suspects(self, now_s: float) -> Iterator[tuple[bytes, Standing]]:
-        """Yield the requests that are rejected now, and why."""
-        for fingerprint in self._suspects:
-            standing = self.standing(fingerprint, now_s)
-            if standing.wait_s > 0:
-                yield fingerprint, standing
-
     def name_crash(self, incarnation: str, opened_at_s: float) -> str:
         """Return the name of an incarnation's crash.
 
@@ -207,8 +211,8 @@
             return incarnation
         if opened_at_s <= self._crashes[latest].at_s:
             return latest
-        _, _, number = latest.partition("+")
-        return f"{incarnation}+{int(number or 0) + 1}"
+        _, number = _split_crash_name(latest)
+        return f"{incarnation}+{number + 1}"
 
     def add(self, observation: Observation, now_s: float) -> bool:
         """Add an observation; return whether it was new."""
@@ -237,7 +241,7 @@
         self.revision += 1
         if known is None:
             known = self._crashes[crash.name] = _CrashState(crash.at_s, 0)
-            incarnation, _, _ = crash.name.partition("+")
+            incarnation, _ = _split_crash_name(crash.name)
             self._latest_crashes[incarnation] = crash.name
         known.revision = self.revision
         known.fingerprints |= added
@@ -394,7 +398,7 @@
             if crash.fingerprints or crash.at_s > until_s:
                 continue
             del self._crashes[name]
-            incarnation, _, _ = name.partition("+")
+            incarnation, _ = _split_crash_name(name)
             if self._latest_crashes.get(incarnation) == name:
                 del self._latest_crashes[incarnation]
 
@@ -642,7 +646,7 @@
 
     def _join(self, crash: Crash, now_s: float) -> None:
         """Count a crash against the requests given up at the target."""
-        incarnation, _, _ = crash.name.partition("+")
+        incarnation, _ = _split_crash_name(crash.name)
         joined = frozenset(
             flight.fingerprint
             for flight in self._flights.get(incarnation, ())
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -171,6 +171,13 @@
             table.merge(aged, 1.9)
             self.assertEqual((), table.standing(b"print", 1.9).crashes)
 
+    def test_ids_of_targets_may_hold_any_sign(self) -> None:
+        for name in ("t/1+y/5", "t/1", "a+b/1", "a+7/1"):
+            for at_s in (1.0, 4.0):
+                crash(self.tables[0], name, name.encode(), at_s)
+            standing = self.tables[0].standing(name.encode(), 4.0)
+            self.assertEqual(2, len(standing.crashes), name)
+
     def test_clearance_does_not_excuse_later_crashes(self) -> None:
         crash(self.tables[0], "t-0/1", b"print", 1.0)
         spread(self.tables, 1.1)
