--- a/src/wigeonford/control/_limit_service.py
+++ b/src/wigeonford/control/_limit_service.py
@@ -41,8 +41,8 @@
         """Return how many observations were the latest of a target."""
         return self._limits.revision
 
-    def merge(self, report: ReportTargetLimits) -> bool:
-        """Merge limits; return whether any of them is the latest."""
+    def merge(self, report: ReportTargetLimits) -> None:
+        """Merge limits, and log those that can't be used."""
         now_s = self._clock()
         for stated in itertools.filterfalse(is_usable, report.limits):
             self._log.emit(
@@ -50,11 +50,8 @@
                 target=stated.target_id[:MAX_NAME_CHARS],
                 stated=repr(stated.per_s),
             )
-        changes = [
+        for limit in filter(is_usable, report.limits):
             self._limits.merge(decode_limit(limit, now_s), now_s)
-            for limit in filter(is_usable, report.limits)
-        ]
-        return any(changes)
 
     def build_update(self, since: int) -> TargetLimitsUpdate:
         """Return the limits observed after a revision."""
--- a/src/wigeonford/control/_relay_service.py
+++ b/src/wigeonford/control/_relay_service.py
@@ -40,8 +40,8 @@
         """Return how many reports were new."""
         raise NotImplementedError
 
-    def merge(self, report: Any) -> bool:
-        """Merge a report; return whether anything in it was new."""
+    def merge(self, report: Any) -> None:
+        """Merge a report; increase the revision by what was new in it."""
         raise NotImplementedError
 
     def build_update(self, since: int) -> Any:
@@ -49,7 +49,9 @@
         raise NotImplementedError
 
     async def _on_report(self, report: Any) -> Done:
-        if self.merge(report):
+        known_revision = self.revision
+        self.merge(report)
+        if self.revision > known_revision:
             self._changed.set()
             self._changed = asyncio.Event()
         return Done()
--- a/src/wigeonford/control/_suspect_service.py
+++ b/src/wigeonford/control/_suspect_service.py
@@ -32,13 +32,11 @@
         """Return how many observations were new."""
         return self._quarantine.revision
 
-    def merge(self, report: ReportSuspects) -> bool:
-        """Add observations; return whether any of them was new."""
+    def merge(self, report: ReportSuspects) -> None:
+        """Add observations."""
         now_s = self._clock()
-        before = self._quarantine.revision
         for observation in decode_records(report.records, now_s):
             self._quarantine.add(observation, now_s)
-        return self._quarantine.revision > before
 
     def build_update(self, since: int) -> SuspectsUpdate:
         """Return the observations that were new after a revision."""
