--- a/review/2/case.py
+++ b/review/2/case.py
@@ -109,7 +109,9 @@
     tasks = set()
     for number in range(900):
         entry = fleet.entries[number % 2]
-        task = asyncio.create_task(client.send(entry, f"/lepu/{number}"))
+        task = asyncio.create_task(client.send(
+            entry, f"/lepu/{number}", object_id=str(number)
+        ))
         tasks.add(task)
         task.add_done_callback(tasks.discard)
         await asyncio.sleep(0.05)
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -536,9 +536,10 @@
             ("Host", self.host),
             ("X-Attempt-Id", request_id),
             ("X-Deadline-Remaining", str(wait_ms)),
-            ("X-Affinity-Key", object_id or str(self.count)),
             ("X-Key", self.key),
         ]
+        if object_id is not None:
+            headers.append(("X-Affinity-Key", object_id))
         self.record(f"client {method} {path} {request_id} -> {entry.name}")
         try:
             answer = await call(
@@ -564,12 +565,13 @@
     }
 
 
-def route(name, prefix, service_name, kind="safe", attempts=2, timeout_s=2.5):
+def route(name, prefix, service_name, kind="safe", attempts=2, timeout_s=2.5,
+          affinity=True):
     return {
         "name": name, "path_prefix": prefix, "kind": kind,
         "timeout_s": timeout_s, "target_latency_s": 0.8, "priority": 1,
         "service": service_name, "attempts": attempts,
-        "anonymous_access": False, "cache_affinity": True,
+        "anonymous_access": False, "cache_affinity": affinity,
         "home_regions": [],
     }
 
