Bound the log entries in flight to a follower by their size

The same cause as in the log file: up to 4,096 entries of any size were sent to a follower without an acknowledgement. With whole configurations of 80 KB each that is over 300 MB a follower, encoded at once for one that comes back. 2 MiB may be in flight now. Entries are counted from where the leader began to send, so that a new leader needn't wait for a first reply.

The test counts what may be sent before a reply; before the change, all of the log.

--- a/src/wigeonford/control/_raft_leader.py
+++ b/src/wigeonford/control/_raft_leader.py
@@ -153,7 +153,9 @@
         """Send followers the entries that were not sent to them yet."""
         last = self._node.log.last_position
         for name, progress in self._progress.items():
-            while progress.next_position <= last and progress.may_send():
+            while progress.next_position <= last and progress.may_send(
+                self._node.log
+            ):
                 if not self._send_append(name, progress, now_s):
                     break
 
@@ -172,7 +174,7 @@
             node.send(name, self._append_message(progress, base, (), now_s))
             return False
         entries: tuple[LogEntry, ...] = ()
-        if progress.may_send():
+        if progress.may_send(node.log):
             entries = node.log.entries_between(
                 previous, node.log.last_position, MAX_BATCH_BYTES
             )
--- a/src/wigeonford/control/_raft_progress.py
+++ b/src/wigeonford/control/_raft_progress.py
@@ -4,8 +4,12 @@
 
 import msgspec
 
+from wigeonford.control._raft_log import RaftLog
+
 SNAPSHOT_TIMEOUT_S: Final = 5.0
 MAX_IN_FLIGHT_ENTRIES: Final = 4096
+MAX_IN_FLIGHT_BYTES: Final = 2 << 20
+"""Several batches, and little beside a replica's memory."""
 
 
 class Progress(msgspec.Struct):
@@ -18,7 +22,8 @@
     `acked_sent_s` is when the leader sent the newest acknowledged message,
     and `tracked_since_s` when it began to track this follower, both by the
     leader's clock. `replied_at_s` is by the follower's clock. No snapshot is
-    sent before `next_snapshot_at_s`.
+    sent before `next_snapshot_at_s`. Entries after `sent_after` that aren't
+    acknowledged are in flight.
     """
 
     incarnation: str
@@ -28,6 +33,10 @@
     acked_sent_s: float = float("-inf")
     replied_at_s: float | None = None
     next_snapshot_at_s: float = float("-inf")
+    sent_after: int = -1
+
+    def __post_init__(self) -> None:
+        self.sent_after = self.next_position - 1
 
     def accept(self, position: int) -> None:
         """Record that the logs match up to a position."""
@@ -39,9 +48,13 @@
     def reject(self, hint: int) -> None:
         """Resume after a position where the logs may match."""
         self.next_position = max(self.match_position, hint) + 1
+        self.sent_after = self.next_position - 1
 
-    def may_send(self) -> bool:
-        """Return whether more entries may be in flight."""
+    def may_send(self, log: RaftLog) -> bool:
+        """Return whether more entries of the log may be in flight."""
+        sent = self.next_position - 1
+        acked = max(self.match_position, self.sent_after)
         return (
-            self.next_position - self.match_position <= MAX_IN_FLIGHT_ENTRIES
+            sent - acked < MAX_IN_FLIGHT_ENTRIES
+            and log.bytes_between(acked, sent) < MAX_IN_FLIGHT_BYTES
         )
--- a/tests/test_log_size.py
+++ b/tests/test_log_size.py
@@ -12,6 +12,9 @@
 from wigeonford.control import LogEntry, LogFileStore, SoloReplica
 from wigeonford.control._commands import COMMANDS, ExpireMember
 from wigeonford.control._raft_disk import load
+from wigeonford.control._raft_leader import MAX_BATCH_BYTES
+from wigeonford.control._raft_log import RaftLog
+from wigeonford.control._raft_progress import MAX_IN_FLIGHT_BYTES, Progress
 from wigeonford.events import EventLog
 
 ENTRY_BYTES = 1 << 18
@@ -117,6 +120,21 @@
 
         self.assertLess(peak_bytes(start()), 1.25 * count * ENTRY_BYTES)
 
+    # Up to 4096 entries of any size were sent to a follower at once.
+    def test_bytes_in_flight_to_a_follower_are_bounded(self) -> None:
+        log = RaftLog()
+        log.append(map(large_entry, range(1, 101)))
+        progress = Progress("i", 1, 0.0)
+        while progress.may_send(log):
+            sent = log.entries_between(
+                progress.next_position - 1, log.last_position, MAX_BATCH_BYTES
+            )
+            progress.next_position += len(sent)
+        sent_bytes = log.bytes_between(0, progress.next_position - 1)
+        self.assertLess(sent_bytes, MAX_IN_FLIGHT_BYTES + 2 * ENTRY_BYTES)
+        progress.accept(progress.next_position - 1)
+        self.assertTrue(progress.may_send(log))
+
 
 class SoloLogTest(unittest.IsolatedAsyncioTestCase):
     """Change a replica without peers by large commands."""
