Carry out an order only for a caller that waits, on what it was meant for

Cause: an order to start or end an evacuation, and the withdrawal of a target, named nothing but the zone or the id, and were applied whenever they came: out of the socket of a replica that stood still, or as a command held up on its way to the leader after the sender had given up.

Change: the replica confirms its state, notes the revision of the evacuations or the target's incarnation, looks whether the caller is still there, and then proposes the command with what it noted. A command that meets another revision changes nothing; each order advances it, also one that leaves the zone as it is, so that an order given up before can't undo an acknowledged one. A conflict is tried again on the confirmed state, so orders at the same time and resent ones are all acknowledged. Orders of earlier builds in the log apply as before.

--- a/src/wigeonford/control/_steering.py
+++ b/src/wigeonford/control/_steering.py
@@ -165,10 +165,17 @@
 
     @_applies(SetEvacuation)
     def _set_evacuation(self, record: SetEvacuation) -> CommandResult:
+        expected = record.expected_revision
+        if expected not in (None, self.evacuation_revision):
+            return self._result(
+                Code.VERSION_CONFLICT,
+                f"the evacuations are at revision {self.evacuation_revision}",
+            )
         change = (
             self.evacuations.begin if record.active else self.evacuations.end
         )
-        if change(record.zone):
+        # Also one that changes nothing keeps earlier ones from coming late.
+        if change(record.zone) or expected is not None:
             self.evacuation_revision = self._advance()
         return self._result(Code.OK)
 
--- a/src/wigeonford/control/_steering_commands.py
+++ b/src/wigeonford/control/_steering_commands.py
@@ -29,10 +29,17 @@
 
 @command(42)
 class SetEvacuation(msgspec.Struct, frozen=True):
-    """Start or end the evacuation of an availability zone."""
+    """Start or end the evacuation of an availability zone.
+
+    The command takes effect only if `expected_revision` is the revision of
+    the evacuations, which each such command advances. So one that comes late
+    undoes nothing that was ordered after it. None, which earlier builds
+    wrote, matches any.
+    """
 
     zone: str
     active: bool
+    expected_revision: int | None = None
 
 
 @command(43)
--- a/src/wigeonford/control/_target_service.py
+++ b/src/wigeonford/control/_target_service.py
@@ -1,7 +1,7 @@
 """The service that records target announcements and expires targets."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 import time
 from typing import Final
 
@@ -116,10 +116,27 @@
                 f"{MAX_CLOCK_LEAD_S:g} s in the future",
             )
 
-    async def withdraw(self, target_id: str) -> None:
-        """Remove a target; return once the removal is committed."""
-        self._log.emit(Event.TARGET_LEFT, target=target_id, reason="withdrew")
-        await self._replica.propose(RemoveTargets(((target_id, None),)))
+    async def withdraw(
+        self, target_id: str, check_caller: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Remove a target; return once the removal is committed.
+
+        Only the incarnation that is known while the caller still waits is
+        removed: a later one may have registered once the caller has left, for
+        which `check_caller` raises.
+        """
+        await self._replica.read_barrier()
+        target = self._replica.state.steering.targets.get(target_id)
+        await check_caller()
+        born_ms = None if target is None else target.announced.born_ms
+        self._log.emit(
+            Event.TARGET_LEFT,
+            target=target_id,
+            reason="withdrew",
+            born_ms=born_ms,
+        )
+        if born_ms is not None:
+            await self._replica.propose(RemoveTargets(((target_id, born_ms),)))
 
     def _record_announcement(self, target_id: str) -> None:
         self._announced_at_s[target_id] = self._clock()
--- a/src/wigeonford/http/__init__.py
+++ b/src/wigeonford/http/__init__.py
@@ -12,6 +12,7 @@
 )
 from wigeonford.http._connection import Handler, ResponseBroken
 from wigeonford.http._pool import ConnectionPool
+from wigeonford.http._reader import check_caller
 from wigeonford.http._server import HttpServer
 from wigeonford.http._types import (
     ACCOUNT_HEADER,
@@ -31,6 +32,7 @@
 
 __all__ = [
     "ACCOUNT_HEADER",
+    "check_caller",
     "CODE_HEADER",
     "DEADLINE_HEADER",
     "INTERNAL_PREFIX",
--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -413,6 +413,7 @@
             headers=headers,
             caller_host=self.host,
             body=self._stream_body(self._limits.body_bytes),
+            has_caller_left=lambda: self.has_caller_left,
         )
         check_head(event, headers, self._limits)
         return request
--- a/src/wigeonford/http/_reader.py
+++ b/src/wigeonford/http/_reader.py
@@ -58,6 +58,17 @@
         await asyncio.sleep(0)
 
 
+async def check_caller(has_left: Callable[[], bool]) -> None:
+    """Raise `ConnectionResetError` if a caller has closed its connection.
+
+    A process that stood still may read a request and notice the close of its
+    connection only afterwards.
+    """
+    await poll_sockets()
+    if has_left():
+        raise ConnectionResetError("the caller has disconnected")
+
+
 class ReadDeadline:
     """A time limit on reads, under which bytes received in time count.
 
--- a/src/wigeonford/http/_types.py
+++ b/src/wigeonford/http/_types.py
@@ -1,6 +1,6 @@
 """Request and response types of the HTTP client and server."""
 
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 from typing import Final
 
 import msgspec
@@ -31,8 +31,16 @@
     yield b""
 
 
+def _never() -> bool:
+    return False
+
+
 class Request(msgspec.Struct, frozen=True):
-    """Hold a request; `client` is the caller's IP address."""
+    """Hold a request; `caller_host` is the caller's IP address.
+
+    `has_caller_left` tells whether the caller has closed its connection, as
+    far as the event loop has read.
+    """
 
     method: str
     path: str
@@ -40,6 +48,7 @@
     headers: Headers
     caller_host: str
     body: AsyncIterator[bytes] = msgspec.field(default_factory=no_body)
+    has_caller_left: Callable[[], bool] = _never
 
     def header(self, name: bytes) -> str | None:
         """Return the first value of a header, or None."""
--- a/src/wigeonford/platform/_control_api.py
+++ b/src/wigeonford/platform/_control_api.py
@@ -17,7 +17,12 @@
 from wigeonford.deployment import AnnouncementEffect
 from wigeonford.errors import Code, RequestRejected, WigeonfordError
 from wigeonford.events import Event, EventLog
-from wigeonford.http import json_response, Request, Response
+from wigeonford.http import (
+    check_caller,
+    json_response,
+    Request,
+    Response,
+)
 from wigeonford.platform._announcements import (
     AnnouncementInvalid,
     decode_announcement,
@@ -32,6 +37,8 @@
 
 MAX_BODY_BYTES: Final = 1 << 26
 """The same as the size limit of a peer message."""
+MAX_ORDER_ATTEMPTS: Final = 8
+"""As many orders as operators have in progress at once."""
 _HTTP_STATUSES: Final = {
     Code.OK.number: 200,
     Code.VERSION_CONFLICT.number: 412,
@@ -179,9 +186,18 @@
     ) -> Response:
         if zone not in self._zones:
             return _respond(400, f"unknown zone {zone}")
-        await self._replica.propose(SetEvacuation(zone, active))
-        self._log_outcome(request, "", 200, "")
-        return _respond(200, "")
+        for _ in range(MAX_ORDER_ATTEMPTS):
+            await self._replica.read_barrier()
+            revision = self._steering.evacuation_revision
+            await check_caller(request.has_caller_left)
+            result = await self._replica.propose(
+                SetEvacuation(zone, active, revision)
+            )
+            if result.accepted:
+                break
+        status = 200 if result.accepted else 503
+        self._log_outcome(request, str(revision), status, result.detail)
+        return _respond(status, result.detail)
 
     @_endpoint("PUT", "instances")
     async def _announce_target(
@@ -202,9 +218,11 @@
 
     @_endpoint("DELETE", "instances")
     async def _withdraw_target(
-        self, _request: Request, target_id: str
+        self, request: Request, target_id: str
     ) -> Response:
-        await self._targets.withdraw(target_id)
+        await self._targets.withdraw(
+            target_id, lambda: check_caller(request.has_caller_left)
+        )
         return _respond(200, "")
 
 
--- a/tests/test_skipped_entries.py
+++ b/tests/test_skipped_entries.py
@@ -87,11 +87,13 @@
             api = ControlApi(replica, targets, {"z": "r"}, EventLog())
             evacuation = Request("POST", "/evacuation/z", "", (), "")
             withdrawal = Request("DELETE", "/instances/t", "", (), "")
+            await targets.announce(make_announcement(target_id="t"))
             odd = mock.patch.object(State, "apply", side_effect=KeyError("x"))
             for call in (evacuation, withdrawal):
                 with odd:
                     self.assertEqual(503, (await api.handle(call)).status)
                 self.assertEqual(200, (await api.handle(call)).status)
+            self.assertIsNone(replica.state.steering.targets.get("t"))
             await replica.stop()
 
         with tempfile.TemporaryDirectory() as folder:
