Propose what a leader has decided only in the term that it led

A command was passed on to whoever leads, also one that a leader decides by what it heard itself: that targets, members or holders of quotas are silent. A leader that stood still took them for silent when it woke, and its successor, which had heard them, carried the removal out. Such commands name their term now and are rejected in any other.

The test proposes in an earlier term and at a follower; both were accepted before.

--- a/src/wigeonford/control/_quota_service.py
+++ b/src/wigeonford/control/_quota_service.py
@@ -240,7 +240,9 @@
             if not expired:
                 continue
             try:
-                await self._replica.propose(ChangeHolders((), expired))
+                await self._replica.propose_in_term(
+                    ChangeHolders((), expired), self._term
+                )
             except WigeonfordError as exc:
                 self._log.emit(Event.ROSTER_UPDATE_FAILED, detail=str(exc))
                 continue
--- a/src/wigeonford/control/_raft_driver.py
+++ b/src/wigeonford/control/_raft_driver.py
@@ -454,10 +454,18 @@
         self._pending.add_entry(position, self.core.term, item.fut)
 
     def _propose(self, proposals: list[Proposal]) -> None:
-        if not proposals:
+        current = [
+            item
+            for item in proposals
+            if item.term is None or item.term == self.core.term
+        ]
+        for item in proposals:
+            if item not in current:
+                self._reject_not_leader(item.fut)
+        if not current:
             return
-        first = self.core.propose([item.content for item in proposals])
-        for offset, item in enumerate(proposals):
+        first = self.core.propose([item.content for item in current])
+        for offset, item in enumerate(current):
             if first is None:
                 self._reject_not_leader(item.fut)
             else:
--- a/src/wigeonford/control/_raft_inbox.py
+++ b/src/wigeonford/control/_raft_inbox.py
@@ -16,10 +16,14 @@
 
 
 class Proposal(msgspec.Struct, frozen=True):
-    """Append a command to the log; `fut` gets its result."""
+    """Append a command to the log; `fut` gets its result.
+
+    With a `term`, it is appended only in that term.
+    """
 
     content: bytes
     fut: asyncio.Future[CommandResult]
+    term: int | None = None
 
 
 class Read(msgspec.Struct, frozen=True):
--- a/src/wigeonford/control/_raft_replica.py
+++ b/src/wigeonford/control/_raft_replica.py
@@ -187,6 +187,15 @@
         raise_if_skipped(result)
         return result
 
+    async def propose_in_term(self, record: Any, term: int) -> CommandResult:
+        """Return the result of a command decided as the leader of a term."""
+        self._driver.raise_if_stopped()
+        if not self.is_leader or self.term != term:
+            raise NotLeaderError(self.leader)
+        result = await self._propose(COMMANDS.encode(record), term)
+        raise_if_skipped(result)
+        return result
+
     async def read_barrier(self) -> None:
         """Return once a quorum has confirmed that the state is current."""
 
@@ -282,9 +291,11 @@
     def _is_alone_without_room(self) -> bool:
         return len(self.members()) == 1 and not self._driver.is_stalled
 
-    async def _propose(self, content: bytes) -> CommandResult:
+    async def _propose(
+        self, content: bytes, term: int | None = None
+    ) -> CommandResult:
         fut: asyncio.Future[CommandResult] = _new_future()
-        self._driver.enqueue(Proposal(content, fut))
+        self._driver.enqueue(Proposal(content, fut, term))
         return await self._await_result(fut)
 
     async def _confirm(self) -> int:
--- a/src/wigeonford/control/_replica.py
+++ b/src/wigeonford/control/_replica.py
@@ -85,6 +85,13 @@
         `WigeonfordError` if the command is skipped, as it can't be applied.
         """
 
+    async def propose_in_term(self, record: Any, term: int) -> CommandResult:
+        """Propose what this replica has decided as the leader of a term.
+
+        Raise `NotLeaderError` if it doesn't lead that term any more: the
+        decision may rest on what has changed since.
+        """
+
     async def read_barrier(self) -> None:
         """Return once a quorum has confirmed that the state is current."""
 
@@ -210,6 +217,11 @@
             raise_if_skipped(result)
             return result
 
+    async def propose_in_term(self, record: Any, term: int) -> CommandResult:
+        """Sync the command, then apply it: there is a single term."""
+        assert term == SOLO_TERM, "there is a single term"
+        return await self.propose(record)
+
     async def _save_snapshot(self) -> None:
         # One that fails is tried again after another interval.
         self._entries_since_snapshot = self._bytes_since_snapshot = 0
--- a/src/wigeonford/control/_target_service.py
+++ b/src/wigeonford/control/_target_service.py
@@ -188,4 +188,6 @@
             for target_id, _ in silent:
                 self._announced_at_s.pop(target_id, None)
                 self._log.emit(Event.TARGET_EXPIRED, target=target_id)
-            await self._replica.propose(RemoveTargets(silent))
+            await self._replica.propose_in_term(
+                RemoveTargets(silent), self._led_term
+            )
--- a/src/wigeonford/fleet/_service.py
+++ b/src/wigeonford/fleet/_service.py
@@ -151,6 +151,6 @@
             )
             inactive_s = now_s - max(last_seen_at_s, self._leader_since_s)
             if inactive_s > MEMBER_LEASE_S:
-                await self._replica.propose(
-                    ExpireMember(name, member.generation)
+                await self._replica.propose_in_term(
+                    ExpireMember(name, member.generation), self._leader_term
                 )
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -12,6 +12,7 @@
 from tests.virtual_time import run_virtual
 from wigeonford.bench import find_free_address
 from wigeonford.control import ColdClock, TargetService
+from wigeonford.control._commands import ExpireMember
 from wigeonford.events import EventLog
 from wigeonford.http import (
     check_caller,
@@ -21,6 +22,7 @@
     Response,
 )
 from wigeonford.messages.raft import SubmitCommand
+from wigeonford.peer import NotLeaderError
 from wigeonford.platform._control_api import ControlApi
 from wigeonford.settings import Address, CallerLimits
 
@@ -225,6 +227,22 @@
             assert known is not None, f"removed at {late_at}, {delay_s} s late"
             self.assertEqual(born_ms + 1, known.announced.born_ms)
 
+    # What an earlier leader had decided was passed on to its successor.
+    def test_decision_of_an_earlier_term_is_not_proposed(self) -> None:
+        async def run() -> None:
+            leader, other, *_ = await self.start_group()
+            replica = self.group.replicas[leader]
+            term = replica.term
+            await replica.propose_in_term(ExpireMember("vm", 1), term)
+            for name, in_term in ((leader, term - 1), (other, term)):
+                with self.assertRaises(NotLeaderError):
+                    await self.group.replicas[name].propose_in_term(
+                        ExpireMember("vm", 2), in_term
+                    )
+            await self.stop_all()
+
+        run_virtual(run())
+
 
 class LeftCallerTest(unittest.IsolatedAsyncioTestCase):
     """Read a request and the close of its connection together."""
