Bound the time that bodies in tiny chunks take from other requests

Reported by operators: bytes without end from a target cost the requests of other callers on the same VM. Heads, trailers, long chunk heads and bodies were bounded in memory already. A body without end in chunks of one byte was not bounded in time: each of some 10,000 chunks in one read became an event, a write to the caller and a turn of the loop that gave no other task a chance.

Change: chunks that have arrived are joined into one piece, 64 events at most. More of them wait for a rate that all bodies of a server or a pool share, 2,100 events a second, and a response that is not complete at its time limit ends there. Nothing of a body is lost; one in large chunks doesn't wait.

--- a/src/wigeonford/http/_client.py
+++ b/src/wigeonford/http/_client.py
@@ -18,6 +18,7 @@
     has_unacknowledged_bytes,
     read_ack_state,
 )
+from wigeonford.http._chunk_pace import BodyPiece, ChunkPacer
 from wigeonford.http._reader import ReadDeadline, WatchedReader
 from wigeonford.http._types import find_header, Headers, Response
 from wigeonford.settings import Address
@@ -91,7 +92,9 @@
         writer: asyncio.StreamWriter,
         address: Address,
         ack_timeout_s: float | None = None,
+        pacer: ChunkPacer | None = None,
     ) -> None:
+        self._pacer = pacer or ChunkPacer()
         self._reader = reader
         self._writer = writer
         self._http = h11.Connection(
@@ -118,11 +121,13 @@
         context: ssl.SSLContext | None = None,
         local_host: str | None = None,
         ack_timeout_s: float | None = None,
+        pacer: ChunkPacer | None = None,
     ) -> "ClientConnection":
         """Connect within `timeout_s` seconds, or raise `ConnectFailed`.
 
         With `ack_timeout_s`, the connection is broken once sent bytes have
-        been unacknowledged for that long.
+        been unacknowledged for that long. Connections with the same `pacer`
+        share the time for bodies in tiny chunks.
         """
         local_address = (local_host, 0) if local_host is not None else None
         loop = asyncio.get_running_loop()
@@ -143,7 +148,7 @@
         if ack_timeout_s is not None:
             _set_ack_timeout(transport.get_extra_info("socket"), ack_timeout_s)
         writer = asyncio.StreamWriter(transport, protocol, reader, loop)
-        return cls(reader, writer, address, ack_timeout_s)
+        return cls(reader, writer, address, ack_timeout_s, pacer)
 
     @property
     def is_reusable(self) -> bool:
@@ -408,11 +413,17 @@
 
     async def _stream_body(self) -> AsyncIterator[bytes]:
         is_complete = False
+        next_event: object | None = None
         try:
             while True:
-                event = await self._next_event()
+                event = next_event or await self._next_event()
+                next_event = None
                 if isinstance(event, h11.Data):
-                    yield bytes(event.data)
+                    piece = BodyPiece(self._http, event)
+                    next_event = piece.next_event
+                    yield piece.content
+                    if piece.is_slice_full:
+                        await self._pace_chunks()
                 elif isinstance(event, h11.EndOfMessage):
                     is_complete = True
                     return
@@ -425,6 +436,13 @@
         finally:
             self._end_exchange(is_complete)
 
+    async def _pace_chunks(self) -> None:
+        await self._pacer.wait()
+        if self._deadline is not None and self._deadline.has_passed:
+            raise ExchangeTimedOut(
+                f"{self.address}: a body in tiny chunks is incomplete"
+            )
+
     def _end_exchange(self, is_complete: bool) -> None:
         is_done = (
             self._http.our_state is h11.DONE
--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -19,6 +19,7 @@
 from wigeonford.errors import Code, RequestRejected, RunState, WigeonfordError
 from wigeonford.events import Event, EventLog
 from wigeonford.http._caller_deadline import CallerDeadline
+from wigeonford.http._chunk_pace import BodyPiece, ChunkPacer
 from wigeonford.http._head_checks import check_head, to_rejection
 from wigeonford.http._reader import poll_sockets, WatchedReader
 from wigeonford.http._types import (
@@ -80,6 +81,7 @@
     is_draining: bool
     closing: bool
     last_request_at_s: float
+    pacer: ChunkPacer
     find_request_id: FindRequestId
 
     @staticmethod
@@ -431,9 +433,11 @@
         loop = asyncio.get_running_loop()
         size_bytes = 0
         waited_s = 0.0
+        next_event: object | None = None
         while True:
             try:
-                event: object = self._http.next_event()
+                event = next_event or self._http.next_event()
+                next_event = None
                 if event is h11.NEED_DATA:
                     self._check_body_rate(size_bytes, waited_s)
                     started_s = loop.time()
@@ -441,6 +445,9 @@
                         attrgetter("body_idle_timeout_s")
                     )
                     waited_s += loop.time() - started_s
+                if isinstance(event, h11.Data):
+                    piece = BodyPiece(self._http, event)
+                    next_event = piece.next_event
             except TimeoutError:
                 raise RequestRejected(
                     Code.REQUEST_TIMEOUT, "the request body is incomplete"
@@ -450,13 +457,15 @@
                     Code.REQUEST_TRUNCATED, str(exc)
                 ) from exc
             if isinstance(event, h11.Data):
-                size_bytes += len(event.data)
+                size_bytes += len(piece.content)
                 limit_bytes = max(max_bytes, self._limits.body_bytes)
                 if size_bytes > limit_bytes:
                     raise RequestRejected(
                         Code.BODY_TOO_LARGE, f"over {limit_bytes} bytes"
                     )
-                yield bytes(event.data)
+                yield piece.content
+                if piece.is_slice_full:
+                    await self._server.pacer.wait()
             elif isinstance(event, h11.EndOfMessage):
                 if self._reader.is_closed:
                     raise ConnectionResetError("the caller has disconnected")
--- a/src/wigeonford/http/_pool.py
+++ b/src/wigeonford/http/_pool.py
@@ -4,6 +4,7 @@
 import time
 from typing import Final
 
+from wigeonford.http._chunk_pace import ChunkPacer
 from wigeonford.http._client import ClientConnection
 from wigeonford.settings import Address
 
@@ -18,6 +19,7 @@
     def __init__(self, ack_timeout_s: float | None = None) -> None:
         self._idle: dict[Address, deque[ClientConnection]] = {}
         self._ack_timeout_s = ack_timeout_s
+        self._pacer = ChunkPacer()
 
     async def acquire(
         self,
@@ -46,7 +48,10 @@
                 idle.append(conn)
                 break
         conn = await ClientConnection.open(
-            address, connect_timeout_s, ack_timeout_s=self._ack_timeout_s
+            address,
+            connect_timeout_s,
+            ack_timeout_s=self._ack_timeout_s,
+            pacer=self._pacer,
         )
         return conn, False
 
--- a/src/wigeonford/http/_reader.py
+++ b/src/wigeonford/http/_reader.py
@@ -88,6 +88,11 @@
         if self._timeout is not None and not self._timeout.expired():
             self._timeout.reschedule(when_s)
 
+    @property
+    def has_passed(self) -> bool:
+        """Return whether the limit has passed."""
+        return asyncio.get_running_loop().time() >= self._when_s
+
     async def read(self, reader: WatchedReader, max_bytes: int) -> bytes:
         """Return bytes, or none at the end; raise `TimeoutError`."""
         while self._remaining_bytes is None:
--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -15,6 +15,7 @@
 from wigeonford._tasks import cancel_tasks
 from wigeonford.errors import Code, RequestRejected, WigeonfordError
 from wigeonford.events import Event, EventLog
+from wigeonford.http._chunk_pace import ChunkPacer
 from wigeonford.http._connection import (
     CallerConnection,
     CallerStalled,
@@ -71,6 +72,7 @@
         self.is_draining = False
         self.closing = False
         self.last_request_at_s = -math.inf
+        self.pacer = ChunkPacer()
         self._server: asyncio.Server | None = None
         self._context: ssl.SSLContext | None = None
         # Of connections whose task has not begun; one whose TLS handshake
