Refuse endless bodies of orders and announcements early

A control replica collected up to 64 MiB of each body before it looked at it, so five targets that send announcements without end would have taken it over its memory limit. Now an announcement ends with 413 after 16 KiB, a configuration after 16 MiB, and all bodies that are being read together hold 32 MiB at most, beyond which one gets 503. A body that is too large got 503 before, which has it sent again.

Both tests failed before: 64 MiB of an announcement and 512 MiB of eight configurations were read.

--- a/src/wigeonford/platform/_control_api.py
+++ b/src/wigeonford/platform/_control_api.py
@@ -26,6 +26,7 @@
 from wigeonford.platform._announcements import (
     AnnouncementInvalid,
     decode_announcement,
+    MAX_CONTENT_BYTES,
 )
 from wigeonford.platform._documents import (
     decode_deployment,
@@ -35,8 +36,9 @@
     encode_deployment,
 )
 
-MAX_BODY_BYTES: Final = 1 << 26
-"""The same as the size limit of a peer message."""
+MAX_BODY_BYTES: Final = 1 << 24
+MAX_HELD_BODY_BYTES: Final = 1 << 25
+"""Of all bodies that are read at the same time, within a replica's memory."""
 MAX_ORDER_ATTEMPTS: Final = 8
 """As many orders as operators have in progress at once."""
 _HTTP_STATUSES: Final = {
@@ -71,6 +73,7 @@
         self._targets = targets
         self._zones = zones
         self._log = log
+        self._held_body_bytes = 0
 
     @property
     def _steering(self) -> SteeringState:
@@ -94,7 +97,31 @@
                 leader=self._replica.leader,
                 term=self._replica.term,
             )
-            return _respond(503, str(exc))
+            too_large = exc.code is Code.BODY_TOO_LARGE
+            return _respond(413 if too_large else 503, str(exc))
+
+    async def _read_body(
+        self, request: Request, max_bytes: int = MAX_BODY_BYTES
+    ) -> bytes:
+        """Return the body; raise `WigeonfordError` if it is too large."""
+        parts: list[bytes] = []
+        size = 0
+        try:
+            async for chunk in request.body:
+                parts.append(chunk)
+                size += len(chunk)
+                self._held_body_bytes += len(chunk)
+                if size > max_bytes:
+                    raise WigeonfordError(
+                        Code.BODY_TOO_LARGE, f"over {max_bytes} bytes"
+                    )
+                if self._held_body_bytes > MAX_HELD_BODY_BYTES:
+                    raise WigeonfordError(
+                        Code.QUEUE_FULL, "too many large bodies at once"
+                    )
+        finally:
+            self._held_body_bytes -= size
+        return b"".join(parts)
 
     @_endpoint("PUT", "configuration")
     async def _replace_configuration(
@@ -123,7 +150,7 @@
         request: Request,
         build_command: Callable[[bytes, int, bytes], Any],
     ) -> Response:
-        body = await _read_body(request)
+        body = await self._read_body(request)
         if_match = request.header(b"if-match") or ""
         try:
             expected = decode_version(if_match.strip('"'))
@@ -203,8 +230,8 @@
     async def _announce_target(
         self, request: Request, target_id: str
     ) -> Response:
-        body = await _read_body(request)
         try:
+            body = await self._read_body(request, MAX_CONTENT_BYTES)
             announcement = decode_announcement(target_id, body, self._zones)
             applied = await self._targets.announce(announcement)
         except (AnnouncementInvalid, RequestRejected) as exc:
@@ -226,17 +253,6 @@
         return _respond(200, "")
 
 
-async def _read_body(request: Request) -> bytes:
-    parts: list[bytes] = []
-    size = 0
-    async for chunk in request.body:
-        parts.append(chunk)
-        size += len(chunk)
-        if size > MAX_BODY_BYTES:
-            raise WigeonfordError(Code.BODY_TOO_LARGE, f"{size} bytes")
-    return b"".join(parts)
-
-
 def _respond(status: int, detail: str) -> Response:
     content = {"error": detail} if detail else {}
     return json_response(status, msgspec.json.encode(content))
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -10,17 +10,21 @@
 import time
 from typing import Any, Final
 import unittest
+from unittest import mock
 
 import h11
 
 from tests.endless_target import ENDLESS
 from tests.soak._processes import API_PORT, FRONT_PORT, Program, READY_PORT
 from wigeonford._tasks import cancel_tasks
+from wigeonford.control import ColdClock, SoloReplica, TargetService
+from wigeonford.events import EventLog
 from wigeonford.http import (
     ClientConnection,
     ConnectFailed,
     ExchangeFailed,
     fetch,
+    Request,
     Response,
 )
 from wigeonford.http._chunk_pace import (
@@ -30,6 +34,10 @@
     SLICE_EVENTS,
     SLICE_INTERVAL_S,
 )
+from wigeonford.platform._control_api import (
+    ControlApi,
+    MAX_HELD_BODY_BYTES,
+)
 from wigeonford.settings import Address
 
 NETWORK: Final = "127.93"
@@ -290,3 +298,41 @@
         self.assertIsInstance(event, h11.EndOfMessage)
         self.assertEqual(b"x" * count, b"".join(pieces))
         self.assertEqual(4, len(pieces))
+
+
+class EndlessOrderTest(unittest.IsolatedAsyncioTestCase):
+    """Send bodies without end to a control replica."""
+
+    async def asyncSetUp(self) -> None:
+        replica = SoloReplica("one", mock.Mock(), EventLog())
+        targets = TargetService(replica, ColdClock(), EventLog())
+        self.api = ControlApi(replica, targets, {}, EventLog())
+        self.read_bytes = 0
+        self.held_bytes = 0
+
+    async def body(self, limit_bytes: int) -> Any:
+        for _ in range(limit_bytes >> 16):
+            self.read_bytes += 1 << 16
+            yield bytes(1 << 16)
+            await asyncio.sleep(0)
+            held_bytes = self.api._held_body_bytes
+            self.held_bytes = max(self.held_bytes, held_bytes)
+
+    async def send(self, method: str, path: str) -> int:
+        body = self.body(1 << 27)
+        request = Request(method, path, "", (), "", body)
+        return (await self.api.handle(request)).status
+
+    # A replica collected 64 MiB of each announcement before it refused it.
+    async def test_announcement_without_end_is_refused_early(self) -> None:
+        self.assertEqual(413, await self.send("PUT", "/instances/t"))
+        self.assertLessEqual(self.read_bytes, 1 << 17)
+
+    async def test_configurations_without_end_share_a_limit(self) -> None:
+        statuses = await asyncio.gather(
+            *(self.send("PUT", "/configuration") for _ in range(8))
+        )
+        self.assertLessEqual(set(statuses), {413, 503})
+        self.assertLessEqual(self.held_bytes, MAX_HELD_BODY_BYTES)
+        self.assertEqual(self.api._held_body_bytes, 0)
+        self.assertEqual(413, await self.send("PUT", "/configuration"))
