--- a/src/wigeonford/control/_log_file.py
+++ b/src/wigeonford/control/_log_file.py
@@ -185,8 +185,9 @@
             if self._file is None:
                 return stored
             frames = _iterate_frames(self._file, self._end_offset)
-            for end_offset, payload in frames:
+            for frame_end, payload in frames:
                 _apply_frame(stored, payload, entries_after)
+                end_offset = frame_end
         if end_offset != self._end_offset:
             raise StorageDamagedError(
                 f"{self._path}: corrupt frame at byte {end_offset}"
