Bound the history of changes by its size, too

The same cause as in the log: the last 20,000 changes were remembered, each with a line for each object that it changed and a rejected one with all its faults. 100,000 lines are kept in all now, and of each result that a retry gets again 16 faults and 2,000 characters.

The test fails before: a change of 1,000 objects, 20 times, kept 20 entries of 1,000 lines where 5,000 lines are allowed.

--- a/src/wigeonford/control/_state.py
+++ b/src/wigeonford/control/_state.py
@@ -1,5 +1,6 @@
 """The replicated state machine, deterministic and free of I/O."""
 
+import collections
 from collections.abc import Callable
 import hashlib
 from typing import Any, Final
@@ -32,6 +33,10 @@
 
 MAX_REMEMBERED_RESULTS: Final = 20000
 MAX_HISTORY: Final = 20000
+MAX_HISTORY_LINES: Final = 100_000
+"""Of the summaries of all changes; one change may have thousands."""
+MAX_REMEMBERED_FAULTS: Final = 16
+MAX_REMEMBERED_DETAIL_CHARS: Final = 2000
 
 
 class HistoryEntry(msgspec.Struct, frozen=True):
@@ -50,6 +55,8 @@
 class _StoredResult(msgspec.Struct, frozen=True):
     """Hold the first result of a change id, which retries get again.
 
+    Only the first of its faults are kept.
+
     `fingerprint` is a digest of the change.
     """
 
@@ -95,7 +102,8 @@
 
     def __init__(self) -> None:
         self.config = ConfigTable()
-        self.history: list[HistoryEntry] = []
+        self.history: collections.deque[HistoryEntry] = collections.deque()
+        self._history_line_count = 0
         self.steering = SteeringState()
         self._results_by_change_id: dict[str, _StoredResult] = {}
 
@@ -149,7 +157,7 @@
             return self._result(Code.CHANGE_ID_REUSED, record.change_id)
         result = apply()
         self._results_by_change_id[record.change_id] = _StoredResult(
-            fingerprint, result
+            fingerprint, _shorten(result)
         )
         if len(self._results_by_change_id) > MAX_REMEMBERED_RESULTS:
             del self._results_by_change_id[
@@ -167,9 +175,17 @@
             record.change_id,
             summary,
         )
+        self._remember(entry)
+
+    def _remember(self, entry: HistoryEntry) -> None:
         self.history.append(entry)
-        if len(self.history) > MAX_HISTORY:
-            del self.history[0]
+        self._history_line_count += len(entry.summary)
+        while len(self.history) > MAX_HISTORY or (
+            self._history_line_count > MAX_HISTORY_LINES
+            and len(self.history) > 1
+        ):
+            oldest = self.history.popleft()
+            self._history_line_count -= len(oldest.summary)
 
     @_applies(ApplyChange)
     def _apply_change(self, record: ApplyChange) -> CommandResult:
@@ -305,7 +321,7 @@
                 for name, revision in self.config.gone_members.items()
             ],
             answers=list(self._results_by_change_id.items()),
-            history=self.history,
+            history=list(self.history),
             steering=self.steering.snapshot(),
         )
         plain = msgspec.to_builtins(tables, builtin_types=(bytes,))
@@ -330,7 +346,8 @@
         for revision, name in tables.gone_members:
             config.remove_member(revision, name)
         config.update_objects(row for _, row in tables.rows)
-        state.history = tables.history
+        for entry in tables.history:
+            state._remember(entry)
         state._results_by_change_id = dict(tables.answers)
         if tables.steering:
             state.steering = SteeringState.restore(tables.steering)
@@ -343,6 +360,15 @@
     return hashlib.blake2b(content, digest_size=16).digest()
 
 
+def _shorten(result: CommandResult) -> CommandResult:
+    """Return a result whose size doesn't grow with the change."""
+    return replace(
+        result,
+        detail=result.detail[:MAX_REMEMBERED_DETAIL_CHARS],
+        faults=result.faults[:MAX_REMEMBERED_FAULTS],
+    )
+
+
 def _describe(edit: Edit) -> str:
     verb = "delete" if edit.data is None else "put"
     return f"{verb} {edit.kind}.{edit.name}"
--- a/src/wigeonford/fleet/_queries.py
+++ b/src/wigeonford/fleet/_queries.py
@@ -1,5 +1,7 @@
 """Read-only queries of the replicated state."""
 
+from itertools import islice
+
 import msgspec
 
 from wigeonford.control._state import HistoryEntry, State
@@ -42,4 +44,4 @@
 
 def recent_history(state: State, limit: int) -> tuple[HistoryEntry, ...]:
     """Return the newest changes, newest first."""
-    return tuple(reversed(state.history[-limit:]))
+    return tuple(islice(reversed(state.history), limit))
--- a/tests/test_log_size.py
+++ b/tests/test_log_size.py
@@ -6,15 +6,27 @@
 import tempfile
 import tracemalloc
 import unittest
+from unittest import mock
 
 from tests.test_full_disk import GroupTestCase, NAMES
 from tests.virtual_time import run_virtual
-from wigeonford.control import LogEntry, LogFileStore, SoloReplica
-from wigeonford.control._commands import COMMANDS, ExpireMember
+from wigeonford.control import (
+    _state,
+    LogEntry,
+    LogFileStore,
+    SoloReplica,
+)
+from wigeonford.control._commands import (
+    ApplyChange,
+    COMMANDS,
+    Edit,
+    ExpireMember,
+)
 from wigeonford.control._raft_disk import load
 from wigeonford.control._raft_leader import MAX_BATCH_BYTES
 from wigeonford.control._raft_log import RaftLog
 from wigeonford.control._raft_progress import MAX_IN_FLIGHT_BYTES, Progress
+from wigeonford.control._state import State
 from wigeonford.control._steering import MAX_RECENT_DEPLOYMENTS, SteeringState
 from wigeonford.control._steering_commands import ReplaceDeployment
 from wigeonford.deployment import (
@@ -204,3 +216,26 @@
             await again.start()
             self.assertEqual(again.describe().last_position, 60)
             await again.stop()
+
+
+class HistoryTest(unittest.TestCase):
+    """Change many objects at once, again and again."""
+
+    # 20,000 changes were remembered with a line for each object they changed.
+    def test_history_of_large_changes_is_bounded(self) -> None:
+        state = State()
+        edits = tuple(
+            Edit("region", f"r-{number}", 1, None) for number in range(1000)
+        )
+        with mock.patch.object(_state, "MAX_HISTORY_LINES", 5000):
+            for number in range(20):
+                record = ApplyChange(f"c-{number}", "a", 0.0, edits)
+                state._add_history_entry(record, tuple(map(str, edits)))
+                rejected = state.apply(record)
+            self.assertEqual(1000, len(rejected.faults))
+            self.assertEqual(5, len(state.history))
+            self.assertEqual("c-19", state.history[-1].change_id)
+            again = State.restore(state.snapshot())
+        self.assertEqual(state.history, again.history)
+        self.assertLess(len(state.snapshot()), 1 << 20)
+        self.assertFalse(state.apply(record).accepted)
