Change the control group only for an operator that still waits

The same cause as with evacuations: an order to remove a replica that was read late, by a replica that had stood still, could remove one that had been added again. It is carried out now once the state is confirmed and the caller is still connected.

--- a/src/wigeonford/control/_log_file.py
+++ b/src/wigeonford/control/_log_file.py
@@ -5,6 +5,7 @@
 import os
 from pathlib import Path
 import struct
+import sys
 from typing import Final
 import zlib
 
@@ -293,7 +294,7 @@
 
     def read_snapshot(self) -> Snapshot | None:
         """Return the snapshot, or None."""
-        return self.read().snapshot
+        return self.read(entries_after=sys.maxsize).snapshot
 
     def save_meta(self, name: str, content: bytes) -> None:
         """Store a named value."""
@@ -301,7 +302,7 @@
 
     def read_meta(self, name: str) -> bytes | None:
         """Return a named value, or None."""
-        return self.read().meta.get(name)
+        return self.read(entries_after=sys.maxsize).meta.get(name)
 
     def close(self) -> None:
         """Release the data folder."""
--- a/src/wigeonford/fleet/_operator_api.py
+++ b/src/wigeonford/fleet/_operator_api.py
@@ -20,6 +20,7 @@
 from wigeonford.events import Event, EventLog
 from wigeonford.fleet._queries import find_objects, recent_history
 from wigeonford.http import (
+    check_caller,
     complete_response,
     json_response,
     Request,
@@ -198,6 +199,8 @@
     @_endpoint("POST", "/v1/replicas")
     async def _replicas(self, request: Request) -> Response:
         change = await _read_body(request, ReplicaChange)
+        await self._replica.read_barrier()
+        await check_caller(request.has_caller_left)
         await self._replica.change_replicas(change)
         return _ok_response({"name": change.name, "remove": change.remove})
 
