Let a target that was only silent return with its next announcement

Cause: the removal of a target after 45 s without an announcement left the same tombstone as a withdrawal, which takes each later announcement of that incarnation for a late one.

Change: the removal for silence says so; the table then keeps the last sequence, and a higher one brings the target back. A target that was draining or withdrew, and one whose address a later target has, stay out.

--- a/src/wigeonford/control/_steering.py
+++ b/src/wigeonford/control/_steering.py
@@ -49,6 +49,7 @@
     tombstones: list[tuple[str, int, int]] = msgspec.field(
         default_factory=list
     )
+    returnable: list[tuple[str, int]] = msgspec.field(default_factory=list)
     orders: list[bytes] = msgspec.field(default_factory=list)
     holders: list[str] = msgspec.field(default_factory=list)
 
@@ -198,7 +199,9 @@
             if target is None:
                 continue
             if born_ms is None or born_ms == target.announced.born_ms:
-                self.targets.remove(revision, target_id)
+                self.targets.remove(
+                    revision, target_id, may_return=record.may_return
+                )
                 self.revision = revision
         return self._result(Code.OK)
 
@@ -236,6 +239,7 @@
             self.evacuations.ended_counts,
             list(self.targets),
             list(self.targets.tombstones()),
+            list(self.targets.returnable()),
             list(self._accepted_order_ids),
             sorted(self.holders),
         )
@@ -253,7 +257,9 @@
         steering.deployment_revision = tables.deployment_revision
         steering.evacuation_revision = tables.evacuation_revision
         steering.evacuations = Evacuations(tables.evacuated, tables.taken_back)
-        steering.targets = TargetTable(tables.targets, tables.tombstones)
+        steering.targets = TargetTable(
+            tables.targets, tables.tombstones, tables.returnable
+        )
         steering.holders = set(tables.holders)
         steering._accepted_order_ids = dict.fromkeys(tables.orders)
         return steering
--- a/src/wigeonford/control/_steering_commands.py
+++ b/src/wigeonford/control/_steering_commands.py
@@ -51,13 +51,15 @@
 
 @command(44)
 class RemoveTargets(msgspec.Struct, frozen=True):
-    """Remove targets permanently, each given by id and incarnation.
+    """Remove targets, each given by id and incarnation.
 
     An incarnation of None matches any. The incarnation is the Unix time of
-    the target's start in milliseconds.
+    the target's start in milliseconds. With `may_return`, an incarnation that
+    announces itself again is accepted.
     """
 
     targets: tuple[tuple[str, int | None], ...]
+    may_return: bool = False
 
 
 @command(45)
--- a/src/wigeonford/control/_target_service.py
+++ b/src/wigeonford/control/_target_service.py
@@ -189,5 +189,5 @@
                 self._announced_at_s.pop(target_id, None)
                 self._log.emit(Event.TARGET_EXPIRED, target=target_id)
             await self._replica.propose_in_term(
-                RemoveTargets(silent), self._led_term
+                RemoveTargets(silent, may_return=True), self._led_term
             )
--- a/src/wigeonford/deployment/_targets.py
+++ b/src/wigeonford/deployment/_targets.py
@@ -73,8 +73,9 @@
 
     Announcements are ordered by incarnation and sequence. The tombstone of a
     target that left holds its incarnation, so that a late announcement
-    doesn't bring it back. An address belongs to the target that was started
-    last.
+    doesn't bring it back. One that was removed for its silence may go on: it
+    returns with its next announcement, unless it was draining. An address
+    belongs to the target that was started last.
 
     An entry that can't be used, which an earlier build may have stored, stays
     in the table, so that revisions are the same on all replicas; readers are
@@ -85,6 +86,7 @@
         self,
         targets: Iterable[Target] = (),
         tombstones: Iterable[tuple[str, int, int]] = (),
+        returnable: Iterable[tuple[str, int]] = (),
     ) -> None:
         self._targets = {known.announced.target_id: known for known in targets}
         self._by_address = {
@@ -100,6 +102,8 @@
         self._tombstones = {
             name: (revision, born_ms) for name, revision, born_ms in tombstones
         }
+        # The last sequence, by target id, of those that may return.
+        self._returnable = dict(returnable)
 
     def __len__(self) -> int:
         return len(self._targets)
@@ -116,6 +120,10 @@
         for name, (revision, born_ms) in self._tombstones.items():
             yield name, revision, born_ms
 
+    def returnable(self) -> Iterator[tuple[str, int]]:
+        """Yield id and last sequence of each target that may return."""
+        yield from self._returnable.items()
+
     def classify(
         self, received: Announcement, cold_left_s: float
     ) -> AnnouncementEffect:
@@ -123,8 +131,7 @@
 
         `cold_left_s` is the remaining cold time known so far.
         """
-        tombstone = self._tombstones.get(received.target_id)
-        if tombstone is not None and received.born_ms <= tombstone[1]:
+        if self._has_ended(received):
             return AnnouncementEffect.STALE
         known = self._targets.get(received.target_id)
         if known is not None and received.born_ms <= known.announced.born_ms:
@@ -138,6 +145,18 @@
                 return AnnouncementEffect.STALE
         return AnnouncementEffect.CHANGED
 
+    def _has_ended(self, received: Announcement) -> bool:
+        """Return whether the incarnation is known to have ended."""
+        tombstone = self._tombstones.get(received.target_id)
+        if tombstone is None or received.born_ms > tombstone[1]:
+            return False
+        last_sequence = self._returnable.get(received.target_id)
+        return (
+            last_sequence is None
+            or received.born_ms < tombstone[1]
+            or received.sequence <= last_sequence
+        )
+
     def _classify_incarnation(
         self, known: Announcement, received: Announcement, cold_left_s: float
     ) -> AnnouncementEffect:
@@ -175,6 +194,7 @@
         if known is not None and known.announced.address != received.address:
             self._by_address.pop(known.announced.address, None)
         self._tombstones.pop(received.target_id, None)
+        self._returnable.pop(received.target_id, None)
         self._targets[received.target_id] = Target(revision, received)
         self._by_address[received.address] = received.target_id
         self._unusable_ids.discard(received.target_id)
@@ -182,7 +202,9 @@
             self._unusable_ids.add(received.target_id)
         return True
 
-    def remove(self, revision: int, target_id: str) -> bool:
+    def remove(
+        self, revision: int, target_id: str, *, may_return: bool = False
+    ) -> bool:
         """Replace a target by a tombstone; return whether it was known."""
         known = self._targets.pop(target_id, None)
         if known is None:
@@ -192,8 +214,12 @@
         if self._by_address.get(address) == target_id:
             del self._by_address[address]
         self._tombstones[target_id] = (revision, known.announced.born_ms)
+        if may_return and not known.announced.is_draining:
+            self._returnable[target_id] = known.announced.sequence
         if len(self._tombstones) > MAX_TOMBSTONES:
-            del self._tombstones[next(iter(self._tombstones))]
+            oldest = next(iter(self._tombstones))
+            del self._tombstones[oldest]
+            self._returnable.pop(oldest, None)
         return True
 
     def changed_since(self, revision: int) -> Iterator[Target]:
