--- a/src/wigeonford/entry/_hop.py
+++ b/src/wigeonford/entry/_hop.py
@@ -140,7 +140,7 @@
             region,
             time_ms,
             request.method,
-            _full_target(request),
+            request.target,
             request.header(ACCOUNT_HEADER) or "",
         )
         received_proof = request.header(HOP_PROOF_HEADER) or ""
@@ -168,7 +168,7 @@
             service=service,
             share=_old_side_only(share),
             method=request.method,
-            target=_full_target(request),
+            target=request.target,
             headers=clean_request_headers(
                 request.headers, request.header(ACCOUNT_HEADER), remaining_ms
             ),
@@ -240,12 +240,6 @@
     return abs(time.time() - int(time_ms) / 1000) <= MAX_PROOF_AGE_S
 
 
-def _full_target(request: Request) -> str:
-    if request.query:
-        return f"{request.path}?{request.query}"
-    return request.path
-
-
 async def _read_body(request: Request) -> bytes | AsyncIterator[bytes]:
     """Return a body of small declared length as bytes, else its stream."""
     if not request.has_body:
--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -407,7 +407,8 @@
         headers: Headers = tuple(
             (bytes(name), bytes(value)) for name, value in event.headers
         )
-        path, _, query = event.target.decode("latin-1").partition("?")
+        target = event.target.decode("latin-1")
+        path, question_mark, query = target.partition("?")
         self._request = request = Request(
             method=event.method.decode("ascii"),
             path=path,
@@ -416,6 +417,7 @@
             caller_host=self.host,
             body=self._stream_body(self._limits.body_bytes),
             has_caller_left=lambda: self.has_caller_left,
+            has_query=bool(question_mark),
         )
         check_head(event, headers, self._limits)
         return request
--- a/src/wigeonford/http/_types.py
+++ b/src/wigeonford/http/_types.py
@@ -38,8 +38,9 @@
 class Request(msgspec.Struct, frozen=True):
     """Hold a request; `caller_host` is the caller's IP address.
 
-    `has_caller_left` tells whether the caller has closed its connection, as
-    far as the event loop has read.
+    `has_query` tells whether the target holds a question mark, behind which
+    the query may be empty. `has_caller_left` tells whether the caller has
+    closed its connection, as far as the event loop has read.
     """
 
     method: str
@@ -49,6 +50,14 @@
     caller_host: str
     body: AsyncIterator[bytes] = msgspec.field(default_factory=no_body)
     has_caller_left: Callable[[], bool] = _never
+    has_query: bool = False
+
+    @property
+    def target(self) -> str:
+        """Return the path with the query, as the caller sent it."""
+        if self.has_query or self.query:
+            return f"{self.path}?{self.query}"
+        return self.path
 
     def header(self, name: bytes) -> str | None:
         """Return the first value of a header, or None."""
--- a/src/wigeonford/platform/_front.py
+++ b/src/wigeonford/platform/_front.py
@@ -200,15 +200,12 @@
     chunked = request.header(b"transfer-encoding") is not None
     if has_body and chunked:
         headers.append((b"transfer-encoding", b"chunked"))
-    request_target = request.path + (
-        f"?{request.query}" if request.query else ""
-    )
     return SteerRequest(
         request_id=request.header(_REQUEST_ID) or "",
         method=request.method,
         host=request.header(b"host") or "",
         path=request.path,
-        target=request_target,
+        target=request.target,
         headers=tuple(headers),
         key=request.header(_KEY),
         object_id=request.header(_OBJECT_ID) or "",
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -6,7 +6,8 @@
 
 from wigeonford.errors import Code
 from wigeonford.events import configure_logging, EventLog
-from wigeonford.http import HttpServer, Request, Response
+from wigeonford.http import Handler, HttpServer, Request, Response
+from wigeonford.platform._front import decode_request
 from wigeonford.settings import Address, CallerLimits
 
 LIMITS = CallerLimits(head_bytes=1024, body_bytes=4096, head_timeout_s=5.0)
@@ -31,8 +32,15 @@
     return Response(200, (length,), body)
 
 
-async def _exchange(request_bytes: bytes) -> bytes:
-    server = HttpServer(_echo, LIMITS, EventLog())
+async def _echo_target(request: Request) -> Response:
+    echoed = await _echo(request)
+    content = decode_request(request).target.encode()
+    length = (b"content-length", str(len(content)).encode())
+    return Response(echoed.status, (length,), content)
+
+
+async def _exchange(request_bytes: bytes, handler: Handler = _echo) -> bytes:
+    server = HttpServer(handler, LIMITS, EventLog())
     address = await server.start(Address())
     reader, writer = await asyncio.open_connection(address.host, address.port)
     writer.write(request_bytes)
@@ -63,6 +71,19 @@
         response = asyncio.run(_exchange(request + b"abc" + request + b"def"))
         self.assertLess(response.index(b"abc"), response.index(b"def"))
 
+    # A query that is empty was left out of what targets got.
+    def test_target_is_passed_on_as_it_was_sent(self) -> None:
+        for target in (b"/a", b"/a?", b"/a?b", b"/a??"):
+            with self.subTest(target):
+                request = b"POST %s HTTP/1.1\r\nhost: a\r\n" % target
+                response = asyncio.run(
+                    _exchange(
+                        request + b"content-length: 3\r\n\r\nabc",
+                        _echo_target,
+                    )
+                )
+                self.assertTrue(response.endswith(b"\r\n\r\n" + target))
+
     def test_codes_of_the_cases_exist(self) -> None:
         known = {code.number for code in Code}
         self.assertLessEqual(
