Keep a sound target where an unknown service states its address

It is a conflict now while the holder's service is configured and its own is not; a target whose service is configured later announces itself again.

test_start_times failed before: the odd announcement got 200.

--- a/src/wigeonford/control/_target_service.py
+++ b/src/wigeonford/control/_target_service.py
@@ -87,6 +87,8 @@
             self._cold.remaining_s(target.announced) if target else 0.0
         )
         outcome = table.classify(announcement, remaining_cold_s)
+        if self._would_oust(announcement):
+            outcome = AnnouncementEffect.CONFLICT
         if outcome is not AnnouncementEffect.SAME:
             self._log.emit(
                 Event.TARGET_JUDGED,
@@ -106,6 +108,26 @@
             self._record_announcement(announcement.target_id)
         return outcome
 
+    def _would_oust(self, announcement: Announcement) -> bool:
+        """Return whether another target's address is stated for no service.
+
+        A target whose service is yet to be configured announces itself again.
+        """
+        steering = self._replica.state.steering
+        deployment = steering.deployment
+        holder = steering.targets.at_address(announcement.address)
+        if (
+            deployment is None
+            or holder is None
+            or holder.announced.target_id == announcement.target_id
+        ):
+            return False
+        names = {service.name for service in deployment.services}
+        return (
+            holder.announced.service in names
+            and announcement.service not in names
+        )
+
     def _check_start_time(self, announcement: Announcement) -> None:
         # It would outrank all later starts at its address, and of its id.
         ahead_s = announcement.born_ms / 1000 - self._unix_clock()
--- a/src/wigeonford/deployment/_targets.py
+++ b/src/wigeonford/deployment/_targets.py
@@ -115,6 +115,11 @@
         """Return a target, or None."""
         return self._targets.get(target_id)
 
+    def at_address(self, address: str) -> Target | None:
+        """Return the target that holds an address, or None."""
+        target_id = self._by_address.get(address)
+        return None if target_id is None else self._targets[target_id]
+
     def tombstones(self) -> Iterator[tuple[str, int, int]]:
         """Yield id, revision and incarnation of each target that left."""
         for name, (revision, born_ms) in self._tombstones.items():
--- a/tests/test_start_times.py
+++ b/tests/test_start_times.py
@@ -6,9 +6,11 @@
 import tempfile
 import unittest
 
+from tests.test_deployment import make_deployment
 from wigeonford.control import (
     ColdClock,
     LogFileStore,
+    ReplaceDeployment,
     SoloReplica,
     TargetService,
 )
@@ -46,13 +48,18 @@
         )
 
     async def announce(
-        self, target_id: str, born_ms: int, sequence: int, host: str
+        self,
+        target_id: str,
+        born_ms: int,
+        sequence: int,
+        host: str,
+        service: str = "s",
     ) -> int:
         document = {
             "address": f"{host}:80",
             "born": born_ms,
             "information": {
-                "service": "s",
+                "service": service,
                 "version": "v1",
                 "zone": "south-a",
                 "slots": 4,
@@ -96,6 +103,29 @@
         )
         self.assertEqual(200, await self.announce("a", NOW_MS, 1, "10.0.0.1"))
 
+    # An announcement for an unknown service ousted a sound target.
+    async def test_unknown_service_takes_no_address_of_another(self) -> None:
+        deployment = make_deployment()
+        self.replica.state.steering.apply(
+            ReplaceDeployment(b"1", 0, deployment)
+        )
+        known = deployment.services[0].name
+        self.assertEqual(
+            200, await self.announce("good", NOW_MS, 1, "10.0.0.1", known)
+        )
+        for born_ms in (NOW_MS, NOW_MS + 1):
+            status = await self.announce(
+                "odd", born_ms, 1, "10.0.0.1", "unknown"
+            )
+            self.assertEqual(409, status)
+        self.assertTrue(self.has("good"))
+        self.assertEqual(
+            200, await self.announce("good", NOW_MS, 2, "10.0.0.1", known)
+        )
+        self.assertEqual(
+            200, await self.announce("early", NOW_MS, 1, "10.0.0.2", "later")
+        )
+
     async def test_clock_steps_refuse_no_target(self) -> None:
         born_ms = NOW_MS + LEAD_MS - 1000
         self.assertEqual(
