--- a/src/wigeonford/http/_client.py
+++ b/src/wigeonford/http/_client.py
@@ -18,8 +18,12 @@
     has_unacknowledged_bytes,
     read_ack_state,
 )
-from wigeonford.http._chunk_pace import BodyPiece, ChunkPacer
-from wigeonford.http._reader import ReadDeadline, WatchedReader
+from wigeonford.http._reader import (
+    BodyPiece,
+    ChunkPacer,
+    ReadDeadline,
+    WatchedReader,
+)
 from wigeonford.http._types import find_header, Headers, Response
 from wigeonford.settings import Address
 
--- a/src/wigeonford/http/_connection.py
+++ b/src/wigeonford/http/_connection.py
@@ -19,9 +19,13 @@
 from wigeonford.errors import Code, RequestRejected, RunState, WigeonfordError
 from wigeonford.events import Event, EventLog
 from wigeonford.http._caller_deadline import CallerDeadline
-from wigeonford.http._chunk_pace import BodyPiece, ChunkPacer
 from wigeonford.http._head_checks import check_head, to_rejection
-from wigeonford.http._reader import poll_sockets, WatchedReader
+from wigeonford.http._reader import (
+    BodyPiece,
+    ChunkPacer,
+    poll_sockets,
+    WatchedReader,
+)
 from wigeonford.http._types import (
     error_response,
     Headers,
--- a/src/wigeonford/http/_pool.py
+++ b/src/wigeonford/http/_pool.py
@@ -4,8 +4,8 @@
 import time
 from typing import Final
 
-from wigeonford.http._chunk_pace import ChunkPacer
 from wigeonford.http._client import ClientConnection
+from wigeonford.http._reader import ChunkPacer
 from wigeonford.settings import Address
 
 MAX_IDLE_S: Final = 5.0
--- a/src/wigeonford/http/_server.py
+++ b/src/wigeonford/http/_server.py
@@ -15,7 +15,6 @@
 from wigeonford._tasks import cancel_tasks
 from wigeonford.errors import Code, RequestRejected, WigeonfordError
 from wigeonford.events import Event, EventLog
-from wigeonford.http._chunk_pace import ChunkPacer
 from wigeonford.http._connection import (
     CallerConnection,
     CallerStalled,
@@ -25,7 +24,7 @@
     READ_BYTES,
     ResponseBroken,
 )
-from wigeonford.http._reader import poll_sockets, WatchedReader
+from wigeonford.http._reader import ChunkPacer, poll_sockets, WatchedReader
 from wigeonford.http._types import Headers
 from wigeonford.settings import Address, CallerLimits
 
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -27,7 +27,7 @@
     Request,
     Response,
 )
-from wigeonford.http._chunk_pace import (
+from wigeonford.http._reader import (
     BodyPiece,
     BURST_SLICES,
     ChunkPacer,
