--- a/src/wigeonford/control/_raft_driver.py
+++ b/src/wigeonford/control/_raft_driver.py
@@ -454,13 +454,11 @@
         self._pending.add_entry(position, self.core.term, item.fut)
 
     def _propose(self, proposals: list[Proposal]) -> None:
-        current = [
-            item
-            for item in proposals
-            if item.term is None or item.term == self.core.term
-        ]
+        current: list[Proposal] = []
         for item in proposals:
-            if item not in current:
+            if item.term in (None, self.core.term):
+                current.append(item)
+            else:
                 self._reject_not_leader(item.fut)
         if not current:
             return
