Let one VM claim the trial of a request that crashed several targets

Cause: after the third crash, at 8.5 s, all VMs rejected the request for 8 s. It comes several times a second, so at 16.48 s four VMs (event 329: south-a-2, northwest-b-1, north-b-1, northwest-a-1) sent it within 0.1 s. A trial keeps others from trying, but they hear of it 0.1 s later. Ruled out: crashes that weren't counted; all three of before are in the logs of all four.

Change: from the third crash on a VM claims the trial, waits 0.4 s and sends the request only if its claim is in force. Of claims at the same time, the same one precedes on all VMs, by a hash. The first pause stays as it was, so that innocent requests wait no longer.

The new test plays a request that comes 67 times a second at 6 and 12 VMs.

--- a/src/wigeonford/steer/_crash_watch.py
+++ b/src/wigeonford/steer/_crash_watch.py
@@ -19,7 +19,13 @@
     TargetConnections,
 )
 from wigeonford.steer._target_records import TargetRecord
-from wigeonford.suspects import ABANDONED_S, Flight, Standing, SuspectTable
+from wigeonford.suspects import (
+    ABANDONED_S,
+    CLAIM_S,
+    Flight,
+    Standing,
+    SuspectTable,
+)
 
 SERVER_ERROR: Final = 500
 WATCH_PAUSE_S: Final = 0.5
@@ -54,6 +60,20 @@
         """Return what counts against a request."""
         return self._suspects.standing(fingerprint, self._clock())
 
+    async def may_try(self, fingerprint: bytes) -> bool:
+        """Return whether this VM may send a request that needs no pause.
+
+        Of several VMs that ask at the same time, one gets a request that has
+        crashed several targets.
+        """
+        if not self.standing(fingerprint).needs_claim:
+            return True
+        self._suspects.claim(fingerprint, self._clock())
+        await asyncio.sleep(CLAIM_S)
+        if not self.standing(fingerprint).needs_claim:
+            return True
+        return self._suspects.holds_claim(fingerprint, self._clock())
+
     def begin(self, record: TargetRecord, fingerprint: bytes) -> Flight:
         """Record that an attempt is about to be sent."""
         return self._suspects.begin(
--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -230,7 +230,7 @@
 
     async def _make_attempt(self, ctx: RequestContext) -> Response | None:
         """Make an attempt; return the response, None to try again."""
-        self._require_no_quarantine(ctx)
+        await self._require_no_quarantine(ctx)
         choice = self._chooser.choose(ctx)
         if choice is None:
             raise self._build_rejection(ctx)
@@ -315,11 +315,13 @@
         )
         return Response(response.status, response.headers, stream)
 
-    def _require_no_quarantine(self, ctx: RequestContext) -> None:
+    async def _require_no_quarantine(self, ctx: RequestContext) -> None:
         """Raise `RequestRejected` for a request that has to wait."""
         standing = self._crash_watch.standing(ctx.request_fingerprint)
         if standing.wait_s <= 0:
-            return
+            if await self._crash_watch.may_try(ctx.request_fingerprint):
+                return
+            standing = self._crash_watch.standing(ctx.request_fingerprint)
         crashes = standing.describe_crashes(self._clock())
         detail = f"request {ctx.request_fingerprint.hex()}: {crashes}"
         if ctx.may_have_run:
--- a/src/wigeonford/suspects.py
+++ b/src/wigeonford/suspects.py
@@ -9,7 +9,9 @@
 A request with one crash may be tried by one VM at a time. After more, it is
 rejected for a pause that grows with each crash, and tried once then: an
 innocent one is cleared within seconds, and a guilty one crashes few more
-targets.
+targets. Callers return together at the end of a pause, so from the third
+crash on a VM claims the trial and waits until all VMs know of it; of claims at
+the same time one precedes the others on all VMs.
 """
 
 from collections import deque
@@ -40,6 +42,10 @@
 TRIAL_S: Final = 1.5
 """How long a trial keeps others from trying the same request; longer than most
 requests take."""
+CRASHES_TO_CLAIM: Final = 3
+"""Crashes after which a trial is claimed first."""
+CLAIM_S: Final = 0.4
+"""Time until all VMs know of a claim, over links between regions."""
 SUSPICION_S: Final = 60.0
 """How long a crash counts at least; callers repeat a request for less."""
 MAX_SUSPECTS: Final = 4096
@@ -135,6 +141,11 @@
     crashes: tuple[tuple[str, float], ...] = ()
     wait_s: float = 0.0
 
+    @property
+    def needs_claim(self) -> bool:
+        """Return whether a VM has to claim the trial of the request."""
+        return len(self.crashes) >= CRASHES_TO_CLAIM
+
     def describe_crashes(self, now_s: float) -> str:
         """Return the names of the crashes and how long ago they were."""
         return ", ".join(
@@ -281,13 +292,19 @@
                 return False
             if known.until_s <= now_s:
                 return False
-        elif known is not None and known.until_s >= trial.until_s:
+        elif known is not None and not _replaces(trial, known, now_s):
             return False
         suspect.trial = trial
         self.revision += 1
         suspect.trial_revision = self.revision
         return True
 
+    def is_trial_of(self, fingerprint: bytes, vm: str, now_s: float) -> bool:
+        """Return whether a VM's trial of a request is in force."""
+        suspect = self._suspects.get(fingerprint)
+        trial = None if suspect is None else suspect.trial
+        return trial is not None and trial.vm == vm and trial.until_s > now_s
+
     def _cleared_at_s(self, fingerprint: bytes) -> float:
         suspect = self._suspects.get(fingerprint)
         return _NEVER_S if suspect is None else suspect.cleared_at_s
@@ -419,6 +436,22 @@
         return changed
 
 
+def _replaces(trial: Trial, known: Trial, now_s: float) -> bool:
+    """Return whether a trial takes the place of another one.
+
+    Of trials by several VMs the same one is in force on all of them.
+    """
+    if trial.vm == known.vm or known.until_s <= now_s:
+        return trial.until_s > known.until_s
+    return _claim_rank(trial) < _claim_rank(known)
+
+
+def _claim_rank(trial: Trial) -> bytes:
+    return hashlib.blake2b(
+        trial.fingerprint + trial.vm.encode(), digest_size=8
+    ).digest()
+
+
 def encode_observations(
     observations: Iterable[Observation], now_s: float
 ) -> tuple[SuspectRecord, ...]:
@@ -537,6 +570,14 @@
         """Return what counts against a request."""
         return self._quarantine.standing(fingerprint, now_s)
 
+    def claim(self, fingerprint: bytes, now_s: float) -> None:
+        """Claim the trial of a suspected request for this VM."""
+        self._observe(Trial(fingerprint, self._name, now_s + TRIAL_S), now_s)
+
+    def holds_claim(self, fingerprint: bytes, now_s: float) -> bool:
+        """Return whether this VM may try a request that it has claimed."""
+        return self._quarantine.is_trial_of(fingerprint, self._name, now_s)
+
     def begin(
         self, incarnation: str, fingerprint: bytes, now_s: float
     ) -> Flight:
@@ -547,8 +588,7 @@
         flight = Flight(incarnation, fingerprint, now_s)
         self._flights.setdefault(incarnation, []).append(flight)
         if self.standing(fingerprint, now_s).crashes:
-            until_s = now_s + TRIAL_S
-            self._observe(Trial(fingerprint, self._name, until_s), now_s)
+            self.claim(fingerprint, now_s)
         return flight
 
     def _drop_ended(self, now_s: float) -> None:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -80,6 +80,18 @@
         self.check(CrashCase(path_count=3))
         self.check(CrashCase(path_count=3, crash="body"))
 
+    # At the end of a pause several VMs tried the request at once (deadly).
+    def test_request_that_comes_at_many_vms_at_once(self) -> None:
+        for vm_count in (6, 12):
+            case = CrashCase(gap_s=0.015, count=1000, vm_count=vm_count)
+            for seed in (1, 2, 3):
+                with self.subTest(vm_count=vm_count, seed=seed):
+                    report = play(case, seed)
+                    self.assertGreaterEqual(len(report.crashes), 3)
+                    self.assertLessEqual(
+                        report.late_arrivals, MAX_LATE_ARRIVALS
+                    )
+
     def test_request_that_comes_for_a_minute(self) -> None:
         self.check(CrashCase(gap_s=0.6, count=110), seeds=(1,))
 
