--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -227,13 +227,16 @@
             b"Transfer-Encoding: chunked\r\n\r\n"
             % (HOST, number, TIME_LIMIT_MS)
         )
-        with contextlib.suppress(OSError, TimeoutError):
+        try:
             async with asyncio.timeout(WAIT_S):
                 while not reader.at_eof():
                     writer.write(b"1\r\nx\r\n" * 1000)
                     await writer.drain()
                     await asyncio.sleep(0.01)
-        writer.close()
+        except (OSError, TimeoutError):
+            return
+        finally:
+            writer.close()
 
     # One body in tiny chunks held the event loop for seconds.
     async def test_others_are_served_beside_endless_responses(self) -> None:
