--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -472,6 +472,55 @@
         "        now_s = self._clock()\n",
         ("tests.test_suspension",),
     ),
+    Mutation(
+        "LOG_STAYS_SMALL",
+        "control/_raft_driver.py",
+        "            and size < self._next_snapshot_bytes\n",
+        "            and size >= 0\n",
+        ("tests.test_log_size",),
+    ),
+    Mutation(
+        "FEW_BYTES_IN_FLIGHT",
+        "control/_raft_progress.py",
+        "log.bytes_between(acked, sent) < MAX_IN_FLIGHT_BYTES",
+        "sent < log.last_position",
+        ("tests.test_log_size",),
+    ),
+    Mutation(
+        "LATE_ORDER_UNDOES_NOTHING",
+        "control/_steering.py",
+        "        if expected not in (None, self.evacuation_revision):\n",
+        "        if expected == -1:\n",
+        ("tests.test_late_orders",),
+    ),
+    Mutation(
+        "CALLER_OF_AN_ORDER_WAITS",
+        "http/_reader.py",
+        "    if has_left():\n",
+        "    if has_left() is None:\n",
+        ("tests.test_late_orders",),
+    ),
+    Mutation(
+        "SILENT_TARGET_RETURNS",
+        "control/_target_service.py",
+        "RemoveTargets(silent, may_return=True)",
+        "RemoveTargets(silent)",
+        ("tests.test_silent_targets",),
+    ),
+    Mutation(
+        "TINY_CHUNKS_ARE_PACED",
+        "http/_reader.py",
+        "        await asyncio.sleep(max(0.0, at_s - now_s))\n",
+        "        await asyncio.sleep(0)\n",
+        ("tests.test_endless_bytes",),
+    ),
+    Mutation(
+        "ONE_VM_TRIES_A_SUSPECT",
+        "steer/_crash_watch.py",
+        "self._suspects.holds_claim(fingerprint, self._clock())",
+        "True",
+        ("tests.test_crashing_requests",),
+    ),
 )
 
 
