Log and count when an entry VM loses all targets

Their logs and metrics could not tell lost links from lost targets: each attempt wrote its own lines, which pushed each other out, and the scraped metrics ended before the results by code.

A VM now records contacts and failures, and logs once when targets fail one after another without a contact (332) and once when one is reached again (333), with a gauge beside it. Histograms come last in the metrics. No decision uses any of this yet.

--- a/src/wigeonford/_compose_steer_entry.py
+++ b/src/wigeonford/_compose_steer_entry.py
@@ -29,6 +29,8 @@
     LimitExchange,
     LoanBatcher,
     QuotaReporter,
+    ReachMonitor,
+    ReachProber,
     Readiness,
     SteerDaemon,
     SuspectExchange,
@@ -95,7 +97,14 @@
         follower, rates, lambda: readiness.status, make_peer_client, log
     )
     targets = TargetRecords()
-    connections = TargetConnections(wire)
+    reach = ReachMonitor(metrics, log)
+    connections = TargetConnections(
+        wire, reach.record_contact, reach.record_failure
+    )
+    prober = ReachProber(reach, targets, connections, log, rng)
+    follower.add_view_listener(
+        lambda view: reach.set_target_count(view.targets)
+    )
     forwarder = Forwarder(
         lambda: readiness.status,
         lambda: follower.view,
@@ -139,6 +148,6 @@
         tuple(servers),
         forwarder,
         front_server,
-        LoopWatch(metrics, log),
+        (LoopWatch(metrics, log), prober),
         log,
     )
--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -295,6 +295,14 @@
     ATTEMPT_ABANDONED = _event(
         331, "gave up an attempt before its result was known"
     )
+    TARGETS_LOST = _event(
+        332,
+        "this VM reaches no target over its own links",
+        logging.WARNING,
+    )
+    TARGETS_REGAINED = _event(
+        333, "this VM reaches targets over its own links again"
+    )
     TARGET_SLOW = _event(
         322, "a target is far slower than its peers", logging.WARNING
     )
--- a/src/wigeonford/metrics.py
+++ b/src/wigeonford/metrics.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
-from aioprometheus.renderer import render
+from aioprometheus.formats.text import TextFormatter
 
 LATENCY_BUCKETS_S: Final = [
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05,
@@ -16,12 +16,6 @@
 
     def __init__(self) -> None:
         self._registry = Registry()
-        self.latency_s = Histogram(
-            "wigeonford_request_latency_seconds",
-            "Latency by client account and class",
-            buckets=LATENCY_BUCKETS_S,
-            registry=self._registry,
-        )
         self.results = Counter(
             "wigeonford_results_total",
             "Requests by result code and client account",
@@ -69,13 +63,12 @@
             "1 while the disk takes writes, 0 while it takes none",
             registry=self._registry,
         )
-        self.loop_late_s = Histogram(
-            "wigeonford_loop_late_seconds",
-            "How late the event loop runs what is due",
-            buckets=LATENCY_BUCKETS_S,
+        self.targets_reached = Gauge(
+            "wigeonford_targets_reached",
+            "1 while this VM reaches targets over its own links, 0 while it "
+            "reaches none",
             registry=self._registry,
         )
-
         self.quota_fraction = Gauge(
             "wigeonford_share_fraction",
             "Part of a client account's budget that this VM holds",
@@ -86,6 +79,18 @@
             "Loans of tokens that peers answered, by client account",
             registry=self._registry,
         )
+        self.latency_s = Histogram(
+            "wigeonford_request_latency_seconds",
+            "Latency by client account and class",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+        self.loop_late_s = Histogram(
+            "wigeonford_loop_late_seconds",
+            "How late the event loop runs what is due",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
         self.token_wait_s = Histogram(
             "wigeonford_token_wait_seconds",
             "Wait for a token or its refusal, by client account",
@@ -115,6 +120,12 @@
         self.results.inc({"account": account, "code": str(code_number)})
 
     def render(self) -> tuple[bytes, str]:
-        """Return the exposition text and its content type."""
-        content, headers = render(self._registry, ["text/plain"])
-        return content, headers["Content-Type"]
+        """Return the exposition text and its content type.
+
+        Histograms come last: a reader that takes only the beginning of a long
+        text gets all counters.
+        """
+        formatter = TextFormatter()
+        blocks = map(formatter.marshall_collector, self._registry.get_all())
+        content = "\n".join([*blocks, ""]).encode()
+        return content, formatter.get_headers()["Content-Type"]
--- a/src/wigeonford/steer/__init__.py
+++ b/src/wigeonford/steer/__init__.py
@@ -8,6 +8,7 @@
 from wigeonford.steer._lookups import LOOKUP_TTL_S, select_entries
 from wigeonford.steer._quota_reporter import QuotaReporter
 from wigeonford.steer._rates import AccountRates
+from wigeonford.steer._reach_monitor import ReachMonitor, ReachProber
 from wigeonford.steer._report_exchange import LimitExchange, SuspectExchange
 from wigeonford.steer._request import (
     ResponseFacts,
@@ -27,6 +28,8 @@
     "LimitExchange",
     "LoanBatcher",
     "QuotaReporter",
+    "ReachMonitor",
+    "ReachProber",
     "Readiness",
     "Roster",
     "TargetRunState",
--- a/src/wigeonford/steer/_attempt.py
+++ b/src/wigeonford/steer/_attempt.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 from enum import Enum
+import errno
 import time
 from typing import Final
 
@@ -113,10 +114,21 @@
 
 
 class TargetConnections:
-    """Send attempts over pooled connections, with time and size limits."""
+    """Send attempts over pooled connections, with time and size limits.
 
-    def __init__(self, wire: TargetWire) -> None:
+    `on_contact` is called with the id of a target that accepts a connection or
+    responds, `on_failure` with that of one that does neither, and the reason.
+    """
+
+    def __init__(
+        self,
+        wire: TargetWire,
+        on_contact: Callable[[str], None] = lambda _target_id: None,
+        on_failure: Callable[[str, str], None] = lambda _target_id, _: None,
+    ) -> None:
         self._wire = wire
+        self._on_contact = on_contact
+        self._on_failure = on_failure
         self._pool = ConnectionPool(UNACKED_TIMEOUT_S)
 
     def close(self) -> None:
@@ -135,8 +147,8 @@
     async def accepts_connections(self, record: TargetRecord) -> bool:
         """Return whether a target accepts a connection, and keep that."""
         try:
-            conn, _ = await self._pool.acquire(
-                parse_address(record.announced.address),
+            conn, _ = await self._acquire(
+                record,
                 new_connection=True,
                 connect_timeout_s=PROBE_TIMEOUT_S,
             )
@@ -145,6 +157,33 @@
         self._pool.release(conn)
         return True
 
+    async def _acquire(
+        self,
+        record: TargetRecord,
+        *,
+        new_connection: bool = False,
+        request_id: str | None = None,
+        connect_timeout_s: float,
+    ) -> tuple[ClientConnection, bool]:
+        """Return a connection to a target and whether it was used before.
+
+        Raise `ConnectFailed`, or `ValueError` for an impossible address.
+        """
+        address = parse_address(record.announced.address)
+        try:
+            conn, reused = await self._pool.acquire(
+                address,
+                new_connection=new_connection,
+                request_id=request_id,
+                connect_timeout_s=connect_timeout_s,
+            )
+        except ConnectFailed as exc:
+            self._on_failure(record.target_id, str(exc))
+            raise
+        if not reused:
+            self._on_contact(record.target_id)
+        return conn, reused
+
     async def wait_for_end(
         self, record: TargetRecord, timeout_s: float
     ) -> bool:
@@ -153,9 +192,8 @@
         A target that accepts none counts as having ended it.
         """
         try:
-            conn, _ = await self._pool.acquire(
-                parse_address(record.announced.address),
-                connect_timeout_s=PROBE_TIMEOUT_S,
+            conn, _ = await self._acquire(
+                record, connect_timeout_s=PROBE_TIMEOUT_S
             )
         except (ConnectFailed, ValueError):
             return True
@@ -169,18 +207,14 @@
 
         Raise `TimeoutError` if the time limit passes before the response.
         """
-        try:
-            address = parse_address(attempt.record.announced.address)
-        except ValueError as exc:
-            return AttemptResult(Outcome.NOT_SENT, detail=str(exc))
         connect_timeout_s = min(CONNECT_TIMEOUT_S, max(0.0, attempt.left_s))
         try:
-            conn, reused = await self._pool.acquire(
-                address,
+            conn, reused = await self._acquire(
+                attempt.record,
                 request_id=attempt.req.request_id,
                 connect_timeout_s=connect_timeout_s,
             )
-        except ConnectFailed as exc:
+        except (ConnectFailed, ValueError) as exc:
             return AttemptResult(Outcome.NOT_SENT, detail=str(exc))
         if attempt.is_withdrawn:
             conn.close()
@@ -202,6 +236,8 @@
             raise TimeoutError(str(exc)) from exc
         except ExchangeFailed as exc:
             conn.close()
+            if _went_silent(exc):
+                self._on_failure(attempt.record.target_id, str(exc))
             return AttemptResult(
                 Outcome.BROKEN,
                 detail=str(exc),
@@ -233,6 +269,7 @@
             req.request_id,
             _loop_time_s() + attempt.left_s + RESPONSE_GRACE_S,
         )
+        self._on_contact(attempt.record.target_id)
         facts = self._wire.parse_facts(response)
         if facts.run is not TargetRunState.RAN:
             await self._drain_rejection(conn, response)
@@ -311,5 +348,11 @@
                 conn.close()
 
 
+def _went_silent(exc: ExchangeFailed) -> bool:
+    """Return whether the other side acknowledged nothing any more."""
+    cause = exc.__cause__
+    return isinstance(cause, OSError) and cause.errno == errno.ETIMEDOUT
+
+
 def _loop_time_s() -> float:
     return asyncio.get_running_loop().time()
--- a/src/wigeonford/steer/_daemon.py
+++ b/src/wigeonford/steer/_daemon.py
@@ -78,7 +78,7 @@
         servers: tuple[tuple[HttpServer, Address], ...],
         forwarder: Forwarder,
         front: HttpServer,
-        loop_watch: Component,
+        components: tuple[Component, ...],
         log: EventLog,
     ) -> None:
         self._cfg = cfg
@@ -87,7 +87,7 @@
         self._components: tuple[Component, ...] = (
             follower,
             reporter,
-            loop_watch,
+            *components,
         )
         self._target_records = target_records
         self._target_connections = target_connections
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -236,7 +236,7 @@
             (),
             self.forwarder,
             self.front,
-            component,
+            (component,),
             log,
         )
 
