--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -302,6 +302,14 @@
             loop.call_later(LEAVE_DELAY_S, task.cancel)
 
     async def _forward(self, vm: StandInVm, name: str, body: bytes) -> None:
+        outcome = await self.exchange(vm, f"/a/{name}", name, body)
+        if name != "crash":
+            self.report.innocents[outcome] += 1
+
+    async def exchange(
+        self, vm: StandInVm, path: str, name: str, body: bytes = b""
+    ) -> str:
+        """Send a request; return "served", or else "failed"."""
         request_id = f"id-{next(self._numbers)}"
         headers = [(b"x-attempt-id", request_id.encode())]
         if body:
@@ -310,8 +318,8 @@
             request_id,
             "POST" if body else "GET",
             "old.example",
-            f"/a/{name}",
-            f"/a/{name}",
+            path,
+            path,
             ((b"host", b"old.example"), *headers),
             "key-1",
             name,
@@ -320,22 +328,20 @@
             bool(body),
             asyncio.get_running_loop().time(),
         )
-        outcome = "failed"
         try:
             response = await vm.forwarder.forward(req)
         except RequestRejected as exc:
             if exc.code is Code.QUARANTINED and name != "crash":
                 self.report.suspected_s.append(exc.retry_after_s or 60.0)
+            return "failed"
         except ConnectionResetError:
             assert name == "crash", "a response breaks off in a crash only"
-        else:
-            outcome = "served" if response.status == 200 else "failed"
-            if not isinstance(response.body, bytes):
-                with contextlib.suppress(Exception):
-                    async for _ in response.body:
-                        continue
-        if name != "crash":
-            self.report.innocents[outcome] += 1
+            return "failed"
+        if not isinstance(response.body, bytes):
+            with contextlib.suppress(Exception):
+                async for _ in response.body:
+                    continue
+        return "served" if response.status == 200 else "failed"
 
     async def play(self) -> CrashReport:
         """Play the case; return what was seen."""
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -19,7 +19,7 @@
 from wigeonford.control import LimitService, SuspectService
 from wigeonford.control._steering_commands import AnnounceTargets
 from wigeonford.control._view_service import ViewService
-from wigeonford.deployment import Announcement
+from wigeonford.deployment import Announcement, Route
 from wigeonford.errors import Code, PeerError, RequestRejected
 from wigeonford.events import EventLog
 from wigeonford.http import Response
@@ -340,6 +340,10 @@
         """Return the connections of an entry VM to the targets."""
         return cast(TargetConnections, StandInConnections(vm, self))
 
+    def make_routes(self) -> tuple[Route, ...]:
+        """Return the routes of the deployment, none for the usual one."""
+        return ()
+
     def handlers_of(self, address: Address) -> Handlers:
         """Return the message handlers of the replica at an address."""
         return self._handlers[REPLICA_ADDRESSES.index(str(address))]
@@ -347,7 +351,7 @@
     async def start(self) -> None:
         """Start everything; return once each VM knows the deployment."""
         loop = asyncio.get_running_loop()
-        deployment = make_deployment()
+        deployment = make_deployment(*self.make_routes())
         accounts = (replace(deployment.accounts[0], rate_per_s=0.0),)
         announcements = tuple(
             target.announcement for target in self.targets.values()
