--- a/src/wigeonford/_compose_steer_entry.py
+++ b/src/wigeonford/_compose_steer_entry.py
@@ -31,7 +31,10 @@
     QuotaReporter,
     ReachMonitor,
     ReachProber,
+    ReachReporter,
     Readiness,
+    RelayReceiver,
+    RelaySender,
     SteerDaemon,
     SuspectExchange,
     TargetConnections,
@@ -66,6 +69,8 @@
             cfg.availability_zone,
             cfg.region,
             ready,
+            "" if cfg.relay_address is None else str(cfg.relay_address),
+            reach.state,
         )
 
     def make_peer_client(address: Address) -> PeerClient:
@@ -77,6 +82,7 @@
 
     rng = random.Random()
     metrics = Metrics()
+    reach = ReachMonitor(metrics, log)
     readiness = Readiness(make_status)
     suspects = SuspectTable(cfg.name)
     target_limits = TargetLimits(
@@ -97,7 +103,6 @@
         follower, rates, lambda: readiness.status, make_peer_client, log
     )
     targets = TargetRecords()
-    reach = ReachMonitor(metrics, log)
     connections = TargetConnections(
         wire, reach.record_contact, reach.record_failure
     )
@@ -105,6 +110,15 @@
     follower.add_view_listener(
         lambda view: reach.set_target_count(view.targets)
     )
+    relay = RelaySender(
+        lambda: readiness.status,
+        follower.running_entries,
+        wire,
+        DEFAULT_PEER_SECRET,
+        reach,
+        prober,
+        rng,
+    )
     forwarder = Forwarder(
         lambda: readiness.status,
         lambda: follower.view,
@@ -120,6 +134,7 @@
         log,
         rng,
         is_in_contact=is_in_contact,
+        relay=relay,
     )
     follower.add_view_listener(forwarder.drop_removed_targets)
     front_server = HttpServer(
@@ -129,6 +144,15 @@
         wire.find_request_id,
         metrics.count_connection_end,
     )
+    fronts = [(front_server, cfg.address)]
+    if cfg.relay_address is not None:
+        receiver = RelayReceiver(
+            forwarder.forward_relayed, wire, DEFAULT_PEER_SECRET, log
+        )
+        relay_server = HttpServer(
+            receiver.handle, CallerLimits(), log, wire.find_request_id
+        )
+        fronts.append((relay_server, cfg.relay_address))
     ready_server = HttpServer(
         build_lookup_api(follower, readiness), CallerLimits(), log
     )
@@ -144,10 +168,14 @@
         follower,
         reporter,
         targets,
-        connections,
+        (connections, relay.connections),
         tuple(servers),
         forwarder,
-        front_server,
-        (LoopWatch(metrics, log), prober),
+        tuple(fronts),
+        (
+            LoopWatch(metrics, log),
+            prober,
+            ReachReporter(reach, follower.report_status, log),
+        ),
         log,
     )
--- a/src/wigeonford/errors.py
+++ b/src/wigeonford/errors.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from enum import Enum, StrEnum
+from typing import Final
 
 import msgspec
 
@@ -120,6 +121,10 @@
         RunState.UNKNOWN,
     )
 
+    RELAY_UNREACHED = _info(
+        1246, 503, "the other entry VM can't reach a target either"
+    )
+
     NOT_OWNER = _info(
         1230,
         503,
@@ -203,6 +208,14 @@
         return self.value.number
 
 
+_CODES_BY_NUMBER: Final = {code.number: code for code in Code}
+
+
+def code_of(number: int) -> Code:
+    """Return the code of a number that a peer sent."""
+    return _CODES_BY_NUMBER.get(number, Code.INTERNAL)
+
+
 class WigeonfordError(Exception):
     """Carry a result code, a readable detail and the run state.
 
@@ -225,7 +238,12 @@
 
 
 class RequestRejected(WigeonfordError):
-    """Report that a caller's request was rejected."""
+    """Report that a caller's request was rejected.
+
+    `sent` counts the targets that had got it.
+    """
+
+    sent = 0
 
 
 class PeerError(WigeonfordError):
--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -303,6 +303,14 @@
     TARGETS_REGAINED = _event(
         333, "this VM reaches targets over its own links again"
     )
+    LINKS_CUT = _event(
+        334,
+        "other entry VMs reach targets that this VM doesn't reach",
+        logging.WARNING,
+    )
+    REQUEST_RELAYED = _event(
+        335, "chose another entry VM to send a request to a target"
+    )
     TARGET_SLOW = _event(
         322, "a target is far slower than its peers", logging.WARNING
     )
--- a/src/wigeonford/http/_types.py
+++ b/src/wigeonford/http/_types.py
@@ -17,6 +17,22 @@
 INTERNAL_PREFIX: Final = b"wigeonford-"
 
 
+_HOP_BY_HOP: Final = frozenset(
+    {
+        b"connection",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+
 def find_header(headers: Headers, name: bytes) -> str | None:
     """Return the first value of a header, or None."""
     for key, value in headers:
@@ -83,6 +99,43 @@
         return find_header(self.headers, name)
 
 
+def end_to_end_headers(request: Request) -> Headers:
+    """Return the headers of a request to pass on, with those of its body."""
+    named = {
+        name.strip().lower().encode("latin-1")
+        for name in (request.header(b"connection") or "").split(",")
+    }
+    headers = [
+        (name, value)
+        for name, value in request.headers
+        if name not in _HOP_BY_HOP and name not in named
+    ]
+    if request.header(b"transfer-encoding") is not None:
+        headers.append((b"transfer-encoding", b"chunked"))
+    return tuple(headers)
+
+
+def frame_response(method: str, response: Response) -> Response:
+    """Return a server's response as it is passed on to a caller.
+
+    Headers that concern only the server's connection are left out. Chunks
+    override a length.
+    """
+    is_chunked = response.header(b"transfer-encoding") is not None
+    headers = [
+        (name, value)
+        for name, value in response.headers
+        if name not in _HOP_BY_HOP
+        and not (is_chunked and name == b"content-length")
+    ]
+    body = response.body
+    has_length = any(name == b"content-length" for name, _ in headers)
+    has_no_body = method == "HEAD" or response.status in (204, 304)
+    if isinstance(body, bytes) and not has_length and not has_no_body:
+        headers.append((b"content-length", str(len(body)).encode()))
+    return Response(response.status, tuple(headers), body)
+
+
 def result_headers(code: Code, run_state: RunState) -> Headers:
     """Return the headers of a result code and a run state."""
     return (
--- a/src/wigeonford/messages/steering.py
+++ b/src/wigeonford/messages/steering.py
@@ -11,10 +11,23 @@
 from wigeonford.peer import message
 
 
+class Reach(Enum):
+    """Say whether an entry VM reaches targets over its own links.
+
+    `LOST` means that it reached none lately, for a reason that is unknown;
+    `CUT` means that other entry VMs reach them.
+    """
+
+    DIRECT = "direct"
+    LOST = "lost"
+    CUT = "cut"
+
+
 class EntryStatus(msgspec.Struct, frozen=True, array_like=True):
     """Describe a running entry VM; `incarnation` is new at each start.
 
-    `address` is where it accepts callers' requests.
+    `address` is where it accepts callers' requests, and `relay_address` those
+    of other entry VMs, empty if it accepts none.
     """
 
     name: str
@@ -23,6 +36,8 @@
     availability_zone: str
     region: str
     is_ready: bool
+    relay_address: str = ""
+    reach: Reach = Reach.DIRECT
 
 
 class QuotaLeaseRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/src/wigeonford/metrics.py
+++ b/src/wigeonford/metrics.py
@@ -63,6 +63,11 @@
             "1 while the disk takes writes, 0 while it takes none",
             registry=self._registry,
         )
+        self.relayed = Counter(
+            "wigeonford_relayed_attempts_total",
+            "Attempts made through other entry VMs, by outcome",
+            registry=self._registry,
+        )
         self.targets_reached = Gauge(
             "wigeonford_targets_reached",
             "1 while this VM reaches targets over its own links, 0 while it "
--- a/src/wigeonford/peer/_link.py
+++ b/src/wigeonford/peer/_link.py
@@ -28,7 +28,7 @@
     wait_for_result,
 )
 from wigeonford.codec import CodecError
-from wigeonford.errors import Code, PeerError, WigeonfordError
+from wigeonford.errors import Code, code_of, PeerError, WigeonfordError
 from wigeonford.events import Event, EventLog
 from wigeonford.peer._frames import (
     decode_frame,
@@ -224,9 +224,6 @@
         return await handler(message)
 
 
-_CODES_BY_NUMBER: Final = {code.number: code for code in Code}
-
-
 class PeerClient:
     """Send messages to one peer over a link, opened on demand."""
 
@@ -446,7 +443,7 @@
 
 def to_peer_error(failure: Failure) -> PeerError:
     """Return the error that a `Failure` reports."""
-    code = _CODES_BY_NUMBER.get(failure.code, Code.INTERNAL)
+    code = code_of(failure.code)
     if code is Code.NOT_LEADER:
         return NotLeaderError(failure.leader)
     return PeerError(code, failure.detail)
--- a/src/wigeonford/platform/_front.py
+++ b/src/wigeonford/platform/_front.py
@@ -9,8 +9,10 @@
 
 from wigeonford.errors import Code, RequestRejected, RunState
 from wigeonford.http import (
+    end_to_end_headers,
     error_response,
     find_header,
+    frame_response,
     Headers,
     json_response,
     Request,
@@ -54,20 +56,6 @@
 # Larger counts would exceed a float or the digits that int() accepts.
 _COUNT: Final = re.compile(r"[0-9]{1,18}")
 
-_HOP_BY_HOP: Final = frozenset(
-    {
-        b"connection",
-        b"expect",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
 _SET_BY_ENTRY_VM: Final = frozenset(
     {_ACCOUNT, _TARGET_ID, _REMAINING_TIME, _KEY}
 )
@@ -80,6 +68,10 @@
 class PlatformTargetWire:
     """Encode the headers of attempts and decode those of responses."""
 
+    def decode_request(self, request: Request) -> SteerRequest:
+        """Return a decoded request; raise `RequestRejected`."""
+        return decode_request(request)
+
     def build_headers(
         self,
         req: SteerRequest,
@@ -189,41 +181,27 @@
 def decode_request(request: Request) -> SteerRequest:
     """Return the decoded request of a caller; raise `RequestRejected`."""
     remaining_time = request.header(_REMAINING_TIME)
-    has_body = request.has_body
-    headers = [
+    headers = tuple(
         (name, value)
-        for name, value in request.headers
-        if name not in _HOP_BY_HOP
-        and name not in _SET_BY_ENTRY_VM
-        and name not in _connection_headers(request)
-    ]
-    chunked = request.header(b"transfer-encoding") is not None
-    if has_body and chunked:
-        headers.append((b"transfer-encoding", b"chunked"))
+        for name, value in end_to_end_headers(request)
+        if name not in _SET_BY_ENTRY_VM
+    )
     return SteerRequest(
         request_id=request.header(_REQUEST_ID) or "",
         method=request.method,
         host=request.header(b"host") or "",
         path=request.path,
         target=request.target,
-        headers=tuple(headers),
+        headers=headers,
         key=request.header(_KEY),
         object_id=request.header(_OBJECT_ID) or "",
         time_left_s=_decode_remaining_time(remaining_time),
         body=request.body,
-        has_body=has_body,
+        has_body=request.has_body,
         arrived_at_s=time.monotonic(),
     )
 
 
-def _connection_headers(request: Request) -> frozenset[bytes]:
-    """Return the hop-by-hop headers named in the Connection header."""
-    named = request.header(b"connection") or ""
-    return frozenset(
-        name.strip().lower().encode("latin-1") for name in named.split(",")
-    )
-
-
 def _decode_remaining_time(text: str | None) -> float | None:
     if text is None:
         return None
@@ -237,21 +215,13 @@
 
 def encode_response(request: Request, response: Response) -> Response:
     """Return a target's response in the form sent to the caller."""
-    is_chunked = response.header(b"transfer-encoding") is not None
-    headers = [
+    framed = frame_response(request.method, response)
+    headers = tuple(
         (name, value)
-        for name, value in response.headers
-        if name not in _HOP_BY_HOP
-        and name not in _FOR_ENTRY_VMS
-        # Chunks override a length.
-        and not (is_chunked and name == b"content-length")
-    ]
-    body = response.body
-    has_length = any(name == b"content-length" for name, _ in headers)
-    has_no_body = request.method == "HEAD" or response.status in (204, 304)
-    if isinstance(body, bytes) and not has_length and not has_no_body:
-        headers.append((b"content-length", str(len(body)).encode()))
-    return Response(response.status, tuple(headers), body)
+        for name, value in framed.headers
+        if name not in _FOR_ENTRY_VMS
+    )
+    return Response(framed.status, headers, framed.body)
 
 
 def encode_rejection(exc: RequestRejected) -> Response:
--- a/src/wigeonford/platform/_settings.py
+++ b/src/wigeonford/platform/_settings.py
@@ -82,6 +82,14 @@
         """Return the port at which control replicas listen for peers."""
         return self.internal_port_range[0]
 
+    @property
+    def relay_port(self) -> int:
+        """Return the port for requests that other entry VMs can't send.
+
+        A control replica on the same VM listens at the first port.
+        """
+        return self.internal_port_range[1]
+
     @property
     def peer_seeds(self) -> tuple[str, ...]:
         """Return the peer addresses of the usable seeds."""
@@ -162,6 +170,7 @@
         lookup_address=_listen_address(directory, "directory")
         if directory
         else None,
+        relay_address=Address(cfg.ip_address, cfg.relay_port),
         rate_slack=cfg.bounds.quota_slack,
         retry_bounds=RetryBounds(
             cfg.bounds.retry_budget_ratio, cfg.bounds.budget_slack
--- a/src/wigeonford/settings/_steering.py
+++ b/src/wigeonford/settings/_steering.py
@@ -61,6 +61,7 @@
     seeds: tuple[str, ...]
     zones: Mapping[str, str]
     lookup_address: Address | None = None
+    relay_address: Address | None = None
     metrics_address: Address | None = None
     rate_slack: float = bounded(0, 1e6, default=0.0)
     retry_bounds: RetryBounds = field(default_factory=RetryBounds)
--- a/src/wigeonford/steer/__init__.py
+++ b/src/wigeonford/steer/__init__.py
@@ -8,7 +8,13 @@
 from wigeonford.steer._lookups import LOOKUP_TTL_S, select_entries
 from wigeonford.steer._quota_reporter import QuotaReporter
 from wigeonford.steer._rates import AccountRates
-from wigeonford.steer._reach_monitor import ReachMonitor, ReachProber
+from wigeonford.steer._reach_monitor import (
+    ReachMonitor,
+    ReachProber,
+    ReachReporter,
+)
+from wigeonford.steer._relay import RelaySender
+from wigeonford.steer._relay_server import RelayReceiver
 from wigeonford.steer._report_exchange import LimitExchange, SuspectExchange
 from wigeonford.steer._request import (
     ResponseFacts,
@@ -30,7 +36,10 @@
     "QuotaReporter",
     "ReachMonitor",
     "ReachProber",
+    "ReachReporter",
     "Readiness",
+    "RelayReceiver",
+    "RelaySender",
     "Roster",
     "TargetRunState",
     "SteerDaemon",
--- a/src/wigeonford/steer/_admission.py
+++ b/src/wigeonford/steer/_admission.py
@@ -11,6 +11,7 @@
 from wigeonford.events import Event, EventLog
 from wigeonford.steer._loans import LoanBatcher
 from wigeonford.steer._rates import AccountRates
+from wigeonford.steer._relay_wire import RelayOrder
 from wigeonford.steer._request import SteerRequest
 from wigeonford.steer._request_context import RequestContext
 from wigeonford.steer._retry_after import retry_after_s
@@ -127,16 +128,74 @@
             version=view.deployment.version,
             revision=view.revision,
         )
+        await self._read_request(ctx)
+        return ctx
+
+    async def admit_relayed(
+        self, req: SteerRequest, order: RelayOrder
+    ) -> RequestContext:
+        """Return the context of a request that another entry VM admitted.
+
+        Raise `RequestRejected` if this VM knows another deployment.
+        """
+        view = self._view()
+        if view is None:
+            raise _build_stale_error("no deployment is known yet")
+        route = view.find_route(req.host, req.path)
+        account = view.find_account_named(order.account)
+        if (
+            route is None
+            or route.name != order.route
+            or order.service not in route.services
+            or (account is None and order.account is not None)
+        ):
+            raise _build_stale_error(
+                f"{order.route} of {order.origin} is unknown in version "
+                f"{view.deployment.version}"
+            )
+        left_s = route.timeout_s
+        if req.time_left_s is not None:
+            left_s = min(left_s, req.time_left_s)
+        deadline_s = req.arrived_at_s + left_s
+        self.check_can_finish(route, deadline_s)
+        ctx = RequestContext(
+            req,
+            view,
+            route,
+            account,
+            order.service,
+            b"",
+            deadline_s,
+            b"",
+            sent=order.sent,
+            relay_origin=order.origin,
+        )
+        self._log.emit(
+            Event.REQUEST_ADMITTED,
+            request=req.request_id,
+            route=route.name,
+            service=ctx.service,
+            account=ctx.account_name,
+            origin=order.origin,
+            left_s=round(left_s, 3),
+            version=view.deployment.version,
+            revision=view.revision,
+        )
+        await self._read_request(ctx)
+        return ctx
+
+    async def _read_request(self, ctx: RequestContext) -> None:
+        """Read a request's body, and name the request by all of it."""
+        req = ctx.req
         buffered = b""
         if req.has_body:
             ctx.body, buffered = await self._read_body_in_time(ctx)
         ctx.request_fingerprint = request_fingerprint(
-            account.name if account else "",
+            ctx.account_name or "",
             req.method,
             f"{req.host}{req.target}",
             buffered,
         )
-        return ctx
 
     async def _read_body_in_time(
         self, ctx: RequestContext
--- a/src/wigeonford/steer/_daemon.py
+++ b/src/wigeonford/steer/_daemon.py
@@ -74,10 +74,10 @@
         follower: ViewFollower,
         reporter: QuotaReporter,
         target_records: TargetRecords,
-        target_connections: TargetConnections,
+        connections: tuple[TargetConnections, ...],
         servers: tuple[tuple[HttpServer, Address], ...],
         forwarder: Forwarder,
-        front: HttpServer,
+        fronts: tuple[tuple[HttpServer, Address], ...],
         components: tuple[Component, ...],
         log: EventLog,
     ) -> None:
@@ -90,10 +90,11 @@
             *components,
         )
         self._target_records = target_records
-        self._target_connections = target_connections
+        self._connections = connections
         self._servers = servers
         self._forwarder = forwarder
-        self._front = front
+        self._fronts = tuple(server for server, _ in fronts)
+        self._front_addresses = tuple(address for _, address in fronts)
         self._log = log
         self._sweeper: asyncio.Task[None] | None = None
         follower.add_view_listener(self._apply_view)
@@ -102,13 +103,16 @@
         """Start serving; look-ups name this VM once it knows a deployment."""
         for server, address in self._servers:
             await server.start(address)
-        await self._front.start(self._cfg.address)
+        for front, address in zip(
+            self._fronts, self._front_addresses, strict=True
+        ):
+            await front.start(address)
         try:
             for component in self._components:
                 await component.start()
         except asyncio.CancelledError:
             # Callers may have connected.
-            await self._front.stop(0.0)
+            await self._stop_fronts(0.0)
             raise
         self._sweeper = asyncio.create_task(
             run_supervised(self._sweep, self._log)
@@ -125,16 +129,24 @@
         plan = ShutdownPlan(time.monotonic(), self._cfg.grace_s)
         self._readiness.mark_stopping()
         self._forwarder.begin_shutdown(plan)
-        self._front.drain()
+        for front in self._fronts:
+            front.drain()
         await self._report_stop(_until(plan.unlisted_at_s))
         await asyncio.sleep(_until(plan.unlisted_at_s))
         # Where links are full, requests arrive seconds after they were sent.
-        await self._front.wait_until_deserted(_until(plan.finish_by_s))
+        await asyncio.gather(
+            *(
+                front.wait_until_deserted(_until(plan.finish_by_s))
+                for front in self._fronts
+            )
+        )
         # Callers that seemed quiet may have sent requests meanwhile.
-        await self._front.close(_until(plan.finish_by_s))
+        await asyncio.gather(
+            *(front.close(_until(plan.finish_by_s)) for front in self._fronts)
+        )
         await read_arrived()
         closing = asyncio.create_task(
-            self._front.stop(_until(plan.close_at_s))
+            self._stop_fronts(_until(plan.close_at_s))
         )
         ended_count = self._forwarder.end_unfinished()
         self._log.emit(
@@ -146,7 +158,16 @@
             self._stop_components(timeout_s), self._stop_servers(timeout_s)
         )
         await self._forwarder.close()
-        self._target_connections.close()
+        for connections in self._connections:
+            connections.close()
+
+    async def _stop_fronts(self, timeout_s: float) -> int:
+        """Stop serving requests; return how many were cut off."""
+        return sum(
+            await asyncio.gather(
+                *(front.stop(timeout_s) for front in self._fronts)
+            )
+        )
 
     async def _report_stop(self, timeout_s: float) -> None:
         """Tell control of the stop, which goes on whatever comes of that."""
@@ -194,20 +215,22 @@
         for address in self._target_records.apply_changes(
             view.changed, view.removed, self._cfg.zones, now_s
         ):
-            self._target_connections.close_idle_to(address)
+            for connections in self._connections:
+                connections.close_idle_to(address)
         self._target_records.apply_evacuations(
             view.taken_back, view.services, now_s
         )
-        self._front.limits = caller_limits(
-            view.deployment, self._cfg.max_file_descriptors
-        )
+        limits = caller_limits(view.deployment, self._cfg.max_file_descriptors)
+        for front in self._fronts:
+            front.limits = limits
         if not self._readiness.ready:
             self._readiness.mark_deployment_known()
 
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
-            self._target_connections.close_idle()
+            for connections in self._connections:
+                connections.close_idle()
 
 
 def _until(at_s: float) -> float:
--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -1,12 +1,12 @@
 """Serve a request: admit it, choose targets, make attempts."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 import random
 import time
 from typing import Final
 
-from wigeonford.errors import Code, RequestRejected, RunState
+from wigeonford.errors import Code, code_of, RequestRejected, RunState
 from wigeonford.events import Event, EventLog
 from wigeonford.http import Response
 from wigeonford.leases import AttemptBudget
@@ -25,7 +25,9 @@
 from wigeonford.steer._crash_watch import CrashWatch
 from wigeonford.steer._loans import LoanBatcher
 from wigeonford.steer._rates import AccountRates
-from wigeonford.steer._request import SteerRequest
+from wigeonford.steer._relay import RelaySender
+from wigeonford.steer._relay_wire import RelayOrder
+from wigeonford.steer._request import RelayResult, SteerRequest
 from wigeonford.steer._request_context import RequestContext
 from wigeonford.steer._retry_after import retry_after_s
 from wigeonford.steer._shutdown import NO_SHUTDOWN, ShutdownPlan
@@ -42,7 +44,12 @@
 """Fraction of the fleet's retry slack that the reserves of all entry VMs add
 up to."""
 MAX_UNREACHED_TARGETS: Final = 4
-"""Targets that may be unreachable or removed before a request is rejected."""
+"""Targets and entry VMs that may be unreachable or removed before a request is
+rejected."""
+_OTHER_RELAY_CODES: Final = frozenset(
+    {Code.RELAY_UNREACHED, Code.DRAINING, Code.CONFIG_STALE}
+)
+"""Rejections by another entry VM that say nothing of the others."""
 
 
 class Forwarder:
@@ -69,7 +76,9 @@
         rng: random.Random,
         clock: Callable[[], float] = time.monotonic,
         is_in_contact: Callable[[], bool] = lambda: True,
+        relay: RelaySender | None = None,
     ) -> None:
+        self._relay = relay
         self._view = view
         self._entries = entries
         self._target_connections = target_connections
@@ -137,13 +146,31 @@
 
     async def forward(self, req: SteerRequest) -> Response:
         """Return a target's response; raise `RequestRejected`."""
+        _, response = await self._serve(req, self._admission.admit(req))
+        return response
+
+    async def forward_relayed(
+        self, req: SteerRequest, order: RelayOrder
+    ) -> tuple[Response, RelayResult]:
+        """Return a target's response to a request of another entry VM.
+
+        The request is not passed on to a third one. Raise `RequestRejected`.
+        """
+        ctx, response = await self._serve(
+            req, self._admission.admit_relayed(req, order)
+        )
+        return response, RelayResult(sent=ctx.sent, target_id=ctx.target_id)
+
+    async def _serve(
+        self, req: SteerRequest, admission: Awaitable[RequestContext]
+    ) -> tuple[RequestContext, Response]:
         began_s = self._clock()
         ctx: RequestContext | None = None
         try:
             async with asyncio.timeout(None) as limit:
                 self._unfinished.add(limit)
                 try:
-                    ctx = await self._admission.admit(req)
+                    ctx = await admission
                     response = await self._run_attempts(ctx)
                 finally:
                     self._unfinished.discard(limit)
@@ -172,7 +199,7 @@
             ctx.route.kind.value,
             self._clock() - began_s,
         )
-        return response
+        return ctx, response
 
     def _record_rejection(
         self,
@@ -180,6 +207,7 @@
         ctx: RequestContext | None,
         exc: RequestRejected,
     ) -> None:
+        exc.sent = ctx.sent if ctx else 0
         account = ctx.account if ctx else None
         self._metrics.count_result(
             account.name if account else "", exc.code.number
@@ -198,13 +226,15 @@
             account=account.name if account else None,
             sent=ctx.sent if ctx else 0,
             tried=sorted(ctx.tried) if ctx else [],
+            relays=sorted(ctx.relays) if ctx else [],
             revision=view.revision if view else None,
             version=view.deployment.version if view else None,
             took_s=round(self._clock() - req.arrived_at_s, 3),
         )
 
     async def _run_attempts(self, ctx: RequestContext) -> Response:
-        self._retry_budget_of(ctx.service).earn()
+        if not ctx.relay_origin:
+            self._retry_budget_of(ctx.service).earn()
         try:
             while self._clock() < ctx.deadline_s:
                 response = await self._make_attempt(ctx)
@@ -229,19 +259,23 @@
         )
 
     async def _make_attempt(self, ctx: RequestContext) -> Response | None:
-        """Make an attempt; return the response, None to try again."""
+        """Make an attempt; return the response, None to try again.
+
+        It is made through another entry VM if this one reaches no target.
+        """
+        if self._relay is not None and self._relay.should_relay(ctx):
+            via = self._relay.choose(ctx)
+            if via is not None:
+                return await self._make_relayed_attempt(ctx, via)
         await self._require_no_quarantine(ctx)
         choice = self._chooser.choose(ctx)
         if choice is None:
+            if self._relay is not None and self._chooser.has_unreached(ctx):
+                via = self._relay.choose(ctx)
+                if via is not None:
+                    return await self._make_relayed_attempt(ctx, via)
             raise self._build_rejection(ctx)
-        try:
-            self._admission.check_can_finish(
-                ctx.route, ctx.deadline_s, choice.wait_s, choice.work_s
-            )
-        except RequestRejected:
-            if ctx.may_have_run:
-                raise self._build_rejection(ctx) from None
-            raise
+        self._check_can_finish(ctx, choice.wait_s, choice.work_s)
         record = choice.record
         began_s = self._clock()
         ctx.tried.add(record.target_id)
@@ -315,6 +349,75 @@
         )
         return Response(response.status, response.headers, stream)
 
+    def _check_can_finish(
+        self, ctx: RequestContext, wait_s: float = 0.0, work_s: float = 0.0
+    ) -> None:
+        """Raise `RequestRejected` if a request would outlast the shutdown."""
+        try:
+            self._admission.check_can_finish(
+                ctx.route, ctx.deadline_s, wait_s, work_s
+            )
+        except RequestRejected:
+            if ctx.may_have_run:
+                raise self._build_rejection(ctx) from None
+            raise
+
+    async def _make_relayed_attempt(
+        self, ctx: RequestContext, via: TargetRecord
+    ) -> Response | None:
+        """Have another entry VM make attempts; return None to try again."""
+        assert self._relay is not None, "a relay was chosen"
+        self._check_can_finish(ctx)
+        began_s = self._clock()
+        self._log.emit(
+            Event.REQUEST_RELAYED,
+            request=ctx.req.request_id,
+            via=via.target_id,
+            route=ctx.route.name,
+            account=ctx.account_name,
+            unreached=ctx.not_reached_count,
+            in_flight=via.in_flight,
+        )
+        result = await self._relay.send(ctx, via)
+        ctx.is_attempt_running = False
+        self._metrics.relayed.inc({"outcome": result.outcome.value})
+        relayed = result.facts.relayed if result.facts else None
+        if relayed is None:
+            if result.outcome is Outcome.BROKEN:
+                ctx.may_have_run = True
+            return self._handle_result(ctx, via, result, began_s)
+        ctx.sent = relayed.sent
+        if not relayed.is_rejected:
+            self._relay.record_served(relayed.target_id)
+            return self._handle_result(ctx, via, result, began_s)
+        ctx.detail = f"{via.target_id}: {relayed.detail}"
+        self._log.emit(
+            Event.ATTEMPT_FAILED,
+            request=ctx.req.request_id,
+            via=via.target_id,
+            code=relayed.code,
+            run=relayed.run_state.value,
+            detail=relayed.detail,
+            took_s=round(self._clock() - began_s, 3),
+        )
+        code = code_of(relayed.code)
+        if code in _OTHER_RELAY_CODES and relayed.run_state is (
+            RunState.NOT_RUN
+        ):
+            if code is Code.RELAY_UNREACHED:
+                self._relay.record_unreached(ctx, via)
+            if isinstance(ctx.body, bytes):
+                return None
+            code = Code.NO_CAPACITY
+        if ctx.may_have_run:
+            raise self._build_rejection(ctx)
+        raise RequestRejected(
+            code,
+            ctx.detail,
+            retry_after_s=relayed.retry_after_s,
+            run_state=relayed.run_state,
+        )
+
     async def _require_no_quarantine(self, ctx: RequestContext) -> None:
         """Raise `RequestRejected` for a request that has to wait."""
         standing = self._crash_watch.standing(ctx.request_fingerprint)
@@ -342,11 +445,13 @@
         """Return the response, None to try again; raise `RequestRejected`."""
         if result.outcome in UNSENT:
             ctx.unreached_count += 1
-        else:
+            ctx.not_reached_count += result.outcome is Outcome.NOT_SENT
+        elif result.facts is None or result.facts.relayed is None:
             ctx.sent += 1
         ctx.detail = f"{record.target_id}: {result.detail}"
         if result.outcome is Outcome.ANSWERED:
             assert result.response is not None, "ANSWERED has a response"
+            ctx.target_id = record.target_id
             self._log.emit(
                 Event.REQUEST_ANSWERED,
                 request=ctx.req.request_id,
@@ -398,6 +503,8 @@
         targets = self._chooser.count_targets(ctx)
         wait_s = self._chooser.capacity_wait_s(ctx)
         code = Code.NO_CAPACITY if targets else Code.NO_TARGET
+        if ctx.relay_origin and ctx.not_reached_count and not ctx.sent:
+            code = Code.RELAY_UNREACHED
         return RequestRejected(
             code,
             ctx.detail or f"{targets} targets accept requests",
--- a/src/wigeonford/steer/_reach.py
+++ b/src/wigeonford/steer/_reach.py
@@ -6,9 +6,10 @@
 one that reaches none disproves it.
 """
 
-from enum import Enum
 from typing import Final
 
+from wigeonford.messages.steering import Reach
+
 SUSPECT_TARGETS: Final = 3
 """Targets that fail in a row, without contact to any, before this VM doubts
 its own links."""
@@ -22,18 +23,6 @@
 """How long a contact counts towards the return; a few rounds of probes."""
 
 
-class Reach(Enum):
-    """Say whether this VM reaches targets over its own links.
-
-    `LOST` means that none was reached lately, for a reason that is unknown;
-    `CUT` means that other entry VMs reach them.
-    """
-
-    DIRECT = "direct"
-    LOST = "lost"
-    CUT = "cut"
-
-
 class TargetReach:
     """Follow which targets this VM reaches over its own links.
 
@@ -85,10 +74,10 @@
         self.state = Reach.LOST
         return True
 
-    def record_relayed(self) -> bool:
-        """Record that another entry VM reached a target for this one.
+    def record_cut(self) -> bool:
+        """Record that another entry VM reaches a target that this VM doesn't.
 
-        Return whether that shows that this VM is cut.
+        Return whether that is new.
         """
         if self.state is not Reach.LOST:
             return False
--- a/src/wigeonford/steer/_reach_monitor.py
+++ b/src/wigeonford/steer/_reach_monitor.py
@@ -1,17 +1,18 @@
 """Follow this VM's contact to targets, and look for its return."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 import random
 import time
 from typing import Final
 
 from wigeonford._tasks import cancel_task, run_supervised
 from wigeonford.events import Event, EventLog
+from wigeonford.messages.steering import Reach
 from wigeonford.metrics import Metrics
 from wigeonford.steer._attempt import TargetConnections
-from wigeonford.steer._reach import Reach, TargetReach
-from wigeonford.steer._target_records import TargetRecords
+from wigeonford.steer._reach import TargetReach
+from wigeonford.steer._target_records import TargetRecord, TargetRecords
 
 PROBE_INTERVAL_S: Final = 0.4
 """Pause between rounds of probes while no target is reached."""
@@ -86,11 +87,51 @@
         )
         self._notify()
 
+    def record_cut(self, target_id: str) -> None:
+        """Record that another entry VM reaches a target that this VM doesn't.
+
+        Only this tells a VM's lost links from lost targets.
+        """
+        if not self._reach.record_cut():
+            return
+        self._log.emit(Event.LINKS_CUT, target=target_id)
+        self._notify()
+
     def _notify(self) -> None:
         for listener in self._listeners:
             listener()
 
 
+class ReachReporter:
+    """Tell control at once whether this VM reaches targets."""
+
+    def __init__(
+        self,
+        monitor: ReachMonitor,
+        report_status: Callable[[], Awaitable[None]],
+        log: EventLog,
+    ) -> None:
+        self._report_status = report_status
+        self._log = log
+        self._changed = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+        monitor.add_listener(self._changed.set)
+
+    async def start(self) -> None:
+        """Start to wait for changes."""
+        self._task = asyncio.create_task(run_supervised(self._run, self._log))
+
+    async def stop(self) -> None:
+        """Stop reporting."""
+        await cancel_task(self._task)
+
+    async def _run(self) -> None:
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            await self._report_status()
+
+
 class ReachProber:
     """Ask targets for connections while none is reached."""
 
@@ -108,6 +149,7 @@
         self._log = log
         self._rng = rng
         self._task: asyncio.Task[None] | None = None
+        self._comparison: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Start to wait for a loss."""
@@ -115,8 +157,20 @@
 
     async def stop(self) -> None:
         """Stop probing."""
+        await cancel_task(self._comparison)
         await cancel_task(self._task)
 
+    def compare(self, target_id: str) -> None:
+        """Ask a target for a connection that another entry VM reaches."""
+        record = self._target_records.get(target_id)
+        is_busy = self._comparison is not None and not self._comparison.done()
+        if record is not None and not is_busy:
+            self._comparison = asyncio.create_task(self._compare(record))
+
+    async def _compare(self, record: TargetRecord) -> None:
+        if not await self._target_connections.accepts_connections(record):
+            self._monitor.record_cut(record.target_id)
+
     async def _run(self) -> None:
         while True:
             await self._monitor.wait_until_lost()
--- /dev/null
+++ b/src/wigeonford/steer/_relay.py
@@ -0,0 +1,210 @@
+"""Have other entry VMs send requests to targets that this VM can't reach."""
+
+from collections.abc import Callable, Collection, Iterable, Mapping
+import random
+import time
+from typing import Final
+
+from wigeonford.deployment import Announcement
+from wigeonford.messages.steering import EntryStatus, Reach
+from wigeonford.steer._attempt import (
+    Attempt,
+    AttemptResult,
+    Outcome,
+    TargetConnections,
+)
+from wigeonford.steer._reach_monitor import ReachMonitor, ReachProber
+from wigeonford.steer._relay_wire import attach_order, RelayOrder, RelayWire
+from wigeonford.steer._request import TargetWire
+from wigeonford.steer._request_context import RequestContext
+from wigeonford.steer._target_records import TargetRecord
+
+MAX_RELAYS: Final = 3
+"""Other entry VMs that are asked for one request."""
+RELAY_AFTER_UNREACHED: Final = 2
+"""Targets that a request doesn't reach before another entry VM is asked."""
+IN_FLIGHT_PER_STEP: Final = 8.0
+"""Requests in flight at a VM that weigh as much as a way to another region."""
+SAME_ZONE_COST: Final = 0.0
+SAME_REGION_COST: Final = 0.25
+OTHER_REGION_COST: Final = 1.0
+TRIED_ZONE_COST: Final = 4.0
+UNREACHED_PAUSE_S: Final = 1.0
+"""How long no other VM is asked for a service whose targets none reaches."""
+
+
+def rank_relays(
+    entries: Iterable[EntryStatus],
+    own: EntryStatus,
+    regions: Collection[str] | None,
+    tried: Collection[str],
+    in_flight: Callable[[str], int],
+    rng: random.Random,
+) -> list[EntryStatus]:
+    """Return the entry VMs that may send a request, the best one first: pure.
+
+    These are ready, reach targets and are in one of `regions`, if given. Near
+    ones come first, until they have much to do for this VM. Where some were
+    `tried` in vain, those of other zones come first.
+    """
+    by_name = {entry.name: entry for entry in entries}
+    tried_zones = {
+        by_name[name].availability_zone for name in tried if name in by_name
+    }
+
+    def cost(entry: EntryStatus) -> tuple[float, float]:
+        if entry.availability_zone == own.availability_zone:
+            distance = SAME_ZONE_COST
+        elif entry.region == own.region:
+            distance = SAME_REGION_COST
+        else:
+            distance = OTHER_REGION_COST
+        if entry.availability_zone in tried_zones:
+            distance += TRIED_ZONE_COST
+        load = in_flight(entry.name) / IN_FLIGHT_PER_STEP
+        return distance + load, rng.random()
+
+    usable = (
+        entry
+        for entry in by_name.values()
+        if entry.name != own.name
+        and entry.name not in tried
+        and entry.relay_address
+        and entry.is_ready
+        and entry.reach is Reach.DIRECT
+        and (regions is None or entry.region in regions)
+    )
+    return sorted(usable, key=cost)
+
+
+class RelaySender:
+    """Choose other entry VMs, and send requests through them.
+
+    `connections` are those to other entry VMs.
+    """
+
+    def __init__(
+        self,
+        status: Callable[[], EntryStatus],
+        entries: Callable[[], Mapping[str, EntryStatus]],
+        wire: TargetWire,
+        secret: str,
+        reach: ReachMonitor,
+        prober: ReachProber,
+        rng: random.Random,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._status = status
+        self._entries = entries
+        self._secret = secret
+        self._reach = reach
+        self._prober = prober
+        self._rng = rng
+        self._clock = clock
+        self.connections = TargetConnections(RelayWire(wire))
+        self._records: dict[str, TargetRecord] = {}
+        self._paused_until_s: dict[str, float] = {}
+
+    def should_relay(self, ctx: RequestContext) -> bool:
+        """Return whether a request needs another entry VM."""
+        return not ctx.relay_origin and (
+            self._reach.state is not Reach.DIRECT
+            or ctx.not_reached_count >= RELAY_AFTER_UNREACHED
+        )
+
+    def choose(self, ctx: RequestContext) -> TargetRecord | None:
+        """Return the record of an entry VM to ask, None if there is none."""
+        now_s = self._clock()
+        if ctx.relay_origin or len(ctx.relays) >= MAX_RELAYS:
+            return None
+        if now_s < self._paused_until_s.get(ctx.service, now_s):
+            return None
+        ranked = rank_relays(
+            self._entries().values(),
+            self._status(),
+            ctx.allowed_regions,
+            ctx.relays,
+            lambda name: (
+                self._records[name].in_flight if name in self._records else 0
+            ),
+            self._rng,
+        )
+        for entry in ranked:
+            record = self._record_of(entry)
+            if not record.is_down(now_s):
+                return record
+        return None
+
+    def _record_of(self, entry: EntryStatus) -> TargetRecord:
+        record = self._records.get(entry.name)
+        if record is None or record.announced.address != entry.relay_address:
+            announced = Announcement(
+                entry.name,
+                born_ms=0,
+                sequence=0,
+                service="",
+                address=entry.relay_address,
+                availability_zone=entry.availability_zone,
+                software="",
+                slots=0,
+                is_draining=False,
+                cold_s=0.0,
+            )
+            record = TargetRecord(announced, entry.region, self._clock())
+            self._records[entry.name] = record
+        return record
+
+    async def send(
+        self, ctx: RequestContext, record: TargetRecord
+    ) -> AttemptResult:
+        """Return the result of a request that another entry VM sends.
+
+        Raise `TimeoutError` if the time limit passes before the response.
+        """
+        order = RelayOrder(
+            self._status().name,
+            ctx.route.name,
+            ctx.service,
+            ctx.account_name,
+            ctx.sent,
+        )
+        ctx.relays.add(record.target_id)
+        record.in_flight += 1
+        try:
+            result = await self.connections.send(
+                Attempt(
+                    attach_order(ctx.req, order, self._secret),
+                    record,
+                    ctx.account_name,
+                    ctx.body,
+                    ctx.deadline_s,
+                    on_send=ctx.begin_sending,
+                )
+            )
+        finally:
+            record.in_flight -= 1
+        if result.outcome in (Outcome.NOT_SENT, Outcome.BROKEN):
+            record.mark_down(self._clock(), 0.0)
+        else:
+            record.mark_up(self._clock(), 0.0)
+        return result
+
+    def record_served(self, target_id: str) -> None:
+        """Record that another VM got a response of a target.
+
+        If this VM can't connect to that target, its own links are cut.
+        """
+        if self._reach.state is Reach.LOST:
+            self._prober.compare(target_id)
+
+    def record_unreached(
+        self, ctx: RequestContext, record: TargetRecord
+    ) -> None:
+        """Record that another VM doesn't reach a request's targets either.
+
+        Once several don't, asking more would only keep callers waiting.
+        """
+        now_s = self._clock()
+        record.mark_down(now_s, 0.0)
+        if len(ctx.relays) >= MAX_RELAYS:
+            self._paused_until_s[ctx.service] = now_s + UNREACHED_PAUSE_S
--- /dev/null
+++ b/src/wigeonford/steer/_relay_wire.py
@@ -0,0 +1,131 @@
+"""Headers of requests that one entry VM has another one send to targets."""
+
+import hmac
+from typing import Final
+
+import msgspec
+from msgspec.structs import replace
+
+from wigeonford.errors import Code, RequestRejected, RunState
+from wigeonford.http import Headers, Request, Response, ResponseOwner
+from wigeonford.peer import peer_proof
+from wigeonford.steer._request import (
+    RelayResult,
+    ResponseFacts,
+    SteerRequest,
+    TargetRunState,
+    TargetWire,
+)
+
+ORDER_HEADER: Final = b"wigeonford-relay-order"
+PROOF_HEADER: Final = b"wigeonford-relay-proof"
+RESULT_HEADER: Final = b"wigeonford-relay-result"
+_OWN_HEADERS: Final = frozenset({ORDER_HEADER, PROOF_HEADER, RESULT_HEADER})
+
+
+class RelayOrder(msgspec.Struct, frozen=True):
+    """Say what the entry VM of origin decided for a request.
+
+    `origin` is its name, `sent` how many targets have got the request.
+    """
+
+    origin: str
+    route: str
+    service: str
+    account: str | None
+    sent: int
+
+
+def attach_order(
+    req: SteerRequest, order: RelayOrder, secret: str
+) -> SteerRequest:
+    """Return a request with the headers of an order, signed by a peer."""
+    headers = (
+        *_without_own(req.headers),
+        (ORDER_HEADER, msgspec.json.encode(order)),
+        (PROOF_HEADER, peer_proof(secret, order.origin).encode()),
+    )
+    return replace(req, headers=headers)
+
+
+def read_order(request: Request, secret: str) -> RelayOrder:
+    """Return the order of a request from a peer; raise `RequestRejected`."""
+    try:
+        order = msgspec.json.decode(
+            request.header(ORDER_HEADER) or "", type=RelayOrder
+        )
+    except msgspec.DecodeError as exc:
+        raise RequestRejected(Code.HOP_REFUSED, str(exc)) from exc
+    proof = request.header(PROOF_HEADER) or ""
+    expected = peer_proof(secret, order.origin)
+    if not hmac.compare_digest(proof.encode(), expected.encode()):
+        raise RequestRejected(Code.HOP_REFUSED, order.origin)
+    return order
+
+
+def detach_order(req: SteerRequest) -> SteerRequest:
+    """Return a request without the headers of its order."""
+    return replace(req, headers=_without_own(req.headers))
+
+
+def attach_result(response: Response, result: RelayResult) -> Response:
+    """Return a response that tells the VM of origin what came of a request.
+
+    Headers of the same name that a target sent are left out.
+    """
+    headers = (
+        *_without_own(response.headers),
+        (RESULT_HEADER, msgspec.json.encode(result)),
+    )
+    return Response(response.status, headers, response.body)
+
+
+def _without_own(headers: Headers) -> Headers:
+    return tuple(
+        (name, value) for name, value in headers if name not in _OWN_HEADERS
+    )
+
+
+class RelayWire:
+    """Encode requests to other entry VMs as attempts at targets are."""
+
+    def __init__(self, wire: TargetWire) -> None:
+        self._wire = wire
+
+    def decode_request(self, request: Request) -> SteerRequest:
+        """Return a decoded request; raise `RequestRejected`."""
+        return detach_order(self._wire.decode_request(request))
+
+    def build_headers(
+        self,
+        req: SteerRequest,
+        target_id: str,
+        account: str | None,
+        time_left_s: float,
+    ) -> Headers:
+        """Return the headers of a request whose order is attached."""
+        return self._wire.build_headers(req, target_id, account, time_left_s)
+
+    def find_owner(
+        self, _req: SteerRequest, _headers: Headers
+    ) -> ResponseOwner:
+        """Return that a response is the request's: entry VMs send no other."""
+        return ResponseOwner.OWN
+
+    def find_request_id(self, headers: Headers) -> str:
+        """Return the id of a caller's request, empty if it has none."""
+        return self._wire.find_request_id(headers)
+
+    def parse_facts(self, response: Response) -> ResponseFacts:
+        """Return what the other entry VM says of the request."""
+        text = response.header(RESULT_HEADER)
+        try:
+            result = msgspec.json.decode(text or "", type=RelayResult)
+        except msgspec.DecodeError:
+            return ResponseFacts(TargetRunState.RAN, is_complete=False)
+        is_unrun = result.is_rejected and result.run_state is RunState.NOT_RUN
+        return ResponseFacts(
+            TargetRunState.NOT_RUN if is_unrun else TargetRunState.RAN,
+            is_complete=True,
+            relayed=result,
+        )
--- a/src/wigeonford/steer/_request.py
+++ b/src/wigeonford/steer/_request.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from wigeonford.http import Headers, Response, ResponseOwner
+from wigeonford.errors import RunState
+from wigeonford.http import Headers, Request, Response, ResponseOwner
 
 
 class SteerRequest(msgspec.Struct, frozen=True):
@@ -40,6 +41,26 @@
     WRONG_TARGET = "wrong-target"
 
 
+class RelayResult(msgspec.Struct, frozen=True):
+    """Say what came of a request that another entry VM was to send.
+
+    `code` is the number of a result code, `sent` counts the targets that got
+    the request, and `target_id` names the one that responded.
+    """
+
+    code: int = 0
+    detail: str = ""
+    run_state: RunState = RunState.RAN
+    retry_after_s: float | None = None
+    sent: int = 0
+    target_id: str = ""
+
+    @property
+    def is_rejected(self) -> bool:
+        """Return whether no target's response came."""
+        return self.code != 0
+
+
 class ResponseFacts(msgspec.Struct, frozen=True):
     """Hold what the head of a target's response says.
 
@@ -49,7 +70,8 @@
     `pause_s` above 0, the target requests that this VM send nothing for so
     long. `limit_per_s` is the rate of requests that the target accepts from
     all entry VMs together, None if it states none. `unreadable_limit` is the
-    text of a limit that could not be decoded.
+    text of a limit that could not be decoded. `relayed` is set if another
+    entry VM sent the response.
     """
 
     run: TargetRunState
@@ -60,11 +82,15 @@
     pause_s: float = 0.0
     limit_per_s: float | None = None
     unreadable_limit: str | None = None
+    relayed: RelayResult | None = None
 
 
 class TargetWire(Protocol):
     """Translate between this package and the HTTP headers that targets use."""
 
+    def decode_request(self, request: Request) -> SteerRequest:
+        """Return a decoded request; raise `RequestRejected`."""
+
     def build_headers(
         self,
         req: SteerRequest,
--- a/src/wigeonford/steer/_target_choice.py
+++ b/src/wigeonford/steer/_target_choice.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Mapping
 from typing import Final
 
-from wigeonford.deployment import Account, Route
+from wigeonford.deployment import Route
 from wigeonford.messages.steering import EntryStatus
 from wigeonford.steer._cold import ColdRateLimiter, ColdSenders
 from wigeonford.steer._neighbours import Neighbours
@@ -66,6 +66,14 @@
         """Return how many targets of a request's service accept requests."""
         return len(self._target_records.targets_of(ctx.service))
 
+    def has_unreached(self, ctx: RequestContext) -> bool:
+        """Return whether this VM could not reach some target lately."""
+        now_s = self._clock()
+        return any(
+            record.is_down(now_s)
+            for record in self._target_records.targets_of(ctx.service)
+        )
+
     def capacity_wait_s(self, ctx: RequestContext) -> float:
         """Return how long until a target has free capacity for a request."""
         now_s = self._clock()
@@ -88,7 +96,6 @@
         status = self._status()
         view = self._view() or ctx.view
         stats = self._stats_of(ctx.route)
-        allowed_regions = _allowed_regions(ctx.route, ctx.account)
         request = PlacementRequest(
             ctx.service,
             ctx.req.object_id or ctx.req.request_id,
@@ -97,7 +104,7 @@
             stats.size_bytes,
             stats.durations,
             self._max_wait_s(ctx, now_s),
-            allowed_regions,
+            ctx.allowed_regions,
             frozenset(ctx.tried),
             self._neighbours.count(),
             self._target_limits.limited_ids,
@@ -192,15 +199,3 @@
         return self._cold_rates.may_send(
             record.target_id, service.cold_per_s, now_s
         )
-
-
-def _allowed_regions(
-    route: Route, account: Account | None
-) -> frozenset[str] | None:
-    """Return the regions that route and account both allow; None for any."""
-    regions = [set(route.home_regions)] if route.home_regions else []
-    if account is not None and account.home_regions:
-        regions.append(set(account.home_regions))
-    if not regions:
-        return None
-    return frozenset(set.intersection(*regions))
--- a/src/wigeonford/steer/_view.py
+++ b/src/wigeonford/steer/_view.py
@@ -49,6 +49,13 @@
         """Return the client account that holds a key, or None."""
         return self.keys.find(key)
 
+    def find_account_named(self, name: str | None) -> Account | None:
+        """Return the client account of a name, or None."""
+        return next(
+            (item for item in self.deployment.accounts if item.name == name),
+            None,
+        )
+
 
 class ViewBuilder(msgspec.Struct):
     """Build views from updates; revisions never decrease."""
--- a/tests/cut_fleet.py
+++ b/tests/cut_fleet.py
@@ -8,19 +8,37 @@
 from collections.abc import Callable, Iterable
 import contextlib
 from dataclasses import dataclass, field
+import random
 from typing import Any, Final
 import weakref
 
+from msgspec.structs import replace
+
 from tests.crash_fleet import CrashCase, CrashFleet
 from tests.limited_fleet import StandInVm, virtual_clock
 from tests.test_deployment import make_route
 from tests.virtual_time import run_virtual
 from wigeonford.deployment import Route, RouteKind
-from wigeonford.http import ClientConnection, ConnectFailed, ConnectionPool
+from wigeonford.events import EventLog
+from wigeonford.http import (
+    ClientConnection,
+    ConnectFailed,
+    ConnectionPool,
+    HttpServer,
+)
+from wigeonford.metrics import Metrics
 from wigeonford.platform._front import PlatformTargetWire
-from wigeonford.settings import Address
-from wigeonford.steer import TargetConnections
-
+from wigeonford.settings import Address, CallerLimits
+from wigeonford.steer import (
+    ReachMonitor,
+    ReachProber,
+    ReachReporter,
+    RelayReceiver,
+    RelaySender,
+    TargetConnections,
+)
+
+SECRET: Final = "peers"
 RATE_PER_S: Final = 60.0
 UNSAFE_FRACTION: Final = 0.3
 POPULAR_PATHS: Final = 40
@@ -161,6 +179,10 @@
     def __init__(self, case: CutCase, seed: int) -> None:
         self.cut_case = case
         self.links: dict[str, CutLinks] = {}
+        self._reaches: dict[str, ReachMonitor] = {}
+        self._probers: dict[str, ReachProber] = {}
+        self._reporters: list[ReachReporter] = []
+        self._relay_servers: list[HttpServer] = []
         super().__init__(
             CrashCase(vm_count=case.vm_count, target_count=case.target_count),
             seed,
@@ -180,11 +202,74 @@
 
     def make_connections(self, vm: StandInVm) -> TargetConnections:
         """Return real connections that can be cut."""
-        connections = TargetConnections(PlatformTargetWire())
+        reach = ReachMonitor(
+            Metrics(), EventLog(), asyncio.get_running_loop().time
+        )
+        vm.follower.add_view_listener(
+            lambda view: reach.set_target_count(view.targets)
+        )
+        connections = TargetConnections(
+            PlatformTargetWire(), reach.record_contact, reach.record_failure
+        )
         connections._pool = self.links[vm.name] = CutLinks()
         self._connections.append(connections)
+
+        def describe() -> None:
+            vm.status = replace(vm.status, reach=reach.state)
+
+        reach.add_listener(describe)
+        self._reporters.append(
+            ReachReporter(reach, vm.follower.report_status, EventLog())
+        )
+        self._reaches[vm.name] = reach
+        self._probers[vm.name] = ReachProber(
+            reach, vm.records, connections, EventLog(), random.Random(vm.name)
+        )
         return connections
 
+    def make_relay(self, vm: StandInVm) -> RelaySender:
+        """Return a VM's way to targets over other VMs."""
+        relay = RelaySender(
+            lambda: vm.status,
+            vm.follower.running_entries,
+            PlatformTargetWire(),
+            SECRET,
+            self._reaches[vm.name],
+            self._probers[vm.name],
+            random.Random(vm.name),
+            asyncio.get_running_loop().time,
+        )
+        self._connections.append(relay.connections)
+        return relay
+
+    async def start(self) -> None:
+        """Start what relays requests, then everything else."""
+        for vm in self.vms:
+            receiver = RelayReceiver(
+                vm.forwarder.forward_relayed,
+                PlatformTargetWire(),
+                SECRET,
+                EventLog(),
+            )
+            server = HttpServer(receiver.handle, CallerLimits(), EventLog())
+            address = await server.start(Address("127.0.0.1", 0))
+            vm.status = replace(vm.status, relay_address=str(address))
+            self._relay_servers.append(server)
+            await self._probers[vm.name].start()
+        for reporter in self._reporters:
+            await reporter.start()
+        await super().start()
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for reporter in self._reporters:
+            await reporter.stop()
+        for prober in self._probers.values():
+            await prober.stop()
+        for server in self._relay_servers:
+            await server.abort()
+        await super().stop()
+
     def count_arrival(
         self, path: bytes, request_id: bytes, *, is_down: bool
     ) -> None:
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -31,6 +31,7 @@
     AccountRates,
     Forwarder,
     LoanBatcher,
+    RelaySender,
     SteerRequest,
     TargetConnections,
     TargetLimits,
@@ -222,7 +223,7 @@
         loop = asyncio.get_running_loop()
         log = EventLog()
         region = zone.partition("-")[0]
-        status = EntryStatus(name, "i", f"{name}:1", zone, region, True)
+        self.status = EntryStatus(name, "i", f"{name}:1", zone, region, True)
         self.records = TargetRecords()
         self.suspects = SuspectTable(name)
         self.limits = TargetLimits(
@@ -232,7 +233,7 @@
         )
         self.follower = make_follower(
             lambda address: ReplicaLink(self, fleet.handlers_of(address)),
-            status=status,
+            status=lambda: self.status,
             seeds=REPLICA_ADDRESSES,
             suspects=self.suspects,
             limits=self.limits,
@@ -243,7 +244,7 @@
             raise PeerError(Code.NOT_LEADER, "accounts have no rate here")
 
         self.forwarder = Forwarder(
-            lambda: status,
+            lambda: self.status,
             lambda: self.follower.view,
             self.follower.running_entries,
             self.records,
@@ -257,6 +258,7 @@
             log,
             rng,
             loop.time,
+            relay=fleet.make_relay(self),
         )
         self.follower.add_view_listener(self._apply_view)
         self.follower.add_view_listener(self.forwarder.drop_removed_targets)
@@ -340,6 +342,10 @@
         """Return the connections of an entry VM to the targets."""
         return cast(TargetConnections, StandInConnections(vm, self))
 
+    def make_relay(self, _vm: StandInVm) -> RelaySender | None:
+        """Return a VM's way to targets over other VMs, None for none."""
+        return None
+
     def make_routes(self) -> tuple[Route, ...]:
         """Return the routes of the deployment, none for the usual one."""
         return ()
--- a/tests/test_change_load.py
+++ b/tests/test_change_load.py
@@ -389,7 +389,8 @@
             await asyncio.gather(*(caller.run() for caller in callers))
             changes.cancel()
             await vm.front.stop(1.0)
-            vm.daemon._target_connections.close()
+            for connections in vm.daemon._connections:
+                connections.close()
             for writer in vm.writers:
                 writer.close()
             await asyncio.sleep(0)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -232,10 +232,10 @@
             follower,
             component,
             records,
-            connections,
+            (connections,),
             (),
             self.forwarder,
-            self.front,
+            ((self.front, Address()),),
             (component,),
             log,
         )
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -4,10 +4,10 @@
 
 from hypothesis import given, strategies
 
+from wigeonford.messages.steering import Reach
 from wigeonford.metrics import Metrics
 from wigeonford.steer._reach import (
     FAILURE_MEMORY_S,
-    Reach,
     RETURN_S,
     TargetReach,
 )
@@ -61,8 +61,8 @@
 
     def test_links_that_were_cut_are_back_after_several_contacts(self) -> None:
         reach = lost()
-        self.assertTrue(reach.record_relayed())
-        self.assertFalse(reach.record_relayed())
+        self.assertTrue(reach.record_cut())
+        self.assertFalse(reach.record_cut())
         self.assertFalse(reach.record_contact("t-1", 5.0))
         self.assertFalse(reach.record_contact("t-2", 5.0))
         self.assertFalse(reach.record_contact("t-3", 5.0))
@@ -71,7 +71,7 @@
 
     def test_links_that_return_for_a_moment_stay_cut(self) -> None:
         reach = lost()
-        reach.record_relayed()
+        reach.record_cut()
         for number in range(20):
             at_s = 5.0 + 3.0 * number
             for target_id in ("t-1", "t-2", "t-3"):
@@ -82,7 +82,7 @@
         self,
     ) -> None:
         reach = TargetReach()
-        self.assertFalse(reach.record_relayed())
+        self.assertFalse(reach.record_cut())
         self.assertIs(reach.state, Reach.DIRECT)
 
     @given(
@@ -107,7 +107,7 @@
             elif kind == "failure":
                 reach.record_failure(f"t-{number}", now_s)
             else:
-                reach.record_relayed()
+                reach.record_cut()
         for number in range(8):
             now_s += RETURN_S / 2
             reach.record_contact(f"t-{number % 3}", now_s)
