Count the end of a target only where another one near it is reached

Cause: a target that accepts no connection counted as crashed, whoever was at fault. The same holds for a zone without power and for lost links to a region.

Change: a VM that finds a target gone asks two others for a connection at the same time, of its zone, else of its region, else any. If none accepts one, the end is logged (336) and counts against no request.

The new test of tests/test_crash_watch.py fails without the change; tests.test_crashing_requests passes as before.

--- a/src/wigeonford/events.py
+++ b/src/wigeonford/events.py
@@ -311,6 +311,11 @@
     REQUEST_RELAYED = _event(
         335, "chose another entry VM to send a request to a target"
     )
+    CRASH_UNPROVEN = _event(
+        336,
+        "did not count the end of a target, as none near it is reached",
+        logging.WARNING,
+    )
     TARGET_SLOW = _event(
         322, "a target is far slower than its peers", logging.WARNING
     )
--- a/src/wigeonford/steer/_crash_watch.py
+++ b/src/wigeonford/steer/_crash_watch.py
@@ -2,12 +2,19 @@
 
 An attempt that breaks off may be the end of an idle connection, of one
 response or of the target. Only a target that accepts no further connection
-has crashed, so it is asked for one.
+has crashed, so it is asked for one. If no other target near it accepts one
+either, the links or the zone have failed, and no request is to blame.
 """
 
 import asyncio
-from collections.abc import AsyncGenerator, AsyncIterator, Callable
-from typing import Final
+from collections.abc import (
+    AsyncGenerator,
+    AsyncIterator,
+    Callable,
+    Collection,
+    Coroutine,
+)
+from typing import Any, Final
 
 from wigeonford._tasks import cancel_tasks
 from wigeonford.events import Event, EventLog
@@ -33,6 +40,11 @@
 may accept no more than it has."""
 
 
+FindWitnesses = Callable[[TargetRecord], Collection[TargetRecord]]
+"""Return targets near a target that fail with it only if their common links or
+zone do; none if there is no other target."""
+
+
 class CrashWatch:
     """Follow attempts to their end, and count the targets' crashes."""
 
@@ -43,18 +55,27 @@
         metrics: Metrics,
         log: EventLog,
         clock: Callable[[], float],
+        find_witnesses: FindWitnesses = lambda _: (),
     ) -> None:
+        self._find_witnesses = find_witnesses
         self._suspects = suspects
         self._target_connections = target_connections
         self._metrics = metrics
         self._log = log
         self._clock = clock
         self._probes: dict[str, asyncio.Task[bool]] = {}
+        self._proofs: dict[str, asyncio.Task[bool]] = {}
         self._watches: dict[str, asyncio.Task[None]] = {}
 
     async def close(self) -> None:
         """End the probes and the watches of given-up attempts."""
-        await cancel_tasks([*self._probes.values(), *self._watches.values()])
+        await cancel_tasks(
+            [
+                *self._probes.values(),
+                *self._proofs.values(),
+                *self._watches.values(),
+            ]
+        )
 
     def standing(self, fingerprint: bytes) -> Standing:
         """Return what counts against a request."""
@@ -96,7 +117,9 @@
             await self._settle_broken(flight, record, result.opened_at_s)
         elif result.outcome is Outcome.NOT_SENT:
             self._suspects.end(flight, now_s)
-            if self._suspects.has_flights(record.incarnation, now_s):
+            if self._suspects.has_flights(
+                record.incarnation, now_s
+            ) and await self._is_proven(record):
                 self._record_crash(record, flight.began_s)
         elif result.response is None:
             self._suspects.end(flight, now_s)
@@ -113,14 +136,14 @@
         self, flight: Flight, record: TargetRecord, opened_at_s: float
     ) -> None:
         try:
-            accepts = await self._probe(record)
+            has_crashed = await self._has_crashed(record)
         except BaseException:
             self.abandon(flight, record)
             raise
-        if accepts:
-            self._suspects.end(flight, self._clock())
-        else:
+        if has_crashed:
             self._record_crash(record, opened_at_s)
+        else:
+            self._suspects.end(flight, self._clock())
 
     async def watch_stream(
         self,
@@ -176,26 +199,57 @@
             ended = await self._target_connections.wait_for_end(
                 record, ABANDONED_S
             )
-            if ended and not await self._probe(record):
+            if ended and await self._has_crashed(record):
                 self._record_crash(record, opened_at_s)
             elif ended:
                 await asyncio.sleep(WATCH_PAUSE_S)
 
+    async def _has_crashed(self, record: TargetRecord) -> bool:
+        """Return whether a target is gone, and others near it aren't."""
+        accepts, is_proven = await asyncio.gather(
+            self._probe(record), self._is_proven(record)
+        )
+        return is_proven and not accepts
+
+    async def _is_proven(self, record: TargetRecord) -> bool:
+        """Return whether the end of a target would be its own.
+
+        Attempts that broke at the same time share one answer.
+        """
+        return await _share(
+            self._proofs,
+            record.incarnation,
+            lambda: self._ask_witnesses(record),
+        )
+
+    async def _ask_witnesses(self, record: TargetRecord) -> bool:
+        """Return whether a target near another one accepts a connection.
+
+        The only target has no witness; its end counts as it is.
+        """
+        witnesses = self._find_witnesses(record)
+        if not witnesses or any(
+            await asyncio.gather(*map(self._probe, witnesses))
+        ):
+            return True
+        self._log.emit(
+            Event.CRASH_UNPROVEN,
+            target=record.target_id,
+            zone=record.zone,
+            witnesses=[witness.target_id for witness in witnesses],
+        )
+        return False
+
     async def _probe(self, record: TargetRecord) -> bool:
         """Return whether a target accepts connections.
 
-        Attempts that broke at the same time share one probe.
+        Those who ask at the same time share one probe.
         """
-        probe = self._probes.get(record.incarnation)
-        if probe is None:
-            probe = asyncio.create_task(
-                self._target_connections.accepts_connections(record)
-            )
-            self._probes[record.incarnation] = probe
-            probe.add_done_callback(
-                lambda _: self._probes.pop(record.incarnation, None)
-            )
-        return await asyncio.shield(probe)
+        return await _share(
+            self._probes,
+            record.incarnation,
+            lambda: self._target_connections.accepts_connections(record),
+        )
 
     def _record_crash(self, record: TargetRecord, opened_at_s: float) -> None:
         crash = self._suspects.record_crash(
@@ -210,3 +264,16 @@
             crash=crash.name,
             fingerprints=[key.hex() for key in sorted(crash.fingerprints)],
         )
+
+
+async def _share(
+    tasks: dict[str, asyncio.Task[bool]],
+    key: str,
+    start: Callable[[], Coroutine[Any, Any, bool]],
+) -> bool:
+    """Return the result of a task that all who ask meanwhile share."""
+    task = tasks.get(key)
+    if task is None:
+        task = tasks[key] = asyncio.create_task(start())
+        task.add_done_callback(lambda _: tasks.pop(key, None))
+    return await asyncio.shield(task)
--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -46,6 +46,9 @@
 MAX_UNREACHED_TARGETS: Final = 4
 """Targets and entry VMs that may be unreachable or removed before a request is
 rejected."""
+CRASH_WITNESSES: Final = 2
+"""Targets near one that crashed that are asked for a connection; one of them
+may have crashed at the same moment."""
 _OTHER_RELAY_CODES: Final = frozenset(
     {Code.RELAY_UNREACHED, Code.DRAINING, Code.CONFIG_STALE}
 )
@@ -91,7 +94,14 @@
             clock,
         )
         self._crash_watch = CrashWatch(
-            suspects, target_connections, metrics, log, clock
+            suspects,
+            target_connections,
+            metrics,
+            log,
+            clock,
+            lambda record: target_records.pick_witnesses(
+                record, CRASH_WITNESSES, rng
+            ),
         )
         self._admission = Admission(
             view,
--- a/src/wigeonford/steer/_target_records.py
+++ b/src/wigeonford/steer/_target_records.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator, Mapping
 import math
+import random
 from typing import Final
 
 import msgspec
@@ -230,6 +231,29 @@
             targets = self._service_targets[service] = tuple(records.values())
         return targets
 
+    def pick_witnesses(
+        self, record: TargetRecord, count: int, rng: random.Random
+    ) -> list[TargetRecord]:
+        """Return some other targets, as near to a target as there are any.
+
+        Those that were reached at the last attempt come first.
+        """
+        others = [
+            other
+            for other in self
+            if other is not record and other.accepts_requests
+        ]
+        for near in (
+            [other for other in others if other.zone == record.zone],
+            [other for other in others if other.region == record.region],
+            others,
+        ):
+            if near:
+                rng.shuffle(near)
+                near.sort(key=lambda other: other.down_count > 0)
+                return near[:count]
+        return []
+
     def apply_changes(
         self,
         changed: Iterable[Announcement],
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -41,6 +41,7 @@
         self.connections = EndingConnections()
         self.suspects = SuspectTable("vm")
         self.is_closed = False
+        self.witnesses: list[TargetRecord] = []
 
     def make_watch(self) -> CrashWatch:
         """Return a watch on the clock of the running loop."""
@@ -50,6 +51,7 @@
             Metrics(),
             EventLog(),
             asyncio.get_running_loop().time,
+            lambda _: self.witnesses,
         )
 
     def count_crashes(self, fingerprint: bytes) -> int:
@@ -119,6 +121,24 @@
         for number in range(5):
             self.assertEqual(1, self.count_crashes(b"%d" % number))
 
+    # Requests in flight at targets of a VM without links were quarantined.
+    def test_target_that_fails_with_those_near_it_has_not_crashed(
+        self,
+    ) -> None:
+        async def settle(outcome: Outcome) -> None:
+            watch = self.make_watch()
+            watch.begin(self.record, b"other")
+            flight = watch.begin(self.record, b"print")
+            await watch.settle(flight, self.record, AttemptResult(outcome))
+
+        near = make_announcement(target_id="near")
+        self.witnesses = [TargetRecord(near, "south", 0.0)]
+        self.connections.accepts = False
+        for outcome in (Outcome.BROKEN, Outcome.NOT_SENT):
+            run_virtual(settle(outcome))
+            self.assertEqual(0, self.count_crashes(b"print"))
+            self.assertEqual(0, self.count_crashes(b"other"))
+
     def test_target_that_ends_each_connection_is_not_flooded(self) -> None:
         async def give_up() -> None:
             watch = self.make_watch()
