Forget failures of targets that were this VM's own once links are back

Cause: each target that a VM couldn't reach was paused for up to 3 s, and treated as cold for 3 s more, though its process ran on.

Change: once a VM reaches targets again, it forgets pauses, coldness and failures that came from its own loss. A VM that sends for another one and has paused targets says so, and the next one is asked.

The stand-in no longer ends a connection because of a cut that was over in between.

--- a/src/wigeonford/_compose_steer_entry.py
+++ b/src/wigeonford/_compose_steer_entry.py
@@ -82,7 +82,8 @@
 
     rng = random.Random()
     metrics = Metrics()
-    reach = ReachMonitor(metrics, log)
+    targets = TargetRecords()
+    reach = ReachMonitor(targets, metrics, log)
     readiness = Readiness(make_status)
     suspects = SuspectTable(cfg.name)
     target_limits = TargetLimits(
@@ -102,7 +103,6 @@
     reporter = QuotaReporter(
         follower, rates, lambda: readiness.status, make_peer_client, log
     )
-    targets = TargetRecords()
     connections = TargetConnections(
         wire, reach.record_contact, reach.record_failure
     )
--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -513,7 +513,7 @@
         targets = self._chooser.count_targets(ctx)
         wait_s = self._chooser.capacity_wait_s(ctx)
         code = Code.NO_CAPACITY if targets else Code.NO_TARGET
-        if ctx.relay_origin and ctx.not_reached_count and not ctx.sent:
+        if ctx.relay_origin and self._chooser.has_unreached(ctx):
             code = Code.RELAY_UNREACHED
         return RequestRejected(
             code,
--- a/src/wigeonford/steer/_reach_monitor.py
+++ b/src/wigeonford/steer/_reach_monitor.py
@@ -28,11 +28,13 @@
 
     def __init__(
         self,
+        target_records: TargetRecords,
         metrics: Metrics,
         log: EventLog,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._reach = TargetReach()
+        self._target_records = target_records
         self._metrics = metrics
         self._log = log
         self._clock = clock
@@ -71,6 +73,7 @@
             was_cut=was_cut,
             lasted_s=round(self._clock() - self._lost_at_s, 3),
         )
+        self._target_records.forget_failures()
         self._notify()
 
     def record_failure(self, target_id: str, detail: str) -> None:
--- a/src/wigeonford/steer/_target_records.py
+++ b/src/wigeonford/steer/_target_records.py
@@ -64,6 +64,7 @@
     down_until_s: float = 0.0
     down_count: int = 0
     cold_until_s: float = 0.0
+    cold_before_down_s: float = 0.0
     failure_ratio: float = 0.0
     failed_at_s: float = float("-inf")
     paused_until_s: float = 0.0
@@ -152,6 +153,8 @@
         that responds again may have just started, and its announcement takes
         time to arrive.
         """
+        if not self.down_count:
+            self.cold_before_down_s = self.cold_until_s
         pause_s = min(
             DOWN_PAUSE_S * math.pow(2, self.down_count), MAX_DOWN_PAUSE_S
         )
@@ -173,6 +176,14 @@
         self.cold_until_s = max(self.cold_until_s, now_s + cold_s)
         return True
 
+    def forget_failures(self) -> None:
+        """Undo what failures did that were this VM's own."""
+        if self.down_count:
+            self.down_count = 0
+            self.down_until_s = 0.0
+            self.cold_until_s = self.cold_before_down_s
+        self.failure_ratio = 0.0
+
     def record_result(self, failed: bool, now_s: float) -> None:
         """Add an attempt to the moving average of failures."""
         self.failure_ratio *= FAILURE_SMOOTHING
@@ -231,6 +242,11 @@
             targets = self._service_targets[service] = tuple(records.values())
         return targets
 
+    def forget_failures(self) -> None:
+        """Undo what failures of this VM's own links did to targets."""
+        for record in self:
+            record.forget_failures()
+
     def pick_witnesses(
         self, record: TargetRecord, count: int, rng: random.Random
     ) -> list[TargetRecord]:
@@ -307,6 +323,7 @@
         self._unindex(record)
         record.announced = announced
         record.cold_until_s = now_s + announced.cold_s
+        record.cold_before_down_s = record.cold_until_s
         # A new announcement shows that the target is running.
         record.down_until_s = min(record.down_until_s, now_s)
         self._index(record)
--- a/tests/cut_fleet.py
+++ b/tests/cut_fleet.py
@@ -75,6 +75,7 @@
     def __init__(self) -> None:
         super().__init__(UNACKED_TIMEOUT_S)
         self._how: str | None = None
+        self._cut_count = 0
         self._opened: weakref.WeakSet[ClientConnection] = weakref.WeakSet()
         self._held: list[tuple[ClientConnection, Callable[..., Any]]] = []
         self._unsent: list[tuple[Callable[..., Any], bytes]] = []
@@ -98,6 +99,7 @@
     def cut(self, how: str) -> None:
         """Cut all connections."""
         self._how = how
+        self._cut_count += 1
         for conn in list(self._opened):
             if how == "hang":
                 self._hold(conn)
@@ -115,9 +117,11 @@
         write = conn._writer.write
         self._held.append((conn, write))
         loop = asyncio.get_running_loop()
+        cut_count = self._cut_count
 
         def end() -> None:
-            if self._how and not transport.is_closing():
+            is_same_cut = self._how and self._cut_count == cut_count
+            if is_same_cut and not transport.is_closing():
                 conn._break_off()
 
         def hold_back(data: bytes) -> None:
@@ -203,7 +207,10 @@
     def make_connections(self, vm: StandInVm) -> TargetConnections:
         """Return real connections that can be cut."""
         reach = ReachMonitor(
-            Metrics(), EventLog(), asyncio.get_running_loop().time
+            vm.records,
+            Metrics(),
+            EventLog(),
+            asyncio.get_running_loop().time,
         )
         vm.follower.add_view_listener(
             lambda view: reach.set_target_count(view.targets)
