Send safe requests again as soon as links to targets are lost

Cause: silence of all targets was noticed only by the kernel's time limit; the retry budget kept two unspent retries at most; requests that must not run twice were still sent on connections that nobody had proven.

A request earns half of the retry ratio, which can be spent for a window: so any window has at most the ratio of its requests or of those of the window before it, and the reserve; a property test shows it. The end of a target counts only if it still accepts no connection after another one near it did.

--- a/src/wigeonford/_compose_steer_entry.py
+++ b/src/wigeonford/_compose_steer_entry.py
@@ -15,7 +15,7 @@
     Handler,
     HttpServer,
 )
-from wigeonford.messages.steering import EntryStatus
+from wigeonford.messages.steering import EntryStatus, Reach
 from wigeonford.metrics import Metrics
 from wigeonford.peer import PeerClient
 from wigeonford.settings import (
@@ -137,6 +137,12 @@
         relay=relay,
     )
     follower.add_view_listener(forwarder.drop_removed_targets)
+
+    def repeat_unanswered() -> None:
+        if reach.state is Reach.LOST:
+            forwarder.repeat_unanswered()
+
+    reach.add_listener(repeat_unanswered)
     front_server = HttpServer(
         build_caller_api(forwarder),
         CallerLimits(),
--- a/src/wigeonford/leases/__init__.py
+++ b/src/wigeonford/leases/__init__.py
@@ -9,8 +9,12 @@
     LeaseRequest,
     max_min_fair_amount,
 )
-from wigeonford.leases._limits import BucketLimits, TokenBucket
-from wigeonford.leases._token_pool import pooled_fraction, TokenPool
+from wigeonford.leases._token_pool import (
+    BucketLimits,
+    pooled_fraction,
+    TokenBucket,
+    TokenPool,
+)
 
 __all__ = [
     "AttemptBudget",
--- a/src/wigeonford/platform/_settings.py
+++ b/src/wigeonford/platform/_settings.py
@@ -25,6 +25,7 @@
 
 
 _Time = Annotated[float, msgspec.Meta(ge=0, le=600)]
+_Window = Annotated[float, msgspec.Meta(ge=0.1, le=600)]
 _Slack = Annotated[float, msgspec.Meta(ge=0, le=1e6)]
 _Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
 
@@ -52,6 +53,7 @@
     grace_s: _Time = 6.0
     retry_budget_ratio: _Slack = 0.2
     budget_slack: _Slack = 50.0
+    budget_window_s: _Window = 10.0
     quota_slack: _Slack = 0.0
 
 
@@ -173,7 +175,9 @@
         relay_address=Address(cfg.ip_address, cfg.relay_port),
         rate_slack=cfg.bounds.quota_slack,
         retry_bounds=RetryBounds(
-            cfg.bounds.retry_budget_ratio, cfg.bounds.budget_slack
+            cfg.bounds.retry_budget_ratio,
+            cfg.bounds.budget_slack,
+            cfg.bounds.budget_window_s,
         ),
         grace_s=cfg.bounds.grace_s,
         max_file_descriptors=cfg.limits.file_descriptors,
--- a/src/wigeonford/policy/_account_quota.py
+++ b/src/wigeonford/policy/_account_quota.py
@@ -5,7 +5,7 @@
 
 from wigeonford.leases._demand import Demand
 from wigeonford.leases._leases import DRIFT_MARGIN, LeaseGrant, LeaseHolder
-from wigeonford.leases._limits import BucketLimits
+from wigeonford.leases._token_pool import BucketLimits
 from wigeonford.policy._budgets import (
     DEMAND_MARGIN,
     LOAN_LIFETIME_S,
--- a/src/wigeonford/policy/_budget_grantor.py
+++ b/src/wigeonford/policy/_budget_grantor.py
@@ -9,7 +9,7 @@
 import math
 
 from wigeonford.leases._leases import LeaseGrantor, LeaseRequest
-from wigeonford.leases._limits import BucketLimits
+from wigeonford.leases._token_pool import BucketLimits
 from wigeonford.policy._budgets import (
     DEMAND_MARGIN,
     LOAN_LIFETIME_S,
--- a/src/wigeonford/policy/_budgets.py
+++ b/src/wigeonford/policy/_budgets.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from wigeonford.leases._limits import BucketLimits
+from wigeonford.leases._token_pool import BucketLimits
 
 QUOTA_UNITS: Final = 1_000_000
 QUOTA_TERM_S: Final = 6.0
--- a/src/wigeonford/policy/_quota_bucket.py
+++ b/src/wigeonford/policy/_quota_bucket.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from wigeonford.leases._limits import BucketLimits
+from wigeonford.leases._token_pool import BucketLimits
 
 _EPSILON = 1e-9
 
--- a/src/wigeonford/settings/_steering.py
+++ b/src/wigeonford/settings/_steering.py
@@ -12,12 +12,13 @@
 class RetryBounds:
     """Limit the retries at targets of a service, over all entry VMs.
 
-    In any period, at most `ratio` retries per request plus `slack` retries
-    are sent.
+    In any `window_s`, at most `slack` retries are sent, and `ratio` for each
+    request in this time or in the one before it, whichever are more.
     """
 
     ratio: float = bounded(0, 1, default=0.2)
     slack: float = bounded(0, 1e6, default=50.0)
+    window_s: float = bounded(0.1, 600, default=10.0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonford/steer/_admission.py
+++ b/src/wigeonford/steer/_admission.py
@@ -12,8 +12,7 @@
 from wigeonford.steer._loans import LoanBatcher
 from wigeonford.steer._rates import AccountRates
 from wigeonford.steer._relay_wire import RelayOrder
-from wigeonford.steer._request import SteerRequest
-from wigeonford.steer._request_context import RequestContext
+from wigeonford.steer._request import RequestContext, SteerRequest
 from wigeonford.steer._retry_after import retry_after_s
 from wigeonford.steer._route_stats import RouteStats
 from wigeonford.steer._shutdown import (
--- a/src/wigeonford/steer/_attempt.py
+++ b/src/wigeonford/steer/_attempt.py
@@ -71,6 +71,10 @@
 """Outcomes after which the request and its body are unused."""
 
 
+UNRUN: Final = frozenset({Outcome.NOT_RUN, Outcome.WRONG_TARGET})
+"""Outcomes after which a target has stated that it didn't run the request."""
+
+
 class AttemptResult(msgspec.Struct, frozen=True):
     """Hold an attempt's outcome; `response` is set if it is `ANSWERED`.
 
@@ -91,7 +95,8 @@
 
     `is_within_limit` returns whether the target's limit allows the request,
     as known when the connection is open. `on_send` is called before the first
-    byte is sent.
+    byte is sent. With `needs_proof`, a new connection shows first that the
+    target is reached.
     """
 
     req: SteerRequest
@@ -101,6 +106,7 @@
     deadline_s: float
     is_within_limit: Callable[[], bool] = lambda: True
     on_send: Callable[[], None] = lambda: None
+    needs_proof: bool = False
 
     @property
     def is_withdrawn(self) -> bool:
@@ -211,6 +217,7 @@
         try:
             conn, reused = await self._acquire(
                 attempt.record,
+                new_connection=attempt.needs_proof,
                 request_id=attempt.req.request_id,
                 connect_timeout_s=connect_timeout_s,
             )
--- a/src/wigeonford/steer/_attempt_observer.py
+++ b/src/wigeonford/steer/_attempt_observer.py
@@ -10,8 +10,11 @@
 from wigeonford.http import Response
 from wigeonford.metrics import Metrics
 from wigeonford.steer._attempt import AttemptResult, Outcome, TargetConnections
-from wigeonford.steer._request import ResponseFacts, TargetRunState
-from wigeonford.steer._request_context import RequestContext
+from wigeonford.steer._request import (
+    RequestContext,
+    ResponseFacts,
+    TargetRunState,
+)
 from wigeonford.steer._route_stats import RouteStats
 from wigeonford.steer._target_limits import TargetLimits
 from wigeonford.steer._target_records import TargetRecord, TargetRecords
--- a/src/wigeonford/steer/_crash_watch.py
+++ b/src/wigeonford/steer/_crash_watch.py
@@ -119,7 +119,7 @@
             self._suspects.end(flight, now_s)
             if self._suspects.has_flights(
                 record.incarnation, now_s
-            ) and await self._is_proven(record):
+            ) and await self._has_crashed(record):
                 self._record_crash(record, flight.began_s)
         elif result.response is None:
             self._suspects.end(flight, now_s)
@@ -206,13 +206,12 @@
 
     async def _has_crashed(self, record: TargetRecord) -> bool:
         """Return whether a target is gone, and others near it aren't."""
-        accepts, is_proven = await asyncio.gather(
-            self._probe(record), self._is_proven(record)
-        )
-        return is_proven and not accepts
+        if await self._probe(record):
+            return False
+        return await self._is_proven(record)
 
     async def _is_proven(self, record: TargetRecord) -> bool:
-        """Return whether the end of a target would be its own.
+        """Return whether a target that accepts no connection has crashed.
 
         Attempts that broke at the same time share one answer.
         """
@@ -223,15 +222,16 @@
         )
 
     async def _ask_witnesses(self, record: TargetRecord) -> bool:
-        """Return whether a target near another one accepts a connection.
+        """Return whether targets near another one still accept connections.
 
         The only target has no witness; its end counts as it is.
         """
         witnesses = self._find_witnesses(record)
-        if not witnesses or any(
-            await asyncio.gather(*map(self._probe, witnesses))
-        ):
+        if not witnesses:
             return True
+        if any(await asyncio.gather(*map(self._probe, witnesses))):
+            # Links that were lost may have come back in between.
+            return not await self._probe(record)
         self._log.emit(
             Event.CRASH_UNPROVEN,
             target=record.target_id,
--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -19,6 +19,7 @@
     AttemptResult,
     Outcome,
     TargetConnections,
+    UNRUN,
     UNSENT,
 )
 from wigeonford.steer._attempt_observer import AttemptObserver, SentAttempt
@@ -27,8 +28,7 @@
 from wigeonford.steer._rates import AccountRates
 from wigeonford.steer._relay import RelaySender
 from wigeonford.steer._relay_wire import RelayOrder
-from wigeonford.steer._request import RelayResult, SteerRequest
-from wigeonford.steer._request_context import RequestContext
+from wigeonford.steer._request import RelayResult, RequestContext, SteerRequest
 from wigeonford.steer._retry_after import retry_after_s
 from wigeonford.steer._shutdown import NO_SHUTDOWN, ShutdownPlan
 from wigeonford.steer._target_choice import TargetChooser
@@ -37,9 +37,9 @@
 from wigeonford.steer._view import View
 from wigeonford.suspects import SuspectTable
 
-RETRY_RATIO_FRACTION: Final = 0.7
-"""Fraction of the fleet's retry ratio that is used, because the bound holds in
-any sliding window."""
+RETRY_RATIO_FRACTION: Final = 0.5
+"""Fraction of the fleet's retry ratio that a request earns. What the requests
+of the window before have earned may be spent at once."""
 RETRY_SLACK_FRACTION: Final = 0.4
 """Fraction of the fleet's retry slack that the reserves of all entry VMs add
 up to."""
@@ -130,6 +130,7 @@
         self._retry_budgets: dict[str, AttemptBudget] = {}
         self._shutdown = NO_SHUTDOWN
         self._unfinished: set[asyncio.Timeout] = set()
+        self._unanswered: dict[asyncio.Timeout, RequestContext] = {}
 
     def drop_removed_targets(self, view: View) -> None:
         """Drop the state of targets that a new view removed or replaced."""
@@ -244,7 +245,7 @@
 
     async def _run_attempts(self, ctx: RequestContext) -> Response:
         if not ctx.relay_origin:
-            self._retry_budget_of(ctx.service).earn()
+            self._retry_budget_of(ctx.service).earn(self._clock())
         try:
             while self._clock() < ctx.deadline_s:
                 response = await self._make_attempt(ctx)
@@ -312,21 +313,20 @@
         running_since_s = self._observer.stats_of(ctx.route).running_since_s
         running_since_s[id(ctx)] = began_s
         flight = self._crash_watch.begin(record, ctx.request_fingerprint)
+        attempt = Attempt(
+            ctx.req,
+            record,
+            ctx.account_name,
+            ctx.body,
+            ctx.deadline_s,
+            lambda: (
+                limit_per_s is not None or not self._chooser.is_limited(record)
+            ),
+            ctx.begin_sending,
+            self._relay is not None and self._relay.needs_proof(ctx),
+        )
         try:
-            result = await self._target_connections.send(
-                Attempt(
-                    ctx.req,
-                    record,
-                    ctx.account_name,
-                    ctx.body,
-                    ctx.deadline_s,
-                    lambda: (
-                        limit_per_s is not None
-                        or not self._chooser.is_limited(record)
-                    ),
-                    ctx.begin_sending,
-                )
-            )
+            result, is_cut = await self._send_unless_cut(ctx, attempt)
         except BaseException as exc:
             if ctx.is_attempt_running:
                 self._crash_watch.abandon(flight, record)
@@ -347,7 +347,11 @@
         ctx.is_attempt_running = False
         self._observer.record_attempt(ctx, sent_attempt, result)
         ctx.may_have_run |= result.outcome is Outcome.BROKEN
-        await self._crash_watch.settle(flight, record, result)
+        if is_cut:
+            self._crash_watch.withdraw(flight)
+        else:
+            await self._crash_watch.settle(flight, record, result)
+        ctx.has_paid_retry = is_cut and not ctx.relay_origin
         response = self._handle_result(ctx, record, result, began_s)
         if response is None or isinstance(response.body, bytes):
             return response
@@ -359,6 +363,48 @@
         )
         return Response(response.status, response.headers, stream)
 
+    async def _send_unless_cut(
+        self, ctx: RequestContext, attempt: Attempt
+    ) -> tuple[AttemptResult, bool]:
+        """Return an attempt's result; tell if `repeat_unanswered` ended it.
+
+        Raise `TimeoutError` if the time limit passes before the response.
+        """
+        try:
+            async with asyncio.timeout(None) as limit:
+                self._unanswered[limit] = ctx
+                try:
+                    return await self._target_connections.send(attempt), False
+                finally:
+                    del self._unanswered[limit]
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            detail = "this VM reaches no target"
+            return AttemptResult(Outcome.BROKEN, detail=detail), True
+
+    def repeat_unanswered(self) -> None:
+        """End the attempts that can be made again through other entry VMs.
+
+        The retry budget pays for them at once; what it doesn't cover waits on,
+        as its response may still arrive. The VM of origin repeats a request
+        that it relayed.
+        """
+        for limit, ctx in self._unanswered.items():
+            if limit.expired() or not self._is_repeatable(ctx):
+                continue
+            if ctx.relay_origin or self._retry_budget_of(ctx.service).spend(
+                self._clock()
+            ):
+                limit.reschedule(asyncio.get_running_loop().time())
+
+    def _is_repeatable(self, ctx: RequestContext) -> bool:
+        return (
+            ctx.route.kind.is_idempotent
+            and isinstance(ctx.body, bytes)
+            and ctx.sent + 1 < ctx.route.attempts
+        )
+
     def _check_can_finish(
         self, ctx: RequestContext, wait_s: float = 0.0, work_s: float = 0.0
     ) -> None:
@@ -419,6 +465,10 @@
             if isinstance(ctx.body, bytes):
                 return None
             code = Code.NO_CAPACITY
+        if relayed.run_state is not RunState.NOT_RUN:
+            ctx.may_have_run = True
+            if self._may_repeat(ctx, is_unrun=False):
+                return None
         if ctx.may_have_run:
             raise self._build_rejection(ctx)
         raise RequestRejected(
@@ -489,18 +539,22 @@
         """Return whether another attempt is allowed, and spend its budget."""
         if result.outcome in UNSENT:
             return ctx.unreached_count < MAX_UNREACHED_TARGETS
+        if ctx.has_paid_retry:
+            return True
+        return self._may_repeat(ctx, is_unrun=result.outcome in UNRUN)
+
+    def _may_repeat(self, ctx: RequestContext, *, is_unrun: bool) -> bool:
+        """Return whether a target may get a request again; spend a retry."""
         if not isinstance(ctx.body, bytes):
             return False
-        if result.outcome is Outcome.BROKEN and not (
-            ctx.route.kind.is_idempotent
-        ):
+        if not is_unrun and not ctx.route.kind.is_idempotent:
             return False
         if ctx.sent >= ctx.route.attempts:
             return False
         stats = self._observer.stats_of(ctx.route)
         if ctx.deadline_s - self._clock() < stats.warm_s:
             return False
-        return self._retry_budget_of(ctx.service).spend()
+        return self._retry_budget_of(ctx.service).spend(self._clock())
 
     def _build_rejection(self, ctx: RequestContext) -> RequestRejected:
         """Return the error for a request that gets no further attempt."""
@@ -530,7 +584,7 @@
         if budget is None:
             ratio = bounds.ratio * RETRY_RATIO_FRACTION
             budget = self._retry_budgets[service] = AttemptBudget(
-                ratio, reserve
+                ratio, reserve, bounds.window_s
             )
         budget.limit_reserve(reserve)
         return budget
--- a/src/wigeonford/steer/_relay.py
+++ b/src/wigeonford/steer/_relay.py
@@ -1,6 +1,6 @@
 """Have other entry VMs send requests to targets that this VM can't reach."""
 
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Mapping
 import random
 import time
 from typing import Final
@@ -13,70 +13,20 @@
     Outcome,
     TargetConnections,
 )
-from wigeonford.steer._reach_monitor import ReachMonitor, ReachProber
+from wigeonford.steer._entries import rank_relays
+from wigeonford.steer._reach import ReachMonitor, ReachProber
 from wigeonford.steer._relay_wire import attach_order, RelayOrder, RelayWire
-from wigeonford.steer._request import TargetWire
-from wigeonford.steer._request_context import RequestContext
+from wigeonford.steer._request import RequestContext, TargetWire
 from wigeonford.steer._target_records import TargetRecord
 
 MAX_RELAYS: Final = 3
 """Other entry VMs that are asked for one request."""
 RELAY_AFTER_UNREACHED: Final = 2
 """Targets that a request doesn't reach before another entry VM is asked."""
-IN_FLIGHT_PER_STEP: Final = 8.0
-"""Requests in flight at a VM that weigh as much as a way to another region."""
-SAME_ZONE_COST: Final = 0.0
-SAME_REGION_COST: Final = 0.25
-OTHER_REGION_COST: Final = 1.0
-TRIED_ZONE_COST: Final = 4.0
 UNREACHED_PAUSE_S: Final = 1.0
 """How long no other VM is asked for a service whose targets none reaches."""
 
 
-def rank_relays(
-    entries: Iterable[EntryStatus],
-    own: EntryStatus,
-    regions: Collection[str] | None,
-    tried: Collection[str],
-    in_flight: Callable[[str], int],
-    rng: random.Random,
-) -> list[EntryStatus]:
-    """Return the entry VMs that may send a request, the best one first: pure.
-
-    These are ready, reach targets and are in one of `regions`, if given. Near
-    ones come first, until they have much to do for this VM. Where some were
-    `tried` in vain, those of other zones come first.
-    """
-    by_name = {entry.name: entry for entry in entries}
-    tried_zones = {
-        by_name[name].availability_zone for name in tried if name in by_name
-    }
-
-    def cost(entry: EntryStatus) -> tuple[float, float]:
-        if entry.availability_zone == own.availability_zone:
-            distance = SAME_ZONE_COST
-        elif entry.region == own.region:
-            distance = SAME_REGION_COST
-        else:
-            distance = OTHER_REGION_COST
-        if entry.availability_zone in tried_zones:
-            distance += TRIED_ZONE_COST
-        load = in_flight(entry.name) / IN_FLIGHT_PER_STEP
-        return distance + load, rng.random()
-
-    usable = (
-        entry
-        for entry in by_name.values()
-        if entry.name != own.name
-        and entry.name not in tried
-        and entry.relay_address
-        and entry.is_ready
-        and entry.reach is Reach.DIRECT
-        and (regions is None or entry.region in regions)
-    )
-    return sorted(usable, key=cost)
-
-
 class RelaySender:
     """Choose other entry VMs, and send requests through them.
 
@@ -112,6 +62,14 @@
             or ctx.not_reached_count >= RELAY_AFTER_UNREACHED
         )
 
+    def needs_proof(self, ctx: RequestContext) -> bool:
+        """Return whether a request needs proof that its target is reached.
+
+        One that must not run twice can't be sent again once its first byte is
+        out.
+        """
+        return not ctx.route.kind.is_idempotent and self._reach.is_uncertain()
+
     def choose(self, ctx: RequestContext) -> TargetRecord | None:
         """Return the record of an entry VM to ask, None if there is none."""
         now_s = self._clock()
--- a/src/wigeonford/steer/_shutdown.py
+++ b/src/wigeonford/steer/_shutdown.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from wigeonford.steer._lookups import MAX_LOOKUP_AGE_S
+from wigeonford.steer._entries import MAX_LOOKUP_AGE_S
 from wigeonford.steer._route_stats import RouteStats
 
 NEWS_S: Final = 1.0
--- a/src/wigeonford/steer/_target_choice.py
+++ b/src/wigeonford/steer/_target_choice.py
@@ -6,9 +6,9 @@
 from wigeonford.deployment import Route
 from wigeonford.messages.steering import EntryStatus
 from wigeonford.steer._cold import ColdRateLimiter, ColdSenders
-from wigeonford.steer._neighbours import Neighbours
+from wigeonford.steer._entries import Neighbours
 from wigeonford.steer._placement import Choice, Placement, PlacementRequest
-from wigeonford.steer._request_context import RequestContext
+from wigeonford.steer._request import RequestContext
 from wigeonford.steer._retry_after import capacity_wait_s
 from wigeonford.steer._route_stats import RouteStats
 from wigeonford.steer._target_limits import TargetLimits
@@ -67,10 +67,10 @@
         return len(self._target_records.targets_of(ctx.service))
 
     def has_unreached(self, ctx: RequestContext) -> bool:
-        """Return whether this VM could not reach some target lately."""
+        """Return whether failures keep a request from some target."""
         now_s = self._clock()
         return any(
-            record.is_down(now_s)
+            record.is_doubted(now_s)
             for record in self._target_records.targets_of(ctx.service)
         )
 
--- a/src/wigeonford/steer/_target_records.py
+++ b/src/wigeonford/steer/_target_records.py
@@ -49,9 +49,10 @@
 
     `other_load` is the load that other entry VMs cause, as of
     `load_reported_at_s`. `slowness` is the ratio of the target's durations to
-    those of its service. `is_draining` is set when a response says that the
-    target is draining; `is_gone` is set when another incarnation, or none, is
-    announced. `warm_objects` holds the ids of the objects that the target
+    those of its service. Until `doubted_until_s`, the target counts as cold
+    because it was not reached. `is_draining` is set when a response says that
+    the target is draining; `is_gone` is set when another incarnation, or none,
+    is announced. `warm_objects` holds the ids of the objects that the target
     served last.
     """
 
@@ -65,6 +66,7 @@
     down_count: int = 0
     cold_until_s: float = 0.0
     cold_before_down_s: float = 0.0
+    doubted_until_s: float = 0.0
     failure_ratio: float = 0.0
     failed_at_s: float = float("-inf")
     paused_until_s: float = 0.0
@@ -153,16 +155,24 @@
         that responds again may have just started, and its announcement takes
         time to arrive.
         """
-        if not self.down_count:
+        if not self.is_doubted(now_s):
             self.cold_before_down_s = self.cold_until_s
         pause_s = min(
             DOWN_PAUSE_S * math.pow(2, self.down_count), MAX_DOWN_PAUSE_S
         )
         self.down_count = min(self.down_count + 1, 10)
         self.down_until_s = now_s + pause_s
-        self.cold_until_s = max(self.cold_until_s, self.down_until_s + cold_s)
+        self._doubt_until(self.down_until_s + cold_s)
         return pause_s
 
+    def _doubt_until(self, until_s: float) -> None:
+        self.cold_until_s = max(self.cold_until_s, until_s)
+        self.doubted_until_s = until_s
+
+    def is_doubted(self, now_s: float) -> bool:
+        """Return whether failures keep requests away from the target."""
+        return now_s < self.doubted_until_s
+
     def mark_up(self, now_s: float, cold_s: float) -> bool:
         """Record a response; return whether the target had been down.
 
@@ -173,7 +183,7 @@
             return False
         self.down_count = 0
         self.down_until_s = 0.0
-        self.cold_until_s = max(self.cold_until_s, now_s + cold_s)
+        self._doubt_until(now_s + cold_s)
         return True
 
     def forget_failures(self) -> None:
@@ -181,6 +191,8 @@
         if self.down_count:
             self.down_count = 0
             self.down_until_s = 0.0
+        if self.doubted_until_s:
+            self.doubted_until_s = 0.0
             self.cold_until_s = self.cold_before_down_s
         self.failure_ratio = 0.0
 
@@ -323,7 +335,7 @@
         self._unindex(record)
         record.announced = announced
         record.cold_until_s = now_s + announced.cold_s
-        record.cold_before_down_s = record.cold_until_s
+        record.doubted_until_s = 0.0
         # A new announcement shows that the target is running.
         record.down_until_s = min(record.down_until_s, now_s)
         self._index(record)
--- a/tests/cut_fleet.py
+++ b/tests/cut_fleet.py
@@ -26,6 +26,7 @@
     ConnectionPool,
     HttpServer,
 )
+from wigeonford.messages.steering import Reach
 from wigeonford.metrics import Metrics
 from wigeonford.platform._front import PlatformTargetWire
 from wigeonford.settings import Address, CallerLimits
@@ -224,7 +225,12 @@
         def describe() -> None:
             vm.status = replace(vm.status, reach=reach.state)
 
+        def repeat_unanswered() -> None:
+            if reach.state is Reach.LOST:
+                vm.forwarder.repeat_unanswered()
+
         reach.add_listener(describe)
+        reach.add_listener(repeat_unanswered)
         self._reporters.append(
             ReachReporter(reach, vm.follower.report_status, EventLog())
         )
--- a/tests/test_policy_attempts.py
+++ b/tests/test_policy_attempts.py
@@ -106,6 +106,49 @@
         self.assertLessEqual(spent, 1000 * 0.2 + 10)
         self.assertGreaterEqual(spent, 200)
 
+    # Requests in flight when links to targets were lost had no retry left.
+    def test_recent_requests_leave_retries_for_a_sudden_loss(self) -> None:
+        budget = AttemptBudget(0.1, 2.0, 10.0)
+        for number in range(1000):
+            budget.earn(number / 10)
+        saved = 0
+        while budget.spend(100.0):
+            saved += 1
+        self.assertGreaterEqual(saved, 10)
+        self.assertLessEqual(saved, 12)
+        for number in range(20):
+            budget.earn(100.0 + number / 10)
+        self.assertFalse(all(budget.spend(120.0) for _ in range(3)))
+
+    @given(
+        st.lists(
+            st.tuples(st.booleans(), st.floats(0.0, 3.0)),
+            max_size=300,
+        )
+    )
+    def test_retries_of_any_window_stay_within_the_bounds(
+        self, events: list[tuple[bool, float]]
+    ) -> None:
+        ratio, slack, window_s = 0.8, 2.0, 10.0
+        budget = AttemptBudget(ratio / 2, slack, window_s)
+        now_s = 0.0
+        earned: list[float] = []
+        spent: list[float] = []
+        for is_request, gap_s in events:
+            now_s += gap_s
+            if is_request:
+                budget.earn(now_s)
+                earned.append(now_s)
+            elif budget.spend(now_s):
+                spent.append(now_s)
+        for end_s in spent:
+            count = sum(end_s - window_s < at_s <= end_s for at_s in spent)
+            requests = max(
+                sum(0 <= until_s - at_s < window_s for at_s in earned)
+                for until_s in (end_s, end_s - window_s)
+            )
+            self.assertLessEqual(count, ratio * requests + slack + 1e-6)
+
     def test_timers_follow_what_was_seen(self) -> None:
         window = LatencyWindow()
         self.assertIsNone(window.hedge_after_s())
