Leave VMs whose links are cut out of look-ups while others reach targets

What callers saw: entry VMs without links to targets stayed in look-ups for as long as they were cut, and got their full share of new callers.

Change: look-ups leave out a VM once another VM reaches a target that refuses this one a connection. A VM that has only lost all targets stays, as others may have lost them too, and all are named when none reaches any. The VM stays ready and serves whoever still comes.

--- a/src/wigeonford/steer/_entries.py
+++ b/src/wigeonford/steer/_entries.py
@@ -30,8 +30,13 @@
 
     These are the ready ones of its zone, or else of its region, or else all.
     Callers choose among them at random, and a longer path costs them time.
+    VMs whose links to targets are cut are left out while others are ready;
+    one that lost all targets may share that with the others, and stays.
     """
     ready = [status for status in entries if status.is_ready]
+    ready = [
+        status for status in ready if status.reach is not Reach.CUT
+    ] or ready
     nearby = [entry for entry in ready if entry.availability_zone == zone]
     nearby = nearby or [entry for entry in ready if entry.region == region]
     return (nearby or ready)[:MAX_ADDRESSES]
