--- a/tests/test_ack_watch.py
+++ b/tests/test_ack_watch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+import socket
 from typing import Final
 import unittest
 from unittest import mock
@@ -166,3 +167,38 @@
         closed.set()
         writer.transport.abort()
         await asyncio.sleep(0.1)
+
+
+class SilenceLimitsTest(unittest.IsolatedAsyncioTestCase):
+    """TCP_USER_TIMEOUT also decides when keep-alive probes give up."""
+
+    async def read_options(
+        self, ack_timeout_s: float | None
+    ) -> tuple[int, int, int]:
+        """Return whether a connection probes, from when on, and its limit."""
+        server = await asyncio.start_server(
+            lambda _reader, writer: writer.close(), "127.0.0.1", 0
+        )
+        address = Address("127.0.0.1", server.sockets[0].getsockname()[1])
+        conn = await ClientConnection.open(
+            address, 1.0, ack_timeout_s=ack_timeout_s
+        )
+        sock = conn._writer.get_extra_info("socket")
+        tcp = socket.IPPROTO_TCP
+        options = (
+            sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE),
+            sock.getsockopt(tcp, socket.TCP_KEEPIDLE),
+            sock.getsockopt(tcp, socket.TCP_USER_TIMEOUT),
+        )
+        conn.close()
+        server.close()
+        return options
+
+    async def test_connections_to_targets_end_soon_after_they_go_silent(
+        self,
+    ) -> None:
+        self.assertEqual((1, 1, 1500), await self.read_options(1.5))
+
+    async def test_other_connections_have_no_limit_of_their_own(self) -> None:
+        keep_alive, _, limit_ms = await self.read_options(None)
+        self.assertEqual((0, 0), (keep_alive, limit_ms))
