Keep results between entry VMs from callers; test the way over two of them

Found by the new test: a response that another entry VM had got carried the internal header with its result to the caller. The VM of origin takes it out now.

--- a/src/wigeonford/steer/_relay.py
+++ b/src/wigeonford/steer/_relay.py
@@ -5,6 +5,8 @@
 import time
 from typing import Final
 
+from msgspec.structs import replace
+
 from wigeonford.deployment import Announcement
 from wigeonford.messages.steering import EntryStatus, Reach
 from wigeonford.steer._attempt import (
@@ -15,7 +17,12 @@
 )
 from wigeonford.steer._entries import rank_relays
 from wigeonford.steer._reach import ReachMonitor, ReachProber
-from wigeonford.steer._relay_wire import attach_order, RelayOrder, RelayWire
+from wigeonford.steer._relay_wire import (
+    attach_order,
+    detach_result,
+    RelayOrder,
+    RelayWire,
+)
 from wigeonford.steer._request import RequestContext, TargetWire
 from wigeonford.steer._target_records import TargetRecord
 
@@ -145,7 +152,9 @@
             record.mark_down(self._clock(), 0.0)
         else:
             record.mark_up(self._clock(), 0.0)
-        return result
+        if result.response is None:
+            return result
+        return replace(result, response=detach_result(result.response))
 
     def record_served(self, target_id: str) -> None:
         """Record that another VM got a response of a target.
--- a/src/wigeonford/steer/_relay_wire.py
+++ b/src/wigeonford/steer/_relay_wire.py
@@ -92,6 +92,12 @@
     return Response(response.status, headers, response.body)
 
 
+def detach_result(response: Response) -> Response:
+    """Return a response as the target sent it, for the caller."""
+    headers = _without_own(response.headers)
+    return Response(response.status, headers, response.body)
+
+
 def _without_own(headers: Headers) -> Headers:
     return tuple(
         (name, value) for name, value in headers if name not in _OWN_HEADERS
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -150,8 +150,9 @@
             self.log,
         )
 
-    def make_entry(self, index: int) -> SteerDaemon:
-        cfg = SteerEntrySettings(
+    def make_entry_settings(self, index: int) -> SteerEntrySettings:
+        """Return the settings of an entry VM."""
+        return SteerEntrySettings(
             name=f"front-{index}",
             availability_zone="amman-a",
             region="amman",
@@ -161,8 +162,10 @@
             zones=ZONES,
             grace_s=0.5,
         )
+
+    def make_entry(self, index: int) -> SteerDaemon:
         return build_steer_entry(
-            cfg,
+            self.make_entry_settings(index),
             lambda: self.seeds,
             PlatformTargetWire(),
             lambda forwarder: CallerApi(forwarder).handle,
