--- a/src/wigeonford/steer/_reach.py
+++ b/src/wigeonford/steer/_reach.py
@@ -90,14 +90,9 @@
         """Return whether the last contact is too old to rely on links."""
         return self._is_contact_older(DOUBT_GAPS, now_s)
 
-    def is_silent(self, awaited_targets: int, now_s: float) -> bool:
-        """Return whether targets are silent for far longer than usual.
-
-        `awaited_targets` is how many have requests of this VM.
-        """
-        return awaited_targets >= SUSPECT_TARGETS and self._is_contact_older(
-            SILENCE_GAPS, now_s
-        )
+    def is_silent(self, now_s: float) -> bool:
+        """Return whether targets are silent for far longer than usual."""
+        return self._is_contact_older(SILENCE_GAPS, now_s)
 
     def _is_contact_older(self, gaps: float, now_s: float) -> bool:
         """Return whether no contact came for some usual gaps between them.
@@ -190,9 +185,11 @@
         return self._reach.is_uncertain(self._clock())
 
     def is_silent(self) -> bool:
-        """Return whether targets are silent for far longer than usual."""
+        """Return whether several targets owe a response for too long."""
+        if not self._reach.is_silent(self._clock()):
+            return False
         awaited = sum(record.in_flight > 0 for record in self._target_records)
-        return self._reach.is_silent(awaited, self._clock())
+        return awaited >= SUSPECT_TARGETS
 
     async def wait_until_lost(self) -> None:
         """Return as soon as no target is reached."""
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -85,6 +85,23 @@
         self.assertFalse(reach.record_cut())
         self.assertIs(reach.state, Reach.DIRECT)
 
+    def test_silence_is_judged_by_the_usual_time_between_contacts(
+        self,
+    ) -> None:
+        for gap_s, silence_s, is_silent in (
+            (0.05, 0.3, False),
+            (0.05, 0.5, True),
+            (0.2, 0.5, False),
+            (0.2, 1.3, True),
+            (1.0, 3.0, False),
+        ):
+            reach = TargetReach()
+            for number in range(100):
+                reach.record_contact("t-1", number * gap_s)
+            now_s = 99 * gap_s + silence_s
+            with self.subTest(gap_s=gap_s, silence_s=silence_s):
+                self.assertIs(is_silent, reach.is_silent(now_s))
+
     @given(
         strategies.lists(
             strategies.tuples(
