--- a/tests/cut_fleet.py
+++ b/tests/cut_fleet.py
@@ -67,6 +67,8 @@
     vm_count: int = 12
     target_count: int = 12
     cut_s: float = CUT_S
+    rate_per_s: float = RATE_PER_S
+    path_count: int = POPULAR_PATHS
     flap_s: float | None = None
 
 
@@ -320,8 +322,9 @@
         return report
 
     async def _send_requests(self) -> None:
+        rate_per_s = self.cut_case.rate_per_s
         while True:
-            await asyncio.sleep(self._rng.expovariate(RATE_PER_S))
+            await asyncio.sleep(self._rng.expovariate(rate_per_s))
             task = asyncio.create_task(self._try_once())
             self._tries.add(task)
             task.add_done_callback(self._tries.discard)
@@ -329,7 +332,7 @@
     async def _try_once(self) -> None:
         number = self._rng.randrange(len(self.vms))
         kind = "u" if self._rng.random() < UNSAFE_FRACTION else "a"
-        name = f"x{self._rng.randrange(POPULAR_PATHS)}"
+        name = f"x{self._rng.randrange(self.cut_case.path_count)}"
         at_s = asyncio.get_running_loop().time()
         outcome = await self.exchange(
             self.vms[number], f"/{kind}/{name}", name
--- a/tests/test_cut_vms.py
+++ b/tests/test_cut_vms.py
@@ -66,5 +66,15 @@
     def test_cut_of_two_seconds(self) -> None:
         self.check(CutCase(cut=THREE, cut_s=2.5))
 
+    def test_half_of_a_large_fleet(self) -> None:
+        case = CutCase(
+            cut=tuple(range(0, 75, 2)),
+            vm_count=75,
+            target_count=90,
+            rate_per_s=300.0,
+            path_count=300,
+        )
+        self.check(case, seeds=(1,))
+
     def test_cut_that_comes_and_goes(self) -> None:
         self.check(CutCase(cut=THREE, flap_s=1.0))
