--- a/tests/cut_fleet.py
+++ b/tests/cut_fleet.py
@@ -59,7 +59,7 @@
     With "hang" nothing passes in either direction. With "reset" connections
     are reset and new ones refused. With "half-open" connections live on while
     new ones are refused. A cut that flaps ends after each `flap_s`, and begins
-    again after as long.
+    again after as long. `target_share` is the part of the targets that is cut.
     """
 
     how: str = "hang"
@@ -70,6 +70,7 @@
     rate_per_s: float = RATE_PER_S
     path_count: int = POPULAR_PATHS
     flap_s: float | None = None
+    target_share: float = 1.0
 
 
 class CutLinks(ConnectionPool):
@@ -78,6 +79,7 @@
     def __init__(self) -> None:
         super().__init__(UNACKED_TIMEOUT_S)
         self._how: str | None = None
+        self._cut_addresses: frozenset[str] | None = None
         self._cut_count = 0
         self._opened: weakref.WeakSet[ClientConnection] = weakref.WeakSet()
         self._held: list[tuple[ClientConnection, Callable[..., Any]]] = []
@@ -90,7 +92,9 @@
         self.close_idle()
         idle = self._idle.get(address)
         has_idle = idle and any(conn.is_reusable for conn in idle)
-        if self._how and (options.get("new_connection") or not has_idle):
+        if self._is_cut(address) and (
+            options.get("new_connection") or not has_idle
+        ):
             if self._how == "hang":
                 await asyncio.sleep(options["connect_timeout_s"])
                 raise ConnectFailed(f"{address}: TimeoutError()")
@@ -99,11 +103,19 @@
         self._opened.add(conn)
         return conn, reused
 
-    def cut(self, how: str) -> None:
-        """Cut all connections."""
+    def _is_cut(self, address: Address) -> bool:
+        return self._how is not None and (
+            self._cut_addresses is None or str(address) in self._cut_addresses
+        )
+
+    def cut(self, how: str, addresses: frozenset[str] | None = None) -> None:
+        """Cut the connections to some addresses, None for all."""
         self._how = how
+        self._cut_addresses = addresses
         self._cut_count += 1
         for conn in list(self._opened):
+            if not self._is_cut(conn.address):
+                continue
             if how == "hang":
                 self._hold(conn)
             elif how == "reset":
@@ -299,10 +311,18 @@
         callers = asyncio.create_task(self._send_requests())
         await asyncio.sleep(SETTLE_S)
         began_s = loop.time()
+        addresses = None
+        if case.target_share < 1.0:
+            servers = self._servers[
+                : int(case.target_count * case.target_share)
+            ]
+            addresses = frozenset(
+                server.announced.address for server in servers
+            )
         cut_links = [self.links[self.vms[number].name] for number in case.cut]
         while (left_s := began_s + case.cut_s - loop.time()) > 0:
             for links in cut_links:
-                links.cut(case.how)
+                links.cut(case.how, addresses)
             await asyncio.sleep(min(left_s, case.flap_s or left_s))
             for links in cut_links:
                 links.heal()
--- a/tests/test_cut_vms.py
+++ b/tests/test_cut_vms.py
@@ -76,5 +76,9 @@
         )
         self.check(case, seeds=(1,))
 
+    def test_cut_from_half_of_the_targets(self) -> None:
+        for how in ("hang", "reset", "half-open"):
+            self.check(CutCase(how=how, cut=THREE, target_share=0.5))
+
     def test_cut_that_comes_and_goes(self) -> None:
         self.check(CutCase(cut=THREE, flap_s=1.0))
