Ask other entry VMs before the end of a target counts

What callers saw: requests of sound entry VMs refused with code 1208 while another VM was cut from half of the targets.

Cause: targets near a lost one were still reached, so that its end counted.

--- a/src/wigeonford/_compose_steer_entry.py
+++ b/src/wigeonford/_compose_steer_entry.py
@@ -153,7 +153,11 @@
     fronts = [(front_server, cfg.address)]
     if cfg.relay_address is not None:
         receiver = RelayReceiver(
-            forwarder.forward_relayed, wire, DEFAULT_PEER_SECRET, log
+            forwarder.forward_relayed,
+            prober.reaches,
+            wire,
+            DEFAULT_PEER_SECRET,
+            log,
         )
         relay_server = HttpServer(
             receiver.handle, CallerLimits(), log, wire.find_request_id
--- a/src/wigeonford/steer/_crash_watch.py
+++ b/src/wigeonford/steer/_crash_watch.py
@@ -3,13 +3,15 @@
 An attempt that breaks off may be the end of an idle connection, of one
 response or of the target. Only a target that accepts no further connection
 has crashed, so it is asked for one. If no other target near it accepts one
-either, the links or the zone have failed, and no request is to blame.
+either, the links or the zone have failed, and no request is to blame. Nor is
+one if another entry VM connects to it.
 """
 
 import asyncio
 from collections.abc import (
     AsyncGenerator,
     AsyncIterator,
+    Awaitable,
     Callable,
     Collection,
     Coroutine,
@@ -45,6 +47,14 @@
 zone do; none if there is no other target."""
 
 
+AskPeer = Callable[[TargetRecord], Awaitable[bool]]
+"""Return whether another entry VM connects to a target."""
+
+
+async def _ask_nobody(_record: TargetRecord) -> bool:
+    return False
+
+
 class CrashWatch:
     """Follow attempts to their end, and count the targets' crashes."""
 
@@ -56,7 +66,9 @@
         log: EventLog,
         clock: Callable[[], float],
         find_witnesses: FindWitnesses = lambda _: (),
+        ask_peer: AskPeer = _ask_nobody,
     ) -> None:
+        self._ask_peer = ask_peer
         self._find_witnesses = find_witnesses
         self._suspects = suspects
         self._target_connections = target_connections
@@ -231,7 +243,9 @@
             return True
         if any(await asyncio.gather(*map(self._probe, witnesses))):
             # Links that were lost may have come back in between.
-            return not await self._probe(record)
+            return not (
+                await self._probe(record) or await self._ask_peer(record)
+            )
         self._log.emit(
             Event.CRASH_UNPROVEN,
             target=record.target_id,
--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -102,6 +102,7 @@
             lambda record: target_records.pick_witnesses(
                 record, CRASH_WITNESSES, rng
             ),
+            *(() if relay is None else (relay.is_reached_elsewhere,)),
         )
         self._admission = Admission(
             view,
--- a/src/wigeonford/steer/_reach.py
+++ b/src/wigeonford/steer/_reach.py
@@ -17,7 +17,7 @@
 from wigeonford.messages.steering import Reach
 from wigeonford.metrics import Metrics
 from wigeonford.steer._attempt import TargetConnections
-from wigeonford.steer._target_records import TargetRecord, TargetRecords
+from wigeonford.steer._target_records import TargetRecords
 
 SUSPECT_TARGETS: Final = 3
 """Targets that fail in a row, without contact to any, before this VM doubts
@@ -301,16 +301,23 @@
         await cancel_task(self._comparison)
         await cancel_tasks(self._tasks)
 
+    async def reaches(self, target_id: str) -> bool:
+        """Return whether a target accepts a connection of this VM."""
+        record = self._target_records.get(target_id)
+        return (
+            record is not None
+            and await self._target_connections.accepts_connections(record)
+        )
+
     def compare(self, target_id: str) -> None:
         """Ask a target for a connection that another entry VM reaches."""
-        record = self._target_records.get(target_id)
         is_busy = self._comparison is not None and not self._comparison.done()
-        if record is not None and not is_busy:
-            self._comparison = asyncio.create_task(self._compare(record))
+        if self._target_records.get(target_id) is not None and not is_busy:
+            self._comparison = asyncio.create_task(self._compare(target_id))
 
-    async def _compare(self, record: TargetRecord) -> None:
-        if not await self._target_connections.accepts_connections(record):
-            self._monitor.record_cut(record.target_id)
+    async def _compare(self, target_id: str) -> None:
+        if not await self.reaches(target_id):
+            self._monitor.record_cut(target_id)
 
     async def _watch_silence(self) -> None:
         while True:
--- a/src/wigeonford/steer/_relay.py
+++ b/src/wigeonford/steer/_relay.py
@@ -1,5 +1,6 @@
 """Have other entry VMs send requests to targets that this VM can't reach."""
 
+import asyncio
 from collections.abc import Callable, Mapping
 import random
 import time
@@ -8,7 +9,9 @@
 from msgspec.structs import replace
 
 from wigeonford.deployment import Announcement
+from wigeonford.http import ConnectFailed, ExchangeFailed, fetch
 from wigeonford.messages.steering import EntryStatus, Reach
+from wigeonford.settings import parse_address
 from wigeonford.steer._attempt import (
     Attempt,
     AttemptResult,
@@ -20,8 +23,10 @@
 from wigeonford.steer._relay_wire import (
     attach_order,
     detach_result,
+    probe_headers,
     RelayOrder,
     RelayWire,
+    TargetProbe,
 )
 from wigeonford.steer._request import RequestContext, TargetWire
 from wigeonford.steer._target_records import TargetRecord
@@ -30,6 +35,10 @@
 """Other entry VMs that are asked for one request."""
 RELAY_AFTER_UNREACHED: Final = 2
 """Targets that a request doesn't reach before another entry VM is asked."""
+PROBING_PEERS: Final = 3
+"""Other VMs that are asked for a probe; some may have lost the same links."""
+PEER_PROBE_TIMEOUT_S: Final = 0.5
+"""Time limit of another VM's probe of a target, and the way there."""
 UNREACHED_PAUSE_S: Final = 1.0
 """How long no other VM is asked for a service whose targets none reaches."""
 
@@ -164,6 +173,32 @@
         if self._reach.state is Reach.LOST:
             self._prober.compare(target_id)
 
+    async def is_reached_elsewhere(self, record: TargetRecord) -> bool:
+        """Return whether one of some other entry VMs connects to a target."""
+        own = self._status()
+        ranked = rank_relays(
+            self._entries().values(), own, None, (), lambda _: 0, self._rng
+        )
+        probe = TargetProbe(own.name, record.target_id)
+        return any(
+            await asyncio.gather(
+                *(self._ask(entry, probe) for entry in ranked[:PROBING_PEERS])
+            )
+        )
+
+    async def _ask(self, entry: EntryStatus, probe: TargetProbe) -> bool:
+        try:
+            response = await fetch(
+                parse_address(entry.relay_address),
+                "GET",
+                "/",
+                probe_headers(probe, self._secret),
+                timeout_s=PEER_PROBE_TIMEOUT_S,
+            )
+        except (ConnectFailed, ExchangeFailed, ValueError):
+            return False
+        return response.status == 204
+
     def record_unreached(
         self, ctx: RequestContext, record: TargetRecord
     ) -> None:
--- a/src/wigeonford/steer/_relay_wire.py
+++ b/src/wigeonford/steer/_relay_wire.py
@@ -5,7 +5,7 @@
 
 from collections.abc import Awaitable, Callable
 import hmac
-from typing import Final
+from typing import Final, TypeVar
 
 import msgspec
 from msgspec.structs import replace
@@ -32,7 +32,13 @@
 ORDER_HEADER: Final = b"wigeonford-relay-order"
 PROOF_HEADER: Final = b"wigeonford-relay-proof"
 RESULT_HEADER: Final = b"wigeonford-relay-result"
-_OWN_HEADERS: Final = frozenset({ORDER_HEADER, PROOF_HEADER, RESULT_HEADER})
+PROBE_HEADER: Final = b"wigeonford-relay-probe"
+_OWN_HEADERS: Final = frozenset(
+    {ORDER_HEADER, PROOF_HEADER, RESULT_HEADER, PROBE_HEADER}
+)
+
+
+_Signed = TypeVar("_Signed", "RelayOrder", "TargetProbe")
 
 
 class RelayOrder(msgspec.Struct, frozen=True):
@@ -48,6 +54,21 @@
     sent: int
 
 
+class TargetProbe(msgspec.Struct, frozen=True):
+    """Ask whether a target accepts a connection of another entry VM."""
+
+    origin: str
+    target_id: str
+
+
+def probe_headers(probe: TargetProbe, secret: str) -> Headers:
+    """Return the headers that ask another entry VM for a probe."""
+    return (
+        (PROBE_HEADER, msgspec.json.encode(probe)),
+        (PROOF_HEADER, peer_proof(secret, probe.origin).encode()),
+    )
+
+
 def attach_order(
     req: SteerRequest, order: RelayOrder, secret: str
 ) -> SteerRequest:
@@ -62,17 +83,26 @@
 
 def read_order(request: Request, secret: str) -> RelayOrder:
     """Return the order of a request from a peer; raise `RequestRejected`."""
+    return _read_signed(request, ORDER_HEADER, RelayOrder, secret)
+
+
+def read_probe(request: Request, secret: str) -> TargetProbe:
+    """Return the probe that a peer wants; raise `RequestRejected`."""
+    return _read_signed(request, PROBE_HEADER, TargetProbe, secret)
+
+
+def _read_signed(
+    request: Request, name: bytes, kind: type[_Signed], secret: str
+) -> _Signed:
     try:
-        order = msgspec.json.decode(
-            request.header(ORDER_HEADER) or "", type=RelayOrder
-        )
+        signed = msgspec.json.decode(request.header(name) or "", type=kind)
     except msgspec.DecodeError as exc:
         raise RequestRejected(Code.HOP_REFUSED, str(exc)) from exc
     proof = request.header(PROOF_HEADER) or ""
-    expected = peer_proof(secret, order.origin)
+    expected = peer_proof(secret, signed.origin)
     if not hmac.compare_digest(proof.encode(), expected.encode()):
-        raise RequestRejected(Code.HOP_REFUSED, order.origin)
-    return order
+        raise RequestRejected(Code.HOP_REFUSED, signed.origin)
+    return signed
 
 
 def detach_order(req: SteerRequest) -> SteerRequest:
@@ -157,6 +187,8 @@
     [SteerRequest, RelayOrder], Awaitable[tuple[Response, RelayResult]]
 ]
 """Return a target's response, and its target; raise `RequestRejected`."""
+ProbeTarget = Callable[[str], Awaitable[bool]]
+"""Return whether a target of an id accepts a connection."""
 
 
 class RelayReceiver:
@@ -165,19 +197,28 @@
     def __init__(
         self,
         forward: ForwardRelayed,
+        probe: ProbeTarget,
         wire: TargetWire,
         secret: str,
         log: EventLog,
     ) -> None:
         self._forward = forward
+        self._probe = probe
         self._wire = RelayWire(wire)
         self._secret = secret
         self._log = log
         self._running = 0
 
     async def handle(self, request: Request) -> Response:
-        """Return the response with the result for the VM of origin."""
+        """Return the response with the result for the VM of origin.
+
+        A probe is answered 204 if the target accepts a connection, else 404.
+        """
         try:
+            if request.header(PROBE_HEADER) is not None:
+                probe = read_probe(request, self._secret)
+                is_reached = await self._probe(probe.target_id)
+                return Response(204 if is_reached else 404)
             order = read_order(request, self._secret)
         except RequestRejected as exc:
             self._log.emit(
--- a/tests/cut_fleet.py
+++ b/tests/cut_fleet.py
@@ -274,6 +274,7 @@
         for vm in self.vms:
             receiver = RelayReceiver(
                 vm.forwarder.forward_relayed,
+                self._probers[vm.name].reaches,
                 PlatformTargetWire(),
                 SECRET,
                 EventLog(),
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -15,9 +15,11 @@
 from wigeonford.steer._relay_wire import (
     attach_order,
     ORDER_HEADER,
+    probe_headers,
     RelayOrder,
     RelayWire,
     RESULT_HEADER,
+    TargetProbe,
 )
 from wigeonford.steer._request import RelayResult, TargetRunState
 
@@ -95,7 +97,7 @@
         self.response = Response(200, ((b"content-length", b"2"),), b"ok")
         self.error: RequestRejected | None = None
         self.receiver = RelayReceiver(
-            self.forward, PlatformTargetWire(), SECRET, EventLog()
+            self.forward, self.probe, PlatformTargetWire(), SECRET, EventLog()
         )
 
     async def forward(
@@ -107,6 +109,25 @@
             raise self.error
         return self.response, RelayResult(sent=2, target_id="t-1")
 
+    async def probe(self, target_id: str) -> bool:
+        """Return whether a target is reached; "t-1" is."""
+        return target_id == "t-1"
+
+    async def test_probes_of_peers_are_answered(self) -> None:
+        for target_id, secret, status in (
+            ("t-1", SECRET, 204),
+            ("t-2", SECRET, 404),
+            ("t-1", "guessed", None),
+        ):
+            headers = probe_headers(TargetProbe("vm-a", target_id), secret)
+            request = Request("GET", "/", "", headers, "c")
+            if status is None:
+                with self.assertRaises(RequestRejected):
+                    await self.receiver.handle(request)
+            else:
+                response = await self.receiver.handle(request)
+                self.assertEqual(status, response.status)
+
     def make_request(
         self, secret: str = SECRET, order: RelayOrder = ORDER
     ) -> Request:
