Spend a paid retry once; give up once other entry VMs were asked in vain

Read in review: the retry that the budget had paid for when links were lost could be used again by a later break of the same request, and a request that three other VMs could not serve went on to try targets of this VM for 0.5 s each.

--- a/src/wigeonford/steer/_forwarder.py
+++ b/src/wigeonford/steer/_forwarder.py
@@ -273,12 +273,15 @@
     async def _make_attempt(self, ctx: RequestContext) -> Response | None:
         """Make an attempt; return the response, None to try again.
 
-        It is made through another entry VM if this one reaches no target.
+        It is made through another entry VM if this one reaches no target. Once
+        some were asked in vain, nothing is gained by trying targets here.
         """
         if self._relay is not None and self._relay.should_relay(ctx):
             via = self._relay.choose(ctx)
             if via is not None:
                 return await self._make_relayed_attempt(ctx, via)
+            if ctx.relays:
+                raise self._build_rejection(ctx)
         await self._require_no_quarantine(ctx)
         choice = self._chooser.choose(ctx)
         if choice is None:
@@ -541,6 +544,7 @@
         if result.outcome in UNSENT:
             return ctx.unreached_count < MAX_UNREACHED_TARGETS
         if ctx.has_paid_retry:
+            ctx.has_paid_retry = False
             return True
         return self._may_repeat(ctx, is_unrun=result.outcome in UNRUN)
 
