Carry names of any script between entry VMs, and bound status reports

Read in review: the order of a relayed request was decoded as if its header held Latin-1 text, so that an account with other letters was unknown to the second VM; a request head close to the limit had no room for the headers that are added; a VM that loses and finds targets in turn reported each change to all replicas at once, now one in 0.5 s.

--- a/src/wigeonford/steer/_admission.py
+++ b/src/wigeonford/steer/_admission.py
@@ -98,9 +98,7 @@
                 Code.NO_ROUTE, f"{req.host}{req.path}", view
             )
         account = self._find_account(req, view, route)
-        left_s = route.timeout_s
-        if req.time_left_s is not None:
-            left_s = min(left_s, req.time_left_s)
+        left_s = _time_left_s(req, route)
         deadline_s = req.arrived_at_s + left_s
         self.check_can_finish(route, deadline_s)
         borrowed = account is not None and await self._spend_token(
@@ -152,9 +150,7 @@
                 f"{order.route} of {order.origin} is unknown in version "
                 f"{view.deployment.version}"
             )
-        left_s = route.timeout_s
-        if req.time_left_s is not None:
-            left_s = min(left_s, req.time_left_s)
+        left_s = _time_left_s(req, route)
         deadline_s = req.arrived_at_s + left_s
         self.check_can_finish(route, deadline_s)
         ctx = RequestContext(
@@ -282,6 +278,12 @@
         )
 
 
+def _time_left_s(req: SteerRequest, route: Route) -> float:
+    if req.time_left_s is None:
+        return route.timeout_s
+    return min(route.timeout_s, req.time_left_s)
+
+
 def _build_stale_error(detail: str) -> RequestRejected:
     return RequestRejected(
         Code.CONFIG_STALE, detail, retry_after_s=NO_VIEW_RETRY_AFTER_S
--- a/src/wigeonford/steer/_daemon.py
+++ b/src/wigeonford/steer/_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import time
 from typing import Final, Protocol
 
@@ -23,6 +24,8 @@
 from wigeonford.steer._target_records import TargetRecords
 from wigeonford.steer._view import View
 
+RELAY_HEAD_BYTES: Final = 4096
+"""Room for the headers that an entry VM adds for another one."""
 SWEEP_INTERVAL_S: Final = 0.5
 """Pause between searches for idle connections."""
 
@@ -65,7 +68,10 @@
 
 
 class SteerDaemon:
-    """Serve callers' requests, look-ups and the readiness check."""
+    """Serve callers' requests, look-ups and the readiness check.
+
+    The first of `fronts` serves callers, the others serve entry VMs.
+    """
 
     def __init__(
         self,
@@ -221,8 +227,12 @@
             view.taken_back, view.services, now_s
         )
         limits = caller_limits(view.deployment, self._cfg.max_file_descriptors)
-        for front in self._fronts:
-            front.limits = limits
+        front, *peer_fronts = self._fronts
+        front.limits = limits
+        for peer_front in peer_fronts:
+            peer_front.limits = dataclasses.replace(
+                limits, head_bytes=limits.head_bytes + RELAY_HEAD_BYTES
+            )
         if not self._readiness.ready:
             self._readiness.mark_deployment_known()
 
--- a/src/wigeonford/steer/_reach.py
+++ b/src/wigeonford/steer/_reach.py
@@ -45,6 +45,8 @@
 """How long a contact counts towards the return; a few rounds of probes."""
 PROBE_INTERVAL_S: Final = 0.4
 """Pause between rounds of probes while no target is reached."""
+REPORT_PAUSE_S: Final = 0.5
+"""Pause after a report to control, which tells each change to all VMs."""
 SILENCE_CHECK_INTERVAL_S: Final = 0.2
 PROBED_TARGETS: Final = 3
 """Targets probed in a round; they are drawn from all zones and services."""
@@ -268,6 +270,7 @@
             await self._changed.wait()
             self._changed.clear()
             await self._report_status()
+            await asyncio.sleep(REPORT_PAUSE_S)
 
 
 class ReachProber:
--- a/src/wigeonford/steer/_relay_wire.py
+++ b/src/wigeonford/steer/_relay_wire.py
@@ -39,6 +39,7 @@
 
 
 _Signed = TypeVar("_Signed", "RelayOrder", "TargetProbe")
+_Decoded = TypeVar("_Decoded")
 
 
 class RelayOrder(msgspec.Struct, frozen=True):
@@ -69,6 +70,14 @@
     )
 
 
+def _decode_header(
+    message: Request | Response, name: bytes, kind: type[_Decoded]
+) -> _Decoded:
+    """Return the JSON value of a header; raise `msgspec.DecodeError`."""
+    content = (message.header(name) or "").encode("latin-1")
+    return msgspec.json.decode(content, type=kind)
+
+
 def attach_order(
     req: SteerRequest, order: RelayOrder, secret: str
 ) -> SteerRequest:
@@ -95,7 +104,7 @@
     request: Request, name: bytes, kind: type[_Signed], secret: str
 ) -> _Signed:
     try:
-        signed = msgspec.json.decode(request.header(name) or "", type=kind)
+        signed = _decode_header(request, name, kind)
     except msgspec.DecodeError as exc:
         raise RequestRejected(Code.HOP_REFUSED, str(exc)) from exc
     proof = request.header(PROOF_HEADER) or ""
@@ -166,9 +175,8 @@
 
     def parse_facts(self, response: Response) -> ResponseFacts:
         """Return what the other entry VM says of the request."""
-        text = response.header(RESULT_HEADER)
         try:
-            result = msgspec.json.decode(text or "", type=RelayResult)
+            result = _decode_header(response, RESULT_HEADER, RelayResult)
         except msgspec.DecodeError:
             return ResponseFacts(TargetRunState.RAN, is_complete=False)
         is_unrun = result.is_rejected and result.run_state is RunState.NOT_RUN
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -151,6 +151,11 @@
         self.assertIs(TargetRunState.RAN, facts.run)
         self.assertEqual(RelayResult(sent=2, target_id="t-1"), facts.relayed)
 
+    async def test_names_of_any_script_pass(self) -> None:
+        order = replace(ORDER, account="Müller 農場", service='a"b')
+        await self.receiver.handle(self.make_request(order=order))
+        self.assertEqual(order, self.orders[0][1])
+
     async def test_requests_of_strangers_are_refused(self) -> None:
         plain = Request("GET", "/a/x", "", ((b"host", b"h"),), "c")
         for request in (self.make_request("guessed"), plain):
