--- a/src/wigeonford/_compose_steer_entry.py
+++ b/src/wigeonford/_compose_steer_entry.py
@@ -61,15 +61,19 @@
     log = log.bind(vm=cfg.name)
     incarnation = secrets.token_hex(6)
 
+    # Each request asks for the status.
+    address = str(cfg.address)
+    relay_address = "" if cfg.relay_address is None else str(cfg.relay_address)
+
     def make_status(ready: bool) -> EntryStatus:
         return EntryStatus(
             cfg.name,
             incarnation,
-            str(cfg.address),
+            address,
             cfg.availability_zone,
             cfg.region,
             ready,
-            "" if cfg.relay_address is None else str(cfg.relay_address),
+            relay_address,
             reach.state,
         )
 
