--- a/src/wigeonford/steer/_target_records.py
+++ b/src/wigeonford/steer/_target_records.py
@@ -191,9 +191,10 @@
         if self.down_count:
             self.down_count = 0
             self.down_until_s = 0.0
-        if self.doubted_until_s:
-            self.doubted_until_s = 0.0
+        # Coldness that something else has set since stays.
+        if self.cold_until_s == self.doubted_until_s:
             self.cold_until_s = self.cold_before_down_s
+        self.doubted_until_s = 0.0
         self.failure_ratio = 0.0
 
     def record_result(self, failed: bool, now_s: float) -> None:
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given, strategies
 
+from tests.test_deployment import make_announcement
 from wigeonford.messages.steering import Reach
 from wigeonford.metrics import Metrics
 from wigeonford.steer._reach import (
@@ -11,6 +12,7 @@
     RETURN_S,
     TargetReach,
 )
+from wigeonford.steer._target_records import TargetRecord
 
 
 def lost(target_count: int = 10) -> TargetReach:
@@ -131,6 +133,26 @@
         self.assertIs(reach.state, Reach.DIRECT)
 
 
+class ForgetTest(unittest.TestCase):
+    """What a VM's own lost links did to a target ends with them."""
+
+    def test_coldness_from_failures_is_forgotten(self) -> None:
+        record = TargetRecord(make_announcement(), "south", 0.0)
+        record.cold_until_s = 2.0
+        record.mark_down(10.0, 3.0)
+        record.mark_down(11.0, 3.0)
+        record.forget_failures()
+        self.assertFalse(record.is_cold(11.0))
+        self.assertFalse(record.is_down(11.0))
+
+    def test_coldness_that_was_set_since_is_kept(self) -> None:
+        record = TargetRecord(make_announcement(), "south", 0.0)
+        record.mark_down(10.0, 3.0)
+        record.cold_until_s = 100.0
+        record.forget_failures()
+        self.assertTrue(record.is_cold(99.0))
+
+
 class MetricsOrderTest(unittest.TestCase):
     """A reader that takes only the beginning still gets all counters."""
 
