Forget failures of targets only after a proven cut

Read in review: a loss that no other VM has disproven may be the targets' own end. Forgetting their failures as soon as one was reached sent them requests as if they were warm, until their next announcement (FAILBACK).

--- a/src/wigeonford/steer/_reach.py
+++ b/src/wigeonford/steer/_reach.py
@@ -210,7 +210,9 @@
             was_cut=was_cut,
             lasted_s=round(self._clock() - self._lost_at_s, 3),
         )
-        self._target_records.forget_failures()
+        if was_cut:
+            # A loss that was not proven may have been the targets' own.
+            self._target_records.forget_failures()
         self._notify()
 
     def record_failure(self, target_id: str, detail: str) -> None:
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -1,18 +1,21 @@
 """Whether an entry VM reaches targets over its own links."""
 
+import asyncio
 import unittest
 
 from hypothesis import given, strategies
 
 from tests.test_deployment import make_announcement
+from wigeonford.events import EventLog
 from wigeonford.messages.steering import Reach
 from wigeonford.metrics import Metrics
 from wigeonford.steer._reach import (
     FAILURE_MEMORY_S,
+    ReachMonitor,
     RETURN_S,
     TargetReach,
 )
-from wigeonford.steer._target_records import TargetRecord
+from wigeonford.steer._target_records import TargetRecord, TargetRecords
 
 
 def lost(target_count: int = 10) -> TargetReach:
@@ -145,6 +148,29 @@
         self.assertFalse(record.is_cold(11.0))
         self.assertFalse(record.is_down(11.0))
 
+    async def lose_and_regain(self, *, is_cut: bool) -> TargetRecord:
+        """Return a target that failed before all were lost and reached."""
+        records = TargetRecords()
+        announced = [make_announcement(target_id=f"t-{n}") for n in range(3)]
+        records.apply_changes(announced, (), {}, 0.0)
+        now_s = 1.0
+        monitor = ReachMonitor(records, Metrics(), EventLog(), lambda: now_s)
+        monitor.set_target_count(3)
+        for record in records:
+            record.mark_down(now_s, 3.0)
+            monitor.record_failure(record.target_id, "refused")
+        if is_cut:
+            monitor.record_cut("t-0")
+        for step in range(6):
+            now_s = 1.2 + step * RETURN_S / 2
+            monitor.record_contact(f"t-{step % 3}")
+        return next(iter(records))
+
+    def test_only_a_proven_cut_clears_the_targets(self) -> None:
+        for is_cut in (True, False):
+            record = asyncio.run(self.lose_and_regain(is_cut=is_cut))
+            self.assertIs(is_cut, not record.is_cold(1.5))
+
     def test_coldness_that_was_set_since_is_kept(self) -> None:
         record = TargetRecord(make_announcement(), "south", 0.0)
         record.mark_down(10.0, 3.0)
