--- a/src/wigeonford/steer/_relay_wire.py
+++ b/src/wigeonford/steer/_relay_wire.py
@@ -64,9 +64,15 @@
 
 def probe_headers(probe: TargetProbe, secret: str) -> Headers:
     """Return the headers that ask another entry VM for a probe."""
+    return _sign(PROBE_HEADER, probe, secret)
+
+
+def _sign(
+    name: bytes, signed: RelayOrder | TargetProbe, secret: str
+) -> Headers:
     return (
-        (PROBE_HEADER, msgspec.json.encode(probe)),
-        (PROOF_HEADER, peer_proof(secret, probe.origin).encode()),
+        (name, msgspec.json.encode(signed)),
+        (PROOF_HEADER, peer_proof(secret, signed.origin).encode()),
     )
 
 
@@ -84,8 +90,7 @@
     """Return a request with the headers of an order, signed by a peer."""
     headers = (
         *_without_own(req.headers),
-        (ORDER_HEADER, msgspec.json.encode(order)),
-        (PROOF_HEADER, peer_proof(secret, order.origin).encode()),
+        *_sign(ORDER_HEADER, order, secret),
     )
     return replace(req, headers=headers)
 
